Lay out the workspace: data types, wire messages, links, settings, logs

Starting point of the build: the types that the parts share, messages in thrift with generated code, links with heartbeats, checked settings.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# make demo | test | lint | format | bench | wire
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := burdockchute burdockchute-entry burdockchute-agent \
+	burdockchute-testing
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+WIRE := packages/burdockchute/burdockchute/wire
+
+.PHONY: demo test lint format bench bench-path bench-rollout bench-load \
+	bench-table wire lock setup clean
+
+setup: $(VENV)/.stamp
+
+$(VENV)/.stamp: requirements.lock packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check \
+		-r requirements.lock 2>&1 | grep -v WARNING || true
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
+		--no-build-isolation $(EDITABLE)
+	touch $@
+
+demo: setup
+	$(BIN)/python -m burdockchute_testing.demo
+
+test: setup
+	$(BIN)/python tools/run_tests.py
+
+lint: setup
+	$(BIN)/ruff format --check -q .
+	$(BIN)/ruff check -q .
+	$(BIN)/flake8 packages tools
+	$(BIN)/mypy --no-error-summary packages/burdockchute/burdockchute \
+		packages/burdockchute-entry/burdockchute_entry \
+		packages/burdockchute-agent/burdockchute_agent \
+		packages/burdockchute-testing/burdockchute_testing
+
+format: setup
+	$(BIN)/ruff check -q --fix --select I .
+	$(BIN)/ruff format -q .
+
+bench: bench-path bench-table bench-rollout bench-load
+
+bench-path bench-rollout bench-load bench-table: setup
+	$(BIN)/python -m burdockchute_testing.benches.$(subst bench-,,$@)
+
+wire:
+	thrift --gen py -out $(WIRE)/gen \
+		$(WIRE)/burdockchute.thrift
+
+lock: setup
+	(echo "# Exact versions; made by 'make lock'."; \
+		$(BIN)/pip freeze --all --exclude-editable | grep -v '^pip==') \
+		> requirements.lock
+
+clean:
+	rm -rf $(VENV) build out
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry process: takes the requests of callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/burdockchute/burdockchute/callers/__init__.py
@@ -0,0 +1,3 @@
+"""The HTTP interface towards callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/burdockchute/burdockchute/model/outcomes.py
@@ -0,0 +1,52 @@
+"""The three final outcomes of a request.
+
+A request was answered, was certainly not run, or nobody can tell. Only a
+process that knows that it did not hand a request on may say NotRun; every
+doubt is Unknown.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Answered(NamedTuple):
+    """The whole answer of an upstream, from one set of weights."""
+
+    status: int
+    content_type: str
+    body: bytes
+    digest: str
+    adapter_digest: str
+
+
+class NotRun(NamedTuple):
+    """Certainly not run. `retry_after_s` tells when to come back."""
+
+    reason: str
+    status: int = 503
+    retry_after_s: float = 1.0
+
+
+class Unknown(NamedTuple):
+    """Handed on, and what became of it can't be told."""
+
+    reason: str
+
+
+Outcome = Answered | NotRun | Unknown
+
+OUTCOME_NAMES = {
+    Answered: 'answered',
+    NotRun: 'not-run',
+    Unknown: 'unknown',
+}
+
+
+def name_of(outcome: Outcome) -> str:
+    """Give the word that stands in the response header.
+
+    >>> name_of(NotRun('no upstream'))
+    'not-run'
+    """
+    return OUTCOME_NAMES[type(outcome)]
--- /dev/null
+++ b/packages/burdockchute/burdockchute/model/requests.py
@@ -0,0 +1,37 @@
+"""What the system knows of one request of a caller."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class RequestContext(NamedTuple):
+    """A request after it was checked and its target resolved.
+
+    Times are seconds of the entry's monotonic clock. `target` names a model,
+    adapter or service row. `digest` and `adapter_digest` are pinned when the
+    request is placed, and are empty before and for services. `fingerprint`
+    is a digest over customer, target and body. `prefixes` are digests of the
+    prompt's first 1, 2, 3... blocks, longest last.
+    """
+
+    request_id: str
+    customer: str
+    target: str
+    kind: str
+    idempotent: bool
+    idempotency_key: str
+    arrived: float
+    deadline: float
+    priority: int
+    prompt_tokens: int
+    max_tokens: int
+    stream: bool
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    fingerprint: str
+    prefixes: tuple[str, ...] = ()
+    digest: str = ''
+    adapter_digest: str = ''
--- /dev/null
+++ b/packages/burdockchute/burdockchute/model/table.py
@@ -0,0 +1,73 @@
+"""The table as every process holds it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import NamedTuple
+from typing import TypeVar
+
+from burdockchute.model.rows import AdapterRow
+from burdockchute.model.rows import CustomerRow
+from burdockchute.model.rows import ModelRow
+from burdockchute.model.rows import ObjectiveRow
+from burdockchute.model.rows import Row
+from burdockchute.model.rows import RowKey
+from burdockchute.model.rows import ServiceRow
+
+NO_OFFSET = -1
+
+RowT = TypeVar('RowT')
+
+
+class Revisioned(NamedTuple):
+    """A row with the log offset of the edit that made it."""
+
+    row: Row
+    revision: int
+
+
+class Table(NamedTuple):
+    """All rows after the record at `offset` was applied, -1 for none.
+
+    >>> models(EMPTY)
+    {}
+    """
+
+    offset: int
+    rows: Mapping[RowKey, Revisioned]
+
+
+EMPTY = Table(NO_OFFSET, MappingProxyType({}))
+
+
+def models(table: Table) -> dict[str, ModelRow]:
+    """Give the model rows by name."""
+    return {row.name: row for row in _of_type(table, ModelRow)}
+
+
+def adapters(table: Table) -> dict[str, AdapterRow]:
+    """Give the adapter rows by name."""
+    return {row.name: row for row in _of_type(table, AdapterRow)}
+
+
+def customers(table: Table) -> dict[str, CustomerRow]:
+    """Give the customer rows by name."""
+    return {row.name: row for row in _of_type(table, CustomerRow)}
+
+
+def services(table: Table) -> dict[str, ServiceRow]:
+    """Give the service rows by name."""
+    return {row.name: row for row in _of_type(table, ServiceRow)}
+
+
+def objectives(table: Table) -> dict[str, ObjectiveRow]:
+    """Give the objective rows by name."""
+    return {row.name: row for row in _of_type(table, ObjectiveRow)}
+
+
+def _of_type(table: Table, row_type: type[RowT]) -> Iterator[RowT]:
+    for entry in table.rows.values():
+        if isinstance(entry.row, row_type):
+            yield entry.row
--- /dev/null
+++ b/packages/burdockchute/burdockchute/nodes/__init__.py
@@ -0,0 +1,3 @@
+"""Links between the system's own processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/burdockchute/burdockchute/operators/__init__.py
@@ -0,0 +1,3 @@
+"""Commands and reports for operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/burdockchute/burdockchute/settings.py
@@ -0,0 +1,177 @@
+"""Settings from flags and environment, with all findings listed together.
+
+Each setting is declared once; its flag is `--name` and its environment
+variable `BURDOCKCHUTE_NAME`. A flag goes before the environment, that before
+the default.
+
+>>> port = Setting('port', 'TCP port', parse_port, '0')
+>>> variable_of(port)
+'BURDOCKCHUTE_PORT'
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import ipaddress
+from typing import Any
+from typing import NamedTuple
+from urllib import parse
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from burdockchute.model import findings
+from burdockchute.model.findings import Finding
+
+EXIT_BAD_INPUT = 2
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+class Setting(NamedTuple):
+    """One setting: `parse` raises ValueError for a value it can't take.
+
+    `default` is text as an operator would write it; None makes the setting
+    one that must be given.
+    """
+
+    name: str
+    help: str
+    parse: Callable[[str], Any]
+    default: str | None = None
+
+
+def variable_of(setting: Setting) -> str:
+    """Give the name of the environment variable."""
+    return 'BURDOCKCHUTE_' + setting.name.upper().replace('-', '_')
+
+
+def add_flags(
+    parser: argparse.ArgumentParser, settings: Sequence[Setting]
+) -> None:
+    """Add a flag for each setting, with variable and default in its help."""
+    for setting in settings:
+        default = (
+            'required'
+            if setting.default is None
+            else f'default {setting.default!r}'
+        )
+        parser.add_argument(
+            f'--{setting.name}',
+            metavar=setting.name.upper().replace('-', '_'),
+            help=f'{setting.help} [{variable_of(setting)}; {default}]',
+        )
+
+
+def read(
+    settings: Sequence[Setting],
+    args: argparse.Namespace,
+    environ: Mapping[str, str],
+) -> Result[dict[str, Any], list[Finding]]:
+    """Give the parsed values by name (with '_' for '-'), or all findings."""
+    values: dict[str, Any] = {}
+    found: list[Finding] = []
+    for setting in settings:
+        place, text = _text_of(setting, args, environ)
+        if text is None:
+            found.append(Finding(place, 'must be given'))
+            continue
+        try:
+            values[_attribute_of(setting)] = setting.parse(text)
+        except ValueError as exc:
+            found.append(Finding(place, str(exc)))
+    return Failure(found) if found else Success(values)
+
+
+def parse_text(text: str) -> str:
+    """Take any text."""
+    return text
+
+
+def parse_name(text: str) -> str:
+    """Take a name without blanks."""
+    if not text or any(c.isspace() or c in ',/' for c in text):
+        raise ValueError(
+            f'{text!r} is not a name: letters, digits, - . _ are valid'
+        )
+    return text
+
+
+def parse_port(text: str) -> int:
+    """Take a TCP port, 0 for any free one."""
+    try:
+        port = int(text)
+    except ValueError:
+        port = -1
+    if not 0 <= port <= 65535:
+        raise ValueError(f'{text!r} is not a port from 0 to 65535')
+    return port
+
+
+def parse_address(text: str) -> str:
+    """Take an IP number."""
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError:
+        raise ValueError(f'{text!r} is not an IP number') from None
+
+
+def parse_url(text: str) -> str:
+    """Take an http or https URL with a host, without trailing slash."""
+    parts = parse.urlsplit(text)
+    if parts.scheme not in ('http', 'https') or not parts.hostname:
+        raise ValueError(f'{text!r} is not a URL http://HOST:PORT')
+    return text.rstrip('/')
+
+
+def parse_optional_url(text: str) -> str:
+    """Take a URL or nothing."""
+    return parse_url(text) if text else ''
+
+
+def parse_seconds(text: str) -> float:
+    """Take a positive number of seconds."""
+    return _positive(text, 'number of seconds over 0')
+
+
+def parse_bytes(text: str) -> int:
+    """Take a positive whole number of bytes."""
+    return int(_positive(text, 'number of bytes over 0'))
+
+
+def parse_level(text: str) -> str:
+    """Take a log level."""
+    if text not in LOG_LEVELS:
+        raise ValueError(findings.not_one_of(text, LOG_LEVELS))
+    return text
+
+
+def _positive(text: str, wanted: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 < value < float('inf'):
+        raise ValueError(f'{text!r} is not a {wanted}')
+    return value
+
+
+def _attribute_of(setting: Setting) -> str:
+    return setting.name.replace('-', '_')
+
+
+def _text_of(
+    setting: Setting,
+    args: argparse.Namespace,
+    environ: Mapping[str, str],
+) -> tuple[str, str | None]:
+    flag = getattr(args, _attribute_of(setting), None)
+    if flag is not None:
+        return f'--{setting.name}', flag
+    variable = variable_of(setting)
+    if variable in environ:
+        return variable, environ[variable]
+    return f'--{setting.name} or {variable}', setting.default
--- /dev/null
+++ b/packages/burdockchute/burdockchute/weights/__init__.py
@@ -0,0 +1,3 @@
+"""Manifests, copies and their spread between agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -0,0 +1,218 @@
+// Messages between burdockchute's own processes. Each frame on a connection
+// holds one Envelope; exactly one of its fields is set.
+//
+// Strings are UTF-8. Digests are lower-case hex of blake3. Durations are in
+// milliseconds and never absolute times, since clocks of two instances differ.
+
+// First message of each side on a connection.
+struct Hello {
+  1: string name            // instance name
+  2: string role            // "entry" or "agent"
+  3: string zone
+  4: string region
+  5: string incarnation     // new for each start of the process
+  6: i64 table_offset       // highest offset applied, -1 for none
+  7: i32 protocol
+}
+
+// Sent when nothing else has been sent for a while, by both sides.
+struct Heartbeat {
+  1: i64 sequence
+  2: i64 table_offset
+}
+
+// entry -> agent: run this request.
+struct Dispatch {
+  1: string request_id
+  2: string attempt_id
+  3: string customer
+  4: string target          // row name: model, adapter or service
+  5: string digest          // weights of the model, "" for a service
+  6: string adapter_digest  // "" for none
+  7: bool idempotent
+  8: i32 budget_ms          // time left until the caller's deadline
+  9: i32 priority           // higher goes first
+  10: string method         // HTTP method and path for a service
+  11: string path
+  12: string content_type
+  13: binary body
+  14: bool stream
+  15: string adapter
+}
+
+// entry -> agent: the caller has gone or given up.
+struct Cancel {
+  1: string request_id
+}
+
+// agent -> entry: bytes of the answer, in order from sequence 0.
+struct AnswerPart {
+  1: string request_id
+  2: i32 sequence
+  3: binary data
+}
+
+// agent -> entry: the answer is whole, or broke after it began.
+struct AnswerEnd {
+  1: string request_id
+  2: i32 parts              // how many parts make the whole answer
+  3: i32 status             // HTTP status of the upstream
+  4: string content_type
+  5: string digest          // weights that made the answer, "" for a service
+  6: string adapter_digest
+  7: string error           // "" when whole; else why it is not
+  8: bool crashed           // the upstream went away while running it
+}
+
+// agent -> entry: this request was certainly not handed to the upstream.
+struct NotRun {
+  1: string request_id
+  2: string reason
+  3: i32 retry_after_ms
+}
+
+// One set of weights as an agent sees it.
+struct WeightsState {
+  1: string row             // "model/story" or "adapter/rhymes"
+  2: string digest
+  3: string phase           // wanted, copying, loading, open, draining
+  4: i32 chunks_held
+  5: i32 chunks_total
+}
+
+// agent -> entry: on each change and every second.
+struct LoadReport {
+  1: string instance
+  2: i32 running
+  3: i32 waiting
+  4: i32 slots
+  5: double tokens_per_s
+  6: bool leaving
+  7: list<WeightsState> weights
+  8: list<string> services  // service rows this instance can run
+  9: list<string> prefixes  // warm prefix digests, most recent first
+  10: i64 table_offset
+  11: i64 prefill_tokens_per_s
+}
+
+struct RowRecord {
+  1: string kind
+  2: string name
+  3: i64 revision
+  4: binary document        // JSON of the row, empty when removed
+}
+
+// entry -> agent: rows changed in (from_offset, to_offset]; from_offset -1
+// carries the whole table.
+struct TableDelta {
+  1: i64 from_offset
+  2: i64 to_offset
+  3: list<RowRecord> rows
+}
+
+struct Member {
+  1: string name
+  2: string address
+  3: i32 port
+  4: string zone
+  5: string region
+  6: string pool
+  7: bool leaving
+}
+
+// entry -> agent: instances that hold or want the same weights.
+struct Members {
+  1: list<Member> members
+  2: i64 sequence
+}
+
+// agent -> agent: what a copy of these weights holds so far.
+struct Have {
+  1: string digest
+  2: binary bitmap          // bit i set: chunk i is verified and served
+  3: i32 uploads            // chunk uploads now in progress
+  4: bool wants             // still copying
+  5: i32 loading            // 1 while its upstream loads this digest
+}
+
+struct ChunkRequest {
+  1: string digest
+  2: i32 index
+}
+
+struct Chunk {
+  1: string digest
+  2: i32 index
+  3: binary data
+  4: string error           // "" or: unknown, busy, leaving
+  5: i32 retry_after_ms
+}
+
+// entry -> entry: what a customer asked for in the last second at this entry.
+struct Demand {
+  1: string customer
+  2: double requests_per_s
+  3: double tokens_per_s
+}
+
+struct DemandReport {
+  1: list<Demand> demands
+}
+
+// entry -> entry: this entry's part of the customer's limit.
+struct Share {
+  1: string customer
+  2: double requests_per_s
+  3: double tokens_per_s
+}
+
+struct ShareReport {
+  1: list<Share> shares
+}
+
+// entry -> entry: ask the gatherer of a claim stream to claim a key.
+struct ClaimRequest {
+  1: string claim_id
+  2: string customer
+  3: string key
+  4: string request_digest
+  5: string attempt_id
+  6: i32 expires_in_ms
+  7: string act             // claim, release, finish
+  8: binary outcome
+}
+
+struct ClaimReply {
+  1: string claim_id
+  2: string verdict         // won, lost, unavailable
+  3: string holder_attempt
+  4: string holder_request_digest
+  5: binary outcome
+  6: i32 retry_after_ms
+}
+
+// A fresh entry asks its peers for the table while the log is away.
+struct TableRequest {
+  1: i64 known_offset
+}
+
+union Envelope {
+  1: Hello hello
+  2: Heartbeat heartbeat
+  3: Dispatch dispatch
+  4: Cancel cancel
+  5: AnswerPart answer_part
+  6: AnswerEnd answer_end
+  7: NotRun not_run
+  8: LoadReport load_report
+  9: TableDelta table_delta
+  10: Members members
+  11: Have have
+  12: ChunkRequest chunk_request
+  13: Chunk chunk
+  14: DemandReport demand_report
+  15: ShareReport share_report
+  16: ClaimRequest claim_request
+  17: ClaimReply claim_reply
+  18: TableRequest table_request
+}
--- /dev/null
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
