Bring weights from the store to the engine behind a version gate

An agent hosts the rows that match its place, reads their manifest and chunks from the weight store, checks each against the root digest, orders the engine to load and opens the gate only when the engine's state, read back, names the digest. A switch is decided from what is the case, one step at a time.

--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/origin_reads.py
@@ -0,0 +1,98 @@
+"""Reads from the weight store, each in a greenlet of its own.
+
+A read can be stopped at any time, so that a copy that is given up stops
+using the store's link at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+from returns.result import Result
+
+from burdockchute.weights.manifest import Manifest
+from burdockchute.weights.origin import Origin
+from burdockchute_agent.events import ManifestRead
+from burdockchute_agent.events import OriginRead
+
+MANIFEST = -1
+MAX_IDLE_CLIENTS = 4
+
+
+class _Read(NamedTuple):
+    digest: str
+    chunk: int
+
+
+class OriginReads:
+    """All reads now in progress; what they bring goes to `report`."""
+
+    def __init__(self, url: str, report: Callable[[object], None]) -> None:
+        self.bytes_read = 0
+        self._url = url
+        self._report = report
+        self._idle: list[Origin] = []
+        self._running: dict[_Read, gevent.Greenlet] = {}
+
+    def read_manifest(self, digest: str) -> None:
+        """Start to read a manifest unless that is already going on."""
+        self._start(_Read(digest, MANIFEST), self._manifest, digest)
+
+    def read_chunk(self, manifest: Manifest, index: int) -> None:
+        """Start to read a chunk unless that is already going on."""
+        read = _Read(manifest.digest, index)
+        self._start(read, self._chunk, manifest, index)
+
+    def stop(self, digest: str) -> None:
+        """Stop every read for a digest; nothing more is reported of it."""
+        for read in [read for read in self._running if read.digest == digest]:
+            self._running.pop(read).kill(block=False)
+
+    def stop_all(self) -> None:
+        """Stop every read and close all connections."""
+        for digest in {read.digest for read in self._running}:
+            self.stop(digest)
+        while self._idle:
+            self._idle.pop().close()
+
+    def _start(self, read: _Read, run: Callable, *args: object) -> None:
+        if read not in self._running:
+            self._running[read] = gevent.spawn(run, read, *args)
+
+    def _manifest(self, read: _Read, digest: str) -> None:
+        result = self._with_client(lambda client: client.manifest(digest))
+        if self._running.pop(read, None):
+            self._report(ManifestRead(digest, _value_of(result)))
+
+    def _chunk(self, read: _Read, manifest: Manifest, index: int) -> None:
+        asked = time.monotonic()
+        result = self._with_client(
+            lambda client: client.chunk(manifest, index)
+        )
+        if self._running.pop(read, None):
+            outcome = _value_of(result)
+            self._report(OriginRead(manifest.digest, index, asked, outcome))
+
+    def _with_client(self, call: Callable[[Origin], Result]) -> Result:
+        client = self._idle.pop() if self._idle else Origin(self._url, 1)
+        before = client.bytes_read
+        whole = False
+        try:
+            result = call(client)
+            whole = True
+        finally:
+            # A client stopped in the middle of a reply can't be used again.
+            self.bytes_read += client.bytes_read - before
+            if whole and len(self._idle) < MAX_IDLE_CLIENTS:
+                self._idle.append(client)
+            else:
+                client.close()
+        return result
+
+
+def _value_of(result: Result) -> Any:
+    return result.value_or(None) or result.failure()
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/row_switch.py
@@ -0,0 +1,106 @@
+"""One row's weights on this instance: what is wanted and what was ordered."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from burdockchute.upstreams.orders import EngineError
+from burdockchute.upstreams.orders import Order
+from burdockchute.upstreams.orders import OrderRefused
+
+# A load that failed is tried again, but not so fast that a broken engine or
+# a broken copy keeps its instance busy.
+RETRY_S = 1.0
+MAX_RETRY_S = 30.0
+# An engine short of memory for a second version refuses or drops the load;
+# after this many failures the old version is taken away first.
+FAILURES_BESIDE = 2
+# A taken order shows as loading at once; this covers a report that was made
+# just before.
+GRACE_S = 0.5
+NO_ROOM_STATUS = (409, 507)
+
+
+class Target(NamedTuple):
+    """The weights that a row names. `base` is set for adapters."""
+
+    kind: str
+    name: str
+    version: str
+    digest: str
+    base: str
+    checks_fencing: bool
+    loading_share: float
+    origin_copies: float
+
+
+class RowSwitch:
+    """Keeps the orders of one row apart from each other in time."""
+
+    def __init__(self, kind: str, name: str) -> None:
+        self.kind = kind
+        self.name = name
+        self.target: Target | None = None
+        self.beside = True
+        self._ordered: Order | None = None
+        self._ended_at: float | None = None
+        self._not_before = 0.0
+        self._failures = 0
+
+    def want(self, target: Target | None) -> None:
+        """Take what the row names now; None when it is gone."""
+        if self.target and target and self.target.digest == target.digest:
+            self.target = target
+            return
+        self.target = target
+        self.beside = True
+        self._failures = 0
+        self._not_before = 0.0
+
+    def may_order(self, now: float) -> bool:
+        """Tell whether no order is pending and none failed just now."""
+        return self._ordered is None and now >= self._not_before
+
+    def ordered(self, order: Order) -> None:
+        """Note an order that is on its way."""
+        self._ordered = order
+        self._ended_at = None
+
+    def ended(
+        self, outcome: str | OrderRefused | EngineError, now: float
+    ) -> None:
+        """Note the engine's reply; the effect is yet to be seen."""
+        self._ended_at = now
+        if isinstance(outcome, EngineError):
+            if outcome.status in NO_ROOM_STATUS:
+                self.beside = False
+
+    def observe(
+        self,
+        loaded: frozenset[str],
+        loading: frozenset[str],
+        asked: float,
+        now: float,
+    ) -> bool:
+        """Compare a report with the pending order; True if it failed.
+
+        Only a report asked for after the engine's reply tells anything.
+        """
+        order = self._ordered
+        if order is None or self._ended_at is None or asked <= self._ended_at:
+            return False
+        done = (order.digest in loaded) == (order.order == 'load')
+        if done:
+            self._ordered = None
+            self._failures = 0
+            return False
+        busy = order.digest in loading
+        if busy or asked - self._ended_at < GRACE_S:
+            return False
+        self._ordered = None
+        self._failures += 1
+        if loaded and self._failures >= FAILURES_BESIDE:
+            self.beside = False
+        wait = min(RETRY_S * 2 ** (self._failures - 1), MAX_RETRY_S)
+        self._not_before = now + wait
+        return True
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -0,0 +1,406 @@
+"""The task that brings the weights of the hosted rows to this instance.
+
+It decides which rows the instance hosts, copies their weights, gives the
+engine its orders and owns the gates. Everything that happens reaches it as a
+message in its inbox; after each message, and at least every TICK_S, it looks
+at what is the case and takes the next step for each row. So nothing depends
+on a single message having arrived.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+
+import gevent
+from gevent import queue
+from returns.result import Result
+from returns.result import Success
+
+from burdockchute.decisions import hosting
+from burdockchute.decisions import switching
+from burdockchute.logs import event
+from burdockchute.logs import warn
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.model.rows import AdapterRow
+from burdockchute.model.rows import ModelRow
+from burdockchute.model.table import EMPTY
+from burdockchute.model.table import models
+from burdockchute.model.table import Table
+from burdockchute.upstreams.gate import Gate
+from burdockchute.upstreams.gate import Weights
+from burdockchute.upstreams.orders import Order
+from burdockchute.upstreams.orders import OrderRefused
+from burdockchute.weights.manifest import document_of
+from burdockchute.weights.manifest import Manifest
+from burdockchute.wire import messages
+from burdockchute_agent.copying import Copying
+from burdockchute_agent.engine_task import EngineTask
+from burdockchute_agent.engine_view import EngineView
+from burdockchute_agent.events import EngineSeen
+from burdockchute_agent.events import OrderEnded
+from burdockchute_agent.events import Registered
+from burdockchute_agent.row_switch import RowSwitch
+from burdockchute_agent.row_switch import Target
+
+TICK_S = 0.05
+REGISTER_RETRY_S = 1.0
+NO_FENCE = -1
+
+WeightsContent = tuple[Manifest, Iterable[bytes]]
+
+
+class WeightsTask:
+    """Copies, orders and gates of one instance.
+
+    `uplink` and `downlink` are the instance's link in bytes per second.
+    `register` appends this agent's registration to the log and gives its
+    offset, the fencing number. `source` gives the base URL of the admin
+    HTTP, from which the engine fetches weights.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        place: Place,
+        store_url: str,
+        upstream_url: str,
+        upstream_kind: str,
+        uplink: float,
+        downlink: float,
+        register: Callable[[], Result],
+        hello: Callable[[], messages.Hello],
+        source: Callable[[], str] = str,
+    ) -> None:
+        self.inbox: queue.Queue = queue.Queue()
+        self.gate = Gate()
+        self.fence = NO_FENCE
+        self._own = Member(name, 'agent', '', 0, place)
+        self._is_engine = upstream_kind == 'engine'
+        self._register = register
+        self._source = source
+        self._table: Table = EMPTY
+        self._members: tuple[Member, ...] = ()
+        self._view = EngineView(time.monotonic())
+        self._engine = EngineTask(upstream_url, self.inbox.put)
+        self._copying = Copying(
+            self._own, store_url, uplink, downlink, hello, self.inbox
+        )
+        self._switches: dict[tuple[str, str], RowSwitch] = {}
+        self._superseded = False
+
+    def run(self) -> None:
+        """Work until killed."""
+        helpers = []
+        if self._is_engine:
+            helpers.append(gevent.spawn(self._engine.run))
+            helpers.append(gevent.spawn(self._keep_registering))
+        try:
+            while True:
+                self._take_messages()
+                self._step(time.monotonic())
+        finally:
+            gevent.killall(helpers, block=False)
+            self._copying.stop()
+
+    def states(self) -> list[messages.WeightsState]:
+        """Give one state for each set of weights, as entries are told."""
+        found = []
+        for switch in self._switches.values():
+            digests = set(self._view.loaded(switch.kind, switch.name))
+            if switch.target:
+                digests.add(switch.target.digest)
+            for digest in sorted(digests):
+                found.append(self._state_of(switch, digest))
+        return found
+
+    def services(self) -> list[str]:
+        """Give the names of the service rows that this instance runs."""
+        if self._is_engine:
+            return []
+        rows = hosting.hosted_services(self._table, self._members, self._own)
+        return [row.name for row in rows]
+
+    def weights_response(self, digest: str) -> WeightsContent | None:
+        """Give manifest and content of whole weights, None without them."""
+        copy = self._copying.whole_copy(digest)
+        if copy is None:
+            return None
+        return copy.manifest, copy.content()
+
+    def note_live_bytes(self, count: int) -> None:
+        """Count bytes of live requests on this instance's link."""
+        self._copying.note_live_bytes(count)
+
+    def _keep_registering(self) -> None:
+        while True:
+            result = self._register()
+            if isinstance(result, Success):
+                self.inbox.put(Registered(result.unwrap()))
+                return
+            warn('registration_failed', reason=result.failure())
+            gevent.sleep(REGISTER_RETRY_S)
+
+    def _take_messages(self) -> None:
+        try:
+            message = self.inbox.get(timeout=TICK_S)
+        except queue.Empty:
+            return
+        while message is not None:
+            self._take(message, time.monotonic())
+            try:
+                message = self.inbox.get_nowait()
+            except queue.Empty:
+                message = None
+
+    def _take(self, message: object, now: float) -> None:
+        match message:
+            case TableChanged(table=table):
+                self._table = table
+                self._want_rows()
+            case MembersChanged(members=members):
+                self._members = members
+                self._want_rows()
+            case Registered(fence=fence):
+                self.fence = fence
+                event('registered', fence=fence)
+            case EngineSeen(asked=asked, state=state):
+                self._view.seen(asked, state)
+            case OrderEnded():
+                self._order_ended(message, now)
+            case _:
+                self._copying.take(message, now)
+
+    def _want_rows(self) -> None:
+        if not self._is_engine:
+            self.gate.set_services(frozenset(self.services()))
+            return
+        targets = self._targets()
+        for key, target in targets.items():
+            self._switch(key).want(target)
+        for key, switch in self._switches.items():
+            if key not in targets:
+                switch.want(None)
+        self._copying.set_members(self._table, self._members)
+
+    def _targets(self) -> dict[tuple[str, str], Target]:
+        found = {}
+        known = (self._table, self._members, self._own)
+        for model in hosting.hosted_models(*known):
+            found['model', model.name] = _model_target(model)
+        by_name = models(self._table)
+        for adapter in hosting.hosted_adapters(*known):
+            base = by_name[adapter.base]
+            found['adapter', adapter.name] = _adapter_target(adapter, base)
+        return found
+
+    def _switch(self, key: tuple[str, str]) -> RowSwitch:
+        if key not in self._switches:
+            self._switches[key] = RowSwitch(*key)
+        return self._switches[key]
+
+    def _order_ended(self, ended: OrderEnded, now: float) -> None:
+        order = ended.order
+        self._view.ordered(now)
+        self._switch((order.kind, order.name)).ended(ended.outcome, now)
+        if isinstance(ended.outcome, OrderRefused):
+            warn(
+                'order_refused',
+                digest=order.digest,
+                fence=order.fence,
+                engine_fence=ended.outcome.fence,
+            )
+
+    def _step(self, now: float) -> None:
+        for weights in self.gate.take_doubts():
+            warn('answer_of_other_weights', digest=weights.digest)
+            self._view.doubted(weights, now)
+        if self._is_engine:
+            self._find_loaded_rows()
+            self._check_superseded()
+            for switch in self._switches.values():
+                self._step_row(switch, now)
+        self._copying.tick(self._wanted_copies(), now)
+
+    def _find_loaded_rows(self) -> None:
+        # What the engine has from before this agent started must be
+        # unloaded too if no row names it.
+        for kind, name in self._view.rows():
+            self._switch((kind, name))
+
+    def _check_superseded(self) -> None:
+        superseded = self.fence != NO_FENCE and self._view.superseded(
+            self.fence
+        )
+        if superseded and not self._superseded:
+            # Another agent has taken this instance over. Requests let in
+            # here could get answers of weights that it switches to.
+            warn('superseded', fence=self.fence)
+            self.gate.shut_all()
+        self._superseded = superseded
+
+    def _step_row(self, switch: RowSwitch, now: float) -> None:
+        loaded = self._view.loaded(switch.kind, switch.name)
+        loading = self._view.loading(switch.kind, switch.name)
+        if switch.observe(loaded, loading, self._view.asked, now):
+            warn('order_failed', row=f'{switch.kind}/{switch.name}')
+        if self._superseded:
+            return
+        while True:
+            step = switching.next_step(self._situation(switch, now))
+            if isinstance(step, switching.Open):
+                self._open(switch, step.digest)
+            elif isinstance(step, switching.Shut):
+                self.gate.shut(_weights(switch, step.digest))
+            else:
+                break
+        if isinstance(step, switching.Load | switching.Unload):
+            self._give_order(switch, step, now)
+
+    def _situation(self, switch: RowSwitch, now: float) -> switching.Situation:
+        target = switch.target
+        digest = target.digest if target else ''
+        loaded = self._view.loaded(switch.kind, switch.name)
+        gates = [
+            gate
+            for gate in self.gate.states()
+            if (gate.weights.kind, gate.weights.name)
+            == (switch.kind, switch.name)
+        ]
+        copy = self._copying.whole_copy(digest) if digest else None
+        return switching.Situation(
+            wanted=digest,
+            whole=copy is not None,
+            loaded=loaded,
+            loading=self._view.loading(switch.kind, switch.name),
+            is_open=frozenset(g.weights.digest for g in gates if g.is_open),
+            in_flight={g.weights.digest: g.in_flight for g in gates},
+            may_load=target is not None and self._may_load(target, now),
+            settled=target is not None and self._settled(target),
+            base_loaded=target is not None and self._base_loaded(target),
+            beside=switch.beside,
+        )
+
+    def _may_load(self, target: Target, now: float) -> bool:
+        return True
+
+    def _settled(self, target: Target) -> bool:
+        weights = Weights(target.kind, target.name, target.digest)
+        settle_s = switching.settle_s(self._copying.size_of(target.digest))
+        return self.fence != NO_FENCE and self._view.settled(
+            weights, self.fence, target.checks_fencing, settle_s
+        )
+
+    def _base_loaded(self, target: Target) -> bool:
+        if target.kind != 'adapter':
+            return True
+        base = self._switch(('model', target.base)).target
+        loaded = self._view.loaded('model', target.base)
+        return base is not None and base.digest in loaded
+
+    def _open(self, switch: RowSwitch, digest: str) -> None:
+        base = switch.target.base if switch.target else ''
+        self.gate.open(_weights(switch, digest), base)
+        event('gate_opened', row=f'{switch.kind}/{switch.name}', digest=digest)
+
+    def _give_order(
+        self,
+        switch: RowSwitch,
+        step: switching.Load | switching.Unload,
+        now: float,
+    ) -> None:
+        if self.fence == NO_FENCE or not switch.may_order(now):
+            return
+        order = self._order(switch, step)
+        switch.ordered(order)
+        self._view.ordered(now)
+        self._engine.orders.put(order)
+        event(
+            'order_given',
+            order=order.order,
+            row=f'{switch.kind}/{switch.name}',
+            digest=order.digest,
+            fence=order.fence,
+        )
+
+    def _order(
+        self, switch: RowSwitch, step: switching.Load | switching.Unload
+    ) -> Order:
+        target = switch.target
+        size = self._copying.size_of(step.digest)
+        return Order(
+            order='load' if isinstance(step, switching.Load) else 'unload',
+            kind=switch.kind,
+            name=switch.name,
+            version=target.version if target else '',
+            digest=step.digest,
+            base=target.base if target else '',
+            source=f'{self._source()}/weights/{step.digest}',
+            fence=self.fence,
+            deadline_ms=int(switching.order_deadline_s(size) * 1000),
+        )
+
+    def _wanted_copies(self) -> list[Target]:
+        return [s.target for s in self._switches.values() if s.target]
+
+    def _state_of(
+        self, switch: RowSwitch, digest: str
+    ) -> messages.WeightsState:
+        held, total = self._copying.progress(digest)
+        return messages.WeightsState(
+            row=f'{switch.kind}/{switch.name}',
+            digest=digest,
+            phase=self._phase(switch, digest),
+            chunks_held=held,
+            chunks_total=total,
+        )
+
+    def _phase(self, switch: RowSwitch, digest: str) -> str:
+        if self.gate.is_open(_weights(switch, digest)):
+            return 'open'
+        if switch.target is None or switch.target.digest != digest:
+            return 'draining'
+        if digest in self._view.loading(switch.kind, switch.name):
+            return 'loading'
+        held, total = self._copying.progress(digest)
+        return 'copying' if held < total or not total else 'loading'
+
+
+def manifest_header(manifest: Manifest) -> str:
+    """Give the value of the header Burdockchute-Manifest."""
+    return base64.b64encode(document_of(manifest)).decode()
+
+
+def _model_target(row: ModelRow) -> Target:
+    return Target(
+        kind='model',
+        name=row.name,
+        version=row.version,
+        digest=row.digest,
+        base='',
+        checks_fencing=row.checks_fencing,
+        loading_share=row.loading_share,
+        origin_copies=row.origin_copies,
+    )
+
+
+def _adapter_target(row: AdapterRow, base: ModelRow) -> Target:
+    return Target(
+        kind='adapter',
+        name=row.name,
+        version=row.version,
+        digest=row.digest,
+        base=row.base,
+        checks_fencing=base.checks_fencing,
+        loading_share=base.loading_share,
+        origin_copies=row.origin_copies,
+    )
+
+
+def _weights(switch: RowSwitch, digest: str) -> Weights:
+    return Weights(switch.kind, switch.name, digest)
--- /dev/null
+++ b/packages/burdockchute/burdockchute/decisions/hosting.py
@@ -0,0 +1,131 @@
+"""Which rows an instance hosts.
+
+Load: rows name pools, zones, regions or instances, and may limit how many of
+the matching instances serve them; instances come and go all day. Without one
+rule that every process computes alike, entries would send requests to
+instances that hold other weights, or two agents would each think that the
+other hosts a row. The choice is a rendezvous hash over row and instance, so
+that one instance that goes moves only its own rows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import blake3
+
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.model.rows import AdapterRow
+from burdockchute.model.rows import ModelRow
+from burdockchute.model.rows import ServiceRow
+from burdockchute.model.table import adapters
+from burdockchute.model.table import models
+from burdockchute.model.table import services
+from burdockchute.model.table import Table
+
+SORTS = ('pool', 'zone', 'region', 'instance')
+
+
+def score(key: str, name: str) -> bytes:
+    """Give the rendezvous score of a name under a key; the lowest wins."""
+    return blake3.blake3(f'{key}\0{name}'.encode()).digest(8)
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Give the names in their order under a key, the same everywhere.
+
+    Taking a name away leaves the order of the others as it was.
+    """
+    return sorted(names, key=lambda name: (score(key, name), name))
+
+
+def matches(placement: str, name: str, place: Place) -> bool:
+    """Tell whether an instance matches a placement.
+
+    >>> matches('zone:graz-1,zone:graz-2', 'a', Place('graz-1', 'graz', 'p'))
+    True
+    >>> matches('zone:graz-1,pool:q', 'a', Place('graz-1', 'graz', 'p'))
+    False
+    """
+    terms = [term.strip() for term in placement.split(',') if term.strip()]
+    if '*' in terms:
+        return True
+    own = {
+        'pool': place.pool,
+        'zone': place.zone,
+        'region': place.region,
+        'instance': name,
+    }
+    wanted: dict[str, set[str]] = {}
+    for term in terms:
+        sort, _, value = term.partition(':')
+        wanted.setdefault(sort, set()).add(value)
+    if not wanted:
+        return False
+    return all(own.get(sort) in values for sort, values in wanted.items())
+
+
+def hosts(
+    row: ModelRow | ServiceRow, members: Sequence[Member]
+) -> tuple[str, ...]:
+    """Give the names of the agents that host a row.
+
+    Members that leave don't count against `replicas`, so that a successor
+    copies the weights while the leaver still serves.
+    """
+    names = [
+        member.name
+        for member in members
+        if member.role == 'agent'
+        and not member.leaving
+        and matches(row.placement, member.name, member.place)
+    ]
+    replicas = row.replicas if isinstance(row, ModelRow) else 0
+    if not replicas:
+        return tuple(sorted(names))
+    return tuple(ranked(f'model/{row.name}', names)[:replicas])
+
+
+def hosted_models(
+    table: Table, members: Sequence[Member], own: Member
+) -> list[ModelRow]:
+    """Give the model rows that an instance hosts, by name."""
+    known = _with_own(members, own)
+    return [
+        row
+        for _name, row in sorted(models(table).items())
+        if own.name in hosts(row, known)
+    ]
+
+
+def hosted_adapters(
+    table: Table, members: Sequence[Member], own: Member
+) -> list[AdapterRow]:
+    """Give the adapter rows that an instance hosts: those of its models."""
+    bases = {row.name for row in hosted_models(table, members, own)}
+    return [
+        row
+        for _name, row in sorted(adapters(table).items())
+        if row.base in bases
+    ]
+
+
+def hosted_services(
+    table: Table, members: Sequence[Member], own: Member
+) -> list[ServiceRow]:
+    """Give the service rows that an instance hosts, by name."""
+    known = _with_own(members, own)
+    return [
+        row
+        for _name, row in sorted(services(table).items())
+        if own.name in hosts(row, known)
+    ]
+
+
+def _with_own(members: Sequence[Member], own: Member) -> list[Member]:
+    # The platform's list lags, so an instance may not be on it yet; it knows
+    # of itself. One that leaves keeps what it has until it has ended.
+    others = [member for member in members if member.name != own.name]
+    return [*others, own._replace(leaving=False)]
--- /dev/null
+++ b/packages/burdockchute/burdockchute/upstreams/orders.py
@@ -0,0 +1,156 @@
+"""Orders to an engine, and the state that it reports.
+
+An order carries the fencing number of the agent that gives it. An engine
+that checks numbers refuses an old one; one that does not may obey an agent
+that was paused and replaced meanwhile. So no caller of this module may take
+an accepted order for a loaded version: only what `state` gives counts.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import NamedTuple
+from urllib import parse
+
+from geventhttpclient import HTTPClient
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 3.0
+
+
+class Loaded(NamedTuple):
+    """Weights that an engine reports; `base` is set for adapters."""
+
+    kind: str
+    name: str
+    digest: str
+    base: str = ''
+
+
+class EngineState(NamedTuple):
+    """What an engine reports about itself."""
+
+    fence: int
+    checks_fencing: bool
+    loaded: frozenset[Loaded]
+    loading: frozenset[Loaded]
+
+
+class Order(NamedTuple):
+    """Load or unload one set of weights.
+
+    `source` is the URL that the engine fetches the content from, and
+    `deadline_ms` how long the order is good for.
+    """
+
+    order: str
+    kind: str
+    name: str
+    version: str
+    digest: str
+    base: str
+    source: str
+    fence: int
+    deadline_ms: int
+
+
+class OrderRefused(NamedTuple):
+    """The engine has seen the higher number `fence`."""
+
+    fence: int
+
+
+class EngineError(NamedTuple):
+    """No usable reply; whether an order took effect can't be told."""
+
+    text: str
+    status: int = 0
+
+
+class Engine:
+    """Connections to one engine."""
+
+    def __init__(self, url: str) -> None:
+        parts = parse.urlsplit(url)
+        self._prefix = parts.path.rstrip('/')
+        self._client = HTTPClient(
+            parts.hostname or '',
+            parts.port or 80,
+            concurrency=2,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=READ_TIMEOUT_S,
+        )
+
+    def state(self) -> Result[EngineState, EngineError]:
+        """Ask for what is loaded now."""
+        reply = self._call('GET', '/state', b'', 200)
+        if isinstance(reply, Failure):
+            return reply
+        try:
+            return Success(_state_of(json.loads(reply.unwrap())))
+        except (ValueError, KeyError, TypeError) as exc:
+            return Failure(EngineError(f'no engine state: {exc!r}'))
+
+    def give(self, order: Order) -> Result[str, OrderRefused | EngineError]:
+        """Give an order; the order's id if the engine took it."""
+        body = json.dumps(order._asdict()).encode()
+        reply = self._call('POST', '/orders', body, 202)
+        if isinstance(reply, Failure):
+            return Failure(_refusal_or_error(reply.failure()))
+        try:
+            return Success(str(json.loads(reply.unwrap())['order_id']))
+        except (ValueError, KeyError, TypeError) as exc:
+            return Failure(EngineError(f'no order reply: {exc!r}'))
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def _call(
+        self, method: str, path: str, body: bytes, wanted: int
+    ) -> Result[bytes, EngineError]:
+        headers = {'Content-Type': 'application/json'} if body else {}
+        try:
+            resp = self._client.request(
+                method, self._prefix + path, body or None, headers
+            )
+            data = bytes(resp.read())
+        except Exception as exc:
+            # The client raises errors of several unrelated types when a
+            # reply breaks off; all mean the same here.
+            return Failure(EngineError(f'{type(exc).__name__}: {exc}'))
+        if resp.status_code != wanted:
+            text = data.decode(errors='replace')
+            return Failure(EngineError(text, resp.status_code))
+        return Success(data)
+
+
+def _refusal_or_error(error: EngineError) -> OrderRefused | EngineError:
+    if error.status != 409:
+        return error
+    try:
+        return OrderRefused(int(json.loads(error.text)['fence']))
+    except (ValueError, KeyError, TypeError):
+        return error
+
+
+def _state_of(document: Any) -> EngineState:
+    return EngineState(
+        fence=int(document['fence']),
+        checks_fencing=bool(document['checks_fencing']),
+        loaded=frozenset(_loaded_of(item) for item in document['loaded']),
+        loading=frozenset(_loaded_of(item) for item in document['loading']),
+    )
+
+
+def _loaded_of(item: Any) -> Loaded:
+    return Loaded(
+        str(item['kind']),
+        str(item['name']),
+        str(item['digest']),
+        str(item.get('base') or ''),
+    )
--- /dev/null
+++ b/packages/burdockchute/burdockchute/weights/manifest.py
@@ -0,0 +1,135 @@
+"""Manifests: which chunks make up one set of weights.
+
+A row of the table names a root digest. The root digest is the blake3 digest
+of the manifest, and the manifest has the blake3 digest of every chunk, so
+whoever knows the root digest can check each byte, whoever sent it.
+
+>>> manifest = build('story', b'abcdef', chunk_size=4)
+>>> [chunk_range(manifest, index) for index in range(2)]
+[(0, 4), (4, 6)]
+>>> check_chunk(manifest, 1, b'ef'), check_chunk(manifest, 1, b'eF')
+(True, False)
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+import blake3
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from burdockchute.model.findings import Finding
+
+# A manifest that names more chunks than this would not fit a bitmap of one
+# small message; 65536 chunks of 16 MiB make a terabyte.
+MAX_CHUNKS = 65536
+MAX_CHUNK_BYTES = 8 * 1024 * 1024
+
+
+class Manifest(NamedTuple):
+    """One set of weights: sizes in bytes, digests in lower-case hex."""
+
+    digest: str
+    name: str
+    size: int
+    chunk_size: int
+    chunks: tuple[str, ...]
+
+
+def build(name: str, content: bytes, chunk_size: int) -> Manifest:
+    """Make the manifest of a content."""
+    chunks = tuple(
+        digest_of(content[start : start + chunk_size])
+        for start in range(0, len(content), chunk_size)
+    )
+    bare = Manifest('', name, len(content), chunk_size, chunks)
+    return bare._replace(digest=digest_of(canonical(bare)))
+
+
+def canonical(manifest: Manifest) -> bytes:
+    """Give the bytes that the root digest is taken of."""
+    document = {
+        'name': manifest.name,
+        'size': manifest.size,
+        'chunk_size': manifest.chunk_size,
+        'chunks': list(manifest.chunks),
+    }
+    text = json.dumps(
+        document, sort_keys=True, separators=(',', ':'), ensure_ascii=False
+    )
+    return text.encode()
+
+
+def document_of(manifest: Manifest) -> bytes:
+    """Give the manifest as the weight store does, with its digest."""
+    document = json.loads(canonical(manifest))
+    document['digest'] = manifest.digest
+    return json.dumps(document, sort_keys=True, separators=(',', ':')).encode()
+
+
+def parse(data: bytes, digest: str) -> Result[Manifest, list[Finding]]:
+    """Read a manifest and check it against the root digest of the row."""
+    place = f'manifest {digest}'
+    try:
+        manifest = _from_document(json.loads(data), digest)
+    except (ValueError, KeyError, TypeError) as exc:
+        return Failure([Finding(place, f'is no manifest: {exc!r}')])
+    found = _check_shape(manifest, place)
+    actual = digest_of(canonical(manifest))
+    if actual != digest:
+        found.append(Finding(place, f'content has the digest {actual!r}'))
+    return Failure(found) if found else Success(manifest)
+
+
+def chunk_range(manifest: Manifest, index: int) -> tuple[int, int]:
+    """Give first byte and the byte after the last of a chunk."""
+    start = index * manifest.chunk_size
+    return start, min(start + manifest.chunk_size, manifest.size)
+
+
+def chunk_bytes(manifest: Manifest, index: int) -> int:
+    """Give the size of a chunk in bytes."""
+    start, end = chunk_range(manifest, index)
+    return end - start
+
+
+def check_chunk(manifest: Manifest, index: int, data: bytes) -> bool:
+    """Tell whether the bytes are that chunk, whole and unchanged."""
+    if not 0 <= index < len(manifest.chunks):
+        return False
+    return digest_of(data) == manifest.chunks[index]
+
+
+def digest_of(data: bytes) -> str:
+    """Give the blake3 digest in hex."""
+    return blake3.blake3(data).hexdigest()
+
+
+def _from_document(document: Any, digest: str) -> Manifest:
+    return Manifest(
+        digest=digest,
+        name=str(document['name']),
+        size=int(document['size']),
+        chunk_size=int(document['chunk_size']),
+        chunks=tuple(str(chunk) for chunk in document['chunks']),
+    )
+
+
+def _check_shape(manifest: Manifest, place: str) -> list[Finding]:
+    found = []
+    if not 0 < manifest.chunk_size <= MAX_CHUNK_BYTES:
+        text = f'chunk_size {manifest.chunk_size!r} is not in 1 to '
+        found.append(Finding(place, text + f'{MAX_CHUNK_BYTES}'))
+        return found
+    wanted = -(-manifest.size // manifest.chunk_size)
+    if manifest.size <= 0 or len(manifest.chunks) != wanted:
+        text = f'{len(manifest.chunks)!r} chunks for {manifest.size!r} bytes'
+        found.append(Finding(place, text))
+    if len(manifest.chunks) > MAX_CHUNKS:
+        text = f'{len(manifest.chunks)!r} chunks are over {MAX_CHUNKS}'
+        found.append(Finding(place, text))
+    return found
--- /dev/null
+++ b/packages/burdockchute/burdockchute/weights/origin.py
@@ -0,0 +1,96 @@
+"""Client of the weight store.
+
+Each call gives a Result and never raises for what the store or the network
+does. What it gives is not verified beyond its length; the reader compares
+digests.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from urllib import parse
+
+from geventhttpclient import HTTPClient
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from burdockchute.model.findings import Finding
+from burdockchute.model.findings import render_all
+from burdockchute.weights import manifest as manifests
+from burdockchute.weights.manifest import Manifest
+
+CONNECT_TIMEOUT_S = 2.0
+# The store is rate limited, so a sound read may be slow; a read that brings
+# no byte for this long is lost.
+READ_TIMEOUT_S = 5.0
+
+
+class OriginError(NamedTuple):
+    """A read from the store failed. `status` is 0 if there was no reply."""
+
+    text: str
+    status: int = 0
+
+
+class Origin:
+    """Connections to one weight store; made for one task at a time."""
+
+    def __init__(self, url: str, connections: int = 4) -> None:
+        parts = parse.urlsplit(url)
+        self.bytes_read = 0
+        self._prefix = parts.path.rstrip('/')
+        self._client = HTTPClient(
+            parts.hostname or '',
+            parts.port or 80,
+            concurrency=connections,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=READ_TIMEOUT_S,
+        )
+
+    def manifest(self, digest: str) -> Result[Manifest, OriginError]:
+        """Read a manifest and check it against its digest."""
+        reply = self._get(f'/manifests/{digest}', {}, 200)
+        if isinstance(reply, Failure):
+            return reply
+        parsed = manifests.parse(reply.unwrap(), digest)
+        return parsed.alt(_not_a_manifest)
+
+    def chunk(
+        self, manifest: Manifest, index: int
+    ) -> Result[bytes, OriginError]:
+        """Read one chunk; its length is right, its digest not yet checked."""
+        start, end = manifests.chunk_range(manifest, index)
+        headers = {'Range': f'bytes={start}-{end - 1}'}
+        reply = self._get(f'/blobs/{manifest.digest}', headers, 206)
+        if isinstance(reply, Failure):
+            return reply
+        data = reply.unwrap()
+        if len(data) != end - start:
+            text = f'{len(data)!r} bytes in place of {end - start!r}'
+            return Failure(OriginError(text, 206))
+        return reply
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def _get(
+        self, path: str, headers: dict[str, str], wanted: int
+    ) -> Result[bytes, OriginError]:
+        try:
+            resp = self._client.get(self._prefix + path, headers=headers)
+            data = bytes(resp.read())
+        except Exception as exc:
+            # The client raises errors of several unrelated types when a
+            # reply breaks off; all mean the same here.
+            return Failure(OriginError(f'{type(exc).__name__}: {exc}'))
+        self.bytes_read += len(data)
+        if resp.status_code != wanted:
+            text = f'status {resp.status_code!r} for {path}'
+            return Failure(OriginError(text, resp.status_code))
+        return Success(data)
+
+
+def _not_a_manifest(found: list[Finding]) -> OriginError:
+    return OriginError(render_all(found), 200)
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_switching.py
@@ -0,0 +1,195 @@
+"""What to do next for one row's weights, and what must hold meanwhile."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from burdockchute.decisions import switching
+from burdockchute.decisions.switching import Load
+from burdockchute.decisions.switching import next_step
+from burdockchute.decisions.switching import Open
+from burdockchute.decisions.switching import Shut
+from burdockchute.decisions.switching import Situation
+from burdockchute.decisions.switching import Unload
+from burdockchute.decisions.switching import Wait
+
+NONE: frozenset[str] = frozenset()
+DIGESTS = ('d1', 'd2', 'd3')
+
+
+def situation(**changes) -> Situation:
+    base = Situation('new', True, NONE, NONE, NONE, {})
+    return base._replace(**changes)
+
+
+class NextStepTest(unittest.TestCase):
+    def test_first_version(self):
+        cases = [
+            (situation(whole=False), Wait('copying')),
+            (situation(), Load('new')),
+            (situation(loading=frozenset({'new'})), Wait('loading')),
+            (situation(loaded=frozenset({'new'})), Open('new')),
+        ]
+        for given, wanted in cases:
+            with self.subTest(given=given):
+                self.assertEqual(wanted, next_step(given))
+
+    def test_new_version_beside_the_old(self):
+        old = frozenset({'old'})
+        both = frozenset({'old', 'new'})
+        self.assertEqual(
+            Load('new'), next_step(situation(loaded=old, is_open=old))
+        )
+        self.assertEqual(
+            Open('new'), next_step(situation(loaded=both, is_open=old))
+        )
+        self.assertEqual(
+            Shut('old'), next_step(situation(loaded=both, is_open=both))
+        )
+
+    def test_old_version_goes_first_without_room(self):
+        old = frozenset({'old'})
+        given = situation(loaded=old, is_open=old, beside=False)
+        self.assertEqual(Shut('old'), next_step(given))
+        given = given._replace(is_open=NONE, in_flight={'old': 1})
+        self.assertEqual(Wait('requests in flight'), next_step(given))
+        given = given._replace(in_flight={})
+        self.assertEqual(Unload('old'), next_step(given))
+
+    def test_old_version_serves_until_its_turn_to_load(self):
+        old = frozenset({'old'})
+        given = situation(
+            loaded=old, is_open=old, beside=False, may_load=False
+        )
+        self.assertEqual(Wait('others load first'), next_step(given))
+
+    def test_gate_shuts_when_the_weights_are_gone(self):
+        # The engine restarts or obeys somebody else, and reports other
+        # weights than those whose gate is open.
+        given = situation(
+            loaded=frozenset({'other'}), is_open=frozenset({'new'})
+        )
+        self.assertEqual(Shut('new'), next_step(given))
+
+    def test_unsettled_report_opens_nothing(self):
+        given = situation(loaded=frozenset({'new'}), settled=False)
+        self.assertEqual(
+            Wait('reported state is not settled'), next_step(given)
+        )
+
+    def test_adapter_waits_for_its_base(self):
+        given = situation(base_loaded=False)
+        self.assertEqual(Wait('base model is not loaded'), next_step(given))
+
+    def test_removed_row_is_cleared(self):
+        new = frozenset({'new'})
+        given = situation(wanted='', whole=False, loaded=new, is_open=new)
+        self.assertEqual(Shut('new'), next_step(given))
+        given = given._replace(is_open=NONE)
+        self.assertEqual(Unload('new'), next_step(given))
+        self.assertEqual(
+            Wait('nothing to do'), next_step(given._replace(loaded=NONE))
+        )
+
+
+class SwitchMachine(stateful.RuleBasedStateMachine):
+    """Versions change at any moment while loads end late or fail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.wanted = 'd1'
+        self.whole = set(DIGESTS)
+        self.loaded: set[str] = set()
+        self.loading: set[str] = set()
+        self.open: set[str] = set()
+        self.inside: dict[str, int] = {}
+        self.room = 1
+
+    @stateful.rule(digest=st.sampled_from(('', *DIGESTS)))
+    def edit_row(self, digest: str) -> None:
+        self.wanted = digest
+
+    @stateful.rule(room=st.sampled_from((1, 2)))
+    def change_room(self, room: int) -> None:
+        self.room = room
+
+    @stateful.rule()
+    def request_enters(self) -> None:
+        for digest in sorted(self.open)[:1]:
+            self.inside[digest] = self.inside.get(digest, 0) + 1
+
+    @stateful.rule()
+    def request_ends(self) -> None:
+        for digest in sorted(self.inside)[:1]:
+            self.inside[digest] -= 1
+            if not self.inside[digest]:
+                del self.inside[digest]
+
+    @stateful.rule(ok=st.booleans())
+    def load_ends(self, ok: bool) -> None:
+        for digest in sorted(self.loading):
+            self.loading.discard(digest)
+            if ok and len(self.loaded) < 2:
+                self.loaded.add(digest)
+
+    @stateful.rule()
+    def engine_restarts(self) -> None:
+        self.loaded.clear()
+        self.loading.clear()
+        self.inside.clear()
+        self.step()
+
+    @stateful.rule()
+    def step(self) -> None:
+        step = self._next()
+        while isinstance(step, Open | Shut):
+            if isinstance(step, Open):
+                self.open.add(step.digest)
+            else:
+                self.open.discard(step.digest)
+            step = self._next()
+        if isinstance(step, Load):
+            assert step.digest == self.wanted
+            self.loading.add(step.digest)
+        if isinstance(step, Unload):
+            assert not self.inside.get(step.digest)
+            assert step.digest not in self.open
+            self.loaded.discard(step.digest)
+
+    @stateful.invariant()
+    def open_gates_are_loaded(self) -> None:
+        assert self.open <= self.loaded
+
+    @stateful.invariant()
+    def requests_inside_keep_their_weights(self) -> None:
+        assert set(self.inside) <= self.loaded
+
+    def teardown(self) -> None:
+        self.inside.clear()
+        for _ in range(12):
+            self.step()
+            self.load_ends(True)
+        assert self.loaded == self.open == ({self.wanted} - {''})
+
+    def _next(self) -> switching.Step:
+        return next_step(
+            Situation(
+                wanted=self.wanted,
+                whole=self.wanted in self.whole,
+                loaded=frozenset(self.loaded),
+                loading=frozenset(self.loading),
+                is_open=frozenset(self.open),
+                in_flight=dict(self.inside),
+                beside=self.room > 1,
+            )
+        )
+
+
+SwitchMachine.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=60
+)
+SwitchMachineTest = SwitchMachine.TestCase
--- /dev/null
+++ b/packages/burdockchute/tests/upstreams/test_gate.py
@@ -0,0 +1,81 @@
+"""The version gate."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.upstreams.gate import Gate
+from burdockchute.upstreams.gate import GateState
+from burdockchute.upstreams.gate import Refusal
+from burdockchute.upstreams.gate import Weights
+
+OLD = Weights('model', 'story', 'old')
+NEW = Weights('model', 'story', 'new')
+RHYMES = Weights('adapter', 'rhymes', 'ad')
+
+
+class GateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gate = Gate()
+        self.gate.open(OLD)
+
+    def test_only_the_open_digest_is_let_in(self):
+        self.assertIsNone(self.gate.enter('story', 'old', ''))
+        refused = self.gate.enter('story', 'new', '')
+        self.assertEqual(
+            Refusal("model 'story' is not open at 'new'"), refused
+        )
+
+    def test_switch_sees_requests_inside(self):
+        # The row names a new version while a page is being written. If the
+        # old weights went now, the page would end in other weights or in
+        # none.
+        self.gate.enter('story', 'old', '')
+        self.gate.shut(OLD)
+        self.assertIsNotNone(self.gate.enter('story', 'old', ''))
+        self.assertEqual([GateState(OLD, False, 1)], self.gate.states())
+        self.gate.leave('story', 'old', '')
+        self.assertEqual([], self.gate.states())
+
+    def test_adapter_request_is_inside_both_gates(self):
+        # A request runs on an adapter while its base model is switched. The
+        # answer names both digests and neither may change under it.
+        self.gate.open(RHYMES, 'story')
+        self.assertIsNone(self.gate.enter('rhymes', 'old', 'ad'))
+        self.gate.shut(OLD)
+        self.assertEqual(
+            (1, 1), (self.gate.in_flight(OLD), self.gate.in_flight(RHYMES))
+        )
+        self.assertIsNotNone(self.gate.enter('rhymes', 'old', 'ad'))
+        self.gate.open(NEW)
+        self.assertIsNone(self.gate.enter('rhymes', 'new', 'ad'))
+        self.gate.leave('rhymes', 'old', 'ad')
+        self.assertEqual(0, self.gate.in_flight(OLD))
+        self.assertEqual(1, self.gate.in_flight(RHYMES))
+
+    def test_unknown_adapter_is_refused(self):
+        self.assertEqual(
+            "adapter 'rhymes' is not loaded",
+            self.gate.enter('rhymes', 'old', 'ad').reason,
+        )
+
+    def test_base_model_name_is_no_adapter(self):
+        # A request pinned to an adapter's digests must not pass as a plain
+        # one on the base model.
+        self.gate.open(RHYMES, 'story')
+        self.assertIsNotNone(self.gate.enter('rhymes', 'old', ''))
+        self.assertIsNotNone(self.gate.enter('story', 'old', 'ad'))
+
+    def test_doubt_shuts_both_gates_once(self):
+        self.gate.open(RHYMES, 'story')
+        self.gate.doubt('rhymes', 'old', 'ad')
+        self.assertFalse(self.gate.is_open(OLD))
+        self.assertFalse(self.gate.is_open(RHYMES))
+        self.assertEqual({OLD, RHYMES}, self.gate.take_doubts())
+        self.assertEqual(frozenset(), self.gate.take_doubts())
+
+    def test_services_have_no_version(self):
+        self.assertIsNotNone(self.gate.enter('proofs', '', ''))
+        self.gate.set_services(frozenset({'proofs'}))
+        self.assertIsNone(self.gate.enter('proofs', '', ''))
+        self.gate.leave('proofs', '', '')
--- /dev/null
+++ b/packages/burdockchute/tests/weights/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
