--- /dev/null
+++ b/packages/burdockchute/burdockchute/http_admin.py
@@ -0,0 +1,86 @@
+"""The local port on which a process tells about itself, as JSON.
+
+`/healthz` answers as long as the process runs, `/readyz` 200 or 503,
+`/status` what the process holds and does, `/metrics` its measurements.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import json
+from typing import Any
+from typing import NamedTuple
+
+from gevent import pywsgi
+
+from burdockchute import metrics
+
+Response = tuple[str, list[tuple[str, str]], Iterable[bytes]]
+Page = Callable[[str], Response]
+
+
+class Probe(NamedTuple):
+    """Whether a process is ready, and if not, why."""
+
+    ready: bool
+    reason: str
+
+
+def as_json(data: object, status: str = '200 OK') -> Response:
+    """Give a response with the data as JSON."""
+    body = json.dumps(data, indent=1, sort_keys=True).encode() + b'\n'
+    return status, [('Content-Type', 'application/json')], [body]
+
+
+def make_app(
+    status: Callable[[], dict[str, Any]],
+    probe: Callable[[], Probe],
+    pages: dict[str, Page] | None = None,
+) -> Callable[..., Iterable[bytes]]:
+    """Give the WSGI application; `pages` maps more path prefixes.
+
+    A page is called with the rest of the path after its prefix.
+    """
+
+    def app(environ: dict[str, Any], start: Callable) -> Iterable[bytes]:
+        line, headers, body = _answer(
+            environ['PATH_INFO'], status, probe, pages or {}
+        )
+        start(line, headers)
+        return body
+
+    return app
+
+
+def serve(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
+    """Start serving; raises OSError if the address is in use."""
+    server = pywsgi.WSGIServer((address, port), app, log=None, error_log=None)
+    server.start()
+    return server
+
+
+def _answer(
+    path: str,
+    status: Callable[[], dict[str, Any]],
+    probe: Callable[[], Probe],
+    pages: dict[str, Page],
+) -> Response:
+    if path == '/healthz':
+        return as_json({'healthy': True})
+    if path == '/readyz':
+        ready = probe()
+        line = '200 OK' if ready.ready else '503 Service Unavailable'
+        return as_json(ready._asdict(), line)
+    if path == '/status':
+        return as_json(status())
+    if path == '/metrics':
+        return as_json(metrics.snapshot())
+    for prefix, page in pages.items():
+        if path.startswith(prefix):
+            return page(path[len(prefix) :])
+    known = ['/healthz', '/metrics', '/readyz', '/status', *pages]
+    return as_json(
+        {'error': f'{path!r} is not one of {", ".join(known)}'},
+        '404 Not Found',
+    )
