--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
+from urllib import parse
 
 import geventhttpclient
 from geventhttpclient import response as responses
@@ -59,8 +60,10 @@
     `stall_s` is the longest wait for any next bytes. The reply must be
     closed by its reader, also to cancel it.
     """
-    client = _OneSendClient.from_url(
-        url,
+    parts = parse.urlsplit(url)
+    client = _OneSendClient(
+        parts.hostname,
+        parts.port,
         connection_timeout=CONNECT_TIMEOUT_S,
         network_timeout=stall_s,
     )
@@ -117,7 +120,8 @@
         super().__init__(*args, **kwargs)
         self.connected = False
         self._open = self._connection_pool.get_socket
-        self._connection_pool.get_socket = self._get_socket_once
+        pool: Any = self._connection_pool
+        pool.get_socket = self._get_socket_once
 
     def _get_socket_once(self) -> Any:
         if self.connected:
