--- a/packages/burdockchute/burdockchute/model/events.py
+++ b/packages/burdockchute/burdockchute/model/changes.py
@@ -1,4 +1,4 @@
-"""Messages that tasks of one process send each other on queues."""
+"""Messages that tell a task of a new table or new members."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 
 class TableChanged(NamedTuple):
-    """A newer table is in force here."""
+    """The table has moved forward."""
 
     table: Table
 
 
 class MembersChanged(NamedTuple):
-    """The instances known here, of both roles."""
+    """All instances known at present; replaces what was known before."""
 
     members: tuple[Member, ...]
--- /dev/null
+++ b/packages/burdockchute/burdockchute/operators/burn.py
@@ -0,0 +1,201 @@
+"""The report on service-level burn: text for a terminal, and a plot.
+
+Each entry counts since it started; the report adds up the entries it is
+given. Instances keep nothing, so a window reaches back no further than the
+start of the entries, which the report says.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Mapping
+import json
+import sys
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+import geventhttpclient
+
+from burdockchute import commands
+from burdockchute import settings as base
+from burdockchute.decisions import burn
+from burdockchute.settings import Setting
+
+TIMEOUT_S = 5.0
+
+
+class CountsOnWire(TypedDict):
+    """Events of one key, as an entry's /burn page gives them."""
+
+    objective: str
+    customer: str
+    model: str
+    indicator: str
+    target: float
+    windows: dict[str, tuple[int, int]]
+
+
+class Line(NamedTuple):
+    """One line of the report."""
+
+    key: burn.Key
+    target: float
+    sums: dict[float, burn.Sum]
+
+
+def _parse_urls(text: str) -> tuple[str, ...]:
+    return tuple(base.parse_url(part) for part in text.split(','))
+
+
+ENTRIES = Setting(
+    'admin-urls', 'admin ports of all entries, a comma list', _parse_urls
+)
+
+
+def add_parser(subparsers: Any) -> None:
+    """Add `burn`."""
+    parser = subparsers.add_parser(
+        'burn',
+        help='report how fast each objective is used up',
+        description='Burn rates by objective, customer and model over '
+        'several windows, added up over the entries named. 1.0 uses up '
+        'exactly what the objective allows.',
+    )
+    base.add_flags(parser, [ENTRIES])
+    parser.add_argument(
+        '--plot', metavar='FILE', help='write a plot too (.svg or .png)'
+    )
+
+
+def run(args: argparse.Namespace, environ: Mapping[str, str]) -> int:
+    """Print the report; 1 if an entry gave no answer."""
+    urls = commands.read_or_exit([ENTRIES], args, environ)['admin_urls']
+    pages = []
+    for url in urls:
+        try:
+            pages.append(_fetch(url))
+        except (OSError, ValueError) as exc:
+            print(f'{url}: no answer: {exc}', file=sys.stderr)
+    lines = merge(pages)
+    print(render(lines, len(pages), len(urls)))
+    if args.plot:
+        plot(lines, args.plot)
+        print(f'plot written to {args.plot}')
+    return 0 if len(pages) == len(urls) else commands.EXIT_FAILED
+
+
+def page_of(
+    counts: burn.Counts, now: float, targets: Mapping[burn.Key, float]
+) -> list[CountsOnWire]:
+    """Give what one entry counted, for its /burn page."""
+    return [
+        CountsOnWire(
+            objective=key.objective,
+            customer=key.customer,
+            model=key.model,
+            indicator=key.indicator,
+            target=targets[key],
+            windows={
+                str(window): tuple(counts.sum(now, key, window))
+                for window in burn.windows()
+            },
+        )
+        for key in counts.keys()
+        if key in targets
+    ]
+
+
+def merge(pages: list[list[CountsOnWire]]) -> list[Line]:
+    """Add up the pages of several entries."""
+    lines: dict[burn.Key, Line] = {}
+    for item in (item for page in pages for item in page):
+        key = burn.Key(
+            item['objective'],
+            item['customer'],
+            item['model'],
+            item['indicator'],
+        )
+        empty = {window: burn.Sum(0, 0) for window in burn.windows()}
+        held = lines.get(key, Line(key, item['target'], empty))
+        sums = {
+            window: _plus(held.sums[window], item['windows'][str(window)])
+            for window in burn.windows()
+        }
+        lines[key] = Line(key, item['target'], sums)
+    return [lines[key] for key in sorted(lines)]
+
+
+def render(lines: list[Line], answered: int, asked: int) -> str:
+    """Give the report as text."""
+    head = ['objective', 'customer', 'model', 'indicator', 'target']
+    head += [_name(window) for window in burn.windows()] + ['alert']
+    rows = [head, *(_cells(line) for line in lines)]
+    widths = [max(len(row[i]) for row in rows) for i in range(len(head))]
+    text = [
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
+    text.append(
+        f'burn rates over {answered} of {asked} entries, each since its '
+        'start; 1.0 uses up exactly what is allowed'
+    )
+    return '\n'.join(text)
+
+
+def plot(lines: list[Line], path: str) -> None:
+    """Draw the burn rate of each line over the windows."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    windows = burn.windows()
+    figure, axes = pyplot.subplots(figsize=(8, 5))
+    for line in lines:
+        rates = [burn.burn_rate(line.sums[w], line.target) for w in windows]
+        label = '/'.join(line.key)
+        axes.plot(range(len(windows)), rates, marker='o', label=label)
+    axes.axhline(1.0, color='grey', linestyle='--', linewidth=1)
+    axes.set_xticks(range(len(windows)), [_name(w) for w in windows])
+    axes.set_xlabel('window')
+    axes.set_ylabel('burn rate (1.0 uses up what is allowed)')
+    axes.set_yscale('symlog', linthresh=1.0)
+    if lines:
+        axes.legend(fontsize='x-small')
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def _cells(line: Line) -> list[str]:
+    rates = [
+        f'{burn.burn_rate(line.sums[window], line.target):.2f}'
+        if line.sums[window].total
+        else '-'
+        for window in burn.windows()
+    ]
+    alert = burn.alert_for(line.sums, line.target)
+    return [*line.key, f'{line.target:g}', *rates, alert]
+
+
+def _name(window_s: float) -> str:
+    if window_s < burn.HOUR_S:
+        return f'{window_s / burn.MINUTE_S:.0f}m'
+    return f'{window_s / burn.HOUR_S:.0f}h'
+
+
+def _plus(held: burn.Sum, more: Any) -> burn.Sum:
+    return burn.Sum(held.total + more[0], held.bad + more[1])
+
+
+def _fetch(url: str) -> list[CountsOnWire]:
+    client = geventhttpclient.HTTPClient.from_url(
+        url, connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
+    )
+    try:
+        return json.loads(client.get('/burn').read())
+    finally:
+        client.close()
