--- a/packages/burdockchute/burdockchute/operators/burn.py
+++ b/packages/burdockchute/burdockchute/operators/burn.py
@@ -97,7 +97,7 @@
             indicator=key.indicator,
             target=targets[key],
             windows={
-                str(window): tuple(counts.sum(now, key, window))
+                str(window): _pair(counts.sum(now, key, window))
                 for window in burn.windows()
             },
         )
@@ -191,6 +191,10 @@
     return burn.Sum(held.total + more[0], held.bad + more[1])
 
 
+def _pair(events: burn.Sum) -> tuple[int, int]:
+    return events.total, events.bad
+
+
 def _fetch(url: str) -> list[CountsOnWire]:
     client = geventhttpclient.HTTPClient.from_url(
         url, connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
