Add stand-ins for the platform and the upstreams

Nothing could be run end to end without a log, a weight store, an instance list, an engine and a service to talk to.

--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/standins/local.py
@@ -0,0 +1,54 @@
+"""Start stand-ins inside a test, on real sockets of the loopback."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterator
+from typing import Any
+import unittest
+
+from burdockchute_testing import fake_weights
+from burdockchute_testing.standins import loading
+from burdockchute_testing.standins import serving
+
+
+def start(case: unittest.TestCase, handle: serving.Handler) -> str:
+    """Serve until the test ends, and give the base URL."""
+    server = serving.make_server(handle, 0)
+    case.addCleanup(server.stop, timeout=0)
+    return f'http://127.0.0.1:{server.server_port}'
+
+
+class WeightsSource:
+    """Serves weights to an engine as an agent does.
+
+    `changed` replaces bytes on the way, to play a corrupt copy.
+    """
+
+    def __init__(self) -> None:
+        self.published: dict[str, fake_weights.Weights] = {}
+        self.changed: bytes | None = None
+
+    def publish(self, name: str, size: int = 10_000, seed: int = 1) -> str:
+        """Make weights and give their digest."""
+        made = fake_weights.Weights(name, size, 4096, seed)
+        digest = fake_weights.manifest_of(made)['digest']
+        self.published[digest] = made
+        return digest
+
+    def handle(self, request: serving.Request) -> serving.Reply:
+        """Answer GET /weights/{digest}."""
+        made = self.published[request.path.rpartition('/')[2]]
+        manifest: dict[str, Any] = fake_weights.manifest_of(made)
+        header = base64.b64encode(fake_weights.canonical(manifest)).decode()
+        return serving.Reply(
+            200,
+            self._bytes(made),
+            headers=((loading.MANIFEST_HEADER, header),),
+        )
+
+    def _bytes(self, made: fake_weights.Weights) -> Iterator[bytes]:
+        if self.changed is not None:
+            yield self.changed
+            return
+        yield from fake_weights.walk(made)
