Talk to the log service and the instance list

Errors are typed by the reaction that they ask for; an append whose reply was lost is told apart from one that never reached the service, since only the latter may be repeated without a look. One deadline covers the whole of a request, so that a silent or trickling connection holds nobody.

--- a/packages/burdockchute/burdockchute/platform/__init__.py
+++ b/packages/burdockchute/burdockchute/platform/__init__.py
@@ -1,3 +1,3 @@
-"""Clients of the platform: log, instance list."""
+"""Clients of the platform: its log service and its list of instances."""
 
 from __future__ import annotations
--- /dev/null
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -0,0 +1,98 @@
+"""One HTTP request that gives JSON, with a deadline on the whole of it.
+
+A connection can go silent for good, or its answer can trickle; either would
+hold the caller for ever if only each read had a timeout.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+import geventhttpclient
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+class Reply(NamedTuple):
+    """Status and JSON of an answer; None where the body is no JSON."""
+
+    status: int
+    body: Any
+    retry_after_s: float
+
+
+class NotSent(NamedTuple):
+    """No connection was made, so the other side knows nothing of it."""
+
+    reason: str
+
+
+class NoReply(NamedTuple):
+    """It may have taken effect, but no whole answer came."""
+
+    reason: str
+
+
+def make_client(url: str, concurrency: int) -> geventhttpclient.HTTPClient:
+    """Give a client that keeps its connections."""
+    return geventhttpclient.HTTPClient.from_url(
+        url,
+        concurrency=concurrency,
+        connection_timeout=CONNECT_TIMEOUT_S,
+        network_timeout=None,
+    )
+
+
+def ask(
+    client: geventhttpclient.HTTPClient,
+    method: str,
+    path: str,
+    body: str,
+    timeout_s: float,
+) -> Result[Reply, NotSent | NoReply]:
+    """Make one request; never repeats one that may have been sent.
+
+    The client itself repeats only requests of idempotent methods.
+    """
+    response = None
+    try:
+        with gevent.Timeout(timeout_s, TimeoutError('no answer in time')):
+            response = client.request(method, path, body.encode())
+            data = response.read()
+            return Success(
+                Reply(
+                    response.status_code,
+                    _json(data),
+                    _seconds(response.get('retry-after')),
+                )
+            )
+    except (ConnectionRefusedError, socket.gaierror) as exc:
+        return Failure(NotSent(str(exc)))
+    except (OSError, geventhttpclient.response.HTTPParseError) as exc:
+        return Failure(NoReply(str(exc) or type(exc).__name__))
+    finally:
+        # An answer that was not read to its end must not lend its
+        # connection to the next request, which would read the rest of it.
+        if response is not None and not response.message_complete:
+            response.release()
+
+
+def _json(data: bytes) -> Any:
+    try:
+        return json.loads(data)
+    except ValueError:
+        return None
+
+
+def _seconds(text: Any) -> float:
+    try:
+        return max(0.0, float(text or 0))
+    except (TypeError, ValueError):
+        return 0.0
--- /dev/null
+++ b/packages/burdockchute/burdockchute/platform/instances.py
@@ -0,0 +1,87 @@
+"""Client of the platform's list of instances.
+
+The list lags: an instance that has just come is missing and one that has
+gone is still listed, so what it says is one voice beside our own heartbeats.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+import geventhttpclient
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.platform import http_json
+
+TIMEOUT_S = 5.0
+ROLES = ('entry', 'agent')
+
+
+class ListUnavailable(NamedTuple):
+    """The list could not be read; go on with what was known."""
+
+    reason: str
+
+
+class InstanceList:
+    """The platform's list over one kept connection."""
+
+    def __init__(self, url: str, timeout_s: float = TIMEOUT_S) -> None:
+        self._client = http_json.make_client(url, concurrency=1)
+        self._timeout_s = timeout_s
+
+    def fetch(self) -> Result[list[Member], ListUnavailable]:
+        """Give the members listed; items that make no sense are left out."""
+        return _fetch(self._client, self._timeout_s)
+
+
+def fetch(
+    url: str, timeout_s: float = TIMEOUT_S
+) -> Result[list[Member], ListUnavailable]:
+    """Read the list once."""
+    client = http_json.make_client(url, concurrency=1)
+    try:
+        return _fetch(client, timeout_s)
+    finally:
+        client.close()
+
+
+def _fetch(
+    client: geventhttpclient.HTTPClient, timeout_s: float
+) -> Result[list[Member], ListUnavailable]:
+    asked = http_json.ask(client, 'GET', '/instances', '', timeout_s)
+    if isinstance(asked, Failure):
+        return Failure(ListUnavailable(asked.failure().reason))
+    reply = asked.unwrap()
+    if reply.status != 200:
+        return Failure(ListUnavailable(f'status {reply.status}'))
+    try:
+        items = list(reply.body['instances'])
+    except (KeyError, TypeError):
+        return Failure(ListUnavailable('an answer that is no list'))
+    members = (_parse_member(item) for item in items)
+    return Success([member for member in members if member is not None])
+
+
+def _parse_member(item: Any) -> Member | None:
+    try:
+        member = Member(
+            str(item['name']),
+            item['role'],
+            str(item['address']),
+            int(item['port']),
+            Place(
+                str(item.get('zone', '')),
+                str(item.get('region', '')),
+                str(item.get('pool', '')),
+            ),
+            item.get('state') == 'leaving',
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+    return member if member.role in ROLES else None
--- /dev/null
+++ b/packages/burdockchute/burdockchute/platform/log.py
@@ -0,0 +1,211 @@
+"""Client of the platform's append-only log service.
+
+A stream has records at rising offsets, kept for a limited time. Errors are
+typed, since each asks for another reaction: wait, start from a snapshot,
+slow down, or look whether the append took effect.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+from urllib import parse
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from burdockchute.platform import http_json
+
+DEFAULT_TIMEOUT_S = 5.0
+DEFAULT_CONCURRENCY = 8
+
+
+class Unavailable(NamedTuple):
+    """The service did not take the request; nothing was appended."""
+
+    reason: str
+
+
+class Trimmed(NamedTuple):
+    """Retention has passed the wanted offset; `earliest` is the oldest."""
+
+    earliest: int
+
+
+class RateLimited(NamedTuple):
+    """Too many appends; nothing was appended. Seconds until a retry."""
+
+    retry_after_s: float
+
+
+class Unsure(NamedTuple):
+    """The reply was lost: the record may or may not have been appended."""
+
+    reason: str
+
+
+class Refused(NamedTuple):
+    """The service will not take this request, now or later."""
+
+    status: int
+
+
+LogError = Unavailable | Trimmed | RateLimited | Unsure | Refused
+
+
+class LogRecord(NamedTuple):
+    """One record with its offset."""
+
+    offset: int
+    data: str
+
+
+class Batch(NamedTuple):
+    """Records in the order of their offsets; read on from `next_offset`."""
+
+    records: tuple[LogRecord, ...]
+    next_offset: int
+
+
+class Extent(NamedTuple):
+    """Offsets of the oldest record kept and of the next to be appended."""
+
+    earliest: int
+    next_offset: int
+
+
+class Log(Protocol):
+    """What the tasks need of the log service."""
+
+    def append(self, stream: str, data: str) -> Result[int, LogError]:
+        """Append one record and give its offset."""
+
+    def read(
+        self, stream: str, from_offset: int, max_records: int, wait_s: float
+    ) -> Result[Batch, LogError]:
+        """Read records; waits up to `wait_s` while there are none."""
+
+    def extent(self, stream: str) -> Result[Extent, LogError]:
+        """Give the offsets that the stream covers."""
+
+
+class LogClient:
+    """The log service over HTTP; safe to share between greenlets."""
+
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        concurrency: int = DEFAULT_CONCURRENCY,
+    ) -> None:
+        self._client = http_json.make_client(url, concurrency)
+        self._timeout_s = timeout_s
+
+    def append(self, stream: str, data: str) -> Result[int, LogError]:
+        """Append one record and give its offset.
+
+        `Unsure` where the record may be in the log although no reply came;
+        appending it again then needs a look for its id first.
+        """
+        asked = http_json.ask(
+            self._client, 'POST', _path(stream), data, self._timeout_s
+        )
+        if isinstance(asked, Failure):
+            return Failure(_lost(asked.failure()))
+        reply = asked.unwrap()
+        offset = _member(reply, 'offset')
+        if reply.status == 200 and isinstance(offset, int):
+            return Success(offset)
+        if reply.status == 200 or 500 <= reply.status != 503:
+            return Failure(Unsure(f'status {reply.status}'))
+        return Failure(_error_of(reply))
+
+    def read(
+        self, stream: str, from_offset: int, max_records: int, wait_s: float
+    ) -> Result[Batch, LogError]:
+        """Read records; waits up to `wait_s` while there are none."""
+        query = f'?from={from_offset}&max={max_records}'
+        if wait_s > 0:
+            query += f'&wait_ms={int(wait_s * 1000)}'
+        asked = http_json.ask(
+            self._client,
+            'GET',
+            _path(stream) + query,
+            '',
+            self._timeout_s + wait_s,
+        )
+        if isinstance(asked, Failure):
+            return Failure(Unavailable(asked.failure().reason))
+        reply = asked.unwrap()
+        if reply.status != 200:
+            return Failure(_error_of(reply))
+        return _parse_batch(reply.body)
+
+    def extent(self, stream: str) -> Result[Extent, LogError]:
+        """Give the offsets that the stream covers."""
+        asked = http_json.ask(
+            self._client,
+            'GET',
+            _path(stream) + '/earliest',
+            '',
+            self._timeout_s,
+        )
+        if isinstance(asked, Failure):
+            return Failure(Unavailable(asked.failure().reason))
+        reply = asked.unwrap()
+        if reply.status != 200:
+            return Failure(_error_of(reply))
+        try:
+            extent = Extent(
+                int(reply.body['earliest']), int(reply.body['next'])
+            )
+        except (KeyError, TypeError, ValueError):
+            return Failure(Unavailable('an answer without offsets'))
+        return Success(extent)
+
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        self._client.close()
+
+
+def _path(stream: str) -> str:
+    return f'/streams/{parse.quote(stream, safe="")}'
+
+
+def _lost(error: http_json.NotSent | http_json.NoReply) -> LogError:
+    if isinstance(error, http_json.NotSent):
+        return Unavailable(error.reason)
+    return Unsure(error.reason)
+
+
+def _error_of(reply: http_json.Reply) -> LogError:
+    if reply.status == 410:
+        earliest = _member(reply, 'earliest')
+        if isinstance(earliest, int):
+            return Trimmed(earliest)
+    if reply.status == 429:
+        return RateLimited(reply.retry_after_s)
+    if 400 <= reply.status < 500:
+        return Refused(reply.status)
+    return Unavailable(f'status {reply.status}')
+
+
+def _member(reply: http_json.Reply, name: str) -> Any:
+    return reply.body.get(name) if isinstance(reply.body, dict) else None
+
+
+def _parse_batch(body: Any) -> Result[Batch, LogError]:
+    try:
+        records = _parse_records(body['records'])
+        return Success(Batch(records, int(body['next'])))
+    except (KeyError, TypeError, ValueError):
+        return Failure(Unavailable('an answer that is no batch'))
+
+
+def _parse_records(items: Sequence[Any]) -> tuple[LogRecord, ...]:
+    return tuple(
+        LogRecord(int(item['offset']), str(item['data'])) for item in items
+    )
