--- a/packages/burdockchute/burdockchute/model/table.py
+++ b/packages/burdockchute/burdockchute/model/table.py
@@ -28,15 +28,28 @@
     revision: int
 
 
+class Seen(NamedTuple):
+    """The id of a record that was applied or refused, with its offset."""
+
+    offset: int
+    record_id: str
+
+
 class Table(NamedTuple):
     """All rows after the record at `offset` was applied, -1 for none.
 
+    `seen` has the ids of the most recent edit records, oldest first, so that
+    a second copy of one is known; `forgotten` is the offset of the newest
+    that was dropped from it, -1 for none.
+
     >>> models(EMPTY)
     {}
     """
 
     offset: int
     rows: Mapping[RowKey, Revisioned]
+    seen: tuple[Seen, ...] = ()
+    forgotten: int = NO_OFFSET
 
 
 EMPTY = Table(NO_OFFSET, MappingProxyType({}))
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -19,6 +19,7 @@
 struct Heartbeat {
   1: i64 sequence
   2: i64 table_offset
+  3: i32 table_age_ms       // since the sender last knew it was up to date
 }
 
 // entry -> agent: run this request.
@@ -102,12 +103,22 @@
   4: binary document        // JSON of the row, empty when removed
 }
 
-// entry -> agent: rows changed in (from_offset, to_offset]; from_offset -1
-// carries the whole table.
+// Id and offset of a recent record of the log.
+struct SeenRecord {
+  1: i64 offset
+  2: string record_id
+}
+
+// entry -> agent and entry -> entry: rows changed in (from_offset,
+// to_offset]; from_offset -1 carries the whole table. seen and forgotten are
+// only set for a peer that will apply records of the log itself.
 struct TableDelta {
   1: i64 from_offset
   2: i64 to_offset
   3: list<RowRecord> rows
+  4: list<SeenRecord> seen
+  5: i64 forgotten
+  6: i32 age_ms             // since the sender last knew it was up to date
 }
 
 struct Member {
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -144,13 +144,15 @@
     Attributes:
      - sequence
      - table_offset
+     - table_age_ms
 
     """
 
 
-    def __init__(self, sequence=None, table_offset=None,):
+    def __init__(self, sequence=None, table_offset=None, table_age_ms=None,):
         self.sequence = sequence
         self.table_offset = table_offset
+        self.table_age_ms = table_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -171,6 +173,11 @@
                     self.table_offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.table_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -189,6 +196,10 @@
             oprot.writeFieldBegin('table_offset', TType.I64, 2)
             oprot.writeI64(self.table_offset)
             oprot.writeFieldEnd()
+        if self.table_age_ms is not None:
+            oprot.writeFieldBegin('table_age_ms', TType.I32, 3)
+            oprot.writeI32(self.table_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1150,20 +1161,94 @@
         return not (self == other)
 
 
+class SeenRecord(object):
+    """
+    Attributes:
+     - offset
+     - record_id
+
+    """
+
+
+    def __init__(self, offset=None, record_id=None,):
+        self.offset = offset
+        self.record_id = record_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.record_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SeenRecord')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 1)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.record_id is not None:
+            oprot.writeFieldBegin('record_id', TType.STRING, 2)
+            oprot.writeString(self.record_id.encode('utf-8') if sys.version_info[0] == 2 else self.record_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TableDelta(object):
     """
     Attributes:
      - from_offset
      - to_offset
      - rows
+     - seen
+     - forgotten
+     - age_ms
 
     """
 
 
-    def __init__(self, from_offset=None, to_offset=None, rows=None,):
+    def __init__(self, from_offset=None, to_offset=None, rows=None, seen=None, forgotten=None, age_ms=None,):
         self.from_offset = from_offset
         self.to_offset = to_offset
         self.rows = rows
+        self.seen = seen
+        self.forgotten = forgotten
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1195,6 +1280,27 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.seen = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = SeenRecord()
+                        _elem32.read(iprot)
+                        self.seen.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.forgotten = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1216,10 +1322,25 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter27 in self.rows:
-                iter27.write(oprot)
+            for iter33 in self.rows:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.seen is not None:
+            oprot.writeFieldBegin('seen', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.seen))
+            for iter34 in self.seen:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.forgotten is not None:
+            oprot.writeFieldBegin('forgotten', TType.I64, 5)
+            oprot.writeI64(self.forgotten)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1386,11 +1507,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Member()
-                        _elem33.read(iprot)
-                        self.members.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Member()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1412,8 +1533,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter34 in self.members:
-                iter34.write(oprot)
+            for iter41 in self.members:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
@@ -1810,11 +1931,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Demand()
-                        _elem40.read(iprot)
-                        self.demands.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Demand()
+                        _elem47.read(iprot)
+                        self.demands.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1831,8 +1952,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter41 in self.demands:
-                iter41.write(oprot)
+            for iter48 in self.demands:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1955,11 +2076,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Share()
-                        _elem47.read(iprot)
-                        self.shares.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Share()
+                        _elem54.read(iprot)
+                        self.shares.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1976,8 +2097,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter48 in self.shares:
-                iter48.write(oprot)
+            for iter55 in self.shares:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2577,6 +2698,7 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.I64, 'table_offset', None, None, ),  # 2
+    (3, TType.I32, 'table_age_ms', None, None, ),  # 3
 )
 all_structs.append(Dispatch)
 Dispatch.thrift_spec = (
@@ -2660,12 +2782,21 @@
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.STRING, 'document', 'BINARY', None, ),  # 4
 )
+all_structs.append(SeenRecord)
+SeenRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+    (2, TType.STRING, 'record_id', 'UTF8', None, ),  # 2
+)
 all_structs.append(TableDelta)
 TableDelta.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'from_offset', None, None, ),  # 1
     (2, TType.I64, 'to_offset', None, None, ),  # 2
     (3, TType.LIST, 'rows', (TType.STRUCT, [RowRecord, None], False), None, ),  # 3
+    (4, TType.LIST, 'seen', (TType.STRUCT, [SeenRecord, None], False), None, ),  # 4
+    (5, TType.I64, 'forgotten', None, None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
 all_structs.append(Member)
 Member.thrift_spec = (
