--- /dev/null
+++ b/packages/burdockchute/tests/upstreams/test_calls.py
@@ -0,0 +1,81 @@
+"""Calls to upstreams: sent at most once, and told apart how they failed."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+from gevent import server
+
+from burdockchute.upstreams import calls
+
+STALL_S = 0.3
+
+
+class CallsTest(unittest.TestCase):
+    def serve(self, answer: bytes) -> str:
+        self.heads: list[bytes] = []
+
+        def handle(sock: socket.socket, _address: object) -> None:
+            self.heads.append(sock.recv(65536))
+            sock.sendall(answer)
+
+        listening = server.StreamServer(('127.0.0.1', 0), handle)
+        listening.start()
+        self.addCleanup(listening.stop)
+        return f'http://127.0.0.1:{listening.server_port}'
+
+    def send(self, url: str, method: str = 'POST') -> calls.Reply:
+        reply = calls.send(url, method, '/x', b'{}', {}, STALL_S)
+        self.addCleanup(reply.close)
+        return reply
+
+    def test_call_broken_off_is_not_sent_again(self):
+        # A service runs a PUT, which its operator marked as not repeatable,
+        # and dies before it answers. The HTTP library holds every PUT for
+        # idempotent and sends it again; a recipient would get two letters.
+        for method in ('PUT', 'DELETE', 'GET', 'POST'):
+            with self.subTest(method):
+                url = self.serve(b'')
+                with self.assertRaises(calls.Broken) as caught:
+                    self.send(url, method)
+                self.assertTrue(caught.exception.crashed)
+                self.assertEqual(1, len(self.heads))
+
+    def test_refused_connection_is_certainly_not_run(self):
+        # The upstream's process has gone and its port is closed. Nothing was
+        # sent, so the caller may be told that the request was not run.
+        with socket.socket() as unused:
+            unused.bind(('127.0.0.1', 0))
+            port = unused.getsockname()[1]
+        with self.assertRaises(calls.NotConnected):
+            self.send(f'http://127.0.0.1:{port}')
+
+    def test_short_body_is_broken(self):
+        # The upstream dies in the middle of its answer. Passing on what came
+        # would give a caller half a letter that looks whole.
+        reply = self.send(
+            self.serve(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf')
+        )
+        with self.assertRaises(calls.Broken):
+            calls.whole_body(reply, 100)
+
+    def test_silence_is_broken_but_no_crash(self):
+        # The upstream stops sending and keeps the connection open.
+        held: list[socket.socket] = []
+        listening = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listening.close)
+        self.addCleanup(lambda: [sock.close() for sock in held])
+        url = f'http://127.0.0.1:{listening.getsockname()[1]}'
+        with self.assertRaises(calls.Broken) as caught:
+            self.send(url)
+        self.assertFalse(caught.exception.crashed)
+
+    def test_events_come_one_by_one(self):
+        reply = self.send(
+            self.serve(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n'
+                b'data: {"a":1}\n\ndata: [DONE]\n\n '
+            )
+        )
+        self.assertEqual(['{"a":1}', '[DONE]'], list(calls.events(reply)))
