Add the HTTP interface towards callers

Cause: nothing took callers' requests. Requests are authenticated by the digest of a bearer key, checked with every finding and its place, and answered plain or as a stream whose last event gives the outcome. A body over the limit is refused unread and its connection closed, a slow one is cut off as a whole, and a waiting caller that hangs up is noticed.

--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/builders/__init__.py
@@ -0,0 +1,3 @@
+"""Builders of test data."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/burdockchute/burdockchute/callers/http.py
@@ -0,0 +1,391 @@
+"""The HTTP interface towards callers, as a WSGI application.
+
+Each request has a greenlet of its own, which checks the request, submits it
+and passes its answer on. What is refused is answered at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import json
+import math
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+import gevent
+from gevent import queue
+from returns.result import Failure
+
+from burdockchute.callers import auth
+from burdockchute.callers import parse
+from burdockchute.callers import sse
+from burdockchute.callers.server import caller_has_gone
+from burdockchute.callers.server import status_line
+from burdockchute.model import outcomes
+from burdockchute.model.findings import Finding
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.outcomes import Outcome
+from burdockchute.model.outcomes import Unknown
+from burdockchute.model.replies import Began
+from burdockchute.model.replies import Done
+from burdockchute.model.replies import Part
+from burdockchute.model.replies import Reply
+from burdockchute.model.requests import RequestContext
+from burdockchute.model.rows import CustomerRow
+from burdockchute.model.table import Table
+
+REQUEST_ID = 'Burdockchute-Request-Id'
+OUTCOME = 'Burdockchute-Outcome'
+DIGEST = 'Burdockchute-Digest'
+ADAPTER_DIGEST = 'Burdockchute-Adapter-Digest'
+
+# How often a waiting task looks whether its caller has hung up.
+LOOK_S = 0.25
+
+# The router answers each request by its deadline. This much later it is
+# taken to have failed, so that no caller waits for ever.
+GRACE_S = 2.0
+
+Submit = Callable[[RequestContext], queue.Queue]
+Gone = Callable[[str], None]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+App = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
+
+class Limits(NamedTuple):
+    """What a caller may take; a body has to come whole within its time."""
+
+    max_body_bytes: int = 1024 * 1024
+    default_deadline_s: float = 60.0
+    body_timeout_s: float = 10.0
+
+
+class Exchange(NamedTuple):
+    """One request with the means to answer it."""
+
+    environ: dict[str, Any]
+    start_response: StartResponse
+    request_id: str
+
+
+def make_app(
+    submit: Submit,
+    gone: Gone,
+    table: Callable[[], Table],
+    now: Callable[[], float],
+    accepting: Callable[[], bool] = lambda: True,
+    limits: Limits = Limits(),  # noqa: B008
+) -> App:
+    """Give the WSGI application.
+
+    `submit` starts a request and gives the queue of its replies; `gone` is
+    called when its caller has hung up before the last of them.
+    """
+    customers = _customers_of(table)
+
+    def app(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        ex = Exchange(environ, start_response, uuid.uuid4().hex)
+        if not accepting():
+            return _answer_outcome(ex, NotRun('this entry is leaving'))
+        customer = auth.customer_of(
+            environ.get('HTTP_AUTHORIZATION', ''), customers()
+        )
+        if customer is None:
+            return _refuse(ex, 401, 'Authorization', 'no valid bearer key')
+        body = _read_body(environ, limits)
+        if isinstance(body, parse.Rejection):
+            return _answer_rejection(ex, body)
+        parsed = parse.parse_request(
+            _arrival(ex, body, now()),
+            customer,
+            table(),
+            limits.default_deadline_s,
+        )
+        if isinstance(parsed, Failure):
+            return _answer_rejection(ex, parsed.failure())
+        ctx = parsed.unwrap()
+        replies = _watch(ex, ctx, submit(ctx), gone, now)
+        if ctx.stream:
+            return _answer_stream(ex, ctx, replies)
+        return _answer_plain(ex, replies)
+
+    return app
+
+
+def _customers_of(
+    table: Callable[[], Table],
+) -> Callable[[], Mapping[str, CustomerRow]]:
+    # Made anew only when the table has changed: at 10,000 rows it costs
+    # milliseconds, which each request would pay.
+    made_from: list[Any] = [None, {}]
+
+    def current() -> Mapping[str, CustomerRow]:
+        present = table()
+        if made_from[0] is not present:
+            made_from[:] = [present, auth.customers_by_digest(present)]
+        return made_from[1]
+
+    return current
+
+
+def _arrival(ex: Exchange, body: bytes, now: float) -> parse.Arrival:
+    environ = ex.environ
+    path = environ.get('PATH_INFO', '')
+    query = environ.get('QUERY_STRING', '')
+    return parse.Arrival(
+        request_id=ex.request_id,
+        method=environ['REQUEST_METHOD'],
+        path=f'{path}?{query}' if query else path,
+        headers=_headers(environ),
+        body=body,
+        now=now,
+    )
+
+
+def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
+    names = (
+        parse.DEADLINE_HEADER,
+        parse.PRIORITY_HEADER,
+        parse.IDEMPOTENT_HEADER,
+        parse.KEY_HEADER,
+    )
+    headers = {}
+    for name in names:
+        value = environ.get('HTTP_' + name.upper().replace('-', '_'))
+        if value is not None:
+            headers[name] = value
+    if environ.get('CONTENT_TYPE'):
+        headers['Content-Type'] = environ['CONTENT_TYPE']
+    return headers
+
+
+def _read_body(
+    environ: dict[str, Any], limits: Limits
+) -> bytes | parse.Rejection:
+    declared = environ.get('CONTENT_LENGTH') or '0'
+    if not declared.isdigit():
+        return _rejection(400, 'Content-Length', f'{declared!r} is no size')
+    limit = limits.max_body_bytes
+    if int(declared) > limit:
+        return _rejection(413, 'body', f'longer than {limit} bytes')
+    # A caller that sends a byte now and then would hold a greenlet, a
+    # connection and its buffers for as long as it likes. It is noticed by
+    # connections that grow without requests; one bound on the whole body
+    # ends it, where a timeout on each read would not.
+    try:
+        with gevent.Timeout(limits.body_timeout_s):
+            body = environ['wsgi.input'].read(limit + 1)
+    except gevent.Timeout:
+        text = f'did not come within {limits.body_timeout_s:g} s'
+        return _rejection(408, 'body', text)
+    except OSError as exc:
+        return _rejection(400, 'body', f'broke off: {exc}')
+    if len(body) > limit:
+        return _rejection(413, 'body', f'longer than {limit} bytes')
+    if len(body) < int(declared):
+        return _rejection(400, 'body', 'shorter than Content-Length')
+    return body
+
+
+def _rejection(status: int, place: str, text: str) -> parse.Rejection:
+    return parse.Rejection(status, (Finding(place, text),))
+
+
+def _watch(
+    ex: Exchange,
+    ctx: RequestContext,
+    replies: queue.Queue,
+    gone: Gone,
+    now: Callable[[], float],
+) -> Iterator[Reply]:
+    """Give the replies up to Done; tells if the caller leaves before."""
+    done = False
+    try:
+        while not done:
+            reply = _next_reply(ex, ctx, replies, now)
+            if reply is None:
+                return
+            done = isinstance(reply, Done)
+            yield reply
+    finally:
+        if not done:
+            gone(ctx.request_id)
+
+
+def _next_reply(
+    ex: Exchange,
+    ctx: RequestContext,
+    replies: queue.Queue,
+    now: Callable[[], float],
+) -> Reply | None:
+    while True:
+        try:
+            return replies.get(timeout=LOOK_S)
+        except queue.Empty:
+            if caller_has_gone(ex.environ):
+                return None
+            if now() > ctx.deadline + GRACE_S:
+                return Done(Unknown('no answer by the deadline'))
+
+
+def _answer_plain(ex: Exchange, replies: Iterator[Reply]) -> list[bytes]:
+    body = b''
+    for reply in replies:
+        if isinstance(reply, Part):
+            body += reply.data
+        elif isinstance(reply, Done):
+            outcome = reply.outcome
+            if isinstance(outcome, Answered) and not outcome.body:
+                outcome = outcome._replace(body=body)
+            return _answer_outcome(ex, outcome)
+    return _answer_outcome(ex, Unknown('caller has gone'))
+
+
+def _answer_stream(
+    ex: Exchange, ctx: RequestContext, replies: Iterator[Reply]
+) -> Iterable[bytes]:
+    first = next(replies, None)
+    if first is None:
+        return _answer_outcome(ex, Unknown('caller has gone'))
+    if isinstance(first, Done):
+        return _answer_outcome(ex, first.outcome)
+    assert isinstance(first, Began)
+    headers = [
+        ('Content-Type', sse.CONTENT_TYPE),
+        ('Cache-Control', 'no-store'),
+        (REQUEST_ID, ctx.request_id),
+        (DIGEST, first.digest),
+        (ADAPTER_DIGEST, first.adapter_digest),
+    ]
+    ex.start_response(status_line(200), headers)
+    return _Events(ctx, replies)
+
+
+class _Events:
+    """The events of a stream; `close` is called when the caller leaves.
+
+    The replies are closed with it, also where not one event was taken from
+    here: a generator that was never started would not see its close.
+    """
+
+    def __init__(self, ctx: RequestContext, replies: Iterator[Reply]) -> None:
+        self._ctx = ctx
+        self._replies = replies
+        self._parts = 0
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        reply = next(self._replies)
+        while isinstance(reply, Began):
+            reply = next(self._replies)
+        if isinstance(reply, Part):
+            self._parts += 1
+            return sse.data_event(reply.data)
+        assert isinstance(reply, Done)
+        return sse.outcome_event(
+            _outcome_fields(self._ctx.request_id, reply.outcome)
+            | {'parts': self._parts}
+        )
+
+    def close(self) -> None:
+        close = getattr(self._replies, 'close', None)
+        if close is not None:
+            close()
+
+
+def _outcome_fields(request_id: str, outcome: Outcome) -> dict[str, object]:
+    fields: dict[str, object] = {
+        'outcome': outcomes.name_of(outcome),
+        'request_id': request_id,
+    }
+    if isinstance(outcome, Answered):
+        fields['status'] = outcome.status
+        fields['digest'] = outcome.digest
+        fields['adapter_digest'] = outcome.adapter_digest
+    else:
+        fields['error'] = {'place': 'request', 'text': outcome.reason}
+    if isinstance(outcome, NotRun) and outcome.retry_after_s > 0:
+        fields['retry_after_s'] = outcome.retry_after_s
+    return fields
+
+
+def _answer_outcome(ex: Exchange, outcome: Outcome) -> list[bytes]:
+    headers = [
+        (REQUEST_ID, ex.request_id),
+        (OUTCOME, outcomes.name_of(outcome)),
+    ]
+    if isinstance(outcome, Answered):
+        headers.append((DIGEST, outcome.digest))
+        headers.append((ADAPTER_DIGEST, outcome.adapter_digest))
+        return _respond(
+            ex, outcome.status, headers, outcome.content_type, outcome.body
+        )
+    if isinstance(outcome, NotRun) and outcome.retry_after_s > 0:
+        headers.append(retry_after(outcome.retry_after_s))
+    findings = (Finding('request', outcome.reason),)
+    body = _error_body(ex, findings, outcomes.name_of(outcome))
+    return _respond(ex, outcome.status, headers, 'application/json', body)
+
+
+def _answer_rejection(ex: Exchange, rejection: parse.Rejection) -> list[bytes]:
+    headers = [(REQUEST_ID, ex.request_id), (OUTCOME, 'not-run')]
+    if rejection.retry_after_s > 0:
+        headers.append(retry_after(rejection.retry_after_s))
+    if rejection.status in (408, 413):
+        # What is left of the body is not read, so the connection can't be
+        # used again.
+        headers.append(('Connection', 'close'))
+    if rejection.status == 401:
+        headers.append(('WWW-Authenticate', 'Bearer'))
+    body = _error_body(ex, rejection.findings, 'not-run')
+    return _respond(ex, rejection.status, headers, 'application/json', body)
+
+
+def _refuse(ex: Exchange, status: int, place: str, text: str) -> list[bytes]:
+    return _answer_rejection(ex, _rejection(status, place, text))
+
+
+def retry_after(seconds: float) -> tuple[str, str]:
+    """Give the header; whole seconds, rounded up.
+
+    >>> retry_after(0.2)
+    ('Retry-After', '1')
+    """
+    return 'Retry-After', str(max(1, math.ceil(seconds)))
+
+
+def _error_body(
+    ex: Exchange, findings: Iterable[Finding], outcome: str
+) -> bytes:
+    errors = [{'place': f.place, 'text': f.text} for f in findings]
+    document = {
+        'error': errors[0],
+        'errors': errors,
+        'outcome': outcome,
+        'request_id': ex.request_id,
+    }
+    return json.dumps(document).encode()
+
+
+def _respond(
+    ex: Exchange,
+    status: int,
+    headers: list[tuple[str, str]],
+    content_type: str,
+    body: bytes,
+) -> list[bytes]:
+    fields = [
+        ('Content-Type', content_type or 'application/octet-stream'),
+        ('Content-Length', str(len(body))),
+    ]
+    ex.start_response(status_line(status), fields + headers)
+    return [body]
--- /dev/null
+++ b/packages/burdockchute/burdockchute/callers/parse.py
@@ -0,0 +1,376 @@
+"""Check a caller's request and resolve what it names.
+
+Every finding is collected before the request is refused, each with its
+place: a header by its name, a member of the body as `body.prompt`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import json
+from typing import Any
+from typing import NamedTuple
+
+import blake3
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from burdockchute.callers import auth
+from burdockchute.model import findings
+from burdockchute.model import table as tables
+from burdockchute.model.findings import Finding
+from burdockchute.model.requests import RequestContext
+from burdockchute.model.rows import CustomerRow
+from burdockchute.model.table import Table
+
+COMPLETIONS_PATH = '/v1/completions'
+SERVICES_PREFIX = '/v1/services/'
+
+DEADLINE_HEADER = 'Burdockchute-Deadline-Ms'
+PRIORITY_HEADER = 'Burdockchute-Priority'
+IDEMPOTENT_HEADER = 'Burdockchute-Idempotent'
+KEY_HEADER = 'Idempotency-Key'
+
+MAX_DEADLINE_MS = 600_000
+MAX_TOKENS = 32_768
+DEFAULT_MAX_TOKENS = 256
+MAX_KEY_CHARS = 200
+
+# A caller may put its own requests behind one another, never before those
+# of the customer's row.
+LOWEST_PRIORITY = -9
+HIGHEST_PRIORITY = 0
+
+# Words in one step of the engines' prefix cache, and how many steps are
+# digested: more would cost each request time and save no more than a long
+# document's tail.
+BLOCK_WORDS = 64
+MAX_BLOCKS = 64
+
+
+class Rejection(NamedTuple):
+    """Why a request goes no further: it was certainly not run."""
+
+    status: int
+    findings: tuple[Finding, ...]
+    retry_after_s: float = 0.0
+
+
+class Arrival(NamedTuple):
+    """A request as it came; times are monotonic seconds."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    now: float
+
+
+class Options(NamedTuple):
+    """What the headers ask for."""
+
+    deadline: float
+    priority: int
+    idempotent: bool
+    key: str
+
+
+def parse_request(
+    arrival: Arrival,
+    customer: CustomerRow,
+    table: Table,
+    default_deadline_s: float,
+) -> Result[RequestContext, Rejection]:
+    """Give the request in full, or all findings."""
+    found: list[Finding] = []
+    options = _parse_options(arrival, customer, default_deadline_s, found)
+    if arrival.path == COMPLETIONS_PATH:
+        return _parse_completion(arrival, customer, table, options, found)
+    if arrival.path.startswith(SERVICES_PREFIX):
+        return _parse_service(arrival, customer, table, options, found)
+    return reject(404, 'path', f'nothing is served at {arrival.path!r}')
+
+
+def reject(
+    status: int, place: str, text: str
+) -> Result[RequestContext, Rejection]:
+    """Give a rejection with one finding."""
+    return Failure(Rejection(status, (Finding(place, text),)))
+
+
+def prefixes_of(prompt: str) -> tuple[str, ...]:
+    """Give the digests of the prompt's first 1, 2, 3... whole blocks."""
+    words = prompt.split()
+    blocks = min(len(words) // BLOCK_WORDS, MAX_BLOCKS)
+    hasher = blake3.blake3()
+    digests = []
+    for block in range(blocks):
+        start = block * BLOCK_WORDS
+        text = ' '.join(words[start : start + BLOCK_WORDS])
+        hasher.update((' ' + text if block else text).encode())
+        digests.append(hasher.hexdigest())
+    return tuple(digests)
+
+
+def _parse_options(
+    arrival: Arrival,
+    customer: CustomerRow,
+    default_deadline_s: float,
+    found: list[Finding],
+) -> Options:
+    headers = arrival.headers
+    budget_ms = _whole_number(
+        headers.get(DEADLINE_HEADER),
+        DEADLINE_HEADER,
+        (1, MAX_DEADLINE_MS),
+        int(default_deadline_s * 1000),
+        found,
+    )
+    lowered = _whole_number(
+        headers.get(PRIORITY_HEADER),
+        PRIORITY_HEADER,
+        (LOWEST_PRIORITY, HIGHEST_PRIORITY),
+        HIGHEST_PRIORITY,
+        found,
+    )
+    marked = headers.get(IDEMPOTENT_HEADER, 'yes').lower()
+    if marked not in ('yes', 'no'):
+        found.append(
+            Finding(
+                IDEMPOTENT_HEADER, findings.not_one_of(marked, ('yes', 'no'))
+            )
+        )
+    key = headers.get(KEY_HEADER, '')
+    if len(key) > MAX_KEY_CHARS:
+        found.append(
+            Finding(KEY_HEADER, f'more than {MAX_KEY_CHARS} characters')
+        )
+    return Options(
+        deadline=arrival.now + budget_ms / 1000,
+        priority=customer.priority + lowered,
+        idempotent=marked != 'no',
+        key=key,
+    )
+
+
+def _whole_number(
+    text: str | None,
+    place: str,
+    valid: tuple[int, int],
+    default: int,
+    found: list[Finding],
+) -> int:
+    if text is None:
+        return default
+    low, high = valid
+    try:
+        value = int(text)
+    except ValueError:
+        value = low - 1
+    if not low <= value <= high:
+        found.append(
+            Finding(place, f'{text!r} is no whole number {low} to {high}')
+        )
+        return default
+    return value
+
+
+def _parse_completion(
+    arrival: Arrival,
+    customer: CustomerRow,
+    table: Table,
+    options: Options,
+    found: list[Finding],
+) -> Result[RequestContext, Rejection]:
+    if arrival.method != 'POST':
+        return reject(405, 'method', f'{arrival.method!r} is not POST')
+    body = _json_object(arrival.body, found)
+    prompt = _member(body, 'prompt', str, None, found)
+    model = _member(body, 'model', str, None, found)
+    adapter = _member(body, 'adapter', str, '', found)
+    stream = _member(body, 'stream', bool, False, found)
+    tokens = _member(body, 'max_tokens', int, DEFAULT_MAX_TOKENS, found)
+    if not 1 <= tokens <= MAX_TOKENS:
+        found.append(
+            Finding(
+                'body.max_tokens',
+                f'{tokens!r} is no whole number 1 to {MAX_TOKENS}',
+            )
+        )
+    _check_key(options, options.idempotent, found)
+    if found:
+        return Failure(Rejection(400, tuple(found)))
+    target = _resolve_model(model, adapter, customer, table)
+    if isinstance(target, Rejection):
+        return Failure(target)
+    kind, name = target
+    return Success(
+        _context(arrival, customer, options, kind, name)._replace(
+            prompt_tokens=len(prompt.split()),
+            max_tokens=tokens,
+            stream=stream,
+            method='',
+            prefixes=prefixes_of(prompt),
+        )
+    )
+
+
+def _resolve_model(
+    model: str, adapter: str, customer: CustomerRow, table: Table
+) -> tuple[str, str] | Rejection:
+    known_adapters = tables.adapters(table)
+    if not adapter and model in known_adapters:
+        adapter, model = model, known_adapters[model].base
+    if model not in tables.models(table):
+        return _unknown('body.model', model, 'model')
+    if not adapter:
+        if not auth.may_call(customer, model):
+            return _forbidden('body.model', customer, model)
+        return 'model', model
+    if adapter not in known_adapters:
+        return _unknown('body.adapter', adapter, 'adapter')
+    if known_adapters[adapter].base != model:
+        text = f'{adapter!r} is no adapter on {model!r}'
+        return Rejection(404, (Finding('body.adapter', text),))
+    if not auth.may_call(customer, adapter):
+        return _forbidden('body.adapter', customer, adapter)
+    return 'adapter', adapter
+
+
+def _parse_service(
+    arrival: Arrival,
+    customer: CustomerRow,
+    table: Table,
+    options: Options,
+    found: list[Finding],
+) -> Result[RequestContext, Rejection]:
+    rest = arrival.path[len(SERVICES_PREFIX) :]
+    name, _slash, path = rest.partition('/')
+    name = name.partition('?')[0]
+    row = tables.services(table).get(name)
+    if row is None:
+        return Failure(_unknown('path', name, 'service'))
+    if not auth.may_call(customer, name):
+        return Failure(_forbidden('path', customer, name))
+    idempotent = options.idempotent and row.idempotent
+    _check_key(options, idempotent, found)
+    if found:
+        return Failure(Rejection(400, tuple(found)))
+    ctx = _context(arrival, customer, options, 'service', name)
+    return Success(ctx._replace(idempotent=idempotent, path='/' + path))
+
+
+def _check_key(
+    options: Options, idempotent: bool, found: list[Finding]
+) -> None:
+    if idempotent:
+        return
+    if not options.key:
+        found.append(
+            Finding(KEY_HEADER, 'must be given with a non-idempotent request')
+        )
+        return
+    if issued_at(options.key) is None:
+        found.append(
+            Finding(
+                KEY_HEADER,
+                f'{options.key!r} is not <unix seconds of issue>-<any token>',
+            )
+        )
+
+
+def issued_at(key: str) -> float | None:
+    """Give the time of issue in an idempotency key, in unix seconds.
+
+    >>> issued_at('1790000000-letter-17')
+    1790000000.0
+    """
+    seconds, dash, token = key.partition('-')
+    if not dash or not token or not seconds.isascii():
+        return None
+    return float(seconds) if seconds.isdigit() else None
+
+
+def _context(
+    arrival: Arrival,
+    customer: CustomerRow,
+    options: Options,
+    kind: str,
+    name: str,
+) -> RequestContext:
+    content_type = arrival.headers.get('Content-Type', 'application/json')
+    return RequestContext(
+        request_id=arrival.request_id,
+        customer=customer.name,
+        target=name,
+        kind=kind,
+        idempotent=options.idempotent,
+        idempotency_key=options.key,
+        arrived=arrival.now,
+        deadline=options.deadline,
+        priority=options.priority,
+        prompt_tokens=0,
+        max_tokens=0,
+        stream=False,
+        method=arrival.method,
+        path='',
+        content_type=content_type,
+        body=arrival.body,
+        fingerprint=_fingerprint(customer, name, arrival),
+    )
+
+
+def _fingerprint(customer: CustomerRow, name: str, arrival: Arrival) -> str:
+    parts = [customer.name, name, arrival.method, arrival.path]
+    hasher = blake3.blake3('\0'.join(parts).encode())
+    hasher.update(b'\0' + arrival.body)
+    return hasher.hexdigest()
+
+
+def _json_object(body: bytes, found: list[Finding]) -> dict[str, Any] | None:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        found.append(Finding('body', f'is not JSON: {exc}'))
+        return None
+    if not isinstance(value, dict):
+        found.append(Finding('body', 'is not a JSON object'))
+        return None
+    return value
+
+
+def _member(
+    body: dict[str, Any] | None,
+    name: str,
+    wanted: type,
+    default: Any,
+    found: list[Finding],
+) -> Any:
+    neutral = wanted() if default is None else default
+    if body is None:
+        return neutral
+    value = body.get(name)
+    if value is None:
+        if default is None:
+            found.append(Finding(f'body.{name}', 'must be given'))
+        return neutral
+    if type(value) is not wanted:
+        found.append(
+            Finding(f'body.{name}', f'{value!r} is no {_TYPE_NAMES[wanted]}')
+        )
+        return neutral
+    return value
+
+
+_TYPE_NAMES = {str: 'text', bool: 'true or false', int: 'whole number'}
+
+
+def _unknown(place: str, name: str, kind: str) -> Rejection:
+    return Rejection(404, (Finding(place, f'no {kind} {name!r}'),))
+
+
+def _forbidden(place: str, customer: CustomerRow, name: str) -> Rejection:
+    text = f'customer {customer.name!r} may not call {name!r}'
+    return Rejection(403, (Finding(place, text),))
--- a/packages/burdockchute/burdockchute/model/outcomes.py
+++ b/packages/burdockchute/burdockchute/model/outcomes.py
@@ -29,9 +29,15 @@
 
 
 class Unknown(NamedTuple):
-    """Handed on, and what became of it can't be told."""
+    """Handed on, and what became of it can't be told.
+
+    `status` is the HTTP status of the response: 504 for a request that got
+    no answer in time, 502 for one whose upstream was lost, 409 for a resend
+    of a request that may have run.
+    """
 
     reason: str
+    status: int = 504
 
 
 Outcome = Answered | NotRun | Unknown
