Wire the agent: runner, rows, reports, registration, admin port

The runner is the only part that hands a request on; it refuses a second dispatch of an attempt, pins each answer to its digest and shuts the gate on an answer of other weights. Links of the entry: dials agents, sends rows and members, dials other entries only on demand.

--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -0,0 +1,195 @@
+"""Wiring of the agent's tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import signal
+import time
+from typing import Any
+import uuid
+
+import gevent
+from gevent import event as events
+from gevent import queue
+
+from burdockchute import http_admin
+from burdockchute import logs
+from burdockchute import metrics
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.members import Place
+from burdockchute.nodes import links
+from burdockchute.platform.log import LogClient
+from burdockchute.wire import messages
+from burdockchute_agent import reports
+from burdockchute_agent.registration import register
+from burdockchute_agent.rows_task import RowsTask
+from burdockchute_agent.runner import Runner
+from burdockchute_agent.runner import Upstream
+from burdockchute_agent.settings import Settings
+from burdockchute_agent.weights_task import manifest_header
+from burdockchute_agent.weights_task import WeightsTask
+
+# After the last request has ended its answer may still be on its way
+# through a slow link.
+FLUSH_S = 2.0
+
+
+class App:
+    """One running agent."""
+
+    def __init__(self, cfg: Settings) -> None:
+        self.cfg = cfg
+        self.started = time.time()
+        self.incarnation = uuid.uuid4().hex
+        self.admin_url = ''
+        self.inbox: queue.Queue = queue.Queue()
+        self.stopping = events.Event()
+        self.entries: dict[links.Link, None] = {}
+        self.rows = RowsTask(self._publish)
+        place = Place(cfg.zone, cfg.region, cfg.pool)
+        log = LogClient(cfg.log_url)
+        self.weights = WeightsTask(
+            name=cfg.name,
+            place=place,
+            store_url=cfg.store_url,
+            upstream_url=cfg.upstream_url,
+            upstream_kind=cfg.upstream_kind,
+            uplink=cfg.uplink_bytes_per_s,
+            downlink=cfg.downlink_bytes_per_s,
+            register=lambda: register(log, cfg.name, self.incarnation),
+            hello=self.hello,
+            source=lambda: self.admin_url,
+            services=cfg.services,
+        )
+        upstream = Upstream(cfg.upstream_url, cfg.stall_s)
+        self.runner = Runner(upstream, self.weights.gate)
+        self.reports = reports.ReportsTask(
+            cfg, self.runner, self.weights, self.table_offset
+        )
+
+    def hello(self) -> messages.Hello:
+        """Give our side's first message on a link."""
+        return messages.Hello(
+            self.cfg.name,
+            'agent',
+            self.cfg.zone,
+            self.cfg.region,
+            self.incarnation,
+            self.table_offset(),
+            links.PROTOCOL,
+        )
+
+    def table_offset(self) -> int:
+        """Give the highest offset applied."""
+        return self.rows.table.offset
+
+    def serve(self) -> int:
+        """Run until a signal asks to stop; give the exit status."""
+        metrics.set_up(self.cfg.name, self.cfg.otlp_endpoint)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self.stopping.set)
+        link_server = links.listen(
+            self.cfg.address,
+            self.cfg.link_port,
+            self.hello,
+            self.inbox,
+            self.table_offset,
+        )
+        admin = http_admin.serve(
+            self.cfg.address, self.cfg.admin_port, self._admin_app()
+        )
+        self.admin_url = f'http://{self.cfg.address}:{admin.server_port}'
+        for run in self._loops():
+            gevent.spawn(run)
+        logs.event(
+            'serving',
+            link_port=link_server.server_port,
+            admin_port=admin.server_port,
+        )
+        self.stopping.wait()
+        return self._leave(link_server)
+
+    def status(self) -> dict[str, Any]:
+        """Give what this process holds and does."""
+        return {
+            'name': self.cfg.name,
+            'incarnation': self.incarnation,
+            'started': self.started,
+            'table_offset': self.table_offset(),
+            'entries': sorted(link.peer.name for link in self.entries),
+            'members': len(self.rows.members),
+            'running': self.runner.running(),
+            'finished': self.runner.finished,
+            'leaving': self.runner.leaving,
+            'weights': [vars(state) for state in self.weights.states()],
+        }
+
+    def _loops(self) -> list[Callable[[], None]]:
+        return [
+            self._route_events,
+            self.rows.run,
+            self.weights.run,
+            self.reports.run,
+        ]
+
+    def _probe(self) -> http_admin.Probe:
+        if self.table_offset() < 0:
+            return http_admin.Probe(False, 'no table yet')
+        if self.runner.leaving:
+            return http_admin.Probe(False, 'leaving')
+        return http_admin.Probe(True, '')
+
+    def _admin_app(self) -> Callable:
+        return http_admin.make_app(
+            self.status, self._probe, {'/weights/': self._weights_page}
+        )
+
+    def _weights_page(self, digest: str) -> http_admin.Response:
+        held = self.weights.weights_response(digest)
+        if held is None:
+            return http_admin.as_json(
+                {'error': f'no whole copy of {digest!r}'}, '404 Not Found'
+            )
+        manifest, chunks = held
+        headers = [
+            ('Content-Type', 'application/octet-stream'),
+            ('Burdockchute-Manifest', manifest_header(manifest)),
+        ]
+        return '200 OK', headers, chunks
+
+    def _publish(self, event: TableChanged | MembersChanged) -> None:
+        self.weights.inbox.put(event)
+
+    def _route_events(self) -> None:
+        while True:
+            event = self.inbox.get()
+            if event.link.peer.role == 'agent':
+                self.weights.inbox.put(event)
+            else:
+                self._entry_event(event)
+
+    def _entry_event(self, event: links.Event) -> None:
+        self.rows.inbox.put(event)
+        if isinstance(event, links.Opened):
+            self.entries[event.link] = None
+            self.reports.opened(event.link)
+        elif isinstance(event, links.Closed):
+            self.entries.pop(event.link, None)
+            self.reports.closed(event.link)
+            self.runner.link_closed(event.link)
+        elif isinstance(event.message, messages.Dispatch):
+            self.runner.dispatch(event.link, event.message)
+        elif isinstance(event.message, messages.Cancel):
+            self.runner.cancel(event.message.request_id)
+
+    def _leave(self, link_server: Any) -> int:
+        logs.event('leaving', running=self.runner.running())
+        self.runner.leaving = True
+        self.reports.send_now()
+        drained = self.runner.drain(self.cfg.drain_s)
+        for link in list(self.entries):
+            link.flush(FLUSH_S)
+        link_server.stop(timeout=0)
+        logs.event('stopped', drained=drained, left=self.runner.running())
+        return 0 if drained else 1
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -0,0 +1,191 @@
+"""Load reports to the entries: on each change and every second.
+
+Entries place requests by these. They lag by at most POLL_S behind what the
+upstream itself reports; the entry adds what it has sent since.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import json
+import time
+from typing import NamedTuple
+from urllib import parse
+
+import gevent
+from gevent import socket
+import geventhttpclient
+from geventhttpclient import response as responses
+
+from burdockchute import logs
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+from burdockchute_agent.runner import Runner
+from burdockchute_agent.settings import Settings
+from burdockchute_agent.weights_task import WeightsTask
+
+POLL_S = 0.5
+CHANGE_CHECK_S = 0.05
+REPORT_S = 1.0
+UPSTREAM_TIMEOUT_S = 1.0
+
+# Enough for the prompts that an instance's cache keeps warm and few enough
+# that a report stays near a kilobyte: control may cost 23 KB a second.
+MAX_PREFIXES = 48
+PREFIX_HEX = 16
+
+# Misses in a row before the upstream counts as away. One is a pause of its
+# garbage collector; three are longer than any of the stand-ins or engines
+# pause while they answer anything.
+MAX_MISSES = 3
+
+
+class UpstreamLoad(NamedTuple):
+    """What the upstream reports of itself."""
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    tokens_per_s: float = 0.0
+    prefill_tokens_per_s: int = 0
+
+
+class ReportsTask:
+    """Polls the upstream and tells entries."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        runner: Runner,
+        weights: WeightsTask,
+        table_offset: Callable[[], int],
+    ) -> None:
+        self._cfg = cfg
+        self._runner = runner
+        self._weights = weights
+        self._table_offset = table_offset
+        self._links: dict[links.Link, None] = {}
+        self._load = UpstreamLoad()
+        self._misses = 0
+        self._prefixes: dict[str, None] = {}
+        self._next_event = 0
+        self._sent: tuple = ()
+        self._sent_at = 0.0
+
+    def run(self) -> None:
+        """Poll and report for ever."""
+        gevent.spawn(self._poll)
+        while True:
+            gevent.sleep(CHANGE_CHECK_S)
+            now = time.monotonic()
+            if self._key() != self._sent or now > self._sent_at + REPORT_S:
+                self.send_now()
+
+    def opened(self, link: links.Link) -> None:
+        """Tell a new entry at once."""
+        self._links[link] = None
+        self._send_to(link, self.report())
+
+    def closed(self, link: links.Link) -> None:
+        """Stop telling an entry."""
+        self._links.pop(link, None)
+
+    def send_now(self) -> None:
+        """Send a report to every entry."""
+        self._sent = self._key()
+        self._sent_at = time.monotonic()
+        report = self.report()
+        for link in list(self._links):
+            self._send_to(link, report)
+
+    def report(self) -> messages.LoadReport:
+        """Give the report of this moment."""
+        away = self._misses >= MAX_MISSES
+        return messages.LoadReport(
+            instance=self._cfg.name,
+            running=self._runner.running(),
+            waiting=self._load.waiting,
+            slots=self._load.slots,
+            tokens_per_s=self._load.tokens_per_s,
+            leaving=self._runner.leaving,
+            weights=[] if away else self._weights.states(),
+            services=[] if away else self._weights.services(),
+            prefixes=list(reversed(self._prefixes)),
+            table_offset=self._table_offset(),
+            prefill_tokens_per_s=self._load.prefill_tokens_per_s,
+        )
+
+    def _key(self) -> tuple:
+        return (
+            self._runner.leaving,
+            self._misses >= MAX_MISSES,
+            tuple(
+                (state.row, state.digest, state.phase)
+                for state in self._weights.states()
+            ),
+        )
+
+    def _send_to(self, link: links.Link, report: messages.LoadReport) -> None:
+        try:
+            link.send(report)
+        except links.LinkError:
+            self.closed(link)
+
+    def _poll(self) -> None:
+        is_engine = self._cfg.upstream_kind == 'engine'
+        poll_once = self._poll_engine() if is_engine else self._poll_service
+        while True:
+            try:
+                poll_once()
+                self._note_answer()
+            except (OSError, ValueError, responses.HTTPParseError):
+                self._note_miss()
+            gevent.sleep(POLL_S)
+
+    def _poll_engine(self) -> Callable[[], None]:
+        client = geventhttpclient.HTTPClient.from_url(
+            self._cfg.upstream_url,
+            connection_timeout=UPSTREAM_TIMEOUT_S,
+            network_timeout=UPSTREAM_TIMEOUT_S,
+        )
+
+        def poll_once() -> None:
+            load = json.loads(client.get('/load').read())
+            self._load = UpstreamLoad(
+                **{k: load[k] for k in UpstreamLoad._fields if k in load}
+            )
+            path = f'/cache/events?from={self._next_event}'
+            self._note_cache(json.loads(client.get(path).read()))
+
+        return poll_once
+
+    def _poll_service(self) -> None:
+        # A plain service knows no status page; any call could be one that
+        # may not be repeated. That it takes connections has to do.
+        parts = parse.urlsplit(self._cfg.upstream_url)
+        address = (parts.hostname, parts.port)
+        socket.create_connection(address, UPSTREAM_TIMEOUT_S).close()
+
+    def _note_cache(self, page: dict) -> None:
+        for event in page.get('events', ()):
+            prefix = event['prefix'][:PREFIX_HEX]
+            self._prefixes.pop(prefix, None)
+            if event['act'] == 'stored':
+                self._prefixes[prefix] = None
+        while len(self._prefixes) > MAX_PREFIXES:
+            del self._prefixes[next(iter(self._prefixes))]
+        self._next_event = page.get('next', self._next_event)
+
+    def _note_answer(self) -> None:
+        if self._misses >= MAX_MISSES:
+            logs.event('upstream_back')
+        self._misses = 0
+
+    def _note_miss(self) -> None:
+        self._misses += 1
+        if self._misses == MAX_MISSES:
+            # The engine's cache and weights may be gone with it; events of
+            # the one that comes back are numbered anew.
+            self._prefixes.clear()
+            self._next_event = 0
+            logs.warn('upstream_away', url=self._cfg.upstream_url)
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/rows_task.py
@@ -0,0 +1,134 @@
+"""Rows and members as the entries that dialled this agent tell them.
+
+Several entries send, each with a view of its own age. Rows only move to a
+higher offset: an entry that was paused and comes back with older rows is
+ignored, and the log event `delta_ignored` names it. Of members the agent
+keeps the latest view of each entry and takes them together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+from gevent import queue
+from returns.result import Failure
+
+from burdockchute import logs
+from burdockchute.model import deltas
+from burdockchute.model import findings
+from burdockchute.model import table as tables
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.model.table import Table
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+
+Publish = Callable[[TableChanged | MembersChanged], None]
+
+
+class RowsTask:
+    """Owns the agent's table and its view of members."""
+
+    def __init__(self, publish: Publish) -> None:
+        self.inbox: queue.Queue = queue.Queue()
+        self.table: Table = tables.EMPTY
+        self.members: tuple[Member, ...] = ()
+        self._publish = publish
+        self._views: dict[links.Link, tuple[Member, ...]] = {}
+
+    def run(self) -> None:
+        """Handle messages for ever."""
+        while True:
+            self.handle(self.inbox.get())
+
+    def handle(self, event: links.Event) -> None:
+        """Handle one event of a link to an entry."""
+        if isinstance(event, links.Closed):
+            self._forget(event.link)
+        elif isinstance(event, links.Received):
+            self._received(event.link, event.message)
+
+    def _received(self, link: links.Link, message: Any) -> None:
+        if isinstance(message, messages.TableDelta):
+            self._apply(link, message)
+        elif isinstance(message, messages.Members):
+            self._views[link] = tuple(map(_member_of, message.members))
+            self._merge_views()
+
+    def _apply(self, link: links.Link, delta: messages.TableDelta) -> None:
+        if delta.to_offset <= self.table.offset:
+            if delta.to_offset < self.table.offset:
+                logs.event(
+                    'delta_ignored',
+                    entry=link.peer.name,
+                    offset=delta.to_offset,
+                    held=self.table.offset,
+                )
+            return
+        result = deltas.apply_delta(self.table, delta)
+        if isinstance(result, Failure):
+            logs.warn(
+                'delta_refused',
+                entry=link.peer.name,
+                reason=str(result.failure()),
+            )
+            _ask_for_whole(link)
+            return
+        applied = result.unwrap()
+        for finding in applied.findings:
+            logs.warn('row_finding', finding=findings.render(finding))
+        if applied.table.offset <= self.table.offset:
+            return
+        self.table = applied.table
+        logs.event(
+            'table_applied', offset=self.table.offset, entry=link.peer.name
+        )
+        self._publish(TableChanged(self.table))
+
+    def _forget(self, link: links.Link) -> None:
+        # The last view is kept: an agent that has lost every entry still
+        # knows its peers and can finish a copy.
+        if link in self._views and len(self._views) > 1:
+            del self._views[link]
+            self._merge_views()
+
+    def _merge_views(self) -> None:
+        members = merge_views(self._views.values())
+        if members != self.members:
+            self.members = members
+            self._publish(MembersChanged(members))
+
+
+def merge_views(
+    views: Iterable[tuple[Member, ...]],
+) -> tuple[Member, ...]:
+    """Take the views together: a member is leaving if any view says so."""
+    merged: dict[str, Member] = {}
+    for view in views:
+        for member in view:
+            known = merged.get(member.name)
+            leaving = member.leaving or (known is not None and known.leaving)
+            merged[member.name] = member._replace(leaving=leaving)
+    return tuple(merged[name] for name in sorted(merged))
+
+
+def _member_of(member: messages.Member) -> Member:
+    return Member(
+        member.name,
+        'agent',
+        member.address,
+        member.port,
+        Place(member.zone, member.region, member.pool),
+        member.leaving,
+    )
+
+
+def _ask_for_whole(link: links.Link) -> None:
+    try:
+        link.send(messages.TableRequest(tables.NO_OFFSET))
+    except links.LinkError:
+        pass
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/runner.py
@@ -0,0 +1,303 @@
+"""Run requests on the upstream, each in a greenlet of its own.
+
+The runner is the only part that hands a request on, so it is the only one
+that may say NotRun. Before the call is sent every refusal is certain; from
+then on each failure is an AnswerEnd with an error, which leaves it open
+whether the request ran.
+"""
+
+from __future__ import annotations
+
+import collections
+import json
+import time
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+
+from burdockchute import logs
+from burdockchute.nodes import links
+from burdockchute.upstreams import calls
+from burdockchute.upstreams.gate import Gate
+from burdockchute.wire import messages
+
+# An agent remembers attempts for as long as an entry could still hold the
+# dispatch of a non-idempotent request in a connection that was thought
+# lost; more than the longest deadline of a request, and few enough to keep.
+MAX_REMEMBERED_ATTEMPTS = 20_000
+
+MAX_PLAIN_ANSWER_BYTES = 8 * 1024 * 1024
+
+# What an engine answers when it has not taken a request on.
+ENGINE_REFUSALS = (404, 409, 429, 503)
+
+REFUSED_RETRY_MS = 500
+LEAVING = 'leaving'
+
+EVENT_STREAM = 'text/event-stream'
+_LAST_EVENT = '[DONE]'
+
+
+class Run(NamedTuple):
+    """A request in flight."""
+
+    link: links.Link
+    greenlet: Any
+    started: float
+    may_stop: bool
+
+
+class Upstream(NamedTuple):
+    """Where requests run."""
+
+    url: str
+    stall_s: float
+
+
+class _NotRunError(Exception):
+    pass
+
+
+class _OtherWeightsError(Exception):
+    pass
+
+
+class Runner:
+    """The requests in flight on this instance's upstream."""
+
+    def __init__(self, upstream: Upstream, gate: Gate) -> None:
+        self.leaving = False
+        self.finished = 0
+        self._upstream = upstream
+        self._gate = gate
+        self._runs: dict[str, Run] = {}
+        self._attempts: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def dispatch(self, link: links.Link, req: messages.Dispatch) -> None:
+        """Start a request that came over a link."""
+        if req.attempt_id in self._attempts:
+            # A dispatch that was delayed in a connection arrives after the
+            # entry sent it again. Saying NotRun here would be a lie, since
+            # the first one may have run.
+            _send(link, _end(req, 0, 0, error='attempt came twice'))
+            return
+        self._remember(req.attempt_id)
+        greenlet = gevent.Greenlet(self._run, link, req)
+        self._runs[req.request_id] = Run(
+            link, greenlet, time.monotonic(), may_stop=not req.path
+        )
+        greenlet.start()
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a request whose caller has gone or given up."""
+        run = self._runs.get(request_id)
+        if run is not None and run.may_stop:
+            run.greenlet.kill(block=False)
+
+    def link_closed(self, link: links.Link) -> None:
+        """Stop what came over a link: nobody is left to take its answer.
+
+        The entry at the other end reports these as unknown or runs them
+        again, so that their answers would be thrown away. A call to a plain
+        service goes on, since a postal dispatch that is broken off half-way
+        is worse than one whose answer is lost.
+        """
+        for run in list(self._runs.values()):
+            if run.link is link and run.may_stop:
+                run.greenlet.kill(block=False)
+
+    def running(self) -> int:
+        """Give the number of requests in flight."""
+        return len(self._runs)
+
+    def drain(self, timeout: float) -> bool:
+        """Refuse new requests and wait for those in flight."""
+        self.leaving = True
+        gevent.joinall(
+            [run.greenlet for run in self._runs.values()], timeout=timeout
+        )
+        return not self._runs
+
+    def _run(self, link: links.Link, req: messages.Dispatch) -> None:
+        try:
+            with gevent.Timeout(max(req.budget_ms, 0) / 1000, _Expired):
+                self._run_admitted(link, req)
+        except _NotRunError as exc:
+            _send(
+                link,
+                messages.NotRun(req.request_id, str(exc), REFUSED_RETRY_MS),
+            )
+            logs.event(
+                'request_not_run',
+                request_id=req.request_id,
+                customer=req.customer,
+                target=req.target,
+                reason=str(exc),
+            )
+        except _Expired:
+            _send(link, _end(req, 0, 0, error='deadline passed'))
+        finally:
+            self._runs.pop(req.request_id, None)
+            self.finished += 1
+
+    def _run_admitted(self, link: links.Link, req: messages.Dispatch) -> None:
+        if self.leaving:
+            raise _NotRunError(LEAVING)
+        if req.budget_ms <= 0:
+            raise _NotRunError('deadline passed')
+        pinned = (req.target, req.digest, req.adapter_digest)
+        refusal = self._gate.enter(*pinned)
+        if refusal is not None:
+            raise _NotRunError(refusal.reason)
+        try:
+            run = self._run_service if req.path else self._run_engine
+            run(link, req)
+        finally:
+            self._gate.leave(*pinned)
+
+    def _run_service(self, link: links.Link, req: messages.Dispatch) -> None:
+        reply = self._send_call(req, req.method, req.path, req.body)
+        try:
+            body = calls.whole_body(reply, MAX_PLAIN_ANSWER_BYTES)
+        except calls.Broken as exc:
+            _send(link, _end(req, 0, 0, error=str(exc), crashed=exc.crashed))
+            return
+        finally:
+            reply.close()
+        _send(link, messages.AnswerPart(req.request_id, 0, body))
+        _send(link, _end(req, 1, reply.status, reply.content_type))
+
+    def _run_engine(self, link: links.Link, req: messages.Dispatch) -> None:
+        base = self._gate.base_of(req.target)
+        reply = self._send_call(
+            req, 'POST', '/v1/completions', _engine_body(req, base)
+        )
+        try:
+            if reply.status in ENGINE_REFUSALS:
+                raise _NotRunError(f'engine answered {reply.status}')
+            pass_on = _stream_on if req.stream else _plain_on
+            parts = pass_on(link, req, reply)
+        except calls.Broken as exc:
+            _send(link, _end(req, 0, 0, error=str(exc), crashed=exc.crashed))
+            return
+        except _OtherWeightsError as exc:
+            self._gate.doubt(req.target, req.digest, req.adapter_digest)
+            _send(link, _end(req, 0, 0, error=str(exc)))
+            return
+        finally:
+            # Closing before the end cancels the work on the engine.
+            reply.close()
+        content_type = EVENT_STREAM if req.stream else reply.content_type
+        _send(link, _end(req, parts, reply.status, content_type))
+
+    def _send_call(
+        self, req: messages.Dispatch, method: str, path: str, body: bytes
+    ) -> calls.Reply:
+        headers = {
+            'Content-Type': req.content_type or 'application/json',
+            'Burdockchute-Request-Id': req.request_id,
+        }
+        try:
+            return calls.send(
+                self._upstream.url,
+                method,
+                path,
+                body,
+                headers,
+                self._upstream.stall_s,
+            )
+        except calls.NotConnected as exc:
+            raise _NotRunError(f'upstream takes no connection: {exc}') from exc
+
+    def _remember(self, attempt_id: str) -> None:
+        self._attempts[attempt_id] = None
+        if len(self._attempts) > MAX_REMEMBERED_ATTEMPTS:
+            self._attempts.popitem(last=False)
+
+
+class _Expired(Exception):
+    pass
+
+
+def _stream_on(
+    link: links.Link, req: messages.Dispatch, reply: calls.Reply
+) -> int:
+    sequence = 0
+    for data in calls.events(reply):
+        if data == _LAST_EVENT:
+            return sequence
+        _check_digests(req, data)
+        link.send(messages.AnswerPart(req.request_id, sequence, data.encode()))
+        sequence += 1
+    raise calls.Broken('stream ended without its last event')
+
+
+def _plain_on(
+    link: links.Link, req: messages.Dispatch, reply: calls.Reply
+) -> int:
+    body = calls.whole_body(reply, MAX_PLAIN_ANSWER_BYTES)
+    if reply.status == 200:
+        _check_digests(req, body)
+    link.send(messages.AnswerPart(req.request_id, 0, body))
+    return 1
+
+
+def _check_digests(req: messages.Dispatch, data: str | bytes) -> None:
+    # An order of an agent that was paused, or a restart of the engine, can
+    # change its weights behind the gate. The answer itself says what made
+    # it; one from other weights than the request was pinned to must not
+    # reach a caller as if nothing had happened.
+    try:
+        event = json.loads(data)
+        made_by = event.get('digest', ''), event.get('adapter_digest', '')
+    except (ValueError, AttributeError):
+        raise calls.Broken('answer is not a JSON object') from None
+    if made_by != (req.digest, req.adapter_digest):
+        raise _OtherWeightsError(
+            f'answer is from weights {made_by[0]!r}, adapter {made_by[1]!r}'
+        )
+
+
+def _engine_body(req: messages.Dispatch, base: str) -> bytes:
+    body = json.loads(req.body)
+    body.update(
+        request_id=req.request_id,
+        priority=req.priority,
+        stream=req.stream,
+        model=base or req.target,
+        digest=req.digest,
+    )
+    if base:
+        body['adapter'] = req.target
+    return json.dumps(body).encode()
+
+
+def _end(
+    req: messages.Dispatch,
+    parts: int,
+    status: int,
+    content_type: str = '',
+    error: str = '',
+    crashed: bool = False,
+) -> messages.AnswerEnd:
+    return messages.AnswerEnd(
+        req.request_id,
+        parts,
+        status,
+        content_type,
+        req.digest,
+        req.adapter_digest,
+        error,
+        crashed,
+    )
+
+
+def _send(link: links.Link, message: Any) -> None:
+    try:
+        link.send(message)
+    except links.LinkError:
+        # The entry sees its end of the link close and decides from there.
+        pass
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -11,6 +11,7 @@
 
 import base64
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import time
 
@@ -61,7 +62,8 @@
     `uplink` and `downlink` are the instance's link in bytes per second.
     `register` appends this agent's registration to the log and gives its
     offset, the fencing number. `source` gives the base URL of the admin
-    HTTP, from which the engine fetches weights.
+    HTTP, from which the engine fetches weights. `services` names the plain
+    services that the upstream can run.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         register: Callable[[], Result],
         hello: Callable[[], messages.Hello],
         source: Callable[[], str] = str,
+        services: Collection[str] = (),
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self.gate = Gate()
@@ -84,6 +87,7 @@
         self._is_engine = upstream_kind == 'engine'
         self._register = register
         self._source = source
+        self._services = frozenset(services)
         self._table: Table = EMPTY
         self._members: tuple[Member, ...] = ()
         self._view = EngineView(time.monotonic())
@@ -124,7 +128,7 @@
         if self._is_engine:
             return []
         rows = hosting.hosted_services(self._table, self._members, self._own)
-        return [row.name for row in rows]
+        return [row.name for row in rows if row.name in self._services]
 
     def weights_response(self, digest: str) -> WeightsContent | None:
         """Give manifest and content of whole weights, None without them."""
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -0,0 +1,290 @@
+"""Links of an entry: to the agents it places work on and to other entries.
+
+This task reads the platform's list of instances, dials agents, and hands on
+what comes over the links. Messages of agents about requests go to the router;
+messages of other entries go to whoever handles their type. Each agent is sent
+the rows it lacks and the members it may copy from.
+
+An entry dials another only when it has something to say to it, since links
+between each two of 360 entries would cost more in heartbeats than control
+may cost.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+from gevent import queue
+from returns.result import Failure
+
+from burdockchute import logs
+from burdockchute.model import deltas
+from burdockchute.model import table as tables
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.members import Member
+from burdockchute.model.table import Table
+from burdockchute.nodes import links
+from burdockchute.platform.instances import InstanceList
+from burdockchute.wire import messages
+
+POLL_S = 0.5
+
+# An instance that refuses connections has died or not yet started; one dial
+# in this time finds it soon without a storm from every entry at once.
+REDIAL_S = 0.5
+
+# Changes of the list that come together, as when a zone goes, are sent to
+# agents as one.
+MEMBERS_DELAY_S = 0.2
+
+Handlers = dict[type, queue.Queue]
+
+
+class Handing(NamedTuple):
+    """Where events of links go: a queue for each type of message."""
+
+    router: queue.Queue
+    peers: Handlers
+
+
+class _Tick(NamedTuple):
+    members: tuple[Member, ...]
+
+
+class _Dialled(NamedTuple):
+    name: str
+    error: str
+
+
+class _ToPeer(NamedTuple):
+    name: str
+    message: Any
+
+
+class LinksTask:
+    """Owns all links of an entry."""
+
+    def __init__(
+        self,
+        name: str,
+        hello: Callable[[], messages.Hello],
+        instance_list: InstanceList,
+        delta_since: Callable[[int], messages.TableDelta],
+        handing: Handing,
+    ) -> None:
+        self.inbox: queue.Queue = queue.Queue()
+        self.members: tuple[Member, ...] = ()
+        self.list_read_at = 0.0
+        self._name = name
+        self._hello = hello
+        self._list = instance_list
+        self._delta_since = delta_since
+        self._handing = handing
+        self._links: dict[str, links.Link] = {}
+        self._sent_offset: dict[links.Link, int] = {}
+        self._dialling: dict[str, float] = {}
+        self._held_back: dict[str, list[Any]] = {}
+        self._last_table: Table = tables.EMPTY
+        self._members_sent = 0
+        self._members_due = 0.0
+
+    def run(self) -> None:
+        """Handle messages for ever."""
+        gevent.spawn(self._poll_list)
+        while True:
+            self._handle(self.inbox.get())
+
+    def send_to(self, name: str, message: Any) -> None:
+        """Send a message to another entry, dialling it if need be.
+
+        The message is lost if the entry can't be reached; whoever waits for
+        an answer has a deadline of its own.
+        """
+        self.inbox.put(_ToPeer(name, message))
+
+    def agent_links(self) -> list[links.Link]:
+        """Give the open links to agents."""
+        return [
+            link for link in self._links.values() if link.peer.role == 'agent'
+        ]
+
+    def _handle(self, event: Any) -> None:
+        handlers: dict[type, Callable[[Any], None]] = {
+            _Tick: self._on_tick,
+            _Dialled: self._on_dialled,
+            _ToPeer: self._on_to_peer,
+            TableChanged: self._on_table,
+            links.Opened: self._on_opened,
+            links.Closed: self._on_closed,
+            links.Received: self._on_received,
+        }
+        handlers[type(event)](event)
+
+    def _poll_list(self) -> None:
+        while True:
+            result = self._list.fetch()
+            if isinstance(result, Failure):
+                logs.warn(
+                    'instance_list_unavailable',
+                    reason=result.failure().reason,
+                )
+                # Go on with what was known, and dial again what was lost.
+                self.inbox.put(_Tick(self.members))
+            else:
+                self.list_read_at = time.monotonic()
+                listed = sorted(result.unwrap(), key=lambda m: m.name)
+                self.inbox.put(_Tick(tuple(listed)))
+            gevent.sleep(POLL_S)
+
+    def _on_tick(self, tick: _Tick) -> None:
+        now = time.monotonic()
+        if tick.members != self.members:
+            self.members = tick.members
+            self._members_due = now + MEMBERS_DELAY_S
+            self._handing.router.put(MembersChanged(self.members))
+        if self._members_due and now >= self._members_due:
+            self._members_due = 0.0
+            self._members_sent += 1
+            for link in self.agent_links():
+                self._send(link, self._members_message())
+        self._dial_missing(now)
+
+    def _dial_missing(self, now: float) -> None:
+        for member in self.members:
+            if member.role == 'agent' and member.name not in self._links:
+                self._dial(member, now)
+
+    def _dial(self, member: Member, now: float) -> None:
+        if now < self._dialling.get(member.name, 0.0):
+            return
+        self._dialling[member.name] = now + links.DIAL_TIMEOUT_S + REDIAL_S
+        gevent.spawn(self._dial_one, member)
+
+    def _dial_one(self, member: Member) -> None:
+        error = ''
+        try:
+            links.dial(
+                member.address,
+                member.port,
+                self._hello(),
+                self.inbox,
+                lambda: self._last_table.offset,
+            )
+        except links.LinkError as exc:
+            error = str(exc)
+        self.inbox.put(_Dialled(member.name, error))
+
+    def _on_dialled(self, dialled: _Dialled) -> None:
+        self._dialling[dialled.name] = time.monotonic() + REDIAL_S
+        if dialled.error:
+            self._held_back.pop(dialled.name, None)
+            logs.event(
+                'dial_failed', instance=dialled.name, reason=dialled.error
+            )
+
+    def _on_to_peer(self, request: _ToPeer) -> None:
+        link = self._links.get(request.name)
+        if link is not None:
+            self._send(link, request.message)
+            return
+        peer = self._member(request.name)
+        if peer is not None:
+            self._held_back.setdefault(request.name, []).append(
+                request.message
+            )
+            self._dial(peer, time.monotonic())
+
+    def _on_table(self, changed: TableChanged) -> None:
+        self._last_table = changed.table
+        for link in self.agent_links():
+            self._send_rows(link)
+
+    def _on_opened(self, event: links.Opened) -> None:
+        link = event.link
+        name = link.peer.name
+        old = self._links.get(name)
+        self._links[name] = link
+        logs.event('link_opened', instance=name, role=link.peer.role)
+        if link.peer.role == 'agent':
+            self._sent_offset[link] = link.peer.table_offset
+            self._send_rows(link)
+            self._send(link, self._members_message())
+            self._handing.router.put(event)
+        for message in self._held_back.pop(name, ()):
+            self._send(link, message)
+        if old is not None:
+            old.close('replaced by a newer link')
+
+    def _on_closed(self, event: links.Closed) -> None:
+        link = event.link
+        if self._links.get(link.peer.name) is link:
+            del self._links[link.peer.name]
+        self._sent_offset.pop(link, None)
+        logs.event(
+            'link_closed',
+            instance=link.peer.name,
+            role=link.peer.role,
+            reason=event.reason,
+        )
+        if link.peer.role == 'agent':
+            self._handing.router.put(event)
+
+    def _on_received(self, event: links.Received) -> None:
+        if isinstance(event.message, messages.TableRequest):
+            self._answer_table(event.link, event.message)
+        elif event.link.peer.role == 'agent':
+            self._handing.router.put(event)
+        else:
+            handler = self._handing.peers.get(type(event.message))
+            if handler is not None:
+                handler.put(event)
+
+    def _answer_table(
+        self, link: links.Link, request: messages.TableRequest
+    ) -> None:
+        if self._last_table.offset > request.known_offset:
+            with_seen = link.peer.role == 'entry'
+            self._send(link, deltas.whole(self._last_table, with_seen))
+
+    def _send_rows(self, link: links.Link) -> None:
+        sent = self._sent_offset.get(link, tables.NO_OFFSET)
+        if sent >= self._last_table.offset:
+            return
+        delta = self._delta_since(sent)
+        self._sent_offset[link] = delta.to_offset
+        self._send(link, delta)
+
+    def _members_message(self) -> messages.Members:
+        return messages.Members(
+            list(_agents_on_wire(self.members)), self._members_sent
+        )
+
+    def _member(self, name: str) -> Member | None:
+        return next((m for m in self.members if m.name == name), None)
+
+    def _send(self, link: links.Link, message: Any) -> None:
+        try:
+            link.send(message)
+        except links.LinkError:
+            # The Closed event of this link is on its way.
+            pass
+
+
+def _agents_on_wire(members: Iterable[Member]) -> Iterable[messages.Member]:
+    for member in members:
+        if member.role == 'agent':
+            yield messages.Member(
+                member.name,
+                member.address,
+                member.port,
+                member.place.zone,
+                member.place.region,
+                member.place.pool,
+                member.leaving,
+            )
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/observing.py
@@ -0,0 +1,123 @@
+"""Counts each finished request against the objectives that cover it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+from burdockchute import logs
+from burdockchute import metrics
+from burdockchute.decisions import burn
+from burdockchute.model import table as tables
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import name_of
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.replies import Finished
+from burdockchute.model.rows import ObjectiveRow
+from burdockchute.model.table import Table
+from burdockchute.operators import burn as reports
+
+ANY = '*'
+
+# A caller's own mistake or flood is not the system's failure.
+CALLER_STATUSES = range(400, 500)
+
+
+class Observer:
+    """What this entry has counted since it started."""
+
+    def __init__(self, table: Callable[[], Table]) -> None:
+        self._table = table
+        self._counts = burn.Counts()
+        self._targets: dict[burn.Key, float] = {}
+        meter = metrics.meter()
+        self._requests = meter.create_counter(
+            'burdockchute.requests', description='finished requests'
+        )
+        self._first_token = meter.create_histogram(
+            'burdockchute.first_token', unit='s'
+        )
+        self._intervals = meter.create_histogram(
+            'burdockchute.token_interval',
+            unit='s',
+            description='mean of each streamed request',
+        )
+
+    def finished(self, done: Finished) -> None:
+        """Count one request."""
+        ctx = done.ctx
+        outcome = name_of(done.outcome)
+        attributes = {'customer': ctx.customer, 'target': ctx.target}
+        self._requests.add(1, {**attributes, 'outcome': outcome})
+        if ctx.stream and done.first_part_s is not None:
+            self._first_token.record(done.first_part_s, attributes)
+        interval = mean_interval(done)
+        if interval is not None:
+            self._intervals.record(interval, attributes)
+        for objective in tables.objectives(self._table()).values():
+            if covers(objective, done):
+                self._count(objective, done, time.time())
+        logs.event(
+            'request_finished',
+            request_id=ctx.request_id,
+            customer=ctx.customer,
+            target=ctx.target,
+            digest=getattr(done.outcome, 'digest', ''),
+            outcome=outcome,
+            reason=getattr(done.outcome, 'reason', ''),
+            total_s=round(done.total_s, 4),
+            attempts=done.attempts,
+        )
+
+    def page(self) -> list[reports.CountsOnWire]:
+        """Give what the burn report adds up."""
+        return reports.page_of(self._counts, time.time(), self._targets)
+
+    def _count(
+        self, objective: ObjectiveRow, done: Finished, now: float
+    ) -> None:
+        for indicator, target, bad in judge(objective, done):
+            key = burn.Key(
+                objective.name, done.ctx.customer, done.ctx.target, indicator
+            )
+            self._targets[key] = target
+            self._counts.add(now, key, 1, int(bad))
+
+
+def covers(objective: ObjectiveRow, done: Finished) -> bool:
+    """Tell whether the objective speaks of this request."""
+    customers = (ANY, done.ctx.customer)
+    models = (ANY, done.ctx.target)
+    if objective.customer not in customers or objective.model not in models:
+        return False
+    return not _is_callers_fault(done)
+
+
+def judge(
+    objective: ObjectiveRow, done: Finished
+) -> list[tuple[str, float, bool]]:
+    """Give (indicator, target, whether bad) for what can be judged."""
+    answered = isinstance(done.outcome, Answered)
+    found = [('availability', objective.availability, not answered)]
+    if done.ctx.stream and done.first_part_s is not None:
+        late = done.first_part_s > objective.first_token_s
+        found.append(('first_token', objective.latency_share, late))
+    interval = mean_interval(done)
+    if interval is not None:
+        late = interval > objective.token_interval_s
+        found.append(('token_interval', objective.latency_share, late))
+    return found
+
+
+def mean_interval(done: Finished) -> float | None:
+    """Give the mean time between parts of a streamed answer in seconds."""
+    if not done.ctx.stream or done.first_part_s is None or done.parts < 2:
+        return None
+    return (done.total_s - done.first_part_s) / (done.parts - 1)
+
+
+def _is_callers_fault(done: Finished) -> bool:
+    outcome = done.outcome
+    if isinstance(outcome, NotRun):
+        return outcome.status in CALLER_STATUSES
+    return False
