--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/harness.py
@@ -0,0 +1,323 @@
+"""A whole system on the loopback, for tests, the demo and the benches.
+
+>>> with System() as system:  # doctest: +SKIP
+...     system.add_platform()
+...     entry = system.add_entry('e1')
+...     system.set_row('customer', 'lindwurm', key_digests='...')
+
+Everything that was started is ended when the block is left.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from types import TracebackType
+from typing import Any
+from typing import NamedTuple
+from typing import TypeVar
+
+from burdockchute_testing import client
+from burdockchute_testing import processes
+from burdockchute_testing.processes import Process
+from burdockchute_testing.standins import recording
+
+ADDRESS = '127.0.0.1'
+WAIT_TIMEOUT_S = 60.0
+COMMAND_TIMEOUT_S = 60.0
+KEEP_VARIABLE = 'BURDOCKCHUTE_KEEP_LOGS'
+_POLL_S = 0.05
+
+ValueT = TypeVar('ValueT')
+
+
+class Spot(NamedTuple):
+    """Where an instance stands."""
+
+    zone: str = 'graz-1'
+    region: str = 'graz'
+    pool: str = 'main'
+
+
+class Command(NamedTuple):
+    """A command that has ended."""
+
+    status: int
+    out: str
+    err: str
+
+
+class Waited(Exception):  # noqa: N818
+    """Something did not happen in the generous time that it was given."""
+
+
+class System:
+    """All processes of one system, by name."""
+
+    def __init__(self) -> None:
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='burdockchute-'))
+        self.processes: dict[str, Process] = {}
+        self.history_files: dict[str, pathlib.Path] = {}
+        self.agents: list[str] = []
+        self.entries: list[str] = []
+
+    def __enter__(self) -> System:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close(keep_logs=exc is not None)
+
+    def close(self, keep_logs: bool = False) -> None:
+        """End what still runs, at once, and remove the logs."""
+        for process in self.processes.values():
+            process.kill()
+        if keep_logs and os.environ.get(KEEP_VARIABLE):
+            print(f'logs are kept in {self.folder}', file=sys.stderr)
+            return
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def __getitem__(self, name: str) -> Process:
+        """Give a process by name."""
+        return self.processes[name]
+
+    def url(self, name: str, port: str = 'port') -> str:
+        """Give the base URL of a process; `port` names one of its ports."""
+        return f'http://{ADDRESS}:{self.processes[name].ports[port]}'
+
+    def add_platform(
+        self,
+        log: dict[str, Any] | None = None,
+        store: dict[str, Any] | None = None,
+        instances: dict[str, Any] | None = None,
+    ) -> None:
+        """Start log, store and instances with options by their flags."""
+        self.add_stand_in('log', 'log_service', **(log or {}))
+        self.add_stand_in('store', 'weight_store', **(store or {}))
+        self.add_stand_in('instances', 'instance_list', **(instances or {}))
+
+    def add_stand_in(self, name: str, module: str, **options: Any) -> str:
+        """Start a stand-in and give its URL."""
+        command = [
+            sys.executable,
+            '-m',
+            f'burdockchute_testing.standins.{module}',
+            *_flags(options),
+        ]
+        self._start(name, command, processes.ready_port)
+        return self.url(name)
+
+    def add_engine(self, name: str, **options: Any) -> str:
+        """Start an engine and give its URL."""
+        return self._add_upstream(name, 'engine', options)
+
+    def add_service(self, name: str, service: str, **options: Any) -> str:
+        """Start a plain service and give its URL."""
+        return self._add_upstream(
+            name, 'service', {'service': service, **options}
+        )
+
+    def add_entry(self, name: str, spot: Spot = Spot(), **options: Any) -> str:  # noqa: B008
+        """Start and list an entry; give the URL for callers."""
+        settings = {
+            'name': name,
+            'zone': spot.zone,
+            'region': spot.region,
+            'address': ADDRESS,
+            'log_url': self.url('log'),
+            'instances_url': self.url('instances'),
+            **options,
+        }
+        command = [_binary('burdockchute-entry'), 'serve', *_flags(settings)]
+        self._start(name, command, processes.serving_ports)
+        self.list_instance(name, 'entry', spot)
+        self.entries.append(name)
+        return self.url(name, 'http_port')
+
+    def add_agent(
+        self,
+        name: str,
+        upstream: str,
+        spot: Spot = Spot(),  # noqa: B008
+        services: str = '',
+        **options: Any,
+    ) -> None:
+        """Start and list an agent beside an upstream of that name."""
+        settings = {
+            'name': name,
+            'zone': spot.zone,
+            'region': spot.region,
+            'pool': spot.pool,
+            'address': ADDRESS,
+            'log_url': self.url('log'),
+            'store_url': self.url('store'),
+            'upstream_url': self.url(upstream),
+            'upstream_kind': 'service' if services else 'engine',
+            'services': services,
+            **options,
+        }
+        command = [_binary('burdockchute-agent'), 'serve', *_flags(settings)]
+        self._start(name, command, processes.serving_ports)
+        self.list_instance(name, 'agent', spot)
+        self.agents.append(name)
+
+    def list_instance(
+        self, name: str, role: str, spot: Spot, state: str = 'live'
+    ) -> None:
+        """Put an instance into the platform's list."""
+        instance = {
+            'name': name,
+            'role': role,
+            'address': ADDRESS,
+            'port': self.processes[name].ports['link_port'],
+            **spot._asdict(),
+            'state': state,
+        }
+        client.post(f'{self.url("instances")}/instances', instance)
+
+    def unlist_instance(self, name: str) -> None:
+        """Take an instance out of the platform's list."""
+        client.call('DELETE', f'{self.url("instances")}/instances/{name}')
+
+    def fault(self, name: str, **faults: Any) -> None:
+        """Set the faults of a stand-in; none makes it whole."""
+        answer = client.post(f'{self.url(name)}/faults', faults)
+        if answer.status != 200:
+            raise ValueError(answer.body.decode())
+
+    def publish(self, name: str, size: int, chunk_size: int, seed: int) -> str:
+        """Put weights into the store and give their digest."""
+        document = {
+            'name': name,
+            'size': size,
+            'chunk_size': chunk_size,
+            'seed': seed,
+        }
+        answer = client.post(f'{self.url("store")}/models', document)
+        return answer.json()['digest']
+
+    def table(self, *arguments: str) -> Command:
+        """Run `burdockchute-entry table` as an operator does."""
+        environ = {
+            **os.environ,
+            'BURDOCKCHUTE_LOG_URL': self.url('log'),
+            'BURDOCKCHUTE_INSTANCES_URL': self.url('instances'),
+        }
+        done = subprocess.run(
+            [_binary('burdockchute-entry'), 'table', *arguments],
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+            env=environ,
+            stdin=subprocess.DEVNULL,
+        )
+        return Command(done.returncode, done.stdout, done.stderr)
+
+    def set_row(self, kind: str, name: str, **columns: Any) -> Command:
+        """Edit one row through the command; raises ValueError if refused."""
+        values = [f'{key}={value}' for key, value in columns.items()]
+        done = self.table('set', f'{kind}/{name}', *values)
+        if done.status:
+            raise ValueError(f'{kind}/{name}: {done.out}{done.err}')
+        return done
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Give the status page of an entry or agent."""
+        return client.get(f'{self.url(name, "admin_port")}/status').json()
+
+    def ready(self, name: str) -> bool:
+        """Whether an entry or agent says that it is ready."""
+        url = f'{self.url(name, "admin_port")}/readyz'
+        try:
+            return client.get(url).status == 200
+        except client.NoResponse:
+            return False
+
+    def wait_ready(self, *names: str) -> None:
+        """Wait until these entries and agents are ready."""
+        for name in names:
+            wait_until(functools.partial(self.ready, name), f'{name} is ready')
+
+    def engine_digests(self, name: str) -> set[str]:
+        """Give the digests of the models that an engine has loaded."""
+        state = client.get(f'{self.url(name)}/state').json()
+        return {item['digest'] for item in state['loaded']}
+
+    def open_digests(self, agent: str) -> set[str]:
+        """Give the digests for which an agent takes requests."""
+        weights = self.status(agent)['weights']
+        return {w['digest'] for w in weights if w['phase'] == 'open'}
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Give all runs of all upstreams, also of those that died."""
+        return [
+            {**run, 'upstream': name}
+            for name, path in self.history_files.items()
+            for run in recording.read(str(path))
+        ]
+
+    def terminate(self, *names: str) -> dict[str, int]:
+        """Ask processes to end gracefully and give their statuses."""
+        for name in names:
+            self.processes[name].terminate()
+        return {name: self.processes[name].wait() for name in names}
+
+    def _add_upstream(
+        self, name: str, module: str, options: dict[str, Any]
+    ) -> str:
+        path = self.folder / f'{name}.history'
+        self.history_files[name] = path
+        return self.add_stand_in(name, module, history_file=path, **options)
+
+    def _start(
+        self,
+        name: str,
+        command: list[str],
+        read: Callable[[Process], dict[str, int]],
+    ) -> None:
+        process = Process(name, command, self.folder)
+        self.processes[name] = process
+        process.wait_ports(read)
+
+
+def wait_until(
+    probe: Callable[[], ValueT], what: str, timeout_s: float = WAIT_TIMEOUT_S
+) -> ValueT:
+    """Wait until the probe gives something true, and give that.
+
+    Raises Waited if it does not within the time, in seconds.
+    """
+    until = time.monotonic() + timeout_s
+    while True:
+        value = probe()
+        if value:
+            return value
+        if time.monotonic() > until:
+            raise Waited(f'not within {timeout_s:.0f} s: {what}')
+        time.sleep(_POLL_S)
+
+
+def _binary(name: str) -> str:
+    return str(pathlib.Path(sys.executable).with_name(name))
+
+
+def _flags(options: dict[str, Any]) -> list[str]:
+    flags = []
+    for name, value in options.items():
+        flag = '--' + name.replace('_', '-')
+        if value is True:
+            flags.append(flag)
+        elif value is not False:
+            flags.extend((flag, str(value)))
+    return flags
--- a/packages/burdockchute-testing/burdockchute_testing/standins/service.py
+++ b/packages/burdockchute-testing/burdockchute_testing/standins/service.py
@@ -79,11 +79,11 @@
 def main() -> None:
     """Serve as a process."""
     parser = serving.arguments(__doc__)
-    parser.add_argument('--name', default='service')
+    parser.add_argument('--service', default='service')
     parser.add_argument('--seconds', type=float, default=0.0)
     parser.add_argument('--history-file', default='')
     args = parser.parse_args()
-    service = Service(args.name, args.seconds, args.seed, args.history_file)
+    service = Service(args.service, args.seconds, args.seed, args.history_file)
     serving.run(service.handle, args)
 
 
--- /dev/null
+++ b/packages/burdockchute-testing/tests/test_harness.py
@@ -0,0 +1,42 @@
+"""The harness ends what it started."""
+
+from __future__ import annotations
+
+import unittest
+
+import psutil
+
+from burdockchute_testing import client
+from burdockchute_testing import harness
+from burdockchute_testing import processes
+
+
+class HarnessTest(unittest.TestCase):
+    def test_processes_end_with_the_block(self):
+        with harness.System() as system:
+            system.add_platform()
+            system.add_engine('m1', slots=2)
+            pids = [process.pid for process in system.processes.values()]
+            self.assertEqual(4, len(pids))
+            system['m1'].pause()
+        self.assertEqual([], [pid for pid in pids if psutil.pid_exists(pid)])
+        self.assertFalse(system.folder.exists())
+
+    def test_process_that_does_not_start_shows_its_log(self):
+        with harness.System() as system:
+            with self.assertRaises(processes.ProcessFailed) as caught:
+                system.add_stand_in('log', 'log_service', nonsense=1)
+        self.assertIn('unrecognized arguments', str(caught.exception))
+
+    def test_runs_of_a_killed_upstream_are_kept(self):
+        with harness.System() as system:
+            url = system.add_service('s1', 'proofs')
+            client.call(
+                'POST', f'{url}/x', b'', {'Burdockchute-Request-Id': 'r1'}
+            )
+            system['s1'].kill()
+            (run,) = system.runs()
+        self.assertEqual(
+            ('r1', 'finished', 's1'),
+            (run['request_id'], run['how'], run['upstream']),
+        )
