--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/ruff format --check -q .
 	$(BIN)/ruff check -q .
 	$(BIN)/flake8 packages tools
-	$(BIN)/mypy --no-error-summary packages/burdockchute/burdockchute \
+	$(BIN)/mypy --no-error-summary --cache-dir=/dev/null packages/burdockchute/burdockchute \
 		packages/burdockchute-entry/burdockchute_entry \
 		packages/burdockchute-agent/burdockchute_agent \
 		packages/burdockchute-testing/burdockchute_testing
