--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/table_task.py
@@ -0,0 +1,409 @@
+"""The task that follows the table's stream in the log.
+
+It starts from the newest snapshot, reads on with long polls, publishes each
+new table and writes snapshots when they are due. While the log is away it
+keeps the table that it has and says how old that is; it then asks peers,
+since one of them may still reach the log or may have read further.
+
+The table moves only to higher offsets, whoever it comes from.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+import time
+from typing import NamedTuple
+
+import gevent
+from gevent import event
+from opentelemetry import metrics as otel
+from returns.result import Failure
+
+from burdockchute import logs
+from burdockchute import metrics
+from burdockchute.decisions import snapshots
+from burdockchute.model import deltas
+from burdockchute.model import records
+from burdockchute.model import reducer
+from burdockchute.model.findings import Finding
+from burdockchute.model.table import EMPTY
+from burdockchute.model.table import NO_OFFSET
+from burdockchute.model.table import Table
+from burdockchute.platform import table_log
+from burdockchute.platform.log import Batch
+from burdockchute.platform.log import Log
+from burdockchute.platform.log import LogError
+from burdockchute.platform.log import Trimmed
+from burdockchute.wire import messages
+
+# 360 entries make 180 reads a second of an idle log. The age of a table that
+# is up to date stays below this much.
+WAIT_S = 2.0
+
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
+
+# Two lost polls; below that, a single slow reply would set all entries
+# asking each other.
+ASK_PEERS_AGE_S = 5.0
+ASK_PEERS_EVERY_S = 1.0
+
+# How long a fresh process waits for further peers after the first has
+# answered, so that it does not begin with the oldest table among them.
+GATHER_S = 0.5
+
+MAX_AGE_MS = 2**31 - 1
+KEPT_FINDINGS = 20
+LOG_UP = 'up'
+
+
+class WentBack(NamedTuple):
+    """The log ends before a record that was already read."""
+
+    next_offset: int
+
+
+class TableStatus(NamedTuple):
+    """What the status page says of the table.
+
+    `age_s` is the time since the table was known to be the newest; while it
+    grows, the log can't be read; None before there is one. `log` is 'up' or
+    the last error.
+    """
+
+    offset: int
+    rows: int
+    ready: bool
+    age_s: float | None
+    log: str
+    snapshot_as_of: int
+    findings: list[Finding]
+
+
+class TableTask:
+    """Owner of this entry's table; `run` is its greenlet.
+
+    `publish` is called with each new table, never an older one. `ask_peers`
+    is called with the offset held when peers should be asked by
+    TableRequest; their answers go to `take`. Times are seconds of `clock`.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        publish: Callable[[Table], None],
+        retention_s: float,
+        ask_peers: Callable[[int], None] = lambda offset: None,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+        wait_s: float = WAIT_S,
+    ) -> None:
+        self.table = EMPTY
+        self.changes = deltas.Changes()
+        self.ready = event.Event()
+        self._log = log
+        self._publish = publish
+        self._retention_s = retention_s
+        self._ask_peers = ask_peers
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._wait_s = wait_s
+        self._next = 0
+        self._confirmed_at = float('-inf')
+        self._asked_at = float('-inf')
+        self._offered: deltas.Applied | None = None
+        self._offered_at = 0.0
+        self._offered_confirmed_at = float('-inf')
+        self._retry_s = RETRY_MIN_S
+        self._log_state = 'not read yet'
+        self._findings: list[Finding] = []
+        self._snapshots = snapshots.SnapshotState(NO_OFFSET, 0, float('inf'))
+        self._writing: gevent.Greenlet | None = None
+
+    def run(self) -> None:
+        """Follow the log for ever; runs as a greenlet."""
+        _measure(self)
+        self._load_until_done()
+        while True:
+            sent_at = self._clock()
+            read = self._log.read(
+                table_log.STREAM,
+                max(self._next, self.table.offset + 1),
+                table_log.MAX_RECORDS,
+                self._wait_s,
+            )
+            if isinstance(read, Failure):
+                self._on_error(read.failure())
+            else:
+                self._on_batch(read.unwrap(), sent_at)
+
+    def age_s(self) -> float:
+        """Give how long ago the table was known to be the newest."""
+        return self._clock() - self._confirmed_at
+
+    def status(self) -> TableStatus:
+        """Describe the table for the status page."""
+        return TableStatus(
+            self.table.offset,
+            len(self.table.rows),
+            self.ready.is_set(),
+            round(self.age_s(), 3) if self.ready.is_set() else None,
+            self._log_state,
+            self._snapshots.as_of,
+            list(self._findings),
+        )
+
+    def delta_for(self, offset: int) -> messages.TableDelta:
+        """Give what an agent at `offset` lacks, with our age."""
+        return self._aged(self.changes.since(offset, self.table))
+
+    def answer(self, known_offset: int) -> messages.TableDelta | None:
+        """Answer the TableRequest of a peer entry, None for nothing new."""
+        if not self.ready.is_set() or known_offset > self.table.offset:
+            return None
+        if known_offset == self.table.offset:
+            same = messages.TableDelta(known_offset, known_offset, [])
+            return self._aged(same)
+        return self._aged(deltas.whole(self.table, with_seen=True))
+
+    def take(self, delta: messages.TableDelta) -> None:
+        """Take a peer entry's answer; only ever moves forward."""
+        now = self._clock()
+        confirmed_at = now - (delta.age_ms or 0) / 1000
+        if self.ready.is_set() and delta.to_offset == self.table.offset:
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+            return
+        if delta.from_offset != NO_OFFSET or delta.forgotten is None:
+            return
+        held = self._offered.table if self._offered else self.table
+        applied = deltas.apply_delta(held, delta).value_or(None)
+        if applied is None or applied.table.offset <= held.offset:
+            return
+        self._note(applied.findings)
+        if self.ready.is_set():
+            self._adopt(applied.table, confirmed_at, 'peer')
+            return
+        if self._offered is None:
+            self._offered_at = now
+        self._offered = applied
+        self._offered_confirmed_at = confirmed_at
+
+    def _load_until_done(self) -> None:
+        while True:
+            if self._load():
+                return
+            self._ask_peers_if_needed()
+            self._take_offer()
+            self._pause()
+            if self.ready.is_set():
+                return
+
+    def _load(self) -> bool:
+        sent_at = self._clock()
+        loading = table_log.load(self._log)
+        if isinstance(loading, Failure):
+            self._log_failed(loading.failure())
+            return False
+        loaded = loading.unwrap()
+        self._log_state = LOG_UP
+        self._retry_s = RETRY_MIN_S
+        self._next = loaded.next_offset
+        self._note(loaded.findings)
+        self._snapshots = snapshots.begin(
+            loaded.snapshot_as_of,
+            loaded.edits,
+            self._clock(),
+            self._retention_s,
+            self._rng,
+        )
+        logs.event(
+            'table_loaded',
+            offset=loaded.table.offset,
+            rows=len(loaded.table.rows),
+            snapshot=loaded.snapshot_as_of,
+            edits=loaded.edits,
+        )
+        self._adopt(loaded.table, sent_at, 'log')
+        return True
+
+    def _take_offer(self) -> None:
+        if self._offered is None or self.ready.is_set():
+            return
+        if self._clock() - self._offered_at < GATHER_S:
+            return
+        table = self._offered.table
+        self._offered = None
+        # Nothing is known of the snapshots in the log; any that has rows
+        # counts as newer than this.
+        self._snapshots = snapshots.begin(
+            0, 0, self._clock(), self._retention_s, self._rng
+        )
+        self._adopt(table, self._offered_confirmed_at, 'peer')
+
+    def _adopt(self, table: Table, confirmed_at: float, source: str) -> None:
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        is_first = not self.ready.is_set()
+        if table.offset <= self.table.offset and not is_first:
+            return
+        self.changes.forget()
+        self.changes.add(table.offset, ())
+        self.table = table
+        self.ready.set()
+        logs.event('table_taken', offset=table.offset, source=source)
+        self._publish(table)
+
+    def _on_batch(self, batch: Batch, sent_at: float) -> None:
+        if self._log_state != LOG_UP and not self._log_is_back():
+            return
+        self._next = max(self._next, batch.next_offset)
+        old = self.table
+        reduced = reducer.apply_all(old, batch.records)
+        self._note(reduced.findings)
+        self._note_snapshots(batch)
+        # The answer may be old by the time it is read, if this process was
+        # paused in between; the time of asking is what it is good for.
+        if table_log.is_up_to_date(len(batch.records)):
+            self._confirmed_at = max(self._confirmed_at, sent_at)
+        if reduced.table.offset > old.offset:
+            self.changes.add(old.offset, reduced.touched)
+            self.table = reduced.table
+            if reduced.touched:
+                logs.event(
+                    'table_applied',
+                    offset=self.table.offset,
+                    changed=len(reduced.touched),
+                )
+                self._publish(self.table)
+        self._write_snapshot_if_due()
+
+    def _log_is_back(self) -> bool:
+        """Check a log that answers again; False if it lacks what we read.
+
+        A log that was restored from an older copy gives offsets out a second
+        time. A reader ahead of it would see nothing new and hold itself for
+        up to date; the age that then grows shows it instead.
+        """
+        asked = self._log.extent(table_log.STREAM)
+        if isinstance(asked, Failure):
+            self._log_failed(asked.failure())
+            self._pause()
+            return False
+        if asked.unwrap().next_offset <= self.table.offset:
+            self._log_failed(WentBack(asked.unwrap().next_offset))
+            self._pause()
+            return False
+        self._log_state = LOG_UP
+        self._retry_s = RETRY_MIN_S
+        logs.event('table_log_up', offset=self.table.offset)
+        return True
+
+    def _on_error(self, error: LogError) -> None:
+        if isinstance(error, Trimmed):
+            # Retention has passed what we were about to read, so rows that
+            # were edited meanwhile are only found in a snapshot.
+            logs.warn(
+                'table_trimmed',
+                held=self.table.offset,
+                earliest=error.earliest,
+            )
+            if self._load():
+                return
+        self._log_failed(error)
+        self._ask_peers_if_needed()
+        self._pause()
+
+    def _log_failed(self, error: object) -> None:
+        state = repr(error)
+        if state != self._log_state:
+            logs.warn('table_log_failed', error=state, age_s=self.age_s())
+        self._log_state = state
+
+    def _ask_peers_if_needed(self) -> None:
+        now = self._clock()
+        if self.ready.is_set() and self.age_s() < ASK_PEERS_AGE_S:
+            return
+        if now - self._asked_at < ASK_PEERS_EVERY_S:
+            return
+        self._asked_at = now
+        held = self.table.offset if self.ready.is_set() else NO_OFFSET
+        self._ask_peers(held)
+
+    def _pause(self) -> None:
+        gevent.sleep(self._retry_s * self._rng.uniform(0.5, 1.0))
+        self._retry_s = min(RETRY_MAX_S, self._retry_s * 2)
+
+    def _note(self, found: list[Finding] | tuple[Finding, ...]) -> None:
+        for finding in found:
+            logs.warn('table_finding', place=finding.place, text=finding.text)
+        self._findings = [*self._findings, *found][-KEPT_FINDINGS:]
+
+    def _note_snapshots(self, batch: Batch) -> None:
+        now = self._clock()
+        for record in batch.records:
+            as_of = NO_OFFSET
+            if '"snapshot"' in record.data:
+                as_of = table_log.snapshot_as_of(record.data)
+            if as_of > NO_OFFSET:
+                self._snapshots = snapshots.saw_snapshot(
+                    self._snapshots, as_of, now, self._retention_s, self._rng
+                )
+            else:
+                self._snapshots = snapshots.saw_edits(
+                    self._snapshots, 1, now, self._rng
+                )
+
+    def _write_snapshot_if_due(self) -> None:
+        if self._writing and not self._writing.ready():
+            return
+        now = self._clock()
+        if snapshots.is_due(self._snapshots, self.table.offset, now):
+            # Its own greenlet, since a large append must not hold up the
+            # reading of edits.
+            self._writing = gevent.spawn(self._write_snapshot, self.table)
+
+    def _write_snapshot(self, table: Table) -> None:
+        text = records.write(records.SnapshotRecord(table))
+        appended = self._log.append(table_log.STREAM, text)
+        if isinstance(appended, Failure):
+            logs.warn(
+                'table_snapshot_failed',
+                as_of=table.offset,
+                error=repr(appended.failure()),
+            )
+            # If it did take effect, it will be read and count then.
+            self._snapshots = snapshots.failed(
+                self._snapshots, self._clock(), self._rng
+            )
+            return
+        logs.event('table_snapshot', as_of=table.offset, bytes=len(text))
+        self._snapshots = snapshots.saw_snapshot(
+            self._snapshots,
+            table.offset,
+            self._clock(),
+            self._retention_s,
+            self._rng,
+        )
+
+    def _aged(self, delta: messages.TableDelta) -> messages.TableDelta:
+        delta.age_ms = int(min(self.age_s() * 1000, MAX_AGE_MS))
+        return delta
+
+
+def _measure(task: TableTask) -> None:
+    def observe_age(
+        _options: otel.CallbackOptions,
+    ) -> list[otel.Observation]:
+        return [otel.Observation(min(task.age_s(), MAX_AGE_MS / 1000))]
+
+    def observe_offset(
+        _options: otel.CallbackOptions,
+    ) -> list[otel.Observation]:
+        return [otel.Observation(task.table.offset)]
+
+    metrics.meter().create_observable_gauge(
+        'burdockchute.table.age', [observe_age], 's'
+    )
+    metrics.meter().create_observable_gauge(
+        'burdockchute.table.offset', [observe_offset]
+    )
