Add a checker of concurrent histories

The promises about answers can only be shown on histories of many callers. The checker takes what callers saw and what upstreams ran, and finds answers that are not whole, not their own or of two versions, not-run that ran, second runs of one key, late new work and work cut off by leaving. It is tested against histories with each of these faults.

--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/calls.py
@@ -0,0 +1,222 @@
+"""What callers ask and what they see, recorded for the history checker."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+from typing import NamedTuple
+
+from burdockchute_testing import client
+
+COMPLETION = 'completion'
+SERVICE = 'service'
+ANSWERED = 'answered'
+NOT_RUN = 'not-run'
+UNKNOWN = 'unknown'
+# What a caller sees when the connection ends without a final outcome.
+CUT = 'cut'
+
+_OUTCOME_EVENT = 'outcome'
+
+
+class Ask(NamedTuple):
+    """One request; `marker` stands in its text and in no other request's.
+
+    Sending an ask again means the same work, so it keeps its marker and its
+    idempotency key.
+    """
+
+    marker: str
+    target: str
+    text: str
+    kind: str = COMPLETION
+    adapter: str = ''
+    max_tokens: int = 8
+    stream: bool = False
+    idempotent: bool = True
+    key: str = ''
+    method: str = 'POST'
+    deadline_ms: int = 20_000
+
+
+class Call(NamedTuple):
+    """One sending of an ask, and what came back.
+
+    Times are seconds of the machine's clock. `parts` holds the pairs of
+    digests that the parts of the answer named. `first_s` is the time to the
+    first part of a stream, None if none came.
+    """
+
+    ask: Ask
+    entry: str
+    start: float
+    end: float
+    status: int = 0
+    outcome: str = CUT
+    request_id: str = ''
+    digest: str = ''
+    adapter_digest: str = ''
+    parts: frozenset[tuple[str, str]] = frozenset()
+    text: str = ''
+    error: str = ''
+    retry_after: str = ''
+    first_s: float | None = None
+
+
+def completion(
+    marker: str, target: str, words: str = '', **fields: Any
+) -> Ask:
+    """Give an ask for a completion whose prompt starts with its marker."""
+    return Ask(marker, target, f'{marker} {words}'.strip(), **fields)
+
+
+def service(marker: str, target: str, **fields: Any) -> Ask:
+    """Give an ask for a plain service whose body is its marker."""
+    return Ask(marker, target, marker, kind=SERVICE, **fields)
+
+
+def new_key(marker: str, now: float) -> str:
+    """Give an idempotency key issued now, in unix seconds."""
+    return f'{int(now)}-{marker}'
+
+
+def send(
+    entry_url: str,
+    bearer: str,
+    ask: Ask,
+    entry: str = '',
+    timeout_s: float = 60.0,
+) -> Call:
+    """Send an ask to an entry and record what comes back."""
+    call = Call(ask, entry or entry_url, time.time(), 0.0)
+    url = entry_url + _path_of(ask)
+    try:
+        if ask.kind == COMPLETION and ask.stream:
+            call = _send_stream(call, url, bearer, timeout_s)
+        else:
+            call = _send_plain(call, url, bearer, timeout_s)
+    except client.NoResponse as exc:
+        call = call._replace(error=str(exc))
+    return call._replace(end=time.time())
+
+
+def headers_of(ask: Ask, bearer: str) -> dict[str, str]:
+    """Give the request headers."""
+    headers = {
+        'Authorization': f'Bearer {bearer}',
+        'Content-Type': 'application/json',
+        'Burdockchute-Deadline-Ms': str(ask.deadline_ms),
+        'Burdockchute-Idempotent': 'yes' if ask.idempotent else 'no',
+    }
+    if ask.key:
+        headers['Idempotency-Key'] = ask.key
+    return headers
+
+
+def document_of(ask: Ask) -> dict[str, Any]:
+    """Give the JSON body of a completion."""
+    return {
+        'model': ask.target,
+        'adapter': ask.adapter,
+        'prompt': ask.text,
+        'max_tokens': ask.max_tokens,
+        'stream': ask.stream,
+    }
+
+
+def _path_of(ask: Ask) -> str:
+    if ask.kind == SERVICE:
+        return f'/v1/services/{ask.target}/work'
+    return '/v1/completions'
+
+
+def _send_plain(call: Call, url: str, bearer: str, timeout_s: float) -> Call:
+    ask = call.ask
+    body = ask.text.encode()
+    if ask.kind == COMPLETION:
+        body = json.dumps(document_of(ask)).encode()
+    got = client.call(
+        ask.method, url, body, headers_of(ask, bearer), timeout_s
+    )
+    call = _with_headers(call, got.status, got.headers)
+    if got.status != 200:
+        return call._replace(error=got.body.decode(errors='replace'))
+    try:
+        document = got.json()
+    except ValueError as exc:
+        return call._replace(error=f'body: {exc}')
+    return _with_body(call, document)
+
+
+def _with_body(call: Call, document: dict[str, Any]) -> Call:
+    if call.ask.kind == SERVICE:
+        return call._replace(text=document.get('echo', ''))
+    digests = (document.get('digest', ''), document.get('adapter_digest', ''))
+    return call._replace(
+        text=document.get('text', ''), parts=frozenset([digests])
+    )
+
+
+def _send_stream(call: Call, url: str, bearer: str, timeout_s: float) -> Call:
+    stream = client.Stream(
+        url, document_of(call.ask), headers_of(call.ask, bearer), timeout_s
+    )
+    try:
+        call = _with_headers(call, stream.status, stream.headers)
+        if stream.status != 200:
+            return call._replace(error=stream.read().decode())
+        # The last event tells the outcome, a header can't yet.
+        return _read_events(call._replace(outcome=CUT), stream)
+    finally:
+        stream.close()
+
+
+def _read_events(call: Call, stream: client.Stream) -> Call:
+    # What came before a cut must not be lost with it.
+    try:
+        for event in stream.events():
+            call = _with_event(call, event)
+    except client.NoResponse as exc:
+        call = call._replace(error=str(exc))
+    return call
+
+
+def _with_event(call: Call, event: client.Event) -> Call:
+    if event.data.strip() == client.DONE:
+        return call
+    document = json.loads(event.data)
+    if event.name == _OUTCOME_EVENT:
+        return _with_outcome(call, document)
+    digests = (document['digest'], document['adapter_digest'])
+    if 'text' not in document:
+        return call._replace(parts=call.parts | {digests})
+    first_s = call.first_s
+    if first_s is None:
+        first_s = time.time() - call.start
+    return call._replace(
+        parts=call.parts | {digests},
+        text=call.text + document['text'],
+        first_s=first_s,
+    )
+
+
+def _with_outcome(call: Call, document: dict[str, Any]) -> Call:
+    error = document.get('error') or {}
+    return call._replace(
+        outcome=document['outcome'],
+        digest=document.get('digest', call.digest),
+        adapter_digest=document.get('adapter_digest', call.adapter_digest),
+        error=error.get('text', ''),
+    )
+
+
+def _with_headers(call: Call, status: int, headers: Any) -> Call:
+    return call._replace(
+        status=status,
+        outcome=headers.get('burdockchute-outcome', CUT),
+        request_id=headers.get('burdockchute-request-id', ''),
+        digest=headers.get('burdockchute-digest', ''),
+        adapter_digest=headers.get('burdockchute-adapter-digest', ''),
+        retry_after=headers.get('retry-after', ''),
+    )
--- /dev/null
+++ b/packages/burdockchute-testing/tests/test_history.py
@@ -0,0 +1,145 @@
+"""The checker finds each breach in histories that are known to be wrong."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.model.findings import Finding
+from burdockchute_testing import answers
+from burdockchute_testing import calls
+from burdockchute_testing import history
+from burdockchute_testing.history import History
+from burdockchute_testing.history import Leave
+
+ASK = calls.completion('c1', 'story', 'a hare', max_tokens=4)
+GUARDED = calls.service('c2', 'postage', idempotent=False, key='1-c2')
+
+
+def answered(ask: calls.Ask = ASK, digest: str = 'd1') -> calls.Call:
+    text = answers.expected_text(digest, '', ask.text, ask.max_tokens)
+    return calls.Call(
+        ask,
+        'e1',
+        start=10.0,
+        end=11.0,
+        status=200,
+        outcome=calls.ANSWERED,
+        digest=digest,
+        parts=frozenset([(digest, '')]),
+        text=text,
+    )
+
+
+def run_of(ask: calls.Ask = ASK, digest: str = 'd1') -> history.Run:
+    return history.Run(
+        'm1', 'r1', ask.text, 10.2, 10.8, 'finished', digest, ''
+    )
+
+
+class HistoryTest(unittest.TestCase):
+    def assert_found(self, recorded: History, *expected: tuple[str, str]):
+        found = history.check(recorded)
+        self.assertEqual([Finding(*pair) for pair in expected], found)
+
+    def test_sound_history_has_no_findings(self):
+        self.assert_found(
+            History(
+                (answered(),),
+                (run_of(),),
+                leaves=(Leave('m1', 10.5),),
+                digests=frozenset(['d1']),
+            )
+        )
+
+    def test_answer_of_another_request(self):
+        other = answered(calls.completion('c9', 'story'))
+        crossed = answered()._replace(text=other.text)
+        self.assert_found(
+            History((crossed,), (run_of(),)),
+            ('c1@e1', 'the answer is not its own'),
+        )
+
+    def test_shortened_answer(self):
+        short = answered()._replace(text=answered().text[:-7])
+        self.assert_found(
+            History((short,), (run_of(),)),
+            ('c1@e1', 'the answer is shortened'),
+        )
+
+    def test_answer_of_two_versions(self):
+        mixed = answered()._replace(parts=frozenset([('d1', ''), ('d2', '')]))
+        self.assert_found(
+            History((mixed,), (run_of(),)),
+            (
+                'c1@e1',
+                "its parts are from ['d1+', 'd2+'], not from one ['d1+']",
+            ),
+        )
+
+    def test_answer_of_weights_that_no_row_named(self):
+        self.assert_found(
+            History((answered(),), (run_of(),), digests=frozenset(['d2'])),
+            ('c1@e1', 'd1 was never in the table'),
+        )
+
+    def test_answer_that_nobody_made(self):
+        self.assert_found(
+            History((answered(),), ()),
+            ('c1@e1', 'answered, but no upstream finished it'),
+        )
+
+    def test_not_run_that_ran(self):
+        refused = answered()._replace(status=503, outcome=calls.NOT_RUN)
+        self.assert_found(
+            History((refused,), (run_of(),)),
+            ('c1@e1', 'not-run, but it ran at m1'),
+        )
+
+    def test_not_run_may_run_when_sent_again(self):
+        refused = answered()._replace(
+            status=503, outcome=calls.NOT_RUN, start=8.0, end=9.0
+        )
+        self.assert_found(History((refused, answered()), (run_of(),)))
+
+    def test_non_idempotent_request_that_ran_twice(self):
+        runs = (
+            run_of(GUARDED, ''),
+            run_of(GUARDED, '')._replace(how='broken'),
+        )
+        unknown = answered(GUARDED)._replace(status=502, outcome=calls.UNKNOWN)
+        self.assert_found(
+            History((unknown,), runs), ('c2', 'ran 2 times: m1, m1')
+        )
+
+    def test_call_without_outcome(self):
+        cut = answered()._replace(outcome=calls.CUT, error='reset')
+        self.assert_found(
+            History((cut,), (run_of(),)),
+            ('c1@e1', 'no final outcome: 200 reset'),
+        )
+        self.assert_found(
+            History((cut,), (run_of(),), killed=frozenset(['e1']))
+        )
+
+    def test_new_work_after_leaving(self):
+        self.assert_found(
+            History((answered(),), (run_of(),), leaves=(Leave('m1', 5.2),)),
+            ('m1:c1', 'began 5.0 s after leaving began'),
+        )
+
+    def test_work_cut_off_by_leaving(self):
+        cancelled = run_of()._replace(how='cancelled')
+        unknown = answered()._replace(status=502, outcome=calls.UNKNOWN)
+        self.assert_found(
+            History((unknown,), (cancelled,), leaves=(Leave('m1', 10.5),)),
+            ('m1:c1', 'was cut off by leaving: cancelled'),
+        )
+
+    def test_service_answer_of_another_caller(self):
+        other = answered(GUARDED)._replace(
+            text='c3', digest='', parts=frozenset()
+        )
+        self.assert_found(
+            History((other,), (run_of(GUARDED, ''),)),
+            ('c2@e1', 'the answer is not its own'),
+        )
