End a process whose task failed; fix the log lines

Now a failed task ends the process, a failed request is answered at once, and numbers of the upstream are cast at the edge.

--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -15,6 +15,7 @@
 from burdockchute import http_admin
 from burdockchute import logs
 from burdockchute import metrics
+from burdockchute import tasks
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
 from burdockchute.model.members import Place
@@ -45,6 +46,7 @@
         self.admin_url = ''
         self.inbox: queue.Queue = queue.Queue()
         self.stopping = events.Event()
+        self.failed = False
         self.entries: dict[links.Link, None] = {}
         self.rows = RowsTask(self._publish)
         place = Place(cfg.zone, cfg.region, cfg.pool)
@@ -100,14 +102,15 @@
             self.cfg.address, self.cfg.admin_port, self._admin_app()
         )
         self.admin_url = f'http://{self.cfg.address}:{admin.server_port}'
-        for run in self._loops():
-            gevent.spawn(run)
+        tasks.start(self._loops(), self._fail)
         logs.event(
             'serving',
             link_port=link_server.server_port,
             admin_port=admin.server_port,
         )
         self.stopping.wait()
+        if self.failed:
+            return tasks.EXIT_TASK_FAILED
         return self._leave(link_server)
 
     def status(self) -> dict[str, Any]:
@@ -133,6 +136,10 @@
             self.reports.run,
         ]
 
+    def _fail(self) -> None:
+        self.failed = True
+        self.stopping.set()
+
     def _probe(self) -> http_admin.Probe:
         if self.table_offset() < 0:
             return http_admin.Probe(False, 'no table yet')
--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -151,9 +151,7 @@
 
         def poll_once() -> None:
             load = json.loads(client.get('/load').read())
-            self._load = UpstreamLoad(
-                **{k: load[k] for k in UpstreamLoad._fields if k in load}
-            )
+            self._load = _load_of(load)
             path = f'/cache/events?from={self._next_event}'
             self._note_cache(json.loads(client.get(path).read()))
 
@@ -189,3 +187,13 @@
             self._prefixes.clear()
             self._next_event = 0
             logs.warn('upstream_away', url=self._cfg.upstream_url)
+
+
+def _load_of(document: dict) -> UpstreamLoad:
+    return UpstreamLoad(
+        running=int(document.get('running', 0)),
+        waiting=int(document.get('waiting', 0)),
+        slots=int(document.get('slots', 0)),
+        tokens_per_s=float(document.get('tokens_per_s', 0.0)),
+        prefill_tokens_per_s=int(document.get('prefill_tokens_per_s', 0)),
+    )
--- a/packages/burdockchute-agent/burdockchute_agent/runner.py
+++ b/packages/burdockchute-agent/burdockchute_agent/runner.py
@@ -11,6 +11,7 @@
 import collections
 import json
 import time
+import traceback
 from typing import Any
 from typing import NamedTuple
 
@@ -139,6 +140,16 @@
             )
         except _Expired:
             _send(link, _end(req, 0, 0, error='deadline passed'))
+        except Exception:
+            # Without this the caller would wait for its whole deadline.
+            _send(link, _end(req, 0, 0, error='agent failed'))
+            logs.warn(
+                'request_failed',
+                request_id=req.request_id,
+                customer=req.customer,
+                target=req.target,
+                error=traceback.format_exc(),
+            )
         finally:
             self._runs.pop(req.request_id, None)
             self.finished += 1
--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import random
 import time
 from typing import Any
 from typing import NamedTuple
@@ -23,12 +24,10 @@
 from returns.result import Failure
 
 from burdockchute import logs
-from burdockchute.model import deltas
 from burdockchute.model import table as tables
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
 from burdockchute.model.members import Member
-from burdockchute.model.table import Table
 from burdockchute.nodes import links
 from burdockchute.platform.instances import InstanceList
 from burdockchute.wire import messages
@@ -43,14 +42,28 @@
 # agents as one.
 MEMBERS_DELAY_S = 0.2
 
-Handlers = dict[type, queue.Queue]
+# An entry without the log asks this many others for the table; asking all
+# would make each outage cost the square of the number of entries.
+PEERS_ASKED = 3
 
 
 class Handing(NamedTuple):
-    """Where events of links go: a queue for each type of message."""
+    """Where events of links go.
 
-    router: queue.Queue
-    peers: Handlers
+    `router` takes what concerns agents; `peers` has a function for each type
+    of message that other entries send.
+    """
+
+    router: Callable[[Any], None]
+    peers: dict[type, Callable[[links.Received], None]]
+
+
+class TableSource(NamedTuple):
+    """How rows for agents and for other entries are made."""
+
+    offset: Callable[[], int]
+    delta_for: Callable[[int], messages.TableDelta]
+    answer: Callable[[int], messages.TableDelta | None]
 
 
 class _Tick(NamedTuple):
@@ -75,8 +88,9 @@
         name: str,
         hello: Callable[[], messages.Hello],
         instance_list: InstanceList,
-        delta_since: Callable[[int], messages.TableDelta],
+        table: TableSource,
         handing: Handing,
+        rng: random.Random,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self.members: tuple[Member, ...] = ()
@@ -84,13 +98,13 @@
         self._name = name
         self._hello = hello
         self._list = instance_list
-        self._delta_since = delta_since
+        self._table = table
+        self._rng = rng
         self._handing = handing
         self._links: dict[str, links.Link] = {}
         self._sent_offset: dict[links.Link, int] = {}
         self._dialling: dict[str, float] = {}
         self._held_back: dict[str, list[Any]] = {}
-        self._last_table: Table = tables.EMPTY
         self._members_sent = 0
         self._members_due = 0.0
 
@@ -108,6 +122,17 @@
         """
         self.inbox.put(_ToPeer(name, message))
 
+    def ask_peers(self, known_offset: int) -> None:
+        """Ask some other entries for a table newer than ours."""
+        entries = [
+            member.name
+            for member in self.members
+            if member.role == 'entry' and member.name != self._name
+        ]
+        count = min(PEERS_ASKED, len(entries))
+        for name in self._rng.sample(entries, count):
+            self.send_to(name, messages.TableRequest(known_offset))
+
     def agent_links(self) -> list[links.Link]:
         """Give the open links to agents."""
         return [
@@ -147,7 +172,7 @@
         if tick.members != self.members:
             self.members = tick.members
             self._members_due = now + MEMBERS_DELAY_S
-            self._handing.router.put(MembersChanged(self.members))
+            self._handing.router(MembersChanged(self.members))
         if self._members_due and now >= self._members_due:
             self._members_due = 0.0
             self._members_sent += 1
@@ -174,7 +199,7 @@
                 member.port,
                 self._hello(),
                 self.inbox,
-                lambda: self._last_table.offset,
+                self._table.offset,
             )
         except links.LinkError as exc:
             error = str(exc)
@@ -200,24 +225,30 @@
             )
             self._dial(peer, time.monotonic())
 
-    def _on_table(self, changed: TableChanged) -> None:
-        self._last_table = changed.table
+    def _on_table(self, _changed: TableChanged) -> None:
         for link in self.agent_links():
             self._send_rows(link)
 
     def _on_opened(self, event: links.Opened) -> None:
         link = event.link
-        name = link.peer.name
-        old = self._links.get(name)
-        self._links[name] = link
-        logs.event('link_opened', instance=name, role=link.peer.role)
+        logs.event('link_opened', instance=link.peer.name, role=link.peer.role)
         if link.peer.role == 'agent':
-            self._sent_offset[link] = link.peer.table_offset
-            self._send_rows(link)
-            self._send(link, self._members_message())
-            self._handing.router.put(event)
-        for message in self._held_back.pop(name, ()):
+            self._agent_opened(event)
+        else:
+            # Two entries may dial each other at once. Both links stay, since
+            # closing one could lose what is on its way.
+            self._links.setdefault(link.peer.name, link)
+        for message in self._held_back.pop(link.peer.name, ()):
             self._send(link, message)
+
+    def _agent_opened(self, event: links.Opened) -> None:
+        link = event.link
+        old = self._links.get(link.peer.name)
+        self._links[link.peer.name] = link
+        self._sent_offset[link] = link.peer.table_offset
+        self._send_rows(link)
+        self._send(link, self._members_message())
+        self._handing.router(event)
         if old is not None:
             old.close('replaced by a newer link')
 
@@ -233,30 +264,33 @@
             reason=event.reason,
         )
         if link.peer.role == 'agent':
-            self._handing.router.put(event)
+            self._handing.router(event)
 
     def _on_received(self, event: links.Received) -> None:
         if isinstance(event.message, messages.TableRequest):
             self._answer_table(event.link, event.message)
         elif event.link.peer.role == 'agent':
-            self._handing.router.put(event)
+            self._handing.router(event)
         else:
             handler = self._handing.peers.get(type(event.message))
             if handler is not None:
-                handler.put(event)
+                handler(event)
 
     def _answer_table(
         self, link: links.Link, request: messages.TableRequest
     ) -> None:
-        if self._last_table.offset > request.known_offset:
-            with_seen = link.peer.role == 'entry'
-            self._send(link, deltas.whole(self._last_table, with_seen))
+        if link.peer.role == 'entry':
+            answer = self._table.answer(request.known_offset)
+        else:
+            answer = self._table.delta_for(request.known_offset)
+        if answer is not None:
+            self._send(link, answer)
 
     def _send_rows(self, link: links.Link) -> None:
         sent = self._sent_offset.get(link, tables.NO_OFFSET)
-        if sent >= self._last_table.offset:
+        if sent >= self._table.offset():
             return
-        delta = self._delta_since(sent)
+        delta = self._table.delta_for(sent)
         self._sent_offset[link] = delta.to_offset
         self._send(link, delta)
 
--- a/packages/burdockchute-entry/burdockchute_entry/settings.py
+++ b/packages/burdockchute-entry/burdockchute_entry/settings.py
@@ -21,6 +21,7 @@
     http_port: int
     admin_port: int
     log_url: str
+    log_retention_s: float
     instances_url: str
     max_body_bytes: int
     default_deadline_s: float
@@ -39,6 +40,12 @@
     Setting('http-port', 'port for callers', base.parse_port, '0'),
     Setting('admin-port', 'port for status', base.parse_port, '0'),
     Setting('log-url', 'the platform log service', base.parse_url),
+    Setting(
+        'log-retention-s',
+        'how long the log keeps a record',
+        base.parse_seconds,
+        '86400',
+    ),
     Setting('instances-url', 'the instance list', base.parse_url),
     Setting(
         'max-body-bytes',
--- a/packages/burdockchute/burdockchute/logs.py
+++ b/packages/burdockchute/burdockchute/logs.py
@@ -16,8 +16,8 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         logfmter.Logfmter(
-            keys=['at', 'level', 'event'],
-            mapping={'at': 'asctime', 'level': 'levelname', 'event': 'msg'},
+            keys=['at', 'level'],
+            mapping={'at': 'asctime', 'level': 'levelname'},
         )
     )
     handler.addFilter(_names_process(process))
@@ -42,7 +42,7 @@
     >>> event('table_applied', offset=12)
     """
     if _LOG.isEnabledFor(level):
-        _LOG.log(level, name, extra=fields)
+        _LOG.log(level, {'event': name, **fields})
 
 
 def warn(name: str, **fields: object) -> None:
--- /dev/null
+++ b/packages/burdockchute/burdockchute/tasks.py
@@ -0,0 +1,40 @@
+"""The long-running tasks of a process.
+
+A task that ends by an unforeseen error would leave a process that still
+holds its links and looks alive, but no longer follows the table, say. Its
+heartbeats go on, so nobody would notice but the callers. The whole process
+ends instead, with the event `task_failed`: its links close, its work moves
+to other instances, and the platform starts it anew.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import traceback
+from typing import Any
+
+import gevent
+
+from burdockchute import logs
+
+EXIT_TASK_FAILED = 3
+
+
+def start(
+    loops: Iterable[Callable[[], None]], on_failure: Callable[[], None]
+) -> list[gevent.Greenlet]:
+    """Start each loop in a greenlet; call `on_failure` if one fails."""
+    return [gevent.spawn(_watched, loop, on_failure) for loop in loops]
+
+
+def _watched(loop: Callable[[], Any], on_failure: Callable[[], None]) -> None:
+    try:
+        loop()
+    except Exception:
+        logs.warn(
+            'task_failed',
+            task=getattr(loop, '__qualname__', repr(loop)),
+            error=traceback.format_exc(),
+        )
+        on_failure()
