Route requests: admission, fair waiting, placement, retries

Cause: requests had no way to an agent. The router owns each request up to its one final outcome; what it decides is pure and stands in decisions/. A request that was handed on is never called not-run afterwards, one that must run at most once is never handed on twice after a doubt, and a begun stream that is lost ends as unknown.

Where the named version is open but full, a replica still open with the version before takes the request, since the first new replica would otherwise get the whole load.

--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/attempts.py
@@ -0,0 +1,119 @@
+"""Requests in the hands of the router, and their attempts."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+from burdockchute.decisions import admission
+from burdockchute.decisions.placement import Work
+from burdockchute.decisions.waiting import Waiting
+from burdockchute.model.requests import RequestContext
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+from burdockchute_entry.fleet import Instance
+from burdockchute_entry.fleet import Pinned
+
+# Parts that came before their turn, as after a resumed stream. More than
+# this is no disorder but a fault of the sender.
+MAX_EARLY_PARTS = 1024
+
+
+class Whole(NamedTuple):
+    """Every part of the answer has come, from the pinned weights."""
+
+
+class Broken(NamedTuple):
+    """The request was handed on and its answer is not whole."""
+
+    reason: str
+    crashed: bool
+
+
+class Attempt:
+    """One handing-on of a request to an instance."""
+
+    def __init__(
+        self,
+        attempt_id: str,
+        instance: Instance,
+        pinned: Pinned,
+        first_sequence: int,
+        now: float,
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.instance = instance
+        self.link: links.Link = instance.link
+        self.pinned = pinned
+        self.sent_at = now
+        self.next_sequence = first_sequence
+        self._early: dict[int, bytes] = {}
+
+    def accept(self, part: messages.AnswerPart) -> list[bytes]:
+        """Give the parts that are next in order; keeps early ones."""
+        if part.sequence < self.next_sequence:
+            return []
+        if len(self._early) < MAX_EARLY_PARTS:
+            self._early[part.sequence] = part.data
+        ready = []
+        while self.next_sequence in self._early:
+            ready.append(self._early.pop(self.next_sequence))
+            self.next_sequence += 1
+        return ready
+
+    def judge(self, end: messages.AnswerEnd) -> Whole | Broken:
+        """Tell whether what came is the whole answer."""
+        if end.error:
+            return Broken(end.error, bool(end.crashed))
+        if end.parts != self.next_sequence:
+            reason = f'{self.next_sequence!r} parts of {end.parts!r} came'
+            return Broken(reason, False)
+        # The agent compares as well; a mix of two versions must not depend
+        # on one check.
+        if (end.digest, end.adapter_digest) != self.pinned:
+            return Broken(f'answer is from weights {end.digest!r}', False)
+        return Whole()
+
+
+class Request:
+    """One request from its arrival to its final outcome."""
+
+    def __init__(self, ctx: RequestContext, replies: Any) -> None:
+        self.ctx = ctx
+        self.replies = replies
+        self.base = ''
+        self.claim_id = ''
+        self.work = Work(
+            cost=admission.cost_of(ctx),
+            is_long=False,
+            prompt_tokens=ctx.prompt_tokens,
+            prefixes=ctx.prefixes,
+        )
+        self.caller_gone = False
+        self.is_suspect = False
+        self.waiting: Waiting | None = None
+        self.attempt: Attempt | None = None
+        self.attempts = 0
+        self.placements = 0
+        self._avoided: dict[str, int] = {}
+        self.parts: list[bytes] = []
+        self.passed_on = 0
+        self.pinned = Pinned('', '')
+        self.first_part_at: float | None = None
+
+    def avoid(self, instance: Instance) -> None:
+        """Stay away from an instance until it has reported again."""
+        self._avoided[instance.name] = instance.reports
+
+    def avoids(self, instance: Instance) -> bool:
+        """Tell whether an instance refused this since its last report."""
+        return self._avoided.get(instance.name) == instance.reports
+
+    def may_run_again(self) -> bool:
+        """Tell whether another attempt can give one whole answer.
+
+        A request that must run at most once never comes here twice; and of
+        a stream that was begun the caller holds parts, which another run
+        would not continue.
+        """
+        return self.ctx.idempotent and not self.passed_on
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/endings.py
@@ -0,0 +1,101 @@
+"""The end of a request: what its caller, the claims and the log are told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from burdockchute import logs
+from burdockchute.model import claims
+from burdockchute.model import outcomes
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.outcomes import Outcome
+from burdockchute.model.outcomes import Unknown
+from burdockchute.model.replies import Began
+from burdockchute.model.replies import Done
+from burdockchute.model.replies import Finished
+from burdockchute.model.replies import Part
+from burdockchute_entry.attempts import Request
+
+LOST_STATUS = 502
+
+
+def pass_on(request: Request, parts: list[bytes], now: float) -> None:
+    """Give parts of the answer to the caller."""
+    if not request.passed_on:
+        request.replies.put(Began(*request.pinned))
+    if request.first_part_at is None:
+        request.first_part_at = now
+    for data in parts:
+        request.replies.put(Part(data))
+    request.passed_on += len(parts)
+
+
+def replay(request: Request, outcome: Answered, now: float) -> Answered:
+    """Give a recorded answer to the caller of a resend."""
+    request.pinned = request.pinned._replace(
+        digest=outcome.digest, adapter_digest=outcome.adapter_digest
+    )
+    stream = request.ctx.stream
+    pass_on(
+        request, outcome.body.split(b'\n') if stream else [outcome.body], now
+    )
+    return outcome._replace(body=b'')
+
+
+def truthful(request: Request, outcome: Outcome) -> Outcome:
+    """Give the outcome that may be told.
+
+    A request that was handed on and is given up while it waits for another
+    attempt may have run, whatever the reason of giving up.
+    """
+    if isinstance(outcome, NotRun) and request.attempts:
+        return Unknown(outcome.reason, LOST_STATUS)
+    return outcome
+
+
+def tell_caller(
+    request: Request,
+    outcome: Outcome,
+    now: float,
+    observe: Callable[[Finished], None],
+) -> None:
+    """Give the final outcome to the caller, the metrics and the log."""
+    ctx = request.ctx
+    request.replies.put(Done(outcome))
+    first_at = request.first_part_at
+    finished = Finished(
+        ctx=ctx,
+        outcome=outcome,
+        first_part_s=None if first_at is None else first_at - ctx.arrived,
+        total_s=now - ctx.arrived,
+        parts=request.passed_on,
+        attempts=request.attempts,
+    )
+    observe(finished)
+    fields: dict[str, Any] = {
+        'request_id': ctx.request_id,
+        'customer': ctx.customer,
+        'target': ctx.target,
+        'outcome': outcomes.name_of(outcome),
+        'digest': request.pinned.digest,
+        'attempts': request.attempts,
+        'ms': int(finished.total_s * 1000),
+    }
+    if not isinstance(outcome, Answered):
+        fields['reason'] = outcome.reason
+    logs.event('request_finished', **fields)
+
+
+def tell_claims(
+    request: Request, outcome: Outcome, claim: Callable[[Any], None]
+) -> None:
+    """Release the key of a request or record how it ended."""
+    if isinstance(outcome, NotRun):
+        claim(claims.ClaimReleased(request.ctx, request.claim_id))
+        return
+    if isinstance(outcome, Answered):
+        glue = b'\n' if request.ctx.stream else b''
+        outcome = outcome._replace(body=glue.join(request.parts))
+    claim(claims.ClaimFinished(request.ctx, request.claim_id, outcome))
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/fleet.py
@@ -0,0 +1,231 @@
+"""The agents that an entry is linked to, and what each can run."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+from typing import NamedTuple
+
+from burdockchute.decisions.placement import InstanceLoad
+from burdockchute.model import table as tables
+from burdockchute.model.requests import RequestContext
+from burdockchute.model.table import Table
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+
+# Versions that the table named before, newest first. One rollout after the
+# other may leave replicas more than one version behind.
+MAX_VERSIONS = 8
+
+OPEN = 'open'
+
+
+class Pinned(NamedTuple):
+    """Weights of one answer; empty for a plain service."""
+
+    digest: str
+    adapter_digest: str
+
+
+SERVICE = Pinned('', '')
+
+
+class Instance:
+    """One agent; its newest link is used, older ones only drain."""
+
+    def __init__(self, link: links.Link, now: float) -> None:
+        self.link = link
+        self.load = InstanceLoad(link.peer.name, now)
+        self.leaving = False
+        self.reports = 0
+        self.open: dict[str, frozenset[str]] = {}
+        self.services: frozenset[str] = frozenset()
+
+    @property
+    def name(self) -> str:
+        """Give the name of the instance."""
+        return self.load.name
+
+    def report(self, msg: messages.LoadReport, now: float) -> None:
+        """Take in a load report."""
+        self.reports += 1
+        self.leaving = msg.leaving
+        opened: dict[str, set[str]] = {}
+        for state in msg.weights or ():
+            if state.phase == OPEN:
+                opened.setdefault(state.row, set()).add(state.digest)
+        self.open = {row: frozenset(found) for row, found in opened.items()}
+        self.services = frozenset(msg.services or ())
+        self.load.report(
+            msg.running + msg.waiting,
+            msg.slots,
+            float(msg.prefill_tokens_per_s or 0),
+            reversed(msg.prefixes or []),
+            now,
+        )
+
+    def hosts(self, key: str) -> bool:
+        """Tell whether any version of 'model/x' or 'service/x' is open."""
+        kind, _slash, name = key.partition('/')
+        return name in self.services if kind == 'service' else key in self.open
+
+
+class Fleet:
+    """Instances by name, and the versions that the table has named."""
+
+    def __init__(self) -> None:
+        self.instances: dict[str, Instance] = {}
+        self._versions: dict[str, list[Pinned]] = {}
+        self._named_leaving: frozenset[str] = frozenset()
+
+    def opened(self, link: links.Link, now: float) -> Instance:
+        """Take a new link, in place of an older one to the same instance.
+
+        The new one is used before the old is given up: an old link that
+        has gone silent would hold up the instance until it is noticed.
+        """
+        instance = self.instances.get(link.peer.name)
+        if instance is None:
+            instance = Instance(link, now)
+            self.instances[link.peer.name] = instance
+        else:
+            instance.link = link
+        return instance
+
+    def closed(self, link: links.Link) -> None:
+        """Forget an instance whose newest link has closed."""
+        instance = self.instances.get(link.peer.name)
+        if instance is not None and instance.link is link:
+            del self.instances[link.peer.name]
+
+    def by_link(self, link: links.Link) -> Instance | None:
+        """Give the instance at the other end of its newest link."""
+        instance = self.instances.get(link.peer.name)
+        return instance if instance and instance.link is link else None
+
+    def members_changed(self, leaving: Iterable[str]) -> None:
+        """Take in which instances the platform says are leaving."""
+        self._named_leaving = frozenset(leaving)
+
+    def table_changed(self, table: Table) -> None:
+        """Remember which weights the table names for each target."""
+        for name, row in tables.models(table).items():
+            self._name(f'model/{name}', Pinned(row.digest, ''))
+        models = tables.models(table)
+        for name, adapter in tables.adapters(table).items():
+            if adapter.base in models:
+                base_digest = models[adapter.base].digest
+                self._name(
+                    f'adapter/{name}', Pinned(base_digest, adapter.digest)
+                )
+
+    def hosts(
+        self, ctx: RequestContext, base: str
+    ) -> list[tuple[Pinned, list[Instance]]]:
+        """Give the instances that can run a request, by version.
+
+        The version the row names comes first, then those before it, newest
+        first; an instance may stand under more than one. Only weights that
+        the table named together are given together.
+        """
+        present = [i for i in self.instances.values() if self._takes_work(i)]
+        if ctx.kind == 'service':
+            hosts = [i for i in present if ctx.target in i.services]
+            return [(SERVICE, hosts)] if hosts else []
+        found = []
+        for pinned in self._candidates(ctx, base, present):
+            hosts = [i for i in present if _has_open(i, ctx, base, pinned)]
+            if hosts:
+                found.append((pinned, hosts))
+        return found
+
+    def hosting(self, key: str) -> list[Instance]:
+        """Give the instances where any version of a row is open."""
+        return [
+            instance
+            for instance in self.instances.values()
+            if instance.hosts(key) and self._takes_work(instance)
+        ]
+
+    def largest_slots(self) -> int:
+        """Give the most requests that one instance runs at once."""
+        return max((i.load.slots for i in self.instances.values()), default=1)
+
+    def _name(self, target: str, pinned: Pinned) -> None:
+        versions = self._versions.setdefault(target, [])
+        if versions and versions[0] == pinned:
+            return
+        if pinned in versions:
+            versions.remove(pinned)
+        versions.insert(0, pinned)
+        del versions[MAX_VERSIONS:]
+
+    def _candidates(
+        self, ctx: RequestContext, base: str, present: list[Instance]
+    ) -> list[Pinned]:
+        known = list(self._versions.get(f'{ctx.kind}/{ctx.target}', ()))
+        if ctx.kind != 'model':
+            return known
+        # An entry that started during a rollout has not seen the version
+        # before; an agent opens none that the table did not name.
+        others = {
+            Pinned(digest, '')
+            for instance in present
+            for digest in instance.open.get(f'model/{base}', ())
+        }
+        return known + sorted(others.difference(known))
+
+    def _takes_work(self, instance: Instance) -> bool:
+        return (
+            not instance.leaving
+            and instance.name not in self._named_leaving
+            and not instance.link.closed_reason
+        )
+
+
+def base_of(ctx: RequestContext, table: Table) -> str:
+    """Give the model whose instances run a request, '' for a service."""
+    if ctx.kind == 'model':
+        return ctx.target
+    if ctx.kind == 'adapter':
+        adapter = tables.adapters(table).get(ctx.target)
+        return adapter.base if adapter else ''
+    return ''
+
+
+def dispatch_of(
+    ctx: RequestContext,
+    base: str,
+    pinned: Pinned,
+    attempt_id: str,
+    budget_s: float,
+) -> messages.Dispatch:
+    """Give the message that hands a request on."""
+    return messages.Dispatch(
+        request_id=ctx.request_id,
+        attempt_id=attempt_id,
+        customer=ctx.customer,
+        target=base or ctx.target,
+        digest=pinned.digest,
+        adapter_digest=pinned.adapter_digest,
+        idempotent=ctx.idempotent,
+        budget_ms=max(1, int(budget_s * 1000)),
+        priority=ctx.priority,
+        method=ctx.method,
+        path=ctx.path,
+        content_type=ctx.content_type,
+        body=ctx.body,
+        stream=ctx.stream,
+        adapter=ctx.target if ctx.kind == 'adapter' else '',
+    )
+
+
+def _has_open(
+    instance: Instance, ctx: RequestContext, base: str, pinned: Pinned
+) -> bool:
+    if pinned.digest not in instance.open.get(f'model/{base}', ()):
+        return False
+    if ctx.kind == 'model':
+        return True
+    opened: Any = instance.open.get(f'adapter/{ctx.target}', ())
+    return pinned.adapter_digest in opened
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/pools.py
@@ -0,0 +1,161 @@
+"""Requests that wait for the same instances, and where they go."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import random
+from typing import NamedTuple
+
+from burdockchute.decisions import placement
+from burdockchute.decisions.placement import InstanceLoad
+from burdockchute.decisions.placement import SMOOTHING
+from burdockchute.decisions.waiting import WaitingQueue
+from burdockchute.model import table as tables
+from burdockchute.model.table import Table
+from burdockchute_entry.attempts import Request
+from burdockchute_entry.fleet import Instance
+from burdockchute_entry.fleet import Pinned
+
+# Of the instances of a pool so many may be kept for suspects, so that those
+# who have nothing to do with a crash are still served.
+SUSPECT_SHARE = 0.5
+
+Hosts = list[tuple[Pinned, list[Instance]]]
+
+
+class Chosen(NamedTuple):
+    """Where a request goes and the weights that it is pinned to."""
+
+    instance: Instance
+    pinned: Pinned
+
+
+class Pool:
+    """The queue for one base model or service.
+
+    `unit_s` is the mean time per unit of work, 0 before the first answer.
+    """
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+        self.queue = WaitingQueue(max_waiting=1)
+        self.suspects: list[Request] = []
+        self.unit_s = 0.0
+        self.long_tokens = 0
+        self.long_share = 1.0
+
+    def configure(self, table: Table) -> None:
+        """Take the limits of the row."""
+        kind, _slash, name = self.key.partition('/')
+        if kind == 'service':
+            service = tables.services(table).get(name)
+            if service is not None:
+                self.queue.max_waiting = service.max_waiting
+            return
+        model = tables.models(table).get(name)
+        if model is not None:
+            self.queue.max_waiting = model.max_waiting
+            self.long_tokens = model.long_tokens
+            self.long_share = model.long_share
+
+    def is_long(self, tokens: int) -> bool:
+        """Tell whether a request of so many tokens is long work."""
+        return 0 < self.long_tokens <= tokens
+
+    def answered(self, unit_s: float) -> None:
+        """Take in how long one unit of work took."""
+        if self.unit_s:
+            unit_s = (1 - SMOOTHING) * self.unit_s + SMOOTHING * unit_s
+        self.unit_s = unit_s
+
+    def expected_wait_s(
+        self, request: Request, loads: Iterable[InstanceLoad], now: float
+    ) -> float:
+        """Estimate how long a request that came now would wait."""
+        loads = list(loads)
+        if any(load.room(now) for load in loads) and not len(self.queue):
+            return 0.0
+        slots = sum(_slots_for_us(load, now) for load in loads)
+        cost = request.work.cost
+        return (
+            self.queue.work_before(request.ctx, cost)
+            * self.unit_s
+            / max(1, slots)
+        )
+
+    def drain_s(self, loads: Iterable[InstanceLoad], now: float) -> float:
+        """Estimate how long all that waits will take."""
+        slots = sum(_slots_for_us(load, now) for load in loads)
+        return self.queue.work() * self.unit_s / max(1, slots)
+
+    def stranded(
+        self, requests: Mapping[str, Request], before: float
+    ) -> list[Request]:
+        """Give the requests that have waited since before a time."""
+        waiting = self.queue.since_before(before)
+        return [requests[item.ctx.request_id] for item in waiting]
+
+    def place(
+        self, request: Request, hosts: Hosts, now: float, rng: random.Random
+    ) -> Chosen | None:
+        """Choose for one request; None where none of its hosts has room.
+
+        The named version goes first. Where its replicas are full, one that
+        is still open with the version before takes the request: the first
+        replica of a new version would otherwise get everybody's load.
+        """
+        for pinned, instances in hosts:
+            fit = [i for i in instances if not request.avoids(i)]
+            loads: Iterable[InstanceLoad] = [i.load for i in fit]
+            if request.work.is_long:
+                loads = placement.long_allowed(loads, self.long_share)
+            load = placement.choose(
+                tuple(loads), request.work, self.unit_s, now, rng
+            )
+            if load is not None:
+                by_name = {i.name: i for i in fit}
+                return Chosen(by_name[load.name], pinned)
+        return None
+
+    def place_suspect(self, request: Request, hosts: Hosts) -> Chosen | None:
+        """Choose an instance on which a suspect runs alone.
+
+        One that is busy is kept for it and gets no more work meanwhile.
+        """
+        kept = _kept_for(request, hosts)
+        if kept is None:
+            kept = _keep_one(request, hosts)
+        if kept is None or kept.instance.load.ours:
+            return None
+        return kept
+
+
+def _slots_for_us(load: InstanceLoad, now: float) -> int:
+    return max(1, load.slots - (load.in_flight(now) - load.ours))
+
+
+def _kept_for(request: Request, hosts: Hosts) -> Chosen | None:
+    for pinned, instances in hosts:
+        for instance in instances:
+            if instance.load.reserved_for == request.ctx.request_id:
+                return Chosen(instance, pinned)
+    return None
+
+
+def _keep_one(request: Request, hosts: Hosts) -> Chosen | None:
+    everywhere = {i.name: i for _pinned, found in hosts for i in found}
+    kept = sum(bool(i.load.reserved_for) for i in everywhere.values())
+    if kept >= max(1, int(len(everywhere) * SUSPECT_SHARE)):
+        return None
+    for pinned, instances in hosts:
+        free = [
+            i
+            for i in instances
+            if not i.load.reserved_for and not request.avoids(i)
+        ]
+        if free:
+            chosen = min(free, key=lambda i: (i.load.ours, i.name))
+            chosen.load.reserved_for = request.ctx.request_id
+            return Chosen(chosen, pinned)
+    return None
--- /dev/null
+++ b/packages/burdockchute-entry/tests/test_router.py
@@ -0,0 +1,351 @@
+"""What callers get from the router, and what agents are sent."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.model import claims
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.outcomes import Unknown
+from burdockchute.model.replies import Began
+from burdockchute.model.replies import CallerGone
+from burdockchute.model.replies import Done
+from burdockchute.model.replies import Part
+from burdockchute.wire import messages
+from burdockchute_testing.builders import requests
+from burdockchute_testing.builders import routing
+
+WHOLE = Answered(200, 'text/event-stream', b'', 'd1', '')
+
+
+class RouterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = routing.Bench(requests.table_of())
+
+    def only_dispatch(self, link):
+        (dispatch,) = link.dispatched()
+        return dispatch
+
+    def test_streamed_answer_is_passed_on_in_order(self):
+        link = self.bench.agent('a')
+        rid = self.bench.submit(requests.request())
+        dispatch = self.only_dispatch(link)
+        self.assertEqual(
+            ('story', 'd1', 10000),
+            (dispatch.target, dispatch.digest, dispatch.budget_ms),
+        )
+        self.bench.answer(link, rid, parts=2)
+        self.assertEqual(
+            [
+                Began('d1', ''),
+                Part(b'%s-0' % rid.encode()),
+                Part(b'%s-1' % rid.encode()),
+                Done(WHOLE),
+            ],
+            self.bench.seen(rid),
+        )
+        self.assertEqual(0, self.bench.router.open_requests())
+
+    def test_answers_of_two_requests_do_not_cross(self):
+        # Two answers come interleaved over one link, one of them out of
+        # order and with a part sent twice. A parent must not see a line of
+        # a teacher's page.
+        link = self.bench.agent('a')
+        one = self.bench.submit(requests.request())
+        two = self.bench.submit(requests.request())
+        for rid, sequence in (
+            (one, 1),
+            (two, 0),
+            (one, 0),
+            (one, 0),
+            (two, 1),
+            (one, 2),
+        ):
+            data = f'{rid}-{sequence}'.encode()
+            self.bench.receive(link, messages.AnswerPart(rid, sequence, data))
+        for rid, parts in ((one, 3), (two, 2)):
+            end = messages.AnswerEnd(rid, parts, 200, 'x', 'd1', '', '', False)
+            self.bench.receive(link, end)
+            expected = [f'{rid}-{n}'.encode() for n in range(parts)]
+            self.assertEqual(expected, self.bench.parts(rid))
+            self.assertIsInstance(self.bench.outcome(rid), Answered)
+
+    def test_short_answer_is_not_passed_off_as_whole(self):
+        # A part of the stream is missing at its end.
+        link = self.bench.agent('a')
+        rid = self.bench.submit(requests.request())
+        self.bench.answer(link, rid, parts=2, **{'status': 200})
+        whole = self.bench.submit(requests.request())
+        self.bench.receive(link, messages.AnswerPart(whole, 0, b'x'))
+        end = messages.AnswerEnd(whole, 2, 200, 'x', 'd1', '', '', False)
+        self.bench.receive(link, end)
+        self.assertIsInstance(self.bench.outcome(whole), Unknown)
+
+    def test_answer_from_other_weights_is_refused(self):
+        # An agent that was paused switched the upstream's weights behind
+        # the gate. The caller of a plain request sees nothing of it, since
+        # the request runs again; no page comes from two models.
+        first = self.bench.agent('a')
+        second = self.bench.agent('b')
+        rid = self.bench.submit(requests.request(stream=False))
+        link = first if first.dispatched() else second
+        other = second if link is first else first
+        self.bench.answer(link, rid, digest='d2')
+        self.assertIsNone(self.bench.outcome(rid))
+        self.bench.answer(other, rid)
+        self.assertEqual(WHOLE, self.bench.outcome(rid))
+        self.assertEqual(1, len(self.bench.parts(rid)))
+
+    def test_certain_not_run_goes_to_another_instance(self):
+        # An instance starts to leave while a request is on its way to it.
+        links_ = [self.bench.agent(name) for name in 'ab']
+        key = f'{int(self.bench.now)}-k'
+        rid = self.bench.submit(requests.request())
+        link = next(a for a in links_ if a.dispatched())
+        other = next(a for a in links_ if a is not link)
+        self.bench.receive(link, messages.NotRun(rid, 'leaving', 500))
+        self.assertEqual(rid, self.only_dispatch(other).request_id)
+        self.bench.answer(other, rid)
+        self.assertEqual(WHOLE, self.bench.outcome(rid))
+        self.assertEqual(1, self.bench.finished[0].attempts, key)
+
+    def test_lost_idempotent_request_runs_again(self):
+        # The link to an agent goes silent with a request handed on.
+        links_ = [self.bench.agent(name) for name in 'ab']
+        rid = self.bench.submit(requests.request())
+        link = next(a for a in links_ if a.dispatched())
+        other = next(a for a in links_ if a is not link)
+        self.bench.close(link)
+        self.bench.answer(other, rid)
+        self.assertEqual(WHOLE, self.bench.outcome(rid))
+
+    def test_late_parts_of_a_lost_attempt_are_ignored(self):
+        # The first agent was only paused and sends its answer after all,
+        # when the second has begun.
+        links_ = [self.bench.agent(name) for name in 'ab']
+        rid = self.bench.submit(requests.request())
+        link = next(a for a in links_ if a.dispatched())
+        other = next(a for a in links_ if a is not link)
+        self.bench.close(link)
+        self.bench.receive(link, messages.AnswerPart(rid, 0, b'late'))
+        self.bench.answer(other, rid)
+        self.assertEqual([f'{rid}-0'.encode()], self.bench.parts(rid))
+
+    def test_begun_stream_that_is_lost_is_unknown(self):
+        # The upstream is lost after the first token; another run might
+        # continue the page with other words.
+        link = self.bench.agent('a')
+        other = self.bench.agent('b')
+        rid = self.bench.submit(requests.request())
+        if not link.dispatched():
+            link, other = other, link
+        self.bench.receive(link, messages.AnswerPart(rid, 0, b'x'))
+        self.bench.close(link)
+        self.assertEqual(502, self.bench.outcome(rid).status)
+        self.assertIsInstance(self.bench.outcome(rid), Unknown)
+        self.assertEqual([], other.dispatched())
+
+    def test_deadline_ends_the_wait_for_a_silent_upstream(self):
+        link = self.bench.agent('a')
+        rid = self.bench.submit(requests.request(deadline=3.0))
+        self.bench.advance(3.1)
+        self.assertEqual(Unknown('deadline passed'), self.bench.outcome(rid))
+        self.assertEqual(messages.Cancel(rid), link.sent[-1])
+
+    def test_waiting_request_that_runs_out_of_time_was_not_run(self):
+        link = self.bench.agent('a', slots=1)
+        blockers = [self.bench.submit(requests.request()) for _ in range(2)]
+        rid = self.bench.submit(requests.request(deadline=1.0))
+        self.assertNotIn(rid, [d.request_id for d in link.dispatched()])
+        self.bench.advance(1.1)
+        self.assertIsInstance(self.bench.outcome(rid), NotRun)
+        self.assertIsNone(self.bench.outcome(blockers[0]))
+
+    def test_request_given_up_after_an_attempt_is_not_called_not_run(self):
+        # An attempt was lost, and the deadline passes while the request
+        # waits for another. It may have run.
+        link = self.bench.agent('a')
+        rid = self.bench.submit(requests.request())
+        self.bench.close(link)
+        self.assertIsNone(self.bench.outcome(rid))
+        self.bench.advance(2.5)
+        self.assertIsInstance(self.bench.outcome(rid), Unknown)
+
+    def test_no_instance_is_answered_within_seconds(self):
+        rid = self.bench.submit(requests.request())
+        self.bench.advance(2.5)
+        outcome = self.bench.outcome(rid)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertGreater(outcome.retry_after_s, 0)
+
+    def test_caller_that_has_gone_stops_the_work(self):
+        link = self.bench.agent('a')
+        rid = self.bench.submit(requests.request())
+        self.bench.router.handle(CallerGone(rid))
+        self.assertEqual(messages.Cancel(rid), link.sent[-1])
+        self.assertEqual(0, self.bench.router.open_requests())
+
+    def test_leaving_instance_gets_no_new_work(self):
+        link = self.bench.agent('a')
+        self.bench.report(link, leaving=True)
+        self.bench.submit(requests.request())
+        self.assertEqual([], link.dispatched())
+
+    def test_instance_that_the_platform_lists_as_leaving(self):
+        link = self.bench.agent('a')
+        leaving = Member('a', 'agent', '127.0.0.1', 1, Place('', '', ''), True)
+        self.bench.router.handle(MembersChanged((leaving,)))
+        self.bench.submit(requests.request())
+        self.assertEqual([], link.dispatched())
+
+    def test_new_link_is_used_before_the_old_one_is_given_up(self):
+        # The old connection is silent but not yet noticed as such.
+        old = self.bench.agent('a')
+        first = self.bench.submit(requests.request())
+        new = self.bench.agent('a')
+        second = self.bench.submit(requests.request())
+        self.assertEqual(second, self.only_dispatch(new).request_id)
+        self.bench.close(old)
+        self.bench.report(new)
+        self.assertEqual(
+            [second, first], [d.request_id for d in new.dispatched()]
+        )
+
+
+class VersionsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = routing.Bench(requests.table_of())
+        self.old = self.bench.agent('a')
+
+    def name_version(self, digest):
+        row = requests.STORY._replace(version='v2', digest=digest)
+        table = requests.table_of(row, requests.LINDWURM, offset=2)
+        self.bench.router.handle(TableChanged(table))
+
+    def test_version_before_serves_until_the_named_one_is_open(self):
+        self.name_version('d2')
+        self.bench.submit(requests.request())
+        self.assertEqual('d1', self.old.dispatched()[-1].digest)
+        new = self.bench.agent('b', opened={'model/story': ['d2']})
+        self.bench.submit(requests.request())
+        self.assertEqual('d2', new.dispatched()[-1].digest)
+
+    def test_first_new_replica_does_not_get_all_load(self):
+        # Of two replicas one has switched. If everything went there at
+        # once, it would be overrun while the other has nothing to do.
+        self.name_version('d2')
+        new = self.bench.agent('b', opened={'model/story': ['d2']}, slots=1)
+        for _ in range(3):
+            self.bench.submit(requests.request())
+        self.assertGreater(len(new.dispatched()), 0)
+        self.assertGreater(len(self.old.dispatched()), 0)
+
+    def test_adapter_needs_both_weights_as_the_table_named_them(self):
+        bench = routing.Bench(requests.table_of())
+        plain = bench.agent('a')
+        bench.submit(requests.request(kind='adapter', target='rhymes'))
+        self.assertEqual([], plain.dispatched())
+        both = bench.agent(
+            'b', opened={'model/story': ['d1'], 'adapter/rhymes': ['a1']}
+        )
+        sent = both.dispatched()[-1]
+        self.assertEqual(
+            ('story', 'rhymes', 'd1', 'a1'),
+            (sent.target, sent.adapter, sent.digest, sent.adapter_digest),
+        )
+
+
+class ClaimsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.claimed: list = []
+        self.bench = routing.Bench(
+            requests.table_of(), claim=self.claimed.append
+        )
+        self.link = self.bench.agent('a')
+
+    def submit(self):
+        return self.bench.submit(
+            requests.request(
+                kind='service',
+                target='proofs',
+                idempotent=False,
+                idempotency_key='100-k',
+                stream=False,
+                method='POST',
+                path='/print',
+            )
+        )
+
+    def decide(self, rid, verdict):
+        decided = claims.ClaimDecided(rid, rid, verdict)
+        self.bench.router.handle(decided)
+
+    def test_is_dispatched_only_after_its_claim_is_won(self):
+        rid = self.submit()
+        self.assertEqual([], self.link.dispatched())
+        self.decide(rid, claims.Won())
+        self.bench.answer(self.link, rid, content_type='application/json')
+        self.assertIsInstance(self.bench.outcome(rid), Answered)
+        finish = self.claimed[-1]
+        self.assertIsInstance(finish, claims.ClaimFinished)
+        self.assertEqual(f'{rid}-0'.encode(), finish.outcome.body)
+
+    def test_lost_attempt_is_unknown_and_never_runs_again(self):
+        # The agent dies with a postal dispatch handed on. Running it again
+        # might send the letter twice.
+        rid = self.submit()
+        self.decide(rid, claims.Won())
+        other = self.bench.agent('b')
+        self.bench.close(self.link)
+        self.assertIsInstance(self.bench.outcome(rid), Unknown)
+        self.assertEqual([], other.dispatched())
+        self.assertIsInstance(self.claimed[-1], claims.ClaimFinished)
+
+    def test_given_up_before_dispatch_is_released(self):
+        # The log is slow and the deadline passes before the claim is read
+        # back. When it is won after all, nothing may be dispatched.
+        rid = self.submit()
+        self.bench.advance(11)
+        self.assertIsInstance(self.bench.outcome(rid), NotRun)
+        self.assertIsInstance(self.claimed[-1], claims.ClaimReleased)
+        self.decide(rid, claims.Won())
+        self.assertEqual([], self.link.dispatched())
+
+    def test_certain_not_run_may_be_placed_again(self):
+        rid = self.submit()
+        self.decide(rid, claims.Won())
+        self.bench.receive(self.link, messages.NotRun(rid, 'leaving', 100))
+        self.bench.report(self.link)
+        self.assertEqual(2, len(self.link.dispatched()))
+        ids = {d.attempt_id for d in self.link.dispatched()}
+        self.assertEqual(2, len(ids))
+
+    def test_resend_gets_what_is_known(self):
+        answered = Answered(200, 'application/json', b'{}', '', '')
+        for verdict, status in (
+            (claims.Recorded(answered), 200),
+            (claims.Held(), 409),
+            (claims.OtherBody(), 422),
+            (claims.OutsideWindow('too old'), 422),
+            (claims.Unavailable('log is down', 1.0), 503),
+        ):
+            rid = self.submit()
+            self.decide(rid, verdict)
+            self.assertEqual(status, self.bench.outcome(rid).status)
+        self.assertEqual([], self.link.dispatched())
+        self.assertEqual(5, len(self.claimed))
+
+    def test_gone_caller_does_not_break_off_a_print(self):
+        # A teacher's connection breaks while a proof is printed. Stopped
+        # half-way, nobody could tell her later whether it was.
+        rid = self.submit()
+        self.decide(rid, claims.Won())
+        self.bench.router.handle(CallerGone(rid))
+        self.bench.answer(self.link, rid)
+        self.assertIsInstance(self.claimed[-1], claims.ClaimFinished)
+        self.assertIsInstance(self.claimed[-1].outcome, Answered)
--- /dev/null
+++ b/packages/burdockchute/burdockchute/decisions/placement.py
@@ -0,0 +1,231 @@
+"""Placement: on which instance a request runs.
+
+Load it answers: instances that differ in speed, slow down, come and go, of
+which an entry knows only late what the other entries send them.
+
+Without it, round robin gives the slowest donated machine as much as the
+fastest, so that a pool is as slow as its slowest member; and whoever follows
+late reports to the least loaded instance sends a whole second's burst to
+one place. A prompt that starts like an earlier one is computed anew
+wherever its prefix is not in the cache.
+
+How it decides: an instance's load is what was reported, less what we had
+there at the time, plus what we have there now, so a late report errs only by
+the other entries' change. Of the instances with room two drawn at random and
+those that are warm for the prompt are compared by expected time: service at
+the instance's own measured speed, stretched by its load, plus the prefill
+that its cache does not save. So a warm instance wins unless its queue costs
+more than the prefill saved, and the draw keeps entries with the same late
+report from choosing the same place.
+
+Thresholds: an instance may hold QUEUE_SHARE over its slots, which hides the
+round trip between one request's end and the next one's start; all else
+waits at the entry, where it can be ordered. Its window starts at half of
+the slots and grows by one with each answer, so that it is whole after one
+service time: a fresh instance has a cold cache, and one that comes back
+from a fault would otherwise take a full load at once. A failure halves the
+window, which takes load off a sick instance within two failures while one
+probe always remains. Measured speed moves by a fifth with each answer and
+half-way back to the pool's mean in FORGET_S without one, or a slow instance
+that got nothing any more would be slow for ever.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+import random
+from typing import NamedTuple
+
+QUEUE_SHARE = 0.25
+START_SHARE = 0.5
+LEAST_WINDOW = 1.0
+LEAST_START = 2.0
+SMOOTHING = 0.2
+FORGET_S = 10.0
+BLOCK_TOKENS = 64
+
+# Prefixes of requests sent lately, kept until the engine's own late account
+# of its cache takes over.
+MAX_WARM = 4096
+
+# A load report that is older than this says nothing about the other entries
+# any more. Reports come each second.
+REPORT_VALID_S = 5.0
+
+
+class Work(NamedTuple):
+    """What placement needs to know of a request."""
+
+    cost: float
+    is_long: bool
+    prompt_tokens: int
+    prefixes: tuple[str, ...]
+
+
+class InstanceLoad:
+    """What one entry knows of the load of one instance.
+
+    `ours` counts this entry's requests there, `others` those of the other
+    entries as of the last report. `unit_s` is the measured time per unit of
+    work, 0 before the first answer.
+    """
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.slots = 1
+        self.ours = 0
+        self.long_ours = 0
+        self.others = 0
+        self.reported_at = now
+        self.window = LEAST_WINDOW
+        self.started = False
+        self.unit_s = 0.0
+        self.unit_at = now
+        self.prefill_tokens_per_s = 0.0
+        self.warm: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.reserved_for = ''
+
+    def report(
+        self,
+        in_flight: int,
+        slots: int,
+        prefill_tokens_per_s: float,
+        prefixes: Iterable[str],
+        now: float,
+    ) -> None:
+        """Take in what the instance says of itself."""
+        self.slots = max(1, slots)
+        if not self.started:
+            self.window = max(LEAST_START, self.slots * START_SHARE)
+            self.started = True
+        self.others = max(0, in_flight - self.ours)
+        self.reported_at = now
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        for prefix in prefixes:
+            self._remember(prefix)
+
+    def evicted(self, prefixes: Iterable[str]) -> None:
+        """Forget prefixes that the instance's cache no longer holds."""
+        for prefix in prefixes:
+            self.warm.pop(prefix, None)
+
+    def sent(self, work: Work) -> None:
+        """Count a request that was sent there."""
+        self.ours += 1
+        self.long_ours += work.is_long
+        for prefix in work.prefixes:
+            self._remember(prefix)
+
+    def returned(self, work: Work) -> None:
+        """Count a request that came back without having been run."""
+        self.ours -= 1
+        self.long_ours -= work.is_long
+
+    def answered(self, work: Work, service_s: float, now: float) -> None:
+        """Count an answer that took so long from sending to its end."""
+        self.returned(work)
+        self.window = min(self.window + 1, self._most())
+        unit_s = service_s / work.cost
+        if self.unit_s:
+            unit_s = (1 - SMOOTHING) * self.unit_s + SMOOTHING * unit_s
+        self.unit_s = unit_s
+        self.unit_at = now
+
+    def failed(self, work: Work) -> None:
+        """Count a request that was lost or late there."""
+        self.returned(work)
+        self.window = max(LEAST_WINDOW, self.window / 2)
+
+    def in_flight(self, now: float) -> int:
+        """Estimate the requests there from all entries."""
+        fresh = now - self.reported_at <= REPORT_VALID_S
+        return self.ours + (self.others if fresh else 0)
+
+    def room(self, now: float) -> int:
+        """Give how many more requests may be sent there now."""
+        if self.reserved_for:
+            return 0
+        by_slots = self._most() - self.in_flight(now)
+        return max(0, int(min(by_slots, self.window - self.ours)))
+
+    def may_take_long(self, long_share: float) -> bool:
+        """Tell whether long work has not yet taken its part here."""
+        return self.long_ours < max(1, int(self.slots * long_share))
+
+    def unit_now(self, mean_unit_s: float, now: float) -> float:
+        """Give the time per unit of work, drawn to the mean with age."""
+        if not self.unit_s:
+            return mean_unit_s
+        keep = 0.5 ** (max(0.0, now - self.unit_at) / FORGET_S)
+        return keep * self.unit_s + (1 - keep) * mean_unit_s
+
+    def warm_tokens(self, work: Work) -> int:
+        """Give how many tokens of a prompt are likely in the cache."""
+        for blocks in range(len(work.prefixes), 0, -1):
+            if work.prefixes[blocks - 1] in self.warm:
+                return blocks * BLOCK_TOKENS
+        return 0
+
+    def _most(self) -> float:
+        return self.slots + max(1.0, self.slots * QUEUE_SHARE)
+
+    def _remember(self, prefix: str) -> None:
+        self.warm[prefix] = None
+        self.warm.move_to_end(prefix)
+        if len(self.warm) > MAX_WARM:
+            self.warm.popitem(last=False)
+
+
+def choose(
+    loads: Sequence[InstanceLoad],
+    work: Work,
+    mean_unit_s: float,
+    now: float,
+    rng: random.Random,
+) -> InstanceLoad | None:
+    """Give the instance for a request, None where none has room."""
+    free = [load for load in loads if load.room(now) > 0]
+    if not free:
+        return None
+    compared = rng.sample(free, 2) if len(free) > 2 else list(free)
+    if work.prefixes:
+        compared += [load for load in free if load.warm_tokens(work)]
+    return min(
+        compared,
+        key=lambda load: expected_s(load, work, mean_unit_s, now),
+    )
+
+
+def expected_s(
+    load: InstanceLoad, work: Work, mean_unit_s: float, now: float
+) -> float:
+    """Estimate the seconds from sending a request to its end.
+
+    An instance is slower the fuller its batch is, and beyond its slots a
+    request waits for others to end.
+    """
+    service_s = load.unit_now(mean_unit_s, now) * work.cost
+    filled = load.in_flight(now) / load.slots
+    waits = max(0.0, load.in_flight(now) + 1 - load.slots) / load.slots
+    cold_tokens = max(0, work.prompt_tokens - load.warm_tokens(work))
+    prefill_s = (
+        cold_tokens / load.prefill_tokens_per_s
+        if load.prefill_tokens_per_s > 0
+        else 0.0
+    )
+    return service_s * (1 + filled + waits) + prefill_s
+
+
+def long_allowed(
+    loads: Iterable[InstanceLoad], long_share: float
+) -> tuple[InstanceLoad, ...]:
+    """Give the instances that may take long work now.
+
+    Long work holds a slot for as long as many short requests would; at most
+    `long_share` of an instance's slots go to it, but always one.
+    """
+    return tuple(load for load in loads if load.may_take_long(long_share))
--- /dev/null
+++ b/packages/burdockchute/burdockchute/model/claims.py
@@ -0,0 +1,78 @@
+"""Messages between the router and the task that claims keys in the log."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import Unknown
+from burdockchute.model.requests import RequestContext
+
+
+class ClaimWanted(NamedTuple):
+    """A non-idempotent request may be dispatched once its key is won.
+
+    The verdict goes to the queue `replies` as one `ClaimDecided`.
+    """
+
+    ctx: RequestContext
+    attempt_id: str
+    replies: Any
+
+
+class ClaimDecided(NamedTuple):
+    """What became of a claim; only Won allows a dispatch."""
+
+    request_id: str
+    attempt_id: str
+    verdict: Verdict
+
+
+class Won(NamedTuple):
+    """This attempt holds the key."""
+
+
+class Recorded(NamedTuple):
+    """An earlier request with this key and body ended so."""
+
+    outcome: Answered | Unknown
+
+
+class Held(NamedTuple):
+    """Another attempt holds the key and its outcome is not known."""
+
+
+class OtherBody(NamedTuple):
+    """The key was used for another request."""
+
+
+class Unavailable(NamedTuple):
+    """No verdict can be had now; the claim may have landed all the same."""
+
+    reason: str
+    retry_after_s: float
+
+
+class OutsideWindow(NamedTuple):
+    """The key was issued too long ago, or in the future."""
+
+    reason: str
+
+
+Verdict = Won | Recorded | Held | OtherBody | Unavailable | OutsideWindow
+
+
+class ClaimReleased(NamedTuple):
+    """The attempt was certainly not run and never will be."""
+
+    ctx: RequestContext
+    attempt_id: str
+
+
+class ClaimFinished(NamedTuple):
+    """The attempt was handed on and ended so."""
+
+    ctx: RequestContext
+    attempt_id: str
+    outcome: Answered | Unknown
