--- a/packages/burdockchute/burdockchute/operators/__init__.py
+++ b/packages/burdockchute/burdockchute/operators/__init__.py
@@ -1,3 +1,3 @@
-"""Commands and reports for operators."""
+"""What operators see: the table's commands and reports."""
 
 from __future__ import annotations
