--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -0,0 +1,206 @@
+"""Wiring of the entry's tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+import signal
+import time
+from typing import Any
+import uuid
+
+import gevent
+from gevent import event as events
+from gevent import queue
+
+from burdockchute import http_admin
+from burdockchute import logs
+from burdockchute import metrics
+from burdockchute import tasks
+from burdockchute.callers import http
+from burdockchute.callers import server
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.replies import CallerGone
+from burdockchute.model.replies import Submit
+from burdockchute.model.requests import RequestContext
+from burdockchute.model.table import Table
+from burdockchute.nodes import links
+from burdockchute.platform.instances import InstanceList
+from burdockchute.platform.log import LogClient
+from burdockchute.wire import messages
+from burdockchute_entry.links_task import Handing
+from burdockchute_entry.links_task import LinksTask
+from burdockchute_entry.links_task import TableSource
+from burdockchute_entry.observing import Observer
+from burdockchute_entry.router import Router
+from burdockchute_entry.settings import Settings
+from burdockchute_entry.table_task import TableTask
+
+# The balancer in front learns from /readyz that this entry leaves. Until it
+# has looked again, new requests still arrive and are refused as not run.
+LEAVING_S = 1.0
+
+
+class App:
+    """One running entry."""
+
+    def __init__(self, cfg: Settings) -> None:
+        self.cfg = cfg
+        self.started = time.time()
+        self.incarnation = uuid.uuid4().hex
+        self.stopping = events.Event()
+        self.failed = False
+        self.leaving = False
+        self.log = LogClient(cfg.log_url)
+        self.table_task = TableTask(
+            self.log,
+            self._publish,
+            cfg.log_retention_s,
+            ask_peers=lambda offset: self.links_task.ask_peers(offset),
+        )
+        self.observer = Observer(self.table)
+        self.router = Router(
+            time.monotonic, random.Random(), observe=self.observer.finished
+        )
+        self.links_task = LinksTask(
+            cfg.name,
+            self.hello,
+            InstanceList(cfg.instances_url),
+            TableSource(
+                self.table_offset,
+                self.table_task.delta_for,
+                self.table_task.answer,
+            ),
+            Handing(self.router.inbox.put, self._peer_handlers()),
+            random.Random(),
+        )
+
+    def hello(self) -> messages.Hello:
+        """Give our side's first message on a link."""
+        return messages.Hello(
+            self.cfg.name,
+            'entry',
+            self.cfg.zone,
+            self.cfg.region,
+            self.incarnation,
+            self.table_offset(),
+            links.PROTOCOL,
+        )
+
+    def table(self) -> Table:
+        """Give the table in force here."""
+        return self.table_task.table
+
+    def table_offset(self) -> int:
+        """Give the highest offset applied."""
+        return self.table_task.table.offset
+
+    def serve(self) -> int:
+        """Run until a signal asks to stop; give the exit status."""
+        metrics.set_up(self.cfg.name, self.cfg.otlp_endpoint)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self.stopping.set)
+        link_server = links.listen(
+            self.cfg.address,
+            self.cfg.link_port,
+            self.hello,
+            self.links_task.inbox,
+            self.table_offset,
+        )
+        callers = server.make_server(
+            self.cfg.address, self.cfg.http_port, self._callers_app()
+        )
+        callers.start()
+        admin = http_admin.serve(
+            self.cfg.address, self.cfg.admin_port, self._admin_app()
+        )
+        tasks.start(self._loops(), self._fail)
+        logs.event(
+            'serving',
+            link_port=link_server.server_port,
+            http_port=callers.server_port,
+            admin_port=admin.server_port,
+        )
+        self.stopping.wait()
+        if self.failed:
+            return tasks.EXIT_TASK_FAILED
+        return self._leave(callers)
+
+    def status(self) -> dict[str, Any]:
+        """Give what this process holds and does."""
+        return {
+            'name': self.cfg.name,
+            'incarnation': self.incarnation,
+            'started': self.started,
+            'leaving': self.leaving,
+            'in_flight': self.router.open_requests(),
+            'table': self.table_task.status()._asdict(),
+            'agents': sorted(
+                link.peer.name for link in self.links_task.agent_links()
+            ),
+            'members': len(self.links_task.members),
+        }
+
+    def _loops(self) -> list[Callable[[], None]]:
+        return [self.table_task.run, self.links_task.run, self.router.run]
+
+    def _publish(self, table: Table) -> None:
+        for inbox in (self.links_task.inbox, self.router.inbox):
+            inbox.put(TableChanged(table))
+
+    def _peer_handlers(self) -> dict[type, Callable[[links.Received], None]]:
+        return {
+            messages.TableDelta: lambda event: self.table_task.take(
+                event.message
+            ),
+        }
+
+    def _callers_app(self) -> Callable:
+        return http.make_app(
+            self._submit,
+            lambda request_id: self.router.inbox.put(CallerGone(request_id)),
+            self.table,
+            time.monotonic,
+            accepting=lambda: not self.leaving,
+            limits=http.Limits(
+                self.cfg.max_body_bytes, self.cfg.default_deadline_s
+            ),
+        )
+
+    def _submit(self, ctx: RequestContext) -> queue.Queue:
+        replies: queue.Queue = queue.Queue()
+        self.router.inbox.put(Submit(ctx, replies))
+        return replies
+
+    def _admin_app(self) -> Callable:
+        return http_admin.make_app(
+            self.status,
+            self._probe,
+            {'/burn': lambda _rest: http_admin.as_json(self.observer.page())},
+        )
+
+    def _fail(self) -> None:
+        self.failed = True
+        self.stopping.set()
+
+    def _probe(self) -> http_admin.Probe:
+        if not self.table_task.ready.is_set():
+            return http_admin.Probe(False, 'no table yet')
+        if self.leaving:
+            return http_admin.Probe(False, 'leaving')
+        return http_admin.Probe(True, '')
+
+    def _leave(self, callers: Any) -> int:
+        # Requests that were accepted are finished; new connections are still
+        # taken for a moment and told that nothing was run.
+        logs.event('leaving', in_flight=self.router.open_requests())
+        self.leaving = True
+        until = time.monotonic() + self.cfg.drain_s
+        gevent.sleep(LEAVING_S)
+        callers.close()
+        while self.router.open_requests() and time.monotonic() < until:
+            gevent.sleep(0.02)
+        left = self.router.open_requests()
+        callers.stop(timeout=LEAVING_S)
+        logs.event('stopped', left=left)
+        return 1 if left else 0
--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -243,7 +243,7 @@
 
     def _agent_opened(self, event: links.Opened) -> None:
         link = event.link
-        old = self._links.get(link.peer.name)
+        old: links.Link | None = self._links.get(link.peer.name)
         self._links[link.peer.name] = link
         self._sent_offset[link] = link.peer.table_offset
         self._send_rows(link)
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -0,0 +1,68 @@
+"""Command line of burdockchute-entry."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+
+import burdockchute  # noqa: E402
+from burdockchute import commands  # noqa: E402
+from burdockchute import logs  # noqa: E402
+from burdockchute.nodes import links  # noqa: E402
+from burdockchute.operators import burn  # noqa: E402
+from burdockchute.operators import table_commands  # noqa: E402
+from burdockchute_entry import settings  # noqa: E402
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and give its exit status."""
+    args = _parser().parse_args(argv)
+    if args.command == 'table':
+        return table_commands.run(args, os.environ)
+    if args.command == 'burn':
+        return burn.run(args, os.environ)
+    if args.command == 'status':
+        return commands.print_status(args, os.environ)
+    if args.command == 'check':
+        return commands.run_check(
+            settings.SETTINGS, args, os.environ, settings.of_values
+        )
+    return _serve(args)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='burdockchute-entry',
+        description='Takes the requests of callers and decides where they '
+        'run; edits and shows the table.',
+    )
+    parser.add_argument(
+        '--version', action='version', version=burdockchute.__version__
+    )
+    subparsers = parser.add_subparsers(dest='command', required=True)
+    commands.add_process_commands(subparsers, settings.SETTINGS, 'entry')
+    table_commands.add_parser(subparsers)
+    burn.add_parser(subparsers)
+    return parser
+
+
+def _serve(args: argparse.Namespace) -> int:
+    from burdockchute_entry.app import App
+
+    values = commands.read_or_exit(settings.SETTINGS, args, os.environ)
+    cfg = settings.of_values(values)
+    logs.set_up(cfg.log_level, cfg.name)
+    try:
+        return App(cfg).serve()
+    except (links.LinkError, OSError) as exc:
+        print(f'can not serve: {exc}', file=sys.stderr)
+        return commands.EXIT_FAILED
+
+
+if __name__ == '__main__':
+    sys.exit(main())
