--- a/packages/burdockchute-testing/burdockchute_testing/processes.py
+++ b/packages/burdockchute-testing/burdockchute_testing/processes.py
@@ -24,7 +24,7 @@
 _LIBC = ctypes.CDLL(None)
 
 _READY = re.compile(r'^ready port=(\d+)$', re.MULTILINE)
-_SERVING = re.compile(r'^.*\bevent=serving\b.*$', re.MULTILINE)
+_SERVING = re.compile(r'^.*\b(?:event|msg)=serving\b.*$', re.MULTILINE)
 _PORT = re.compile(r'\b(\w+_port)=(\d+)')
 
 
