--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -47,7 +47,7 @@
     waiting: int = 0
     slots: int = 0
     tokens_per_s: float = 0.0
-    prefill_tokens_per_s: int = 0
+    prefill_tokens_per_s: float = 0.0
 
 
 class ReportsTask:
@@ -112,7 +112,7 @@
             services=[] if away else self._weights.services(),
             prefixes=list(reversed(self._prefixes)),
             table_offset=self._table_offset(),
-            prefill_tokens_per_s=self._load.prefill_tokens_per_s,
+            prefill_tokens_per_s=round(self._load.prefill_tokens_per_s),
         )
 
     def _key(self) -> tuple:
--- a/packages/burdockchute-agent/burdockchute_agent/runner.py
+++ b/packages/burdockchute-agent/burdockchute_agent/runner.py
@@ -33,6 +33,7 @@
 ENGINE_REFUSALS = (404, 409, 429, 503)
 
 REFUSED_RETRY_MS = 500
+CANCEL_TIMEOUT_S = 5.0
 LEAVING = 'leaving'
 
 EVENT_STREAM = 'text/event-stream'
@@ -86,6 +87,9 @@
             return
         self._remember(req.attempt_id)
         greenlet = gevent.Greenlet(self._run, link, req)
+        # A request that is cancelled before its greenlet first runs ends
+        # without running any of it; only this link then takes it off.
+        greenlet.rawlink(lambda ended: self._forget(req.request_id, ended))
         self._runs[req.request_id] = Run(
             link, greenlet, time.monotonic(), may_stop=not req.path
         )
@@ -139,9 +143,11 @@
             )
         except _Expired:
             _send(link, _end(req, 0, 0, error='deadline passed'))
-        finally:
-            self._runs.pop(req.request_id, None)
-            self.finished += 1
+        except calls.Broken as exc:
+            _send(link, _end(req, 0, 0, error=str(exc), crashed=exc.crashed))
+        except links.LinkError:
+            # The entry sees its end of the link close and decides.
+            pass
 
     def _run_admitted(self, link: links.Link, req: messages.Dispatch) -> None:
         if self.leaving:
@@ -162,36 +168,46 @@
         reply = self._send_call(req, req.method, req.path, req.body)
         try:
             body = calls.whole_body(reply, MAX_PLAIN_ANSWER_BYTES)
-        except calls.Broken as exc:
-            _send(link, _end(req, 0, 0, error=str(exc), crashed=exc.crashed))
-            return
         finally:
             reply.close()
         _send(link, messages.AnswerPart(req.request_id, 0, body))
         _send(link, _end(req, 1, reply.status, reply.content_type))
 
     def _run_engine(self, link: links.Link, req: messages.Dispatch) -> None:
-        base = self._gate.base_of(req.target)
-        reply = self._send_call(
-            req, 'POST', '/v1/completions', _engine_body(req, base)
-        )
+        try:
+            reply = self._pass_on(link, req)
+        except _OtherWeightsError as exc:
+            self._gate.doubt(req.target, req.digest, req.adapter_digest)
+            self._stop_on_engine(req)
+            _send(link, _end(req, 0, 0, error=str(exc)))
+        except _NotRunError:
+            raise
+        except BaseException:
+            # Cancelled, expired or broken. An engine goes on with a request
+            # whose connection is gone, so that it can be resumed; its slot
+            # would do work for nobody while others wait.
+            self._stop_on_engine(req)
+            raise
+        else:
+            _send(link, reply)
+
+    def _pass_on(
+        self, link: links.Link, req: messages.Dispatch
+    ) -> messages.AnswerEnd:
+        body = _engine_body(req, self._gate.base_of(req.target))
+        reply = self._send_call(req, 'POST', '/v1/completions', body)
         try:
             if reply.status in ENGINE_REFUSALS:
                 raise _NotRunError(f'engine answered {reply.status}')
             pass_on = _stream_on if req.stream else _plain_on
             parts = pass_on(link, req, reply)
-        except calls.Broken as exc:
-            _send(link, _end(req, 0, 0, error=str(exc), crashed=exc.crashed))
-            return
-        except _OtherWeightsError as exc:
-            self._gate.doubt(req.target, req.digest, req.adapter_digest)
-            _send(link, _end(req, 0, 0, error=str(exc)))
-            return
         finally:
-            # Closing before the end cancels the work on the engine.
             reply.close()
         content_type = EVENT_STREAM if req.stream else reply.content_type
-        _send(link, _end(req, parts, reply.status, content_type))
+        return _end(req, parts, reply.status, content_type)
+
+    def _stop_on_engine(self, req: messages.Dispatch) -> None:
+        gevent.spawn(_cancel, self._upstream.url, req.request_id)
 
     def _send_call(
         self, req: messages.Dispatch, method: str, path: str, body: bytes
@@ -212,6 +228,12 @@
         except calls.NotConnected as exc:
             raise _NotRunError(f'upstream takes no connection: {exc}') from exc
 
+    def _forget(self, request_id: str, ended: gevent.Greenlet) -> None:
+        self.finished += 1
+        run = self._runs.get(request_id)
+        if run is not None and run.greenlet is ended:
+            del self._runs[request_id]
+
     def _remember(self, attempt_id: str) -> None:
         self._attempts[attempt_id] = None
         if len(self._attempts) > MAX_REMEMBERED_ATTEMPTS:
@@ -222,6 +244,15 @@
     pass
 
 
+def _cancel(url: str, request_id: str) -> None:
+    path = f'/v1/cancel/{request_id}'
+    try:
+        calls.send(url, 'POST', path, b'', {}, CANCEL_TIMEOUT_S).close()
+    except (calls.NotConnected, calls.Broken):
+        # An engine that is gone has nothing left to cancel.
+        pass
+
+
 def _stream_on(
     link: links.Link, req: messages.Dispatch, reply: calls.Reply
 ) -> int:
--- /dev/null
+++ b/packages/burdockchute-testing/tests/test_agent_process.py
@@ -0,0 +1,142 @@
+"""A real agent process beside a real stand-in, with a fake entry."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from burdockchute.model import rows
+from burdockchute.wire import messages
+from burdockchute_testing import answers
+from burdockchute_testing import harness
+from burdockchute_testing.fakes.entry import FakeEntry
+
+PROMPT = 'a hare met a fox'
+
+
+class AgentCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.system = harness.System()
+        self.addCleanup(self.system.close)
+        self.system.add_platform()
+
+    def start_engine(self, **options: object) -> None:
+        self.system.add_engine('m1', **options)
+        self.system.add_agent('a1', 'm1', drain_s=20)
+        self.entry = self.dial('e1')
+
+    def dial(self, name: str) -> FakeEntry:
+        port = self.system['a1'].ports['link_port']
+        entry = FakeEntry(harness.ADDRESS, port, name)
+        self.addCleanup(entry.close)
+        return entry
+
+    def open_model(self, seed: int = 1) -> str:
+        digest = self.system.publish('story', 200_000, 65_536, seed)
+        self.entry.send_rows(rows.ModelRow('story', f'v{seed}', digest))
+        self.entry.send_members([])
+        harness.wait_until(
+            lambda: digest in self.system.open_digests('a1'), 'gate opens'
+        )
+        return digest
+
+    def ask(self, request_id: str, digest: str, tokens: int = 5) -> None:
+        document = {
+            'model': 'story',
+            'prompt': PROMPT,
+            'max_tokens': tokens,
+            'stream': True,
+        }
+        self.entry.dispatch(request_id, digest=digest, document=document)
+
+    def text_and_end(self, request_id: str) -> tuple[str, object]:
+        *parts, end = self.entry.messages_of(request_id)
+        documents = [json.loads(part.data) for part in parts]
+        return ''.join(d.get('text', '') for d in documents), end
+
+
+class AgentProcessTest(AgentCase):
+    def test_stream_comes_whole(self):
+        # Engines report rates with a fraction, which a whole-numbered field
+        # of a report once could not take: the reports ended for good.
+        self.start_engine(prefill_tokens_per_s=1234.5)
+        digest = self.open_model()
+        self.ask('r1', digest)
+        text, end = self.text_and_end('r1')
+        self.assertEqual(answers.expected_text(digest, '', PROMPT, 5), text)
+        self.assertEqual(('', digest, 6), (end.error, end.digest, end.parts))
+
+    def test_graceful_end_finishes_a_stream(self):
+        # An instance is replaced while an answer streams from it. A caller
+        # would see the answer break off.
+        self.start_engine(token_interval_s=0.02)
+        digest = self.open_model()
+        self.ask('r1', digest, tokens=50)
+        stream = self.entry.messages_of('r1')
+        first = next(stream)
+        self.system['a1'].terminate()
+        *parts, end = [first, *stream]
+        self.assertEqual(('', 51), (end.error, len(parts)))
+        self.assertEqual(0, self.system['a1'].wait())
+
+    def test_cancel_right_after_dispatch_leaves_nothing_behind(self):
+        # A caller gives up in the moment that its request is handed on. An
+        # agent that went on counting it would wait for it when it leaves.
+        self.start_engine()
+        digest = self.open_model()
+        self.ask('r1', digest)
+        self.entry.link.send(messages.Cancel('r1'))
+        self.ask('r2', digest)
+        self.text_and_end('r2')
+        self.assertEqual(0, self.system.status('a1')['running'])
+
+    def test_cancelled_request_leaves_the_engine(self):
+        # A caller closes its page in the middle of a long answer. The
+        # engine would go on with it while others wait for the slot.
+        self.start_engine(slots=1, token_interval_s=0.02)
+        digest = self.open_model()
+        self.ask('r1', digest, tokens=1000)
+        next(self.entry.messages_of('r1'))
+        self.entry.link.send(messages.Cancel('r1'))
+        harness.wait_until(
+            lambda: (
+                [run['how'] for run in self.system.runs()] == ['cancelled']
+            ),
+            'the engine cancels',
+            timeout_s=4.0,
+        )
+
+    def test_engine_crash_is_told_as_such(self):
+        # A prompt makes the engine crash. Unless the agent says so, the
+        # request is sent to the next engine, and so on through all.
+        self.start_engine()
+        digest = self.open_model()
+        self.system.fault('m1', crash_word='hare')
+        self.ask('r1', digest)
+        _text, end = self.text_and_end('r1')
+        self.assertTrue(end.crashed, end)
+        self.assertNotEqual('', end.error)
+
+    def test_answer_of_other_weights_is_not_passed_on(self):
+        # The engine answers from other weights than it reported, as after
+        # an order of an agent that was thought dead.
+        self.start_engine()
+        digest = self.open_model()
+        self.system.fault('m1', wrong_digest=1.0)
+        self.ask('r1', digest)
+        text, end = self.text_and_end('r1')
+        self.assertEqual('', text)
+        self.assertIn('answer is from weights', end.error)
+
+    def test_stream_that_stands_still_ends(self):
+        # The engine takes a request and falls silent in the middle. The
+        # caller would wait until its deadline, and so would the slot.
+        self.system.add_engine('m1')
+        self.system.add_agent('a1', 'm1', stall_s=1)
+        self.entry = self.dial('e1')
+        digest = self.open_model()
+        self.system.fault('m1', stall_after=2)
+        self.ask('r1', digest)
+        _text, end = self.text_and_end('r1')
+        self.assertNotEqual('', end.error)
+        self.assertFalse(end.crashed)
--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -74,6 +74,11 @@
         if client.connected:
             raise _broken(exc) from exc
         raise NotConnected(str(exc)) from exc
+    except BaseException:
+        # The greenlet is ended while it waits for the reply: its connection
+        # must not stay open until the collector finds it.
+        client.close()
+        raise
 
     def close() -> None:
         response.release()
