--- a/packages/burdockchute-entry/burdockchute_entry/table_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/table_task.py
@@ -44,10 +44,12 @@
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
 
-# Two lost polls; below that, a single slow reply would set all entries
-# asking each other.
-ASK_PEERS_AGE_S = 5.0
+# Two polls; below that, a single slow reply would set all entries asking
+# each other. With the answer it stays well within the 8 s in which an edit
+# has to be in force.
+ASK_PEERS_AGE_S = 4.0
 ASK_PEERS_EVERY_S = 1.0
+WATCH_S = 0.25
 
 # How long a fresh process waits for further peers after the first has
 # answered, so that it does not begin with the oldest table among them.
@@ -124,6 +126,7 @@
     def run(self) -> None:
         """Follow the log for ever; runs as a greenlet."""
         _measure(self)
+        gevent.spawn(self._watch, gevent.getcurrent())
         self._load_until_done()
         while True:
             sent_at = self._clock()
@@ -189,11 +192,17 @@
         self._offered = applied
         self._offered_confirmed_at = confirmed_at
 
+    def _watch(self, follower: gevent.Greenlet) -> None:
+        # A connection to the log can go silent, and a read then takes its
+        # whole timeout; peers must be asked before that.
+        while not follower.dead:
+            self._ask_peers_if_needed()
+            gevent.sleep(WATCH_S)
+
     def _load_until_done(self) -> None:
         while True:
             if self._load():
                 return
-            self._ask_peers_if_needed()
             self._take_offer()
             self._pause()
             if self.ready.is_set():
@@ -310,7 +319,6 @@
             if self._load():
                 return
         self._log_failed(error)
-        self._ask_peers_if_needed()
         self._pause()
 
     def _log_failed(self, error: object) -> None:
--- a/packages/burdockchute-entry/tests/test_table_task.py
+++ b/packages/burdockchute-entry/tests/test_table_task.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -77,6 +78,8 @@
         self.wait_for(lambda: len(published) == 2)
         self.wait_for(lambda: task.age_s() < 1)
 
+    @mock.patch.object(table_task, 'GATHER_S', 10)
+    @mock.patch.object(table_task, 'RETRY_MAX_S', 0.2)
     def test_start_in_an_outage_takes_the_highest_table_of_its_peers(self):
         # A fresh entry has nothing. Were it ready with no table, it would
         # refuse every caller; with the oldest of its peers' tables, it
@@ -88,8 +91,13 @@
         task, published = self.task(ask_peers=asked.append)
         self.wait_for(lambda: asked)
         self.assertFalse(task.ready.is_set())
-        for peer in (peers[0], peers[1], peers[0]):
-            task.take(over_the_wire(peer, age_ms=9000))
+        task.take(over_the_wire(peers[0], age_ms=9000))
+        tries = self.log.reads
+        self.wait_for(lambda: self.log.reads == tries + 2)
+        self.assertFalse(task.ready.is_set())
+        task.take(over_the_wire(peers[1], age_ms=9000))
+        task.take(over_the_wire(peers[0], age_ms=9000))
+        self.lag_s = 10
         self.wait_for(task.ready.is_set)
         self.assertEqual([peers[1]], published)
         self.assertEqual(-1, asked[0])
@@ -126,6 +134,22 @@
         self.assertEqual(newer, published[-1])
         self.assertLess(task.age_s(), 1)
 
+    def test_connection_to_the_log_goes_silent(self):
+        # The log's answers stop without an error. An edit of that moment
+        # is in force elsewhere; peers are asked long before the read ends.
+        self.edit(tables.model())
+        asked = []
+        task, published = self.task(ask_peers=asked.append)
+        self.wait_for(task.ready.is_set)
+        self.log.read = lambda *args: gevent.sleep(60)
+        gevent.sleep(0.1)
+        self.assertEqual([], asked)
+        self.lag_s = table_task.ASK_PEERS_AGE_S
+        self.wait_for(lambda: asked == [0])
+        newer = tables.table_of(tables.model(), tables.service())
+        task.take(over_the_wire(newer))
+        self.assertEqual(newer, published[-1])
+
     def test_paused_and_resumed_is_not_taken_for_new(self):
         # The process is stopped while it waits for an answer of the log and
         # goes on an hour later; the answer it then reads is an hour old.
--- a/packages/burdockchute-testing/burdockchute_testing/fakes/log.py
+++ b/packages/burdockchute-testing/burdockchute_testing/fakes/log.py
@@ -75,6 +75,7 @@
 
     def extent(self, stream: str) -> Result[Extent, LogError]:
         """Give the offsets that the stream covers."""
+        self.reads += 1
         if self.down:
             return Failure(Unavailable('outage'))
         return Success(
--- a/packages/burdockchute/tests/test_log_client.py
+++ b/packages/burdockchute/tests/test_log_client.py
@@ -132,6 +132,30 @@
             with self.subTest(handle.__name__):
                 self.assertIsInstance(error, log.Unsure)
 
+    def test_silent_connection_does_not_hold_the_next_request(self):
+        # A connection that has gone silent stays so for good while new ones
+        # work. The next request must not wait for it or go over it.
+        accepted = []
+
+        def first_is_silent(sock, _address):
+            accepted.append(sock)
+            sock.recv(1000)
+            if len(accepted) == 1:
+                gevent.sleep(60)
+            sock.sendall(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{"offset": 3}'
+            )
+
+        serving = server.StreamServer(('127.0.0.1', 0), first_is_silent)
+        serving.start()
+        self.addCleanup(serving.stop, 0)
+        url = f'http://127.0.0.1:{serving.server_port}'
+        client = log.LogClient(url, 0.3, concurrency=1)
+        self.assertIsInstance(
+            client.append('table', 'x').failure(), log.Unsure
+        )
+        self.assertEqual(3, client.append('table', 'x').unwrap())
+
     def test_instance_list(self):
         item = {
             'name': 'a',
--- a/packages/burdockchute/tests/test_snapshots.py
+++ b/packages/burdockchute/tests/test_snapshots.py
@@ -154,6 +154,18 @@
         self.log.trim('table', 25)
         self.assertEqual(self.table, table_log.load(self.log).unwrap().table)
 
+    def test_snapshot_that_was_appended_long_after_it_was_made(self):
+        # The writer was paused, but retention is still far: what follows
+        # its offset lies outside of what the reader has looked at.
+        self.edit(5)
+        old = tables.snapshot(self.table)
+        self.edit(600)
+        self.append(old)
+        self.edit(3)
+        loaded = table_log.load(self.log).unwrap()
+        self.assertEqual(self.table, loaded.table)
+        self.assertEqual(4, loaded.snapshot_as_of)
+
     def test_broken_snapshot_is_passed_over(self):
         self.edit(5)
         text = tables.snapshot(self.table)
