--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -120,6 +120,7 @@
             'incarnation': self.incarnation,
             'started': self.started,
             'table_offset': self.table_offset(),
+            'table_age_s': self.rows.age_s(),
             'entries': sorted(link.peer.name for link in self.entries),
             'members': len(self.rows.members),
             'running': self.runner.running(),
--- a/packages/burdockchute-agent/burdockchute_agent/rows_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/rows_task.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import time
 from typing import Any
 
 from gevent import queue
@@ -33,11 +34,15 @@
 class RowsTask:
     """Owns the agent's table and its view of members."""
 
-    def __init__(self, publish: Publish) -> None:
+    def __init__(
+        self, publish: Publish, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self.table: Table = tables.EMPTY
         self.members: tuple[Member, ...] = ()
         self._publish = publish
+        self._clock = clock
+        self._confirmed_at: float | None = None
         self._views: dict[links.Link, tuple[Member, ...]] = {}
 
     def run(self) -> None:
@@ -59,7 +64,27 @@
             self._views[link] = tuple(map(_member_of, message.members))
             self._merge_views()
 
+    def age_s(self) -> float | None:
+        """Give the time since an entry knew these rows to be the newest."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock() - self._confirmed_at
+
+    def _note_age(self, delta: messages.TableDelta) -> None:
+        if delta.to_offset != self.table.offset or delta.age_ms is None:
+            return
+        confirmed_at = self._clock() - delta.age_ms / 1000
+        self._confirmed_at = max(
+            confirmed_at, self._confirmed_at or confirmed_at
+        )
+
     def _apply(self, link: links.Link, delta: messages.TableDelta) -> None:
+        self._apply_rows(link, delta)
+        self._note_age(delta)
+
+    def _apply_rows(
+        self, link: links.Link, delta: messages.TableDelta
+    ) -> None:
         if delta.to_offset <= self.table.offset:
             if delta.to_offset < self.table.offset:
                 logs.event(
--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -42,6 +42,10 @@
 # agents as one.
 MEMBERS_DELAY_S = 0.2
 
+# Agents are told this often how old the rows are; a tenth of what an operator
+# would act on, and some 30 bytes a second for each link.
+AGE_EVERY_S = 2.0
+
 # An entry without the log asks this many others for the table; asking all
 # would make each outage cost the square of the number of entries.
 PEERS_ASKED = 3
@@ -107,6 +111,7 @@
         self._held_back: dict[str, list[Any]] = {}
         self._members_sent = 0
         self._members_due = 0.0
+        self._age_due = 0.0
 
     def run(self) -> None:
         """Handle messages for ever."""
@@ -178,6 +183,10 @@
             self._members_sent += 1
             for link in self.agent_links():
                 self._send(link, self._members_message())
+        if now >= self._age_due:
+            self._age_due = now + AGE_EVERY_S
+            for link in self.agent_links():
+                self._send(link, self._table.delta_for(self._table.offset()))
         self._dial_missing(now)
 
     def _dial_missing(self, now: float) -> None:
--- a/packages/burdockchute/burdockchute/operators/table_commands.py
+++ b/packages/burdockchute/burdockchute/operators/table_commands.py
@@ -45,6 +45,10 @@
 
 STDIN = '-'
 
+# One lost reply is no outage.
+LOAD_TRIES = 3
+LOAD_RETRY_S = 0.3
+
 SETTINGS = (
     settings.Setting(
         'log-url', 'http://HOST:PORT of the log service', settings.parse_url
@@ -296,7 +300,11 @@
 
 
 def _load(session: Session) -> Table | None:
-    loading = table_log.load(session.log)
+    for _number in range(LOAD_TRIES):
+        loading = table_log.load(session.log)
+        if not isinstance(loading, Failure):
+            break
+        time.sleep(LOAD_RETRY_S)
     if isinstance(loading, Failure):
         _complain(session, f'no table: the log said {loading.failure()!r}')
         return None
