Play patterns of load through the router in a time of its own

Cause: the decisions under load had no test of what callers get. Failing first: an instance that had turned slow was never tried again after it had recovered (1 of 750 requests in 50 s), since a probe's answer was averaged with the speed from before its idle time; and a retry avoided an instance that had come back under a new link. Speed now fades to the mean before an answer is averaged in, and an instance is avoided by identity. The router is split: what waits and where it goes is in dispatcher.

--- a/packages/burdockchute-entry/burdockchute_entry/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/attempts.py
@@ -92,10 +92,11 @@
         self.caller_gone = False
         self.is_suspect = False
         self.waiting: Waiting | None = None
+        self.waiting_since = ctx.arrived
         self.attempt: Attempt | None = None
         self.attempts = 0
         self.placements = 0
-        self._avoided: dict[str, int] = {}
+        self._avoided: dict[Instance, int] = {}
         self.parts: list[bytes] = []
         self.passed_on = 0
         self.pinned = Pinned('', '')
@@ -103,11 +104,11 @@
 
     def avoid(self, instance: Instance) -> None:
         """Stay away from an instance until it has reported again."""
-        self._avoided[instance.name] = instance.reports
+        self._avoided[instance] = instance.reports
 
     def avoids(self, instance: Instance) -> bool:
         """Tell whether an instance refused this since its last report."""
-        return self._avoided.get(instance.name) == instance.reports
+        return self._avoided.get(instance) == instance.reports
 
     def may_run_again(self) -> bool:
         """Tell whether another attempt can give one whole answer.
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/dispatcher.py
@@ -0,0 +1,221 @@
+"""Requests that wait, and the instances that they are handed on to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+from burdockchute.decisions import admission
+from burdockchute.decisions import retries
+from burdockchute.decisions.placement import InstanceLoad
+from burdockchute.decisions.waiting import Waiting
+from burdockchute.model import table as tables
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.table import Table
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+from burdockchute_entry import fleet as fleets
+from burdockchute_entry.attempts import Attempt
+from burdockchute_entry.attempts import Request
+from burdockchute_entry.fleet import Fleet
+from burdockchute_entry.pools import Chosen
+from burdockchute_entry.pools import Hosts
+from burdockchute_entry.pools import Pool
+
+# How long requests wait for the first instance of a target. A restart of
+# the only instance takes longer; then a caller is better told so at once.
+NO_INSTANCE_S = 2.0
+NO_INSTANCE_RETRY_S = 2.0
+
+# A request whose target is open nowhere does not hold up those behind it;
+# more than this many are not looked past in one go.
+MAX_ASIDE = 32
+
+Refuse = Callable[[Request, NotRun], None]
+
+
+class Dispatcher:
+    """Owns the queues, the instances and the budget of retries.
+
+    `requests` are those without final outcome, by id; `refuse` ends one.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        rng: random.Random,
+        requests: dict[str, Request],
+        refuse: Refuse,
+    ) -> None:
+        self.fleet = Fleet()
+        self._now = now
+        self._rng = rng
+        self._requests = requests
+        self._refuse = refuse
+        self._table: Table = tables.EMPTY
+        self._pools: dict[str, Pool] = {}
+        self._budget = retries.full_budget(now())
+
+    def table_changed(self, table: Table) -> None:
+        """Take in rows that have changed."""
+        self._table = table
+        self.fleet.table_changed(table)
+        for pool in self._pools.values():
+            pool.configure(table)
+
+    def load_reported(
+        self, link: links.Link, report: messages.LoadReport
+    ) -> None:
+        """Take in an instance's report and use what room it shows."""
+        instance = self.fleet.by_link(link)
+        if instance is None:
+            return
+        instance.report(report, self._now())
+        for pool in self._pools.values():
+            if instance.hosts(pool.key):
+                self._fill(pool)
+
+    def pool(self, request: Request) -> Pool:
+        """Give the queue of a request's base model or service."""
+        if request.base:
+            key = f'model/{request.base}'
+        else:
+            key = f'service/{request.ctx.target}'
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = Pool(key)
+            pool.configure(self._table)
+            self._pools[key] = pool
+        return pool
+
+    def loads_of(self, pool: Pool) -> list[InstanceLoad]:
+        """Give the loads of the instances that a queue is for."""
+        return [i.load for i in self.fleet.hosting(pool.key)]
+
+    def enqueue(self, request: Request) -> None:
+        """Let a request wait for its turn, which may be now."""
+        pool = self.pool(request)
+        ctx, now = request.ctx, self._now()
+        is_long = pool.is_long(admission.tokens_of(ctx))
+        request.work = request.work._replace(is_long=is_long)
+        refused = pool.queue.offer(ctx, request.work.cost, is_long, now)
+        for item in refused:
+            victim = self._requests[item.ctx.request_id]
+            drain_s = pool.drain_s(self.loads_of(pool), now)
+            retry_s = admission.retry_after_s(drain_s)
+            self._refuse(victim, NotRun('too many wait', 503, retry_s))
+        self._fill(pool)
+
+    def wait_again(self, request: Request) -> None:
+        """Let a request wait that was handed on in vain."""
+        request.waiting_since = self._now()
+        pool = self.pool(request)
+        if request.is_suspect or request.waiting is None:
+            pool.suspects.append(request)
+        else:
+            pool.queue.put_back(request.waiting)
+        self._fill(pool)
+
+    def forget(self, request: Request) -> None:
+        """Drop a request that has its final outcome."""
+        pool = self.pool(request)
+        pool.queue.remove(request.ctx.request_id)
+        if request in pool.suspects:
+            pool.suspects.remove(request)
+        self.free_instance(request)
+
+    def free_instance(self, request: Request) -> None:
+        """Give an instance that was kept for a suspect back to all."""
+        for instance in self.fleet.instances.values():
+            if instance.load.reserved_for == request.ctx.request_id:
+                instance.load.reserved_for = ''
+
+    def fill_for(self, request: Request) -> None:
+        """Use the room that a request has left."""
+        self._fill(self.pool(request))
+
+    def tick(self) -> None:
+        """Do what time alone brings about."""
+        for pool in self._pools.values():
+            self._refuse_stranded(pool)
+            self._fill(pool)
+
+    def may_retry(self, request: Request) -> bool:
+        """Take one retry out of the budget, if the request may have it."""
+        if request.attempts >= retries.MAX_ATTEMPTS:
+            return False
+        self._budget, allowed = retries.spend(
+            self._budget, self._now(), self._burst()
+        )
+        return allowed
+
+    def _fill(self, pool: Pool) -> None:
+        for request in list(pool.suspects):
+            chosen = pool.place_suspect(request, self._hosts(request))
+            if chosen is not None and self._dispatch(request, chosen):
+                pool.suspects.remove(request)
+        now = self._now()
+        aside: list[Waiting] = []
+        while len(pool.queue) and len(aside) < MAX_ASIDE:
+            free = [load for load in self.loads_of(pool) if load.room(now)]
+            if not free:
+                break
+            allow_long = any(
+                load.may_take_long(pool.long_share) for load in free
+            )
+            item = pool.queue.pop(now, allow_long)
+            if item is None:
+                break
+            if not self._start(pool, item):
+                aside.append(item)
+        for item in aside:
+            pool.queue.put_back(item)
+
+    def _start(self, pool: Pool, item: Waiting) -> bool:
+        request = self._requests[item.ctx.request_id]
+        now = self._now()
+        service_s = pool.unit_s * request.work.cost
+        if admission.is_too_late(item.ctx, 0.0, service_s, now):
+            self._refuse(request, NotRun('can not be done in time'))
+            return True
+        chosen = pool.place(request, self._hosts(request), now, self._rng)
+        if chosen is None:
+            return False
+        request.waiting = item
+        return self._dispatch(request, chosen)
+
+    def _dispatch(self, request: Request, chosen: Chosen) -> bool:
+        ctx, now = request.ctx, self._now()
+        instance, pinned = chosen
+        request.placements += 1
+        attempt_id = f'{ctx.request_id}.{request.placements}'
+        message = fleets.dispatch_of(
+            ctx, request.base, pinned, attempt_id, ctx.deadline - now
+        )
+        try:
+            instance.link.send(message)
+        except links.LinkError:
+            request.avoid(instance)
+            return False
+        if not request.attempts:
+            self._budget = retries.earn(self._budget, now, self._burst())
+        request.attempts += 1
+        request.pinned = pinned
+        request.attempt = Attempt(attempt_id, instance, pinned, 0, now)
+        instance.load.sent(request.work)
+        return True
+
+    def _refuse_stranded(self, pool: Pool) -> None:
+        # Without an instance nothing would take a request out of the queue
+        # before its deadline; its caller could long have gone elsewhere.
+        before = self._now() - NO_INSTANCE_S
+        for request in pool.stranded(self._requests, before):
+            if not self._hosts(request):
+                text = f'no instance is open for {request.ctx.target!r}'
+                self._refuse(request, NotRun(text, 503, NO_INSTANCE_RETRY_S))
+
+    def _hosts(self, request: Request) -> Hosts:
+        return self.fleet.hosts(request.ctx, request.base)
+
+    def _burst(self) -> float:
+        return max(retries.MIN_BURST, float(self.fleet.largest_slots()))
--- a/packages/burdockchute-entry/burdockchute_entry/pools.py
+++ b/packages/burdockchute-entry/burdockchute_entry/pools.py
@@ -93,8 +93,12 @@
         self, requests: Mapping[str, Request], before: float
     ) -> list[Request]:
         """Give the requests that have waited since before a time."""
-        waiting = self.queue.since_before(before)
-        return [requests[item.ctx.request_id] for item in waiting]
+        queued = [
+            requests[item.ctx.request_id]
+            for item in self.queue.since_before(before)
+        ]
+        both = queued + self.suspects
+        return [request for request in both if request.waiting_since < before]
 
     def place(
         self, request: Request, hosts: Hosts, now: float, rng: random.Random
--- a/packages/burdockchute-entry/burdockchute_entry/router.py
+++ b/packages/burdockchute-entry/burdockchute_entry/router.py
@@ -18,10 +18,8 @@
 from burdockchute import logs
 from burdockchute.decisions import admission
 from burdockchute.decisions import retries
-from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.decisions.suspects import REFUSE_S
 from burdockchute.decisions.suspects import Suspects
-from burdockchute.decisions.waiting import Waiting
 from burdockchute.model import claims
 from burdockchute.model import table as tables
 from burdockchute.model.changes import MembersChanged
@@ -42,24 +40,12 @@
 from burdockchute_entry.attempts import Attempt
 from burdockchute_entry.attempts import Broken
 from burdockchute_entry.attempts import Request
-from burdockchute_entry.fleet import Fleet
-from burdockchute_entry.pools import Chosen
-from burdockchute_entry.pools import Hosts
-from burdockchute_entry.pools import Pool
-
-# How long requests wait for the first instance of a target. A restart of
-# the only instance takes longer; then a caller is better told so at once.
-NO_INSTANCE_S = 2.0
-NO_INSTANCE_RETRY_S = 2.0
+from burdockchute_entry.dispatcher import Dispatcher
 
 # The queues are looked at this often even if nothing comes in, since load
 # reports age and windows of waiting end.
 TICK_S = 0.25
 
-# A request whose target is open nowhere does not hold up those behind it;
-# more than this many are not looked past in one go.
-MAX_ASIDE = 32
-
 
 class CrashSeen(NamedTuple):
     """A request was in flight in a crash; goes to the other entries."""
@@ -94,18 +80,17 @@
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._now = now
-        self._rng = rng
         self._claim = claim
         self._crash = crash
         self._observe = observe
         self._table: Table = tables.EMPTY
-        self._fleet = Fleet()
-        self._pools: dict[str, Pool] = {}
         self._requests: dict[str, Request] = {}
+        self._dispatcher = Dispatcher(
+            now, rng, self._requests, lambda req, why: self._finish(req, why)
+        )
         self._deadlines: list[tuple[float, str]] = []
         self._intake = intake.Intake()
         self._suspects = Suspects()
-        self._budget = retries.full_budget(now())
         self._ticked_at = now()
         self._handlers: dict[type, Callable[[Any], None]] = {
             Submit: self._submit,
@@ -145,9 +130,7 @@
             request = self._requests.get(request_id)
             if request is not None:
                 self._expire(request)
-        for pool in self._pools.values():
-            self._refuse_stranded(pool)
-            self._pump(pool)
+        self._dispatcher.tick()
 
     def open_requests(self) -> int:
         """Give the number of requests without a final outcome."""
@@ -155,7 +138,7 @@
 
     def instances(self) -> list[str]:
         """Give the names of the linked instances."""
-        return sorted(self._fleet.instances)
+        return sorted(self._dispatcher.fleet.instances)
 
     def _until_due(self) -> float:
         if not self._deadlines:
@@ -174,7 +157,7 @@
         if refusal is not None:
             self._finish(request, refusal)
         elif ctx.idempotent:
-            self._enqueue(request)
+            self._dispatcher.enqueue(request)
         else:
             self._ask_for_claim(request)
 
@@ -184,8 +167,8 @@
         refused_s = self._suspects.refused_for_s(fingerprint, now)
         if refused_s:
             return NotRun('crashed the upstreams', 503, refused_s)
-        pool = self._pool(request)
-        loads = self._loads_of(pool)
+        pool = self._dispatcher.pool(request)
+        loads = self._dispatcher.loads_of(pool)
         return self._intake.refusal(request, pool, loads, self._table, now)
 
     def _ask_for_claim(self, request: Request) -> None:
@@ -202,7 +185,7 @@
             # Given up in the meantime; its release is on its way.
             return
         if isinstance(event.verdict, claims.Won):
-            self._enqueue(request)
+            self._dispatcher.enqueue(request)
             return
         request.claim_id = ''
         outcome = intake.outcome_of(event.verdict)
@@ -210,93 +193,12 @@
             outcome = endings.replay(request, outcome, self._now())
         self._finish(request, outcome)
 
-    # Requests that wait.
-
-    def _enqueue(self, request: Request) -> None:
-        pool = self._pool(request)
-        ctx, now = request.ctx, self._now()
-        is_long = pool.is_long(admission.tokens_of(ctx))
-        request.work = request.work._replace(is_long=is_long)
-        refused = pool.queue.offer(ctx, request.work.cost, is_long, now)
-        for item in refused:
-            victim = self._requests[item.ctx.request_id]
-            drain_s = pool.drain_s(self._loads_of(pool), now)
-            retry_s = admission.retry_after_s(drain_s)
-            self._finish(victim, NotRun('too many wait', 503, retry_s))
-        self._pump(pool)
-
-    def _pump(self, pool: Pool) -> None:
-        for request in list(pool.suspects):
-            chosen = pool.place_suspect(request, self._hosts(request))
-            if chosen is not None:
-                pool.suspects.remove(request)
-                self._dispatch(request, chosen)
-        now = self._now()
-        aside: list[Waiting] = []
-        while len(pool.queue) and len(aside) < MAX_ASIDE:
-            free = [load for load in self._loads_of(pool) if load.room(now)]
-            if not free:
-                break
-            allow_long = any(
-                load.may_take_long(pool.long_share) for load in free
-            )
-            item = pool.queue.pop(now, allow_long)
-            if item is None:
-                break
-            if not self._start(pool, item):
-                aside.append(item)
-        for item in aside:
-            pool.queue.put_back(item)
-
-    def _start(self, pool: Pool, item: Waiting) -> bool:
-        request = self._requests[item.ctx.request_id]
-        now = self._now()
-        service_s = pool.unit_s * request.work.cost
-        if admission.is_too_late(item.ctx, 0.0, service_s, now):
-            self._finish(request, NotRun('can not be done in time'))
-            return True
-        chosen = pool.place(request, self._hosts(request), now, self._rng)
-        if chosen is None:
-            return False
-        request.waiting = item
-        return self._dispatch(request, chosen)
-
-    def _refuse_stranded(self, pool: Pool) -> None:
-        # Without an instance nothing would take a request out of the queue
-        # before its deadline; its caller could long have gone elsewhere.
-        now = self._now()
-        for request in pool.stranded(self._requests, now - NO_INSTANCE_S):
-            if not self._hosts(request):
-                text = f'no instance is open for {request.ctx.target!r}'
-                self._finish(request, NotRun(text, 503, NO_INSTANCE_RETRY_S))
-
-    def _dispatch(self, request: Request, chosen: Chosen) -> bool:
-        ctx, now = request.ctx, self._now()
-        instance, pinned = chosen
-        request.placements += 1
-        attempt_id = f'{ctx.request_id}.{request.placements}'
-        message = fleets.dispatch_of(
-            ctx, request.base, pinned, attempt_id, ctx.deadline - now
-        )
-        try:
-            instance.link.send(message)
-        except links.LinkError:
-            request.avoid(instance)
-            return False
-        if not request.attempts:
-            self._budget = retries.earn(self._budget, now, self._burst())
-        request.attempts += 1
-        request.pinned = pinned
-        request.attempt = Attempt(attempt_id, instance, pinned, 0, now)
-        instance.load.sent(request.work)
-        return True
-
     # Answers.
 
     def _received(self, event: links.Received) -> None:
         message = event.message
         if isinstance(message, messages.LoadReport):
-            self._load_reported(event.link, message)
+            self._dispatcher.load_reported(event.link, message)
             return
         handler = self._ANSWERS.get(type(message))
         request = self._requests.get(getattr(message, 'request_id', ''))
@@ -321,12 +223,13 @@
             self._lost(request, verdict)
             return
         now = self._now()
-        self._release_instance(request)
+        self._dispatcher.free_instance(request)
+        pool = self._dispatcher.pool(request)
+        service_s = now - attempt.sent_at
         attempt.instance.load.answered(
-            request.work, now - attempt.sent_at, now
+            request.work, service_s, pool.unit_s, now
         )
-        pool = self._pool(request)
-        pool.answered((now - attempt.sent_at) / request.work.cost)
+        pool.answered(service_s / request.work.cost)
         request.attempt = None
         self._suspects.answered(request.ctx.fingerprint)
         if not request.ctx.stream:
@@ -335,18 +238,18 @@
             end.status, end.content_type, b'', end.digest, end.adapter_digest
         )
         self._finish(request, outcome)
-        self._pump(pool)
+        self._dispatcher.fill_for(request)
 
     def _not_run(self, request: Request, message: messages.NotRun) -> None:
         attempt = request.attempt
         assert attempt is not None
         attempt.instance.load.returned(request.work)
-        self._release_instance(request)
+        self._dispatcher.free_instance(request)
         request.attempt = None
         request.attempts -= 1
         request.avoid(attempt.instance)
         if request.placements < retries.MAX_PLACEMENTS:
-            self._wait_again(request)
+            self._dispatcher.wait_again(request)
             return
         retry_s = (message.retry_after_ms or 0) / 1000
         reason = f'{message.reason} at {attempt.instance.name}'
@@ -367,38 +270,19 @@
         attempt.instance.load.failed(request.work)
         if broken.crashed:
             self._count_crash(request, attempt)
-        self._release_instance(request)
+        self._dispatcher.free_instance(request)
         request.attempt = None
         refused = self._suspects.refused_for_s(
             request.ctx.fingerprint, self._now()
         )
-        if (
-            refused
-            or not request.may_run_again()
-            or not self._may_retry(request)
-        ):
+        again = not refused and request.may_run_again()
+        if not again or not self._dispatcher.may_retry(request):
             self._finish(request, Unknown(broken.reason, 502))
             return
         request.parts.clear()
         request.avoid(attempt.instance)
         request.is_suspect = broken.crashed
-        self._wait_again(request)
-
-    def _may_retry(self, request: Request) -> bool:
-        if request.attempts >= retries.MAX_ATTEMPTS:
-            return False
-        self._budget, allowed = retries.spend(
-            self._budget, self._now(), self._burst()
-        )
-        return allowed
-
-    def _wait_again(self, request: Request) -> None:
-        pool = self._pool(request)
-        if request.is_suspect or request.waiting is None:
-            pool.suspects.append(request)
-        else:
-            pool.queue.put_back(request.waiting)
-        self._pump(pool)
+        self._dispatcher.wait_again(request)
 
     def _count_crash(self, request: Request, attempt: Attempt) -> None:
         ctx = request.ctx
@@ -417,11 +301,6 @@
             convicted=convicted,
         )
 
-    def _release_instance(self, request: Request) -> None:
-        for instance in self._fleet.instances.values():
-            if instance.load.reserved_for == request.ctx.request_id:
-                instance.load.reserved_for = ''
-
     # What ends a request from outside.
 
     def _expire(self, request: Request) -> None:
@@ -456,14 +335,11 @@
             pass
         attempt.instance.load.failed(request.work)
         request.attempt = None
+        self._dispatcher.fill_for(request)
 
     def _finish(self, request: Request, outcome: Outcome) -> None:
         del self._requests[request.ctx.request_id]
-        pool = self._pool(request)
-        pool.queue.remove(request.ctx.request_id)
-        if request in pool.suspects:
-            pool.suspects.remove(request)
-        self._release_instance(request)
+        self._dispatcher.forget(request)
         outcome = endings.truthful(request, outcome)
         endings.tell_caller(request, outcome, self._now(), self._observe)
         if request.claim_id and self._claim is not None:
@@ -472,35 +348,22 @@
     # Instances and the table.
 
     def _opened(self, event: links.Opened) -> None:
-        self._fleet.opened(event.link, self._now())
+        self._dispatcher.fleet.opened(event.link, self._now())
 
     def _closed(self, event: links.Closed) -> None:
-        self._fleet.closed(event.link)
+        self._dispatcher.fleet.closed(event.link)
         reason = f'link closed: {event.reason}'
         for request in list(self._requests.values()):
             if request.attempt and request.attempt.link is event.link:
                 self._lost(request, Broken(reason, False))
 
-    def _load_reported(
-        self, link: links.Link, report: messages.LoadReport
-    ) -> None:
-        instance = self._fleet.by_link(link)
-        if instance is None:
-            return
-        instance.report(report, self._now())
-        for pool in self._pools.values():
-            if instance.hosts(pool.key):
-                self._pump(pool)
-
     def _table_changed(self, event: TableChanged) -> None:
         self._table = event.table
-        self._fleet.table_changed(event.table)
-        for pool in self._pools.values():
-            pool.configure(event.table)
+        self._dispatcher.table_changed(event.table)
 
     def _members_changed(self, event: MembersChanged) -> None:
         leaving = [m.name for m in event.members if m.leaving]
-        self._fleet.members_changed(leaving)
+        self._dispatcher.fleet.members_changed(leaving)
 
     def _rates_changed(self, event: intake.RatesChanged) -> None:
         self._intake.rates = event.rates
@@ -510,26 +373,3 @@
         self._suspects.crashed(seen.fingerprint, seen.upstream, seen.alone, at)
         if seen.convicted:
             self._suspects.refuse(seen.fingerprint, REFUSE_S, at)
-
-    def _pool(self, request: Request) -> Pool:
-        ctx = request.ctx
-        key = (
-            f'model/{request.base}'
-            if request.base
-            else f'service/{ctx.target}'
-        )
-        pool = self._pools.get(key)
-        if pool is None:
-            pool = Pool(key)
-            pool.configure(self._table)
-            self._pools[key] = pool
-        return pool
-
-    def _hosts(self, request: Request) -> Hosts:
-        return self._fleet.hosts(request.ctx, request.base)
-
-    def _loads_of(self, pool: Pool) -> list[InstanceLoad]:
-        return [i.load for i in self._fleet.hosting(pool.key)]
-
-    def _burst(self) -> float:
-        return max(retries.MIN_BURST, float(self._fleet.largest_slots()))
--- /dev/null
+++ b/packages/burdockchute-entry/tests/test_load.py
@@ -0,0 +1,238 @@
+"""What callers get under patterns of load.
+
+Each test plays one pattern through the router in a time of its own, so the
+figures are the same in every run.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import NotRun
+from burdockchute_testing.builders import play
+from burdockchute_testing.builders import requests
+
+UNIT_S = 0.01
+
+# Sixteen tokens and one prompt of as many cost 17.8 units.
+SERVICE_S = 0.178
+
+OPEN_LIMITS = {'requests_per_s': 1e6, 'tokens_per_s': 1e9}
+LINDWURM = requests.LINDWURM._replace(**OPEN_LIMITS)
+SAHYOG = requests.SAHYOG._replace(**OPEN_LIMITS)
+TABLE = requests.table_of(requests.STORY, LINDWURM, SAHYOG)
+
+
+def steady(run, per_s, seconds, **changes):
+    for number in range(int(per_s * seconds)):
+        run.arrive(number / per_s, requests.request(**changes))
+
+
+def goodput(times_capacity: float) -> float:
+    run = play.Play(TABLE)
+    for name in 'ab':
+        run.upstream(name, 4, UNIT_S)
+    per_s = times_capacity * 8 / SERVICE_S
+    steady(run, per_s, 20, deadline=2.0)
+    run.run(30)
+    return play.figures(run.bench.finished).answered / 20
+
+
+class LoadTest(unittest.TestCase):
+    def test_saturation_keeps_goodput(self):
+        # Three times as much comes in as can be done. If all were let in,
+        # each would wait until its deadline and nearly all work would be
+        # for answers that come too late.
+        peak = max(goodput(share) for share in (0.5, 0.9, 1.0, 1.5))
+        self.assertGreater(goodput(3.0), 0.9 * peak)
+        self.assertGreater(peak, 0.9 * 8 / SERVICE_S)
+
+    def test_what_is_refused_hears_so_at_once(self):
+        run = play.Play(TABLE)
+        run.upstream('a', 4, UNIT_S)
+        steady(run, 100, 10, deadline=2.0)
+        run.run(20)
+        refused = [
+            one
+            for one in run.bench.finished
+            if isinstance(one.outcome, NotRun)
+        ]
+        self.assertGreater(len(refused), 100)
+        self.assertTrue(all(one.outcome.retry_after_s for one in refused))
+        waits = sorted(one.total_s for one in refused)
+        self.assertLess(play.quantile(waits, 0.5), 0.01)
+
+    def test_burst_is_worked_off(self):
+        # A class of forty presses the button together. There is time
+        # enough for all, so nobody is refused.
+        run = play.Play(TABLE)
+        for name in 'ab':
+            run.upstream(name, 4, UNIT_S)
+        for _ in range(40):
+            run.arrive(1.0, requests.request(deadline=5.0))
+        run.run(10)
+        got = play.figures(run.bench.finished)
+        self.assertEqual((40, 40), (got.sent, got.answered))
+        self.assertLess(got.p95_s, 40 / 8 * SERVICE_S * 1.5)
+
+    def test_flood_of_one_customer_leaves_the_others_alone(self):
+        # A script of one customer sends ten times what the instances can
+        # do; a teacher of another customer goes on as before.
+        def teacher(flood_per_s):
+            run = play.Play(TABLE)
+            for name in 'ab':
+                run.upstream(name, 4, UNIT_S)
+            steady(run, 5, 20, customer='sahyog', deadline=5.0)
+            steady(run, flood_per_s, 20, customer='lindwurm', deadline=5.0)
+            run.run(30)
+            return play.figures(
+                run.bench.finished, lambda ctx: ctx.customer == 'sahyog'
+            )
+
+        quiet, beside = teacher(0), teacher(450)
+        self.assertEqual(quiet.answered, beside.answered)
+        # One request has to end before a slot is free.
+        self.assertLess(beside.p95_s, quiet.p95_s + SERVICE_S)
+
+    def test_limit_of_the_row_holds(self):
+        row = LINDWURM._replace(requests_per_s=10, burst_s=2)
+        run = play.Play(requests.table_of(requests.STORY, row, SAHYOG))
+        run.upstream('a', 8, UNIT_S / 4)
+        steady(run, 50, 10)
+        run.run(20)
+        got = play.figures(run.bench.finished)
+        self.assertLessEqual(got.answered, 10 * 10 + 20)
+        self.assertGreaterEqual(got.answered, 10 * 10)
+
+    def test_slow_upstream_gets_little(self):
+        # One donated machine is ten times slower than the rest. Given its
+        # even part it would make every fourth answer late.
+        run = play.Play(TABLE)
+        for name in 'abc':
+            run.upstream(name, 4, UNIT_S)
+        slow = run.upstream('slow', 4, 10 * UNIT_S)
+        steady(run, 30, 30, deadline=5.0)
+        run.run(40)
+        got = play.figures(run.bench.finished)
+        self.assertEqual(got.sent, got.answered)
+        self.assertLess(slow.done, 0.05 * got.sent)
+        self.assertLess(got.p95_s, 2 * SERVICE_S)
+
+    def test_upstream_that_turns_slow_is_left_and_found_again(self):
+        run = play.Play(TABLE)
+        turning = run.upstream('turning', 4, UNIT_S)
+        run.upstream('steady', 4, UNIT_S)
+        steady(run, 15, 90, deadline=5.0)
+        run.run(20)
+        before = turning.done
+        turning.unit_s = 20 * UNIT_S
+        run.run(20)
+        meanwhile = turning.done - before
+        turning.unit_s = UNIT_S
+        run.run(50)
+        after = turning.done - before - meanwhile
+        self.assertLess(meanwhile, 0.25 * 15 * 20)
+        self.assertGreater(after, 0.25 * 15 * 50)
+
+    def test_upstream_that_comes_takes_its_part(self):
+        run = play.Play(TABLE)
+        run.upstream('a', 4, UNIT_S)
+        steady(run, 30, 30, deadline=2.0)
+        run.run(10)
+        late = run.upstream('b', 4, UNIT_S)
+        run.run(30)
+        got = play.figures(
+            one
+            for one in run.bench.finished
+            if one.ctx.arrived > run.bench.now - 26
+        )
+        self.assertEqual(got.sent, got.answered)
+        self.assertGreater(late.done, 200)
+
+    def test_long_work_leaves_slots_for_short(self):
+        # A mail merge of thousand-word letters comes in. Without a bound
+        # it takes every slot, and a rhyme waits ten seconds for one.
+        def rhyme(long_share):
+            row = requests.STORY._replace(long_share=long_share)
+            run = play.Play(requests.table_of(row, LINDWURM, SAHYOG))
+            for name in 'ab':
+                run.upstream(name, 4, UNIT_S)
+            steady(run, 4, 20, customer='sahyog', deadline=20.0)
+            steady(
+                run,
+                2,
+                20,
+                max_tokens=1000,
+                deadline=60.0,
+                customer='lindwurm',
+            )
+            run.run(90)
+            return play.figures(
+                run.bench.finished, lambda ctx: ctx.max_tokens < 1000
+            )
+
+        self.assertLess(rhyme(0.5).p95_s, 2 * SERVICE_S)
+        self.assertGreater(rhyme(1.0).p95_s, 2.0)
+
+    def test_higher_priority_goes_first_and_starves_nobody(self):
+        run = play.Play(TABLE)
+        run.upstream('a', 4, UNIT_S)
+        steady(run, 24, 30, priority=0, deadline=20.0)
+        steady(run, 4, 30, priority=-2, deadline=20.0)
+        run.run(60)
+        low = play.figures(run.bench.finished, lambda ctx: ctx.priority == -2)
+        high = play.figures(run.bench.finished, lambda ctx: not ctx.priority)
+        self.assertGreater(low.answered, 0.5 * low.sent)
+        self.assertLess(high.p50_s, low.p50_s)
+
+    def test_outage_does_not_multiply_the_load(self):
+        # Every second the instance breaks off what it runs and comes back.
+        # Each request would be retried until its deadline.
+        run = play.Play(TABLE)
+        current = [run.upstream('a', 8, UNIT_S)]
+
+        def restart():
+            current[0].stop()
+            current[0] = run.upstream('a', 8, UNIT_S)
+            run.at(0.3, restart)
+
+        run.at(0.3, restart)
+        steady(run, 40, 60, deadline=5.0)
+        run.run(70)
+        first = [one for one in run.bench.finished if one.attempts]
+        again = sum(one.attempts - 1 for one in first)
+        self.assertGreater(again, 10)
+        self.assertLessEqual(again, 0.1 * len(first))
+
+    def test_keys_that_most_ask_for_stay_warm_without_a_hot_spot(self):
+        # Nine of ten prompts start with the same long text. All on the one
+        # instance that holds it would leave the others idle.
+        run = play.Play(TABLE)
+        hosts = [run.upstream(name, 4, UNIT_S) for name in 'abcd']
+        prefixes = tuple(f'p{n}' for n in range(30))
+        steady(
+            run, 11, 20, prefixes=prefixes, prompt_tokens=1930, deadline=20.0
+        )
+        run.run(45)
+        got = play.figures(run.bench.finished)
+        self.assertEqual(got.sent, got.answered)
+        self.assertLess(max(h.done for h in hosts), 0.4 * got.sent)
+
+    def test_every_request_gets_exactly_one_outcome(self):
+        run = play.Play(TABLE)
+        victim = run.upstream('a', 2, UNIT_S)
+        run.upstream('b', 2, UNIT_S)
+        steady(run, 40, 10, deadline=1.0)
+        run.at(5.0, victim.stop)
+        run.run(20)
+        ids = [one.ctx.request_id for one in run.bench.finished]
+        self.assertEqual(400, len(ids))
+        self.assertEqual(400, len(set(ids)))
+        late = [
+            one
+            for one in run.bench.finished
+            if isinstance(one.outcome, Answered) and one.total_s > 1.11
+        ]
+        self.assertEqual([], late)
+        self.assertEqual(0, run.bench.router.open_requests())
--- a/packages/burdockchute/burdockchute/decisions/placement.py
+++ b/packages/burdockchute/burdockchute/decisions/placement.py
@@ -43,7 +43,7 @@
 LEAST_WINDOW = 1.0
 LEAST_START = 2.0
 SMOOTHING = 0.2
-FORGET_S = 10.0
+FORGET_S = 5.0
 BLOCK_TOKENS = 64
 
 # Prefixes of requests sent lately, kept until the engine's own late account
@@ -125,13 +125,16 @@
         self.ours -= 1
         self.long_ours -= work.is_long
 
-    def answered(self, work: Work, service_s: float, now: float) -> None:
+    def answered(
+        self, work: Work, service_s: float, mean_unit_s: float, now: float
+    ) -> None:
         """Count an answer that took so long from sending to its end."""
         self.returned(work)
         self.window = min(self.window + 1, self._most())
         unit_s = service_s / work.cost
-        if self.unit_s:
-            unit_s = (1 - SMOOTHING) * self.unit_s + SMOOTHING * unit_s
+        known = self.unit_now(mean_unit_s, now)
+        if known:
+            unit_s = (1 - SMOOTHING) * known + SMOOTHING * unit_s
         self.unit_s = unit_s
         self.unit_at = now
 
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_suspects.py
@@ -0,0 +1,52 @@
+"""Requests that crash whatever runs them."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.decisions import suspects
+from burdockchute.decisions.suspects import Suspects
+
+
+class SuspectsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.suspects = Suspects()
+
+    def test_second_crash_alone_convicts(self):
+        self.assertFalse(self.suspects.crashed('p', 'a', False, 0.0))
+        self.assertTrue(self.suspects.crashed('p', 'b', True, 5.0))
+        self.assertEqual(
+            suspects.REFUSE_S, self.suspects.refused_for_s('p', 5.0)
+        )
+        self.assertEqual(
+            0.0, self.suspects.refused_for_s('p', 6.0 + suspects.REFUSE_S)
+        )
+
+    def test_copies_in_one_crash_count_once(self):
+        # A health check is sent every second and three of them are in
+        # flight when something else brings the upstream down.
+        for _ in range(3):
+            self.assertFalse(self.suspects.crashed('p', 'a', False, 0.0))
+        self.assertEqual(0.0, self.suspects.refused_for_s('p', 0.0))
+
+    def test_bystander_of_two_crashes_is_not_convicted(self):
+        # Two entries re-run suspects of one crash on the same instance,
+        # since neither knows of the other's.
+        self.suspects.crashed('p', 'a', False, 0.0)
+        self.assertFalse(self.suspects.crashed('p', 'b', False, 5.0))
+        self.assertTrue(self.suspects.crashed('p', 'c', False, 10.0))
+
+    def test_answer_clears(self):
+        self.suspects.crashed('p', 'a', False, 0.0)
+        self.suspects.answered('p')
+        self.assertFalse(self.suspects.is_suspect('p'))
+
+    def test_old_crash_is_forgotten(self):
+        self.suspects.crashed('p', 'a', False, 0.0)
+        later = suspects.MEMORY_S + 1
+        self.assertFalse(self.suspects.crashed('p', 'b', True, later))
+        self.assertEqual(1, len(self.suspects))
+
+    def test_other_entry_tells_whom_to_refuse(self):
+        self.suspects.refuse('p', 60.0, 0.0)
+        self.assertEqual(50.0, self.suspects.refused_for_s('p', 10.0))
