Claim idempotency keys in the log before a dispatch

Cause: a non-idempotent request sent to two entries ran twice. A claim that is given up is never dispatched and then released, also if it lands late; a lost outcome keeps its key.

Verdicts got a member each: two empty named tuples are equal, which had made the first tests pass for any verdict.

--- a/packages/burdockchute-entry/burdockchute_entry/intake.py
+++ b/packages/burdockchute-entry/burdockchute_entry/intake.py
@@ -79,11 +79,10 @@
     """Give the outcome of a request whose claim was not won."""
     if isinstance(verdict, claims.Recorded):
         return verdict.outcome
-    if isinstance(verdict, claims.OtherBody):
-        text = 'Idempotency-Key was used for another request'
-        return NotRun(text, 422, 0.0)
-    if isinstance(verdict, claims.OutsideWindow):
+    if isinstance(verdict, claims.OtherBody | claims.OutsideWindow):
         return NotRun(verdict.reason, 422, 0.0)
     if isinstance(verdict, claims.Unavailable):
         return NotRun(verdict.reason, 503, verdict.retry_after_s)
-    return Unknown('an attempt with this key has no known outcome', 409)
+    if isinstance(verdict, claims.Held):
+        return Unknown(verdict.reason, 409)
+    raise ValueError(f'{verdict!r} needs no outcome')
--- a/packages/burdockchute-entry/tests/test_router.py
+++ b/packages/burdockchute-entry/tests/test_router.py
@@ -288,7 +288,7 @@
     def test_is_dispatched_only_after_its_claim_is_won(self):
         rid = self.submit()
         self.assertEqual([], self.link.dispatched())
-        self.decide(rid, claims.Won())
+        self.decide(rid, claims.Won(rid))
         self.bench.answer(self.link, rid, content_type='application/json')
         self.assertIsInstance(self.bench.outcome(rid), Answered)
         finish = self.claimed[-1]
@@ -299,7 +299,7 @@
         # The agent dies with a postal dispatch handed on. Running it again
         # might send the letter twice.
         rid = self.submit()
-        self.decide(rid, claims.Won())
+        self.decide(rid, claims.Won(rid))
         other = self.bench.agent('b')
         self.bench.close(self.link)
         self.assertIsInstance(self.bench.outcome(rid), Unknown)
@@ -313,12 +313,12 @@
         self.bench.advance(11)
         self.assertIsInstance(self.bench.outcome(rid), NotRun)
         self.assertIsInstance(self.claimed[-1], claims.ClaimReleased)
-        self.decide(rid, claims.Won())
+        self.decide(rid, claims.Won(rid))
         self.assertEqual([], self.link.dispatched())
 
     def test_certain_not_run_may_be_placed_again(self):
         rid = self.submit()
-        self.decide(rid, claims.Won())
+        self.decide(rid, claims.Won(rid))
         self.bench.receive(self.link, messages.NotRun(rid, 'leaving', 100))
         self.bench.report(self.link)
         self.assertEqual(2, len(self.link.dispatched()))
@@ -344,7 +344,7 @@
         # A teacher's connection breaks while a proof is printed. Stopped
         # half-way, nobody could tell her later whether it was.
         rid = self.submit()
-        self.decide(rid, claims.Won())
+        self.decide(rid, claims.Won(rid))
         self.bench.router.handle(CallerGone(rid))
         self.bench.answer(self.link, rid)
         self.assertIsInstance(self.claimed[-1], claims.ClaimFinished)
--- a/packages/burdockchute/burdockchute/model/claims.py
+++ b/packages/burdockchute/burdockchute/model/claims.py
@@ -29,9 +29,15 @@
     verdict: Verdict
 
 
+# Each verdict has a member of its own: two named tuples without any are
+# equal, whatever their types.
+
+
 class Won(NamedTuple):
     """This attempt holds the key."""
 
+    attempt_id: str
+
 
 class Recorded(NamedTuple):
     """An earlier request with this key and body ended so."""
@@ -42,10 +48,14 @@
 class Held(NamedTuple):
     """Another attempt holds the key and its outcome is not known."""
 
+    reason: str = 'an attempt with this key has no known outcome'
+
 
 class OtherBody(NamedTuple):
     """The key was used for another request."""
 
+    reason: str = 'Idempotency-Key was used for another request'
+
 
 class Unavailable(NamedTuple):
     """No verdict can be had now; the claim may have landed all the same."""
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_claims.py
@@ -0,0 +1,253 @@
+"""The protocol of claims: at most one run for each key."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from burdockchute.decisions import claims
+from burdockchute.decisions.claims import Act
+from burdockchute.decisions.claims import ClaimKey
+from burdockchute.decisions.claims import ClaimTable
+from burdockchute.model.claims import Held
+from burdockchute.model.claims import OtherBody
+from burdockchute.model.claims import OutsideWindow
+from burdockchute.model.claims import Recorded
+from burdockchute.model.claims import Won
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import Unknown
+
+KEY = ClaimKey('sahyog', '1000-letter')
+ANSWER = Answered(200, 'application/json', b'{"posted": 1}', '', '')
+
+
+def act(name, attempt_id, digest='f', outcome='', key=KEY):
+    return Act(name, key, attempt_id, digest, outcome)
+
+
+class ClaimTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = ClaimTable()
+
+    def claim(self, attempt_id, digest='f', now=1000.0):
+        claimed = act(claims.CLAIM, attempt_id, digest)
+        self.table.apply(claimed, now)
+        return self.table.verdict(claimed, now)
+
+    def test_first_in_the_log_wins(self):
+        self.assertEqual(Won('a'), self.claim('a'))
+        self.assertEqual(Held(), self.claim('b'))
+        self.assertEqual(Won('a'), self.claim('a'))
+
+    def test_resend_gets_the_recorded_outcome(self):
+        self.claim('a')
+        outcome = claims.encode_outcome(ANSWER)
+        self.table.apply(act(claims.FINISH, 'a', outcome=outcome), 1000.0)
+        self.assertEqual(Recorded(ANSWER), self.claim('b'))
+        self.assertEqual(OtherBody(), self.claim('c', 'other'))
+
+    def test_unknown_outcome_is_recorded_and_never_run_again(self):
+        self.claim('a')
+        outcome = claims.encode_outcome(Unknown('upstream lost', 502))
+        self.table.apply(act(claims.FINISH, 'a', outcome=outcome), 1000.0)
+        self.table.apply(act(claims.RELEASE, 'a'), 1000.0)
+        verdict = self.claim('b')
+        self.assertEqual(Recorded(Unknown('upstream lost', 409)), verdict)
+
+    def test_released_key_goes_to_the_next_claim(self):
+        self.claim('a')
+        self.table.apply(act(claims.RELEASE, 'a'), 1000.0)
+        self.assertEqual(Won('b'), self.claim('b'))
+        self.assertEqual(Held(), self.claim('a'))
+
+    def test_claim_that_lands_after_its_release_counts_for_nothing(self):
+        # The append of a claim is thought lost, the caller told "not run"
+        # and the claim released; then it turns up after all. It must not
+        # hold the key, since nobody is left to run it.
+        self.table.apply(act(claims.RELEASE, 'a'), 1000.0)
+        self.assertEqual(Held(), self.claim('a'))
+        self.assertEqual(Won('b'), self.claim('b'))
+
+    def test_release_of_a_loser_frees_nothing(self):
+        self.claim('a')
+        self.table.apply(act(claims.RELEASE, 'b'), 1000.0)
+        self.assertEqual(Held(), self.claim('c'))
+
+    def test_old_key_is_refused_before_it_is_forgotten(self):
+        self.claim('a')
+        late = 1000.0 + claims.WINDOW_S + claims.SKEW_S + 1
+        self.assertIsInstance(self.claim('b', now=late), OutsideWindow)
+        self.table.forget(late)
+        self.assertEqual(1, len(self.table))
+        self.table.forget(1000.0 + claims.KEEP_S + 1)
+        self.assertEqual(0, len(self.table))
+
+    def test_window_at_the_entry(self):
+        for age, refused in ((0, 0), (900, 0), (901, 1), (-60, 0), (-61, 1)):
+            found = claims.outside_window('k', 5000.0 - age, 5000.0)
+            self.assertEqual(bool(refused), found is not None, age)
+
+    def test_records_that_can_not_be_read_are_passed_over(self):
+        acts = [act(claims.CLAIM, 'a')]
+        self.assertEqual(acts, claims.decode_batch(claims.encode_batch(acts)))
+        for data in (
+            '',
+            '[',
+            '[]',
+            '{"v": 2, "acts": []}',
+            '{"v": 1, "acts": [["claim", "c", "x", "a", "f", ""]]}',
+            '{"v": 1, "acts": [["steal", "c", "1-x", "a", "f", ""]]}',
+            '{"v": 1, "acts": [["finish", "c", "1-x", "a", "f", "{"]]}',
+        ):
+            self.assertEqual([], claims.decode_batch(data), data)
+
+    def test_answer_too_long_to_keep(self):
+        body = b'x' * (claims.MAX_RECORDED_BYTES + 1)
+        text = claims.encode_outcome(ANSWER._replace(body=body))
+        self.assertIsInstance(claims.decode_outcome(text), Unknown)
+
+
+class Attempt:
+    def __init__(self, key) -> None:
+        self.key = key
+        self.given_up = False
+        self.ran = False
+        self.decided = False
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Entries, two gatherers and a log in which anything gets lost.
+
+    An attempt is handed on only after a verdict that it has won, and never
+    after it was given up. Whatever else happens, one key runs once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log: list[list[Act]] = []
+        self.attempts: dict[str, Attempt] = {}
+        self.readers = [ClaimTable(), ClaimTable()]
+        self.offsets = [0, 0]
+        self.now = 1000.0
+        self.verdicts: list[tuple[str, object]] = []
+
+    def names(self):
+        return st.sampled_from(sorted(self.attempts))
+
+    @stateful.rule(
+        data=st.data(),
+        is_new=st.sampled_from([False, False, False, True]),
+        lands=st.sampled_from([True, True, True, False]),
+    )
+    def arrive(self, data, is_new, lands):
+        known = sorted({a.key for a in self.attempts.values()})
+        if is_new or not known:
+            key = f'{int(self.now)}-x'
+        else:
+            key = data.draw(st.sampled_from(known))
+        issued_at = float(key.partition('-')[0])
+        if claims.outside_window(key, issued_at, self.now) is not None:
+            return
+        name = f'a{len(self.attempts)}'
+        self.attempts[name] = Attempt(key)
+        if lands:
+            self.log.append([self.act_of(claims.CLAIM, name)])
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(data=st.data())
+    def claim_lands_late_or_again(self, data):
+        names = data.draw(st.lists(self.names(), min_size=1, max_size=3))
+        self.log.append([self.act_of(claims.CLAIM, name) for name in names])
+
+    @stateful.rule(
+        which=st.integers(0, 1),
+        count=st.sampled_from([1, 3, 99]),
+        replies_arrive=st.sampled_from([True, True, False]),
+        certainly_not_run=st.sampled_from([False, False, True]),
+    )
+    def gatherer_reads(self, which, count, replies_arrive, certainly_not_run):
+        start = self.offsets[which]
+        table = self.readers[which]
+        for act in itertools.chain(*self.log[start : start + count]):
+            table.apply(act, self.now)
+            if act.act != claims.CLAIM:
+                continue
+            verdict = table.verdict(act, self.now)
+            if replies_arrive:
+                self.decide(act.attempt_id, verdict, certainly_not_run)
+            else:
+                self.verdicts.append((act.attempt_id, verdict))
+        self.offsets[which] = min(len(self.log), start + count)
+
+    @stateful.rule(which=st.integers(0, 1))
+    def gatherer_restarts(self, which):
+        self.readers[which] = ClaimTable()
+        self.offsets[which] = 0
+
+    @stateful.rule(which=st.integers(0, 1))
+    def gatherer_forgets(self, which):
+        self.readers[which].forget(self.now)
+
+    @stateful.precondition(lambda self: self.verdicts)
+    @stateful.rule(data=st.data())
+    def verdict_arrives_late(self, data):
+        at = data.draw(st.integers(0, len(self.verdicts) - 1))
+        self.decide(*self.verdicts[at], certainly_not_run=False)
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(data=st.data())
+    def entry_gives_up(self, data):
+        attempt = self.attempts[data.draw(self.names())]
+        if not attempt.ran:
+            attempt.given_up = True
+
+    @stateful.precondition(
+        lambda self: any(a.given_up for a in self.attempts.values())
+    )
+    @stateful.rule(data=st.data())
+    def release_lands(self, data):
+        given_up = [n for n, a in self.attempts.items() if a.given_up]
+        name = data.draw(st.sampled_from(given_up))
+        self.log.append([self.act_of(claims.RELEASE, name)])
+
+    @stateful.precondition(
+        lambda self: any(a.ran for a in self.attempts.values())
+    )
+    @stateful.rule(data=st.data())
+    def finish_lands(self, data):
+        ran = [n for n, a in self.attempts.items() if a.ran]
+        act = self.act_of(claims.FINISH, data.draw(st.sampled_from(ran)))
+        outcome = claims.encode_outcome(ANSWER)
+        self.log.append([act._replace(outcome=outcome)])
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 1.0, 400.0]))
+    def time_passes(self, seconds):
+        self.now += seconds
+
+    @stateful.invariant()
+    def each_key_ran_at_most_once(self):
+        ran = [a.key for a in self.attempts.values() if a.ran]
+        assert len(ran) == len(set(ran))
+
+    def decide(self, name, verdict, certainly_not_run):
+        attempt = self.attempts[name]
+        if attempt.decided or attempt.given_up:
+            return
+        attempt.decided = True
+        if isinstance(verdict, Won):
+            attempt.given_up = certainly_not_run
+            attempt.ran = not certainly_not_run
+
+    def act_of(self, name, attempt_id):
+        key = ClaimKey('c', self.attempts[attempt_id].key)
+        return Act(name, key, attempt_id, 'f')
+
+
+ClaimMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=500, stateful_step_count=40, deadline=None
+)
+ClaimMachineTest = ClaimMachine.TestCase
