Share customers' limits and news of crashes between entries

Cause: each entry allowed a customer's whole limit, and a request that crashed upstreams was known only to the entry that had run it. Demand goes each second to the entry that a rendezvous hash names, which gives out parts that add up to the limit; a part without news fades to an even one. Crashes go through the log, so that a resend to another entry is refused as well. Prefixes are compared in the short form in which agents report them.

--- a/packages/burdockchute-entry/burdockchute_entry/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/attempts.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from burdockchute.decisions import admission
+from burdockchute.decisions import placement
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.waiting import Waiting
 from burdockchute.model.requests import RequestContext
@@ -87,7 +88,7 @@
             cost=admission.cost_of(ctx),
             is_long=False,
             prompt_tokens=ctx.prompt_tokens,
-            prefixes=ctx.prefixes,
+            prefixes=placement.short_prefixes(ctx.prefixes),
         )
         self.caller_gone = False
         self.is_suspect = False
--- a/packages/burdockchute-entry/burdockchute_entry/intake.py
+++ b/packages/burdockchute-entry/burdockchute_entry/intake.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from burdockchute.decisions import admission
+from burdockchute.decisions import limits
 from burdockchute.decisions.admission import Bucket
 from burdockchute.decisions.admission import Rate
+from burdockchute.decisions.limits import Demand
+from burdockchute.decisions.limits import Share
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.model import claims
 from burdockchute.model import table as tables
@@ -21,18 +23,24 @@
 from burdockchute_entry.pools import Pool
 
 
-class RatesChanged(NamedTuple):
-    """This entry's parts of the customers' limits."""
-
-    rates: Mapping[str, Rate]
-
-
 class Intake:
     """The buckets of the customers at this entry."""
 
     def __init__(self) -> None:
-        self.rates: Mapping[str, Rate] = {}
+        self.shares: Mapping[str, Share] = {}
+        self.entries = 1
         self._buckets: dict[str, Bucket] = {}
+        self._asked: dict[str, Demand] = {}
+
+    def take_demands(self, seconds: float) -> dict[str, Demand]:
+        """Give what each customer asked for in the last so many seconds."""
+        asked, self._asked = self._asked, {}
+        return {
+            customer: Demand(
+                demand.requests_per_s / seconds, demand.tokens_per_s / seconds
+            )
+            for customer, demand in asked.items()
+        }
 
     def refusal(
         self,
@@ -55,13 +63,20 @@
         return None
 
     def _take(self, ctx: RequestContext, table: Table, now: float) -> float:
-        rate = self.rates.get(ctx.customer) or rate_of(ctx.customer, table)
-        if rate is None:
+        tokens = admission.tokens_of(ctx)
+        # What is refused counts as well: a share follows what is asked for.
+        asked = self._asked.get(ctx.customer, Demand(0.0, 0.0))
+        self._asked[ctx.customer] = Demand(
+            asked.requests_per_s + 1, asked.tokens_per_s + tokens
+        )
+        limit = rate_of(ctx.customer, table)
+        if limit is None:
             return 0.0
+        share = self.shares.get(ctx.customer)
+        rate = limits.rate_at(limit, share, self.entries, now)
         bucket = self._buckets.get(ctx.customer)
         if bucket is None:
             bucket = admission.full_bucket(rate, now)
-        tokens = admission.tokens_of(ctx)
         bucket, wait_s = admission.take(bucket, rate, tokens, now)
         self._buckets[ctx.customer] = bucket
         return wait_s
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/limits_task.py
@@ -0,0 +1,187 @@
+"""Shares customers' limits between the entries; see decisions.limits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+from gevent import queue
+
+from burdockchute.decisions import hosting
+from burdockchute.decisions import limits
+from burdockchute.decisions.limits import Demand
+from burdockchute.decisions.limits import Share
+from burdockchute.model import table as tables
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.table import Table
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+
+PERIOD_S = 1.0
+
+ENTRY = 'entry'
+
+
+class DemandSeen(NamedTuple):
+    """What each customer asked for here in the last period."""
+
+    demands: Mapping[str, Demand]
+
+
+class SharesChanged(NamedTuple):
+    """For the router: this entry's shares, and how many entries there are."""
+
+    shares: Mapping[str, Share]
+    entries: int
+
+
+class _Told(NamedTuple):
+    demand: Demand
+    at: float
+
+
+class LimitsTask:
+    """Takes DemandSeen, TableChanged, MembersChanged and links.Received.
+
+    `publish` gets SharesChanged; `send_to` sends to another entry.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        send_to: Callable[[str, Any], None],
+        publish: Callable[[SharesChanged], None],
+        now: Callable[[], float],
+    ) -> None:
+        self.inbox: queue.Queue = queue.Queue()
+        self._name = name
+        self._send_to = send_to
+        self._publish = publish
+        self._now = now
+        self._table: Table = tables.EMPTY
+        self._entries = [name]
+        self._told: dict[str, dict[str, _Told]] = {}
+        self._shares: dict[str, Share] = {}
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            DemandSeen: self._demand_seen,
+            TableChanged: self._table_changed,
+            MembersChanged: self._members_changed,
+            links.Received: self._received,
+        }
+
+    def run(self) -> None:
+        """Take messages for ever."""
+        next_tick = self._now() + PERIOD_S
+        while True:
+            try:
+                wait_s = max(0.0, next_tick - self._now())
+                self.handle(self.inbox.get(timeout=wait_s))
+            except queue.Empty:
+                self.tick()
+                next_tick = self._now() + PERIOD_S
+
+    def handle(self, event: Any) -> None:
+        """Take one message."""
+        self._handlers[type(event)](event)
+
+    def tick(self) -> None:
+        """Divide the limits of the customers that this entry answers for."""
+        now = self._now()
+        replies: dict[str, list[messages.Share]] = {}
+        for customer in list(self._told):
+            for entry, share in self._divide(customer, now).items():
+                replies.setdefault(entry, []).append(share)
+        for entry, shares in replies.items():
+            if entry == self._name:
+                self._take(shares)
+            else:
+                self._send_to(entry, messages.ShareReport(shares))
+        self._forget(now)
+
+    def _divide(self, customer: str, now: float) -> dict[str, messages.Share]:
+        fresh = {
+            entry: told
+            for entry, told in self._told[customer].items()
+            if now - told.at <= limits.FRESH_S
+        }
+        row = tables.customers(self._table).get(customer)
+        if not fresh or row is None:
+            del self._told[customer]
+            return {}
+        self._told[customer] = fresh
+        entries = len(self._entries)
+        requests = limits.divide(
+            row.requests_per_s,
+            {e: t.demand.requests_per_s for e, t in fresh.items()},
+            entries,
+        )
+        tokens = limits.divide(
+            row.tokens_per_s,
+            {e: t.demand.tokens_per_s for e, t in fresh.items()},
+            entries,
+        )
+        return {
+            entry: messages.Share(customer, requests[entry], tokens[entry])
+            for entry in fresh
+        }
+
+    def _demand_seen(self, event: DemandSeen) -> None:
+        reports: dict[str, list[messages.Demand]] = {}
+        for customer, demand in event.demands.items():
+            answers = hosting.ranked(f'limit/{customer}', self._entries)[0]
+            reports.setdefault(answers, []).append(
+                messages.Demand(customer, *demand)
+            )
+        for entry, demands in reports.items():
+            if entry == self._name:
+                self._note(entry, demands)
+            else:
+                self._send_to(entry, messages.DemandReport(demands))
+
+    def _received(self, event: links.Received) -> None:
+        message = event.message
+        if isinstance(message, messages.DemandReport):
+            self._note(event.link.peer.name, message.demands)
+        elif isinstance(message, messages.ShareReport):
+            self._take(message.shares)
+
+    def _note(self, entry: str, demands: list[messages.Demand]) -> None:
+        now = self._now()
+        for demand in demands:
+            found = Demand(demand.requests_per_s, demand.tokens_per_s)
+            told = self._told.setdefault(demand.customer, {})
+            told[entry] = _Told(found, now)
+
+    def _take(self, shares: list[messages.Share]) -> None:
+        now = self._now()
+        for share in shares:
+            self._shares[share.customer] = Share(
+                share.requests_per_s, share.tokens_per_s, now
+            )
+        self._tell_router()
+
+    def _forget(self, now: float) -> None:
+        kept = {
+            customer: share
+            for customer, share in self._shares.items()
+            if now - share.at <= limits.FRESH_S + limits.FADE_S
+        }
+        if len(kept) != len(self._shares):
+            self._shares = kept
+            self._tell_router()
+
+    def _tell_router(self) -> None:
+        self._publish(SharesChanged(dict(self._shares), len(self._entries)))
+
+    def _table_changed(self, event: TableChanged) -> None:
+        self._table = event.table
+
+    def _members_changed(self, event: MembersChanged) -> None:
+        live = {
+            m.name for m in event.members if m.role == ENTRY and not m.leaving
+        }
+        self._entries = sorted(live | {self._name})
+        self._tell_router()
--- a/packages/burdockchute-entry/burdockchute_entry/router.py
+++ b/packages/burdockchute-entry/burdockchute_entry/router.py
@@ -11,7 +11,6 @@
 import heapq
 import random
 from typing import Any
-from typing import NamedTuple
 
 from gevent import queue
 
@@ -24,6 +23,8 @@
 from burdockchute.model import table as tables
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
+from burdockchute.model.crashes import CrashLearned
+from burdockchute.model.crashes import CrashSeen
 from burdockchute.model.outcomes import Answered
 from burdockchute.model.outcomes import NotRun
 from burdockchute.model.outcomes import Outcome
@@ -41,33 +42,21 @@
 from burdockchute_entry.attempts import Broken
 from burdockchute_entry.attempts import Request
 from burdockchute_entry.dispatcher import Dispatcher
+from burdockchute_entry.limits_task import DemandSeen
+from burdockchute_entry.limits_task import PERIOD_S
+from burdockchute_entry.limits_task import SharesChanged
 
 # The queues are looked at this often even if nothing comes in, since load
 # reports age and windows of waiting end.
 TICK_S = 0.25
 
 
-class CrashSeen(NamedTuple):
-    """A request was in flight in a crash; goes to the other entries."""
-
-    fingerprint: str
-    upstream: str
-    alone: bool
-    convicted: bool
-
-
-class CrashLearned(NamedTuple):
-    """Another entry saw a crash or refuses a request; `age_s` ago."""
-
-    seen: CrashSeen
-    age_s: float
-
-
 class Router:
     """Takes messages in `inbox`; see docs/design/interfaces.md.
 
     `claim` gets the messages of `burdockchute.model.claims`, `crash` each
-    CrashSeen and `observe` each Finished. `now` gives monotonic seconds.
+    CrashSeen, `observe` each Finished and `demand` what customers ask for.
+    `now` gives monotonic seconds.
     """
 
     def __init__(
@@ -77,12 +66,15 @@
         claim: Callable[[Any], None] | None = None,
         crash: Callable[[CrashSeen], None] = lambda seen: None,
         observe: Callable[[Finished], None] = lambda finished: None,
+        demand: Callable[[DemandSeen], None] = lambda seen: None,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._now = now
         self._claim = claim
         self._crash = crash
         self._observe = observe
+        self._demand = demand
+        self._demand_due = now() + PERIOD_S
         self._table: Table = tables.EMPTY
         self._requests: dict[str, Request] = {}
         self._dispatcher = Dispatcher(
@@ -97,7 +89,7 @@
             CallerGone: self._caller_gone,
             TableChanged: self._table_changed,
             MembersChanged: self._members_changed,
-            intake.RatesChanged: self._rates_changed,
+            SharesChanged: self._shares_changed,
             CrashLearned: self._crash_learned,
             claims.ClaimDecided: self._claim_decided,
             links.Opened: self._opened,
@@ -131,6 +123,11 @@
             if request is not None:
                 self._expire(request)
         self._dispatcher.tick()
+        if self._demand_due <= now:
+            self._demand_due = now + PERIOD_S
+            demands = self._intake.take_demands(PERIOD_S)
+            if demands:
+                self._demand(DemandSeen(demands))
 
     def open_requests(self) -> int:
         """Give the number of requests without a final outcome."""
@@ -365,8 +362,9 @@
         leaving = [m.name for m in event.members if m.leaving]
         self._dispatcher.fleet.members_changed(leaving)
 
-    def _rates_changed(self, event: intake.RatesChanged) -> None:
-        self._intake.rates = event.rates
+    def _shares_changed(self, event: SharesChanged) -> None:
+        self._intake.shares = event.shares
+        self._intake.entries = event.entries
 
     def _crash_learned(self, event: CrashLearned) -> None:
         seen, at = event.seen, self._now() - event.age_s
--- /dev/null
+++ b/packages/burdockchute-entry/tests/test_crashes.py
@@ -0,0 +1,153 @@
+"""A request that crashes upstreams, among good ones."""
+
+from __future__ import annotations
+
+import unittest
+
+import gevent
+from gevent import queue
+
+from burdockchute.model.crashes import CrashLearned
+from burdockchute.model.crashes import CrashSeen
+from burdockchute.model.outcomes import Answered
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.outcomes import Unknown
+from burdockchute_entry import crashes_task
+from burdockchute_entry.crashes_task import CrashesTask
+from burdockchute_testing.builders import requests
+from burdockchute_testing.builders import routing
+from burdockchute_testing.fakes.log import FakeLog
+
+POISON = 'poison'
+
+
+class Site:
+    """Agents of which each crashes with the poison and comes back."""
+
+    def __init__(self, names) -> None:
+        self.bench = routing.Bench(requests.table_of())
+        self.links = {n: self.bench.agent(n, slots=16) for n in names}
+        self.crashes = 0
+        self.taken: dict[str, int] = dict.fromkeys(names, 0)
+
+    def step(self) -> None:
+        """Let each agent run what it was given since the last step."""
+        for name, link in list(self.links.items()):
+            sent = link.dispatched()[self.taken[name] :]
+            self.taken[name] += len(sent)
+            crashes = any(d.body == b'poison' for d in sent)
+            self.crashes += crashes
+            for dispatch in sent:
+                if crashes:
+                    self.bench.break_off(link, dispatch.request_id, True)
+                else:
+                    self.bench.answer(link, dispatch.request_id)
+        self.bench.now += 2.0
+        for link in self.links.values():
+            self.bench.report(link, slots=16)
+        self.bench.router.tick()
+
+
+def poison(**changes):
+    return requests.request(
+        body=b'poison', fingerprint=POISON, deadline=60.0, **changes
+    )
+
+
+def good(number):
+    return requests.request(fingerprint=f'good{number}', deadline=60.0)
+
+
+class CrashTest(unittest.TestCase):
+    def test_bystanders_are_answered_and_the_poison_refused(self):
+        # One prompt brings down each upstream that runs it. Those in flight
+        # beside it had nothing to do with it and are waited for; sent
+        # again, the prompt must not reach a third upstream.
+        site = Site('abc')
+        bystanders = [site.bench.submit(good(n)) for n in range(6)]
+        bad = site.bench.submit(poison())
+        bystanders += [site.bench.submit(good(n)) for n in range(6, 12)]
+        for _ in range(20):
+            site.step()
+        for rid in bystanders:
+            self.assertIsInstance(site.bench.outcome(rid), Answered)
+        self.assertIsInstance(site.bench.outcome(bad), Unknown)
+        self.assertEqual(2, site.crashes)
+        again = site.bench.submit(poison())
+        refused = site.bench.outcome(again)
+        self.assertIsInstance(refused, NotRun)
+        self.assertGreater(refused.retry_after_s, 60)
+        self.assertTrue(site.bench.crashes[-1].convicted)
+
+    def test_suspects_run_alone(self):
+        # While a suspect runs, its instance gets nothing else that could be
+        # taken down with it.
+        site = Site('ab')
+        site.bench.submit(poison())
+        site.step()
+        hosts = [
+            link
+            for link in site.links.values()
+            for dispatch in link.dispatched()
+            if dispatch.body == b'poison'
+        ]
+        self.assertEqual(2, len(hosts))
+        before = len(hosts[1].dispatched())
+        for number in range(4):
+            site.bench.submit(good(number))
+        self.assertEqual(before, len(hosts[1].dispatched()))
+
+    def test_other_entries_refuse_it_too(self):
+        # Its caller sends it again, and the balancer picks another entry.
+        bench = routing.Bench(requests.table_of())
+        link = bench.agent('a')
+        seen = CrashSeen(POISON, 'x', True, True)
+        bench.router.handle(CrashLearned(seen, 5.0))
+        rid = bench.submit(poison())
+        self.assertIsInstance(bench.outcome(rid), NotRun)
+        self.assertEqual([], link.dispatched())
+
+    def test_crashes_at_two_entries_add_up(self):
+        # Each entry saw one crash; non-idempotent requests are not run
+        # again, so neither would ever see a second.
+        bench = routing.Bench(requests.table_of())
+        link = bench.agent('a')
+        bench.router.handle(
+            CrashLearned(CrashSeen(POISON, 'x', False, False), 5.0)
+        )
+        rid = bench.submit(poison())
+        bench.break_off(link, rid, crashed=True)
+        self.assertEqual(1, len(link.dispatched()))
+        bench.advance(2.0)
+        bench.report(link)
+        bench.break_off(link, rid, crashed=True)
+        self.assertIsInstance(bench.outcome(rid), Unknown)
+        later = bench.submit(poison())
+        self.assertIsInstance(bench.outcome(later), NotRun)
+
+
+class CrashesTaskTest(unittest.TestCase):
+    def start(self, log):
+        learned: queue.Queue = queue.Queue()
+        task = CrashesTask(log, learned.put, lambda: 0.0, lambda: 1000.0)
+        for loop in (task.run, task.read_for_ever):
+            self.addCleanup(gevent.spawn(loop).kill)
+        return task, learned
+
+    def test_other_entry_learns_of_a_crash(self):
+        log = FakeLog()
+        one, own = self.start(log)
+        _two, learned = self.start(log)
+        seen = CrashSeen(POISON, 'a', False, False)
+        one.inbox.put(seen)
+        self.assertEqual(CrashLearned(seen, 0.0), learned.get(timeout=10))
+        self.assertEqual(0, own.qsize())
+
+    def test_records_that_tell_nothing(self):
+        seen = CrashSeen(POISON, 'a', False, False)
+        text = crashes_task.encode(seen, 'me', 900.0)
+        self.assertIsNone(crashes_task.decode(text, 'me', 1000.0))
+        learned = crashes_task.decode(text, 'you', 1000.0)
+        self.assertEqual(CrashLearned(seen, 100.0), learned)
+        for data in ('', '[]', '{"v": 9}', '{"v": 1, "writer": "x"}'):
+            self.assertIsNone(crashes_task.decode(data, 'you', 1000.0))
--- a/packages/burdockchute/burdockchute/decisions/placement.py
+++ b/packages/burdockchute/burdockchute/decisions/placement.py
@@ -46,6 +46,10 @@
 FORGET_S = 5.0
 BLOCK_TOKENS = 64
 
+# Instances report this much of a prefix's digest. Two prefixes that agree in
+# it would only make one request wait for a prefill it was not expected to.
+PREFIX_CHARS = 16
+
 # Prefixes of requests sent lately, kept until the engine's own late account
 # of its cache takes over.
 MAX_WARM = 4096
@@ -64,6 +68,11 @@
     prefixes: tuple[str, ...]
 
 
+def short_prefixes(prefixes: Iterable[str]) -> tuple[str, ...]:
+    """Give the prefixes as instances report them."""
+    return tuple(prefix[:PREFIX_CHARS] for prefix in prefixes)
+
+
 class InstanceLoad:
     """What one entry knows of the load of one instance.
 
@@ -105,7 +114,7 @@
         self.others = max(0, in_flight - self.ours)
         self.reported_at = now
         self.prefill_tokens_per_s = prefill_tokens_per_s
-        for prefix in prefixes:
+        for prefix in short_prefixes(prefixes):
             self._remember(prefix)
 
     def evicted(self, prefixes: Iterable[str]) -> None:
