--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -19,6 +19,7 @@
 from burdockchute import tasks
 from burdockchute.callers import http
 from burdockchute.callers import server
+from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
 from burdockchute.model.replies import CallerGone
 from burdockchute.model.replies import Submit
@@ -28,6 +29,10 @@
 from burdockchute.platform.instances import InstanceList
 from burdockchute.platform.log import LogClient
 from burdockchute.wire import messages
+from burdockchute_entry.claims_task import ClaimsTask
+from burdockchute_entry.crashes_task import CrashesTask
+from burdockchute_entry.gatherer import Clocks
+from burdockchute_entry.limits_task import LimitsTask
 from burdockchute_entry.links_task import Handing
 from burdockchute_entry.links_task import LinksTask
 from burdockchute_entry.links_task import TableSource
@@ -40,6 +45,13 @@
 # has looked again, new requests still arrive and are refused as not run.
 LEAVING_S = 1.0
 
+# Longest wait for the last releases and outcomes to be in the log.
+SETTLE_S = 3.0
+
+# Each of the 16 streams of claims is read by a request that stays open, and
+# appended to beside that.
+CLAIM_CONNECTIONS = 40
+
 
 class App:
     """One running entry."""
@@ -59,8 +71,31 @@
             ask_peers=lambda offset: self.links_task.ask_peers(offset),
         )
         self.observer = Observer(self.table)
+        self.claims_task = ClaimsTask(
+            cfg.name,
+            LogClient(cfg.log_url, concurrency=CLAIM_CONNECTIONS),
+            lambda name, message: self.links_task.send_to(name, message),
+            Clocks(time.monotonic, time.time),
+        )
+        self.crashes_task = CrashesTask(
+            self.log,
+            lambda learned: self.router.inbox.put(learned),
+            time.monotonic,
+            time.time,
+        )
+        self.limits_task = LimitsTask(
+            cfg.name,
+            lambda name, message: self.links_task.send_to(name, message),
+            lambda shares: self.router.inbox.put(shares),
+            time.monotonic,
+        )
         self.router = Router(
-            time.monotonic, random.Random(), observe=self.observer.finished
+            time.monotonic,
+            random.Random(),
+            claim=self.claims_task.inbox.put,
+            crash=self.crashes_task.inbox.put,
+            observe=self.observer.finished,
+            demand=self.limits_task.inbox.put,
         )
         self.links_task = LinksTask(
             cfg.name,
@@ -71,7 +106,7 @@
                 self.table_task.delta_for,
                 self.table_task.answer,
             ),
-            Handing(self.router.inbox.put, self._peer_handlers()),
+            Handing(self._hand_on, self._peer_handlers()),
             random.Random(),
         )
 
@@ -142,17 +177,39 @@
         }
 
     def _loops(self) -> list[Callable[[], None]]:
-        return [self.table_task.run, self.links_task.run, self.router.run]
+        return [
+            self.table_task.run,
+            self.links_task.run,
+            self.claims_task.run,
+            self.crashes_task.run,
+            self.crashes_task.read_for_ever,
+            self.limits_task.run,
+            self.router.run,
+        ]
 
     def _publish(self, table: Table) -> None:
-        for inbox in (self.links_task.inbox, self.router.inbox):
+        for inbox in (
+            self.links_task.inbox,
+            self.limits_task.inbox,
+            self.router.inbox,
+        ):
             inbox.put(TableChanged(table))
 
+    def _hand_on(self, event: Any) -> None:
+        self.router.inbox.put(event)
+        if isinstance(event, MembersChanged):
+            self.claims_task.inbox.put(event)
+            self.limits_task.inbox.put(event)
+
     def _peer_handlers(self) -> dict[type, Callable[[links.Received], None]]:
         return {
             messages.TableDelta: lambda event: self.table_task.take(
                 event.message
             ),
+            messages.ClaimRequest: self.claims_task.inbox.put,
+            messages.ClaimReply: self.claims_task.inbox.put,
+            messages.DemandReport: self.limits_task.inbox.put,
+            messages.ShareReport: self.limits_task.inbox.put,
         }
 
     def _callers_app(self) -> Callable:
@@ -201,6 +258,13 @@
         while self.router.open_requests() and time.monotonic() < until:
             gevent.sleep(0.02)
         left = self.router.open_requests()
+        # Without its outcome in the log a resend would hear only that it is
+        # not known; the log may be away, so the wait is short.
+        settle_until = time.monotonic() + SETTLE_S
+        while not self.claims_task.settled():
+            if time.monotonic() > settle_until:
+                break
+            gevent.sleep(0.02)
         callers.stop(timeout=LEAVING_S)
         logs.event('stopped', left=left)
         return 1 if left else 0
