Exchange chunks between agents, with a reader order and paced loads

Until now each agent read the whole content from the store: N copies through the origin's link. For each chunk the agents have an order; the first ones read it from the store, later ones only when nothing new turns up. Manifests travel the same way, as index -1 of a ChunkRequest.

--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -0,0 +1,427 @@
+"""One copy in the making: what is held, asked for and from whom.
+
+It has no socket and reads no clock: it is told what arrives, and `plan`
+gives the requests to make now.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from burdockchute.decisions import chunks
+from burdockchute.decisions import sources
+from burdockchute.decisions.chunks import bits
+from burdockchute.decisions.chunks import Choose
+from burdockchute.decisions.chunks import Offer
+from burdockchute.decisions.sources import Progress
+from burdockchute.decisions.sources import Readers
+from burdockchute.weights.copies import Copy
+from burdockchute.weights.manifest import chunk_bytes
+from burdockchute.weights.manifest import Manifest
+from burdockchute.wire import messages
+
+# In a request or a reply this stands for the manifest itself.
+MANIFEST = -1
+
+# Two requests keep a peer's uplink busy while the next one travels; more
+# would only wait there, while another peer could have sent them.
+ASKED_OF_ONE = 2
+ASKED_IN_ALL = 16
+READS_AT_ONCE = 2
+
+
+class AskPeer(NamedTuple):
+    """Send a ChunkRequest."""
+
+    peer: str
+    chunk: int
+
+
+class ReadOrigin(NamedTuple):
+    """Read a chunk, or the manifest, from the store."""
+
+    chunk: int
+
+
+Action = AskPeer | ReadOrigin
+
+
+class _Asked(NamedTuple):
+    peer: str
+    at: float
+
+
+class Peer:
+    """What is known of one peer's copy of these weights."""
+
+    def __init__(self, distance: int) -> None:
+        self.distance = distance
+        self.held = 0
+        self.load = 0
+        self.has_manifest = False
+        self.is_open = False
+        self.asked = 0
+        self.strikes = 0
+        self.avoid_until = 0.0
+
+
+class Copier:
+    """The copy of one digest and the state of its getting."""
+
+    def __init__(
+        self,
+        digest: str,
+        origin_copies: float,
+        choose: Choose,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.digest = digest
+        self.origin_copies = origin_copies
+        self.copy: Copy | None = None
+        self.peers: dict[str, Peer] = {}
+        self.whole_at: float | None = None
+        self._choose = choose
+        self._rng = rng
+        self._began = now
+        self._heard_all = False
+        self._readers: Readers | None = None
+        self._ranks: list[int] = []
+        self._manifest_rank = 0
+        self._all = 0
+        self._missing = 0
+        self._near = 0
+        self._holders: list[int] = []
+        self._asked: dict[int, list[_Asked]] = {}
+        self._reading: dict[int, float] = {}
+        self._progress = Progress(now, 0.0)
+        self._latency = 0.0
+        self._read_failures = 0
+        self._read_not_before = 0.0
+
+    # What arrives.
+
+    def set_readers(self, readers: Readers) -> None:
+        """Take the order in which agents may read from the origin."""
+        if readers != self._readers:
+            self._readers = readers
+            self._rank_all()
+
+    def manifest_came(self, manifest: Manifest, now: float) -> None:
+        """Take a manifest that was checked against the digest."""
+        self._reading.pop(MANIFEST, None)
+        self._asked.pop(MANIFEST, None)
+        if self.copy is not None:
+            return
+        self.copy = Copy(manifest)
+        count = len(manifest.chunks)
+        self._all = self._missing = (1 << count) - 1
+        self._holders = [0] * count
+        self._progress = Progress(now, 0.0)
+        self._read_failures = 0
+        self._rank_all()
+
+    def have_came(
+        self, name: str, distance: int, have: messages.Have, now: float
+    ) -> None:
+        """Take a peer's news of its copy."""
+        peer = self.peers.setdefault(name, Peer(distance))
+        peer.distance = distance
+        peer.has_manifest = bool(have.bitmap)
+        peer.load = have.uploads
+        peer.is_open = bool(have.open)
+        held = int.from_bytes(have.bitmap, 'little') & self._all
+        for chunk in bits(held & ~peer.held):
+            self._holders[chunk] += 1
+        for chunk in bits(peer.held & ~held):
+            self._holders[chunk] -= 1
+        peer.held = held
+        fresh = held & ~self._near
+        if fresh:
+            self._near |= fresh
+            self._note_progress(fresh, now)
+
+    def peer_gone(self, name: str) -> None:
+        """Forget a peer whose link has closed, and what it was asked."""
+        peer = self.peers.pop(name, None)
+        if peer is None:
+            return
+        for chunk in bits(peer.held):
+            self._holders[chunk] -= 1
+        for chunk in list(self._asked):
+            self._unask(chunk, name)
+
+    def chunk_came(
+        self, name: str, chunk: int, data: bytes, now: float
+    ) -> bool:
+        """Take a chunk from a peer; False if it is corrupt."""
+        at = self._unask(chunk, name)
+        if self.copy is None:
+            return True
+        if self.copy.holds(chunk):
+            return True
+        if not self.copy.add(chunk, data):
+            return False
+        if at is not None:
+            self._latency = sources.smooth(self._latency, now - at)
+        peer = self.peers.get(name)
+        if peer is not None:
+            peer.strikes = 0
+        self._got(chunk, now)
+        return True
+
+    def refused(
+        self, name: str, chunk: int, retry_after_s: float, now: float
+    ) -> None:
+        """Note that a peer will not send a chunk now."""
+        self._unask(chunk, name)
+        peer = self.peers.get(name)
+        if peer is not None:
+            peer.avoid_until = max(peer.avoid_until, now + retry_after_s)
+
+    def read_came(self, chunk: int, data: bytes, now: float) -> bool:
+        """Take a chunk from the origin; False if it is corrupt."""
+        self._reading.pop(chunk, None)
+        if self.copy is None or self.copy.holds(chunk):
+            return True
+        if not self.copy.add(chunk, data):
+            self._read_failed(now)
+            return False
+        self._read_failures = 0
+        self._got(chunk, now)
+        return True
+
+    def read_lost(self, chunk: int, now: float) -> None:
+        """Note that a read from the origin has failed."""
+        self._reading.pop(chunk, None)
+        self._read_failed(now)
+
+    # What to do.
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole copy is held and verified."""
+        return self.copy is not None and self.copy.complete
+
+    def heard(self, names: set[str]) -> None:
+        """Note which peers there are.
+
+        Once all have told what they hold, there is nothing more to wait for
+        before the origin is read.
+        """
+        if names and names <= self.peers.keys():
+            self._heard_all = True
+
+    def bitmap(self) -> bytes:
+        """Give what is held, for a Have; empty without a manifest."""
+        return self.copy.bitmap() if self.copy else b''
+
+    def plan(
+        self, now: float, may_take: Callable[[int], bool]
+    ) -> list[Action]:
+        """Give the requests to make now and note them as made.
+
+        `may_take` takes a number of bytes from the downlink's budget and
+        tells whether they were there.
+        """
+        if self.complete:
+            return []
+        self._expire(now)
+        if self.copy is None:
+            return self._plan_manifest(now)
+        actions: list[Action] = []
+        self._plan_reads(actions, now, may_take)
+        self._plan_asks(actions, now, may_take)
+        self._plan_second_sources(actions, now, may_take)
+        return actions
+
+    def _plan_manifest(self, now: float) -> list[Action]:
+        if MANIFEST not in self._asked:
+            names = [
+                name
+                for name, peer in self.peers.items()
+                if peer.has_manifest and peer.avoid_until <= now
+            ]
+            if names:
+                return [self._ask(self._rng.choice(names), MANIFEST, now)]
+        if self._asked or self._reading or now < self._read_not_before:
+            return []
+        due = self._read_after(self._manifest_rank, MANIFEST_READERS)
+        if now < due:
+            return []
+        self._reading[MANIFEST] = now
+        return [ReadOrigin(MANIFEST)]
+
+    def _plan_reads(
+        self,
+        actions: list[Action],
+        now: float,
+        may_take: Callable[[int], bool],
+    ) -> None:
+        if now < self._read_not_before:
+            return
+        if len(self._reading) >= READS_AT_ONCE or not self._ranks:
+            return
+        near = self._reachable(now)
+        due = [
+            (self._ranks[chunk], self._rng.random(), chunk)
+            for chunk in bits(self._missing & ~near & ~self._pending())
+            if self._read_after(
+                self._ranks[chunk],
+                sources.copies_of(self.origin_copies, chunk),
+            )
+            <= now
+        ]
+        for _rank, _lot, chunk in sorted(due):
+            if len(self._reading) >= READS_AT_ONCE:
+                return
+            if not may_take(self._size(chunk)):
+                return
+            self._reading[chunk] = now
+            actions.append(ReadOrigin(chunk))
+
+    def _plan_asks(
+        self,
+        actions: list[Action],
+        now: float,
+        may_take: Callable[[int], bool],
+    ) -> None:
+        while len(self._asked) < ASKED_IN_ALL and may_take(0):
+            wanted = self._missing & ~self._pending()
+            offers = chunks.nearest(self._offers(wanted, now))
+            if not offers:
+                return
+            peer, chunk = self._choose(offers, self._holders, self._rng)
+            may_take(self._size(chunk))
+            actions.append(self._ask(peer, chunk, now))
+
+    def _plan_second_sources(
+        self,
+        actions: list[Action],
+        now: float,
+        may_take: Callable[[int], bool],
+    ) -> None:
+        if self._missing & ~self._pending():
+            return
+        late = now - sources.second_source_s(self._latency)
+        for chunk in bits(self._missing):
+            asked = self._asked.get(chunk, [])
+            began = [ask.at for ask in asked]
+            if chunk in self._reading:
+                began.append(self._reading[chunk])
+            if len(began) != 1 or began[0] > late:
+                continue
+            known = {ask.peer for ask in asked}
+            offers = [
+                offer
+                for offer in self._offers(1 << chunk, now)
+                if offer.useful and offer.peer not in known
+            ]
+            if not offers or not may_take(self._size(chunk)):
+                continue
+            peer = self._choose(offers, self._holders, self._rng).peer
+            actions.append(self._ask(peer, chunk, now))
+
+    def _offers(self, wanted: int, now: float) -> list[Offer]:
+        return [
+            Offer(
+                name, peer.held & wanted, peer.load + peer.asked, peer.distance
+            )
+            for name, peer in self.peers.items()
+            if peer.asked < ASKED_OF_ONE and peer.avoid_until <= now
+        ]
+
+    def _ask(self, name: str, chunk: int, now: float) -> AskPeer:
+        self._asked.setdefault(chunk, []).append(_Asked(name, now))
+        self.peers[name].asked += 1
+        return AskPeer(name, chunk)
+
+    def _unask(self, chunk: int, name: str) -> float | None:
+        asked = self._asked.get(chunk, [])
+        for ask in asked:
+            if ask.peer == name:
+                asked.remove(ask)
+                if not asked:
+                    del self._asked[chunk]
+                if name in self.peers:
+                    self.peers[name].asked -= 1
+                return ask.at
+        return None
+
+    def _expire(self, now: float) -> None:
+        # A peer that stalls, or one whose link lost the request, would keep
+        # its chunks from being asked for elsewhere.
+        before = now - sources.deadline_s(self._latency)
+        for chunk, asked in list(self._asked.items()):
+            for ask in [ask for ask in asked if ask.at < before]:
+                self._unask(chunk, ask.peer)
+                peer = self.peers.get(ask.peer)
+                if peer is None:
+                    continue
+                peer.strikes += 1
+                wait = sources.avoid_s(peer.strikes)
+                peer.avoid_until = max(peer.avoid_until, now + wait)
+
+    def _pending(self) -> int:
+        pending = 0
+        for chunk in self._asked:
+            pending |= 1 << chunk
+        for chunk in self._reading:
+            pending |= 1 << chunk
+        return pending
+
+    def _reachable(self, now: float) -> int:
+        reachable = 0
+        for peer in self.peers.values():
+            if not peer.strikes or peer.avoid_until <= now:
+                reachable |= peer.held
+        return reachable
+
+    def _read_after(self, rank: int, copies: int) -> float:
+        began = self._began
+        if self._heard_all:
+            began -= sources.GRACE_S
+        step = self._readers.step if self._readers else 0
+        return sources.read_after(rank, step, copies, began, self._progress)
+
+    def _read_failed(self, now: float) -> None:
+        self._read_failures += 1
+        wait = sources.backoff_s(self._read_failures, self._rng)
+        self._read_not_before = now + wait
+        self._progress = self._progress._replace(last=now)
+
+    def _got(self, chunk: int, now: float) -> None:
+        self._missing &= ~(1 << chunk)
+        if not self._near >> chunk & 1:
+            self._near |= 1 << chunk
+            self._note_progress(1 << chunk, now)
+        if self.complete:
+            self.whole_at = now
+
+    def _note_progress(self, fresh: int, now: float) -> None:
+        count = fresh.bit_count()
+        gap = (now - self._progress.last) / count
+        gap = sources.smooth(self._progress.gap, gap)
+        self._progress = Progress(now, gap)
+
+    def _rank_all(self) -> None:
+        if self._readers is None:
+            return
+        self._manifest_rank = sources.reader_rank(
+            self._readers, self.digest, MANIFEST
+        )
+        if self.copy is not None and not self.complete:
+            self._ranks = [
+                sources.reader_rank(self._readers, self.digest, chunk)
+                for chunk in range(len(self._holders))
+            ]
+
+    def _size(self, chunk: int) -> int:
+        assert self.copy is not None
+        return chunk_bytes(self.copy.manifest, chunk)
+
+
+# A manifest is small and everyone waits for it.
+MANIFEST_READERS = 2
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -1,126 +1,464 @@
-"""All copies that this instance holds or makes."""
+"""All copies that this instance holds or makes, and their exchange."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
+import random
+from typing import NamedTuple
 
 from gevent import queue
 
+from burdockchute.decisions import rates
+from burdockchute.decisions import sources
 from burdockchute.logs import event
 from burdockchute.logs import warn
 from burdockchute.model.members import Member
-from burdockchute.model.table import Table
+from burdockchute.nodes import links
 from burdockchute.weights.copies import Copy
+from burdockchute.weights.manifest import document_of
 from burdockchute.weights.manifest import Manifest
+from burdockchute.weights.manifest import parse
 from burdockchute.wire import messages
+from burdockchute_agent.copier import Action
+from burdockchute_agent.copier import AskPeer
+from burdockchute_agent.copier import Copier
+from burdockchute_agent.copier import MANIFEST
+from burdockchute_agent.events import Dialled
 from burdockchute_agent.events import ManifestRead
 from burdockchute_agent.events import OriginRead
 from burdockchute_agent.origin_reads import OriginReads
+from burdockchute_agent.peers import PeerLink
+from burdockchute_agent.peers import Peers
+from burdockchute_agent.policy import Policy
 from burdockchute_agent.row_switch import Target
+from burdockchute_agent.uploads import Upload
+from burdockchute_agent.uploads import Uploads
 
-READS_AT_ONCE = 4
-RETRY_S = 0.5
+IDLE_S = 0.05
+# News of chunks is gathered for so long, to send one message for many.
+NEWS_S = 0.02
+# A peer that reads slower than it asks has this much waiting in its link.
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+
+
+class Bandwidth(NamedTuple):
+    """The instance's link, in bytes per second."""
+
+    uplink: float
+    downlink: float
 
 
 class Copying:
-    """Copies by digest, and what is on its way for each."""
+    """Copies by digest, the peers, and what goes to and fro."""
 
     def __init__(
         self,
         own: Member,
         store_url: str,
-        uplink: float,
-        downlink: float,
-        hello: Callable[[], messages.Hello],
+        link: Bandwidth,
+        peers: Peers,
         inbox: queue.Queue,
+        policy: Policy,
+        rng: random.Random,
+        now: float,
     ) -> None:
-        self._reads = OriginReads(store_url, inbox.put)
-        self._copies: dict[str, Copy | None] = {}
-        self._asked: dict[str, dict[int, float]] = {}
-        self._not_before: dict[str, float] = {}
+        self.reads = OriginReads(store_url, inbox.put)
+        self.bytes_from: dict[int, int] = {}
+        self._own = own
+        self._link = link
+        self._peers = peers
+        self._policy = policy
+        self._rng = rng
+        self._copiers: dict[str, Copier] = {}
+        self._hosts: Mapping[str, tuple[str, ...]] = {}
+        self._uploads = Uploads()
+        self._up = rates.Bucket(0.0, now)
+        self._down = rates.Bucket(0.0, now)
+        self._live = rates.Meter(0.0, now)
+        self._corrupt: dict[tuple[str, str], int] = {}
+        self._news: set[str] = set()
+        self._news_at = now
+        self._phases: dict[str, tuple[bool, bool]] = {}
+        self._new_phases: set[str] = set()
+        self._unreachable: frozenset[str] = frozenset()
 
     def stop(self) -> None:
         """Stop all that is under way."""
-        self._reads.stop_all()
-
-    def set_members(self, table: Table, members: Sequence[Member]) -> None:
-        """Take the present rows and members."""
+        self.reads.stop_all()
+        self._peers.close_all()
 
-    def note_live_bytes(self, count: int) -> None:
+    def note_live_bytes(self, count: int, now: float) -> None:
         """Count bytes of live requests on this instance's link."""
+        self._live = rates.measure(self._live, count, now)
 
     def whole_copy(self, digest: str) -> Copy | None:
         """Give a copy if every chunk of it is held and verified."""
-        copy = self._copies.get(digest)
-        return copy if copy is not None and copy.complete else None
+        copier = self._copiers.get(digest)
+        return copier.copy if copier is not None and copier.complete else None
+
+    def whole_since(self, digest: str) -> float | None:
+        """Give when a copy became whole."""
+        copier = self._copiers.get(digest)
+        return copier.whole_at if copier is not None else None
 
     def size_of(self, digest: str) -> int:
         """Give the size of weights in bytes, 0 while it isn't known."""
-        copy = self._copies.get(digest)
+        copy = self._copy(digest)
         return copy.manifest.size if copy else 0
 
     def progress(self, digest: str) -> tuple[int, int]:
         """Give how many chunks are held, and of how many."""
-        copy = self._copies.get(digest)
+        copy = self._copy(digest)
         return (copy.held_count, len(copy.manifest.chunks)) if copy else (0, 0)
 
+    def held_bytes(self) -> int:
+        """Give the memory that all copies take."""
+        copies = [copier.copy for copier in self._copiers.values()]
+        return sum(copy.held_bytes for copy in copies if copy)
+
+    def is_open_at(self, name: str, digest: str) -> bool:
+        """Tell whether a peer has said that it serves a digest."""
+        peer = self._peers.links.get(name)
+        have = peer.haves.get(digest) if peer else None
+        return have is not None and bool(have.open)
+
+    def set_phase(self, digest: str, loading: bool, is_open: bool) -> None:
+        """Tell peers whether the engine loads or serves a digest."""
+        if self._phases.get(digest) != (loading, is_open):
+            self._phases[digest] = (loading, is_open)
+            self._news.add(digest)
+            self._new_phases.add(digest)
+
+    def want(
+        self,
+        targets: Sequence[Target],
+        hosts: Mapping[str, tuple[str, ...]],
+        now: float,
+    ) -> None:
+        """Take the copies to hold, and who else hosts them, by digest."""
+        self._hosts = hosts
+        self._unreachable = frozenset()
+        wanted = {target.digest: target for target in targets}
+        for digest in set(self._copiers) - set(wanted):
+            self._give_up(digest)
+        for digest, target in wanted.items():
+            if digest not in self._copiers:
+                self._begin(target, now)
+            self._copiers[digest].origin_copies = target.origin_copies
+            self._set_readers(digest)
+
+    # What arrives.
+
     def take(self, message: object, now: float) -> None:
-        """Take a message about copies."""
+        """Take a message about copies or peers."""
         match message:
             case ManifestRead(digest=digest, outcome=outcome):
                 self._manifest_read(digest, outcome, now)
             case OriginRead():
                 self._chunk_read(message, now)
+            case Dialled():
+                self._peers.dialled(message, now)
+            case links.Opened(link=link):
+                self._opened(link)
+            case links.Closed(link=link):
+                self._closed(link)
+            case links.Received(link=link, message=received):
+                peer = self._peers.of(link)
+                if peer is not None:
+                    self._received(peer, received, now)
 
-    def tick(self, wanted: Sequence[Target], now: float) -> None:
-        """Start what is missing and give up what nobody wants."""
-        digests = {target.digest for target in wanted}
-        for digest in set(self._copies) - digests:
-            self._give_up(digest)
-        for digest in digests:
-            self._ask(digest, now)
+    def _opened(self, link: links.Link) -> None:
+        peer = self._peers.opened(link)
+        if peer is not None:
+            for digest in self._copiers:
+                peer.send(self._have(digest))
 
-    def _give_up(self, digest: str) -> None:
-        self._reads.stop(digest)
-        copy = self._copies.pop(digest)
-        self._asked.pop(digest, None)
-        if copy is not None:
-            copy.release()
-        event('copy_released', digest=digest)
+    def _closed(self, link: links.Link) -> None:
+        name = self._peers.closed(link)
+        if name is not None:
+            self._uploads.forget_peer(name)
+            for copier in self._copiers.values():
+                copier.peer_gone(name)
+
+    def _received(self, peer: PeerLink, message: object, now: float) -> None:
+        match message:
+            case messages.Have():
+                self._have_came(peer, message, now)
+            case messages.ChunkRequest():
+                self._asked(peer, message)
+            case messages.Chunk():
+                self._chunk_came(peer, message, now)
 
-    def _ask(self, digest: str, now: float) -> None:
-        if now < self._not_before.get(digest, 0.0):
+    def _have_came(
+        self, peer: PeerLink, have: messages.Have, now: float
+    ) -> None:
+        peer.keep(have)
+        copier = self._copiers.get(have.digest)
+        if copier is None or copier.complete or self._is_banned(peer):
             return
-        copy = self._copies.setdefault(digest, None)
-        if copy is None:
-            self._reads.read_manifest(digest)
+        copier.have_came(peer.name, peer.distance, have, now)
+
+    def _asked(self, peer: PeerLink, request: messages.ChunkRequest) -> None:
+        digest, index = request.digest, request.index
+        copy = self._copy(digest)
+        if copy is None or (index != MANIFEST and not copy.holds(index)):
+            peer.send(messages.Chunk(digest, index, b'', 'unknown', 1000))
+        elif index == MANIFEST:
+            document = document_of(copy.manifest)
+            peer.send(messages.Chunk(digest, index, document, '', 0))
+        elif not self._uploads.add(Upload(peer.name, digest, index)):
+            rate = rates.cap(self._link.uplink, self._live.rate)
+            wait_s = len(self._uploads) * copy.manifest.chunk_size / rate / 2
+            wait_ms = int(wait_s * 1000)
+            peer.send(messages.Chunk(digest, index, b'', 'busy', wait_ms))
+
+    def _chunk_came(
+        self, peer: PeerLink, chunk: messages.Chunk, now: float
+    ) -> None:
+        copier = self._copiers.get(chunk.digest)
+        if copier is None:
             return
-        asked = self._asked.setdefault(digest, {})
-        for index in range(len(copy.manifest.chunks)):
-            if len(asked) >= READS_AT_ONCE:
-                return
-            if index not in asked and not copy.holds(index):
-                asked[index] = now
-                self._reads.read_chunk(copy.manifest, index)
+        if chunk.error:
+            wait_s = chunk.retry_after_ms / 1000
+            copier.refused(peer.name, chunk.index, wait_s, now)
+        elif chunk.index == MANIFEST:
+            self._manifest_came(copier, peer, chunk.data, now)
+        elif copier.chunk_came(peer.name, chunk.index, chunk.data, now):
+            self._count(peer.distance, len(chunk.data))
+            self._news.add(chunk.digest)
+            self._tell_whole(copier)
+        else:
+            self._corrupt_from(peer, chunk.digest, chunk.index)
+
+    def _manifest_came(
+        self, copier: Copier, peer: PeerLink, data: bytes, now: float
+    ) -> None:
+        manifest = parse(data, copier.digest).value_or(None)
+        if manifest is None:
+            copier.refused(peer.name, MANIFEST, sources.MIN_AVOID_S, now)
+            self._corrupt_from(peer, copier.digest, MANIFEST)
+        else:
+            self._have_manifest(copier, manifest, now)
 
     def _manifest_read(self, digest: str, outcome: object, now: float) -> None:
-        if digest not in self._copies:
+        copier = self._copiers.get(digest)
+        if copier is None:
             return
         if isinstance(outcome, Manifest):
-            self._copies[digest] = Copy(outcome)
-            return
-        self._not_before[digest] = now + RETRY_S
-        warn('origin_read_failed', digest=digest, reason=outcome)
+            self._have_manifest(copier, outcome, now)
+        else:
+            copier.read_lost(MANIFEST, now)
+            warn('origin_read_failed', digest=digest, reason=outcome)
+
+    def _have_manifest(
+        self, copier: Copier, manifest: Manifest, now: float
+    ) -> None:
+        copier.manifest_came(manifest, now)
+        self._news.add(copier.digest)
+        # What peers hold could not be read without the number of chunks.
+        for peer in self._peers.links.values():
+            have = peer.haves.get(copier.digest)
+            if have is not None and not self._is_banned(peer):
+                copier.have_came(peer.name, peer.distance, have, now)
 
     def _chunk_read(self, read: OriginRead, now: float) -> None:
-        copy = self._copies.get(read.digest)
-        if copy is None:
+        copier = self._copiers.get(read.digest)
+        if copier is None:
             return
-        self._asked[read.digest].pop(read.chunk, None)
-        ok = isinstance(read.outcome, bytes) and copy.add(
-            read.chunk, read.outcome
+        if not isinstance(read.outcome, bytes):
+            copier.read_lost(read.chunk, now)
+            warn(
+                'origin_read_failed',
+                digest=read.digest,
+                chunk=read.chunk,
+                reason=read.outcome.text,
+            )
+        elif copier.read_came(read.chunk, read.outcome, now):
+            self._news.add(read.digest)
+            self._tell_whole(copier)
+        else:
+            warn('origin_chunk_corrupt', digest=read.digest, chunk=read.chunk)
+
+    def _corrupt_from(self, peer: PeerLink, digest: str, index: int) -> None:
+        key = peer.name, peer.link.peer.incarnation
+        self._corrupt[key] = self._corrupt.get(key, 0) + 1
+        warn(
+            'peer_chunk_corrupt',
+            peer=peer.name,
+            digest=digest,
+            chunk=index,
+            count=self._corrupt[key],
+        )
+        if self._is_banned(peer):
+            # A peer that corrupts what it sends would be asked again and
+            # again, as it says that it holds all; the copy would crawl.
+            warn('peer_banned', peer=peer.name)
+            for copier in self._copiers.values():
+                copier.peer_gone(peer.name)
+
+    # What to do.
+
+    def tick(self, now: float) -> float:
+        """Ask, send and tell what is due; gives when to come back at most."""
+        self._peers.tick(now)
+        downlink = rates.cap(self._link.downlink, self._live_rate(now))
+        self._down = rates.refill(self._down, downlink, now)
+        self._skip_unreachable()
+        for copier in self._copiers.values():
+            if copier.complete:
+                continue
+            copier.heard(self._expected_peers(copier.digest))
+            for action in copier.plan(now, self._may_take):
+                self._do(copier, action)
+        next_upload = self._send_uploads(now)
+        return min(IDLE_S, next_upload, self._tell_news(now))
+
+    def _do(self, copier: Copier, action: Action) -> None:
+        if isinstance(action, AskPeer):
+            peer = self._peers.links.get(action.peer)
+            request = messages.ChunkRequest(copier.digest, action.chunk)
+            if peer is not None:
+                peer.send(request)
+        elif copier.copy is None:
+            self.reads.read_manifest(copier.digest)
+        else:
+            self.reads.read_chunk(copier.copy.manifest, action.chunk)
+
+    def _may_take(self, size: int) -> bool:
+        if self._down.level <= 0:
+            return False
+        self._down = rates.take(self._down, size)
+        return True
+
+    def _send_uploads(self, now: float) -> float:
+        rate = rates.cap(self._link.uplink, self._live_rate(now))
+        self._up = rates.refill(self._up, rate, now)
+        while self._up.level > 0:
+            upload = self._uploads.next()
+            if upload is None:
+                return IDLE_S
+            self._send(upload)
+        return rates.wait_s(self._up, rate)
+
+    def _send(self, upload: Upload) -> None:
+        peer = self._peers.links.get(upload.peer)
+        copy = self._copy(upload.digest)
+        data = copy.chunk(upload.chunk) if copy else None
+        if peer is None or data is None:
+            return
+        if peer.link.queued_bytes > MAX_QUEUED_BYTES:
+            reply = messages.Chunk(
+                upload.digest, upload.chunk, b'', 'busy', 1000
+            )
+            peer.send(reply)
+            return
+        self._up = rates.take(self._up, len(data))
+        peer.send(messages.Chunk(upload.digest, upload.chunk, data, '', 0))
+
+    def _tell_news(self, now: float) -> float:
+        if not self._news:
+            return IDLE_S
+        if now - self._news_at < NEWS_S:
+            return NEWS_S
+        self._news_at = now
+        for digest in self._news & self._copiers.keys():
+            have = self._have(digest)
+            for peer in self._peers.links.values():
+                known = peer.haves.get(digest)
+                is_whole = known is not None and not known.wants
+                if digest in self._new_phases or not is_whole:
+                    peer.send(have)
+        self._news.clear()
+        self._new_phases.clear()
+        return IDLE_S
+
+    def _have(self, digest: str) -> messages.Have:
+        copier = self._copiers[digest]
+        loading, is_open = self._phases.get(digest, (False, False))
+        return messages.Have(
+            digest=digest,
+            bitmap=copier.bitmap(),
+            uploads=len(self._uploads),
+            wants=not copier.complete,
+            loading=int(loading),
+            open=is_open,
+        )
+
+    def _begin(self, target: Target, now: float) -> None:
+        copier = Copier(
+            target.digest,
+            target.origin_copies,
+            self._policy.choose,
+            self._rng,
+            now,
         )
-        if not ok:
-            self._not_before[read.digest] = now + RETRY_S
-            warn('origin_read_failed', digest=read.digest)
+        self._copiers[target.digest] = copier
+        self._news.add(target.digest)
+        event('copy_began', digest=target.digest)
+        for peer in self._peers.links.values():
+            have = peer.haves.get(target.digest)
+            if have is not None and not self._is_banned(peer):
+                copier.have_came(peer.name, peer.distance, have, now)
+
+    def _give_up(self, digest: str) -> None:
+        self.reads.stop(digest)
+        copier = self._copiers.pop(digest)
+        self._phases.pop(digest, None)
+        if copier.copy is not None:
+            copier.copy.release()
+        for upload in self._uploads.forget_digest(digest):
+            peer = self._peers.links.get(upload.peer)
+            if peer is not None:
+                peer.send(
+                    messages.Chunk(digest, upload.chunk, b'', 'unknown', 1000)
+                )
+        event('copy_released', digest=digest)
+
+    def _tell_whole(self, copier: Copier) -> None:
+        if copier.complete:
+            event('copy_whole', digest=copier.digest)
+
+    def _skip_unreachable(self) -> None:
+        # A reader before us that can't be reached is most likely dead; the
+        # platform's list says so only later.
+        unreachable = self._peers.unreachable()
+        if unreachable != self._unreachable:
+            self._unreachable = unreachable
+            for digest, copier in self._copiers.items():
+                if not copier.complete:
+                    self._set_readers(digest)
+
+    def _set_readers(self, digest: str) -> None:
+        names = [
+            name
+            for name in self._hosts.get(digest, ())
+            if name not in self._unreachable
+        ]
+        self._copiers[digest].set_readers(
+            self._policy.readers(digest, self._own.name, names)
+        )
+
+    def _expected_peers(self, digest: str) -> set[str]:
+        hosts = set(self._hosts.get(digest, ()))
+        banned = {
+            name
+            for name, peer in self._peers.links.items()
+            if self._is_banned(peer)
+        }
+        return (self._peers.expected() & hosts) - banned
+
+    def _is_banned(self, peer: PeerLink) -> bool:
+        key = peer.name, peer.link.peer.incarnation
+        return sources.is_banned(self._corrupt.get(key, 0))
+
+    def _live_rate(self, now: float) -> float:
+        self._live = rates.measure(self._live, 0.0, now)
+        return self._live.rate
+
+    def _count(self, distance: int, size: int) -> None:
+        self.bytes_from[distance] = self.bytes_from.get(distance, 0) + size
+
+    def _copy(self, digest: str) -> Copy | None:
+        copier = self._copiers.get(digest)
+        return copier.copy if copier is not None else None
--- a/packages/burdockchute-agent/burdockchute_agent/row_switch.py
+++ b/packages/burdockchute-agent/burdockchute_agent/row_switch.py
@@ -41,6 +41,7 @@
         self.kind = kind
         self.name = name
         self.target: Target | None = None
+        self.before: str | None = None
         self.beside = True
         self._ordered: Order | None = None
         self._ended_at: float | None = None
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/uploads.py
@@ -0,0 +1,68 @@
+"""Chunks that peers have asked for, and the order in which they go out."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+# So many chunks may wait for the uplink. A longer queue would outlast the
+# deadline of those who asked, and be sent in vain.
+QUEUE_CHUNKS = 8
+
+
+class Upload(NamedTuple):
+    """One chunk to send to a peer."""
+
+    peer: str
+    digest: str
+    chunk: int
+
+
+class Uploads:
+    """A bounded queue that serves its peers in turn."""
+
+    def __init__(self) -> None:
+        self._by_peer: dict[str, deque[Upload]] = {}
+        self._turns: deque[str] = deque()
+
+    def __len__(self) -> int:
+        return sum(len(waiting) for waiting in self._by_peer.values())
+
+    def add(self, upload: Upload) -> bool:
+        """Queue an upload; False if the queue is full."""
+        if len(self) >= QUEUE_CHUNKS:
+            return False
+        if upload.peer not in self._by_peer:
+            self._by_peer[upload.peer] = deque()
+            self._turns.append(upload.peer)
+        waiting = self._by_peer[upload.peer]
+        if upload not in waiting:
+            waiting.append(upload)
+        return True
+
+    def next(self) -> Upload | None:
+        """Take the next one, None if there is none."""
+        while self._turns:
+            peer = self._turns.popleft()
+            waiting = self._by_peer[peer]
+            if waiting:
+                upload = waiting.popleft()
+                self._turns.append(peer)
+                return upload
+            del self._by_peer[peer]
+        return None
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop what a peer that is gone has asked for."""
+        if peer in self._by_peer:
+            self._by_peer[peer].clear()
+
+    def forget_digest(self, digest: str) -> list[Upload]:
+        """Drop and give all uploads of weights that are given up."""
+        dropped: list[Upload] = []
+        for peer, waiting in self._by_peer.items():
+            dropped.extend(up for up in waiting if up.digest == digest)
+            self._by_peer[peer] = deque(
+                up for up in waiting if up.digest != digest
+            )
+        return dropped
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -2,9 +2,9 @@
 
 It decides which rows the instance hosts, copies their weights, gives the
 engine its orders and owns the gates. Everything that happens reaches it as a
-message in its inbox; after each message, and at least every TICK_S, it looks
-at what is the case and takes the next step for each row. So nothing depends
-on a single message having arrived.
+message in its inbox; after that, and many times a second, it looks at what is
+the case and takes the next step for each row. So nothing depends on a single
+message having arrived.
 """
 
 from __future__ import annotations
@@ -12,7 +12,10 @@
 import base64
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
+import random
 import time
+from typing import NamedTuple
 
 import gevent
 from gevent import queue
@@ -20,7 +23,11 @@
 from returns.result import Success
 
 from burdockchute.decisions import hosting
+from burdockchute.decisions import pacing
 from burdockchute.decisions import switching
+from burdockchute.decisions.neighbours import ELSEWHERE
+from burdockchute.decisions.neighbours import SAME_REGION
+from burdockchute.decisions.neighbours import SAME_ZONE
 from burdockchute.logs import event
 from burdockchute.logs import warn
 from burdockchute.model.changes import MembersChanged
@@ -39,29 +46,44 @@
 from burdockchute.weights.manifest import document_of
 from burdockchute.weights.manifest import Manifest
 from burdockchute.wire import messages
+from burdockchute_agent.copying import Bandwidth
 from burdockchute_agent.copying import Copying
 from burdockchute_agent.engine_task import EngineTask
 from burdockchute_agent.engine_view import EngineView
 from burdockchute_agent.events import EngineSeen
 from burdockchute_agent.events import OrderEnded
 from burdockchute_agent.events import Registered
+from burdockchute_agent.peers import Peers
+from burdockchute_agent.policy import DEFAULT
+from burdockchute_agent.policy import Policy
 from burdockchute_agent.row_switch import RowSwitch
 from burdockchute_agent.row_switch import Target
 
-TICK_S = 0.05
+ROWS_S = 0.02
 REGISTER_RETRY_S = 1.0
 NO_FENCE = -1
 
 WeightsContent = tuple[Manifest, Iterable[bytes]]
 
 
+class CopyStats(NamedTuple):
+    """Bytes copied from the origin and from peers, and bytes held."""
+
+    origin: int
+    zone: int
+    region: int
+    elsewhere: int
+    held: int
+
+
 class WeightsTask:
     """Copies, orders and gates of one instance.
 
     `uplink` and `downlink` are the instance's link in bytes per second.
     `register` appends this agent's registration to the log and gives its
     offset, the fencing number. `source` gives the base URL of the admin
-    HTTP, from which the engine fetches weights.
+    HTTP, from which the engine fetches weights. `seed` makes the random
+    choices repeatable.
     """
 
     def __init__(
@@ -76,6 +98,8 @@
         register: Callable[[], Result],
         hello: Callable[[], messages.Hello],
         source: Callable[[], str] = str,
+        policy: Policy = DEFAULT,
+        seed: int | None = None,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self.gate = Gate()
@@ -86,11 +110,23 @@
         self._source = source
         self._table: Table = EMPTY
         self._members: tuple[Member, ...] = ()
-        self._view = EngineView(time.monotonic())
+        now = time.monotonic()
+        rng = random.Random(seed)
+        self._policy = policy
+        self._view = EngineView(now)
         self._engine = EngineTask(upstream_url, self.inbox.put)
+        self._peers = Peers(self._own, hello, self.inbox, rng)
         self._copying = Copying(
-            self._own, store_url, uplink, downlink, hello, self.inbox
+            self._own,
+            store_url,
+            Bandwidth(uplink, downlink),
+            self._peers,
+            self.inbox,
+            policy,
+            rng,
+            now,
         )
+        self._rows_at = now
         self._switches: dict[tuple[str, str], RowSwitch] = {}
         self._superseded = False
 
@@ -101,9 +137,10 @@
             helpers.append(gevent.spawn(self._engine.run))
             helpers.append(gevent.spawn(self._keep_registering))
         try:
+            wait_s = 0.0
             while True:
-                self._take_messages()
-                self._step(time.monotonic())
+                self._take_messages(wait_s)
+                wait_s = self._step(time.monotonic())
         finally:
             gevent.killall(helpers, block=False)
             self._copying.stop()
@@ -135,7 +172,18 @@
 
     def note_live_bytes(self, count: int) -> None:
         """Count bytes of live requests on this instance's link."""
-        self._copying.note_live_bytes(count)
+        self._copying.note_live_bytes(count, time.monotonic())
+
+    def copy_stats(self) -> CopyStats:
+        """Give what was copied so far, and from where, in bytes."""
+        copied = self._copying.bytes_from
+        return CopyStats(
+            origin=self._copying.reads.bytes_read,
+            zone=copied.get(SAME_ZONE, 0),
+            region=copied.get(SAME_REGION, 0),
+            elsewhere=copied.get(ELSEWHERE, 0),
+            held=self._copying.held_bytes(),
+        )
 
     def _keep_registering(self) -> None:
         while True:
@@ -146,9 +194,9 @@
             warn('registration_failed', reason=result.failure())
             gevent.sleep(REGISTER_RETRY_S)
 
-    def _take_messages(self) -> None:
+    def _take_messages(self, wait_s: float) -> None:
         try:
-            message = self.inbox.get(timeout=TICK_S)
+            message = self.inbox.get(timeout=wait_s)
         except queue.Empty:
             return
         while message is not None:
@@ -186,7 +234,56 @@
         for key, switch in self._switches.items():
             if key not in targets:
                 switch.want(None)
-        self._copying.set_members(self._table, self._members)
+        hosts = self._hosts_by_row()
+        self._set_lanes(hosts)
+        self._dial_for(hosts)
+        self._copying.want(
+            list(targets.values()),
+            {
+                target.digest: tuple(hosts[target.base or target.name])
+                for target in targets.values()
+            },
+            time.monotonic(),
+        )
+
+    def _hosts_by_row(self) -> dict[str, dict[str, Member]]:
+        known = [m for m in self._members if m.name != self._own.name]
+        known.append(self._own)
+        by_name = {member.name: member for member in known}
+        return {
+            row.name: {
+                name: by_name[name] for name in hosting.hosts(row, known)
+            }
+            for row in hosting.hosted_models(
+                self._table, self._members, self._own
+            )
+        }
+
+    def _set_lanes(self, hosts: Mapping[str, Mapping[str, Member]]) -> None:
+        for switch in self._switches.values():
+            target = switch.target
+            if target is None:
+                switch.before = None
+                continue
+            switch.before = pacing.before(
+                f'{target.kind}/{target.name}/{target.digest}',
+                self._own.name,
+                tuple(hosts[target.base or target.name]),
+                target.loading_share,
+            )
+
+    def _dial_for(self, hosts: Mapping[str, Mapping[str, Member]]) -> None:
+        wanted: dict[str, Member] = {}
+        for name, members in hosts.items():
+            chosen = self._policy.neighbours(
+                f'model/{name}', self._own, tuple(members.values())
+            )
+            wanted.update((peer, members[peer]) for peer in chosen)
+        everyone = {m.name: m for m in self._members}
+        for switch in self._switches.values():
+            if switch.before in everyone:
+                wanted[switch.before] = everyone[switch.before]
+        self._peers.want(wanted)
 
     def _targets(self) -> dict[tuple[str, str], Target]:
         found = {}
@@ -216,16 +313,19 @@
                 engine_fence=ended.outcome.fence,
             )
 
-    def _step(self, now: float) -> None:
+    def _step(self, now: float) -> float:
         for weights in self.gate.take_doubts():
             warn('answer_of_other_weights', digest=weights.digest)
             self._view.doubted(weights, now)
-        if self._is_engine:
+        # Chunks come hundreds of times a second; the rows need no look
+        # after each.
+        if self._is_engine and now - self._rows_at >= ROWS_S:
+            self._rows_at = now
             self._find_loaded_rows()
             self._check_superseded()
             for switch in self._switches.values():
                 self._step_row(switch, now)
-        self._copying.tick(self._wanted_copies(), now)
+        return self._copying.tick(now)
 
     def _find_loaded_rows(self) -> None:
         # What the engine has from before this agent started must be
@@ -261,6 +361,13 @@
                 break
         if isinstance(step, switching.Load | switching.Unload):
             self._give_order(switch, step, now)
+        if switch.target is not None:
+            digest = switch.target.digest
+            self._copying.set_phase(
+                digest,
+                digest in loading,
+                self.gate.is_open(_weights(switch, digest)),
+            )
 
     def _situation(self, switch: RowSwitch, now: float) -> switching.Situation:
         target = switch.target
@@ -280,14 +387,27 @@
             loading=self._view.loading(switch.kind, switch.name),
             is_open=frozenset(g.weights.digest for g in gates if g.is_open),
             in_flight={g.weights.digest: g.in_flight for g in gates},
-            may_load=target is not None and self._may_load(target, now),
+            may_load=target is not None and self._may_load(switch, now),
             settled=target is not None and self._settled(target),
             base_loaded=target is not None and self._base_loaded(target),
             beside=switch.beside,
         )
 
-    def _may_load(self, target: Target, now: float) -> bool:
-        return True
+    def _may_load(self, switch: RowSwitch, now: float) -> bool:
+        # Where nothing is served yet a load takes nothing away.
+        if not self._view.loaded(switch.kind, switch.name):
+            return True
+        digest = switch.target.digest if switch.target else ''
+        whole_since = self._copying.whole_since(digest)
+        if whole_since is None:
+            return False
+        name = switch.before
+        known = pacing.Before(
+            is_open=name is not None
+            and self._copying.is_open_at(name, digest),
+            gone=name in self._peers.unreachable(),
+        )
+        return pacing.may_load(name, known, whole_since, now)
 
     def _settled(self, target: Target) -> bool:
         weights = Weights(target.kind, target.name, target.digest)
@@ -345,9 +465,6 @@
             deadline_ms=int(switching.order_deadline_s(size) * 1000),
         )
 
-    def _wanted_copies(self) -> list[Target]:
-        return [s.target for s in self._switches.values() if s.target]
-
     def _state_of(
         self, switch: RowSwitch, digest: str
     ) -> messages.WeightsState:
--- /dev/null
+++ b/packages/burdockchute/burdockchute/decisions/sources.py
@@ -0,0 +1,185 @@
+"""When to read the origin, how long to wait for a source, when to drop it.
+
+Load: the origin's link carries about four copies in the time in which every
+instance should have one, and for some users it is thin and paid for. If each
+agent that lacks a chunk read it there, the origin would carry hundreds of
+copies. If only one agent were to read each chunk, its death would stop all
+others. So the agents have an order for each chunk, the same everywhere; the
+first ones, as many as the row allows copies, read it at once unless a
+neighbour has it, and each later one only after a longer wait in which nothing
+new has turned up anywhere near.
+
+While new chunks still turn up, the first readers are at work, however slow
+the store is; that is why the wait counts from the last new chunk and grows
+with the usual gap between two. A store that refuses a reader tells it that
+the store is the trouble and not the readers before it, so its wait begins
+again; when the store comes back the first readers, who try again within
+MAX_BACKOFF_S, have a start over the rest and the origin is not overrun.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import random
+from typing import NamedTuple
+
+import blake3
+
+from burdockchute.decisions.hosting import ranked
+
+# So many agents share the reading of one set of weights. More would spread
+# it no better, and the order for each chunk costs one hash for each reader.
+READERS = 64
+# If so many readers in a row are silent the whole group is taken for dead
+# and the next group begins.
+GROUP_STEPS = 6
+
+# A neighbour's news of what it holds takes a link's delay; a late joiner
+# that read at once would fetch from the origin what all others have.
+GRACE_S = 0.5
+# Above the time for a chunk to go from its reader through a few neighbours.
+MIN_WAIT_S = 1.0
+MAX_WAIT_S = 20.0
+GAPS = 4.0
+
+MIN_BACKOFF_S = 0.25
+MAX_BACKOFF_S = 2.0
+
+# A request to a peer is overdue after so many times the usual latency.
+DEADLINE_FACTOR = 4.0
+SECOND_SOURCE_FACTOR = 2.0
+MIN_DEADLINE_S = 1.0
+MAX_DEADLINE_S = 15.0
+MIN_SECOND_SOURCE_S = 0.2
+
+# One flipped bit is bad luck; a peer that sends the second corrupt chunk has
+# bad memory or a bad link, and each further one costs the time of a chunk.
+CORRUPT_LIMIT = 2
+MIN_AVOID_S = 1.0
+MAX_AVOID_S = 30.0
+
+
+class Readers(NamedTuple):
+    """The order in which agents may read from the origin.
+
+    `group` is the group of the own agent, `names` who is in it, and `step`
+    the position of the group among all groups.
+    """
+
+    own: str
+    names: tuple[str, ...]
+    step: int
+
+
+class Progress(NamedTuple):
+    """How new chunks turn up near here.
+
+    `last` is when the last one did, or when waiting began; `gap` is the
+    usual time between two, 0 while it is not known.
+    """
+
+    last: float
+    gap: float
+
+
+def readers(digest: str, own: str, hosts: Sequence[str]) -> Readers:
+    """Give the own agent's group of readers for a digest."""
+    order = ranked(digest, hosts)
+    step = order.index(own) // READERS if own in order else 0
+    start = step * READERS
+    return Readers(own, tuple(order[start : start + READERS]), step)
+
+
+def reader_rank(known: Readers, digest: str, chunk: int) -> int:
+    """Give how many of the own group come before the own agent."""
+    seed = blake3.blake3(f'{digest}\0{chunk}\0'.encode())
+    own = _score(seed, known.own)
+    return sum(
+        1
+        for name in known.names
+        if name != known.own and _score(seed, name) < own
+    )
+
+
+def copies_of(allowed: float, chunk: int) -> int:
+    """Give how many agents read a chunk at once, over 0.
+
+    A fraction allows one copy more of part of the chunks, evenly spread.
+
+    >>> [copies_of(1.5, chunk) for chunk in range(4)]
+    [1, 2, 1, 2]
+    """
+    whole = max(1, int(allowed))
+    fraction = max(0.0, allowed - whole)
+    extra = int((chunk + 1) * fraction) - int(chunk * fraction)
+    return whole + extra
+
+
+def read_after(
+    rank: int,
+    step: int,
+    copies: int,
+    began: float,
+    progress: Progress,
+) -> float:
+    """Give the time from which this agent may read a chunk.
+
+    It may do so only while no neighbour has the chunk.
+    """
+    if step == 0 and rank < copies:
+        return began + GRACE_S
+    turn = 1 + rank - copies if step == 0 else rank
+    waits = max(0, turn) + step * GROUP_STEPS + (step > 0)
+    return max(progress.last, began + GRACE_S) + waits * wait_s(progress)
+
+
+def wait_s(progress: Progress) -> float:
+    """Give how long a missing chunk may stay away before the next reads."""
+    return min(max(MIN_WAIT_S, GAPS * progress.gap), MAX_WAIT_S)
+
+
+def turned_up(progress: Progress, now: float) -> Progress:
+    """Note that a chunk unknown so far is held by somebody near."""
+    return Progress(now, smooth(progress.gap, now - progress.last))
+
+
+def smooth(average: float, sample: float) -> float:
+    """Give a moving average; the first sample counts whole."""
+    return sample if average <= 0 else average + 0.2 * (sample - average)
+
+
+def backoff_s(failures: int, rng: random.Random) -> float:
+    """Give the wait after so many failed reads in a row, with jitter."""
+    longest = min(MIN_BACKOFF_S * 2 ** (failures - 1), MAX_BACKOFF_S)
+    return longest * (0.5 + 0.5 * rng.random())
+
+
+def deadline_s(latency: float) -> float:
+    """Give how long to wait for a chunk from a peer.
+
+    `latency` is the usual time from asking to having, 0 if not known.
+    """
+    usual = latency or MIN_DEADLINE_S
+    return min(max(DEADLINE_FACTOR * usual, MIN_DEADLINE_S), MAX_DEADLINE_S)
+
+
+def second_source_s(latency: float) -> float:
+    """Give when to ask a second peer once nothing else is left to ask."""
+    usual = latency or MIN_DEADLINE_S
+    return max(SECOND_SOURCE_FACTOR * usual, MIN_SECOND_SOURCE_S)
+
+
+def avoid_s(strikes: int) -> float:
+    """Give how long to ask nothing of a peer that let deadlines pass."""
+    return min(MIN_AVOID_S * 2 ** max(0, strikes - 1), MAX_AVOID_S)
+
+
+def is_banned(corrupt: int) -> bool:
+    """Tell whether a peer has sent too many corrupt chunks."""
+    return corrupt >= CORRUPT_LIMIT
+
+
+def _score(seed: blake3.blake3, name: str) -> bytes:
+    hasher = seed.copy()
+    hasher.update(name.encode())
+    return hasher.digest(8)
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -100,6 +100,11 @@
         self._inbox.put(Opened(self))
         self._tasks = [gevent.spawn(self._read), gevent.spawn(self._write)]
 
+    @property
+    def queued_bytes(self) -> int:
+        """How much is queued and not yet written."""
+        return self._queued_bytes
+
     def send(self, message: Any) -> None:
         """Queue a message; raises LinkError if the link is closed."""
         if self.closed_reason:
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -144,6 +144,7 @@
   3: i32 uploads            // chunk uploads now in progress
   4: bool wants             // still copying
   5: i32 loading            // 1 while its upstream loads this digest
+  6: bool open              // its gate is open for this digest
 }
 
 struct ChunkRequest {
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1567,16 +1567,18 @@
      - uploads
      - wants
      - loading
+     - open
 
     """
 
 
-    def __init__(self, digest=None, bitmap=None, uploads=None, wants=None, loading=None,):
+    def __init__(self, digest=None, bitmap=None, uploads=None, wants=None, loading=None, open=None,):
         self.digest = digest
         self.bitmap = bitmap
         self.uploads = uploads
         self.wants = wants
         self.loading = loading
+        self.open = open
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1612,6 +1614,11 @@
                     self.loading = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1642,6 +1649,10 @@
             oprot.writeFieldBegin('loading', TType.I32, 5)
             oprot.writeI32(self.loading)
             oprot.writeFieldEnd()
+        if self.open is not None:
+            oprot.writeFieldBegin('open', TType.BOOL, 6)
+            oprot.writeBool(self.open)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2823,6 +2834,7 @@
     (3, TType.I32, 'uploads', None, None, ),  # 3
     (4, TType.BOOL, 'wants', None, None, ),  # 4
     (5, TType.I32, 'loading', None, None, ),  # 5
+    (6, TType.BOOL, 'open', None, None, ),  # 6
 )
 all_structs.append(ChunkRequest)
 ChunkRequest.thrift_spec = (
