Test spreading, copying and switching, with faults of store and peers

In one process over real sockets: corrupt chunks from store and peer, a peer that always corrupts, a link stalled near the end, the store down, slow and losing replies, versions back and forth, a row removed, a request in flight across a switch, a late joiner, one replica loading at a time. The parts are split into smaller modules.

--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
@@ -0,0 +1,52 @@
+"""What copies may use of this instance's link at the moment."""
+
+from __future__ import annotations
+
+from burdockchute.decisions import rates
+
+
+class Bandwidth:
+    """Budgets of both directions; `uplink` and `downlink` are bytes/s."""
+
+    def __init__(self, uplink: float, downlink: float, now: float) -> None:
+        self._uplink = uplink
+        self._downlink = downlink
+        self._up = rates.Bucket(0.0, now)
+        self._down = rates.Bucket(0.0, now)
+        self._live = rates.Meter(0.0, now)
+
+    def note_live(self, count: int, now: float) -> None:
+        """Count bytes of live requests, which go first."""
+        self._live = rates.measure(self._live, count, now)
+
+    def refill(self, now: float) -> None:
+        """Let the budgets grow up to the present time."""
+        self._live = rates.measure(self._live, 0.0, now)
+        downlink = rates.cap(self._downlink, self._live.rate)
+        self._up = rates.refill(self._up, self.send_rate, now)
+        self._down = rates.refill(self._down, downlink, now)
+
+    def may_receive(self, size: int) -> bool:
+        """Take bytes of the downlink, or tell that none are left."""
+        if self._down.level <= 0:
+            return False
+        self._down = rates.take(self._down, size)
+        return True
+
+    @property
+    def may_send(self) -> bool:
+        """Whether the uplink has anything left."""
+        return self._up.level > 0
+
+    def sent(self, size: int) -> None:
+        """Take bytes of the uplink."""
+        self._up = rates.take(self._up, size)
+
+    @property
+    def send_rate(self) -> float:
+        """Bytes per second that copies may send now."""
+        return rates.cap(self._uplink, self._live.rate)
+
+    def send_wait_s(self) -> float:
+        """Give how long until something may be sent."""
+        return rates.wait_s(self._up, self.send_rate)
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -5,11 +5,9 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import random
-from typing import NamedTuple
 
 from gevent import queue
 
-from burdockchute.decisions import rates
 from burdockchute.decisions import sources
 from burdockchute.logs import event
 from burdockchute.logs import warn
@@ -20,6 +18,7 @@
 from burdockchute.weights.manifest import Manifest
 from burdockchute.weights.manifest import parse
 from burdockchute.wire import messages
+from burdockchute_agent.bandwidth import Bandwidth
 from burdockchute_agent.copier import Action
 from burdockchute_agent.copier import AskPeer
 from burdockchute_agent.copier import Copier
@@ -27,28 +26,20 @@
 from burdockchute_agent.events import Dialled
 from burdockchute_agent.events import ManifestRead
 from burdockchute_agent.events import OriginRead
+from burdockchute_agent.news import News
 from burdockchute_agent.origin_reads import OriginReads
 from burdockchute_agent.peers import PeerLink
 from burdockchute_agent.peers import Peers
 from burdockchute_agent.policy import Policy
-from burdockchute_agent.row_switch import Target
 from burdockchute_agent.uploads import Upload
 from burdockchute_agent.uploads import Uploads
+from burdockchute_agent.wanted import Target
 
 IDLE_S = 0.05
-# News of chunks is gathered for so long, to send one message for many.
-NEWS_S = 0.02
 # A peer that reads slower than it asks has this much waiting in its link.
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
 
-class Bandwidth(NamedTuple):
-    """The instance's link, in bytes per second."""
-
-    uplink: float
-    downlink: float
-
-
 class Copying:
     """Copies by digest, the peers, and what goes to and fro."""
 
@@ -56,7 +47,7 @@
         self,
         own: Member,
         store_url: str,
-        link: Bandwidth,
+        bandwidth: Bandwidth,
         peers: Peers,
         inbox: queue.Queue,
         policy: Policy,
@@ -66,21 +57,15 @@
         self.reads = OriginReads(store_url, inbox.put)
         self.bytes_from: dict[int, int] = {}
         self._own = own
-        self._link = link
+        self._bandwidth = bandwidth
         self._peers = peers
         self._policy = policy
         self._rng = rng
         self._copiers: dict[str, Copier] = {}
         self._hosts: Mapping[str, tuple[str, ...]] = {}
         self._uploads = Uploads()
-        self._up = rates.Bucket(0.0, now)
-        self._down = rates.Bucket(0.0, now)
-        self._live = rates.Meter(0.0, now)
         self._corrupt: dict[tuple[str, str], int] = {}
-        self._news: set[str] = set()
-        self._news_at = now
-        self._phases: dict[str, tuple[bool, bool]] = {}
-        self._new_phases: set[str] = set()
+        self._news = News(now)
         self._unreachable: frozenset[str] = frozenset()
 
     def stop(self) -> None:
@@ -90,7 +75,7 @@
 
     def note_live_bytes(self, count: int, now: float) -> None:
         """Count bytes of live requests on this instance's link."""
-        self._live = rates.measure(self._live, count, now)
+        self._bandwidth.note_live(count, now)
 
     def whole_copy(self, digest: str) -> Copy | None:
         """Give a copy if every chunk of it is held and verified."""
@@ -125,10 +110,8 @@
 
     def set_phase(self, digest: str, loading: bool, is_open: bool) -> None:
         """Tell peers whether the engine loads or serves a digest."""
-        if self._phases.get(digest) != (loading, is_open):
-            self._phases[digest] = (loading, is_open)
-            self._news.add(digest)
-            self._new_phases.add(digest)
+        if digest in self._copiers:
+            self._news.phase(digest, loading, is_open)
 
     def want(
         self,
@@ -208,8 +191,8 @@
             document = document_of(copy.manifest)
             peer.send(messages.Chunk(digest, index, document, '', 0))
         elif not self._uploads.add(Upload(peer.name, digest, index)):
-            rate = rates.cap(self._link.uplink, self._live.rate)
-            wait_s = len(self._uploads) * copy.manifest.chunk_size / rate / 2
+            waiting = len(self._uploads) * copy.manifest.chunk_size
+            wait_s = waiting / self._bandwidth.send_rate / 2
             wait_ms = int(wait_s * 1000)
             peer.send(messages.Chunk(digest, index, b'', 'busy', wait_ms))
 
@@ -226,7 +209,7 @@
             self._manifest_came(copier, peer, chunk.data, now)
         elif copier.chunk_came(peer.name, chunk.index, chunk.data, now):
             self._count(peer.distance, len(chunk.data))
-            self._news.add(chunk.digest)
+            self._news.chunk(chunk.digest)
             self._tell_whole(copier)
         else:
             self._corrupt_from(peer, chunk.digest, chunk.index)
@@ -255,7 +238,7 @@
         self, copier: Copier, manifest: Manifest, now: float
     ) -> None:
         copier.manifest_came(manifest, now)
-        self._news.add(copier.digest)
+        self._news.chunk(copier.digest)
         # What peers hold could not be read without the number of chunks.
         for peer in self._peers.links.values():
             have = peer.haves.get(copier.digest)
@@ -275,7 +258,7 @@
                 reason=read.outcome.text,
             )
         elif copier.read_came(read.chunk, read.outcome, now):
-            self._news.add(read.digest)
+            self._news.chunk(read.digest)
             self._tell_whole(copier)
         else:
             warn('origin_chunk_corrupt', digest=read.digest, chunk=read.chunk)
@@ -302,17 +285,20 @@
     def tick(self, now: float) -> float:
         """Ask, send and tell what is due; gives when to come back at most."""
         self._peers.tick(now)
-        downlink = rates.cap(self._link.downlink, self._live_rate(now))
-        self._down = rates.refill(self._down, downlink, now)
+        self._bandwidth.refill(now)
         self._skip_unreachable()
         for copier in self._copiers.values():
             if copier.complete:
                 continue
             copier.heard(self._expected_peers(copier.digest))
-            for action in copier.plan(now, self._may_take):
+            for action in copier.plan(now, self._bandwidth.may_receive):
                 self._do(copier, action)
-        next_upload = self._send_uploads(now)
-        return min(IDLE_S, next_upload, self._tell_news(now))
+        self._send_uploads()
+        peers = self._peers.links.values()
+        news_s = self._news.tell(peers, self._have, now)
+        upload_s = self._bandwidth.send_wait_s() if self._uploads else None
+        due = [IDLE_S, news_s, upload_s]
+        return min(wait_s for wait_s in due if wait_s is not None)
 
     def _do(self, copier: Copier, action: Action) -> None:
         if isinstance(action, AskPeer):
@@ -325,21 +311,12 @@
         else:
             self.reads.read_chunk(copier.copy.manifest, action.chunk)
 
-    def _may_take(self, size: int) -> bool:
-        if self._down.level <= 0:
-            return False
-        self._down = rates.take(self._down, size)
-        return True
-
-    def _send_uploads(self, now: float) -> float:
-        rate = rates.cap(self._link.uplink, self._live_rate(now))
-        self._up = rates.refill(self._up, rate, now)
-        while self._up.level > 0:
+    def _send_uploads(self) -> None:
+        while self._bandwidth.may_send:
             upload = self._uploads.next()
             if upload is None:
-                return IDLE_S
+                return
             self._send(upload)
-        return rates.wait_s(self._up, rate)
 
     def _send(self, upload: Upload) -> None:
         peer = self._peers.links.get(upload.peer)
@@ -353,29 +330,12 @@
             )
             peer.send(reply)
             return
-        self._up = rates.take(self._up, len(data))
+        self._bandwidth.sent(len(data))
         peer.send(messages.Chunk(upload.digest, upload.chunk, data, '', 0))
 
-    def _tell_news(self, now: float) -> float:
-        if not self._news:
-            return IDLE_S
-        if now - self._news_at < NEWS_S:
-            return NEWS_S
-        self._news_at = now
-        for digest in self._news & self._copiers.keys():
-            have = self._have(digest)
-            for peer in self._peers.links.values():
-                known = peer.haves.get(digest)
-                is_whole = known is not None and not known.wants
-                if digest in self._new_phases or not is_whole:
-                    peer.send(have)
-        self._news.clear()
-        self._new_phases.clear()
-        return IDLE_S
-
     def _have(self, digest: str) -> messages.Have:
         copier = self._copiers[digest]
-        loading, is_open = self._phases.get(digest, (False, False))
+        loading, is_open = self._news.phase_of(digest)
         return messages.Have(
             digest=digest,
             bitmap=copier.bitmap(),
@@ -394,7 +354,7 @@
             now,
         )
         self._copiers[target.digest] = copier
-        self._news.add(target.digest)
+        self._news.chunk(target.digest)
         event('copy_began', digest=target.digest)
         for peer in self._peers.links.values():
             have = peer.haves.get(target.digest)
@@ -404,7 +364,7 @@
     def _give_up(self, digest: str) -> None:
         self.reads.stop(digest)
         copier = self._copiers.pop(digest)
-        self._phases.pop(digest, None)
+        self._news.forget(digest)
         if copier.copy is not None:
             copier.copy.release()
         for upload in self._uploads.forget_digest(digest):
@@ -452,10 +412,6 @@
         key = peer.name, peer.link.peer.incarnation
         return sources.is_banned(self._corrupt.get(key, 0))
 
-    def _live_rate(self, now: float) -> float:
-        self._live = rates.measure(self._live, 0.0, now)
-        return self._live.rate
-
     def _count(self, distance: int, size: int) -> None:
         self.bytes_from[distance] = self.bytes_from.get(distance, 0) + size
 
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/news.py
@@ -0,0 +1,67 @@
+"""Telling peers what this instance holds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from burdockchute.wire import messages
+from burdockchute_agent.peers import PeerLink
+
+# News of chunks is gathered for so long, to send one message for many.
+GATHER_S = 0.02
+
+
+class News:
+    """Digests whose state has changed since peers were last told."""
+
+    def __init__(self, now: float) -> None:
+        self._told_at = now
+        self._chunks: set[str] = set()
+        self._phases: set[str] = set()
+        self._phase_of: dict[str, tuple[bool, bool]] = {}
+
+    def chunk(self, digest: str) -> None:
+        """Note that a chunk has come; peers with a whole copy don't care."""
+        self._chunks.add(digest)
+
+    def phase(self, digest: str, loading: bool, is_open: bool) -> None:
+        """Note whether the engine loads or serves a digest."""
+        if self._phase_of.get(digest) != (loading, is_open):
+            self._phase_of[digest] = (loading, is_open)
+            self._phases.add(digest)
+
+    def phase_of(self, digest: str) -> tuple[bool, bool]:
+        """Give whether the engine loads and whether it serves a digest."""
+        return self._phase_of.get(digest, (False, False))
+
+    def forget(self, digest: str) -> None:
+        """Drop all about weights that are given up."""
+        self._chunks.discard(digest)
+        self._phases.discard(digest)
+        self._phase_of.pop(digest, None)
+
+    def tell(
+        self,
+        peers: Iterable[PeerLink],
+        have: Callable[[str], messages.Have],
+        now: float,
+    ) -> float | None:
+        """Send what is due; gives when to come back, None for no news."""
+        changed = self._chunks | self._phases
+        if not changed:
+            return None
+        if now - self._told_at < GATHER_S:
+            return GATHER_S
+        self._told_at = now
+        told = list(peers)
+        for digest in changed:
+            message = have(digest)
+            for peer in told:
+                known = peer.haves.get(digest)
+                is_whole = known is not None and not known.wants
+                if digest in self._phases or not is_whole:
+                    peer.send(message)
+        self._chunks.clear()
+        self._phases.clear()
+        return None
--- a/packages/burdockchute-agent/burdockchute_agent/row_switch.py
+++ b/packages/burdockchute-agent/burdockchute_agent/row_switch.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
 from burdockchute.upstreams.orders import EngineError
 from burdockchute.upstreams.orders import Order
 from burdockchute.upstreams.orders import OrderRefused
+from burdockchute_agent.wanted import Target
 
 # A load that failed is tried again, but not so fast that a broken engine or
 # a broken copy keeps its instance busy.
@@ -21,19 +20,6 @@
 NO_ROOM_STATUS = (409, 507)
 
 
-class Target(NamedTuple):
-    """The weights that a row names. `base` is set for adapters."""
-
-    kind: str
-    name: str
-    version: str
-    digest: str
-    base: str
-    checks_fencing: bool
-    loading_share: float
-    origin_copies: float
-
-
 class RowSwitch:
     """Keeps the orders of one row apart from each other in time."""
 
@@ -48,8 +34,12 @@
         self._not_before = 0.0
         self._failures = 0
 
-    def want(self, target: Target | None) -> None:
-        """Take what the row names now; None when it is gone."""
+    def want(self, target: Target | None, before: str | None) -> None:
+        """Take what the row names now; None when it is gone.
+
+        `before` names whose turn to load comes before ours.
+        """
+        self.before = before
         if self.target and target and self.target.digest == target.digest:
             self.target = target
             return
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/wanted.py
@@ -0,0 +1,141 @@
+"""What this instance should hold, from whom it copies and who loads first."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from burdockchute.decisions import hosting
+from burdockchute.decisions import pacing
+from burdockchute.model.members import Member
+from burdockchute.model.rows import AdapterRow
+from burdockchute.model.rows import ModelRow
+from burdockchute.model.table import models
+from burdockchute.model.table import Table
+from burdockchute_agent.policy import Policy
+
+RowId = tuple[str, str]
+
+
+class Target(NamedTuple):
+    """The weights that a row names. `base` is set for adapters."""
+
+    kind: str
+    name: str
+    version: str
+    digest: str
+    base: str
+    checks_fencing: bool
+    loading_share: float
+    origin_copies: float
+
+
+class Wanted(NamedTuple):
+    """Everything that follows from the present table and members.
+
+    `targets` is by kind and name of the row, `hosts` by digest and names
+    all who want it, `peers` are those to dial and `before` names for each
+    row whose turn to load comes before ours.
+    """
+
+    targets: Mapping[RowId, Target]
+    hosts: Mapping[str, tuple[str, ...]]
+    peers: Mapping[str, Member]
+    before: Mapping[RowId, str | None]
+
+
+def wanted(
+    table: Table, members: Sequence[Member], own: Member, policy: Policy
+) -> Wanted:
+    """Work out what an instance should hold and with whom it exchanges."""
+    targets = _targets(table, members, own)
+    hosts = _hosts_by_model(table, members, own)
+    before = {
+        row: _before(target, own, hosts[target.base or target.name])
+        for row, target in targets.items()
+    }
+    return Wanted(
+        targets,
+        {
+            target.digest: tuple(hosts[target.base or target.name])
+            for target in targets.values()
+        },
+        _peers(own, hosts, before, policy),
+        before,
+    )
+
+
+def _targets(
+    table: Table, members: Sequence[Member], own: Member
+) -> dict[RowId, Target]:
+    found: dict[RowId, Target] = {}
+    for model in hosting.hosted_models(table, members, own):
+        found['model', model.name] = _model_target(model)
+    by_name = models(table)
+    for adapter in hosting.hosted_adapters(table, members, own):
+        base = by_name[adapter.base]
+        found['adapter', adapter.name] = _adapter_target(adapter, base)
+    return found
+
+
+def _hosts_by_model(
+    table: Table, members: Sequence[Member], own: Member
+) -> dict[str, dict[str, Member]]:
+    known = [member for member in members if member.name != own.name]
+    known.append(own)
+    by_name = {member.name: member for member in known}
+    return {
+        row.name: {name: by_name[name] for name in hosting.hosts(row, known)}
+        for row in hosting.hosted_models(table, members, own)
+    }
+
+
+def _before(
+    target: Target, own: Member, hosts: Mapping[str, Member]
+) -> str | None:
+    key = f'{target.kind}/{target.name}/{target.digest}'
+    return pacing.before(key, own.name, tuple(hosts), target.loading_share)
+
+
+def _peers(
+    own: Member,
+    hosts: Mapping[str, Mapping[str, Member]],
+    before: Mapping[RowId, str | None],
+    policy: Policy,
+) -> dict[str, Member]:
+    found: dict[str, Member] = {}
+    watched = {name for name in before.values() if name is not None}
+    for model, members in hosts.items():
+        chosen = policy.neighbours(
+            f'model/{model}', own, tuple(members.values())
+        )
+        for name in {*chosen, *(watched & members.keys())}:
+            found[name] = members[name]
+    return found
+
+
+def _model_target(row: ModelRow) -> Target:
+    return Target(
+        kind='model',
+        name=row.name,
+        version=row.version,
+        digest=row.digest,
+        base='',
+        checks_fencing=row.checks_fencing,
+        loading_share=row.loading_share,
+        origin_copies=row.origin_copies,
+    )
+
+
+def _adapter_target(row: AdapterRow, base: ModelRow) -> Target:
+    return Target(
+        kind='adapter',
+        name=row.name,
+        version=row.version,
+        digest=row.digest,
+        base=row.base,
+        checks_fencing=base.checks_fencing,
+        loading_share=base.loading_share,
+        origin_copies=row.origin_copies,
+    )
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Mapping
 import random
 import time
 from typing import NamedTuple
@@ -35,10 +34,7 @@
 from burdockchute.model.changes import TableChanged
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
-from burdockchute.model.rows import AdapterRow
-from burdockchute.model.rows import ModelRow
 from burdockchute.model.table import EMPTY
-from burdockchute.model.table import models
 from burdockchute.model.table import Table
 from burdockchute.upstreams.gate import Gate
 from burdockchute.upstreams.gate import Weights
@@ -47,7 +43,7 @@
 from burdockchute.weights.manifest import document_of
 from burdockchute.weights.manifest import Manifest
 from burdockchute.wire import messages
-from burdockchute_agent.copying import Bandwidth
+from burdockchute_agent.bandwidth import Bandwidth
 from burdockchute_agent.copying import Copying
 from burdockchute_agent.engine_task import EngineTask
 from burdockchute_agent.engine_view import EngineView
@@ -58,7 +54,8 @@
 from burdockchute_agent.policy import DEFAULT
 from burdockchute_agent.policy import Policy
 from burdockchute_agent.row_switch import RowSwitch
-from burdockchute_agent.row_switch import Target
+from burdockchute_agent.wanted import Target
+from burdockchute_agent.wanted import wanted as wanted_by
 
 ROWS_S = 0.02
 REGISTER_RETRY_S = 1.0
@@ -123,7 +120,7 @@
         self._copying = Copying(
             self._own,
             store_url,
-            Bandwidth(uplink, downlink),
+            Bandwidth(uplink, downlink, now),
             self._peers,
             self.inbox,
             policy,
@@ -232,74 +229,16 @@
         if not self._is_engine:
             self.gate.set_services(frozenset(self.services()))
             return
-        targets = self._targets()
-        for key, target in targets.items():
-            self._switch(key).want(target)
-        for key, switch in self._switches.items():
-            if key not in targets:
-                switch.want(None)
-        hosts = self._hosts_by_row()
-        self._set_lanes(hosts)
-        self._dial_for(hosts)
+        wanted = wanted_by(self._table, self._members, self._own, self._policy)
+        for row in wanted.targets:
+            self._switch(row)
+        for row, switch in self._switches.items():
+            switch.want(wanted.targets.get(row), wanted.before.get(row))
+        self._peers.want(wanted.peers)
         self._copying.want(
-            list(targets.values()),
-            {
-                target.digest: tuple(hosts[target.base or target.name])
-                for target in targets.values()
-            },
-            time.monotonic(),
+            list(wanted.targets.values()), wanted.hosts, time.monotonic()
         )
 
-    def _hosts_by_row(self) -> dict[str, dict[str, Member]]:
-        known = [m for m in self._members if m.name != self._own.name]
-        known.append(self._own)
-        by_name = {member.name: member for member in known}
-        return {
-            row.name: {
-                name: by_name[name] for name in hosting.hosts(row, known)
-            }
-            for row in hosting.hosted_models(
-                self._table, self._members, self._own
-            )
-        }
-
-    def _set_lanes(self, hosts: Mapping[str, Mapping[str, Member]]) -> None:
-        for switch in self._switches.values():
-            target = switch.target
-            if target is None:
-                switch.before = None
-                continue
-            switch.before = pacing.before(
-                f'{target.kind}/{target.name}/{target.digest}',
-                self._own.name,
-                tuple(hosts[target.base or target.name]),
-                target.loading_share,
-            )
-
-    def _dial_for(self, hosts: Mapping[str, Mapping[str, Member]]) -> None:
-        wanted: dict[str, Member] = {}
-        for name, members in hosts.items():
-            chosen = self._policy.neighbours(
-                f'model/{name}', self._own, tuple(members.values())
-            )
-            wanted.update((peer, members[peer]) for peer in chosen)
-        everyone = {m.name: m for m in self._members}
-        for switch in self._switches.values():
-            if switch.before in everyone:
-                wanted[switch.before] = everyone[switch.before]
-        self._peers.want(wanted)
-
-    def _targets(self) -> dict[tuple[str, str], Target]:
-        found = {}
-        known = (self._table, self._members, self._own)
-        for model in hosting.hosted_models(*known):
-            found['model', model.name] = _model_target(model)
-        by_name = models(self._table)
-        for adapter in hosting.hosted_adapters(*known):
-            base = by_name[adapter.base]
-            found['adapter', adapter.name] = _adapter_target(adapter, base)
-        return found
-
     def _switch(self, key: tuple[str, str]) -> RowSwitch:
         if key not in self._switches:
             self._switches[key] = RowSwitch(*key)
@@ -497,31 +436,5 @@
     return base64.b64encode(document_of(manifest)).decode()
 
 
-def _model_target(row: ModelRow) -> Target:
-    return Target(
-        kind='model',
-        name=row.name,
-        version=row.version,
-        digest=row.digest,
-        base='',
-        checks_fencing=row.checks_fencing,
-        loading_share=row.loading_share,
-        origin_copies=row.origin_copies,
-    )
-
-
-def _adapter_target(row: AdapterRow, base: ModelRow) -> Target:
-    return Target(
-        kind='adapter',
-        name=row.name,
-        version=row.version,
-        digest=row.digest,
-        base=row.base,
-        checks_fencing=base.checks_fencing,
-        loading_share=base.loading_share,
-        origin_copies=row.origin_copies,
-    )
-
-
 def _weights(switch: RowSwitch, digest: str) -> Weights:
     return Weights(switch.kind, switch.name, digest)
--- /dev/null
+++ b/packages/burdockchute-agent/tests/test_rollouts.py
@@ -0,0 +1,235 @@
+"""Weights on their way to several agents, and what goes wrong there.
+
+Agents run in this process, with stand-ins for store and engines on real
+sockets.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+import gevent
+
+from burdockchute.model.members import Place
+from burdockchute.model.rows import AdapterRow
+from burdockchute.model.rows import ModelRow
+from burdockchute.weights import manifest as manifests
+from burdockchute_testing import fake_weights
+from burdockchute_testing.fakes import fleet as fleets
+from burdockchute_testing.fakes.fleet import CHUNK
+from burdockchute_testing.fakes.fleet import FakePeer
+
+
+def story(digest: str, **columns) -> ModelRow:
+    return ModelRow('story', 'v', digest, **columns)
+
+
+class RolloutTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = fleets.Fleet(self)
+
+    def start(self, count: int, **options) -> None:
+        for number in range(count):
+            place = Place(f'z{number % 3}', f'r{number % 2}', 'main')
+            self.fleet.add(f'a{number}', place=place, **options)
+        self.fleet.tell_members()
+
+    def test_new_version_reaches_all_for_one_copy_of_the_origin(self):
+        self.start(6)
+        first = self.fleet.publish(seed=1)
+        second = self.fleet.publish(seed=2)
+        for digest in (first, second):
+            self.fleet.set_rows(story(digest))
+            self.fleet.wait_open(digest)
+            self.assertEqual(1.0, self.fleet.origin_copies(digest))
+
+    def test_late_joiner_reads_nothing_from_the_origin(self):
+        # An instance is replaced hours after the rollout. If it read the
+        # store, 1,800 restarts a day would be 1,800 copies on a paid link.
+        self.start(3)
+        digest = self.fleet.publish()
+        self.fleet.set_rows(story(digest))
+        self.fleet.wait_open(digest)
+        late = self.fleet.add('late')
+        self.fleet.tell_members()
+        self.fleet.tell_table(late)
+        self.fleet.wait_open(digest)
+        self.assertEqual(1.0, self.fleet.origin_copies(digest))
+
+    def test_versions_changed_back_and_forth(self):
+        # An operator takes a version back while it is being copied, and
+        # puts it in force again. Every instance must end with the last one
+        # and with the memory of the other freed.
+        self.start(3)
+        first = self.fleet.publish(seed=1)
+        second = self.fleet.publish(seed=2, chunks=64)
+        self.fleet.set_rows(story(first))
+        self.fleet.wait_open(first)
+        for digest in (second, first, second, first):
+            self.fleet.set_rows(story(digest))
+            gevent.sleep(0.1)
+        self.fleet.wait_open(first)
+        for agent in self.fleet.agents.values():
+            self.fleet.wait_loaded(agent, {first})
+            self.fleet.wait_held(agent, 16 * CHUNK - 5)
+
+    def test_removed_row_leaves_nothing(self):
+        self.start(2)
+        digest = self.fleet.publish()
+        self.fleet.set_rows(story(digest))
+        self.fleet.wait_open(digest)
+        self.fleet.set_rows()
+        for agent in self.fleet.agents.values():
+            self.fleet.wait_loaded(agent, set())
+            self.assertEqual(set(), agent.open_digests())
+            self.assertEqual(0, agent.task.copy_stats().held)
+
+    def test_request_in_flight_holds_up_the_switch_without_room(self):
+        # The engine has memory for one version and a page is being written
+        # when the row names the next. The page must end in its own weights.
+        self.start(1, engine_options={'memory_models': 1})
+        first = self.fleet.publish(seed=1)
+        second = self.fleet.publish(seed=2)
+        self.fleet.set_rows(story(first))
+        self.fleet.wait_open(first)
+        agent = self.fleet.agents['a0']
+        self.assertIsNone(agent.task.gate.enter('story', first, ''))
+        self.fleet.set_rows(story(second))
+        self.fleet.wait(lambda: agent.open_digests() == set())
+        self.assertEqual({first}, agent.loaded())
+        agent.task.gate.leave('story', first, '')
+        self.fleet.wait_open(second)
+        self.assertEqual({second}, agent.loaded())
+
+    def test_adapter_opens_with_its_base(self):
+        self.start(2)
+        base = self.fleet.publish(seed=1)
+        rhymes = self.fleet.publish(seed=3, chunks=2, name='rhymes')
+        self.fleet.set_rows(
+            story(base), AdapterRow('rhymes', 'v', rhymes, 'story')
+        )
+        for agent in self.fleet.agents.values():
+            self.fleet.wait_opens(agent, {base, rhymes})
+            gate = agent.task.gate
+            self.assertIsNone(gate.enter('rhymes', base, rhymes))
+
+    def test_one_replica_at_a_time_takes_a_switch(self):
+        # A load takes a replica away where there is no room for two
+        # versions. If all three loaded at once nobody would answer.
+        options = {'memory_models': 1, 'load_s': 0.4}
+        self.start(3, engine_options=options)
+        first = self.fleet.publish(seed=1)
+        second = self.fleet.publish(seed=2)
+        self.fleet.set_rows(story(first))
+        self.fleet.wait_open(first)
+        self.fleet.set_rows(story(second, loading_share=0.34))
+        agents = self.fleet.agents.values()
+        fewest = len(agents)
+        while not all(agent.open_digests() == {second} for agent in agents):
+            serving = sum(1 for agent in agents if agent.open_digests())
+            fewest = min(fewest, serving)
+            gevent.sleep(0.02)
+        self.assertEqual(2, fewest)
+
+
+class CorruptionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = fleets.Fleet(self)
+
+    def fake_peer(self, digest: str, answer) -> FakePeer:
+        made = self.fleet.store._weights[digest]
+        document = fake_weights.manifest_of(made)
+        peer = FakePeer(
+            self,
+            'bad',
+            digest,
+            len(document['chunks']),
+            answer,
+            manifests.document_of(
+                manifests.build(
+                    made.name,
+                    fake_weights.read(made, 0, made.size),
+                    made.chunk_size,
+                )
+            ),
+        )
+        self.fleet.others.append(peer.member)
+        return peer
+
+    def test_origin_sends_corrupt_chunks(self):
+        # The store's reply is changed on the way. The agent must ask again
+        # and never serve what it got.
+        self.fleet.fault(corrupt=0.5, seed=3)
+        self.fleet.add('a0')
+        digest = self.fleet.publish()
+        self.fleet.set_rows(story(digest))
+        self.fleet.wait_open(digest)
+        self.assertGreater(self.fleet.origin_copies(digest), 1.0)
+
+    def test_peer_that_always_corrupts_is_asked_no_more(self):
+        # A peer's memory is bad: it claims to hold everything and each
+        # chunk it sends is wrong. Asking it on and on, the copy would never
+        # end.
+        digest = self.fleet.publish()
+        peer = self.fake_peer(digest, lambda index: b'x' * CHUNK)
+        self.fleet.add('a0')
+        self.fleet.tell_members()
+        self.fleet.set_rows(story(digest))
+        self.fleet.wait_open(digest)
+        self.assertLessEqual(len(peer.asked), 4)
+
+    def test_stalled_peer_near_the_end_of_a_copy(self):
+        # A link stalls after most chunks have come through it; it stays
+        # open and nothing is refused. A copy that waited for its last
+        # chunks there would be late by as long as the link stays so.
+        digest = self.fleet.publish()
+        made = self.fleet.store._weights[digest]
+        sent: list[int] = []
+
+        def answer(index: int) -> bytes | None:
+            if len(sent) >= 13:
+                return None
+            sent.append(index)
+            start = index * CHUNK
+            return fake_weights.read(made, start, start + CHUNK)
+
+        self.fake_peer(digest, answer)
+        self.fleet.add('a0')
+        self.fleet.tell_members()
+        self.fleet.set_rows(story(digest))
+        self.fleet.wait_open(digest)
+        self.assertEqual(13, len(sent))
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = fleets.Fleet(self)
+        for number in range(3):
+            self.fleet.add(f'a{number}')
+        self.fleet.tell_members()
+
+    def test_store_that_was_down_is_not_overrun_when_it_comes_back(self):
+        # The store is away when a version is put in force. By the time it
+        # is back everyone has waited long enough to read it; if they all
+        # did, it would have to carry a copy for each.
+        digest = self.fleet.publish()
+        self.fleet.fault(outage=True)
+        self.fleet.set_rows(story(digest))
+        gevent.sleep(4.0)
+        self.fleet.fault()
+        self.fleet.wait_open(digest)
+        self.assertLessEqual(self.fleet.origin_copies(digest), 1.5)
+
+    def test_slow_store(self):
+        digest = self.fleet.publish(chunks=4)
+        self.fleet.fault(slow_s=0.5)
+        self.fleet.set_rows(story(digest))
+        self.fleet.wait_open(digest)
+        self.assertEqual(1.0, self.fleet.origin_copies(digest))
+
+    def test_lost_replies_of_the_store(self):
+        # The store has sent and counted the bytes and the reply is lost.
+        digest = self.fleet.publish()
+        self.fleet.fault(lose_replies=0.5, seed=5)
+        self.fleet.set_rows(story(digest))
+        self.fleet.wait_open(digest)
--- /dev/null
+++ b/packages/burdockchute-agent/tests/test_weights_parts.py
@@ -0,0 +1,260 @@
+"""Parts of the weights task that need no network."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from burdockchute.decisions import chunks
+from burdockchute.decisions import sources
+from burdockchute.decisions.switching import settle_s
+from burdockchute.upstreams.gate import Weights
+from burdockchute.upstreams.orders import EngineError
+from burdockchute.upstreams.orders import EngineState
+from burdockchute.upstreams.orders import Loaded
+from burdockchute.upstreams.orders import Order
+from burdockchute.weights import manifest as manifests
+from burdockchute.wire import messages
+from burdockchute_agent.copier import AskPeer
+from burdockchute_agent.copier import Copier
+from burdockchute_agent.copier import MANIFEST
+from burdockchute_agent.copier import ReadOrigin
+from burdockchute_agent.engine_view import EngineView
+from burdockchute_agent.row_switch import RowSwitch
+from burdockchute_agent.uploads import Upload
+from burdockchute_agent.uploads import Uploads
+
+CONTENT = bytes(range(40))
+MANIFEST_OF = manifests.build('story', CONTENT, 10)
+STORY = Weights('model', 'story', 'd')
+
+
+def have(held: int, **fields) -> messages.Have:
+    values = {'uploads': 0, 'wants': True, 'loading': 0, 'open': False}
+    return messages.Have(
+        MANIFEST_OF.digest, bytes([held]), **{**values, **fields}
+    )
+
+
+def chunk(index: int) -> bytes:
+    return CONTENT[10 * index : 10 * index + 10]
+
+
+def unlimited(size: int) -> bool:
+    return True
+
+
+class CopierTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.copier = Copier(
+            MANIFEST_OF.digest,
+            1.0,
+            chunks.rarest_from_least_loaded,
+            random.Random(1),
+            0.0,
+        )
+        self.copier.set_readers(sources.readers('d', 'own', ['own', 'other']))
+
+    def begin(self) -> None:
+        self.copier.manifest_came(MANIFEST_OF, 0.0)
+
+    def plan(self, now: float) -> set:
+        return set(self.copier.plan(now, unlimited))
+
+    def test_manifest_comes_from_a_peer_that_has_it(self):
+        self.copier.have_came('p', 0, have(0), 0.0)
+        self.assertEqual({AskPeer('p', MANIFEST)}, self.plan(0.0))
+        self.assertEqual(set(), self.plan(0.1))
+
+    def test_two_requests_for_each_peer(self):
+        self.begin()
+        for name in ('p', 'q'):
+            self.copier.have_came(name, 0, have(0b1111), 0.0)
+        asked = self.plan(0.0)
+        self.assertEqual({0, 1, 2, 3}, {ask.chunk for ask in asked})
+        self.assertEqual(
+            ['p', 'p', 'q', 'q'], sorted(ask.peer for ask in asked)
+        )
+
+    def test_peer_that_lets_a_deadline_pass_is_left_alone(self):
+        self.begin()
+        self.copier.have_came('p', 0, have(0b0001), 0.0)
+        self.assertEqual({AskPeer('p', 0)}, self.plan(0.0) - reads())
+        late = sources.deadline_s(0.0) + 0.1
+        self.copier.have_came('q', 2, have(0b0001), late)
+        self.assertIn(AskPeer('q', 0), self.plan(late))
+
+    def test_last_chunk_is_asked_for_twice(self):
+        # All but one chunk are there and the peer that has the last one
+        # has gone slow. Waiting for its deadline would hold up the whole
+        # version for one chunk.
+        self.begin()
+        for index in (0, 1, 2):
+            self.copier.read_came(index, chunk(index), 0.0)
+        self.copier.have_came('p', 0, have(0b1000), 0.0)
+        self.assertEqual({AskPeer('p', 3)}, self.plan(0.0))
+        self.copier.have_came('q', 0, have(0b1000), 0.0)
+        self.assertEqual(set(), self.plan(0.1))
+        later = sources.second_source_s(0.0) + 0.1
+        self.assertEqual({AskPeer('q', 3)}, self.plan(later))
+        self.assertTrue(self.copier.chunk_came('q', 3, chunk(3), later))
+        self.assertTrue(self.copier.complete)
+
+    def test_chunks_of_a_peer_that_died_are_asked_for_elsewhere(self):
+        self.begin()
+        self.copier.have_came('p', 0, have(0b0011), 0.0)
+        self.plan(0.0)
+        self.copier.have_came('q', 0, have(0b0011), 0.0)
+        self.copier.peer_gone('p')
+        asked = self.plan(0.0) - reads()
+        self.assertEqual({AskPeer('q', 0), AskPeer('q', 1)}, asked)
+
+    def test_origin_is_read_once_for_what_nobody_has(self):
+        self.begin()
+        self.copier.have_came('p', 0, have(0b0011), 0.0)
+        found: set[int] = set()
+        now = 0.0
+        while now < 3.0:
+            for action in self.plan(now):
+                if isinstance(action, ReadOrigin):
+                    found.add(action.chunk)
+                    self.copier.read_came(
+                        action.chunk, chunk(action.chunk), now
+                    )
+            now += 0.1
+        self.assertEqual({2, 3}, found)
+
+    def test_failed_reads_wait_before_the_next(self):
+        self.copier.heard(set())
+        now = sources.GRACE_S + 4.0
+        self.assertEqual({ReadOrigin(MANIFEST)}, self.plan(now))
+        self.copier.read_lost(MANIFEST, now)
+        self.assertEqual(set(), self.plan(now + 0.1))
+
+
+class UploadsTest(unittest.TestCase):
+    def test_peers_are_served_in_turn(self):
+        # One peer asks for many chunks at once. Another one's single
+        # request must not wait for all of them.
+        uploads = Uploads()
+        for index in range(4):
+            uploads.add(Upload('greedy', 'd', index))
+        uploads.add(Upload('other', 'd', 9))
+        first_two = {uploads.next().peer, uploads.next().peer}
+        self.assertEqual({'greedy', 'other'}, first_two)
+
+    def test_queue_is_bounded(self):
+        uploads = Uploads()
+        taken = [uploads.add(Upload('p', 'd', n)) for n in range(20)]
+        self.assertEqual(8, sum(taken))
+
+    def test_given_up_weights_leave_the_queue(self):
+        uploads = Uploads()
+        uploads.add(Upload('p', 'd', 1))
+        uploads.add(Upload('p', 'e', 2))
+        self.assertEqual([Upload('p', 'd', 1)], uploads.forget_digest('d'))
+        self.assertEqual(Upload('p', 'e', 2), uploads.next())
+        self.assertIsNone(uploads.next())
+
+
+def reads() -> set[ReadOrigin]:
+    return {ReadOrigin(index) for index in range(-1, 4)}
+
+
+class EngineViewTest(unittest.TestCase):
+    SETTLE_S = settle_s(0)
+
+    def state(self, *digests: str, fence: int = 7, checks: bool = True):
+        loaded = frozenset(Loaded('model', 'story', d) for d in digests)
+        return EngineState(fence, checks, loaded, frozenset())
+
+    def settled(self, view: EngineView, checks: bool = True) -> bool:
+        return view.settled(STORY, 7, checks, self.SETTLE_S)
+
+    def test_engine_that_checks_our_number_is_believed_at_once(self):
+        view = EngineView(0.0)
+        view.seen(1.0, self.state('d'))
+        self.assertTrue(self.settled(view))
+        self.assertFalse(self.settled(view, checks=False))
+
+    def test_engine_that_ignores_numbers_is_watched_first(self):
+        # An agent that was paused and replaced gives its last order when it
+        # goes on. An engine that ignores numbers obeys.
+        view = EngineView(0.0)
+        view.seen(1.0, self.state('d', checks=False))
+        self.assertFalse(self.settled(view))
+        view.seen(1.0 + self.SETTLE_S + 0.1, self.state('d', checks=False))
+        self.assertTrue(self.settled(view))
+
+    def test_change_starts_the_watch_again(self):
+        view = EngineView(0.0)
+        view.seen(1.0, self.state('d', checks=False))
+        view.seen(6.0, self.state('d', 'e', checks=False))
+        view.seen(8.0, self.state('d', checks=False))
+        self.assertFalse(self.settled(view))
+
+    def test_old_number_in_the_engine_is_not_ours(self):
+        view = EngineView(0.0)
+        view.seen(1.0, self.state('d', fence=3))
+        self.assertFalse(self.settled(view))
+        self.assertFalse(view.superseded(7))
+        view.seen(2.0, self.state('d', fence=9))
+        self.assertTrue(view.superseded(7))
+
+    def test_doubt_is_not_cleared_by_one_report(self):
+        view = EngineView(0.0)
+        view.seen(1.0, self.state('d'))
+        view.doubted(STORY, 1.5)
+        view.seen(2.0, self.state('d'))
+        self.assertFalse(self.settled(view))
+        view.seen(1.5 + self.SETTLE_S + 0.1, self.state('d'))
+        self.assertTrue(self.settled(view))
+
+    def test_engine_that_answers_no_more_has_nothing_loaded(self):
+        view = EngineView(0.0)
+        view.seen(1.0, self.state('d'))
+        view.seen(2.0, EngineError('refused'))
+        self.assertEqual({'d'}, view.loaded('model', 'story'))
+        for asked in (3.0, 4.0):
+            view.seen(asked, EngineError('refused'))
+        self.assertEqual(frozenset(), view.loaded('model', 'story'))
+
+
+class RowSwitchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.switch = RowSwitch('model', 'story')
+        self.order = Order('load', 'model', 'story', '', 'd', '', '', 7, 1)
+
+    def observe(self, asked: float, *loaded: str) -> bool:
+        return self.switch.observe(
+            frozenset(loaded), frozenset(), asked, asked
+        )
+
+    def test_report_older_than_the_reply_tells_nothing(self):
+        self.switch.ordered(self.order)
+        self.assertFalse(self.observe(9.0, 'd'))
+        self.switch.ended('order-1', 1.0)
+        self.assertFalse(self.observe(0.9))
+        self.assertFalse(self.switch.may_order(1.0))
+        self.assertFalse(self.observe(1.1, 'd'))
+        self.assertTrue(self.switch.may_order(1.1))
+
+    def test_lost_reply_of_an_order_that_took_effect(self):
+        # The engine obeys and its reply is lost. A second order would make
+        # it load the same weights again; what it reports decides.
+        self.switch.ordered(self.order)
+        self.switch.ended(EngineError('timed out'), 1.0)
+        self.assertFalse(self.observe(1.1, 'd'))
+        self.assertTrue(self.switch.may_order(1.1))
+
+    def test_failed_load_is_tried_again_later(self):
+        self.switch.ordered(self.order)
+        self.switch.ended('order-1', 1.0)
+        self.assertTrue(self.observe(2.0))
+        self.assertFalse(self.switch.may_order(2.5))
+        self.assertTrue(self.switch.may_order(3.1))
+
+    def test_no_room_beside_the_old_version(self):
+        self.switch.ordered(self.order)
+        self.switch.ended(EngineError('full', 507), 1.0)
+        self.assertFalse(self.switch.beside)
--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/fakes/fleet.py
@@ -0,0 +1,285 @@
+"""Agents' weights tasks in one process, on real sockets of the loopback.
+
+Each has an engine stand-in, and all share one weight store stand-in. Table
+and members are put into their inboxes, as the agent's rows task does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import json
+from types import MappingProxyType
+from typing import Any
+import unittest
+
+import gevent
+from gevent import queue
+from returns.result import Success
+
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.model.rows import key_of
+from burdockchute.model.rows import Row
+from burdockchute.model.table import Revisioned
+from burdockchute.model.table import Table
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+from burdockchute_agent.weights_task import manifest_header
+from burdockchute_agent.weights_task import WeightsTask
+from burdockchute_testing.standins import engine
+from burdockchute_testing.standins import local
+from burdockchute_testing.standins import serving
+from burdockchute_testing.standins import weight_store
+
+LINK = 64e6
+WAIT_S = 30.0
+CHUNK = 4096
+HERE = Place('z1', 'r1', 'main')
+
+
+class Agent:
+    """One weights task with its engine; `fence` is its fencing number."""
+
+    def __init__(
+        self,
+        case: unittest.TestCase,
+        name: str,
+        store_url: str,
+        place: Place = HERE,
+        fence: int = 1,
+        link: float = LINK,
+        engine_options: dict[str, Any] | None = None,
+        engine_url: str = '',
+    ) -> None:
+        self.name = name
+        self.place = place
+        self.engine = engine.Engine(**(engine_options or {}))
+        url = engine_url or local.start(case, self.engine.handle)
+        self.engine_url = url
+        source = local.start(case, self._serve_weights)
+        self.task = WeightsTask(
+            name,
+            place,
+            store_url,
+            url,
+            'engine',
+            link,
+            link,
+            lambda: Success(fence),
+            self._hello,
+            lambda: source,
+            seed=7,
+        )
+        self._listening = links.listen(
+            '127.0.0.1', 0, self._hello, self.task.inbox, lambda: -1
+        )
+        self.greenlet = gevent.spawn(self.task.run)
+        case.addCleanup(self.stop)
+
+    def stop(self) -> None:
+        """End it without a word to its peers but the closed links."""
+        self._listening.stop(timeout=0)
+        self.greenlet.kill()
+
+    @property
+    def member(self) -> Member:
+        """Its entry in the list of members."""
+        port = self._listening.server_port
+        return Member(self.name, 'agent', '127.0.0.1', port, self.place)
+
+    def open_digests(self) -> set[str]:
+        """Give the digests for which the gate is open."""
+        return {
+            state.weights.digest
+            for state in self.task.gate.states()
+            if state.is_open
+        }
+
+    def loaded(self) -> set[str]:
+        """Give the digests that the engine has loaded."""
+        state = _ask(self.engine.handle, '/state')
+        return {item['digest'] for item in state['loaded']}
+
+    def _hello(self) -> messages.Hello:
+        return messages.Hello(
+            self.name,
+            'agent',
+            self.place.zone,
+            self.place.region,
+            f'{self.name}-{id(self)}',
+            -1,
+            links.PROTOCOL,
+        )
+
+    def _serve_weights(self, request: serving.Request) -> serving.Reply:
+        held = self.task.weights_response(request.path.rpartition('/')[2])
+        if held is None:
+            return serving.as_json(404, {})
+        manifest, chunks = held
+        header = ('Burdockchute-Manifest', manifest_header(manifest))
+        return serving.Reply(200, chunks, 'text/plain', (header,))
+
+
+class FakePeer:
+    """A peer that claims to hold all chunks and answers as it is told.
+
+    `answer` takes a chunk's index and gives the bytes to send, or None to
+    send nothing.
+    """
+
+    def __init__(
+        self,
+        case: unittest.TestCase,
+        name: str,
+        digest: str,
+        count: int,
+        answer: Callable[[int], bytes | None],
+        manifest: bytes | None = None,
+    ) -> None:
+        self.name = name
+        self.asked: list[int] = []
+        self._digest = digest
+        self._count = count
+        self._answer = answer
+        self._manifest = manifest
+        self._inbox: queue.Queue = queue.Queue()
+        hello = messages.Hello(
+            name, 'agent', 'z1', 'r1', name, -1, links.PROTOCOL
+        )
+        self._listening = links.listen(
+            '127.0.0.1', 0, lambda: hello, self._inbox, lambda: -1
+        )
+        case.addCleanup(self._listening.stop, timeout=0)
+        task = gevent.spawn(self._run)
+        case.addCleanup(task.kill)
+
+    @property
+    def member(self) -> Member:
+        """Its entry in the list of members."""
+        port = self._listening.server_port
+        return Member(self.name, 'agent', '127.0.0.1', port, HERE)
+
+    def _run(self) -> None:
+        while True:
+            event = self._inbox.get()
+            if isinstance(event, links.Opened):
+                bitmap = ((1 << self._count) - 1).to_bytes(
+                    -(-self._count // 8), 'little'
+                )
+                event.link.send(
+                    messages.Have(self._digest, bitmap, 0, False, 0, True)
+                )
+            elif isinstance(event, links.Received):
+                self._received(event)
+
+    def _received(self, event: links.Received) -> None:
+        request = event.message
+        if not isinstance(request, messages.ChunkRequest):
+            return
+        if request.index < 0:
+            data = self._manifest
+        else:
+            self.asked.append(request.index)
+            data = self._answer(request.index)
+        if data is not None:
+            event.link.send(
+                messages.Chunk(request.digest, request.index, data, '', 0)
+            )
+
+
+class Fleet:
+    """A store and agents that know each other."""
+
+    def __init__(self, case: unittest.TestCase, **store: Any) -> None:
+        self.store = weight_store.WeightStore(**store)
+        self.store_url = local.start(case, self.store.handle)
+        self.agents: dict[str, Agent] = {}
+        self.others: list[Member] = []
+        self._case = case
+        self._offset = 0
+        self._table = Table(0, MappingProxyType({}))
+
+    def add(self, name: str, **options: Any) -> Agent:
+        """Start one more agent; `tell_members` makes it known."""
+        agent = Agent(self._case, name, self.store_url, **options)
+        self.agents[name] = agent
+        return agent
+
+    def publish(
+        self, seed: int = 1, chunks: int = 16, name: str = 'story'
+    ) -> str:
+        """Put weights into the store and give their digest."""
+        return self.store.publish(
+            {
+                'name': name,
+                'size': chunks * CHUNK - 5,
+                'chunk_size': CHUNK,
+                'seed': seed,
+            }
+        )
+
+    def fault(self, **faults: Any) -> None:
+        """Set the faults of the store; none makes it whole."""
+        body = json.dumps(faults).encode()
+        reply = self.store.handle(
+            serving.Request('POST', '/faults', {}, {}, body)
+        )
+        self._case.assertEqual(200, reply.status)
+
+    def tell_members(self, *names: str) -> None:
+        """Tell everyone of these agents, or of all, and of the others."""
+        known = [self.agents[name] for name in names] or [
+            *self.agents.values()
+        ]
+        members = (*(agent.member for agent in known), *self.others)
+        for agent in known:
+            agent.task.inbox.put(MembersChanged(members))
+
+    def set_rows(self, *rows: Row) -> None:
+        """Put a new table in force at every agent."""
+        self._offset += 1
+        entries = {key_of(row): Revisioned(row, self._offset) for row in rows}
+        self._table = Table(self._offset, MappingProxyType(entries))
+        for agent in self.agents.values():
+            agent.task.inbox.put(TableChanged(self._table))
+
+    def tell_table(self, agent: Agent) -> None:
+        """Put the present table in force at an agent that came later."""
+        agent.task.inbox.put(TableChanged(self._table))
+
+    def wait_open(self, digest: str, *names: str) -> None:
+        """Wait until exactly this digest is open at these agents, or all."""
+        for name in names or tuple(self.agents):
+            self.wait_opens(self.agents[name], {digest})
+
+    def wait_opens(self, agent: Agent, digests: set[str]) -> None:
+        """Wait until exactly these digests are open at an agent."""
+        self.wait(lambda: agent.open_digests() == digests)
+
+    def wait_loaded(self, agent: Agent, digests: set[str]) -> None:
+        """Wait until an agent's engine has exactly these loaded."""
+        self.wait(lambda: agent.loaded() == digests)
+
+    def wait_held(self, agent: Agent, size: int) -> None:
+        """Wait until an agent's copies take so many bytes."""
+        self.wait(lambda: agent.task.copy_stats().held == size)
+
+    def wait(self, probe: Callable[[], bool]) -> None:
+        """Wait until something is the case; fails the test if it isn't."""
+        with gevent.Timeout(WAIT_S, AssertionError('did not happen')):
+            while not probe():
+                gevent.sleep(0.02)
+
+    def origin_copies(self, digest: str) -> float:
+        """Give the bytes read from the store, in copies of a digest."""
+        stats = _ask(self.store.handle, '/stats')
+        read = stats['by_digest'].get(digest, 0)
+        return read / self.store._weights[digest].size
+
+
+def _ask(handle: serving.Handler, path: str) -> Any:
+    reply = handle(serving.Request('GET', path, {}, {}, b''))
+    assert isinstance(reply.body, bytes)
+    return json.loads(reply.body)
