Poll the engine often while a load is pending; tell bytes by source

Replicas that take turns to load wait for each other's report; polled every 0.25 s each turn cost up to that. While an order is pending the engine is now asked every 0.05 s. copy_whole tells how many bytes came from the origin, the zone, the region and elsewhere.

--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -53,6 +53,15 @@
     at: float
 
 
+class Received(NamedTuple):
+    """Bytes of verified chunks, by where they came from."""
+
+    origin: int = 0
+    zone: int = 0
+    region: int = 0
+    elsewhere: int = 0
+
+
 class Peer:
     """What is known of one peer's copy of these weights."""
 
@@ -83,6 +92,7 @@
         self.copy: Copy | None = None
         self.peers: dict[str, Peer] = {}
         self.whole_at: float | None = None
+        self.received = Received()
         self._choose = choose
         self._rng = rng
         self._began = now
@@ -169,6 +179,7 @@
         peer = self.peers.get(name)
         if peer is not None:
             peer.strikes = 0
+            self._count(peer.distance, len(data))
         self._got(chunk, now)
         return True
 
@@ -190,6 +201,8 @@
             self._read_failed(now)
             return False
         self._read_failures = 0
+        origin = self.received.origin + len(data)
+        self.received = self.received._replace(origin=origin)
         self._got(chunk, now)
         return True
 
@@ -400,6 +413,11 @@
         if self.complete:
             self.whole_at = now
 
+    def _count(self, distance: int, size: int) -> None:
+        field = ('zone', 'region', 'elsewhere')[distance]
+        total = getattr(self.received, field) + size
+        self.received = self.received._replace(**{field: total})
+
     def _note_progress(self, fresh: int, now: float) -> None:
         count = fresh.bit_count()
         gap = (now - self._progress.last) / count
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -55,7 +55,6 @@
         now: float,
     ) -> None:
         self.reads = OriginReads(store_url, inbox.put)
-        self.bytes_from: dict[int, int] = {}
         self._own = own
         self._bandwidth = bandwidth
         self._peers = peers
@@ -208,7 +207,6 @@
         elif chunk.index == MANIFEST:
             self._manifest_came(copier, peer, chunk.data, now)
         elif copier.chunk_came(peer.name, chunk.index, chunk.data, now):
-            self._count(peer.distance, len(chunk.data))
             self._news.chunk(chunk.digest)
             self._tell_whole(copier)
         else:
@@ -377,7 +375,14 @@
 
     def _tell_whole(self, copier: Copier) -> None:
         if copier.complete:
-            event('copy_whole', digest=copier.digest)
+            event(
+                'copy_whole',
+                digest=copier.digest,
+                **{
+                    f'{source}_bytes': size
+                    for source, size in copier.received._asdict().items()
+                },
+            )
 
     def _skip_unreachable(self) -> None:
         # A reader before us that can't be reached is most likely dead; the
@@ -412,9 +417,6 @@
         key = peer.name, peer.link.peer.incarnation
         return sources.is_banned(self._corrupt.get(key, 0))
 
-    def _count(self, distance: int, size: int) -> None:
-        self.bytes_from[distance] = self.bytes_from.get(distance, 0) + size
-
     def _copy(self, digest: str) -> Copy | None:
         copier = self._copiers.get(digest)
         return copier.copy if copier is not None else None
--- a/packages/burdockchute-agent/burdockchute_agent/engine_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/engine_task.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 import time
 
-import gevent
 from gevent import queue
 from returns.result import Success
 
 from burdockchute.upstreams.orders import Engine
+from burdockchute.upstreams.orders import EngineState
 from burdockchute.upstreams.orders import Order
 from burdockchute_agent.events import EngineSeen
 from burdockchute_agent.events import OrderEnded
@@ -21,6 +21,10 @@
 # How long an engine that lost its weights may go unnoticed; requests carry
 # their digest, so in between they are refused by the engine itself.
 POLL_S = 0.25
+# While an order is on its way the engine is asked often, as every replica
+# that waits for its turn to load waits for this one.
+BUSY_POLL_S = 0.05
+BUSY_S = 1.0
 
 
 class EngineTask:
@@ -30,6 +34,7 @@
         self.orders: queue.Queue[Order] = queue.Queue()
         self._url = url
         self._report = report
+        self._busy_until = 0.0
 
     def run(self) -> None:
         """Poll and give orders until killed."""
@@ -44,13 +49,16 @@
                     if isinstance(state, Success)
                     else state.failure()
                 )
+                if isinstance(seen, EngineState) and seen.loading:
+                    self._busy_until = asked + BUSY_S
                 self._report(EngineSeen(asked, seen))
         finally:
             engine.close()
 
     def _give_next(self, engine: Engine) -> None:
+        is_busy = time.monotonic() < self._busy_until
         try:
-            order = self.orders.get(timeout=POLL_S)
+            order = self.orders.get(timeout=BUSY_POLL_S if is_busy else POLL_S)
         except queue.Empty:
             return
         reply = engine.give(order)
@@ -58,8 +66,4 @@
             reply.unwrap() if isinstance(reply, Success) else reply.failure()
         )
         self._report(OrderEnded(order, outcome))
-
-
-def spawn(task: EngineTask) -> gevent.Greenlet:
-    """Start the task."""
-    return gevent.spawn(task.run)
+        self._busy_until = time.monotonic() + BUSY_S
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -15,7 +15,6 @@
 from collections.abc import Iterable
 import random
 import time
-from typing import NamedTuple
 
 import gevent
 from gevent import queue
@@ -25,9 +24,6 @@
 from burdockchute.decisions import hosting
 from burdockchute.decisions import pacing
 from burdockchute.decisions import switching
-from burdockchute.decisions.neighbours import ELSEWHERE
-from burdockchute.decisions.neighbours import SAME_REGION
-from burdockchute.decisions.neighbours import SAME_ZONE
 from burdockchute.logs import event
 from burdockchute.logs import warn
 from burdockchute.model.changes import MembersChanged
@@ -64,16 +60,6 @@
 WeightsContent = tuple[Manifest, Iterable[bytes]]
 
 
-class CopyStats(NamedTuple):
-    """Bytes copied from the origin and from peers, and bytes held."""
-
-    origin: int
-    zone: int
-    region: int
-    elsewhere: int
-    held: int
-
-
 class WeightsTask:
     """Copies, orders and gates of one instance.
 
@@ -175,16 +161,9 @@
         """Count bytes of live requests on this instance's link."""
         self._copying.note_live_bytes(count, time.monotonic())
 
-    def copy_stats(self) -> CopyStats:
-        """Give what was copied so far, and from where, in bytes."""
-        copied = self._copying.bytes_from
-        return CopyStats(
-            origin=self._copying.reads.bytes_read,
-            zone=copied.get(SAME_ZONE, 0),
-            region=copied.get(SAME_REGION, 0),
-            elsewhere=copied.get(ELSEWHERE, 0),
-            held=self._copying.held_bytes(),
-        )
+    def held_bytes(self) -> int:
+        """Give the memory that all copies take."""
+        return self._copying.held_bytes()
 
     def _keep_registering(self) -> None:
         while True:
--- a/packages/burdockchute-agent/tests/test_rollouts.py
+++ b/packages/burdockchute-agent/tests/test_rollouts.py
@@ -82,7 +82,7 @@
         for agent in self.fleet.agents.values():
             self.fleet.wait_loaded(agent, set())
             self.assertEqual(set(), agent.open_digests())
-            self.assertEqual(0, agent.task.copy_stats().held)
+            self.assertEqual(0, agent.task.held_bytes())
 
     def test_request_in_flight_holds_up_the_switch_without_room(self):
         # The engine has memory for one version and a page is being written
--- a/packages/burdockchute-testing/burdockchute_testing/fakes/fleet.py
+++ b/packages/burdockchute-testing/burdockchute_testing/fakes/fleet.py
@@ -264,7 +264,7 @@
 
     def wait_held(self, agent: Agent, size: int) -> None:
         """Wait until an agent's copies take so many bytes."""
-        self.wait(lambda: agent.task.copy_stats().held == size)
+        self.wait(lambda: agent.task.held_bytes() == size)
 
     def wait(self, probe: Callable[[], bool]) -> None:
         """Wait until something is the case; fails the test if it isn't."""
