--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements, one JSON object a line."""
+
+from __future__ import annotations
--- a/packages/burdockchute/burdockchute/weights/origin.py
+++ b/packages/burdockchute/burdockchute/weights/origin.py
@@ -21,9 +21,10 @@
 from burdockchute.weights.manifest import Manifest
 
 CONNECT_TIMEOUT_S = 2.0
-# The store is rate limited, so a sound read may be slow; a read that brings
-# no byte for this long is lost.
-READ_TIMEOUT_S = 5.0
+# The store is rate limited, so a sound read may wait behind many others; a
+# read that brings no byte for this long is lost. Meanwhile the next reader in
+# order takes over, so nobody waits for it.
+READ_TIMEOUT_S = 20.0
 
 
 class OriginError(NamedTuple):
