--- a/packages/burdockchute-agent/burdockchute_agent/runner.py
+++ b/packages/burdockchute-agent/burdockchute_agent/runner.py
@@ -11,6 +11,7 @@
 import collections
 import json
 import time
+import traceback
 from typing import Any
 from typing import NamedTuple
 
@@ -148,6 +149,16 @@
         except links.LinkError:
             # The entry sees its end of the link close and decides.
             pass
+        except Exception:
+            # Without this the caller would wait for its whole deadline.
+            _send(link, _end(req, 0, 0, error='agent failed'))
+            logs.warn(
+                'request_failed',
+                request_id=req.request_id,
+                customer=req.customer,
+                target=req.target,
+                error=traceback.format_exc(),
+            )
 
     def _run_admitted(self, link: links.Link, req: messages.Dispatch) -> None:
         if self.leaving:
--- a/packages/burdockchute-testing/burdockchute_testing/harness.py
+++ b/packages/burdockchute-testing/burdockchute_testing/harness.py
@@ -227,7 +227,7 @@
     def set_row(self, kind: str, name: str, **columns: Any) -> Command:
         """Edit one row through the command; raises ValueError if refused."""
         values = [f'{key}={value}' for key, value in columns.items()]
-        done = self.table('set', f'{kind}/{name}', *values)
+        done = self.table('set', '--yes', f'{kind}/{name}', *values)
         if done.status:
             raise ValueError(f'{kind}/{name}: {done.out}{done.err}')
         return done
