--- a/packages/burdockchute-agent/burdockchute_agent/runner.py
+++ b/packages/burdockchute-agent/burdockchute_agent/runner.py
@@ -314,6 +314,7 @@
     )
     if base:
         body['adapter'] = req.target
+        body['adapter_digest'] = req.adapter_digest
     return json.dumps(body).encode()
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/fleet.py
+++ b/packages/burdockchute-entry/burdockchute_entry/fleet.py
@@ -195,7 +195,6 @@
 
 def dispatch_of(
     ctx: RequestContext,
-    base: str,
     pinned: Pinned,
     attempt_id: str,
     budget_s: float,
@@ -205,7 +204,7 @@
         request_id=ctx.request_id,
         attempt_id=attempt_id,
         customer=ctx.customer,
-        target=base or ctx.target,
+        target=ctx.target,
         digest=pinned.digest,
         adapter_digest=pinned.adapter_digest,
         idempotent=ctx.idempotent,
--- a/packages/burdockchute-entry/burdockchute_entry/router.py
+++ b/packages/burdockchute-entry/burdockchute_entry/router.py
@@ -276,7 +276,7 @@
         request.placements += 1
         attempt_id = f'{ctx.request_id}.{request.placements}'
         message = fleets.dispatch_of(
-            ctx, request.base, pinned, attempt_id, ctx.deadline - now
+            ctx, pinned, attempt_id, ctx.deadline - now
         )
         try:
             instance.link.send(message)
