Add silent connections and two faults at a time to the failure tests

A relay between entries and an agent forgets its connections; a rack goes with an entry and an engine; an agent leaves while another dies; a version switches while an agent is paused; the log is away while an engine dies.

--- a/packages/burdockchute-entry/burdockchute_entry/fleet.py
+++ b/packages/burdockchute-entry/burdockchute_entry/fleet.py
@@ -195,6 +195,7 @@
 
 def dispatch_of(
     ctx: RequestContext,
+    base: str,
     pinned: Pinned,
     attempt_id: str,
     budget_s: float,
@@ -204,7 +205,7 @@
         request_id=ctx.request_id,
         attempt_id=attempt_id,
         customer=ctx.customer,
-        target=ctx.target,
+        target=base or ctx.target,
         digest=pinned.digest,
         adapter_digest=pinned.adapter_digest,
         idempotent=ctx.idempotent,
--- a/packages/burdockchute-testing/burdockchute_testing/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/site.py
@@ -15,6 +15,7 @@
 from burdockchute_testing import history
 from burdockchute_testing.calls import Ask
 from burdockchute_testing.calls import Call
+from burdockchute_testing.fakes.relay import Relay
 from burdockchute_testing.harness import System
 
 BEARER = 'key-of-lindwurm'
@@ -27,11 +28,16 @@
     """A running system and all that its callers saw.
 
     Engines are m1, m2..., their agents am1, am2...; the service is s1 with
-    agent as1. `options` go to each engine.
+    agent as1. `options` go to each engine. The agents of `relayed` engines
+    are reached through a relay.
     """
 
     def __init__(
-        self, engines: int = 2, services: int = 1, **options: Any
+        self,
+        engines: int = 2,
+        services: int = 1,
+        relayed: Iterable[str] = (),
+        **options: Any,
     ) -> None:
         self.system = System()
         self.calls: list[Call] = []
@@ -40,6 +46,8 @@
         self.digests: dict[str, str] = {}
         self.all_digests: set[str] = set()
         self.engines = [f'm{n}' for n in range(1, engines + 1)]
+        self.relays: dict[str, Relay] = {}
+        self._relayed = frozenset(relayed)
         self.services = [f's{n}' for n in range(1, services + 1)]
         try:
             self._start(options)
@@ -49,12 +57,19 @@
 
     def close(self) -> None:
         """End everything."""
+        for relay in self.relays.values():
+            relay.close()
         self.system.close()
 
     def add_engine(self, name: str, **options: Any) -> None:
         """Start an engine with its agent."""
         self.system.add_engine(name, **options)
-        self.system.add_agent(f'a{name}', name, stall_s=3)
+        agent, relayed = f'a{name}', name in self._relayed
+        self.system.add_agent(agent, name, stall_s=3, listed=not relayed)
+        if relayed:
+            relay = Relay(self.system[agent].ports['link_port'])
+            self.relays[name] = relay
+            self.system.list_instance(agent, 'agent', port=relay.port)
 
     def add_service(self, name: str) -> None:
         """Start a plain service with its agent."""
--- a/packages/burdockchute-testing/tests/test_failures.py
+++ b/packages/burdockchute-testing/tests/test_failures.py
@@ -169,6 +169,81 @@
         )
 
 
+class SilentConnectionTest(FailureCase):
+    def test_links_go_silent_under_traffic(self):
+        # Something between entries and an instance forgets their
+        # connections: no error arrives, and new ones work. Whoever waits on
+        # the old ones must hear within seconds.
+        site = self.start(relayed=['m1'])
+        running = self.traffic('silent')
+        gevent.sleep(0.8)
+        self.assertGreaterEqual(site.relays['m1'].forget(), 2)
+        made = finish(running)
+        self.assert_sound()
+        plain = [call for call in made if not call.ask.stream]
+        self.assert_all_answered(plain)
+        later = finish(self.traffic('after-silence', count=20))
+        self.assert_all_answered(later)
+        self.assert_sound()
+
+
+class TwoFaultsTest(FailureCase):
+    def test_engine_dies_while_an_entry_dies(self):
+        # A rack goes with an entry and an engine on it, in the same moment.
+        site = self.start()
+        running = self.traffic('rack')
+        gevent.sleep(0.8)
+        site.kill('m2')
+        site.kill('e2')
+        made = finish(running)
+        self.assert_sound()
+        others = [c for c in made if c.entry == 'e1' and not c.ask.stream]
+        self.assert_all_answered(others)
+
+    def test_agent_leaves_while_another_dies(self):
+        # One instance is drained for a restart as its neighbour dies.
+        site = self.start(token_interval_s=0.02)
+        running = self.traffic('both', count=80)
+        gevent.sleep(0.6)
+        site.leave('m1')
+        gevent.sleep(0.2)
+        site.kill('am2')
+        finish(running)
+        self.assertEqual(0, site.system['am1'].wait())
+        self.assert_sound()
+
+    def test_switch_while_an_agent_pauses(self):
+        # An agent is paused before a version arrives and comes back when
+        # all others serve the new one.
+        site = self.start(token_interval_s=0.02)
+        running = self.traffic('old')
+        gevent.sleep(0.5)
+        site.system['am3'].pause()
+        site.set_model(2)
+        site.wait_open(['am1', 'am2'])
+        site.system['am3'].resume()
+        finish(running)
+        site.wait_open()
+        later = finish(self.traffic('new', count=30))
+        self.assert_all_answered(later)
+        self.assert_sound()
+        self.assertEqual(
+            {site.digests['story']}, {call.digest for call in later}
+        )
+
+    def test_log_outage_while_an_engine_dies(self):
+        # The log is away, so no new row arrives; what runs must go on.
+        site = self.start()
+        site.system.fault('log', outage=True)
+        running = self.traffic('outage')
+        gevent.sleep(0.8)
+        site.kill('m1')
+        made = finish(running)
+        plain = [call for call in made if not call.ask.stream]
+        self.assert_all_answered(plain)
+        self.assert_sound()
+
+
 class VersionSwitchTest(FailureCase):
     def test_switch_in_mid_stream(self):
         # A new version arrives while long answers are being streamed. Each
