--- a/packages/burdockchute-testing/burdockchute_testing/standins/batch.py
+++ b/packages/burdockchute-testing/burdockchute_testing/standins/batch.py
@@ -121,7 +121,15 @@
         full = len(self._running) >= self.pace.slots
         if full and self.waiting() >= self.pace.max_waiting:
             return None
-        record = self._recording.start(
+        run = Run(work, self.record(work))
+        self._count += 1
+        heapq.heappush(self._waiting, (-work.priority, self._count, run))
+        self._fill_slots()
+        return run
+
+    def record(self, work: Work) -> dict[str, Any]:
+        """Record that a request is taken on."""
+        return self._recording.start(
             work.request_id,
             model=work.model,
             digest=work.digest,
@@ -129,11 +137,6 @@
             prompt=work.prompt,
             max_tokens=work.max_tokens,
         )
-        run = Run(work, record)
-        self._count += 1
-        heapq.heappush(self._waiting, (-work.priority, self._count, run))
-        self._fill_slots()
-        return run
 
     def end(self, run: Run, how: str) -> None:
         """End a run; the first end stands."""
--- a/packages/burdockchute-testing/tests/test_history.py
+++ b/packages/burdockchute-testing/tests/test_history.py
@@ -101,6 +101,28 @@
         )
         self.assert_found(History((refused, answered()), (run_of(),)))
 
+    def test_not_run_of_a_key_that_ran_before(self):
+        late = answered(GUARDED)._replace(
+            status=503, outcome=calls.NOT_RUN, start=20.0, end=21.0
+        )
+        self.assert_found(
+            History((late,), (run_of(GUARDED, ''),)),
+            ('c2@e1', 'not-run, but it ran at m1'),
+        )
+
+    def test_not_run_that_ran_later_under_its_id(self):
+        early = answered()._replace(
+            status=503,
+            outcome=calls.NOT_RUN,
+            start=8.0,
+            end=9.0,
+            request_id='r1',
+        )
+        self.assert_found(
+            History((early,), (run_of(),)),
+            ('c1@e1', 'not-run, but it ran at m1'),
+        )
+
     def test_non_idempotent_request_that_ran_twice(self):
         runs = (
             run_of(GUARDED, ''),
