--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,8 +1,12 @@
 """Run every test of the workspace and close with one line of counts.
 
-Tests named in KNOWN-RED.txt are run too; their failures are printed but do
-not fail the run, so that a known fault stays in sight without hiding a new
-one.
+Test classes are shared out over a few worker processes, always in the same
+way. Tests named in KNOWN-RED.txt are run too; their failures are printed but
+do not fail the run, so that a known fault stays in sight without hiding a
+new one.
+
+    tools/run_tests.py                 all tests
+    tools/run_tests.py test_links      tests whose id contains a name
 """
 
 from __future__ import annotations
@@ -11,32 +15,145 @@
 
 monkey.patch_all()
 
+import argparse  # noqa: E402
+import json  # noqa: E402
 import logging  # noqa: E402
 import pathlib  # noqa: E402
+import subprocess  # noqa: E402
 import sys  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+from typing import NamedTuple  # noqa: E402
 import unittest  # noqa: E402
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_LIMIT = 3
 
-
-def main(names: list[str]) -> int:
-    """Run the tests whose id contains one of the names, or all."""
-    logging.disable(logging.CRITICAL)
-    suite = unittest.TestSuite(
-        test for test in _all_tests() if _chosen(test.id(), names)
-    )
-    result = unittest.TextTestRunner(stream=sys.stdout, verbosity=1).run(suite)
-    known = _known_red()
-    failing = {test.id() for test, _text in [*result.failures, *result.errors]}
+# Enough to bring the run under two minutes; few enough that processes under
+# test are not starved of processor time on a machine with four cores.
+WORKERS = 3
+
+
+class Report(NamedTuple):
+    """What one worker found."""
+
+    ran: int
+    failing: list[str]
+    slowest: list[tuple[float, str]]
+
+
+def main() -> int:
+    """Run the chosen tests in workers; 0 if nothing new failed."""
+    args = _parse()
+    if args.worker is not None:
+        _work(args.worker, args.report, args.names)
+        return 0
+    reports = _run_workers(args.names)
+    return _conclude(reports, _known_red())
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('names', nargs='*', help='parts of test ids')
+    parser.add_argument('--worker', type=int, help=argparse.SUPPRESS)
+    parser.add_argument('--report', help=argparse.SUPPRESS)
+    return parser.parse_args()
+
+
+def _run_workers(names: list[str]) -> list[Report | None]:
+    with tempfile.TemporaryDirectory() as folder:
+        paths = [pathlib.Path(folder, str(n)) for n in range(WORKERS)]
+        children = [
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    __file__,
+                    f'--worker={number}',
+                    f'--report={path}',
+                    *names,
+                ],
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+            )
+            for number, path in enumerate(paths)
+        ]
+        for child in children:
+            output, _ = child.communicate()
+            print(output, end='')
+        return [_read_report(path) for path in paths]
+
+
+def _read_report(path: pathlib.Path) -> Report | None:
+    if not path.exists():
+        return None
+    found = json.loads(path.read_text())
+    return Report(found['ran'], found['failing'], found['slowest'])
+
+
+def _conclude(reports: list[Report | None], known: set[str]) -> int:
+    whole = [report for report in reports if report is not None]
+    died = len(reports) - len(whole)
+    if died:
+        print(f'{died} of {len(reports)} workers ended without a report')
+    slowest = sorted((s for r in whole for s in r.slowest), reverse=True)
+    for seconds, test_id in slowest[:5]:
+        print(f'{seconds:6.1f} s  {test_id}')
+    failing = {test_id for report in whole for test_id in report.failing}
     for test_id in sorted(failing & known):
         print(f'known red: {test_id}')
     for test_id in sorted(known - failing):
         print(f'known red passes now: {test_id}')
     new = failing - known
-    passed = result.testsRun - len(failing)
-    print(f'{passed} passed, {len(new)} failed')
-    return 1 if new or result.testsRun == 0 else 0
+    for test_id in sorted(new):
+        print(f'failed: {test_id}')
+    ran = sum(report.ran for report in whole)
+    print(f'{ran - len(failing)} passed, {len(new) + died} failed')
+    return 1 if new or died or not ran else 0
+
+
+def _work(worker: int, report: str, names: list[str]) -> None:
+    logging.disable(logging.CRITICAL)
+    classes: dict[str, list[unittest.TestCase]] = {}
+    for test in _all_tests():
+        if not names or any(name in test.id() for name in names):
+            classes.setdefault(test.id().rpartition('.')[0], []).append(test)
+    suite = unittest.TestSuite(
+        test
+        for number, name in enumerate(sorted(classes))
+        if number % WORKERS == worker
+        for test in classes[name]
+    )
+    result = unittest.TextTestRunner(
+        stream=sys.stdout, resultclass=_TimedResult
+    ).run(suite)
+    broken = [*result.failures, *result.errors]
+    found = Report(
+        result.testsRun,
+        sorted({_id_of(test) for test, _text in broken}),
+        sorted(result.times, reverse=True)[:5],
+    )
+    pathlib.Path(report).write_text(json.dumps(found._asdict()))
+
+
+def _id_of(test: unittest.TestCase) -> str:
+    # A failure of one part of a test is listed under an object of its own.
+    return getattr(test, 'test_case', test).id()
+
+
+class _TimedResult(unittest.TextTestResult):
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)  # type: ignore[arg-type]
+        self.times: list[tuple[float, str]] = []
+        self._started = 0.0
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        self._started = time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        self.times.append((time.monotonic() - self._started, test.id()))
+        super().stopTest(test)
 
 
 def _all_tests() -> list[unittest.TestCase]:
@@ -67,10 +184,6 @@
     return found
 
 
-def _chosen(test_id: str, names: list[str]) -> bool:
-    return not names or any(name in test_id for name in names)
-
-
 def _known_red() -> set[str]:
     path = ROOT / 'KNOWN-RED.txt'
     if not path.exists():
@@ -86,4 +199,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(main())
