--- a/packages/burdockchute-testing/burdockchute_testing/benches/path.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/path.py
@@ -119,7 +119,7 @@
         system.url('engine-0'), seconds, rate=rate / ENGINES, digest=digest
     )
     case = f'{rate:.0f} requests/s'
-    for share, name in ((0.5, 'p50'), (0.95, 'p95')):
+    for share, name in ((0.5, 'p50'), (0.95, 'p95'), (0.99, 'p99')):
         ours = results.percentile(through.latencies, share) * 1e3
         bare = results.percentile(direct.latencies, share) * 1e3
         bound = ADDED_P95_MS if name == 'p95' else None
