--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -12,6 +12,7 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
+from collections.abc import Callable  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
 
@@ -20,6 +21,8 @@
 from burdockchute import logs  # noqa: E402
 from burdockchute.nodes import links  # noqa: E402
 from burdockchute.operators import burn  # noqa: E402
+from burdockchute.operators import keys  # noqa: E402
+from burdockchute.operators import manifests  # noqa: E402
 from burdockchute.operators import table_commands  # noqa: E402
 from burdockchute_entry import settings  # noqa: E402
 
@@ -27,17 +30,18 @@
 def main(argv: list[str] | None = None) -> int:
     """Run one command and give its exit status."""
     args = _parser().parse_args(argv)
-    if args.command == 'table':
-        return table_commands.run(args, os.environ)
-    if args.command == 'burn':
-        return burn.run(args, os.environ)
-    if args.command == 'status':
-        return commands.print_status(args, os.environ)
-    if args.command == 'check':
-        return commands.run_check(
+    commands_by_name: dict[str, Callable[[], int]] = {
+        'serve': lambda: _serve(args),
+        'check': lambda: commands.run_check(
             settings.SETTINGS, args, os.environ, settings.of_values
-        )
-    return _serve(args)
+        ),
+        'status': lambda: commands.print_status(args, os.environ),
+        'table': lambda: table_commands.run(args, os.environ),
+        'burn': lambda: burn.run(args, os.environ),
+        'key': lambda: keys.run(args),
+        'manifest': lambda: manifests.run(args),
+    }
+    return commands_by_name[args.command]()
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -53,6 +57,8 @@
     commands.add_process_commands(subparsers, settings.SETTINGS, 'entry')
     table_commands.add_parser(subparsers)
     burn.add_parser(subparsers)
+    keys.add_parser(subparsers)
+    manifests.add_parser(subparsers)
     return parser
 
 
--- a/packages/burdockchute/burdockchute/weights/manifest.py
+++ b/packages/burdockchute/burdockchute/weights/manifest.py
@@ -25,7 +25,7 @@
 from burdockchute.model.findings import Finding
 
 # A manifest that names more chunks than this would not fit a bitmap of one
-# small message; 65536 chunks of 16 MiB make a terabyte.
+# small message; 65536 chunks of 8 MiB make 512 GiB.
 MAX_CHUNKS = 65536
 MAX_CHUNK_BYTES = 8 * 1024 * 1024
 
