--- a/packages/burdockchute-agent/burdockchute_agent/rows_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/rows_task.py
@@ -61,7 +61,7 @@
         if isinstance(message, messages.TableDelta):
             self._apply(link, message)
         elif isinstance(message, messages.Members):
-            self._views[link] = tuple(map(_member_of, message.members))
+            self._view(link, message)
             self._merge_views()
 
     def age_s(self) -> float | None:
@@ -114,6 +114,16 @@
         )
         self._publish(TableChanged(self.table))
 
+    def _view(self, link: links.Link, message: messages.Members) -> None:
+        members = {member.name: member for member in self._views.get(link, ())}
+        if not message.changes_only:
+            members.clear()
+        for member in message.members:
+            members[member.name] = _member_of(member)
+        for name in message.gone or ():
+            members.pop(name, None)
+        self._views[link] = tuple(members.values())
+
     def _forget(self, link: links.Link) -> None:
         # The last view is kept: an agent that has lost every entry still
         # knows its peers and can finish a copy.
--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -71,7 +71,11 @@
                 self.table_task.delta_for,
                 self.table_task.answer,
             ),
-            Handing(self.router.inbox.put, self._peer_handlers()),
+            Handing(
+                self.router.inbox.put,
+                self._peer_handlers(),
+                self.router.in_use,
+            ),
             random.Random(),
         )
 
--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Iterable
 import random
 import time
 from typing import Any
@@ -21,9 +20,11 @@
 
 import gevent
 from gevent import queue
-from returns.result import Failure
 
 from burdockchute import logs
+from burdockchute.decisions import membership
+from burdockchute.decisions.membership import Heard
+from burdockchute.decisions.membership import Membership
 from burdockchute.model import table as tables
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
@@ -31,8 +32,9 @@
 from burdockchute.nodes import links
 from burdockchute.platform.instances import InstanceList
 from burdockchute.wire import messages
-
-POLL_S = 0.5
+from burdockchute_entry import listing
+from burdockchute_entry.listing import Tick
+from burdockchute_entry.subset_task import SubsetTask
 
 # An instance that refuses connections has died or not yet started; one dial
 # in this time finds it soon without a storm from every entry at once.
@@ -51,15 +53,22 @@
 PEERS_ASKED = 3
 
 
+# A link that is no longer ours to keep stays for a while, in which the list
+# may change its mind, and then until no request uses it.
+SURPLUS_S = 60.0
+
+
 class Handing(NamedTuple):
     """Where events of links go.
 
     `router` takes what concerns agents; `peers` has a function for each type
-    of message that other entries send.
+    of message that other entries send; `in_use` tells whether a request is
+    at an instance.
     """
 
     router: Callable[[Any], None]
     peers: dict[type, Callable[[links.Received], None]]
+    in_use: Callable[[str], bool]
 
 
 class TableSource(NamedTuple):
@@ -70,8 +79,8 @@
     answer: Callable[[int], messages.TableDelta | None]
 
 
-class _Tick(NamedTuple):
-    members: tuple[Member, ...]
+class _Wanted(NamedTuple):
+    names: frozenset[str]
 
 
 class _Dialled(NamedTuple):
@@ -109,13 +118,22 @@
         self._sent_offset: dict[links.Link, int] = {}
         self._dialling: dict[str, float] = {}
         self._held_back: dict[str, list[Any]] = {}
+        self._membership = Membership()
+        self._heard: dict[str, Heard] = {}
+        self._wanted: frozenset[str] = frozenset()
+        self._surplus: dict[str, float] = {}
+        self._subset = SubsetTask(
+            name, lambda names: self.inbox.put(_Wanted(names))
+        )
+        self._members_told: tuple[Member, ...] = ()
         self._members_sent = 0
         self._members_due = 0.0
         self._age_due = 0.0
 
     def run(self) -> None:
         """Handle messages for ever."""
-        gevent.spawn(self._poll_list)
+        gevent.spawn(listing.poll, self._list, self.inbox.put)
+        gevent.spawn(self._subset.run)
         while True:
             self._handle(self.inbox.get())
 
@@ -146,7 +164,8 @@
 
     def _handle(self, event: Any) -> None:
         handlers: dict[type, Callable[[Any], None]] = {
-            _Tick: self._on_tick,
+            Tick: self._on_tick,
+            _Wanted: self._on_wanted,
             _Dialled: self._on_dialled,
             _ToPeer: self._on_to_peer,
             TableChanged: self._on_table,
@@ -156,44 +175,68 @@
         }
         handlers[type(event)](event)
 
-    def _poll_list(self) -> None:
-        while True:
-            result = self._list.fetch()
-            if isinstance(result, Failure):
-                logs.warn(
-                    'instance_list_unavailable',
-                    reason=result.failure().reason,
-                )
-                # Go on with what was known, and dial again what was lost.
-                self.inbox.put(_Tick(self.members))
-            else:
-                self.list_read_at = time.monotonic()
-                listed = sorted(result.unwrap(), key=lambda m: m.name)
-                self.inbox.put(_Tick(tuple(listed)))
-            gevent.sleep(POLL_S)
-
-    def _on_tick(self, tick: _Tick) -> None:
+    def _on_tick(self, tick: Tick) -> None:
         now = time.monotonic()
-        if tick.members != self.members:
-            self.members = tick.members
-            self._members_due = now + MEMBERS_DELAY_S
-            self._handing.router(MembersChanged(self.members))
+        if tick.listed is not None:
+            self.list_read_at = now
+            self._set_membership(
+                membership.on_list(
+                    self._membership, tick.listed, self._heard, now
+                )
+            )
         if self._members_due and now >= self._members_due:
-            self._members_due = 0.0
-            self._members_sent += 1
-            for link in self.agent_links():
-                self._send(link, self._members_message())
+            self._tell_members()
         if now >= self._age_due:
             self._age_due = now + AGE_EVERY_S
             for link in self.agent_links():
                 self._send(link, self._table.delta_for(self._table.offset()))
         self._dial_missing(now)
+        self._close_surplus(now)
+
+    def _set_membership(self, state: Membership) -> None:
+        if state.short_since != self._membership.short_since:
+            logs.warn('instance_list_short', kept=len(state.members))
+        self._membership = state
+        if state.members == self.members:
+            return
+        self.members = state.members
+        self._members_due = time.monotonic() + MEMBERS_DELAY_S
+        for take in (self._handing.router, self._subset.inbox.put):
+            take(MembersChanged(self.members))
+
+    def _tell_members(self) -> None:
+        self._members_due = 0.0
+        self._members_sent += 1
+        came, gone = membership.changes(self._members_told, self.members)
+        self._members_told = self.members
+        message = messages.Members(
+            list(listing.agents_on_wire(came)), self._members_sent, True, gone
+        )
+        for link in self.agent_links():
+            self._send(link, message)
+
+    def _on_wanted(self, wanted: _Wanted) -> None:
+        self._wanted = wanted.names
+        self._dial_missing(time.monotonic())
 
     def _dial_missing(self, now: float) -> None:
         for member in self.members:
-            if member.role == 'agent' and member.name not in self._links:
+            if member.name in self._wanted and member.name not in self._links:
                 self._dial(member, now)
 
+    def _close_surplus(self, now: float) -> None:
+        members = {member.name for member in self.members}
+        for link in self.agent_links():
+            name = link.peer.name
+            # One that is not listed is kept as long as it answers.
+            if name in self._wanted or name not in members:
+                self._surplus.pop(name, None)
+                continue
+            since = self._surplus.setdefault(name, now)
+            if now - since > SURPLUS_S and not self._handing.in_use(name):
+                del self._surplus[name]
+                link.close('not in the subset of this entry')
+
     def _dial(self, member: Member, now: float) -> None:
         if now < self._dialling.get(member.name, 0.0):
             return
@@ -234,7 +277,8 @@
             )
             self._dial(peer, time.monotonic())
 
-    def _on_table(self, _changed: TableChanged) -> None:
+    def _on_table(self, changed: TableChanged) -> None:
+        self._subset.inbox.put(changed)
         for link in self.agent_links():
             self._send_rows(link)
 
@@ -265,6 +309,7 @@
         link = event.link
         if self._links.get(link.peer.name) is link:
             del self._links[link.peer.name]
+            self._heard.pop(link.peer.name, None)
         self._sent_offset.pop(link, None)
         logs.event(
             'link_closed',
@@ -279,12 +324,28 @@
         if isinstance(event.message, messages.TableRequest):
             self._answer_table(event.link, event.message)
         elif event.link.peer.role == 'agent':
+            if isinstance(event.message, messages.LoadReport):
+                self._hear(event.link, event.message.leaving)
             self._handing.router(event)
         else:
             handler = self._handing.peers.get(type(event.message))
             if handler is not None:
                 handler(event)
 
+    def _hear(self, link: links.Link, leaving: bool) -> None:
+        name = link.peer.name
+        known = self._heard.get(name)
+        if self._links.get(name) is not link:
+            return
+        if known is not None and known.leaving == leaving:
+            return
+        member = self._member(name)
+        if member is not None:
+            self._heard[name] = Heard(member, leaving)
+            self._set_membership(
+                membership.on_heard(self._membership, self._heard)
+            )
+
     def _answer_table(
         self, link: links.Link, request: messages.TableRequest
     ) -> None:
@@ -305,7 +366,7 @@
 
     def _members_message(self) -> messages.Members:
         return messages.Members(
-            list(_agents_on_wire(self.members)), self._members_sent
+            list(listing.agents_on_wire(self.members)), self._members_sent
         )
 
     def _member(self, name: str) -> Member | None:
@@ -317,17 +378,3 @@
         except links.LinkError:
             # The Closed event of this link is on its way.
             pass
-
-
-def _agents_on_wire(members: Iterable[Member]) -> Iterable[messages.Member]:
-    for member in members:
-        if member.role == 'agent':
-            yield messages.Member(
-                member.name,
-                member.address,
-                member.port,
-                member.place.zone,
-                member.place.region,
-                member.place.pool,
-                member.leaving,
-            )
--- a/packages/burdockchute-entry/burdockchute_entry/router.py
+++ b/packages/burdockchute-entry/burdockchute_entry/router.py
@@ -153,6 +153,11 @@
         """Give the number of requests without a final outcome."""
         return len(self._requests)
 
+    def in_use(self, name: str) -> bool:
+        """Tell whether a request of ours is at an instance."""
+        instance = self._fleet.instances.get(name)
+        return instance is not None and instance.load.ours > 0
+
     def instances(self) -> list[str]:
         """Give the names of the linked instances."""
         return sorted(self._fleet.instances)
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/subset_task.py
@@ -0,0 +1,63 @@
+"""The task that chooses which agents this entry links to.
+
+The choice takes about a second of work on the largest site. It is made in
+small parts beside the handling of requests, and only when something it rests
+on has changed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import queue
+
+from burdockchute import logs
+from burdockchute.decisions.subset import Subset
+from burdockchute.model.changes import MembersChanged
+from burdockchute.model.changes import TableChanged
+from burdockchute.model.table import EMPTY
+from burdockchute.model.table import Table
+
+# About five milliseconds of work on the largest site, then as much time for
+# the rest of the process.
+AGENTS_A_STEP = 25
+PAUSE_S = 0.005
+
+
+class SubsetTask:
+    """Owns the choice; `publish` gets the names when they change."""
+
+    def __init__(
+        self, own: str, publish: Callable[[frozenset[str]], None]
+    ) -> None:
+        self.inbox: queue.Queue = queue.Queue()
+        self._subset = Subset(own)
+        self._table: Table = EMPTY
+        self._wanted: frozenset[str] = frozenset()
+        self._publish = publish
+
+    def run(self) -> None:
+        """Handle messages for ever."""
+        while True:
+            self._take(self.inbox.get())
+            while not self.inbox.empty():
+                self._take(self.inbox.get())
+            self._choose()
+
+    def _take(self, event: TableChanged | MembersChanged) -> None:
+        if isinstance(event, TableChanged):
+            self._table = event.table
+        else:
+            self._subset.set_members(event.members)
+
+    def _choose(self) -> None:
+        while not self._subset.step(AGENTS_A_STEP):
+            gevent.sleep(PAUSE_S)
+        wanted = self._subset.wanted(
+            self._table, lambda: gevent.sleep(PAUSE_S)
+        )
+        if wanted != self._wanted:
+            self._wanted = frozenset(wanted)
+            logs.event('subset_chosen', agents=len(wanted))
+            self._publish(self._wanted)
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -131,10 +131,13 @@
   7: bool leaving
 }
 
-// entry -> agent: instances that hold or want the same weights.
+// entry -> agent: the agents it may copy from; first all of them, then what
+// changed since the message before on the same connection.
 struct Members {
   1: list<Member> members
   2: i64 sequence
+  3: bool changes_only
+  4: list<string> gone      // names, only with changes_only
 }
 
 // agent -> agent: what a copy of these weights holds so far.
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1487,13 +1487,17 @@
     Attributes:
      - members
      - sequence
+     - changes_only
+     - gone
 
     """
 
 
-    def __init__(self, members=None, sequence=None,):
+    def __init__(self, members=None, sequence=None, changes_only=None, gone=None,):
         self.members = members
         self.sequence = sequence
+        self.changes_only = changes_only
+        self.gone = gone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1520,6 +1524,21 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.changes_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.gone = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1533,14 +1552,25 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter41 in self.members:
-                iter41.write(oprot)
+            for iter47 in self.members:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
             oprot.writeFieldBegin('sequence', TType.I64, 2)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.changes_only is not None:
+            oprot.writeFieldBegin('changes_only', TType.BOOL, 3)
+            oprot.writeBool(self.changes_only)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.gone))
+            for iter48 in self.gone:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1931,11 +1961,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Demand()
-                        _elem47.read(iprot)
-                        self.demands.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Demand()
+                        _elem54.read(iprot)
+                        self.demands.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1952,8 +1982,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter48 in self.demands:
-                iter48.write(oprot)
+            for iter55 in self.demands:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2076,11 +2106,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Share()
-                        _elem54.read(iprot)
-                        self.shares.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Share()
+                        _elem61.read(iprot)
+                        self.shares.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2097,8 +2127,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter55 in self.shares:
-                iter55.write(oprot)
+            for iter62 in self.shares:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2814,6 +2844,8 @@
     None,  # 0
     (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
     (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.BOOL, 'changes_only', None, None, ),  # 3
+    (4, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(Have)
 Have.thrift_spec = (
