--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -2,9 +2,9 @@
 
 It decides which rows the instance hosts, copies their weights, gives the
 engine its orders and owns the gates. Everything that happens reaches it as a
-message in its inbox; after each message, and at least every TICK_S, it looks
-at what is the case and takes the next step for each row. So nothing depends
-on a single message having arrived.
+message in its inbox; after that, and many times a second, it looks at what is
+the case and takes the next step for each row. So nothing depends on a single
+message having arrived.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+import random
 import time
 
 import gevent
@@ -21,6 +22,7 @@
 from returns.result import Success
 
 from burdockchute.decisions import hosting
+from burdockchute.decisions import pacing
 from burdockchute.decisions import switching
 from burdockchute.logs import event
 from burdockchute.logs import warn
@@ -28,10 +30,7 @@
 from burdockchute.model.changes import TableChanged
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
-from burdockchute.model.rows import AdapterRow
-from burdockchute.model.rows import ModelRow
 from burdockchute.model.table import EMPTY
-from burdockchute.model.table import models
 from burdockchute.model.table import Table
 from burdockchute.upstreams.gate import Gate
 from burdockchute.upstreams.gate import Weights
@@ -40,16 +39,21 @@
 from burdockchute.weights.manifest import document_of
 from burdockchute.weights.manifest import Manifest
 from burdockchute.wire import messages
+from burdockchute_agent.bandwidth import Bandwidth
 from burdockchute_agent.copying import Copying
 from burdockchute_agent.engine_task import EngineTask
 from burdockchute_agent.engine_view import EngineView
 from burdockchute_agent.events import EngineSeen
 from burdockchute_agent.events import OrderEnded
 from burdockchute_agent.events import Registered
+from burdockchute_agent.peers import Peers
+from burdockchute_agent.policy import DEFAULT
+from burdockchute_agent.policy import Policy
 from burdockchute_agent.row_switch import RowSwitch
-from burdockchute_agent.row_switch import Target
+from burdockchute_agent.wanted import Target
+from burdockchute_agent.wanted import wanted as wanted_by
 
-TICK_S = 0.05
+ROWS_S = 0.02
 REGISTER_RETRY_S = 1.0
 NO_FENCE = -1
 
@@ -63,7 +67,8 @@
     `register` appends this agent's registration to the log and gives its
     offset, the fencing number. `source` gives the base URL of the admin
     HTTP, from which the engine fetches weights. `services` names the plain
-    services that the upstream can run.
+    services that the upstream can run. `seed` makes the random choices
+    repeatable.
     """
 
     def __init__(
@@ -79,6 +84,8 @@
         hello: Callable[[], messages.Hello],
         source: Callable[[], str] = str,
         services: Collection[str] = (),
+        policy: Policy = DEFAULT,
+        seed: int | None = None,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self.gate = Gate()
@@ -90,11 +97,23 @@
         self._services = frozenset(services)
         self._table: Table = EMPTY
         self._members: tuple[Member, ...] = ()
-        self._view = EngineView(time.monotonic())
+        now = time.monotonic()
+        rng = random.Random(seed)
+        self._policy = policy
+        self._view = EngineView(now)
         self._engine = EngineTask(upstream_url, self.inbox.put)
+        self._peers = Peers(self._own, hello, self.inbox, rng)
         self._copying = Copying(
-            self._own, store_url, uplink, downlink, hello, self.inbox
+            self._own,
+            store_url,
+            Bandwidth(uplink, downlink, now),
+            self._peers,
+            self.inbox,
+            policy,
+            rng,
+            now,
         )
+        self._rows_at = now
         self._switches: dict[tuple[str, str], RowSwitch] = {}
         self._superseded = False
 
@@ -105,9 +124,10 @@
             helpers.append(gevent.spawn(self._engine.run))
             helpers.append(gevent.spawn(self._keep_registering))
         try:
+            wait_s = 0.0
             while True:
-                self._take_messages()
-                self._step(time.monotonic())
+                self._take_messages(wait_s)
+                wait_s = self._step(time.monotonic())
         finally:
             gevent.killall(helpers, block=False)
             self._copying.stop()
@@ -139,7 +159,11 @@
 
     def note_live_bytes(self, count: int) -> None:
         """Count bytes of live requests on this instance's link."""
-        self._copying.note_live_bytes(count)
+        self._copying.note_live_bytes(count, time.monotonic())
+
+    def held_bytes(self) -> int:
+        """Give the memory that all copies take."""
+        return self._copying.held_bytes()
 
     def _keep_registering(self) -> None:
         while True:
@@ -150,9 +174,9 @@
             warn('registration_failed', reason=result.failure())
             gevent.sleep(REGISTER_RETRY_S)
 
-    def _take_messages(self) -> None:
+    def _take_messages(self, wait_s: float) -> None:
         try:
-            message = self.inbox.get(timeout=TICK_S)
+            message = self.inbox.get(timeout=wait_s)
         except queue.Empty:
             return
         while message is not None:
@@ -184,24 +208,15 @@
         if not self._is_engine:
             self.gate.set_services(frozenset(self.services()))
             return
-        targets = self._targets()
-        for key, target in targets.items():
-            self._switch(key).want(target)
-        for key, switch in self._switches.items():
-            if key not in targets:
-                switch.want(None)
-        self._copying.set_members(self._table, self._members)
-
-    def _targets(self) -> dict[tuple[str, str], Target]:
-        found = {}
-        known = (self._table, self._members, self._own)
-        for model in hosting.hosted_models(*known):
-            found['model', model.name] = _model_target(model)
-        by_name = models(self._table)
-        for adapter in hosting.hosted_adapters(*known):
-            base = by_name[adapter.base]
-            found['adapter', adapter.name] = _adapter_target(adapter, base)
-        return found
+        wanted = wanted_by(self._table, self._members, self._own, self._policy)
+        for row in wanted.targets:
+            self._switch(row)
+        for row, switch in self._switches.items():
+            switch.want(wanted.targets.get(row), wanted.before.get(row))
+        self._peers.want(wanted.peers)
+        self._copying.want(
+            list(wanted.targets.values()), wanted.hosts, time.monotonic()
+        )
 
     def _switch(self, key: tuple[str, str]) -> RowSwitch:
         if key not in self._switches:
@@ -220,16 +235,19 @@
                 engine_fence=ended.outcome.fence,
             )
 
-    def _step(self, now: float) -> None:
+    def _step(self, now: float) -> float:
         for weights in self.gate.take_doubts():
             warn('answer_of_other_weights', digest=weights.digest)
             self._view.doubted(weights, now)
-        if self._is_engine:
+        # Chunks come hundreds of times a second; the rows need no look
+        # after each.
+        if self._is_engine and now - self._rows_at >= ROWS_S:
+            self._rows_at = now
             self._find_loaded_rows()
             self._check_superseded()
             for switch in self._switches.values():
                 self._step_row(switch, now)
-        self._copying.tick(self._wanted_copies(), now)
+        return self._copying.tick(now)
 
     def _find_loaded_rows(self) -> None:
         # What the engine has from before this agent started must be
@@ -265,6 +283,13 @@
                 break
         if isinstance(step, switching.Load | switching.Unload):
             self._give_order(switch, step, now)
+        if switch.target is not None:
+            digest = switch.target.digest
+            self._copying.set_phase(
+                digest,
+                digest in loading,
+                self.gate.is_open(_weights(switch, digest)),
+            )
 
     def _situation(self, switch: RowSwitch, now: float) -> switching.Situation:
         target = switch.target
@@ -284,14 +309,27 @@
             loading=self._view.loading(switch.kind, switch.name),
             is_open=frozenset(g.weights.digest for g in gates if g.is_open),
             in_flight={g.weights.digest: g.in_flight for g in gates},
-            may_load=target is not None and self._may_load(target, now),
+            may_load=target is not None and self._may_load(switch, now),
             settled=target is not None and self._settled(target),
             base_loaded=target is not None and self._base_loaded(target),
             beside=switch.beside,
         )
 
-    def _may_load(self, target: Target, now: float) -> bool:
-        return True
+    def _may_load(self, switch: RowSwitch, now: float) -> bool:
+        # Where nothing is served yet a load takes nothing away.
+        if not self._view.loaded(switch.kind, switch.name):
+            return True
+        digest = switch.target.digest if switch.target else ''
+        whole_since = self._copying.whole_since(digest)
+        if whole_since is None:
+            return False
+        name = switch.before
+        known = pacing.Before(
+            is_open=name is not None
+            and self._copying.is_open_at(name, digest),
+            gone=name in self._peers.unreachable(),
+        )
+        return pacing.may_load(name, known, whole_since, now)
 
     def _settled(self, target: Target) -> bool:
         weights = Weights(target.kind, target.name, target.digest)
@@ -349,9 +387,6 @@
             deadline_ms=int(switching.order_deadline_s(size) * 1000),
         )
 
-    def _wanted_copies(self) -> list[Target]:
-        return [s.target for s in self._switches.values() if s.target]
-
     def _state_of(
         self, switch: RowSwitch, digest: str
     ) -> messages.WeightsState:
@@ -380,31 +415,5 @@
     return base64.b64encode(document_of(manifest)).decode()
 
 
-def _model_target(row: ModelRow) -> Target:
-    return Target(
-        kind='model',
-        name=row.name,
-        version=row.version,
-        digest=row.digest,
-        base='',
-        checks_fencing=row.checks_fencing,
-        loading_share=row.loading_share,
-        origin_copies=row.origin_copies,
-    )
-
-
-def _adapter_target(row: AdapterRow, base: ModelRow) -> Target:
-    return Target(
-        kind='adapter',
-        name=row.name,
-        version=row.version,
-        digest=row.digest,
-        base=row.base,
-        checks_fencing=base.checks_fencing,
-        loading_share=base.loading_share,
-        origin_copies=row.origin_copies,
-    )
-
-
 def _weights(switch: RowSwitch, digest: str) -> Weights:
     return Weights(switch.kind, switch.name, digest)
--- a/packages/burdockchute-testing/burdockchute_testing/harness.py
+++ b/packages/burdockchute-testing/burdockchute_testing/harness.py
@@ -151,6 +151,7 @@
         upstream: str,
         spot: Spot = Spot(),  # noqa: B008
         services: str = '',
+        listed: bool = True,
         **options: Any,
     ) -> None:
         """Start and list an agent beside an upstream of that name."""
@@ -169,18 +170,27 @@
         }
         command = [_binary('burdockchute-agent'), 'serve', *_flags(settings)]
         self._start(name, command, processes.serving_ports)
-        self.list_instance(name, 'agent', spot)
+        if listed:
+            self.list_instance(name, 'agent', spot)
         self.agents.append(name)
 
     def list_instance(
-        self, name: str, role: str, spot: Spot, state: str = 'live'
+        self,
+        name: str,
+        role: str,
+        spot: Spot = Spot(),  # noqa: B008
+        state: str = 'live',
+        port: int = 0,
     ) -> None:
-        """Put an instance into the platform's list."""
+        """Put an instance into the platform's list.
+
+        `port` is given where others reach it through a relay.
+        """
         instance = {
             'name': name,
             'role': role,
             'address': ADDRESS,
-            'port': self.processes[name].ports['link_port'],
+            'port': port or self.processes[name].ports['link_port'],
             **spot._asdict(),
             'state': state,
         }
@@ -227,7 +237,7 @@
     def set_row(self, kind: str, name: str, **columns: Any) -> Command:
         """Edit one row through the command; raises ValueError if refused."""
         values = [f'{key}={value}' for key, value in columns.items()]
-        done = self.table('set', f'{kind}/{name}', *values)
+        done = self.table('set', '--yes', f'{kind}/{name}', *values)
         if done.status:
             raise ValueError(f'{kind}/{name}: {done.out}{done.err}')
         return done
--- a/packages/burdockchute/burdockchute/decisions/placement.py
+++ b/packages/burdockchute/burdockchute/decisions/placement.py
@@ -43,9 +43,13 @@
 LEAST_WINDOW = 1.0
 LEAST_START = 2.0
 SMOOTHING = 0.2
-FORGET_S = 10.0
+FORGET_S = 5.0
 BLOCK_TOKENS = 64
 
+# Instances report this much of a prefix's digest. Two prefixes that agree in
+# it would only make one request wait for a prefill it was not expected to.
+PREFIX_CHARS = 16
+
 # Prefixes of requests sent lately, kept until the engine's own late account
 # of its cache takes over.
 MAX_WARM = 4096
@@ -64,6 +68,11 @@
     prefixes: tuple[str, ...]
 
 
+def short_prefixes(prefixes: Iterable[str]) -> tuple[str, ...]:
+    """Give the prefixes as instances report them."""
+    return tuple(prefix[:PREFIX_CHARS] for prefix in prefixes)
+
+
 class InstanceLoad:
     """What one entry knows of the load of one instance.
 
@@ -105,7 +114,7 @@
         self.others = max(0, in_flight - self.ours)
         self.reported_at = now
         self.prefill_tokens_per_s = prefill_tokens_per_s
-        for prefix in prefixes:
+        for prefix in short_prefixes(prefixes):
             self._remember(prefix)
 
     def evicted(self, prefixes: Iterable[str]) -> None:
@@ -125,13 +134,16 @@
         self.ours -= 1
         self.long_ours -= work.is_long
 
-    def answered(self, work: Work, service_s: float, now: float) -> None:
+    def answered(
+        self, work: Work, service_s: float, mean_unit_s: float, now: float
+    ) -> None:
         """Count an answer that took so long from sending to its end."""
         self.returned(work)
         self.window = min(self.window + 1, self._most())
         unit_s = service_s / work.cost
-        if self.unit_s:
-            unit_s = (1 - SMOOTHING) * self.unit_s + SMOOTHING * unit_s
+        known = self.unit_now(mean_unit_s, now)
+        if known:
+            unit_s = (1 - SMOOTHING) * known + SMOOTHING * unit_s
         self.unit_s = unit_s
         self.unit_at = now
 
