--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -106,7 +106,7 @@
                 self.table_task.delta_for,
                 self.table_task.answer,
             ),
-            Handing(self._hand_on, self._peer_handlers()),
+            Handing(self._hand_on, self._peer_handlers(), self.router.in_use),
             random.Random(),
         )
 
