--- a/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
+++ b/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
@@ -33,6 +33,13 @@
         self._down = rates.take(self._down, size)
         return True
 
+    def not_received(self, size: int) -> None:
+        """Give back bytes that were taken for a request that was refused.
+
+        Kept, they would leave the link idle for the time of a chunk each.
+        """
+        self._down = rates.take(self._down, -size)
+
     @property
     def may_send(self) -> bool:
         """Whether the uplink has anything left."""
--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -54,12 +54,13 @@
 
 
 class Received(NamedTuple):
-    """Bytes of verified chunks, by where they came from."""
+    """Bytes of chunks by where they came from; `twice` came in vain."""
 
     origin: int = 0
     zone: int = 0
     region: int = 0
     elsewhere: int = 0
+    twice: int = 0
 
 
 class Peer:
@@ -171,6 +172,8 @@
         if self.copy is None:
             return True
         if self.copy.holds(chunk):
+            twice = self.received.twice + len(data)
+            self.received = self.received._replace(twice=twice)
             return True
         if not self.copy.add(chunk, data):
             return False
@@ -227,6 +230,12 @@
         if names and names <= self.peers.keys():
             self._heard_all = True
 
+    def size_of(self, chunk: int) -> int:
+        """Give the bytes of a chunk, 0 where that isn't known."""
+        if self.copy is None or chunk == MANIFEST:
+            return 0
+        return chunk_bytes(self.copy.manifest, chunk)
+
     def bitmap(self) -> bytes:
         """Give what is held, for a Have; empty without a manifest."""
         return self.copy.bitmap() if self.copy else b''
@@ -290,7 +299,7 @@
         for _rank, _lot, chunk in sorted(due):
             if len(self._reading) >= READS_AT_ONCE:
                 return
-            if not may_take(self._size(chunk)):
+            if not may_take(self.size_of(chunk)):
                 return
             self._reading[chunk] = now
             actions.append(ReadOrigin(chunk))
@@ -307,7 +316,7 @@
             if not offers:
                 return
             peer, chunk = self._choose(offers, self._holders, self._rng)
-            may_take(self._size(chunk))
+            may_take(self.size_of(chunk))
             actions.append(self._ask(peer, chunk, now))
 
     def _plan_second_sources(
@@ -332,7 +341,7 @@
                 for offer in self._offers(1 << chunk, now)
                 if offer.useful and offer.peer not in known
             ]
-            if not offers or not may_take(self._size(chunk)):
+            if not offers or not may_take(self.size_of(chunk)):
                 continue
             peer = self._choose(offers, self._holders, self._rng).peer
             actions.append(self._ask(peer, chunk, now))
@@ -436,10 +445,6 @@
                 for chunk in range(len(self._holders))
             ]
 
-    def _size(self, chunk: int) -> int:
-        assert self.copy is not None
-        return chunk_bytes(self.copy.manifest, chunk)
-
 
 # A manifest is small and everyone waits for it.
 MANIFEST_READERS = 2
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -204,8 +204,11 @@
         if chunk.error:
             wait_s = chunk.retry_after_ms / 1000
             copier.refused(peer.name, chunk.index, wait_s, now)
+            self._bandwidth.not_received(copier.size_of(chunk.index))
         elif chunk.index == MANIFEST:
             self._manifest_came(copier, peer, chunk.data, now)
+        elif copier.complete:
+            copier.chunk_came(peer.name, chunk.index, chunk.data, now)
         elif copier.chunk_came(peer.name, chunk.index, chunk.data, now):
             self._news.chunk(chunk.digest)
             self._tell_whole(copier)
@@ -255,6 +258,8 @@
                 chunk=read.chunk,
                 reason=read.outcome.text,
             )
+        elif copier.complete:
+            return
         elif copier.read_came(read.chunk, read.outcome, now):
             self._news.chunk(read.digest)
             self._tell_whole(copier)
--- a/packages/burdockchute-agent/tests/test_rollouts.py
+++ b/packages/burdockchute-agent/tests/test_rollouts.py
@@ -18,6 +18,7 @@
 from burdockchute_testing.fakes import fleet as fleets
 from burdockchute_testing.fakes.fleet import CHUNK
 from burdockchute_testing.fakes.fleet import FakePeer
+from burdockchute_testing.fakes.relay import Relay
 
 
 def story(digest: str, **columns) -> ModelRow:
@@ -73,6 +74,21 @@
             self.fleet.wait_loaded(agent, {first})
             self.fleet.wait_held(agent, 16 * CHUNK - 5)
 
+    def test_version_given_up_in_mid_copy_frees_its_memory(self):
+        # The row names another version while megabytes of the one before
+        # are held. Kept, they would add up with each change of mind.
+        self.start(2, link=100_000.0)
+        first = self.fleet.publish(seed=1, chunks=200)
+        self.fleet.set_rows(story(first))
+        agents = list(self.fleet.agents.values())
+        self.fleet.wait(lambda: agents[0].task.held_bytes() > 20 * CHUNK)
+        second = self.fleet.publish(seed=2, chunks=2)
+        self.fleet.set_rows(story(second))
+        self.fleet.wait_open(second)
+        for agent in agents:
+            self.assertEqual(2 * CHUNK - 5, agent.task.held_bytes())
+        self.assertLess(self.fleet.origin_copies(first), 1.0)
+
     def test_removed_row_leaves_nothing(self):
         self.start(2)
         digest = self.fleet.publish()
@@ -233,3 +249,44 @@
         self.fleet.fault(lose_replies=0.5, seed=5)
         self.fleet.set_rows(story(digest))
         self.fleet.wait_open(digest)
+
+
+class CutOffRegionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = fleets.Fleet(self)
+        port = int(self.fleet.store_url.rpartition(':')[2])
+        self.store_relay = Relay(self, port)
+        self.relays: list[Relay] = [self.store_relay]
+        store_url = f'http://127.0.0.1:{self.store_relay.port}'
+        for number in range(2):
+            self.fleet.add(f'near{number}', place=Place('z1', 'r1', 'main'))
+            self.fleet.add(
+                f'far{number}',
+                place=Place('z9', 'r9', 'main'),
+                store_url=store_url,
+            )
+        ports = {}
+        for name, agent in self.fleet.agents.items():
+            relay = Relay(self, agent.member.port)
+            self.relays.append(relay)
+            ports[name] = relay.port
+        self.fleet.tell_members(ports)
+
+    def test_region_cut_off_for_the_length_of_a_copy(self):
+        # A region loses the others and the store while a version is put in
+        # force; its instances go on with what they have. When it is back it
+        # must catch up from the others, not from the origin.
+        first = self.fleet.publish(seed=1)
+        second = self.fleet.publish(seed=2)
+        self.fleet.set_rows(story(first))
+        self.fleet.wait_open(first)
+        for relay in self.relays:
+            relay.cut()
+        self.fleet.set_rows(story(second))
+        self.fleet.wait_open(second, 'near0', 'near1')
+        for name in ('far0', 'far1'):
+            self.assertEqual({first}, self.fleet.agents[name].open_digests())
+        for relay in self.relays:
+            relay.mend()
+        self.fleet.wait_open(second, 'far0', 'far1')
+        self.assertLess(self.fleet.origin_copies(second), 1.3)
--- a/packages/burdockchute-agent/tests/test_weights_parts.py
+++ b/packages/burdockchute-agent/tests/test_weights_parts.py
@@ -15,6 +15,7 @@
 from burdockchute.upstreams.orders import Order
 from burdockchute.weights import manifest as manifests
 from burdockchute.wire import messages
+from burdockchute_agent.bandwidth import Bandwidth
 from burdockchute_agent.copier import AskPeer
 from burdockchute_agent.copier import Copier
 from burdockchute_agent.copier import MANIFEST
@@ -258,3 +259,24 @@
         self.switch.ordered(self.order)
         self.switch.ended(EngineError('full', 507), 1.0)
         self.assertFalse(self.switch.beside)
+
+
+class BandwidthTest(unittest.TestCase):
+    def test_refused_requests_give_their_bytes_back(self):
+        # A peer that is asked too much refuses. The bytes that were set
+        # aside for its chunk must go to the next request, or the link is
+        # idle for as long as the chunk would have taken.
+        bandwidth = Bandwidth(1000.0, 1000.0, 0.0)
+        bandwidth.refill(1.0)
+        self.assertTrue(bandwidth.may_receive(500))
+        self.assertFalse(bandwidth.may_receive(1))
+        bandwidth.not_received(500)
+        self.assertTrue(bandwidth.may_receive(1))
+
+    def test_copies_stand_back_for_live_requests(self):
+        bandwidth = Bandwidth(1000.0, 1000.0, 0.0)
+        quiet = bandwidth.send_rate
+        for step in range(50):
+            bandwidth.note_live(60, step * 0.1)
+        bandwidth.refill(5.0)
+        self.assertLess(bandwidth.send_rate, quiet / 2)
--- a/packages/burdockchute-testing/burdockchute_testing/benches/rollout.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/rollout.py
@@ -212,7 +212,7 @@
             / agents,
             'copies/agent',
         )
-        for source in ('zone', 'region', 'elsewhere')
+        for source in ('zone', 'region', 'elsewhere', 'twice')
     }
 
 
--- a/packages/burdockchute-testing/burdockchute_testing/fakes/fleet.py
+++ b/packages/burdockchute-testing/burdockchute_testing/fakes/fleet.py
@@ -203,7 +203,8 @@
 
     def add(self, name: str, **options: Any) -> Agent:
         """Start one more agent; `tell_members` makes it known."""
-        agent = Agent(self._case, name, self.store_url, **options)
+        options.setdefault('store_url', self.store_url)
+        agent = Agent(self._case, name, **options)
         self.agents[name] = agent
         return agent
 
@@ -228,13 +229,17 @@
         )
         self._case.assertEqual(200, reply.status)
 
-    def tell_members(self, *names: str) -> None:
-        """Tell everyone of these agents, or of all, and of the others."""
-        known = [self.agents[name] for name in names] or [
-            *self.agents.values()
-        ]
-        members = (*(agent.member for agent in known), *self.others)
-        for agent in known:
+    def tell_members(self, relays: dict[str, int] | None = None) -> None:
+        """Tell everyone of all agents and of the others.
+
+        `relays` has ports by which agents of other regions are reached.
+        """
+        known = [agent.member for agent in self.agents.values()]
+        known.extend(self.others)
+        for agent in self.agents.values():
+            members = tuple(
+                _as_seen(member, agent.place, relays or {}) for member in known
+            )
             agent.task.inbox.put(MembersChanged(members))
 
     def set_rows(self, *rows: Row) -> None:
@@ -279,6 +284,12 @@
         return read / self.store._weights[digest].size
 
 
+def _as_seen(member: Member, place: Place, relays: dict[str, int]) -> Member:
+    if member.place.region == place.region or member.name not in relays:
+        return member
+    return member._replace(port=relays[member.name])
+
+
 def _ask(handle: serving.Handler, path: str) -> Any:
     reply = handle(serving.Request('GET', path, {}, {}, b''))
     assert isinstance(reply.body, bytes)
