--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -94,6 +94,7 @@
         self.peers: dict[str, Peer] = {}
         self.whole_at: float | None = None
         self.received = Received()
+        self.stood_still = False
         self._choose = choose
         self._rng = rng
         self._began = now
@@ -126,12 +127,14 @@
         self._asked.pop(MANIFEST, None)
         if self.copy is not None:
             return
+        if self._read_failures or now - self._began > STOOD_STILL_S:
+            self._begin_again(now)
+        self._read_failures = 0
         self.copy = Copy(manifest)
         count = len(manifest.chunks)
         self._all = self._missing = (1 << count) - 1
         self._holders = [0] * count
         self._progress = Progress(now, 0.0)
-        self._read_failures = 0
         self._rank_all()
 
     def have_came(
@@ -203,6 +206,8 @@
         if not self.copy.add(chunk, data):
             self._read_failed(now)
             return False
+        if self._read_failures:
+            self._begin_again(now)
         self._read_failures = 0
         origin = self.received.origin + len(data)
         self.received = self.received._replace(origin=origin)
@@ -414,6 +419,14 @@
         self._read_not_before = now + wait
         self._progress = self._progress._replace(last=now)
 
+    def _begin_again(self, now: float) -> None:
+        # The store was out of reach, and so perhaps were the peers: a region
+        # that was cut off is back. What the others have got meanwhile need
+        # not come from the store, so peers get the time to tell.
+        self._began = now
+        self._heard_all = False
+        self.stood_still = True
+
     def _got(self, chunk: int, now: float) -> None:
         self._missing &= ~(1 << chunk)
         if not self._near >> chunk & 1:
@@ -446,5 +459,7 @@
             ]
 
 
+# No manifest for so long means that neither store nor peers could be reached.
+STOOD_STILL_S = 2.0
 # A manifest is small and everyone waits for it.
 MANIFEST_READERS = 2
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -293,6 +293,9 @@
         for copier in self._copiers.values():
             if copier.complete:
                 continue
+            if copier.stood_still:
+                copier.stood_still = False
+                self._peers.dial_again()
             copier.heard(self._expected_peers(copier.digest))
             for action in copier.plan(now, self._bandwidth.may_receive):
                 self._do(copier, action)
--- a/packages/burdockchute-entry/burdockchute_entry/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/attempts.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from burdockchute.decisions import admission
+from burdockchute.decisions import placement
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.waiting import Waiting
 from burdockchute.model.requests import RequestContext
@@ -87,15 +88,16 @@
             cost=admission.cost_of(ctx),
             is_long=False,
             prompt_tokens=ctx.prompt_tokens,
-            prefixes=ctx.prefixes,
+            prefixes=placement.short_prefixes(ctx.prefixes),
         )
         self.caller_gone = False
         self.is_suspect = False
         self.waiting: Waiting | None = None
+        self.waiting_since = ctx.arrived
         self.attempt: Attempt | None = None
         self.attempts = 0
         self.placements = 0
-        self._avoided: dict[str, int] = {}
+        self._avoided: dict[Instance, int] = {}
         self.parts: list[bytes] = []
         self.passed_on = 0
         self.pinned = Pinned('', '')
@@ -103,11 +105,11 @@
 
     def avoid(self, instance: Instance) -> None:
         """Stay away from an instance until it has reported again."""
-        self._avoided[instance.name] = instance.reports
+        self._avoided[instance] = instance.reports
 
     def avoids(self, instance: Instance) -> bool:
         """Tell whether an instance refused this since its last report."""
-        return self._avoided.get(instance.name) == instance.reports
+        return self._avoided.get(instance) == instance.reports
 
     def may_run_again(self) -> bool:
         """Tell whether another attempt can give one whole answer.
