--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -54,12 +54,13 @@
 
 
 class Received(NamedTuple):
-    """Bytes of verified chunks, by where they came from."""
+    """Bytes of chunks by where they came from; `twice` came in vain."""
 
     origin: int = 0
     zone: int = 0
     region: int = 0
     elsewhere: int = 0
+    twice: int = 0
 
 
 class Peer:
@@ -93,6 +94,7 @@
         self.peers: dict[str, Peer] = {}
         self.whole_at: float | None = None
         self.received = Received()
+        self.stood_still = False
         self._choose = choose
         self._rng = rng
         self._began = now
@@ -125,12 +127,14 @@
         self._asked.pop(MANIFEST, None)
         if self.copy is not None:
             return
+        if self._read_failures or now - self._began > STOOD_STILL_S:
+            self._begin_again(now)
+        self._read_failures = 0
         self.copy = Copy(manifest)
         count = len(manifest.chunks)
         self._all = self._missing = (1 << count) - 1
         self._holders = [0] * count
         self._progress = Progress(now, 0.0)
-        self._read_failures = 0
         self._rank_all()
 
     def have_came(
@@ -171,6 +175,8 @@
         if self.copy is None:
             return True
         if self.copy.holds(chunk):
+            twice = self.received.twice + len(data)
+            self.received = self.received._replace(twice=twice)
             return True
         if not self.copy.add(chunk, data):
             return False
@@ -200,6 +206,8 @@
         if not self.copy.add(chunk, data):
             self._read_failed(now)
             return False
+        if self._read_failures:
+            self._begin_again(now)
         self._read_failures = 0
         origin = self.received.origin + len(data)
         self.received = self.received._replace(origin=origin)
@@ -227,6 +235,12 @@
         if names and names <= self.peers.keys():
             self._heard_all = True
 
+    def size_of(self, chunk: int) -> int:
+        """Give the bytes of a chunk, 0 where that isn't known."""
+        if self.copy is None or chunk == MANIFEST:
+            return 0
+        return chunk_bytes(self.copy.manifest, chunk)
+
     def bitmap(self) -> bytes:
         """Give what is held, for a Have; empty without a manifest."""
         return self.copy.bitmap() if self.copy else b''
@@ -290,7 +304,7 @@
         for _rank, _lot, chunk in sorted(due):
             if len(self._reading) >= READS_AT_ONCE:
                 return
-            if not may_take(self._size(chunk)):
+            if not may_take(self.size_of(chunk)):
                 return
             self._reading[chunk] = now
             actions.append(ReadOrigin(chunk))
@@ -307,7 +321,7 @@
             if not offers:
                 return
             peer, chunk = self._choose(offers, self._holders, self._rng)
-            may_take(self._size(chunk))
+            may_take(self.size_of(chunk))
             actions.append(self._ask(peer, chunk, now))
 
     def _plan_second_sources(
@@ -332,7 +346,7 @@
                 for offer in self._offers(1 << chunk, now)
                 if offer.useful and offer.peer not in known
             ]
-            if not offers or not may_take(self._size(chunk)):
+            if not offers or not may_take(self.size_of(chunk)):
                 continue
             peer = self._choose(offers, self._holders, self._rng).peer
             actions.append(self._ask(peer, chunk, now))
@@ -405,6 +419,14 @@
         self._read_not_before = now + wait
         self._progress = self._progress._replace(last=now)
 
+    def _begin_again(self, now: float) -> None:
+        # The store was out of reach, and so perhaps were the peers: a region
+        # that was cut off is back. What the others have got meanwhile need
+        # not come from the store, so peers get the time to tell.
+        self._began = now
+        self._heard_all = False
+        self.stood_still = True
+
     def _got(self, chunk: int, now: float) -> None:
         self._missing &= ~(1 << chunk)
         if not self._near >> chunk & 1:
@@ -436,10 +458,8 @@
                 for chunk in range(len(self._holders))
             ]
 
-    def _size(self, chunk: int) -> int:
-        assert self.copy is not None
-        return chunk_bytes(self.copy.manifest, chunk)
-
 
+# No manifest for so long means that neither store nor peers could be reached.
+STOOD_STILL_S = 2.0
 # A manifest is small and everyone waits for it.
 MANIFEST_READERS = 2
--- a/packages/burdockchute-agent/burdockchute_agent/peers.py
+++ b/packages/burdockchute-agent/burdockchute_agent/peers.py
@@ -97,6 +97,12 @@
             if redial.failures and name not in self.links
         )
 
+    def dial_again(self) -> None:
+        """Forget earlier failures and dial everyone who is wanted now."""
+        for redial in self._redials.values():
+            redial.failures = 0
+            redial.not_before = 0.0
+
     def opened(self, link: links.Link) -> PeerLink | None:
         """Take a new link; None if it is the second to the same process."""
         peer = PeerLink(link, self._own.place)
--- a/packages/burdockchute-testing/burdockchute_testing/fakes/relay.py
+++ b/packages/burdockchute-testing/burdockchute_testing/fakes/relay.py
@@ -22,6 +22,7 @@
     def __init__(self, target_port: int) -> None:
         self._target = (ADDRESS, target_port)
         self._pairs: list[_Pair] = []
+        self._is_cut = False
         self._server = server.StreamServer((ADDRESS, 0), self._take)
         self._server.start()
         self.port: int = self._server.server_port
@@ -35,6 +36,18 @@
             pair.silent = True
         return len(self._pairs)
 
+    def cut(self) -> None:
+        """Carry nothing more, on new connections neither.
+
+        So a region looks that is cut off.
+        """
+        self._is_cut = True
+        self.forget()
+
+    def mend(self) -> None:
+        """Carry bytes of new connections again; the old ones are lost."""
+        self._is_cut = False
+
     def close(self) -> None:
         """Close everything."""
         self._server.stop(timeout=0)
@@ -48,6 +61,7 @@
             near.close()
             return
         pair = _Pair(near, far)
+        pair.silent = self._is_cut
         self._pairs.append(pair)
         gevent.joinall(
             [
