--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -122,6 +122,7 @@
             'table_offset': self.table_offset(),
             'table_age_s': self.rows.age_s(),
             'entries': sorted(link.peer.name for link in self.entries),
+            'links': links.traffic(self.entries),
             'members': len(self.rows.members),
             'running': self.runner.running(),
             'finished': self.runner.finished,
--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -173,6 +173,7 @@
             'agents': sorted(
                 link.peer.name for link in self.links_task.agent_links()
             ),
+            'links': links.traffic(self.links_task.agent_links()),
             'members': len(self.links_task.members),
         }
 
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import errno
 import socket as sockets
 import struct
@@ -86,7 +87,6 @@
         self.closed_reason = ''
         self.last_received = time.monotonic()
         self.bytes_sent = 0
-        self.bytes_received = 0
         self._sock = sock
         self._inbox = inbox
         self._outbox: queue.Queue = queue.Queue()
@@ -285,3 +285,12 @@
     except OSError:
         pass
     sock.close()
+
+
+def traffic(open_links: Iterable[Link]) -> dict[str, int]:
+    """Give the number of open links and what was sent, for status pages."""
+    counted = list(open_links)
+    return {
+        'open': len(counted),
+        'bytes_sent': sum(link.bytes_sent for link in counted),
+    }
--- a/packages/burdockchute/tests/test_table_commands.py
+++ b/packages/burdockchute/tests/test_table_commands.py
@@ -5,6 +5,7 @@
 import argparse
 import io
 import os
+import pathlib
 import tempfile
 import unittest
 from unittest import mock
@@ -19,6 +20,8 @@
 from burdockchute_testing.builders import tables
 from burdockchute_testing.fakes.log import FakeLog
 
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+EXAMPLES = ROOT / 'docs' / 'operators' / 'examples'
 ENVIRON = {
     'BURDOCKCHUTE_LOG_URL': 'http://127.0.0.1:1',
     'BURDOCKCHUTE_BY': 'ana',
@@ -314,6 +317,15 @@
         self.assertEqual(3, self.log.appends)
         self.assertEqual(600, len(self.table().rows))
 
+    def test_example_tables_are_accepted(self):
+        for name, rows in (('lindwurm', 18), ('sahyog', 17)):
+            self.log = FakeLog()
+            path = str(EXAMPLES / f'{name}.csv')
+            status, _out, err = self.run_table('import', path)
+            with self.subTest(name):
+                self.assertEqual((0, ''), (status, err))
+                self.assertEqual(rows, len(self.table().rows))
+
     def test_history(self):
         self.add_story()
         self.log.append('table', 'garbage')
