Report and beat less often where nothing changes; tell cache news once

Cause: each message wakes an entry up, about 0.15 ms with its system calls; an idle link brought 3.5 of them a second, and every report repeated up to 48 prefixes. Worked out for 134 agents to an entry that was over what control may cost. Ruled out: decoding (4% of the profile) and the router (2%).

--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/cache_news.py
@@ -0,0 +1,72 @@
+"""What has changed in the upstream's prefix cache since entries were told.
+
+Every report goes out on every link, so it has room for the news only, and
+not each second. What doesn't fit is dropped, oldest first: an entry that
+misses a prefix sends a request where it is not warm, once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+PREFIX_HEX = 16
+
+# With 134 agents to an entry, 16 prefixes of 20 bytes each 4 s are 11 KB a
+# second at the worst, half of what a node may spend on control.
+MAX_NEWS = 16
+TELL_S = 4.0
+
+
+class News(NamedTuple):
+    """Prefix digests, shortened; those stored last come first."""
+
+    stored: list[str]
+    evicted: list[str]
+
+
+NO_NEWS = News([], [])
+
+
+class CacheNews:
+    """News not yet told; times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self._stored: dict[str, None] = {}
+        self._evicted: dict[str, None] = {}
+        self._told_at = float('-inf')
+
+    def stored(self, prefix: str) -> None:
+        """Note that the cache holds a prefix."""
+        _move(prefix, self._evicted, self._stored)
+
+    def evicted(self, prefix: str) -> None:
+        """Note that the cache no longer holds a prefix."""
+        _move(prefix, self._stored, self._evicted)
+
+    def clear(self) -> None:
+        """Forget all, when the upstream has gone."""
+        self._stored.clear()
+        self._evicted.clear()
+
+    def take(self, now: float) -> News:
+        """Give the news if it is time to tell, and forget them."""
+        if now < self._told_at + TELL_S:
+            return NO_NEWS
+        self._told_at = now
+        news = News(_newest(self._stored), _newest(self._evicted))
+        self.clear()
+        return news
+
+
+def _move(prefix: str, gone: dict[str, None], come: dict[str, None]) -> None:
+    short = prefix[:PREFIX_HEX]
+    gone.pop(short, None)
+    come.pop(short, None)
+    come[short] = None
+    if len(come) > MAX_NEWS:
+        del come[next(iter(come))]
+
+
+def _newest(prefixes: Iterable[str]) -> list[str]:
+    return list(reversed(list(prefixes)))
--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -20,19 +20,23 @@
 from burdockchute import logs
 from burdockchute.nodes import links
 from burdockchute.wire import messages
+from burdockchute_agent.cache_news import CacheNews
+from burdockchute_agent.cache_news import News
+from burdockchute_agent.cache_news import NO_NEWS
 from burdockchute_agent.runner import Runner
 from burdockchute_agent.settings import Settings
 from burdockchute_agent.weights_task import WeightsTask
 
 POLL_S = 0.5
 CHANGE_CHECK_S = 0.05
-REPORT_S = 1.0
-UPSTREAM_TIMEOUT_S = 1.0
 
-# Enough for the prompts that an instance's cache keeps warm and few enough
-# that a report stays near a kilobyte: control may cost 23 KB a second.
-MAX_PREFIXES = 48
-PREFIX_HEX = 16
+# A report costs each entry a wake-up for each of its agents. While requests
+# come and go entries need the numbers of the last second; while nothing
+# changes the report only shows that the agent is there, and may be as old as
+# half of what placement still believes (5 s).
+BUSY_REPORT_S = 1.0
+IDLE_REPORT_S = 2.0
+UPSTREAM_TIMEOUT_S = 1.0
 
 # Misses in a row before the upstream counts as away. One is a pause of its
 # garbage collector; three are longer than any of the stand-ins or engines
@@ -67,24 +71,24 @@
         self._links: dict[links.Link, None] = {}
         self._load = UpstreamLoad()
         self._misses = 0
-        self._prefixes: dict[str, None] = {}
+        self._cache = CacheNews()
         self._next_event = 0
         self._sent: tuple = ()
         self._sent_at = 0.0
+        self._sent_load: tuple = ()
 
     def run(self) -> None:
         """Poll and report for ever."""
         gevent.spawn(self._poll)
         while True:
             gevent.sleep(CHANGE_CHECK_S)
-            now = time.monotonic()
-            if self._key() != self._sent or now > self._sent_at + REPORT_S:
+            if self._is_due(time.monotonic()):
                 self.send_now()
 
     def opened(self, link: links.Link) -> None:
         """Tell a new entry at once."""
         self._links[link] = None
-        self._send_to(link, self.report())
+        self._send_to(link, self.report(NO_NEWS))
 
     def closed(self, link: links.Link) -> None:
         """Stop telling an entry."""
@@ -92,13 +96,15 @@
 
     def send_now(self) -> None:
         """Send a report to every entry."""
+        now = time.monotonic()
         self._sent = self._key()
-        self._sent_at = time.monotonic()
-        report = self.report()
+        self._sent_load = self._load_key()
+        self._sent_at = now
+        report = self.report(self._cache.take(now))
         for link in list(self._links):
             self._send_to(link, report)
 
-    def report(self) -> messages.LoadReport:
+    def report(self, news: News) -> messages.LoadReport:
         """Give the report of this moment."""
         away = self._misses >= MAX_MISSES
         return messages.LoadReport(
@@ -110,11 +116,22 @@
             leaving=self._runner.leaving,
             weights=[] if away else self._weights.states(),
             services=[] if away else self._weights.services(),
-            prefixes=list(reversed(self._prefixes)),
+            prefixes=news.stored,
             table_offset=self._table_offset(),
             prefill_tokens_per_s=round(self._load.prefill_tokens_per_s),
+            evicted=news.evicted,
         )
 
+    def _is_due(self, now: float) -> bool:
+        if self._key() != self._sent:
+            return True
+        is_busy = self._load_key() != self._sent_load
+        wait_s = BUSY_REPORT_S if is_busy else IDLE_REPORT_S
+        return now >= self._sent_at + wait_s
+
+    def _load_key(self) -> tuple:
+        return (self._runner.running(), self._load.waiting, self._load.slots)
+
     def _key(self) -> tuple:
         return (
             self._runner.leaving,
@@ -166,12 +183,12 @@
 
     def _note_cache(self, page: dict) -> None:
         for event in page.get('events', ()):
-            prefix = event['prefix'][:PREFIX_HEX]
-            self._prefixes.pop(prefix, None)
-            if event['act'] == 'stored':
-                self._prefixes[prefix] = None
-        while len(self._prefixes) > MAX_PREFIXES:
-            del self._prefixes[next(iter(self._prefixes))]
+            note = (
+                self._cache.stored
+                if event['act'] == 'stored'
+                else self._cache.evicted
+            )
+            note(event['prefix'])
         self._next_event = page.get('next', self._next_event)
 
     def _note_answer(self) -> None:
@@ -184,7 +201,7 @@
         if self._misses == MAX_MISSES:
             # The engine's cache and weights may be gone with it; events of
             # the one that comes back are numbered anew.
-            self._prefixes.clear()
+            self._cache.clear()
             self._next_event = 0
             logs.warn('upstream_away', url=self._cfg.upstream_url)
 
--- a/packages/burdockchute-entry/burdockchute_entry/fleet.py
+++ b/packages/burdockchute-entry/burdockchute_entry/fleet.py
@@ -56,6 +56,7 @@
                 opened.setdefault(state.row, set()).add(state.digest)
         self.open = {row: frozenset(found) for row, found in opened.items()}
         self.services = frozenset(msg.services or ())
+        self.load.evicted(msg.evicted or ())
         self.load.report(
             msg.running + msg.waiting,
             msg.slots,
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -30,10 +30,10 @@
 from burdockchute import wire
 from burdockchute.wire import messages
 
-# A quarter of SILENCE_S, so that one heartbeat may be late by the length of
-# a long garbage collection without closing a sound link.
-HEARTBEAT_S = 1.0
-SILENCE_S = 4.0
+# Two heartbeats in SILENCE_S, and a second to spare for a stop of the
+# interpreter. Each costs both sides a wake-up, and an entry has 134 links.
+HEARTBEAT_S = 2.0
+SILENCE_S = 5.0
 DIAL_TIMEOUT_S = 2.0
 PROTOCOL = 1
 
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -81,7 +81,7 @@
   5: i32 chunks_total
 }
 
-// agent -> entry: on each change and every second.
+// agent -> entry: on each change, each second while busy, else each two.
 struct LoadReport {
   1: string instance
   2: i32 running
@@ -91,9 +91,10 @@
   6: bool leaving
   7: list<WeightsState> weights
   8: list<string> services  // service rows this instance can run
-  9: list<string> prefixes  // warm prefix digests, most recent first
+  9: list<string> prefixes  // prefixes stored since the last report, newest first
   10: i64 table_offset
   11: i64 prefill_tokens_per_s
+  12: list<string> evicted   // prefixes evicted since then
 }
 
 struct RowRecord {
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -893,11 +893,12 @@
      - prefixes
      - table_offset
      - prefill_tokens_per_s
+     - evicted
 
     """
 
 
-    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None,):
+    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, evicted=None,):
         self.instance = instance
         self.running = running
         self.waiting = waiting
@@ -909,6 +910,7 @@
         self.prefixes = prefixes
         self.table_offset = table_offset
         self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.evicted = evicted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -990,6 +992,16 @@
                     self.prefill_tokens_per_s = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.evicted = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evicted.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1027,22 +1039,22 @@
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter18 in self.weights:
-                iter18.write(oprot)
+            for iter24 in self.weights:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter19 in self.services:
-                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            for iter25 in self.services:
+                oprot.writeString(iter25.encode('utf-8') if sys.version_info[0] == 2 else iter25)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.prefixes))
-            for iter20 in self.prefixes:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter26 in self.prefixes:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_offset is not None:
@@ -1053,6 +1065,13 @@
             oprot.writeFieldBegin('prefill_tokens_per_s', TType.I64, 11)
             oprot.writeI64(self.prefill_tokens_per_s)
             oprot.writeFieldEnd()
+        if self.evicted is not None:
+            oprot.writeFieldBegin('evicted', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRING, len(self.evicted))
+            for iter27 in self.evicted:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1272,22 +1291,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = RowRecord()
-                        _elem26.read(iprot)
-                        self.rows.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = RowRecord()
+                        _elem33.read(iprot)
+                        self.rows.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.seen = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = SeenRecord()
-                        _elem32.read(iprot)
-                        self.seen.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = SeenRecord()
+                        _elem39.read(iprot)
+                        self.seen.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1322,15 +1341,15 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter33 in self.rows:
-                iter33.write(oprot)
+            for iter40 in self.rows:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seen is not None:
             oprot.writeFieldBegin('seen', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.seen))
-            for iter34 in self.seen:
-                iter34.write(oprot)
+            for iter41 in self.seen:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten is not None:
@@ -1511,11 +1530,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Member()
-                        _elem40.read(iprot)
-                        self.members.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Member()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1532,10 +1551,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1552,8 +1571,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter47 in self.members:
-                iter47.write(oprot)
+            for iter54 in self.members:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
@@ -1567,8 +1586,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter48 in self.gone:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.gone:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1972,11 +1991,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Demand()
-                        _elem54.read(iprot)
-                        self.demands.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Demand()
+                        _elem61.read(iprot)
+                        self.demands.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1993,8 +2012,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter55 in self.demands:
-                iter55.write(oprot)
+            for iter62 in self.demands:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2117,11 +2136,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Share()
-                        _elem61.read(iprot)
-                        self.shares.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Share()
+                        _elem68.read(iprot)
+                        self.shares.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2138,8 +2157,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter62 in self.shares:
-                iter62.write(oprot)
+            for iter69 in self.shares:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2814,6 +2833,7 @@
     (9, TType.LIST, 'prefixes', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.I64, 'table_offset', None, None, ),  # 10
     (11, TType.I64, 'prefill_tokens_per_s', None, None, ),  # 11
+    (12, TType.LIST, 'evicted', (TType.STRING, 'UTF8', False), None, ),  # 12
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
