Take agents past records without rows; encode once for all links

Age messages now go on from what the link was last sent. Deltas and the whole list of members are encoded once for all links that need the same.

--- a/packages/burdockchute-agent/burdockchute_agent/rows_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/rows_task.py
@@ -86,7 +86,7 @@
         self, link: links.Link, delta: messages.TableDelta
     ) -> None:
         if delta.to_offset <= self.table.offset:
-            if delta.to_offset < self.table.offset:
+            if delta.rows and delta.to_offset < self.table.offset:
                 logs.event(
                     'delta_ignored',
                     entry=link.peer.name,
--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import time
 from typing import Any
@@ -127,6 +128,8 @@
         )
         self._members_told: tuple[Member, ...] = ()
         self._members_sent = 0
+        self._whole_made_of: tuple[Member, ...] | None = None
+        self._whole_frame = b''
         self._members_due = 0.0
         self._age_due = 0.0
 
@@ -188,8 +191,7 @@
             self._tell_members()
         if now >= self._age_due:
             self._age_due = now + AGE_EVERY_S
-            for link in self.agent_links():
-                self._send(link, self._table.delta_for(self._table.offset()))
+            self._send_rows(self.agent_links())
         self._dial_missing(now)
         self._close_surplus(now)
 
@@ -212,8 +214,9 @@
         message = messages.Members(
             list(listing.agents_on_wire(came)), self._members_sent, True, gone
         )
+        frame = links.frame_of(message)
         for link in self.agent_links():
-            self._send(link, message)
+            self._send_frame(link, frame)
 
     def _on_wanted(self, wanted: _Wanted) -> None:
         self._wanted = wanted.names
@@ -279,8 +282,7 @@
 
     def _on_table(self, changed: TableChanged) -> None:
         self._subset.inbox.put(changed)
-        for link in self.agent_links():
-            self._send_rows(link)
+        self._send_rows(self.agent_links())
 
     def _on_opened(self, event: links.Opened) -> None:
         link = event.link
@@ -299,8 +301,8 @@
         old: links.Link | None = self._links.get(link.peer.name)
         self._links[link.peer.name] = link
         self._sent_offset[link] = link.peer.table_offset
-        self._send_rows(link)
-        self._send(link, self._members_message())
+        self._send_rows([link])
+        self._send_frame(link, self._whole_members())
         self._handing.router(event)
         if old is not None:
             old.close('replaced by a newer link')
@@ -356,25 +358,40 @@
         if answer is not None:
             self._send(link, answer)
 
-    def _send_rows(self, link: links.Link) -> None:
-        sent = self._sent_offset.get(link, tables.NO_OFFSET)
-        if sent >= self._table.offset():
+    def _send_rows(self, to: Iterable[links.Link]) -> None:
+        # Also when there is no row to send: the delta tells how old the rows
+        # are, and takes the agent's offset past records that touched none.
+        # Nearly all agents lack the same, which is encoded once.
+        if self._table.offset() == tables.NO_OFFSET:
             return
-        delta = self._table.delta_for(sent)
-        self._sent_offset[link] = delta.to_offset
-        self._send(link, delta)
-
-    def _members_message(self) -> messages.Members:
-        return messages.Members(
-            list(listing.agents_on_wire(self.members)), self._members_sent
-        )
+        frames: dict[int, bytes] = {}
+        for link in to:
+            sent = self._sent_offset.get(link, tables.NO_OFFSET)
+            if sent not in frames:
+                delta = self._table.delta_for(sent)
+                frames[sent] = links.frame_of(delta)
+            self._sent_offset[link] = max(sent, self._table.offset())
+            self._send_frame(link, frames[sent])
+
+    def _whole_members(self) -> bytes:
+        # A megabyte on the largest site; made once for all who connect
+        # between two changes.
+        if self._whole_made_of is not self.members:
+            agents = list(listing.agents_on_wire(self.members))
+            message = messages.Members(agents, self._members_sent)
+            self._whole_frame = links.frame_of(message)
+            self._whole_made_of = self.members
+        return self._whole_frame
 
     def _member(self, name: str) -> Member | None:
         return next((m for m in self.members if m.name == name), None)
 
     def _send(self, link: links.Link, message: Any) -> None:
+        self._send_frame(link, links.frame_of(message))
+
+    def _send_frame(self, link: links.Link, frame: bytes) -> None:
         try:
-            link.send(message)
+            link.send_frame(frame)
         except links.LinkError:
             # The Closed event of this link is on its way.
             pass
--- a/packages/burdockchute-testing/tests/test_table_processes.py
+++ b/packages/burdockchute-testing/tests/test_table_processes.py
@@ -93,6 +93,7 @@
             lambda: self.table_status('e2')['snapshot_as_of'] >= 0,
             'a snapshot is written',
         )
+        self.wait_offset(self.offset('e2'), 'a1')
         as_of = self.table_status('e2')['snapshot_as_of']
         trim = {'stream': 'table', 'before': as_of + 1}
         self.system.fault('log', trim=trim)
@@ -105,6 +106,9 @@
         self.wait_offset(offset, 'e1')
         self.wait_offset(self.edit(), 'e1', 'e2', 'a1')
         self.assertEqual(1, self.table_status('e1')['rows'])
+        # The offset moves past a snapshot without any row. Were the agent
+        # not told, it would ask for the whole table after each.
+        self.assertNotIn('delta_refused', self.system['a1'].log())
 
     def test_region_is_cut_off_and_joined_again(self):
         # Region A first loses only the log, then the other region as well.
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -107,9 +107,12 @@
 
     def send(self, message: Any) -> None:
         """Queue a message; raises LinkError if the link is closed."""
+        self.send_frame(frame_of(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queue what `frame_of` gave, made once for many links."""
         if self.closed_reason:
             raise LinkError(f'link is closed: {self.closed_reason}')
-        frame = _frame(message)
         self._queued_bytes += len(frame)
         if self._queued_bytes > MAX_QUEUED_BYTES:
             self.close('peer reads too slowly')
@@ -157,7 +160,7 @@
                 frame = self._outbox.get(timeout=HEARTBEAT_S)
             except queue.Empty:
                 sequence += 1
-                frame = _frame(messages.Heartbeat(sequence, self._offset()))
+                frame = frame_of(messages.Heartbeat(sequence, self._offset()))
                 self._queued_bytes += len(frame)
             if frame is None:
                 return
@@ -224,7 +227,7 @@
 ) -> Link:
     sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
     sock.settimeout(DIAL_TIMEOUT_S)
-    sock.sendall(_frame(hello))
+    sock.sendall(frame_of(hello))
     peer = _read_one(sock)
     if not isinstance(peer, messages.Hello):
         raise wire.WireError(f'{type(peer).__name__} in place of Hello')
@@ -235,7 +238,8 @@
     return link
 
 
-def _frame(message: Any) -> bytes:
+def frame_of(message: Any) -> bytes:
+    """Give the bytes of a message as they stand on a link."""
     data = wire.encode(message)
     return _LENGTH.pack(len(data)) + data
 
--- a/packages/burdockchute/tests/test_links.py
+++ b/packages/burdockchute/tests/test_links.py
@@ -50,7 +50,7 @@
         with mock.patch.object(links, 'SILENCE_S', 0.2):
             mute = socket.create_connection(('127.0.0.1', self.port))
             self.addCleanup(mute.close)
-            mute.sendall(links._frame(HELLO))
+            mute.sendall(links.frame_of(HELLO))
             self.assertIsInstance(self.served.get(timeout=2), links.Opened)
             closed = self.served.get(timeout=2)
         self.assertEqual('silent', closed.reason)
