--- a/packages/burdockchute-entry/burdockchute_entry/intake.py
+++ b/packages/burdockchute-entry/burdockchute_entry/intake.py
@@ -94,8 +94,12 @@
     """Give the outcome of a request whose claim was not won."""
     if isinstance(verdict, claims.Recorded):
         return verdict.outcome
-    if isinstance(verdict, claims.OtherBody | claims.OutsideWindow):
+    if isinstance(verdict, claims.OtherBody):
         return NotRun(verdict.reason, 422, 0.0)
+    if isinstance(verdict, claims.OutsideWindow):
+        # What was claimed so long ago is forgotten. A caller told not-run
+        # would do by hand what may have been done already.
+        return Unknown(verdict.reason, 422)
     if isinstance(verdict, claims.Unavailable):
         return NotRun(verdict.reason, 503, verdict.retry_after_s)
     if isinstance(verdict, claims.Held):
--- a/packages/burdockchute-entry/tests/test_router.py
+++ b/packages/burdockchute-entry/tests/test_router.py
@@ -327,16 +327,17 @@
 
     def test_resend_gets_what_is_known(self):
         answered = Answered(200, 'application/json', b'{}', '', '')
-        for verdict, status in (
-            (claims.Recorded(answered), 200),
-            (claims.Held(), 409),
-            (claims.OtherBody(), 422),
-            (claims.OutsideWindow('too old'), 422),
-            (claims.Unavailable('log is down', 1.0), 503),
+        for verdict, status, kind in (
+            (claims.Recorded(answered), 200, Answered),
+            (claims.Held(), 409, Unknown),
+            (claims.OtherBody(), 422, NotRun),
+            (claims.OutsideWindow('too old'), 422, Unknown),
+            (claims.Unavailable('log is down', 1.0), 503, NotRun),
         ):
             rid = self.submit()
             self.decide(rid, verdict)
-            self.assertEqual(status, self.bench.outcome(rid).status)
+            outcome = self.bench.outcome(rid)
+            self.assertEqual((status, kind), (outcome.status, type(outcome)))
         self.assertEqual([], self.link.dispatched())
         self.assertEqual(5, len(self.claimed))
 
--- a/packages/burdockchute-testing/burdockchute_testing/demo.py
+++ b/packages/burdockchute-testing/burdockchute_testing/demo.py
@@ -177,6 +177,7 @@
             version='v1',
             digest=demo.digests[model],
             placement=f'pool:{model}',
+            loading_share=0.5,
         )
     system.set_row(
         'adapter',
