Test a caller that goes away and a customer over its limit

Both through real processes. The test client left a connection open that was closed in mid-stream, which made the first of them fail; it is mended.

--- a/packages/burdockchute-testing/burdockchute_testing/client.py
+++ b/packages/burdockchute-testing/burdockchute_testing/client.py
@@ -132,7 +132,9 @@
             raise NoResponse(f'POST {self._url}: {exc!r}') from exc
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, in the middle of the stream or after it."""
+        # Closing the client alone leaves a connection open that is in use.
+        self._answer.release()
         self._client.close()
 
     def _block(self) -> bytes:
--- a/packages/burdockchute-testing/tests/test_system.py
+++ b/packages/burdockchute-testing/tests/test_system.py
@@ -4,8 +4,11 @@
 
 import unittest
 
+import blake3
+
 from burdockchute_testing import calls
 from burdockchute_testing import client
+from burdockchute_testing import harness
 from burdockchute_testing.site import Site
 
 
@@ -67,3 +70,51 @@
                 self.assertEqual(
                     'not-run', got.headers['burdockchute-outcome']
                 )
+
+    def test_caller_that_goes_away_frees_its_slot(self):
+        # A teacher closes the page while a long story comes in. The engine
+        # would go on writing it for nobody.
+        ask = calls.completion('gone', 'story', max_tokens=900, stream=True)
+        url = self.site.system.url('e1', 'http_port') + '/v1/completions'
+        stream = client.Stream(
+            url,
+            calls.document_of(ask),
+            calls.headers_of(ask, 'key-of-lindwurm'),
+        )
+        next(stream.events())
+        stream.close()
+        harness.wait_until(
+            lambda: self.how_of('gone') == ['cancelled'], 'it is cancelled'
+        )
+
+    def test_flooding_customer_is_told_when_to_come_back(self):
+        # One customer's script sends as fast as it can. What is over its
+        # limit is refused at once, not held back.
+        system = self.site.system
+        key = blake3.blake3(b'key-of-sahyog').hexdigest()
+        system.set_row('customer', 'sahyog', key_digests=key, requests_per_s=2)
+        url = system.url('e2', 'http_port')
+        ask = calls.completion('probe', 'story')
+        harness.wait_until(
+            lambda: calls.send(url, 'key-of-sahyog', ask).status != 401,
+            'the row is in force',
+        )
+        made = [
+            calls.send(
+                url, 'key-of-sahyog', calls.completion(f'f{n}', 'story')
+            )
+            for n in range(40)
+        ]
+        refused = [call for call in made if call.status == 429]
+        self.assertGreater(len(refused), 0)
+        told = {(c.outcome, c.retry_after != '') for c in refused}
+        self.assertEqual({('not-run', True)}, told)
+        ran = {run['prompt'] for run in system.runs() if 'prompt' in run}
+        self.assertEqual([], [c for c in refused if c.ask.text in ran])
+
+    def how_of(self, text: str) -> list[str]:
+        return [
+            run['how']
+            for run in self.site.system.runs()
+            if run.get('prompt') == text
+        ]
