--- a/packages/burdockchute-testing/burdockchute_testing/standins/engine.py
+++ b/packages/burdockchute-testing/burdockchute_testing/standins/engine.py
@@ -116,7 +116,7 @@
         work = self._work_of(document)
         if isinstance(work, serving.Reply):
             return work
-        self._crash_on(work.prompt)
+        self._crash_on(work)
         run = self._batch.submit(work)
         if run is None:
             return serving.as_json(
@@ -159,9 +159,10 @@
         except (KeyError, TypeError, ValueError) as exc:
             raise serving.BadRequest(f'body: {exc!r}') from exc
 
-    def _crash_on(self, prompt: str) -> None:
+    def _crash_on(self, work: batch.Work) -> None:
         word = self._faults['crash_word']
-        if word and word in prompt:
+        if word and word in work.prompt:
+            self._batch.record(work)
             os._exit(CRASH_STATUS)
 
     def _keep(self, run: batch.Run) -> None:
--- a/packages/burdockchute-testing/tests/test_history.py
+++ b/packages/burdockchute-testing/tests/test_history.py
@@ -101,6 +101,36 @@
         )
         self.assert_found(History((refused, answered()), (run_of(),)))
 
+    def test_not_run_of_a_sending_beside_one_that_ran(self):
+        first = answered(GUARDED)._replace(
+            text='c2', digest='', parts=frozenset(), request_id='r1'
+        )
+        second = first._replace(
+            entry='e2',
+            status=503,
+            outcome=calls.NOT_RUN,
+            request_id='r2',
+        )
+        self.assert_found(History((first, second), (run_of(GUARDED, ''),)))
+        its_own = run_of(GUARDED, '')._replace(request_id='r2')
+        self.assert_found(
+            History((first, second), (its_own,)),
+            ('c2@e2', 'not-run, but it ran at m1'),
+        )
+
+    def test_not_run_that_ran_later_under_its_id(self):
+        early = answered()._replace(
+            status=503,
+            outcome=calls.NOT_RUN,
+            start=8.0,
+            end=9.0,
+            request_id='r1',
+        )
+        self.assert_found(
+            History((early,), (run_of(),)),
+            ('c1@e1', 'not-run, but it ran at m1'),
+        )
+
     def test_non_idempotent_request_that_ran_twice(self):
         runs = (
             run_of(GUARDED, ''),
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -133,10 +133,13 @@
   7: bool leaving
 }
 
-// entry -> agent: instances that hold or want the same weights.
+// entry -> agent: the agents it may copy from; first all of them, then what
+// changed since the message before on the same connection.
 struct Members {
   1: list<Member> members
   2: i64 sequence
+  3: bool changes_only
+  4: list<string> gone      // names, only with changes_only
 }
 
 // agent -> agent: what a copy of these weights holds so far.
@@ -146,6 +149,7 @@
   3: i32 uploads            // chunk uploads now in progress
   4: bool wants             // still copying
   5: i32 loading            // 1 while its upstream loads this digest
+  6: bool open              // its gate is open for this digest
 }
 
 struct ChunkRequest {
