--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -120,6 +120,7 @@
             table_offset=self._table_offset(),
             prefill_tokens_per_s=round(self._load.prefill_tokens_per_s),
             evicted=news.evicted,
+            entries=max(1, len(self._links)),
         )
 
     def _is_due(self, now: float) -> bool:
