--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -63,6 +63,7 @@
             hello=self.hello,
             source=lambda: self.admin_url,
             services=cfg.services,
+            live_bytes=self._live_bytes,
         )
         upstream = Upstream(cfg.upstream_url, cfg.stall_s)
         self.runner = Runner(upstream, self.weights.gate)
@@ -82,6 +83,11 @@
             links.PROTOCOL,
         )
 
+    def _live_bytes(self) -> int:
+        return sum(
+            max(link.bytes_sent, link.bytes_received) for link in self.entries
+        )
+
     def table_offset(self) -> int:
         """Give the highest offset applied."""
         return self.rows.table.offset
--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -25,6 +25,9 @@
 # In a request or a reply this stands for the manifest itself.
 MANIFEST = -1
 
+# Names of the distances of peers, nearest first.
+SOURCES = ('zone', 'region', 'elsewhere')
+
 # Two requests keep a peer's uplink busy while the next one travels; more
 # would only wait there, while another peer could have sent them.
 ASKED_OF_ONE = 2
@@ -436,7 +439,7 @@
             self.whole_at = now
 
     def _count(self, distance: int, size: int) -> None:
-        field = ('zone', 'region', 'elsewhere')[distance]
+        field = SOURCES[distance]
         total = getattr(self.received, field) + size
         self.received = self.received._replace(**{field: total})
 
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -23,6 +23,7 @@
 from burdockchute_agent.copier import AskPeer
 from burdockchute_agent.copier import Copier
 from burdockchute_agent.copier import MANIFEST
+from burdockchute_agent.copier import SOURCES
 from burdockchute_agent.events import Dialled
 from burdockchute_agent.events import ManifestRead
 from burdockchute_agent.events import OriginRead
@@ -34,6 +35,7 @@
 from burdockchute_agent.uploads import Upload
 from burdockchute_agent.uploads import Uploads
 from burdockchute_agent.wanted import Target
+from burdockchute_agent.weights_metrics import WeightsMetrics
 
 IDLE_S = 0.05
 # A peer that reads slower than it asks has this much waiting in its link.
@@ -66,6 +68,7 @@
         self._corrupt: dict[tuple[str, str], int] = {}
         self._news = News(now)
         self._unreachable: frozenset[str] = frozenset()
+        self._metrics = WeightsMetrics()
 
     def stop(self) -> None:
         """Stop all that is under way."""
@@ -210,6 +213,8 @@
         elif copier.complete:
             copier.chunk_came(peer.name, chunk.index, chunk.data, now)
         elif copier.chunk_came(peer.name, chunk.index, chunk.data, now):
+            source = SOURCES[peer.distance]
+            self._metrics.received(source, len(chunk.data))
             self._news.chunk(chunk.digest)
             self._tell_whole(copier)
         else:
@@ -233,6 +238,7 @@
             self._have_manifest(copier, outcome, now)
         else:
             copier.read_lost(MANIFEST, now)
+            self._metrics.failed('origin_read_failed')
             warn('origin_read_failed', digest=digest, reason=outcome)
 
     def _have_manifest(
@@ -252,6 +258,7 @@
             return
         if not isinstance(read.outcome, bytes):
             copier.read_lost(read.chunk, now)
+            self._metrics.failed('origin_read_failed')
             warn(
                 'origin_read_failed',
                 digest=read.digest,
@@ -261,14 +268,17 @@
         elif copier.complete:
             return
         elif copier.read_came(read.chunk, read.outcome, now):
+            self._metrics.received('origin', len(read.outcome))
             self._news.chunk(read.digest)
             self._tell_whole(copier)
         else:
+            self._metrics.failed('origin_chunk_corrupt')
             warn('origin_chunk_corrupt', digest=read.digest, chunk=read.chunk)
 
     def _corrupt_from(self, peer: PeerLink, digest: str, index: int) -> None:
         key = peer.name, peer.link.peer.incarnation
         self._corrupt[key] = self._corrupt.get(key, 0) + 1
+        self._metrics.failed('peer_chunk_corrupt')
         warn(
             'peer_chunk_corrupt',
             peer=peer.name,
@@ -337,6 +347,7 @@
             peer.send(reply)
             return
         self._bandwidth.sent(len(data))
+        self._metrics.sent(len(data))
         peer.send(messages.Chunk(upload.digest, upload.chunk, data, '', 0))
 
     def _have(self, digest: str) -> messages.Have:
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -67,8 +67,9 @@
     `register` appends this agent's registration to the log and gives its
     offset, the fencing number. `source` gives the base URL of the admin
     HTTP, from which the engine fetches weights. `services` names the plain
-    services that the upstream can run. `seed` makes the random choices
-    repeatable.
+    services that the upstream can run. `live_bytes` gives how many bytes
+    of live requests this instance's link has carried so far; copies stand
+    back for them. `seed` makes the random choices repeatable.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         hello: Callable[[], messages.Hello],
         source: Callable[[], str] = str,
         services: Collection[str] = (),
+        live_bytes: Callable[[], int] = int,
         policy: Policy = DEFAULT,
         seed: int | None = None,
     ) -> None:
@@ -113,6 +115,8 @@
             rng,
             now,
         )
+        self._live_bytes = live_bytes
+        self._live_seen = 0
         self._rows_at = now
         self._switches: dict[tuple[str, str], RowSwitch] = {}
         self._superseded = False
@@ -157,10 +161,6 @@
             return None
         return copy.manifest, copy.content()
 
-    def note_live_bytes(self, count: int) -> None:
-        """Count bytes of live requests on this instance's link."""
-        self._copying.note_live_bytes(count, time.monotonic())
-
     def held_bytes(self) -> int:
         """Give the memory that all copies take."""
         return self._copying.held_bytes()
@@ -243,12 +243,19 @@
         # after each.
         if self._is_engine and now - self._rows_at >= ROWS_S:
             self._rows_at = now
+            self._note_live(now)
             self._find_loaded_rows()
             self._check_superseded()
             for switch in self._switches.values():
                 self._step_row(switch, now)
         return self._copying.tick(now)
 
+    def _note_live(self, now: float) -> None:
+        seen = self._live_bytes()
+        # The count falls when a link with an entry is closed.
+        self._copying.note_live_bytes(max(0, seen - self._live_seen), now)
+        self._live_seen = seen
+
     def _find_loaded_rows(self) -> None:
         # What the engine has from before this agent started must be
         # unloaded too if no row names it.
@@ -278,7 +285,7 @@
             if isinstance(step, switching.Open):
                 self._open(switch, step.digest)
             elif isinstance(step, switching.Shut):
-                self.gate.shut(_weights(switch, step.digest))
+                self._shut(switch, step.digest)
             else:
                 break
         if isinstance(step, switching.Load | switching.Unload):
@@ -350,6 +357,16 @@
         self.gate.open(_weights(switch, digest), base)
         event('gate_opened', row=f'{switch.kind}/{switch.name}', digest=digest)
 
+    def _shut(self, switch: RowSwitch, digest: str) -> None:
+        weights = _weights(switch, digest)
+        self.gate.shut(weights)
+        event(
+            'gate_shut',
+            row=f'{switch.kind}/{switch.name}',
+            digest=digest,
+            in_flight=self.gate.in_flight(weights),
+        )
+
     def _give_order(
         self,
         switch: RowSwitch,
