--- a/packages/burdockchute-agent/tests/test_rollouts.py
+++ b/packages/burdockchute-agent/tests/test_rollouts.py
@@ -112,6 +112,8 @@
         self.assertIsNone(agent.task.gate.enter('story', first, ''))
         self.fleet.set_rows(story(second))
         self.fleet.wait(lambda: agent.open_digests() == set())
+        # Long enough for an order to be given and carried out.
+        gevent.sleep(2.5)
         self.assertEqual({first}, agent.loaded())
         agent.task.gate.leave('story', first, '')
         self.fleet.wait_open(second)
@@ -225,13 +227,27 @@
         self.fleet.tell_members()
 
     def test_store_that_was_down_is_not_overrun_when_it_comes_back(self):
-        # The store is away when a version is put in force. By the time it
-        # is back everyone has waited long enough to read it; if they all
-        # did, it would have to carry a copy for each.
+        # The store goes away in the middle of a copy. By the time it is
+        # back everyone has waited long enough to read it; if they all did,
+        # it would have to carry a copy for each.
+        digest = self.fleet.publish(chunks=64)
+        self.fleet.fault(bytes_per_s=100_000)
+        self.fleet.set_rows(story(digest))
+        agents = self.fleet.agents.values()
+        self.fleet.wait(
+            lambda: all(agent.task.held_bytes() > 0 for agent in agents)
+        )
+        self.fleet.fault(outage=True, bytes_per_s=100_000)
+        gevent.sleep(4.0)
+        self.fleet.fault(bytes_per_s=100_000)
+        self.fleet.wait_open(digest)
+        self.assertLessEqual(self.fleet.origin_copies(digest), 1.25)
+
+    def test_store_that_is_down_when_a_version_is_named(self):
         digest = self.fleet.publish()
         self.fleet.fault(outage=True)
         self.fleet.set_rows(story(digest))
-        gevent.sleep(4.0)
+        gevent.sleep(1.0)
         self.fleet.fault()
         self.fleet.wait_open(digest)
         self.assertLessEqual(self.fleet.origin_copies(digest), 1.5)
--- a/packages/burdockchute-agent/tests/test_weights_parts.py
+++ b/packages/burdockchute-agent/tests/test_weights_parts.py
@@ -125,6 +125,29 @@
             now += 0.1
         self.assertEqual({2, 3}, found)
 
+    def test_store_that_comes_back_is_left_to_its_first_readers(self):
+        # The store was away for so long that everyone's turn has come. If
+        # all read at once when it is back it would have to carry a copy
+        # for each of them.
+        self.begin()
+        ranks = {
+            index: sources.reader_rank(
+                sources.readers('d', 'own', ['own', 'other']),
+                MANIFEST_OF.digest,
+                index,
+            )
+            for index in range(4)
+        }
+        self.assertEqual({0, 1}, set(ranks.values()))
+        now = 100.0
+        while tried := self.plan(now):
+            for action in tried:
+                self.copier.read_lost(action.chunk, now)
+        back = now + 2 * sources.MIN_BACKOFF_S
+        self.assertEqual(
+            {0}, {ranks[action.chunk] for action in self.plan(back)}
+        )
+
     def test_failed_reads_wait_before_the_next(self):
         self.copier.heard(set())
         now = sources.GRACE_S + 4.0
