Read the ports of a process that is started again from its own lines

A second process of one name went on with the log files of the first, and the harness took that one's ports.

--- a/packages/burdockchute-testing/burdockchute_testing/processes.py
+++ b/packages/burdockchute-testing/burdockchute_testing/processes.py
@@ -42,6 +42,10 @@
         self.ports: dict[str, int] = {}
         self.out = folder / f'{name}.out'
         self.err = folder / f'{name}.err'
+        # A process that is started again goes on with the files of the one
+        # before; what that one told of its ports is no longer true.
+        self._out_start = _size_of(self.out)
+        self._err_start = _size_of(self.err)
         with open(self.out, 'ab') as out, open(self.err, 'ab') as err:
             self._child = subprocess.Popen(
                 command,
@@ -99,9 +103,13 @@
                 f'{self.name} has not ended:\n{self.tail()}'
             ) from exc
 
+    def output(self) -> str:
+        """Give all that it wrote to stdout."""
+        return _read_from(self.out, self._out_start)
+
     def log(self) -> str:
         """Give all that it wrote to stderr."""
-        return self.err.read_text(errors='replace')
+        return _read_from(self.err, self._err_start)
 
     def tail(self, lines: int = 20) -> str:
         """Give the end of its log."""
@@ -114,7 +122,7 @@
 
 def ready_port(process: Process) -> dict[str, int]:
     """Read the port of a stand-in."""
-    found = _READY.search(process.out.read_text())
+    found = _READY.search(process.output())
     return {'port': int(found[1])} if found else {}
 
 
@@ -126,6 +134,16 @@
     return {name: int(port) for name, port in _PORT.findall(found[0])}
 
 
+def _size_of(path: pathlib.Path) -> int:
+    return path.stat().st_size if path.exists() else 0
+
+
+def _read_from(path: pathlib.Path, start: int) -> str:
+    with open(path, 'rb') as lines:
+        lines.seek(start)
+        return lines.read().decode(errors='replace')
+
+
 def _end_with_parent() -> None:
     # A killed test run would otherwise leave its children behind, which an
     # operator of the machine would find eating memory days later.
--- a/packages/burdockchute-testing/tests/test_harness.py
+++ b/packages/burdockchute-testing/tests/test_harness.py
@@ -40,3 +40,11 @@
             ('r1', 'finished', 's1'),
             (run['request_id'], run['how'], run['upstream']),
         )
+
+    def test_process_that_is_started_again_tells_its_new_port(self):
+        with harness.System() as system:
+            first = system.add_service('s1', 'proofs')
+            system['s1'].kill()
+            second = system.add_service('s1', 'proofs')
+            self.assertNotEqual(first, second)
+            self.assertEqual(200, client.get(f'{second}/history').status)
