--- a/packages/burdockchute-testing/burdockchute_testing/benches/generator.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/generator.py
@@ -54,6 +54,7 @@
     parser.add_argument('--concurrency', type=int, default=32)
     parser.add_argument('--rate', type=float, default=0.0)
     parser.add_argument('--max-tokens', type=int, default=1)
+    parser.add_argument('--stream', action='store_true')
     return parser.parse_args()
 
 
@@ -74,7 +75,7 @@
         'Authorization': f'Bearer {args.key}',
         'Content-Type': 'application/json',
     }
-    document = {'model': args.model, 'prompt': 'a b c', 'stream': False}
+    document = {'model': args.model, 'prompt': 'a b c', 'stream': args.stream}
     document['max_tokens'] = args.max_tokens
     if args.digest:
         document['digest'] = args.digest
--- a/packages/burdockchute-testing/burdockchute_testing/benches/path.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/path.py
@@ -30,6 +30,8 @@
 REQUESTS_PER_S = 1000.0
 RSS_MB = 100.0
 RSS_AFTER_REQUESTS = 10_000
+STREAMS = 32
+STREAM_TOKENS = 100
 
 ENGINE_OPTIONS = {'slots': 256, 'token_interval_s': 0.002}
 
@@ -50,6 +52,7 @@
         top = _peak(system, args.seconds)
         rate = args.rate or top / 2
         _compare(system, digest, rate, args.seconds)
+        _stream(system, args.seconds)
         _memory(system, args.seconds)
 
 
@@ -129,6 +132,26 @@
         _emit(case, f'ratio {name}', ours / bare, '1')
 
 
+def _stream(system: System, seconds: float) -> None:
+    before = _processor_s(system)
+    load = _generate(
+        system.url('entry', 'http_port'),
+        seconds,
+        concurrency=STREAMS,
+        tokens=STREAM_TOKENS,
+    )
+    used = {
+        name: after - before[name]
+        for name, after in _processor_s(system).items()
+    }
+    parts = len(load.latencies) * (STREAM_TOKENS + 1)
+    case = f'{STREAMS} streams of {STREAM_TOKENS} tokens'
+    agents = sum(used[name] for name in system.agents)
+    _emit(case, 'parts', parts / load.seconds, '1/s')
+    _emit(case, 'entry processor a part', used['entry'] / parts * 1e6, 'us')
+    _emit(case, 'agent processor a part', agents / parts * 1e6, 'us')
+
+
 def _memory(system: System, seconds: float) -> None:
     done = 0
     while done < RSS_AFTER_REQUESTS:
@@ -148,6 +171,7 @@
     rate: float = 0.0,
     concurrency: int = 128,
     digest: str = '',
+    tokens: int = 0,
 ) -> Load:
     command = [
         sys.executable,
@@ -160,6 +184,8 @@
         f'--concurrency={concurrency}',
         f'--digest={digest}',
     ]
+    if tokens:
+        command += ['--stream', f'--max-tokens={tokens}']
     done = subprocess.run(command, capture_output=True, text=True, check=True)
     found = json.loads(done.stdout)
     return Load(found['latencies'], found['errors'], found['seconds'])
