--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 WIRE := packages/burdockchute/burdockchute/wire
 
-.PHONY: demo test lint format bench bench-path bench-control bench-rollout bench-load \
-	bench-table wire lock setup clean
+.PHONY: demo test lint format bench bench-path bench-control \
+	bench-claims bench-rollout bench-load bench-table wire lock setup clean
 
 setup: $(VENV)/.stamp
 
@@ -39,9 +39,11 @@
 	$(BIN)/ruff check -q --fix --select I .
 	$(BIN)/ruff format -q .
 
-bench: bench-path bench-control bench-table bench-rollout bench-load
+bench: bench-path bench-control bench-claims bench-table bench-rollout \
+	bench-load
 
-bench-path bench-control bench-rollout bench-load bench-table: setup
+bench-path bench-control bench-claims bench-rollout bench-load \
+bench-table: setup
 	$(BIN)/python -m burdockchute_testing.benches.$(subst bench-,,$@)
 
 wire:
