Work out the quiet cost of an entry on the largest site

make bench-table now fits quiet processor and bytes to the number of links too, and never works out less than it measured.

--- a/packages/burdockchute-testing/burdockchute_testing/benches/table.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/table.py
@@ -62,11 +62,17 @@
 
 
 class Slope(NamedTuple):
-    """One point from which slopes with the number of agents are made."""
+    """One point from which slopes with the number of agents are made.
+
+    Of one entry: processor per change, share of a core and bytes a second,
+    sent and received, while nothing changes.
+    """
 
     agents: int
-    entry_cpu_ms: float
     in_force_p99_s: float
+    entry_cpu_ms: float
+    quiet_share: float
+    quiet_bytes: float
 
 
 def main() -> None:
@@ -130,7 +136,15 @@
                 IN_FORCE_P99_S,
             )
     cpu_ms = _cpu_a_change(quiet, busy, changes, 'entry_cpu_s') / entries
-    return Slope(agents, cpu_ms, results.percentile(on_agents, 0.99))
+    span_s = quiet[1].at - quiet[0].at
+    sent = _grown(quiet, 'entry_bytes') + _grown(quiet, 'agent_bytes')
+    return Slope(
+        agents,
+        results.percentile(on_agents, 0.99),
+        cpu_ms,
+        100 * _grown(quiet, 'entry_cpu_s') / entries / span_s,
+        sent / entries / span_s,
+    )
 
 
 def _start(system: System, agents: int, entries: int) -> None:
@@ -321,10 +335,25 @@
             None,
             [point.entry_cpu_ms for point in points],
         ),
+        (
+            'quiet entry processor',
+            '%',
+            CORE_SHARE,
+            [point.quiet_share for point in points],
+        ),
+        (
+            'quiet entry sends and receives',
+            'B/s',
+            BYTES_PER_S,
+            [point.quiet_bytes for point in points],
+        ),
     ):
         slope, start = _fit([point.agents for point in points], values)
         results.emit(BENCH, case, f'{metric}, slope a link', slope, unit)
-        results.emit(BENCH, case, metric, start + slope * links, unit, bound)
+        # Never less than was measured: between small numbers of agents the
+        # slope of a time of milliseconds may be lost in its scatter.
+        value = max(*values, start + slope * links)
+        results.emit(BENCH, case, metric, value, unit, bound)
 
 
 def _fit(xs: list[int], ys: list[float]) -> tuple[float, float]:
