--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import errno
 import socket as sockets
 import struct
@@ -30,10 +31,10 @@
 from burdockchute import wire
 from burdockchute.wire import messages
 
-# A quarter of SILENCE_S, so that one heartbeat may be late by the length of
-# a long garbage collection without closing a sound link.
-HEARTBEAT_S = 1.0
-SILENCE_S = 4.0
+# Two heartbeats in SILENCE_S, and a second to spare for a stop of the
+# interpreter. Each costs both sides a wake-up, and an entry has 134 links.
+HEARTBEAT_S = 2.0
+SILENCE_S = 5.0
 DIAL_TIMEOUT_S = 2.0
 PROTOCOL = 1
 
@@ -87,6 +88,7 @@
         self.closed_reason = ''
         self.last_received = time.monotonic()
         self.bytes_sent = 0
+        self.bytes_received = 0
         self._sock = sock
         self._inbox = inbox
         self._outbox: queue.Queue = queue.Queue()
@@ -107,9 +109,12 @@
 
     def send(self, message: Any) -> None:
         """Queue a message; raises LinkError if the link is closed."""
+        self.send_frame(frame_of(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queue what `frame_of` gave, made once for many links."""
         if self.closed_reason:
             raise LinkError(f'link is closed: {self.closed_reason}')
-        frame = _frame(message)
         self._queued_bytes += len(frame)
         if self._queued_bytes > MAX_QUEUED_BYTES:
             self.close('peer reads too slowly')
@@ -140,7 +145,7 @@
 
     def _read(self) -> None:
         try:
-            for message in _messages(self._sock, SILENCE_S):
+            for message in _messages(self._sock, SILENCE_S, self._count):
                 self.last_received = time.monotonic()
                 if not isinstance(message, messages.Heartbeat):
                     self._inbox.put(Received(self, message))
@@ -150,6 +155,9 @@
         except (OSError, wire.WireError) as exc:
             self.close(str(exc))
 
+    def _count(self, received: int) -> None:
+        self.bytes_received += received
+
     def _write(self) -> None:
         sequence = 0
         while not self.closed_reason:
@@ -157,7 +165,7 @@
                 frame = self._outbox.get(timeout=HEARTBEAT_S)
             except queue.Empty:
                 sequence += 1
-                frame = _frame(messages.Heartbeat(sequence, self._offset()))
+                frame = frame_of(messages.Heartbeat(sequence, self._offset()))
                 self._queued_bytes += len(frame)
             if frame is None:
                 return
@@ -224,7 +232,7 @@
 ) -> Link:
     sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
     sock.settimeout(DIAL_TIMEOUT_S)
-    sock.sendall(_frame(hello))
+    sock.sendall(frame_of(hello))
     peer = _read_one(sock)
     if not isinstance(peer, messages.Hello):
         raise wire.WireError(f'{type(peer).__name__} in place of Hello')
@@ -235,7 +243,8 @@
     return link
 
 
-def _frame(message: Any) -> bytes:
+def frame_of(message: Any) -> bytes:
+    """Give the bytes of a message as they stand on a link."""
     data = wire.encode(message)
     return _LENGTH.pack(len(data)) + data
 
@@ -256,7 +265,9 @@
     return data
 
 
-def _messages(sock: Any, silence_s: float):
+def _messages(
+    sock: Any, silence_s: float, count: Callable[[int], None]
+) -> Iterator[Any]:
     sock.settimeout(silence_s)
     buffer = bytearray()
     while True:
@@ -269,6 +280,7 @@
         data = sock.recv(_READ_BYTES)
         if not data:
             return
+        count(len(data))
         buffer += data
 
 
@@ -288,9 +300,10 @@
 
 
 def traffic(open_links: Iterable[Link]) -> dict[str, int]:
-    """Give the number of open links and what was sent, for status pages."""
+    """Give the number of open links and their bytes, for status pages."""
     counted = list(open_links)
     return {
         'open': len(counted),
         'bytes_sent': sum(link.bytes_sent for link in counted),
+        'bytes_received': sum(link.bytes_received for link in counted),
     }
