--- a/packages/burdockchute-entry/burdockchute_entry/dispatcher.py
+++ b/packages/burdockchute-entry/burdockchute_entry/dispatcher.py
@@ -11,6 +11,7 @@
 from burdockchute.decisions.waiting import Waiting
 from burdockchute.model import table as tables
 from burdockchute.model.outcomes import NotRun
+from burdockchute.model.rows import ServiceRow
 from burdockchute.model.table import Table
 from burdockchute.nodes import links
 from burdockchute.wire import messages
@@ -71,8 +72,11 @@
         instance = self.fleet.by_link(link)
         if instance is None:
             return
-        rows = tables.services(self._table)
-        slots = [rows[n].slots for n in report.services or () if n in rows]
+        rows = [
+            tables.row_of(self._table, ServiceRow, name)
+            for name in report.services or ()
+        ]
+        slots = [row.slots for row in rows if row is not None]
         instance.report(report, max(slots, default=1), self._now())
         self._grow_budget(float(instance.load.slots))
         for pool in self._pools.values():
--- a/packages/burdockchute-entry/burdockchute_entry/fleet.py
+++ b/packages/burdockchute-entry/burdockchute_entry/fleet.py
@@ -9,6 +9,7 @@
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.model import table as tables
 from burdockchute.model.requests import RequestContext
+from burdockchute.model.rows import AdapterRow
 from burdockchute.model.table import Table
 from burdockchute.nodes import links
 from burdockchute.wire import messages
@@ -192,7 +193,7 @@
     if ctx.kind == 'model':
         return ctx.target
     if ctx.kind == 'adapter':
-        adapter = tables.adapters(table).get(ctx.target)
+        adapter = tables.row_of(table, AdapterRow, ctx.target)
         return adapter.base if adapter else ''
     return ''
 
--- a/packages/burdockchute-entry/burdockchute_entry/intake.py
+++ b/packages/burdockchute-entry/burdockchute_entry/intake.py
@@ -18,6 +18,7 @@
 from burdockchute.model.outcomes import Outcome
 from burdockchute.model.outcomes import Unknown
 from burdockchute.model.requests import RequestContext
+from burdockchute.model.rows import CustomerRow
 from burdockchute.model.table import Table
 from burdockchute_entry.attempts import Request
 from burdockchute_entry.pools import Pool
@@ -51,6 +52,7 @@
         now: float,
     ) -> NotRun | None:
         """Tell why a request is not let in; counts it if it is."""
+        self._count(request.ctx)
         wait_s = pool.expected_wait_s(request, loads, now)
         service_s = pool.unit_s * request.work.cost
         if admission.is_too_late(request.ctx, wait_s, service_s, now):
@@ -62,13 +64,15 @@
             return NotRun(text, 429, admission.retry_after_s(over_s))
         return None
 
-    def _take(self, ctx: RequestContext, table: Table, now: float) -> float:
-        tokens = admission.tokens_of(ctx)
+    def _count(self, ctx: RequestContext) -> None:
         # What is refused counts as well: a share follows what is asked for.
         asked = self._asked.get(ctx.customer, Demand(0.0, 0.0))
         self._asked[ctx.customer] = Demand(
-            asked.requests_per_s + 1, asked.tokens_per_s + tokens
+            asked.requests_per_s + 1,
+            asked.tokens_per_s + admission.tokens_of(ctx),
         )
+
+    def _take(self, ctx: RequestContext, table: Table, now: float) -> float:
         limit = rate_of(ctx.customer, table)
         if limit is None:
             return 0.0
@@ -77,6 +81,7 @@
         bucket = self._buckets.get(ctx.customer)
         if bucket is None:
             bucket = admission.full_bucket(rate, now)
+        tokens = admission.tokens_of(ctx)
         bucket, wait_s = admission.take(bucket, rate, tokens, now)
         self._buckets[ctx.customer] = bucket
         return wait_s
@@ -84,7 +89,7 @@
 
 def rate_of(customer: str, table: Table) -> Rate | None:
     """Give the limit in a customer's row, for all entries together."""
-    row = tables.customers(table).get(customer)
+    row = tables.row_of(table, CustomerRow, customer)
     if row is None:
         return None
     return Rate(row.requests_per_s, row.tokens_per_s, row.burst_s)
--- a/packages/burdockchute-entry/burdockchute_entry/limits_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/limits_task.py
@@ -16,6 +16,7 @@
 from burdockchute.model import table as tables
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
+from burdockchute.model.rows import CustomerRow
 from burdockchute.model.table import Table
 from burdockchute.nodes import links
 from burdockchute.wire import messages
@@ -107,7 +108,7 @@
             for entry, told in self._told[customer].items()
             if now - told.at <= limits.FRESH_S
         }
-        row = tables.customers(self._table).get(customer)
+        row = tables.row_of(self._table, CustomerRow, customer)
         if not fresh or row is None:
             del self._told[customer]
             return {}
--- a/packages/burdockchute-entry/burdockchute_entry/pools.py
+++ b/packages/burdockchute-entry/burdockchute_entry/pools.py
@@ -12,6 +12,8 @@
 from burdockchute.decisions.placement import SMOOTHING
 from burdockchute.decisions.waiting import WaitingQueue
 from burdockchute.model import table as tables
+from burdockchute.model.rows import ModelRow
+from burdockchute.model.rows import ServiceRow
 from burdockchute.model.table import Table
 from burdockchute_entry.attempts import Request
 from burdockchute_entry.fleet import Instance
@@ -49,11 +51,11 @@
         """Take the limits of the row."""
         kind, _slash, name = self.key.partition('/')
         if kind == 'service':
-            service = tables.services(table).get(name)
+            service = tables.row_of(table, ServiceRow, name)
             if service is not None:
                 self.queue.max_waiting = service.max_waiting
             return
-        model = tables.models(table).get(name)
+        model = tables.row_of(table, ModelRow, name)
         if model is not None:
             self.queue.max_waiting = model.max_waiting
             self.long_tokens = model.long_tokens
--- a/packages/burdockchute/burdockchute/callers/parse.py
+++ b/packages/burdockchute/burdockchute/callers/parse.py
@@ -21,7 +21,10 @@
 from burdockchute.model import table as tables
 from burdockchute.model.findings import Finding
 from burdockchute.model.requests import RequestContext
+from burdockchute.model.rows import AdapterRow
 from burdockchute.model.rows import CustomerRow
+from burdockchute.model.rows import ModelRow
+from burdockchute.model.rows import ServiceRow
 from burdockchute.model.table import Table
 
 COMPLETIONS_PATH = '/v1/completions'
@@ -220,18 +223,20 @@
 def _resolve_model(
     model: str, adapter: str, customer: CustomerRow, table: Table
 ) -> tuple[str, str] | Rejection:
-    known_adapters = tables.adapters(table)
-    if not adapter and model in known_adapters:
-        adapter, model = model, known_adapters[model].base
-    if model not in tables.models(table):
+    if not adapter:
+        by_name = tables.row_of(table, AdapterRow, model)
+        if by_name is not None:
+            adapter, model = model, by_name.base
+    if tables.row_of(table, ModelRow, model) is None:
         return _unknown('body.model', model, 'model')
     if not adapter:
         if not auth.may_call(customer, model):
             return _forbidden('body.model', customer, model)
         return 'model', model
-    if adapter not in known_adapters:
+    row = tables.row_of(table, AdapterRow, adapter)
+    if row is None:
         return _unknown('body.adapter', adapter, 'adapter')
-    if known_adapters[adapter].base != model:
+    if row.base != model:
         text = f'{adapter!r} is no adapter on {model!r}'
         return Rejection(404, (Finding('body.adapter', text),))
     if not auth.may_call(customer, adapter):
@@ -249,7 +254,7 @@
     rest = arrival.path[len(SERVICES_PREFIX) :]
     name, _slash, path = rest.partition('/')
     name = name.partition('?')[0]
-    row = tables.services(table).get(name)
+    row = tables.row_of(table, ServiceRow, name)
     if row is None:
         return Failure(_unknown('path', name, 'service'))
     if not auth.may_call(customer, name):
--- a/packages/burdockchute/burdockchute/decisions/suspects.py
+++ b/packages/burdockchute/burdockchute/decisions/suspects.py
@@ -21,6 +21,9 @@
 one crash is remembered; crashes that lie further apart than this hardly
 have the same cause. Ends that come within ONE_CRASH_S of each other from
 one upstream are of one crash: it takes longer than that to start again.
+One request is refused once it has crashed OUTAGE_UPSTREAMS; where more than
+that go away within OUTAGE_S, something else brings them down, and whoever
+was retried meanwhile is not to blame.
 """
 
 from __future__ import annotations
@@ -30,6 +33,8 @@
 CRASHES = 2
 SHARED_CRASHES = 3
 ONE_CRASH_S = 1.0
+OUTAGE_S = 10.0
+OUTAGE_UPSTREAMS = 2
 REFUSE_S = 600.0
 MEMORY_S = 3600.0
 
@@ -48,6 +53,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, Record] = {}
+        self._crashed_at: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -69,8 +75,11 @@
         self._records[fingerprint] = Record(
             crashes, now, old.refused_until, upstream
         )
+        self._crashed_at[upstream] = now
         if crashes < (CRASHES if alone else SHARED_CRASHES):
             return False
+        if self._is_outage(now):
+            return False
         self.refuse(fingerprint, REFUSE_S, now)
         return True
 
@@ -94,6 +103,14 @@
         """Tell whether a request has to run alone."""
         return fingerprint in self._records
 
+    def _is_outage(self, now: float) -> bool:
+        self._crashed_at = {
+            upstream: at
+            for upstream, at in self._crashed_at.items()
+            if now - at <= OUTAGE_S
+        }
+        return len(self._crashed_at) > OUTAGE_UPSTREAMS
+
     def _forget(self, now: float) -> None:
         self._records = {
             fingerprint: record
--- a/packages/burdockchute/burdockchute/model/table.py
+++ b/packages/burdockchute/burdockchute/model/table.py
@@ -13,6 +13,7 @@
 from burdockchute.model.rows import ModelRow
 from burdockchute.model.rows import ObjectiveRow
 from burdockchute.model.rows import Row
+from burdockchute.model.rows import ROW_TYPES
 from burdockchute.model.rows import RowKey
 from burdockchute.model.rows import ServiceRow
 
@@ -55,6 +56,18 @@
 EMPTY = Table(NO_OFFSET, MappingProxyType({}))
 
 
+def row_of(table: Table, row_type: type[RowT], name: str) -> RowT | None:
+    """Give the row of a type by its name, None if there is none.
+
+    It does not depend on how many rows there are; the functions below go
+    through all of them, which at 10,000 rows takes milliseconds.
+    """
+    found = table.rows.get(RowKey(_KINDS[row_type], name))
+    if found is None or not isinstance(found.row, row_type):
+        return None
+    return found.row
+
+
 def models(table: Table) -> dict[str, ModelRow]:
     """Give the model rows by name."""
     return {row.name: row for row in _of_type(table, ModelRow)}
@@ -84,3 +97,8 @@
     for entry in table.rows.values():
         if isinstance(entry.row, row_type):
             yield entry.row
+
+
+_KINDS: dict[type, str] = {
+    row_type: kind for kind, row_type in ROW_TYPES.items()
+}
