--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -15,15 +15,14 @@
 from burdockchute.decisions.chunks import bits
 from burdockchute.decisions.chunks import Choose
 from burdockchute.decisions.chunks import Offer
-from burdockchute.decisions.sources import Progress
-from burdockchute.decisions.sources import Readers
 from burdockchute.weights.copies import Copy
 from burdockchute.weights.manifest import chunk_bytes
 from burdockchute.weights.manifest import Manifest
 from burdockchute.wire import messages
-
-# In a request or a reply this stands for the manifest itself.
-MANIFEST = -1
+from burdockchute_agent.asking import Asks
+from burdockchute_agent.asking import Peer
+from burdockchute_agent.origin_turn import MANIFEST
+from burdockchute_agent.origin_turn import OriginTurn
 
 # Names of the distances of peers, nearest first.
 SOURCES = ('zone', 'region', 'elsewhere')
@@ -51,11 +50,6 @@
 Action = AskPeer | ReadOrigin
 
 
-class _Asked(NamedTuple):
-    peer: str
-    at: float
-
-
 class Received(NamedTuple):
     """Bytes of chunks by where they came from; `twice` came in vain."""
 
@@ -66,20 +60,6 @@
     twice: int = 0
 
 
-class Peer:
-    """What is known of one peer's copy of these weights."""
-
-    def __init__(self, distance: int) -> None:
-        self.distance = distance
-        self.held = 0
-        self.load = 0
-        self.has_manifest = False
-        self.is_open = False
-        self.asked = 0
-        self.strikes = 0
-        self.avoid_until = 0.0
-
-
 class Copier:
     """The copy of one digest and the state of its getting."""
 
@@ -92,53 +72,35 @@
         now: float,
     ) -> None:
         self.digest = digest
-        self.origin_copies = origin_copies
+        self.turn = OriginTurn(digest, rng, now)
+        self.turn.origin_copies = origin_copies
         self.copy: Copy | None = None
         self.peers: dict[str, Peer] = {}
         self.whole_at: float | None = None
         self.received = Received()
-        self.stood_still = False
         self._choose = choose
         self._rng = rng
-        self._began = now
-        self._heard_all = False
-        self._readers: Readers | None = None
-        self._ranks: list[int] = []
-        self._manifest_rank = 0
         self._all = 0
         self._missing = 0
         self._near = 0
         self._holders: list[int] = []
-        self._asked: dict[int, list[_Asked]] = {}
+        self._asked = Asks()
         self._reading: dict[int, float] = {}
-        self._progress = Progress(now, 0.0)
         self._latency = 0.0
-        self._read_failures = 0
-        self._read_not_before = 0.0
 
     # What arrives.
 
-    def set_readers(self, readers: Readers) -> None:
-        """Take the order in which agents may read from the origin."""
-        if readers != self._readers:
-            self._readers = readers
-            self._rank_all()
-
     def manifest_came(self, manifest: Manifest, now: float) -> None:
         """Take a manifest that was checked against the digest."""
         self._reading.pop(MANIFEST, None)
-        self._asked.pop(MANIFEST, None)
+        self._asked.forget_chunk(MANIFEST)
         if self.copy is not None:
             return
-        if self._read_failures or now - self._began > STOOD_STILL_S:
-            self._begin_again(now)
-        self._read_failures = 0
+        self.turn.manifest_came(now)
         self.copy = Copy(manifest)
         count = len(manifest.chunks)
         self._all = self._missing = (1 << count) - 1
         self._holders = [0] * count
-        self._progress = Progress(now, 0.0)
-        self._rank_all()
 
     def have_came(
         self, name: str, distance: int, have: messages.Have, now: float
@@ -148,7 +110,6 @@
         peer.distance = distance
         peer.has_manifest = bool(have.bitmap)
         peer.load = have.uploads
-        peer.is_open = bool(have.open)
         held = int.from_bytes(have.bitmap, 'little') & self._all
         for chunk in bits(held & ~peer.held):
             self._holders[chunk] += 1
@@ -158,7 +119,7 @@
         fresh = held & ~self._near
         if fresh:
             self._near |= fresh
-            self._note_progress(fresh, now)
+            self.turn.turned_up(fresh.bit_count(), now)
 
     def peer_gone(self, name: str) -> None:
         """Forget a peer whose link has closed, and what it was asked."""
@@ -207,11 +168,9 @@
         if self.copy is None or self.copy.holds(chunk):
             return True
         if not self.copy.add(chunk, data):
-            self._read_failed(now)
+            self.turn.read_failed(now)
             return False
-        if self._read_failures:
-            self._begin_again(now)
-        self._read_failures = 0
+        self.turn.read_worked(now)
         origin = self.received.origin + len(data)
         self.received = self.received._replace(origin=origin)
         self._got(chunk, now)
@@ -220,7 +179,7 @@
     def read_lost(self, chunk: int, now: float) -> None:
         """Note that a read from the origin has failed."""
         self._reading.pop(chunk, None)
-        self._read_failed(now)
+        self.turn.read_failed(now)
 
     # What to do.
 
@@ -236,7 +195,7 @@
         before the origin is read.
         """
         if names and names <= self.peers.keys():
-            self._heard_all = True
+            self.turn.heard_all()
 
     def size_of(self, chunk: int) -> int:
         """Give the bytes of a chunk, 0 where that isn't known."""
@@ -276,10 +235,9 @@
             ]
             if names:
                 return [self._ask(self._rng.choice(names), MANIFEST, now)]
-        if self._asked or self._reading or now < self._read_not_before:
+        if len(self._asked) or self._reading:
             return []
-        due = self._read_after(self._manifest_rank, MANIFEST_READERS)
-        if now < due:
+        if not self.turn.may_read(now) or not self.turn.is_due(MANIFEST, now):
             return []
         self._reading[MANIFEST] = now
         return [ReadOrigin(MANIFEST)]
@@ -290,19 +248,14 @@
         now: float,
         may_take: Callable[[int], bool],
     ) -> None:
-        if now < self._read_not_before:
-            return
-        if len(self._reading) >= READS_AT_ONCE or not self._ranks:
+        if len(self._reading) >= READS_AT_ONCE or not self.turn.may_read(now):
             return
         near = self._reachable(now)
+        unseen = self._missing & ~near & ~self._pending()
         due = [
-            (self._ranks[chunk], self._rng.random(), chunk)
-            for chunk in bits(self._missing & ~near & ~self._pending())
-            if self._read_after(
-                self._ranks[chunk],
-                sources.copies_of(self.origin_copies, chunk),
-            )
-            <= now
+            (self.turn.rank(chunk), self._rng.random(), chunk)
+            for chunk in bits(unseen)
+            if self.turn.is_due(chunk, now)
         ]
         for _rank, _lot, chunk in sorted(due):
             if len(self._reading) >= READS_AT_ONCE:
@@ -337,7 +290,7 @@
             return
         late = now - sources.second_source_s(self._latency)
         for chunk in bits(self._missing):
-            asked = self._asked.get(chunk, [])
+            asked = self._asked.of(chunk)
             began = [ask.at for ask in asked]
             if chunk in self._reading:
                 began.append(self._reading[chunk])
@@ -364,35 +317,30 @@
         ]
 
     def _ask(self, name: str, chunk: int, now: float) -> AskPeer:
-        self._asked.setdefault(chunk, []).append(_Asked(name, now))
+        self._asked.add(chunk, name, now)
         self.peers[name].asked += 1
         return AskPeer(name, chunk)
 
     def _unask(self, chunk: int, name: str) -> float | None:
-        asked = self._asked.get(chunk, [])
-        for ask in asked:
-            if ask.peer == name:
-                asked.remove(ask)
-                if not asked:
-                    del self._asked[chunk]
-                if name in self.peers:
-                    self.peers[name].asked -= 1
-                return ask.at
-        return None
+        ask = self._asked.remove(chunk, name)
+        if ask is None:
+            return None
+        if name in self.peers:
+            self.peers[name].asked -= 1
+        return ask.at
 
     def _expire(self, now: float) -> None:
         # A peer that stalls, or one whose link lost the request, would keep
         # its chunks from being asked for elsewhere.
         before = now - sources.deadline_s(self._latency)
-        for chunk, asked in list(self._asked.items()):
-            for ask in [ask for ask in asked if ask.at < before]:
-                self._unask(chunk, ask.peer)
-                peer = self.peers.get(ask.peer)
-                if peer is None:
-                    continue
-                peer.strikes += 1
-                wait = sources.avoid_s(peer.strikes)
-                peer.avoid_until = max(peer.avoid_until, now + wait)
+        for chunk, name in self._asked.before(before):
+            self._unask(chunk, name)
+            peer = self.peers.get(name)
+            if peer is None:
+                continue
+            peer.strikes += 1
+            wait = sources.avoid_s(peer.strikes)
+            peer.avoid_until = max(peer.avoid_until, now + wait)
 
     def _pending(self) -> int:
         pending = 0
@@ -409,32 +357,11 @@
                 reachable |= peer.held
         return reachable
 
-    def _read_after(self, rank: int, copies: int) -> float:
-        began = self._began
-        if self._heard_all:
-            began -= sources.GRACE_S
-        step = self._readers.step if self._readers else 0
-        return sources.read_after(rank, step, copies, began, self._progress)
-
-    def _read_failed(self, now: float) -> None:
-        self._read_failures += 1
-        wait = sources.backoff_s(self._read_failures, self._rng)
-        self._read_not_before = now + wait
-        self._progress = self._progress._replace(last=now)
-
-    def _begin_again(self, now: float) -> None:
-        # The store was out of reach, and so perhaps were the peers: a region
-        # that was cut off is back. What the others have got meanwhile need
-        # not come from the store, so peers get the time to tell.
-        self._began = now
-        self._heard_all = False
-        self.stood_still = True
-
     def _got(self, chunk: int, now: float) -> None:
         self._missing &= ~(1 << chunk)
         if not self._near >> chunk & 1:
             self._near |= 1 << chunk
-            self._note_progress(1 << chunk, now)
+            self.turn.turned_up(1, now)
         if self.complete:
             self.whole_at = now
 
@@ -442,27 +369,3 @@
         field = SOURCES[distance]
         total = getattr(self.received, field) + size
         self.received = self.received._replace(**{field: total})
-
-    def _note_progress(self, fresh: int, now: float) -> None:
-        count = fresh.bit_count()
-        gap = (now - self._progress.last) / count
-        gap = sources.smooth(self._progress.gap, gap)
-        self._progress = Progress(now, gap)
-
-    def _rank_all(self) -> None:
-        if self._readers is None:
-            return
-        self._manifest_rank = sources.reader_rank(
-            self._readers, self.digest, MANIFEST
-        )
-        if self.copy is not None and not self.complete:
-            self._ranks = [
-                sources.reader_rank(self._readers, self.digest, chunk)
-                for chunk in range(len(self._holders))
-            ]
-
-
-# No manifest for so long means that neither store nor peers could be reached.
-STOOD_STILL_S = 2.0
-# A manifest is small and everyone waits for it.
-MANIFEST_READERS = 2
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/serving.py
@@ -0,0 +1,93 @@
+"""Sending chunks to the peers that ask for them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from burdockchute.weights.copies import Copy
+from burdockchute.weights.manifest import document_of
+from burdockchute.wire import messages
+from burdockchute_agent.bandwidth import Bandwidth
+from burdockchute_agent.origin_turn import MANIFEST
+from burdockchute_agent.peers import PeerLink
+from burdockchute_agent.uploads import Upload
+from burdockchute_agent.uploads import Uploads
+from burdockchute_agent.weights_metrics import WeightsMetrics
+
+# A peer that reads slower than it asks has this much waiting in its link.
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+RETRY_MS = 1000
+
+
+class Serving:
+    """The uploads of all copies, within what the uplink allows."""
+
+    def __init__(
+        self,
+        links: Mapping[str, PeerLink],
+        copy_of: Callable[[str], Copy | None],
+        bandwidth: Bandwidth,
+        metrics: WeightsMetrics,
+    ) -> None:
+        self._links = links
+        self._copy_of = copy_of
+        self._bandwidth = bandwidth
+        self._metrics = metrics
+        self._uploads = Uploads()
+
+    def __len__(self) -> int:
+        return len(self._uploads)
+
+    def asked(self, peer: PeerLink, request: messages.ChunkRequest) -> None:
+        """Queue a chunk for a peer, or say why not."""
+        digest, index = request.digest, request.index
+        copy = self._copy_of(digest)
+        if copy is None or (index != MANIFEST and not copy.holds(index)):
+            peer.send(_refusal(digest, index, 'unknown', RETRY_MS))
+        elif index == MANIFEST:
+            document = document_of(copy.manifest)
+            peer.send(messages.Chunk(digest, index, document, '', 0))
+        elif not self._uploads.add(Upload(peer.name, digest, index)):
+            waiting = len(self._uploads) * copy.manifest.chunk_size
+            wait_s = waiting / self._bandwidth.send_rate / 2
+            peer.send(_refusal(digest, index, 'busy', int(wait_s * 1000)))
+
+    def send_due(self) -> float | None:
+        """Send what the uplink allows; gives when to come back, if at all."""
+        while self._bandwidth.may_send:
+            upload = self._uploads.next()
+            if upload is None:
+                return None
+            self._send(upload)
+        return self._bandwidth.send_wait_s() if len(self._uploads) else None
+
+    def forget_peer(self, name: str) -> None:
+        """Drop what a peer that is gone has asked for."""
+        self._uploads.forget_peer(name)
+
+    def forget_digest(self, digest: str) -> None:
+        """Drop and refuse all uploads of weights that are given up."""
+        for upload in self._uploads.forget_digest(digest):
+            peer = self._links.get(upload.peer)
+            if peer is not None:
+                peer.send(_refusal(digest, upload.chunk, 'unknown', RETRY_MS))
+
+    def _send(self, upload: Upload) -> None:
+        peer = self._links.get(upload.peer)
+        copy = self._copy_of(upload.digest)
+        data = copy.chunk(upload.chunk) if copy else None
+        if peer is None or data is None:
+            return
+        if peer.link.queued_bytes > MAX_QUEUED_BYTES:
+            peer.send(_refusal(upload.digest, upload.chunk, 'busy', RETRY_MS))
+            return
+        self._bandwidth.sent(len(data))
+        self._metrics.sent(len(data))
+        peer.send(messages.Chunk(upload.digest, upload.chunk, data, '', 0))
+
+
+def _refusal(
+    digest: str, chunk: int, reason: str, retry_ms: int
+) -> messages.Chunk:
+    return messages.Chunk(digest, chunk, b'', reason, retry_ms)
--- a/packages/burdockchute-agent/tests/test_weights_parts.py
+++ b/packages/burdockchute-agent/tests/test_weights_parts.py
@@ -18,9 +18,9 @@
 from burdockchute_agent.bandwidth import Bandwidth
 from burdockchute_agent.copier import AskPeer
 from burdockchute_agent.copier import Copier
-from burdockchute_agent.copier import MANIFEST
 from burdockchute_agent.copier import ReadOrigin
 from burdockchute_agent.engine_view import EngineView
+from burdockchute_agent.origin_turn import MANIFEST
 from burdockchute_agent.row_switch import RowSwitch
 from burdockchute_agent.uploads import Upload
 from burdockchute_agent.uploads import Uploads
@@ -54,7 +54,9 @@
             random.Random(1),
             0.0,
         )
-        self.copier.set_readers(sources.readers('d', 'own', ['own', 'other']))
+        self.copier.turn.set_readers(
+            sources.readers('d', 'own', ['own', 'other'])
+        )
 
     def begin(self) -> None:
         self.copier.manifest_came(MANIFEST_OF, 0.0)
@@ -129,24 +131,21 @@
         # The store was away for so long that everyone's turn has come. If
         # all read at once when it is back it would have to carry a copy
         # for each of them.
-        self.begin()
+        hosts = [f'a{number}' for number in range(30)]
+        readers = sources.readers('d', 'a7', hosts)
         ranks = {
-            index: sources.reader_rank(
-                sources.readers('d', 'own', ['own', 'other']),
-                MANIFEST_OF.digest,
-                index,
-            )
+            sources.reader_rank(readers, MANIFEST_OF.digest, index)
             for index in range(4)
         }
-        self.assertEqual({0, 1}, set(ranks.values()))
+        self.assertNotIn(0, ranks)
+        self.copier.turn.set_readers(readers)
+        self.begin()
         now = 100.0
-        while tried := self.plan(now):
-            for action in tried:
-                self.copier.read_lost(action.chunk, now)
+        for action in self.plan(now):
+            self.copier.read_lost(action.chunk, now)
         back = now + 2 * sources.MIN_BACKOFF_S
-        self.assertEqual(
-            {0}, {ranks[action.chunk] for action in self.plan(back)}
-        )
+        self.assertEqual(set(), self.plan(back))
+        self.assertNotEqual(set(), self.plan(back + 100.0))
 
     def test_failed_reads_wait_before_the_next(self):
         self.copier.heard(set())
--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -106,7 +106,7 @@
                 self.table_task.delta_for,
                 self.table_task.answer,
             ),
-            Handing(self._hand_on, self._peer_handlers()),
+            Handing(self._hand_on, self._peer_handlers(), self.router.in_use),
             random.Random(),
         )
 
@@ -173,6 +173,7 @@
             'agents': sorted(
                 link.peer.name for link in self.links_task.agent_links()
             ),
+            'links': links.traffic(self.links_task.agent_links()),
             'members': len(self.links_task.members),
         }
 
