--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -84,9 +84,8 @@
         )
 
     def _live_bytes(self) -> int:
-        return sum(
-            max(link.bytes_sent, link.bytes_received) for link in self.entries
-        )
+        # Answers are what live requests put on the link; a request is small.
+        return sum(link.bytes_sent for link in self.entries)
 
     def table_offset(self) -> int:
         """Give the highest offset applied."""
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -14,7 +14,6 @@
 from burdockchute.model.members import Member
 from burdockchute.nodes import links
 from burdockchute.weights.copies import Copy
-from burdockchute.weights.manifest import document_of
 from burdockchute.weights.manifest import Manifest
 from burdockchute.weights.manifest import parse
 from burdockchute.wire import messages
@@ -22,24 +21,21 @@
 from burdockchute_agent.copier import Action
 from burdockchute_agent.copier import AskPeer
 from burdockchute_agent.copier import Copier
-from burdockchute_agent.copier import MANIFEST
 from burdockchute_agent.copier import SOURCES
 from burdockchute_agent.events import Dialled
 from burdockchute_agent.events import ManifestRead
 from burdockchute_agent.events import OriginRead
 from burdockchute_agent.news import News
 from burdockchute_agent.origin_reads import OriginReads
+from burdockchute_agent.origin_turn import MANIFEST
 from burdockchute_agent.peers import PeerLink
 from burdockchute_agent.peers import Peers
 from burdockchute_agent.policy import Policy
-from burdockchute_agent.uploads import Upload
-from burdockchute_agent.uploads import Uploads
+from burdockchute_agent.serving import Serving
 from burdockchute_agent.wanted import Target
 from burdockchute_agent.weights_metrics import WeightsMetrics
 
 IDLE_S = 0.05
-# A peer that reads slower than it asks has this much waiting in its link.
-MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
 
 class Copying:
@@ -64,11 +60,13 @@
         self._rng = rng
         self._copiers: dict[str, Copier] = {}
         self._hosts: Mapping[str, tuple[str, ...]] = {}
-        self._uploads = Uploads()
         self._corrupt: dict[tuple[str, str], int] = {}
         self._news = News(now)
         self._unreachable: frozenset[str] = frozenset()
         self._metrics = WeightsMetrics()
+        self._serving = Serving(
+            peers.links, self._copy, bandwidth, self._metrics
+        )
 
     def stop(self) -> None:
         """Stop all that is under way."""
@@ -130,7 +128,7 @@
         for digest, target in wanted.items():
             if digest not in self._copiers:
                 self._begin(target, now)
-            self._copiers[digest].origin_copies = target.origin_copies
+            self._copiers[digest].turn.origin_copies = target.origin_copies
             self._set_readers(digest)
 
     # What arrives.
@@ -162,7 +160,7 @@
     def _closed(self, link: links.Link) -> None:
         name = self._peers.closed(link)
         if name is not None:
-            self._uploads.forget_peer(name)
+            self._serving.forget_peer(name)
             for copier in self._copiers.values():
                 copier.peer_gone(name)
 
@@ -171,7 +169,7 @@
             case messages.Have():
                 self._have_came(peer, message, now)
             case messages.ChunkRequest():
-                self._asked(peer, message)
+                self._serving.asked(peer, message)
             case messages.Chunk():
                 self._chunk_came(peer, message, now)
 
@@ -184,20 +182,6 @@
             return
         copier.have_came(peer.name, peer.distance, have, now)
 
-    def _asked(self, peer: PeerLink, request: messages.ChunkRequest) -> None:
-        digest, index = request.digest, request.index
-        copy = self._copy(digest)
-        if copy is None or (index != MANIFEST and not copy.holds(index)):
-            peer.send(messages.Chunk(digest, index, b'', 'unknown', 1000))
-        elif index == MANIFEST:
-            document = document_of(copy.manifest)
-            peer.send(messages.Chunk(digest, index, document, '', 0))
-        elif not self._uploads.add(Upload(peer.name, digest, index)):
-            waiting = len(self._uploads) * copy.manifest.chunk_size
-            wait_s = waiting / self._bandwidth.send_rate / 2
-            wait_ms = int(wait_s * 1000)
-            peer.send(messages.Chunk(digest, index, b'', 'busy', wait_ms))
-
     def _chunk_came(
         self, peer: PeerLink, chunk: messages.Chunk, now: float
     ) -> None:
@@ -303,16 +287,15 @@
         for copier in self._copiers.values():
             if copier.complete:
                 continue
-            if copier.stood_still:
-                copier.stood_still = False
+            if copier.turn.stood_still:
+                copier.turn.stood_still = False
                 self._peers.dial_again()
             copier.heard(self._expected_peers(copier.digest))
             for action in copier.plan(now, self._bandwidth.may_receive):
                 self._do(copier, action)
-        self._send_uploads()
+        upload_s = self._serving.send_due()
         peers = self._peers.links.values()
         news_s = self._news.tell(peers, self._have, now)
-        upload_s = self._bandwidth.send_wait_s() if self._uploads else None
         due = [IDLE_S, news_s, upload_s]
         return min(wait_s for wait_s in due if wait_s is not None)
 
@@ -327,36 +310,13 @@
         else:
             self.reads.read_chunk(copier.copy.manifest, action.chunk)
 
-    def _send_uploads(self) -> None:
-        while self._bandwidth.may_send:
-            upload = self._uploads.next()
-            if upload is None:
-                return
-            self._send(upload)
-
-    def _send(self, upload: Upload) -> None:
-        peer = self._peers.links.get(upload.peer)
-        copy = self._copy(upload.digest)
-        data = copy.chunk(upload.chunk) if copy else None
-        if peer is None or data is None:
-            return
-        if peer.link.queued_bytes > MAX_QUEUED_BYTES:
-            reply = messages.Chunk(
-                upload.digest, upload.chunk, b'', 'busy', 1000
-            )
-            peer.send(reply)
-            return
-        self._bandwidth.sent(len(data))
-        self._metrics.sent(len(data))
-        peer.send(messages.Chunk(upload.digest, upload.chunk, data, '', 0))
-
     def _have(self, digest: str) -> messages.Have:
         copier = self._copiers[digest]
         loading, is_open = self._news.phase_of(digest)
         return messages.Have(
             digest=digest,
             bitmap=copier.bitmap(),
-            uploads=len(self._uploads),
+            uploads=len(self._serving),
             wants=not copier.complete,
             loading=int(loading),
             open=is_open,
@@ -384,12 +344,7 @@
         self._news.forget(digest)
         if copier.copy is not None:
             copier.copy.release()
-        for upload in self._uploads.forget_digest(digest):
-            peer = self._peers.links.get(upload.peer)
-            if peer is not None:
-                peer.send(
-                    messages.Chunk(digest, upload.chunk, b'', 'unknown', 1000)
-                )
+        self._serving.forget_digest(digest)
         event('copy_released', digest=digest)
 
     def _tell_whole(self, copier: Copier) -> None:
@@ -419,7 +374,7 @@
             for name in self._hosts.get(digest, ())
             if name not in self._unreachable
         ]
-        self._copiers[digest].set_readers(
+        self._copiers[digest].turn.set_readers(
             self._policy.readers(digest, self._own.name, names)
         )
 
--- a/packages/burdockchute-agent/burdockchute_agent/origin_reads.py
+++ b/packages/burdockchute-agent/burdockchute_agent/origin_reads.py
@@ -18,8 +18,8 @@
 from burdockchute.weights.origin import Origin
 from burdockchute_agent.events import ManifestRead
 from burdockchute_agent.events import OriginRead
+from burdockchute_agent.origin_turn import MANIFEST
 
-MANIFEST = -1
 MAX_IDLE_CLIENTS = 4
 
 
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/origin_turn.py
@@ -0,0 +1,108 @@
+"""Whether it is this agent's turn to read the origin for a copy."""
+
+from __future__ import annotations
+
+import random
+
+from burdockchute.decisions import sources
+from burdockchute.decisions.sources import Progress
+from burdockchute.decisions.sources import Readers
+
+# In a request or a reply this stands for the manifest itself.
+MANIFEST = -1
+# A manifest is small and everyone waits for it.
+MANIFEST_READERS = 2
+# No manifest for so long means that neither store nor peers could be reached.
+STOOD_STILL_S = 2.0
+
+
+class OriginTurn:
+    """The order of readers, how new chunks turn up, and failed reads.
+
+    `stood_still` becomes true when a copy goes on that nobody could feed;
+    its owner should dial its peers again and clear it.
+    """
+
+    def __init__(self, digest: str, rng: random.Random, now: float) -> None:
+        self.origin_copies = 1.0
+        self.stood_still = False
+        self._digest = digest
+        self._rng = rng
+        self._began = now
+        self._heard_all = False
+        self._readers: Readers | None = None
+        self._ranks: dict[int, int] = {}
+        self._progress = Progress(now, 0.0)
+        self._failures = 0
+        self._not_before = 0.0
+
+    def set_readers(self, readers: Readers) -> None:
+        """Take the order in which agents may read."""
+        if readers != self._readers:
+            self._readers = readers
+            self._ranks.clear()
+
+    def heard_all(self) -> None:
+        """Note that every peer has told what it holds."""
+        self._heard_all = True
+
+    def manifest_came(self, now: float) -> None:
+        """Note that chunks may now be read."""
+        if self._failures or now - self._began > STOOD_STILL_S:
+            self._begin_again(now)
+        self._failures = 0
+        self._progress = Progress(now, 0.0)
+
+    def read_worked(self, now: float) -> None:
+        """Note that the store has given a chunk."""
+        if self._failures:
+            self._begin_again(now)
+        self._failures = 0
+
+    def read_failed(self, now: float) -> None:
+        """Note that the store has refused or sent something else."""
+        self._failures += 1
+        wait = sources.backoff_s(self._failures, self._rng)
+        self._not_before = now + wait
+        self._progress = self._progress._replace(last=now)
+
+    def turned_up(self, count: int, now: float) -> None:
+        """Note that so many chunks unknown so far are held near here."""
+        gap = (now - self._progress.last) / count
+        gap = sources.smooth(self._progress.gap, gap)
+        self._progress = Progress(now, gap)
+
+    def may_read(self, now: float) -> bool:
+        """Tell whether the order is known and no read failed just now."""
+        return self._readers is not None and now >= self._not_before
+
+    def rank(self, chunk: int) -> int:
+        """Give how many agents come before this one for a chunk."""
+        if self._readers is None:
+            return 0
+        if chunk not in self._ranks:
+            self._ranks[chunk] = sources.reader_rank(
+                self._readers, self._digest, chunk
+            )
+        return self._ranks[chunk]
+
+    def is_due(self, chunk: int, now: float) -> bool:
+        """Tell whether a chunk that no neighbour has may be read."""
+        copies = MANIFEST_READERS
+        if chunk != MANIFEST:
+            copies = sources.copies_of(self.origin_copies, chunk)
+        began = self._began
+        if self._heard_all:
+            began -= sources.GRACE_S
+        step = self._readers.step if self._readers else 0
+        return now >= sources.read_after(
+            self.rank(chunk), step, copies, began, self._progress
+        )
+
+    def _begin_again(self, now: float) -> None:
+        # The store was out of reach, and so perhaps were the peers: a region
+        # that was cut off is back. What the others have got meanwhile need
+        # not come from the store, so peers get the time to tell.
+        self._began = now
+        self._heard_all = False
+        self.stood_still = True
--- a/packages/burdockchute-agent/burdockchute_agent/row_switch.py
+++ b/packages/burdockchute-agent/burdockchute_agent/row_switch.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from burdockchute.decisions.switching import Load
+from burdockchute.decisions.switching import order_deadline_s
+from burdockchute.decisions.switching import Unload
 from burdockchute.upstreams.orders import EngineError
 from burdockchute.upstreams.orders import Order
 from burdockchute.upstreams.orders import OrderRefused
@@ -52,6 +55,27 @@
         """Tell whether no order is pending and none failed just now."""
         return self._ordered is None and now >= self._not_before
 
+    def order_for(
+        self, step: Load | Unload, fence: int, size: int, source: str
+    ) -> Order:
+        """Make the order for a step.
+
+        `size` is that of the weights in bytes, `source` the base URL from
+        which the engine fetches them.
+        """
+        target = self.target
+        return Order(
+            order='load' if isinstance(step, Load) else 'unload',
+            kind=self.kind,
+            name=self.name,
+            version=target.version if target else '',
+            digest=step.digest,
+            base=target.base if target else '',
+            source=f'{source}/weights/{step.digest}',
+            fence=fence,
+            deadline_ms=int(order_deadline_s(size) * 1000),
+        )
+
     def ordered(self, order: Order) -> None:
         """Note an order that is on its way."""
         self._ordered = order
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -34,7 +34,6 @@
 from burdockchute.model.table import Table
 from burdockchute.upstreams.gate import Gate
 from burdockchute.upstreams.gate import Weights
-from burdockchute.upstreams.orders import Order
 from burdockchute.upstreams.orders import OrderRefused
 from burdockchute.weights.manifest import document_of
 from burdockchute.weights.manifest import Manifest
@@ -52,6 +51,8 @@
 from burdockchute_agent.row_switch import RowSwitch
 from burdockchute_agent.wanted import Target
 from burdockchute_agent.wanted import wanted as wanted_by
+from burdockchute_agent.weights_states import states_of
+from burdockchute_agent.weights_states import weights_of
 
 ROWS_S = 0.02
 REGISTER_RETRY_S = 1.0
@@ -138,14 +139,13 @@
 
     def states(self) -> list[messages.WeightsState]:
         """Give one state for each set of weights, as entries are told."""
-        found = []
-        for switch in self._switches.values():
-            digests = set(self._view.loaded(switch.kind, switch.name))
-            if switch.target:
-                digests.add(switch.target.digest)
-            for digest in sorted(digests):
-                found.append(self._state_of(switch, digest))
-        return found
+        return [
+            state
+            for switch in self._switches.values()
+            for state in states_of(
+                switch, self._view, self.gate, self._copying
+            )
+        ]
 
     def services(self) -> list[str]:
         """Give the names of the service rows that this instance runs."""
@@ -295,7 +295,7 @@
             self._copying.set_phase(
                 digest,
                 digest in loading,
-                self.gate.is_open(_weights(switch, digest)),
+                self.gate.is_open(weights_of(switch, digest)),
             )
 
     def _situation(self, switch: RowSwitch, now: float) -> switching.Situation:
@@ -354,11 +354,11 @@
 
     def _open(self, switch: RowSwitch, digest: str) -> None:
         base = switch.target.base if switch.target else ''
-        self.gate.open(_weights(switch, digest), base)
+        self.gate.open(weights_of(switch, digest), base)
         event('gate_opened', row=f'{switch.kind}/{switch.name}', digest=digest)
 
     def _shut(self, switch: RowSwitch, digest: str) -> None:
-        weights = _weights(switch, digest)
+        weights = weights_of(switch, digest)
         self.gate.shut(weights)
         event(
             'gate_shut',
@@ -375,7 +375,12 @@
     ) -> None:
         if self.fence == NO_FENCE or not switch.may_order(now):
             return
-        order = self._order(switch, step)
+        order = switch.order_for(
+            step,
+            self.fence,
+            self._copying.size_of(step.digest),
+            self._source(),
+        )
         switch.ordered(order)
         self._view.ordered(now)
         self._engine.orders.put(order)
@@ -387,50 +392,7 @@
             fence=order.fence,
         )
 
-    def _order(
-        self, switch: RowSwitch, step: switching.Load | switching.Unload
-    ) -> Order:
-        target = switch.target
-        size = self._copying.size_of(step.digest)
-        return Order(
-            order='load' if isinstance(step, switching.Load) else 'unload',
-            kind=switch.kind,
-            name=switch.name,
-            version=target.version if target else '',
-            digest=step.digest,
-            base=target.base if target else '',
-            source=f'{self._source()}/weights/{step.digest}',
-            fence=self.fence,
-            deadline_ms=int(switching.order_deadline_s(size) * 1000),
-        )
-
-    def _state_of(
-        self, switch: RowSwitch, digest: str
-    ) -> messages.WeightsState:
-        held, total = self._copying.progress(digest)
-        return messages.WeightsState(
-            row=f'{switch.kind}/{switch.name}',
-            digest=digest,
-            phase=self._phase(switch, digest),
-            chunks_held=held,
-            chunks_total=total,
-        )
-
-    def _phase(self, switch: RowSwitch, digest: str) -> str:
-        if self.gate.is_open(_weights(switch, digest)):
-            return 'open'
-        if switch.target is None or switch.target.digest != digest:
-            return 'draining'
-        if digest in self._view.loading(switch.kind, switch.name):
-            return 'loading'
-        held, total = self._copying.progress(digest)
-        return 'copying' if held < total or not total else 'loading'
-
 
 def manifest_header(manifest: Manifest) -> str:
     """Give the value of the header Burdockchute-Manifest."""
     return base64.b64encode(document_of(manifest)).decode()
-
-
-def _weights(switch: RowSwitch, digest: str) -> Weights:
-    return Weights(switch.kind, switch.name, digest)
