--- a/packages/burdockchute-entry/tests/test_router.py
+++ b/packages/burdockchute-entry/tests/test_router.py
@@ -295,6 +295,17 @@
         self.assertIsInstance(finish, claims.ClaimFinished)
         self.assertEqual(f'{rid}-0'.encode(), finish.outcome.body)
 
+    def test_plain_service_runs_as_many_as_its_row_says(self):
+        # A plain service reports no slots of its own.
+        self.bench.report(self.link, slots=0)
+        for _ in range(8):
+            self.decide(self.submit(), claims.Won('a'))
+        sent = len(self.link.dispatched())
+        self.assertGreaterEqual(sent, 2)
+        for dispatch in self.link.dispatched():
+            self.bench.answer(self.link, dispatch.request_id)
+        self.assertGreater(len(self.link.dispatched()), sent + 2)
+
     def test_lost_attempt_is_unknown_and_never_runs_again(self):
         # The agent dies with a postal dispatch handed on. Running it again
         # might send the letter twice.
@@ -327,16 +338,17 @@
 
     def test_resend_gets_what_is_known(self):
         answered = Answered(200, 'application/json', b'{}', '', '')
-        for verdict, status in (
-            (claims.Recorded(answered), 200),
-            (claims.Held(), 409),
-            (claims.OtherBody(), 422),
-            (claims.OutsideWindow('too old'), 422),
-            (claims.Unavailable('log is down', 1.0), 503),
+        for verdict, status, kind in (
+            (claims.Recorded(answered), 200, Answered),
+            (claims.Held(), 409, Unknown),
+            (claims.OtherBody(), 422, NotRun),
+            (claims.OutsideWindow('too old'), 422, Unknown),
+            (claims.Unavailable('log is down', 1.0), 503, NotRun),
         ):
             rid = self.submit()
             self.decide(rid, verdict)
-            self.assertEqual(status, self.bench.outcome(rid).status)
+            outcome = self.bench.outcome(rid)
+            self.assertEqual((status, kind), (outcome.status, type(outcome)))
         self.assertEqual([], self.link.dispatched())
         self.assertEqual(5, len(self.claimed))
 
