Count a request out of the gates that it entered

Cause: leave looked up the adapter's base anew; if its row had named another base meanwhile, the old base counted the request for ever and could not be unloaded. Found by reading; the new test failed before (0, 1, 0 in flight) and passes now.

--- a/packages/burdockchute/burdockchute/upstreams/gate.py
+++ b/packages/burdockchute/burdockchute/upstreams/gate.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         self._open: set[Weights] = set()
         self._inside: dict[Weights, int] = {}
+        self._entered: dict[tuple[str, str, str], list[list[Weights]]] = {}
         self._doubted: set[Weights] = set()
         self._bases: dict[str, str] = {}
         self._services: frozenset[str] = frozenset()
@@ -74,11 +75,24 @@
                 )
         for weights in wanted:
             self._inside[weights] = self._inside.get(weights, 0) + 1
+        pinned = (target, digest, adapter_digest)
+        self._entered.setdefault(pinned, []).append(wanted)
         return None
 
     def leave(self, target: str, digest: str, adapter_digest: str) -> None:
-        """Count a request out that was let in."""
-        wanted = self._wanted(target, digest, adapter_digest) or []
+        """Count a request out that was let in.
+
+        It leaves the gates that it entered, also if the adapter's row has
+        named another base meanwhile: its old base would else count a request
+        for ever and never be unloaded.
+        """
+        pinned = (target, digest, adapter_digest)
+        entered = self._entered.get(pinned)
+        if not entered:
+            return
+        wanted = entered.pop()
+        if not entered:
+            del self._entered[pinned]
         for weights in wanted:
             left = self._inside.get(weights, 0) - 1
             if left > 0:
--- a/packages/burdockchute/tests/upstreams/test_gate.py
+++ b/packages/burdockchute/tests/upstreams/test_gate.py
@@ -53,6 +53,26 @@
         self.assertEqual(0, self.gate.in_flight(OLD))
         self.assertEqual(1, self.gate.in_flight(RHYMES))
 
+    def test_adapter_moves_to_another_base_under_a_request(self):
+        # An operator gives an adapter another base model while a request to
+        # it runs. Counted out of the new base's gate, the request would stay
+        # counted in the old one's: that version could never be unloaded, and
+        # the next one never loaded.
+        other = Weights('model', 'letters', 'old')
+        self.gate.open(other)
+        self.gate.open(RHYMES, 'story')
+        self.assertIsNone(self.gate.enter('rhymes', 'old', 'ad'))
+        self.gate.open(RHYMES, 'letters')
+        self.gate.leave('rhymes', 'old', 'ad')
+        self.assertEqual(
+            [0, 0, 0],
+            [self.gate.in_flight(w) for w in (RHYMES, OLD, other)],
+        )
+
+    def test_leaving_without_having_entered_counts_nothing(self):
+        self.gate.leave('story', 'old', '')
+        self.assertEqual([GateState(OLD, True, 0)], self.gate.states())
+
     def test_unknown_adapter_is_refused(self):
         self.assertEqual(
             "adapter 'rhymes' is not loaded",
