--- a/packages/burdockchute-testing/burdockchute_testing/fakes/entry.py
+++ b/packages/burdockchute-testing/burdockchute_testing/fakes/entry.py
@@ -77,6 +77,13 @@
             if not isinstance(message, messages.LoadReport):
                 return event
 
+    def wait_leaving(self) -> None:
+        """Wait until a load report says that the agent leaves."""
+        leaving = False
+        while not leaving:
+            event = self.inbox.get(timeout=TIMEOUT_S)
+            leaving = getattr(getattr(event, 'message', 0), 'leaving', False)
+
     def messages_of(self, request_id: str) -> Iterator[Any]:
         """Give what comes for a request, up to its end or not-run.
 
--- a/packages/burdockchute-testing/tests/test_agent_process.py
+++ b/packages/burdockchute-testing/tests/test_agent_process.py
@@ -5,6 +5,8 @@
 import json
 import unittest
 
+import gevent
+
 from burdockchute.model import rows
 from burdockchute.wire import messages
 from burdockchute_testing import answers
@@ -13,6 +15,9 @@
 
 PROMPT = 'a hare met a fox'
 
+# Many times the way between two regions.
+CROSSING_S = 0.2
+
 
 class AgentCase(unittest.TestCase):
     def setUp(self) -> None:
@@ -79,6 +84,22 @@
         self.assertEqual(('', 51), (end.error, len(parts)))
         self.assertEqual(0, self.system['a1'].wait())
 
+    def test_dispatch_that_crosses_the_news_of_leaving_is_refused(self):
+        # An entry hands a request on in the moment in which the agent begins
+        # to leave. If the agent just closed its links, nobody could tell
+        # whether it ran, and a print proof would end as unknown.
+        self.start_engine()
+        digest = self.open_model()
+        self.system['a1'].terminate()
+        self.entry.wait_leaving()
+        gevent.sleep(CROSSING_S)
+        self.ask('r1', digest)
+        (refusal,) = self.entry.messages_of('r1')
+        self.assertEqual(
+            (messages.NotRun, 'leaving'), (type(refusal), refusal.reason)
+        )
+        self.assertEqual(0, self.system['a1'].wait())
+
     def test_cancel_right_after_dispatch_leaves_nothing_behind(self):
         # A caller gives up in the moment that its request is handed on. An
         # agent that went on counting it would wait for it when it leaves.
