--- a/packages/burdockchute/burdockchute/decisions/placement.py
+++ b/packages/burdockchute/burdockchute/decisions/placement.py
@@ -66,13 +66,16 @@
 PREFIX_CHARS = 16
 
 # What was sent counts as cached until the engine's own account, which comes
-# about a second late, takes over. Kept for longer it would soon say that
+# some seconds late, takes over. Kept for longer it would soon say that
 # everything is cached everywhere: caches forget, and we don't see it.
-WARM_S = 3.0
+WARM_S = 4.0
 MAX_WARM = 4096
 
+# Of what an instance reports, the newest count, for the same reason.
+MAX_REPORTED = 48
+
 # A load report that is older than this says nothing about the other entries
-# any more. Reports come each second.
+# any more. Reports come each second or two.
 REPORT_VALID_S = 5.0
 
 
@@ -111,7 +114,9 @@
         self.unit_at = now
         self.prefill_tokens_per_s = 0.0
         self.entries = 1
-        self._reported: frozenset[str] = frozenset()
+        self._reported: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._sent: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
@@ -126,7 +131,10 @@
         prefixes: Iterable[str],
         now: float,
     ) -> None:
-        """Take in what the instance says of itself."""
+        """Take in what the instance says of itself.
+
+        `prefixes` are those stored since its last report, oldest first.
+        """
         self.slots = max(1, slots)
         if not self.started:
             self.window = max(LEAST_START, self.slots * START_SHARE)
@@ -134,7 +142,16 @@
         self.note_in_flight(in_flight, now)
         self.prefill_tokens_per_s = prefill_tokens_per_s
         self.entries = entries
-        self._reported = frozenset(short_prefixes(prefixes))
+        for prefix in short_prefixes(prefixes):
+            self._reported[prefix] = None
+            self._reported.move_to_end(prefix)
+        while len(self._reported) > MAX_REPORTED:
+            self._reported.popitem(last=False)
+
+    def evicted(self, prefixes: Iterable[str]) -> None:
+        """Take in which prefixes the instance's cache has lost."""
+        for prefix in prefixes:
+            self._reported.pop(prefix, None)
 
     def note_in_flight(self, in_flight: int, now: float) -> None:
         """Take in how many requests are there from all entries."""
