--- a/packages/burdockchute-entry/burdockchute_entry/limits_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/limits_task.py
@@ -77,12 +77,17 @@
         """Take messages for ever."""
         next_tick = self._now() + PERIOD_S
         while True:
+            wait_s = next_tick - self._now()
+            if wait_s <= 0:
+                # Also when there is always another message: what is due
+                # would otherwise wait until the load is over.
+                self.tick()
+                next_tick = self._now() + PERIOD_S
+                continue
             try:
-                wait_s = max(0.0, next_tick - self._now())
                 self.handle(self.inbox.get(timeout=wait_s))
             except queue.Empty:
-                self.tick()
-                next_tick = self._now() + PERIOD_S
+                pass
 
     def handle(self, event: Any) -> None:
         """Take one message."""
