--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -96,6 +96,7 @@
             crash=self.crashes_task.inbox.put,
             observe=self.observer.finished,
             demand=self.limits_task.inbox.put,
+            name=cfg.name,
         )
         self.links_task = LinksTask(
             cfg.name,
--- a/packages/burdockchute-entry/burdockchute_entry/dispatcher.py
+++ b/packages/burdockchute-entry/burdockchute_entry/dispatcher.py
@@ -6,6 +6,7 @@
 import random
 
 from burdockchute.decisions import admission
+from burdockchute.decisions import hosting
 from burdockchute.decisions import retries
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.decisions.waiting import Waiting
@@ -47,12 +48,15 @@
         rng: random.Random,
         requests: dict[str, Request],
         refuse: Refuse,
+        name: str = '',
     ) -> None:
         self.fleet = Fleet()
         self._now = now
         self._rng = rng
         self._requests = requests
         self._refuse = refuse
+        self._name = name
+        self.entries: list[str] = []
         self._table: Table = tables.EMPTY
         self._pools: dict[str, Pool] = {}
         self._burst = retries.MIN_BURST
@@ -159,7 +163,8 @@
 
     def _fill(self, pool: Pool) -> None:
         for request in list(pool.suspects):
-            chosen = pool.place_suspect(request, self._hosts(request))
+            hosts = self._hosts(request)
+            chosen = pool.place_suspect(request, hosts, self._is_ours)
             if chosen is not None and self._dispatch(request, chosen):
                 pool.suspects.remove(request)
         now = self._now()
@@ -222,6 +227,12 @@
                 text = f'no instance is open for {request.ctx.target!r}'
                 self._refuse(request, NotRun(text, 503, NO_INSTANCE_RETRY_S))
 
+    def _is_ours(self, instance: str) -> bool:
+        if self._name not in self.entries:
+            return True
+        key = f'suspect/{instance}'
+        return hosting.ranked(key, self.entries)[0] == self._name
+
     def _hosts(self, request: Request) -> Hosts:
         return self.fleet.hosts(request.ctx, request.base)
 
--- a/packages/burdockchute-entry/burdockchute_entry/pools.py
+++ b/packages/burdockchute-entry/burdockchute_entry/pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import random
@@ -128,11 +129,25 @@
                 return Chosen(by_name[load.name], pinned)
         return None
 
-    def place_suspect(self, request: Request, hosts: Hosts) -> Chosen | None:
+    def place_suspect(
+        self,
+        request: Request,
+        hosts: Hosts,
+        is_ours: Callable[[str], bool] = lambda name: True,
+    ) -> Chosen | None:
         """Choose an instance on which a suspect runs alone.
 
-        One that is busy is kept for it and gets no more work meanwhile.
+        One that is busy is kept for it and gets no more work meanwhile. Were
+        two entries to run suspects of one crash on the same instance, the
+        second crash would convict a bystander as well; `is_ours` tells which
+        instances this entry may keep, as long as it may keep any.
         """
+        ours = [
+            (pinned, [i for i in found if is_ours(i.name)])
+            for pinned, found in hosts
+        ]
+        if any(found for _pinned, found in ours):
+            hosts = ours
         kept = _kept_for(request, hosts)
         if kept is None:
             kept = _keep_one(request, hosts)
--- a/packages/burdockchute-entry/burdockchute_entry/router.py
+++ b/packages/burdockchute-entry/burdockchute_entry/router.py
@@ -71,6 +71,7 @@
         crash: Callable[[CrashSeen], None] = lambda seen: None,
         observe: Callable[[Finished], None] = lambda finished: None,
         demand: Callable[[DemandSeen], None] = lambda seen: None,
+        name: str = '',
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._now = now
@@ -82,7 +83,11 @@
         self._table: Table = tables.EMPTY
         self._requests: dict[str, Request] = {}
         self._dispatcher = Dispatcher(
-            now, rng, self._requests, lambda req, why: self._finish(req, why)
+            now,
+            rng,
+            self._requests,
+            lambda req, why: self._finish(req, why),
+            name,
         )
         self._deadlines: list[tuple[float, str]] = []
         self._intake = intake.Intake()
@@ -390,6 +395,9 @@
     def _members_changed(self, event: MembersChanged) -> None:
         leaving = [m.name for m in event.members if m.leaving]
         self._dispatcher.fleet.members_changed(leaving)
+        self._dispatcher.entries = sorted(
+            m.name for m in event.members if m.role == 'entry'
+        )
 
     def _shares_changed(self, event: SharesChanged) -> None:
         self._intake.shares = event.shares
--- a/packages/burdockchute-entry/tests/test_crashes.py
+++ b/packages/burdockchute-entry/tests/test_crashes.py
@@ -7,8 +7,11 @@
 import gevent
 from gevent import queue
 
+from burdockchute.model.changes import MembersChanged
 from burdockchute.model.crashes import CrashLearned
 from burdockchute.model.crashes import CrashSeen
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
 from burdockchute.model.outcomes import Answered
 from burdockchute.model.outcomes import NotRun
 from burdockchute.model.outcomes import Unknown
@@ -97,6 +100,28 @@
             site.bench.submit(good(number))
         self.assertEqual(before, len(hosts[1].dispatched()))
 
+    def test_entries_keep_different_instances_for_suspects(self):
+        # Both entries had requests in flight in one crash. On one instance
+        # the second crash would convict a bystander with the poison.
+        entries = tuple(
+            Member(name, 'entry', '127.0.0.1', 1, Place('', '', ''))
+            for name in ('e1', 'e2')
+        )
+        kept = []
+        for entry in ('e1', 'e2'):
+            bench = routing.Bench(requests.table_of(), name=entry)
+            bench.router.handle(MembersChanged(entries))
+            links = [bench.agent(name, slots=8) for name in 'abcdef']
+            rid = bench.submit(good(1))
+            first = next(link for link in links if link.dispatched())
+            bench.break_off(first, rid, crashed=True)
+            kept.append(
+                {link.peer.name for link in links if link.dispatched()}
+                - {first.peer.name}
+            )
+        self.assertTrue(all(kept), kept)
+        self.assertEqual(set(), kept[0] & kept[1])
+
     def test_other_entries_refuse_it_too(self):
         # Its caller sends it again, and the balancer picks another entry.
         bench = routing.Bench(requests.table_of())
