--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -35,6 +35,11 @@
 # through a slow link.
 FLUSH_S = 2.0
 
+# An entry may hand a request on before it has read that we leave. Such a
+# request is refused as not run; a link that closed under it would leave it
+# open whether it ran. A second is many times the way between two regions.
+LINGER_S = 1.0
+
 
 class App:
     """One running agent."""
@@ -201,6 +206,7 @@
         logs.event('leaving', running=self.runner.running())
         self.runner.leaving = True
         self.reports.send_now()
+        gevent.sleep(LINGER_S)
         drained = self.runner.drain(self.cfg.drain_s)
         for link in list(self.entries):
             link.flush(FLUSH_S)
