Ask peers only past the usual age; test how links follow the choice

As an answer of the log counts from when it was asked for, a quiet table is up to 4 s old; peers were asked at 4 s, so entries could ask each other in every quiet moment. Now at 5 s (test_idle_log_sets_no_entry_asking failed at 4). Links that leave the subset are closed only when no request uses them, shown over real links. Agents measure the age of their rows.

--- a/packages/burdockchute-agent/burdockchute_agent/rows_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/rows_task.py
@@ -14,9 +14,11 @@
 from typing import Any
 
 from gevent import queue
+from opentelemetry import metrics as otel
 from returns.result import Failure
 
 from burdockchute import logs
+from burdockchute import metrics
 from burdockchute.model import deltas
 from burdockchute.model import findings
 from burdockchute.model import table as tables
@@ -47,6 +49,9 @@
 
     def run(self) -> None:
         """Handle messages for ever."""
+        metrics.meter().create_observable_gauge(
+            'burdockchute.table.age', [self._observe_age], 's'
+        )
         while True:
             self.handle(self.inbox.get())
 
@@ -70,6 +75,12 @@
             return None
         return self._clock() - self._confirmed_at
 
+    def _observe_age(
+        self, _options: otel.CallbackOptions
+    ) -> list[otel.Observation]:
+        age_s = self.age_s()
+        return [] if age_s is None else [otel.Observation(age_s)]
+
     def _note_age(self, delta: messages.TableDelta) -> None:
         if delta.to_offset != self.table.offset or delta.age_ms is None:
             return
--- a/packages/burdockchute-entry/burdockchute_entry/table_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/table_task.py
@@ -37,17 +37,18 @@
 from burdockchute.platform.log import Trimmed
 from burdockchute.wire import messages
 
-# 360 entries make 180 reads a second of an idle log. The age of a table that
-# is up to date stays below this much.
+# 360 entries make 180 reads a second of an idle log. As an answer counts from
+# when it was asked for, the age of a table that is up to date goes up to twice
+# this much.
 WAIT_S = 2.0
 
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
 
-# Two polls; below that, a single slow reply would set all entries asking
-# each other. With the answer it stays well within the 8 s in which an edit
-# has to be in force.
-ASK_PEERS_AGE_S = 4.0
+# A second over the age that is usual; below that, a slow reply would set all
+# entries asking each other. With the answer it stays well within the 8 s in
+# which an edit has to be in force.
+ASK_PEERS_AGE_S = 2 * WAIT_S + 1.0
 ASK_PEERS_EVERY_S = 1.0
 WATCH_S = 0.25
 
--- /dev/null
+++ b/packages/burdockchute-entry/tests/test_links_subset.py
@@ -0,0 +1,139 @@
+"""The links of an entry as the choice of its agents changes."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+import unittest
+from unittest import mock
+
+import gevent
+from gevent import queue
+from returns.result import Success
+
+from burdockchute.decisions import subset
+from burdockchute.model import deltas
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+from burdockchute_entry import links_task
+from burdockchute_entry import subset_task
+from burdockchute_testing.builders import fleets
+from burdockchute_testing.builders import tables
+
+WITHIN_S = 10.0
+AGENTS = 12
+PLACE = Place('z', 'r', 'main')
+TABLE = tables.table_of(tables.model())
+
+
+class FakeList:
+    """The platform's list as a variable."""
+
+    def __init__(self) -> None:
+        self.members: list[Member] = []
+
+    def fetch(self) -> Any:
+        """Give the members."""
+        return Success(self.members)
+
+
+class LinksSubsetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        for target, name, value in (
+            (subset, 'ALL_AGENTS', 0),
+            (subset, 'MIN_HOSTS', 0),
+            (links_task, 'SURPLUS_S', 0.0),
+        ):
+            patch = mock.patch.object(target, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.list = FakeList()
+        self.in_use: set[str] = set()
+        self.agents = [self.serve(f'a{number}') for number in range(AGENTS)]
+        self.task = links_task.LinksTask(
+            'e0',
+            lambda: hello('e0', 'entry'),
+            self.list,
+            links_task.TableSource(
+                lambda: TABLE.offset,
+                lambda offset: deltas.whole(TABLE),
+                lambda offset: None,
+            ),
+            links_task.Handing(
+                lambda event: None, {}, lambda name: name in self.in_use
+            ),
+            random.Random(1),
+        )
+        running = gevent.spawn(self.task.run)
+        self.addCleanup(running.kill)
+
+    def serve(self, name: str) -> Member:
+        listening = links.listen(
+            '127.0.0.1',
+            0,
+            lambda: hello(name, 'agent'),
+            queue.Queue(),
+            lambda: -1,
+        )
+        self.addCleanup(listening.stop, 0)
+        port = listening.server_port
+        return Member(name, 'agent', '127.0.0.1', port, PLACE)
+
+    def linked(self) -> set[str]:
+        return {link.peer.name for link in self.task.agent_links()}
+
+    def wait_for(self, condition) -> None:
+        with gevent.Timeout(WITHIN_S):
+            while not condition():
+                gevent.sleep(0.01)
+
+    def test_links_follow_the_choice_and_cut_off_no_request(self):
+        # The fleet grows and an agent is no longer among those that this
+        # entry keeps links to, but a request of ours is still at it. Were
+        # the link closed, its caller would get half an answer.
+        own = Member('e0', 'entry', '127.0.0.1', 1, PLACE)
+        self.list.members = [own, *self.agents]
+        names = {agent.name for agent in self.agents}
+        self.wait_for(lambda: self.linked() == names)
+        others = [own._replace(name=f'e{number}') for number in range(1, 10)]
+        wanted = self.chosen([own, *others, *self.agents])
+        surplus = sorted(names - wanted)
+        self.in_use = {surplus[0]}
+        self.list.members = [own, *others, *self.agents]
+        self.wait_for(lambda: self.linked() == wanted | {surplus[0]})
+        self.in_use = set()
+        self.wait_for(lambda: self.linked() == wanted)
+        self.list.members = [own, *self.agents]
+        self.wait_for(lambda: self.linked() == names)
+
+    def chosen(self, members: list[Member]) -> set[str]:
+        choice = subset.Subset('e0')
+        choice.set_members(members)
+        self.assertTrue(choice.step(AGENTS))
+        return choice.wanted(TABLE)
+
+
+class SubsetTaskTest(unittest.TestCase):
+    def test_choice_is_published_when_it_changes(self):
+        published: list[frozenset[str]] = []
+        task = subset_task.SubsetTask('entry-0', published.append)
+        running = gevent.spawn(task.run)
+        self.addCleanup(running.kill)
+        members = tuple(fleets.fleet(10, 150))
+        task.inbox.put(subset_task.MembersChanged(members))
+        with gevent.Timeout(WITHIN_S):
+            while not published:
+                gevent.sleep(0.01)
+        self.assertTrue(published[0])
+        task.inbox.put(subset_task.MembersChanged(members))
+        task.inbox.put(subset_task.MembersChanged(members[:5]))
+        with gevent.Timeout(WITHIN_S):
+            while published[-1]:
+                gevent.sleep(0.01)
+        self.assertEqual(2, len(published))
+
+
+def hello(name: str, role: str) -> messages.Hello:
+    return messages.Hello(name, role, 'z', 'r', 'i', -1, links.PROTOCOL)
--- a/packages/burdockchute-entry/tests/test_table_task.py
+++ b/packages/burdockchute-entry/tests/test_table_task.py
@@ -150,6 +150,25 @@
         task.take(over_the_wire(newer))
         self.assertEqual(newer, published[-1])
 
+    def test_idle_log_sets_no_entry_asking(self):
+        # Nobody edits for hours. An answer counts from when it was asked
+        # for, so just before the next one the age is that of two polls;
+        # were peers asked at that age, all entries would ask each other in
+        # every quiet moment.
+        asked = []
+        self.edit(tables.model())
+        task, _published = self.task(ask_peers=asked.append)
+        self.wait_for(task.ready.is_set)
+        self.log.read = lambda *args: gevent.sleep(60)
+        gevent.sleep(0.1)
+        asked.clear()
+        confirmed_at = task._clock() - task.age_s()
+        for age_s, is_asking in ((4.1, False), (5.1, True)):
+            task._clock = lambda age_s=age_s: confirmed_at + age_s
+            gevent.sleep(3 * table_task.WATCH_S)
+            with self.subTest(age_s):
+                self.assertEqual(is_asking, bool(asked))
+
     def test_paused_and_resumed_is_not_taken_for_new(self):
         # The process is stopped while it waits for an answer of the log and
         # goes on an hour later; the answer it then reads is an hour old.
