Share what entry and agent do alike; report before a heartbeat is due

Start, signals, hello, failed tasks and common settings stood twice. A heartbeat fired just before each report and each age of the rows, so that a quiet link carried twice the messages it needs; both now come first.

--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -3,19 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import signal
-import time
 from typing import Any
-import uuid
 
 import gevent
-from gevent import event as events
 from gevent import queue
 
 from burdockchute import http_admin
 from burdockchute import logs
-from burdockchute import metrics
 from burdockchute import tasks
+from burdockchute.lifetime import Lifetime
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
 from burdockchute.model.members import Place
@@ -46,12 +42,9 @@
 
     def __init__(self, cfg: Settings) -> None:
         self.cfg = cfg
-        self.started = time.time()
-        self.incarnation = uuid.uuid4().hex
+        self.lifetime = Lifetime(cfg, 'agent', self.table_offset)
         self.admin_url = ''
         self.inbox: queue.Queue = queue.Queue()
-        self.stopping = events.Event()
-        self.failed = False
         self.entries: dict[links.Link, None] = {}
         self.rows = RowsTask(self._publish)
         place = Place(cfg.zone, cfg.region, cfg.pool)
@@ -64,8 +57,10 @@
             upstream_kind=cfg.upstream_kind,
             uplink=cfg.uplink_bytes_per_s,
             downlink=cfg.downlink_bytes_per_s,
-            register=lambda: register(log, cfg.name, self.incarnation),
-            hello=self.hello,
+            register=lambda: register(
+                log, cfg.name, self.lifetime.incarnation
+            ),
+            hello=self.lifetime.hello,
             source=lambda: self.admin_url,
             services=cfg.services,
             live_bytes=self._live_bytes,
@@ -76,18 +71,6 @@
             cfg, self.runner, self.weights, self.table_offset
         )
 
-    def hello(self) -> messages.Hello:
-        """Give our side's first message on a link."""
-        return messages.Hello(
-            self.cfg.name,
-            'agent',
-            self.cfg.zone,
-            self.cfg.region,
-            self.incarnation,
-            self.table_offset(),
-            links.PROTOCOL,
-        )
-
     def _live_bytes(self) -> int:
         # Answers are what live requests put on the link; a request is small.
         return sum(link.bytes_sent for link in self.entries)
@@ -98,13 +81,11 @@
 
     def serve(self) -> int:
         """Run until a signal asks to stop; give the exit status."""
-        metrics.set_up(self.cfg.name, self.cfg.otlp_endpoint)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self.stopping.set)
+        self.lifetime.begin()
         link_server = links.listen(
             self.cfg.address,
             self.cfg.link_port,
-            self.hello,
+            self.lifetime.hello,
             self.inbox,
             self.table_offset,
         )
@@ -112,23 +93,19 @@
             self.cfg.address, self.cfg.admin_port, self._admin_app()
         )
         self.admin_url = f'http://{self.cfg.address}:{admin.server_port}'
-        tasks.start(self._loops(), self._fail)
         logs.event(
             'serving',
             link_port=link_server.server_port,
             admin_port=admin.server_port,
         )
-        self.stopping.wait()
-        if self.failed:
+        if not self.lifetime.run_until_stopped(self._loops()):
             return tasks.EXIT_TASK_FAILED
         return self._leave(link_server)
 
     def status(self) -> dict[str, Any]:
         """Give what this process holds and does."""
         return {
-            'name': self.cfg.name,
-            'incarnation': self.incarnation,
-            'started': self.started,
+            **self.lifetime.status(),
             'table_offset': self.table_offset(),
             'table_age_s': self.rows.age_s(),
             'entries': sorted(link.peer.name for link in self.entries),
@@ -148,10 +125,6 @@
             self.reports.run,
         ]
 
-    def _fail(self) -> None:
-        self.failed = True
-        self.stopping.set()
-
     def _probe(self) -> http_admin.Probe:
         if self.table_offset() < 0:
             return http_admin.Probe(False, 'no table yet')
--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -33,9 +33,10 @@
 # A report costs each entry a wake-up for each of its agents. While requests
 # come and go entries need the numbers of the last second; while nothing
 # changes the report only shows that the agent is there, and may be as old as
-# half of what placement still believes (5 s).
+# half of what placement still believes (5 s). It comes before a heartbeat
+# would, so that the link needs none.
 BUSY_REPORT_S = 1.0
-IDLE_REPORT_S = 2.0
+IDLE_REPORT_S = 1.8
 UPSTREAM_TIMEOUT_S = 1.0
 
 # Misses in a row before the upstream counts as away. One is a pause of its
--- a/packages/burdockchute-agent/burdockchute_agent/settings.py
+++ b/packages/burdockchute-agent/burdockchute_agent/settings.py
@@ -46,14 +46,7 @@
 
 
 SETTINGS = (
-    Setting('name', 'name of this instance', base.parse_name),
-    Setting('zone', 'availability zone', base.parse_name),
-    Setting('region', 'region', base.parse_name),
-    Setting('pool', 'pool that placements may name', base.parse_name, 'main'),
-    Setting('address', 'IP number to listen on', base.parse_address),
-    Setting('link-port', 'port for links', base.parse_port, '0'),
-    Setting('admin-port', 'port for status', base.parse_port, '0'),
-    Setting('log-url', 'the platform log service', base.parse_url),
+    *base.place_settings('main'),
     Setting('store-url', 'the weight store', base.parse_url),
     Setting('upstream-url', 'the upstream beside us', base.parse_url),
     Setting('upstream-kind', 'engine or service', _parse_kind, 'engine'),
@@ -75,25 +68,13 @@
         base.parse_bytes,
         '125000000',
     ),
-    Setting(
-        'drain-s',
-        'longest wait for requests in flight when leaving',
-        base.parse_seconds,
-        '60',
-    ),
     Setting(
         'stall-s',
         'longest wait for the next bytes of the upstream',
         base.parse_seconds,
         '10',
     ),
-    Setting(
-        'otlp-endpoint',
-        'URL to export metrics to, empty for none',
-        base.parse_optional_url,
-        '',
-    ),
-    Setting('log-level', 'least level to log', base.parse_level, 'info'),
+    *base.process_settings(),
 )
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -4,21 +4,18 @@
 
 from collections.abc import Callable
 import random
-import signal
 import time
 from typing import Any
-import uuid
 
 import gevent
-from gevent import event as events
 from gevent import queue
 
 from burdockchute import http_admin
 from burdockchute import logs
-from burdockchute import metrics
 from burdockchute import tasks
 from burdockchute.callers import http
 from burdockchute.callers import server
+from burdockchute.lifetime import Lifetime
 from burdockchute.model import deltas
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
@@ -59,10 +56,7 @@
 
     def __init__(self, cfg: Settings) -> None:
         self.cfg = cfg
-        self.started = time.time()
-        self.incarnation = uuid.uuid4().hex
-        self.stopping = events.Event()
-        self.failed = False
+        self.lifetime = Lifetime(cfg, 'entry', self.table_offset)
         self.leaving = False
         self.log = LogClient(cfg.log_url)
         self.table_task = TableTask(
@@ -101,7 +95,7 @@
         )
         self.links_task = LinksTask(
             cfg.name,
-            self.hello,
+            self.lifetime.hello,
             InstanceList(cfg.instances_url),
             TableSource(
                 self.table_offset,
@@ -112,18 +106,6 @@
             random.Random(),
         )
 
-    def hello(self) -> messages.Hello:
-        """Give our side's first message on a link."""
-        return messages.Hello(
-            self.cfg.name,
-            'entry',
-            self.cfg.zone,
-            self.cfg.region,
-            self.incarnation,
-            self.table_offset(),
-            links.PROTOCOL,
-        )
-
     def table(self) -> Table:
         """Give the table in force here."""
         return self.table_task.table
@@ -137,13 +119,11 @@
 
     def serve(self) -> int:
         """Run until a signal asks to stop; give the exit status."""
-        metrics.set_up(self.cfg.name, self.cfg.otlp_endpoint)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self.stopping.set)
+        self.lifetime.begin()
         link_server = links.listen(
             self.cfg.address,
             self.cfg.link_port,
-            self.hello,
+            self.lifetime.hello,
             self.links_task.inbox,
             self.table_offset,
         )
@@ -154,24 +134,20 @@
         admin = http_admin.serve(
             self.cfg.address, self.cfg.admin_port, self._admin_app()
         )
-        tasks.start(self._loops(), self._fail)
         logs.event(
             'serving',
             link_port=link_server.server_port,
             http_port=callers.server_port,
             admin_port=admin.server_port,
         )
-        self.stopping.wait()
-        if self.failed:
+        if not self.lifetime.run_until_stopped(self._loops()):
             return tasks.EXIT_TASK_FAILED
         return self._leave(callers)
 
     def status(self) -> dict[str, Any]:
         """Give what this process holds and does."""
         return {
-            'name': self.cfg.name,
-            'incarnation': self.incarnation,
-            'started': self.started,
+            **self.lifetime.status(),
             'leaving': self.leaving,
             'in_flight': self.router.open_requests(),
             'table': self.table_task.status()._asdict(),
@@ -242,10 +218,6 @@
             {'/burn': lambda _rest: http_admin.as_json(self.observer.page())},
         )
 
-    def _fail(self) -> None:
-        self.failed = True
-        self.stopping.set()
-
     def _probe(self) -> http_admin.Probe:
         if not self.table_task.ready.is_set():
             return http_admin.Probe(False, 'no table yet')
--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -46,8 +46,9 @@
 MEMBERS_DELAY_S = 0.2
 
 # Agents are told this often how old the rows are; a tenth of what an operator
-# would act on, and some 30 bytes a second for each link.
-AGE_EVERY_S = 2.0
+# would act on, and some 30 bytes a second for each link. It comes before a
+# heartbeat would, so that the link needs none.
+AGE_EVERY_S = 1.5
 
 # An entry without the log asks this many others for the table; asking all
 # would make each outage cost the square of the number of entries.
--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -18,8 +18,6 @@
 
 import burdockchute  # noqa: E402
 from burdockchute import commands  # noqa: E402
-from burdockchute import logs  # noqa: E402
-from burdockchute.nodes import links  # noqa: E402
 from burdockchute.operators import burn  # noqa: E402
 from burdockchute.operators import keys  # noqa: E402
 from burdockchute.operators import manifests  # noqa: E402
@@ -65,14 +63,13 @@
 def _serve(args: argparse.Namespace) -> int:
     from burdockchute_entry.app import App
 
-    values = commands.read_or_exit(settings.SETTINGS, args, os.environ)
-    cfg = settings.of_values(values)
-    logs.set_up(cfg.log_level, cfg.name)
-    try:
-        return App(cfg).serve()
-    except (links.LinkError, OSError) as exc:
-        print(f'can not serve: {exc}', file=sys.stderr)
-        return commands.EXIT_FAILED
+    return commands.run_serve(
+        settings.SETTINGS,
+        args,
+        os.environ,
+        settings.of_values,
+        lambda cfg: App(cfg).serve(),
+    )
 
 
 if __name__ == '__main__':
--- a/packages/burdockchute-entry/burdockchute_entry/settings.py
+++ b/packages/burdockchute-entry/burdockchute_entry/settings.py
@@ -31,15 +31,8 @@
 
 
 SETTINGS = (
-    Setting('name', 'name of this instance', base.parse_name),
-    Setting('zone', 'availability zone', base.parse_name),
-    Setting('region', 'region', base.parse_name),
-    Setting('pool', 'pool of this instance', base.parse_name, 'entry'),
-    Setting('address', 'IP number to listen on', base.parse_address),
-    Setting('link-port', 'port for links', base.parse_port, '0'),
+    *base.place_settings('entry'),
     Setting('http-port', 'port for callers', base.parse_port, '0'),
-    Setting('admin-port', 'port for status', base.parse_port, '0'),
-    Setting('log-url', 'the platform log service', base.parse_url),
     Setting(
         'log-retention-s',
         'how long the log keeps a record',
@@ -59,19 +52,7 @@
         base.parse_seconds,
         '60',
     ),
-    Setting(
-        'drain-s',
-        'longest wait for requests in flight when leaving',
-        base.parse_seconds,
-        '60',
-    ),
-    Setting(
-        'otlp-endpoint',
-        'URL to export metrics to, empty for none',
-        base.parse_optional_url,
-        '',
-    ),
-    Setting('log-level', 'least level to log', base.parse_level, 'info'),
+    *base.process_settings(),
 )
 
 
--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -12,8 +12,10 @@
 import geventhttpclient
 from returns.result import Failure
 
+from burdockchute import logs
 from burdockchute import settings as base
 from burdockchute.model import findings
+from burdockchute.nodes import links
 from burdockchute.settings import EXIT_BAD_INPUT
 from burdockchute.settings import Setting
 
@@ -83,3 +85,20 @@
     for name, value in cfg._asdict().items():
         print(f'{name}={value}')
     return 0
+
+
+def run_serve(
+    settings: Sequence[Setting],
+    args: argparse.Namespace,
+    environ: Mapping[str, str],
+    of_values: Callable[[dict[str, Any]], Any],
+    serve: Callable[[Any], int],
+) -> int:
+    """Run a process with checked settings; give its exit status."""
+    cfg = of_values(read_or_exit(settings, args, environ))
+    logs.set_up(cfg.log_level, cfg.name)
+    try:
+        return serve(cfg)
+    except (links.LinkError, OSError) as exc:
+        print(f'can not serve: {exc}', file=sys.stderr)
+        return EXIT_FAILED
--- /dev/null
+++ b/packages/burdockchute/burdockchute/lifetime.py
@@ -0,0 +1,83 @@
+"""What an entry and an agent do alike from their start to their stop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import signal
+import time
+from typing import Any
+from typing import Protocol
+import uuid
+
+import gevent
+from gevent import event as events
+
+from burdockchute import metrics
+from burdockchute import tasks
+from burdockchute.nodes import links
+from burdockchute.wire import messages
+
+
+class Identity(Protocol):
+    """The settings that name a process and say where it stands."""
+
+    @property
+    def name(self) -> str: ...
+    @property
+    def zone(self) -> str: ...
+    @property
+    def region(self) -> str: ...
+    @property
+    def otlp_endpoint(self) -> str: ...
+
+
+class Lifetime:
+    """One run of a process; `role` is 'entry' or 'agent'."""
+
+    def __init__(
+        self, cfg: Identity, role: str, table_offset: Callable[[], int]
+    ) -> None:
+        self.incarnation = uuid.uuid4().hex
+        self._cfg = cfg
+        self._role = role
+        self._table_offset = table_offset
+        self._started = time.time()
+        self._stopping = events.Event()
+        self._failed = False
+
+    def hello(self) -> messages.Hello:
+        """Give our side's first message on a link."""
+        return messages.Hello(
+            self._cfg.name,
+            self._role,
+            self._cfg.zone,
+            self._cfg.region,
+            self.incarnation,
+            self._table_offset(),
+            links.PROTOCOL,
+        )
+
+    def begin(self) -> None:
+        """Start measuring, and let signals ask to stop."""
+        metrics.set_up(self._cfg.name, self._cfg.otlp_endpoint)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._stopping.set)
+
+    def run_until_stopped(self, loops: Iterable[Callable[[], None]]) -> bool:
+        """Run the tasks; False if one failed, True if asked to stop."""
+        tasks.start(loops, self._fail)
+        self._stopping.wait()
+        return not self._failed
+
+    def status(self) -> dict[str, Any]:
+        """Give the part of the status page that is alike."""
+        return {
+            'name': self._cfg.name,
+            'incarnation': self.incarnation,
+            'started': self._started,
+        }
+
+    def _fail(self) -> None:
+        self._failed = True
+        self._stopping.set()
--- a/packages/burdockchute/burdockchute/settings.py
+++ b/packages/burdockchute/burdockchute/settings.py
@@ -44,6 +44,39 @@
     default: str | None = None
 
 
+def place_settings(pool: str) -> tuple[Setting, ...]:
+    """Give the settings that tell where an instance stands."""
+    return (
+        Setting('name', 'name of this instance', parse_name),
+        Setting('zone', 'availability zone', parse_name),
+        Setting('region', 'region', parse_name),
+        Setting('pool', 'pool that placements may name', parse_name, pool),
+        Setting('address', 'IP number to listen on', parse_address),
+        Setting('link-port', 'port for links', parse_port, '0'),
+        Setting('admin-port', 'port for status', parse_port, '0'),
+        Setting('log-url', 'the platform log service', parse_url),
+    )
+
+
+def process_settings() -> tuple[Setting, ...]:
+    """Give the settings of how a process ends and tells of itself."""
+    return (
+        Setting(
+            'drain-s',
+            'longest wait for requests in flight when leaving',
+            parse_seconds,
+            '60',
+        ),
+        Setting(
+            'otlp-endpoint',
+            'URL to export metrics to, empty for none',
+            parse_optional_url,
+            '',
+        ),
+        Setting('log-level', 'least level to log', parse_level, 'info'),
+    )
+
+
 def variable_of(setting: Setting) -> str:
     """Give the name of the environment variable."""
     return 'BURDOCKCHUTE_' + setting.name.upper().replace('-', '_')
