--- a/packages/burdockchute-entry/burdockchute_entry/claims_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/claims_task.py
@@ -14,6 +14,7 @@
 from gevent import queue
 
 from burdockchute import logs
+from burdockchute import tasks
 from burdockchute.callers import parse
 from burdockchute.decisions import claims
 from burdockchute.decisions import hosting
@@ -119,19 +120,9 @@
 
     def run(self) -> None:
         """Take messages for ever."""
-        next_tick = self._clocks.now() + TICK_S
-        while True:
-            wait_s = next_tick - self._clocks.now()
-            if wait_s <= 0:
-                # Also when there is always another message: what is due
-                # would otherwise wait until the load is over.
-                self.tick()
-                next_tick = self._clocks.now() + TICK_S
-                continue
-            try:
-                self.handle(self.inbox.get(timeout=wait_s))
-            except queue.Empty:
-                pass
+        tasks.take_messages(
+            self.inbox, self.handle, self.tick, TICK_S, self._clocks.now
+        )
 
     def handle(self, event: Any) -> None:
         """Take one message."""
--- a/packages/burdockchute-entry/burdockchute_entry/limits_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/limits_task.py
@@ -9,6 +9,7 @@
 
 from gevent import queue
 
+from burdockchute import tasks
 from burdockchute.decisions import hosting
 from burdockchute.decisions import limits
 from burdockchute.decisions.limits import Demand
@@ -75,19 +76,9 @@
 
     def run(self) -> None:
         """Take messages for ever."""
-        next_tick = self._now() + PERIOD_S
-        while True:
-            wait_s = next_tick - self._now()
-            if wait_s <= 0:
-                # Also when there is always another message: what is due
-                # would otherwise wait until the load is over.
-                self.tick()
-                next_tick = self._now() + PERIOD_S
-                continue
-            try:
-                self.handle(self.inbox.get(timeout=wait_s))
-            except queue.Empty:
-                pass
+        tasks.take_messages(
+            self.inbox, self.handle, self.tick, PERIOD_S, self._now
+        )
 
     def handle(self, event: Any) -> None:
         """Take one message."""
--- a/packages/burdockchute-testing/burdockchute_testing/benches/load.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/load.py
@@ -32,7 +32,7 @@
 from burdockchute_testing.harness import System  # noqa: E402
 from burdockchute_testing.harness import wait_until  # noqa: E402
 
-BENCH = 'load'
+_emit = results.emitter('load')
 SEED = 1
 
 ENGINES = 4
@@ -390,15 +390,5 @@
             _emit(case, f'token interval {name}', gap_ms, 'ms')
 
 
-def _emit(
-    case: str,
-    metric: str,
-    value: float,
-    unit: str,
-    bound: float | None = None,
-) -> None:
-    results.emit(BENCH, case, metric, value, unit, bound)
-
-
 if __name__ == '__main__':
     main()
--- a/packages/burdockchute-testing/burdockchute_testing/benches/path.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/path.py
@@ -19,7 +19,7 @@
 from burdockchute_testing.harness import System
 from burdockchute_testing.harness import wait_until
 
-BENCH = 'path'
+_emit = results.emitter('path')
 KEY = 'bench-key'
 ENGINES = 4
 WEIGHTS_BYTES = 1_000_000
@@ -199,15 +199,5 @@
     return found
 
 
-def _emit(
-    case: str,
-    metric: str,
-    value: float,
-    unit: str,
-    bound: float | None = None,
-) -> None:
-    results.emit(BENCH, case, metric, value, unit, bound)
-
-
 if __name__ == '__main__':
     main()
--- a/packages/burdockchute-testing/burdockchute_testing/benches/results.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/results.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
+import functools
 import json
 import math
 
@@ -32,6 +34,11 @@
     print(json.dumps(line), flush=True)
 
 
+def emitter(bench: str) -> Callable[..., None]:
+    """Give `emit` for one bench."""
+    return functools.partial(emit, bench)
+
+
 def percentile(values: Sequence[float], share: float) -> float:
     """Give the smallest value that at least this share lies at or below.
 
--- a/packages/burdockchute-testing/burdockchute_testing/demo.py
+++ b/packages/burdockchute-testing/burdockchute_testing/demo.py
@@ -322,6 +322,7 @@
         f'{len(demo.calls)} requests, {answered} answered, '
         f'{len(recorded.runs)} runs; each answer checked against its weights'
     )
+    _say('the page proof was sent to both entries and runs once')
     if wrong:
         _say(findings.render_all(wrong))
     return wrong
--- a/packages/burdockchute/burdockchute/tasks.py
+++ b/packages/burdockchute/burdockchute/tasks.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import gevent
+from gevent import queue
 
 from burdockchute import logs
 
@@ -28,6 +29,32 @@
     return [gevent.spawn(_watched, loop, on_failure) for loop in loops]
 
 
+def take_messages(
+    inbox: queue.Queue,
+    handle: Callable[[Any], None],
+    tick: Callable[[], None],
+    period_s: float,
+    now: Callable[[], float],
+) -> None:
+    """Handle messages for ever, and tick once in each period.
+
+    It ticks also when there is always another message: what is due would
+    otherwise wait until the load is over.
+    """
+    next_tick = now() + period_s
+    while True:
+        wait_s = next_tick - now()
+        if wait_s <= 0:
+            tick()
+            next_tick = now() + period_s
+            continue
+        try:
+            message = inbox.get(timeout=wait_s)
+        except queue.Empty:
+            continue
+        handle(message)
+
+
 def _watched(loop: Callable[[], Any], on_failure: Callable[[], None]) -> None:
     try:
         loop()
