--- a/packages/burdockchute/burdockchute/decisions/hosting.py
+++ b/packages/burdockchute/burdockchute/decisions/hosting.py
@@ -25,8 +25,6 @@
 from burdockchute.model.table import services
 from burdockchute.model.table import Table
 
-SORTS = ('pool', 'zone', 'region', 'instance')
-
 
 def score(key: str, name: str) -> bytes:
     """Give the rendezvous score of a name under a key; the lowest wins."""
