Test the adapter, the straight path and its decisions; watch callers from the loop

The watcher of a caller's connection used a select that gives way to other greenlets, which is an error in a callback of the loop: a caller that hung up was never noticed.

--- /dev/null
+++ b/packages/burdockchute-agent/tests/test_staged.py
@@ -0,0 +1,148 @@
+"""Staging a copy and having the engine load it."""
+
+from __future__ import annotations
+
+import unittest
+
+from returns.result import Failure
+from returns.result import Success
+
+from burdockchute.model.engines import CallFailed
+from burdockchute.model.engines import EngineReport
+from burdockchute.model.engines import OrderEnd
+from burdockchute.weights import manifest as manifests
+from burdockchute.weights.copies import Copy
+from burdockchute_agent.imports import Imports
+from burdockchute_agent.staged import loading
+
+CONTENT = b'abcdefgh'
+
+
+class FakeEngine:
+    """Keeps chunks; `spoil` changes one after so many calls."""
+
+    def __init__(self) -> None:
+        self.chunks: dict[int, bytes] = {}
+        self.spoil: list[tuple[int, int]] = []
+        self.calls = 0
+        self.orders = []
+        self.loaded = b''
+        self.away = False
+        self.report_value = EngineReport({}, False, 4, 0, 0, 0, 0, 1.0)
+
+    def staged(self, model, index):
+        self._count()
+        if self.away:
+            return Failure(CallFailed(0, 'no answer'))
+        if index not in self.chunks:
+            return Failure(CallFailed(404, 'status 404'))
+        return Success(self.chunks[index])
+
+    def stage(self, model, index, data):
+        self._count()
+        self.chunks[index] = data
+        return Success(b'')
+
+    def report(self):
+        return Success(self.report_value)
+
+    def load(self, order):
+        self.orders.append(order)
+        self.loaded = b''.join(self.chunks[i] for i in sorted(self.chunks))
+        return OrderEnd.BEGUN
+
+    def _count(self):
+        self.calls += 1
+        if self.spoil and self.calls >= self.spoil[0][0]:
+            _at, index = self.spoil.pop(0)
+            self.chunks[index] = b'??'
+
+
+class LoadingTest(unittest.TestCase):
+    def setUp(self):
+        manifest = manifests.build('story', CONTENT, 2)
+        self.copy = Copy(manifest)
+        for index in range(4):
+            self.copy.add(index, CONTENT[2 * index : 2 * index + 2])
+        self.engine = FakeEngine()
+        self.now = 0.0
+
+    def load(self):
+        return loading.load(
+            self.engine, self.copy, 'story', 2, lambda: self.now
+        )
+
+    def test_whole_copy_is_staged_and_loaded(self):
+        ended = self.load()
+        self.assertEqual(OrderEnd.BEGUN, ended.end)
+        self.assertEqual(CONTENT, self.engine.loaded)
+        self.assertEqual([4], [o.sequence for o in self.engine.orders])
+
+    def test_a_chunk_that_spoils_while_others_are_staged_is_replaced(self):
+        """A chunk turns bad in the staging area after it was put there.
+
+        The engine loads what lies there and its answers would look sound.
+        """
+        self.engine.spoil = [(8, 0)]
+        self.load()
+        self.assertEqual(CONTENT, self.engine.loaded)
+
+    def test_chunks_that_go_on_spoiling_are_never_loaded(self):
+        self.engine.spoil = [(n, 1) for n in range(4, 60, 3)]
+        ended = self.load()
+        self.assertIsNone(ended.end)
+        self.assertEqual([], self.engine.orders)
+
+    def test_a_check_that_took_too_long_is_made_again(self):
+        """The machine stood still between the check and the order.
+
+        What was sound then may have spoilt meanwhile.
+        """
+        stalls = iter([0.0, 0.0, 5.0])
+
+        def now():
+            return next(stalls, 8.0)
+
+        loading.load(self.engine, self.copy, 'story', 2, now)
+        self.assertGreater(self.engine.calls, 12)
+        self.assertEqual(1, len(self.engine.orders))
+
+    def test_an_engine_that_loads_already_gets_no_order(self):
+        self.engine.report_value = self.engine.report_value._replace(
+            loading=True
+        )
+        self.assertIsNone(self.load().end)
+
+    def test_an_engine_that_does_not_answer_gets_no_order(self):
+        self.engine.away = True
+        self.assertIsNone(self.load().end)
+
+
+class ImportsTest(unittest.TestCase):
+    def test_each_chunk_is_brought_over_by_one_agent_of_a_region(self):
+        """Three agents of a region see a copy in another one.
+
+        If each brought all of it over, the narrow link between the regions
+        would carry it three times.
+        """
+        names = ('a', 'b', 'c')
+        everything = (1 << 48) - 1
+        shares = []
+        for name in names:
+            imports = Imports('story@2')
+            imports.share_among(name, names)
+            imports.seen(everything, 10.0)
+            shares.append(imports.allowed(everything, 10.5))
+            self.assertEqual(shares[-1], imports.own_share(everything, 10.5))
+        self.assertEqual(everything, shares[0] | shares[1] | shares[2])
+        self.assertEqual(48, sum(share.bit_count() for share in shares))
+
+    def test_others_step_in_for_one_that_is_gone(self):
+        imports = Imports('story@2')
+        imports.share_among('a', ('a', 'b', 'c'))
+        everything = (1 << 48) - 1
+        imports.seen(everything, 10.0)
+        self.assertEqual(everything, imports.allowed(everything, 14.5))
+
+    def test_without_a_region_everything_may_come_from_anywhere(self):
+        self.assertEqual(7, Imports('x').allowed(7, 0.0))
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -17,7 +17,6 @@
 from burdockchute.callers import http
 from burdockchute.callers.parse import Rejection
 from burdockchute.callers.server import HEADERS_KEY
-from burdockchute.callers.server import hung_up
 from burdockchute.callers.server import SOCKET_KEY
 from burdockchute.callers.server import status_line
 from burdockchute.callers.server import TARGET_KEY
@@ -31,6 +30,7 @@
 from burdockchute.model.requests import RequestContext
 from burdockchute.model.routes import Kind
 from burdockchute.model.routes import Route
+from burdockchute.sockets import hung_up
 from burdockchute_entry.straight.exchange import Exchange
 from burdockchute_entry.straight.exchange import Tools
 from burdockchute_entry.straight.replies import CallerGone
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -10,7 +10,8 @@
 
 import gevent
 from gevent import pywsgi
-from gevent import select
+
+from burdockchute.sockets import hung_up
 
 # Time for the line and headers of a request once its first byte came, for a
 # connection without request, and for one write to a caller that reads.
@@ -63,15 +64,6 @@
     return sock is not None and hung_up(sock)
 
 
-def hung_up(sock: Any) -> bool:
-    """Tell whether the other side has closed a connection."""
-    try:
-        readable, _writable, _failed = select.select([sock], [], [], 0)
-        return bool(readable) and not sock.recv(1, sockets.MSG_PEEK)
-    except (OSError, ValueError):
-        return True
-
-
 class _Handler(pywsgi.WSGIHandler):
     wsgi_input: Any
 
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import select
 import socket as sockets
 from typing import Any
 
@@ -18,6 +17,7 @@
 from geventhttpclient import response as responses
 
 from burdockchute.model.upstreams import Endpoint
+from burdockchute.sockets import is_readable
 
 # Upstreams stand a few milliseconds away and take a connection at once. One
 # that has not after this long is dark or full, and the request had better go
@@ -172,11 +172,7 @@
         An upstream that has closed the connection, or has sent bytes that
         belong to no request, can't be sent another.
         """
-        try:
-            ready, _writable, _failed = select.select([self._sock], [], [], 0)
-        except (OSError, ValueError):
-            return False
-        return not ready
+        return not is_readable(self._sock)
 
     def close(self) -> None:
         """Close the connection, which also cancels what runs on it."""
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_engine_room.py
@@ -0,0 +1,86 @@
+"""Placement on engines, replayed for the loads that it answers."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.decisions import engine_room
+from burdockchute.decisions.engine_room import EngineView
+from burdockchute.decisions.engine_room import Wanted
+from burdockchute.model.routes import EngineCost
+
+# Figures of an engine as its operators would declare them.
+COST = EngineCost(0.009, 0.00004, 19_000.0, 5, 950.0, 95.0)
+PROMPT = 950
+
+
+def view(name, ours=0, others=0, **changes):
+    room = 16 - ours - others
+    base = EngineView(name, ours, others, 16, room, 0)
+    return base._replace(**changes)
+
+
+def choose(views, left_s=0.4, prompt=PROMPT, answer=95):
+    found = engine_room.choose(views, Wanted(prompt, answer), COST, left_s)
+    return found.name if found else None
+
+
+class EngineRoomTest(unittest.TestCase):
+    def test_an_engine_just_back_does_not_get_everybody(self):
+        """One engine comes back empty while the others are half full.
+
+        Six entries see it at the same moment. Each sends what it has; by
+        counting slots it would get sixteen prompts at once and the last
+        would wait for most of a second.
+        """
+        others = [view(f'busy-{n}', ours=1, others=7) for n in range(5)]
+        sent = 0
+        while True:
+            back = view('back', ours=sent, reading_tokens=sent * PROMPT)
+            back = back._replace(unseen=5 * sent)
+            if choose([back, *others]) != 'back':
+                break
+            sent += 1
+        self.assertEqual(1, sent)
+
+    def test_least_expected_time_wins(self):
+        self.assertEqual(
+            'b', choose([view('a', others=12), view('b', others=3)])
+        )
+        slow = view('a', others=3, slowness=3.0)
+        self.assertEqual('b', choose([slow, view('b', others=5)]))
+
+    def test_no_engine_is_better_than_a_late_one(self):
+        """All engines read prompts; one more would begin after the aim.
+
+        It waits at the entry, where the next free moment of any engine
+        counts, and does not slow down those that are on time.
+        """
+        full = [view('a', ours=4, reading_tokens=6 * PROMPT)]
+        self.assertIsNone(choose(full))
+
+    def test_a_long_prompt_is_not_refused_for_its_own_length(self):
+        self.assertEqual('a', choose([view('a')], prompt=8000))
+
+    def test_late_work_takes_only_spare_room(self):
+        """Callers come back late while fresh ones still arrive.
+
+        Whatever is late already must not make the fresh ones late too.
+        """
+        self.assertIsNone(choose([view('a', others=12)], left_s=None))
+        self.assertEqual('a', choose([view('a', others=10)], left_s=None))
+
+    def test_long_answers_keep_away_from_an_engine_about_to_load(self):
+        """An engine takes nothing new in a second, to load a version.
+
+        With a long answer left it would work for two seconds on that alone,
+        while callers wait for the others.
+        """
+        closing = view('closing', closes_in_s=1.0)
+        views = [closing, view('stays', others=4)]
+        self.assertEqual('stays', choose(views, answer=200))
+        self.assertEqual('closing', choose(views, answer=20))
+        self.assertEqual('closing', choose([closing], answer=200))
+
+    def test_an_engine_without_room_gets_nothing(self):
+        self.assertIsNone(choose([view('a', room=0)]))
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_patience.py
@@ -0,0 +1,22 @@
+"""How long requests wait for a place."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.decisions import patience
+
+
+class PatienceTest(unittest.TestCase):
+    def test_fresh_requests_wait_for_part_of_the_objective(self):
+        self.assertEqual(0.25, patience.fresh_wait_s(0.5, 0.0, 6.0))
+
+    def test_a_caller_who_comes_back_late_is_not_fresh(self):
+        self.assertEqual(0.0, patience.fresh_wait_s(0.5, 0.4, 5.6))
+
+    def test_a_route_without_objective_still_has_a_bound(self):
+        self.assertEqual(1.0, patience.fresh_wait_s(0.0, 0.0, 6.0))
+
+    def test_nobody_waits_beyond_the_deadline(self):
+        self.assertEqual(0.1, patience.fresh_wait_s(0.5, 0.0, 0.1))
+        self.assertEqual(0.0, patience.late_wait_s(-1.0))
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_staging.py
@@ -0,0 +1,57 @@
+"""What an agent copies and loads next."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.decisions import staging
+from burdockchute.decisions.staging import Progress
+from burdockchute.decisions.staging import Standing
+
+
+class StagingTest(unittest.TestCase):
+    def test_a_copy_that_is_half_done_is_finished_first(self):
+        """Two versions are named within four seconds.
+
+        With the first copy given up each time, every engine would stay on a
+        version that may begin nothing any more.
+        """
+        self.assertEqual(2, staging.target(3, Progress(2, 0.6)))
+        self.assertEqual(3, staging.target(3, Progress(2, 0.4)))
+
+    def test_the_next_copy_begins_when_one_is_whole(self):
+        self.assertEqual(3, staging.target(3, Progress(2, 1.0)))
+
+    def test_order_is_given_once_and_again_if_lost(self):
+        """The engine's answer to an order is lost.
+
+        The order may have been taken. A second one at once would load the
+        same twice; without any the engine would never load.
+        """
+        standing = Standing(ready=2, loaded=1, loading=False, ordered_at=10.0)
+        self.assertFalse(staging.may_order(standing, 10.5))
+        self.assertTrue(staging.may_order(standing, 11.1))
+        loading = standing._replace(loading=True)
+        self.assertFalse(staging.may_order(loading, 11.1))
+
+    def test_engine_that_came_back_empty_is_loaded(self):
+        standing = Standing(
+            ready=2, loaded=None, loading=False, ordered_at=None
+        )
+        self.assertTrue(staging.may_order(standing, 0.0))
+
+    def test_newer_than_wanted_is_left_alone(self):
+        standing = Standing(ready=2, loaded=3, loading=False, ordered_at=None)
+        self.assertFalse(staging.may_order(standing, 0.0))
+
+    def test_waiting_for_a_turn_ends_in_time(self):
+        self.assertFalse(staging.must_start(100.0, 8.0, 106.9))
+        self.assertTrue(staging.must_start(100.0, 8.0, 107.0))
+        self.assertTrue(staging.must_start(None, 8.0, 0.0))
+
+    def test_closing_is_told_only_when_it_can_be_estimated(self):
+        self.assertIsNone(staging.closes_in_s(0.1, 0.5, False, 7.0))
+        self.assertAlmostEqual(
+            0.5, staging.closes_in_s(0.8, 2.0, False, 7.0)
+        )
+        self.assertEqual(0.2, staging.closes_in_s(0.8, 2.0, True, 0.2))
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_versions.py
@@ -0,0 +1,57 @@
+"""Until when an older version may begin a request."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockchute.decisions import versions
+from burdockchute.decisions.versions import History
+
+LIMIT_S = 8.0
+
+
+class VersionsTest(unittest.TestCase):
+    def test_two_quick_releases_each_have_their_own_time(self):
+        """A second version is named four seconds after the first.
+
+        Each replaced version may begin requests for its own time after it
+        was replaced; the first must not get the second's time on top.
+        """
+        history = versions.name(History(), 1, None)
+        history = versions.name(history, 2, 100.0)
+        history = versions.name(history, 3, 104.0)
+        self.assertEqual(
+            [1, 2, 2, 3],
+            [
+                versions.least_allowed(history, LIMIT_S, now)
+                for now in (106.9, 107.0, 110.9, 111.0)
+            ],
+        )
+
+    def test_unknown_time_of_naming_allows_nothing_older(self):
+        history = versions.name(versions.name(History(), 1, None), 2, None)
+        self.assertEqual(2, versions.least_allowed(history, LIMIT_S, 0.0))
+
+    def test_without_a_name_any_version_may_serve(self):
+        self.assertEqual(0, versions.least_allowed(History(), LIMIT_S, 0.0))
+        self.assertEqual(versions.FIRST_VERSION, History().newest)
+
+    @given(st.lists(st.tuples(st.integers(1, 9), st.floats(0, 100))))
+    def test_least_allowed_never_goes_back(self, names):
+        """Names arrive late, twice and out of order, also from elsewhere.
+
+        A process that has served a version must never let a request begin
+        on one that it had already ruled out.
+        """
+        history = History()
+        now = 0.0
+        least = 0
+        for version, gap_s in names:
+            now += gap_s
+            history = versions.name(history, version, now)
+            allowed = versions.least_allowed(history, LIMIT_S, now)
+            self.assertGreaterEqual(allowed, least)
+            least = allowed
--- /dev/null
+++ b/packages/burdockchute/tests/test_beliefs.py
@@ -0,0 +1,70 @@
+"""Configuration and versions never go back within a process."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockchute.model import beliefs as belief
+from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.feeds import Batch
+from burdockchute.model.feeds import ConfigurationRead
+from burdockchute.model.feeds import Unreadable
+from burdockchute.model.feeds import VersionRead
+from burdockchute.model.routes import CallerLimits
+from burdockchute.model.routes import Configuration
+
+LIMITS = CallerLimits(1, 1, 1.0, 1.0)
+
+
+def configuration(version):
+    return ConfigurationRead(Configuration(version, (), (), None, LIMITS))
+
+
+CHANGES = st.one_of(
+    st.integers(1, 9).map(configuration),
+    st.integers(1, 9).map(lambda version: VersionRead('story', version)),
+    st.just(Unreadable('config', 'torn')),
+)
+
+
+class BeliefsTest(unittest.TestCase):
+    @given(st.lists(st.lists(CHANGES, max_size=4), max_size=8))
+    def test_whatever_is_read_nothing_goes_back(self, batches):
+        """Records are read twice, late, from pages and out of order.
+
+        An operator who took a key away would see it work again.
+        """
+        beliefs = Beliefs()
+        for number, changes in enumerate(batches):
+            version = _versions(beliefs)
+            batch = Batch(number, number == 0, tuple(changes))
+            beliefs, _learnt = belief.take_wishes(
+                beliefs, batch, number == 0, float(number)
+            )
+            after = _versions(beliefs)
+            self.assertGreaterEqual(after, version)
+            newest = [
+                c.configuration.version
+                for c in changes
+                if isinstance(c, ConfigurationRead)
+            ]
+            self.assertGreaterEqual(after[0], max(newest, default=0))
+
+    def test_each_change_of_belief_is_told(self):
+        batch = Batch(3, True, (configuration(4), VersionRead('story', 2)))
+        _beliefs, learnt = belief.take_wishes(Beliefs(), batch, True, 0.0)
+        self.assertEqual(
+            ['configuration_learnt', 'version_named'],
+            [item.event for item in learnt],
+        )
+
+
+def _versions(beliefs):
+    routes = beliefs.routes
+    return (
+        routes.configuration.version if routes else 0,
+        beliefs.history('story').newest,
+    )
--- a/packages/burdockchute/tests/test_logs.py
+++ b/packages/burdockchute/tests/test_logs.py
@@ -5,6 +5,7 @@
 import contextlib
 import io
 import logging
+import os
 import unittest
 
 from burdockchute import logs
@@ -29,3 +30,59 @@
             'reason="two\\nlines" proc=entry-1\n',
             rest,
         )
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        os.set_blocking(self.reader, False)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.handler = logs.BoundedHandler(writer, lambda: self.now)
+
+    def write(self, count, level=logging.INFO, text='line'):
+        for _line in range(count):
+            record = logging.LogRecord('x', level, '', 0, text, (), None)
+            self.handler.emit(record)
+
+    def lines(self):
+        try:
+            return os.read(self.reader, 1 << 20).decode().splitlines()
+        except BlockingIOError:
+            return []
+
+    def test_a_flood_is_bounded_and_counted(self):
+        """Something writes ten thousand lines in one moment.
+
+        Written all, they would take the processor from the requests; left
+        out in silence, a reader would take what is there for all there was.
+        """
+        self.write(10_000)
+        allowed = int(logs.BURST_LINES * logs.INFO_SHARE)
+        self.assertEqual(allowed, len(self.lines()))
+        self.now = 10.0
+        self.write(1)
+        self.assertEqual(
+            [f'event=lines_left_out count={10_000 - allowed}', 'line'],
+            self.lines(),
+        )
+
+    def test_warnings_have_room_left_in_a_flood(self):
+        self.write(10_000)
+        self.lines()
+        self.write(1, logging.WARNING, 'lost')
+        self.assertEqual(['lost'], self.lines())
+
+    def test_a_reader_that_stops_reading_blocks_nobody(self):
+        """The pipe fills up since nobody reads it.
+
+        A process that waited for it would stop serving.
+        """
+        for _second in range(40):
+            self.now += 1.0
+            self.write(300, text='x' * 100)
+        self.assertGreater(self.handler.left_out, 0)
+        whole = [line for line in self.lines() if line == 'x' * 100]
+        self.assertGreater(len(whole), 500)
--- /dev/null
+++ b/packages/burdockchute/tests/upstreams/test_connections.py
@@ -0,0 +1,166 @@
+"""Answers on kept connections, good ones and others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import unittest
+
+import gevent
+from gevent import server
+from gevent import socket
+
+from burdockchute.model.upstreams import Endpoint
+from burdockchute.upstreams import connections
+from burdockchute.upstreams.connections import Broken
+from burdockchute.upstreams.connections import NotConnected
+from burdockchute.upstreams.connections import Waiting
+
+ASK = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+REST = b'HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: 2\r\n\r\nok'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+def is_ours(name: str) -> Callable:
+    def check(status, headers):
+        return dict(headers).get('X-Id', name) == name
+
+    return check
+
+
+class ConnectionsTest(unittest.TestCase):
+    def connect(self, *answers):
+        """Connect to a server that gives these answers, one a request."""
+
+        def serve(sock, _address):
+            for answer in answers:
+                if not sock.recv(1000):
+                    return
+                for part in answer:
+                    sock.sendall(part)
+                    gevent.sleep(0.01)
+
+        serving = server.StreamServer(('127.0.0.1', 0), serve)
+        serving.start()
+        self.addCleanup(serving.stop)
+        conn = connections.connect(Endpoint('127.0.0.1', serving.server_port))
+        self.addCleanup(conn.close)
+        return conn
+
+    def ask(self, conn, name='1'):
+        conn.send(ASK, 'GET', is_ours(name))
+        status, _headers = conn.head()
+        body = b''
+        while data := conn.body():
+            body += data
+        return status, body
+
+    def test_two_requests_on_one_connection(self):
+        conn = self.connect([REST % b'1'], [REST % b'2'])
+        self.assertEqual((200, b'ok'), self.ask(conn, '1'))
+        self.assertTrue(conn.may_serve_on)
+        self.assertEqual((200, b'ok'), self.ask(conn, '2'))
+
+    def test_parts_come_as_they_are_sent(self):
+        conn = self.connect([CHUNKED, b'1\r\na\r\n', b'1\r\nb\r\n0\r\n\r\n'])
+        conn.send(ASK, 'GET', is_ours('1'))
+        conn.head()
+        self.assertEqual(
+            [b'a', b'b', b''], [conn.body(), conn.body(), conn.body()]
+        )
+
+    def test_an_answer_that_breaks_off_is_broken(self):
+        for sent in (
+            [],
+            [b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc'],
+            [CHUNKED, b'5\r\nab'],
+        ):
+            with self.subTest(sent=sent):
+                conn = self.connect(sent)
+                with self.assertRaises(Broken) as caught:
+                    self.ask(conn)
+                self.assertTrue(caught.exception.ended)
+
+    def test_bytes_that_are_no_answer_are_broken(self):
+        conn = self.connect([b'hello there\r\n\r\n'])
+        with self.assertRaises(Broken) as caught:
+            self.ask(conn)
+        self.assertFalse(caught.exception.ended)
+
+    def test_an_answer_without_length_ends_with_its_connection(self):
+        conn = self.connect([b'HTTP/1.1 200 OK\r\n\r\nab', b'cd'])
+        self.assertEqual((200, b'abcd'), self.ask(conn))
+        self.assertFalse(conn.may_serve_on)
+
+    def test_an_answer_without_length_that_is_reset_is_broken(self):
+        """A server crashes in an answer whose end its connection marks.
+
+        The reset is all that tells it from a whole one.
+        """
+
+        def serve(sock, _address):
+            sock.recv(1000)
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\nab')
+            gevent.sleep(0.02)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0'
+            )
+            sock.close()
+
+        serving = server.StreamServer(('127.0.0.1', 0), serve)
+        serving.start()
+        self.addCleanup(serving.stop)
+        conn = connections.connect(Endpoint('127.0.0.1', serving.server_port))
+        with self.assertRaises(Broken):
+            self.ask(conn)
+
+    def test_what_follows_an_answer_spoils_the_connection(self):
+        for extra in (b'x', REST % b'1'):
+            with self.subTest(extra=extra):
+                conn = self.connect([REST % b'1' + extra])
+                self.assertEqual((200, b'ok'), self.ask(conn))
+                self.assertFalse(conn.may_serve_on)
+
+    def test_answer_to_another_request_is_skipped(self):
+        for parts in (
+            [REST % b'0', REST % b'1'],
+            [REST % b'0' + REST % b'1'],
+        ):
+            with self.subTest(parts=parts):
+                conn = self.connect(parts)
+                self.assertEqual((200, b'ok'), self.ask(conn, '1'))
+                self.assertTrue(conn.may_serve_on)
+
+    def test_only_an_answer_to_another_request_is_broken(self):
+        conn = self.connect([REST % b'0'])
+        with self.assertRaises(Broken):
+            self.ask(conn, '1')
+
+    def test_interim_answers_are_skipped(self):
+        conn = self.connect([b'HTTP/1.1 100 Continue\r\n\r\n' + REST % b'1'])
+        self.assertEqual((200, b'ok'), self.ask(conn))
+
+    def test_waiting_may_go_on(self):
+        conn = self.connect([REST % b'1'])
+        conn._sock.settimeout(0.001)
+        conn.send(ASK, 'GET', is_ours('1'))
+        waits = 0
+        while True:
+            try:
+                self.assertEqual(200, conn.head()[0])
+                break
+            except Waiting:
+                waits += 1
+        self.assertLess(waits, 1000)
+
+    def test_a_closed_connection_is_not_quiet(self):
+        conn = self.connect([REST % b'1'])
+        self.ask(conn)
+        gevent.sleep(0.05)
+        self.assertFalse(conn.is_quiet())
+
+    def test_nobody_at_the_address(self):
+        sock = socket.socket()
+        sock.bind(('127.0.0.1', 0))
+        self.addCleanup(sock.close)
+        with self.assertRaises(NotConnected):
+            connections.connect(Endpoint(*sock.getsockname()))
--- /dev/null
+++ b/packages/burdockchute/tests/upstreams/test_events.py
@@ -0,0 +1,38 @@
+"""Cutting a stream into whole events."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockchute.upstreams.events import Event
+from burdockchute.upstreams.events import EventCutter
+
+STREAM = b'id: 1\ndata: a\n\ndata: b\r\nid: 2\r\n\r\nid: 3\ndata: c\n\nid'
+
+
+class EventsTest(unittest.TestCase):
+    @given(st.lists(st.integers(0, len(STREAM)), max_size=6))
+    def test_cuts_alike_however_the_bytes_come(self, places):
+        """The network hands a stream over in pieces of any size.
+
+        An event that is passed on before it is whole can't be taken back
+        when its engine crashes.
+        """
+        cutter = EventCutter()
+        found = []
+        start = 0
+        for end in [*sorted(places), len(STREAM)]:
+            found += cutter.feed(STREAM[start:end])
+            start = end
+        self.assertEqual(
+            [
+                Event('1', b'id: 1\ndata: a\n\n'),
+                Event('2', b'data: b\r\nid: 2\r\n\r\n'),
+                Event('3', b'id: 3\ndata: c\n\n'),
+            ],
+            found,
+        )
+        self.assertEqual(b'id', cutter.rest)
