Reload settings on SIGHUP; explain a request from logs; metrics as text

SIGHUP ended a process, as nothing took it; the bounds of the machine's file are now read again, and a bad file changes nothing.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -11,6 +11,8 @@
 
 from burdockchute import http_admin
 from burdockchute import logs
+from burdockchute import metrics
+from burdockchute import site_settings
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
 from burdockchute.following import Follower
@@ -35,6 +37,7 @@
     ) -> None:
         assert machine.upstream is not None
         self._cfg = cfg
+        self._adapter = adapter
         self._machine = machine
         self._name = str(machine.upstream)
         rng = random.Random()
@@ -61,7 +64,8 @@
     def serve(self) -> int:
         """Run until a signal asks to stop; give the exit status."""
         machine = self._machine
-        self.lifetime.begin()
+        self.lifetime.begin(self._reload)
+        self._watch()
         link_server = links.listen(
             machine.address,
             machine.link_ports[0],
@@ -86,6 +90,19 @@
         logs.event('stopped', left=0)
         return 0
 
+    def _watch(self) -> None:
+        metrics.watch('burdockchute.engine_running', '1', self._running)
+        metrics.watch('burdockchute.held_bytes', 'By', self.staged.held_bytes)
+        metrics.watch(
+            'burdockchute.wishes_age',
+            's',
+            lambda: self.follower.wishes_contact.age_s(time.monotonic()),
+        )
+
+    def _running(self) -> int | None:
+        report = self.staged.report
+        return report.running + report.waiting if report else None
+
     def status(self) -> dict[str, Any]:
         """Give what this process holds and does."""
         report = self.staged.report
@@ -115,6 +132,12 @@
             elif isinstance(event, links.Closed):
                 self.reports.closed(event.link)
 
+    def _reload(self) -> None:
+        self._machine = site_settings.reload(
+            self._cfg, self._adapter, self._machine
+        )
+        self.staged.bounds = self._machine.bounds
+
     def _changed(self, beliefs: Beliefs) -> None:
         self.staged.inbox.put(beliefs)
 
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -104,6 +104,7 @@
         assert machine.upstream is not None
         self.inbox: queue.Queue = queue.Queue()
         self.report: EngineReport | None = None
+        self.bounds = machine.bounds
         self._machine = machine
         self._adapter = adapter
         self._beliefs = beliefs
@@ -156,6 +157,10 @@
             return {}
         return dict(self.report.versions)
 
+    def held_bytes(self) -> int:
+        """Give the memory that all copies take."""
+        return self._copying.held_bytes()
+
     def closes_in_s(self) -> float | None:
         """Estimate when the engine takes nothing new, None for not soon."""
         now = self._now()
@@ -176,7 +181,7 @@
         named_at = versions.named_at(history, version)
         limit_in_s = 0.0
         if named_at is not None:
-            limit_s = self._machine.bounds.version_s - staging.LAST_CALL_S
+            limit_s = self.bounds.version_s - staging.LAST_CALL_S
             limit_in_s = named_at + limit_s - now
         name = copy_name(state.model, version)
         return staging.closes_in_s(
@@ -314,7 +319,7 @@
             return True
         history = self._beliefs().history(state.model)
         named_at = versions.named_at(history, state.ready)
-        if staging.must_start(named_at, self._machine.bounds.version_s, now):
+        if staging.must_start(named_at, self.bounds.version_s, now):
             return True
         name = copy_name(state.model, state.ready)
         before = self._before(name)
--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -19,6 +19,7 @@
 import burdockchute  # noqa: E402
 from burdockchute import commands  # noqa: E402
 from burdockchute.operators import burn  # noqa: E402
+from burdockchute.operators import explain  # noqa: E402
 from burdockchute.operators import keys  # noqa: E402
 from burdockchute.operators import manifests  # noqa: E402
 from burdockchute.operators import table_commands  # noqa: E402
@@ -40,6 +41,7 @@
         'burn': lambda: burn.run(args, os.environ),
         'key': lambda: keys.run(args),
         'manifest': lambda: manifests.run(args),
+        'explain': lambda: explain.run(args),
     }
     return commands_by_name[args.command]()
 
@@ -60,6 +62,7 @@
     burn.add_parser(subparsers)
     keys.add_parser(subparsers)
     manifests.add_parser(subparsers)
+    explain.add_parser(subparsers)
     return parser
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -13,6 +13,8 @@
 
 from burdockchute import http_admin
 from burdockchute import logs
+from burdockchute import metrics
+from burdockchute import site_settings
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
 from burdockchute.callers import server
@@ -59,6 +61,7 @@
         self.leaving = False
         self.taking = True
         self._cfg = cfg
+        self._adapter = adapter
         self._machine = machine
         now = time.monotonic
         rng = random.Random()
@@ -94,7 +97,8 @@
         """Run until a signal asks to stop; give the exit status."""
         machine = self._machine
         assert machine.callers is not None and machine.probes is not None
-        self.lifetime.begin()
+        self.lifetime.begin(self._reload)
+        self._watch()
         callers = server.make_server(
             machine.callers.ip, machine.callers.port, self.callers
         )
@@ -119,15 +123,42 @@
             return tasks.EXIT_TASK_FAILED
         return self._leave(callers)
 
+    def _watch(self) -> None:
+        follower = self.follower
+        metrics.watch(
+            'burdockchute.open_requests',
+            '1',
+            lambda: self.callers.open_requests,
+        )
+        metrics.watch(
+            'burdockchute.configuration_version', '1', self._configuration
+        )
+        metrics.watch(
+            'burdockchute.wishes_age',
+            's',
+            lambda: follower.wishes_contact.age_s(time.monotonic()),
+        )
+        metrics.watch(
+            'burdockchute.upstream_list_age',
+            's',
+            lambda: follower.upstreams_contact.age_s(time.monotonic()),
+        )
+        metrics.watch(
+            'burdockchute.upstreams', '1', lambda: len(self.placer.targets())
+        )
+
+    def _configuration(self) -> int | None:
+        routes = self.beliefs().routes
+        return routes.configuration.version if routes else None
+
     def status(self) -> dict[str, Any]:
         """Give what this process holds and does."""
         beliefs = self.beliefs()
-        routes = beliefs.routes
         return {
             **self.lifetime.status(),
             'leaving': self.leaving,
             'open_requests': self.callers.open_requests,
-            'configuration': routes.configuration.version if routes else None,
+            'configuration': self._configuration(),
             'versions': {
                 model: history.newest
                 for model, history in beliefs.histories.items()
@@ -154,6 +185,12 @@
             self._keep_filling,
         ]
 
+    def _reload(self) -> None:
+        self._machine = site_settings.reload(
+            self._cfg, self._adapter, self._machine
+        )
+        self.placer.bounds = self._machine.bounds
+
     def _changed(self, beliefs: Beliefs) -> None:
         self.placer.learn(beliefs)
         self.agents.inbox.put(beliefs)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -108,7 +108,7 @@
         rng: random.Random,
     ) -> None:
         self.entries = 1
-        self._bounds = bounds
+        self.bounds = bounds
         self._now = now
         self._rng = rng
         self._beliefs = Beliefs()
@@ -174,7 +174,7 @@
     def ends_at(self, model: str, version: int) -> float | None:
         """Give when a version may begin nothing any more, None for never."""
         return versions.ends_at(
-            self._beliefs.history(model), version, self._bounds.version_s
+            self._beliefs.history(model), version, self.bounds.version_s
         )
 
     def began(self, placing: Placing, place: Place) -> None:
@@ -348,9 +348,7 @@
         least = 0
         if wish.model:
             history = self._beliefs.history(wish.model)
-            least = versions.least_allowed(
-                history, self._bounds.version_s, now
-            )
+            least = versions.least_allowed(history, self.bounds.version_s, now)
         return [
             target
             for target in self._targets.values()
@@ -376,7 +374,7 @@
         return lane
 
     def _terms(self) -> retries.Terms:
-        bounds = self._bounds
+        bounds = self.bounds
         return retries.shared_terms(
             bounds.retry_ratio,
             bounds.retry_extra,
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -56,6 +56,10 @@
         self._name = name
         self._answered_at = now
 
+    def age_s(self, now: float) -> float:
+        """Give how long ago the feed last answered."""
+        return now - self._answered_at
+
     def answered(self, now: float) -> bool:
         """Note an answer; true if contact had been lost."""
         regained = self.lost
@@ -63,7 +67,7 @@
             logs.event(
                 'dependency_regained',
                 dependency=self._name,
-                away_s=round(now - self._answered_at, 2),
+                away_s=round(self.age_s(now), 2),
             )
         self._answered_at = now
         self.lost = False
@@ -71,7 +75,7 @@
 
     def failed(self, error: FeedError, now: float) -> None:
         """Note a read that brought nothing."""
-        silent_s = now - self._answered_at
+        silent_s = self.age_s(now)
         if not self.lost and silent_s > LOST_AFTER_S:
             self.lost = True
             logs.warn(
--- a/packages/burdockchute/burdockchute/http_admin.py
+++ b/packages/burdockchute/burdockchute/http_admin.py
@@ -1,7 +1,8 @@
 """The local port on which a process tells about itself, as JSON.
 
 `/healthz` answers as long as the process runs, `/readyz` 200 or 503,
-`/status` what the process holds and does, `/metrics` its measurements.
+`/status` what the process holds and does, `/metrics` its measurements, and
+`/metrics/text` the same in the form that collectors of metrics read.
 """
 
 from __future__ import annotations
@@ -16,6 +17,8 @@
 
 from burdockchute import metrics
 
+METRICS_TEXT = '/metrics/text'
+
 Response = tuple[str, list[tuple[str, str]], Iterable[bytes]]
 Page = Callable[[str], Response]
 
@@ -33,6 +36,12 @@
     return status, [('Content-Type', 'application/json')], [body]
 
 
+def as_text(text: str) -> Response:
+    """Give a response with plain text."""
+    headers = [('Content-Type', 'text/plain; version=0.0.4')]
+    return '200 OK', headers, [text.encode()]
+
+
 def make_app(
     status: Callable[[], dict[str, Any]],
     probe: Callable[[], Probe],
@@ -76,10 +85,19 @@
         return as_json(status())
     if path == '/metrics':
         return as_json(metrics.snapshot())
+    if path == METRICS_TEXT:
+        return as_text(metrics.as_text(metrics.snapshot()))
     for prefix, page in pages.items():
         if path.startswith(prefix):
             return page(path[len(prefix) :])
-    known = ['/healthz', '/metrics', '/readyz', '/status', *pages]
+    known = [
+        '/healthz',
+        '/metrics',
+        METRICS_TEXT,
+        '/readyz',
+        '/status',
+        *pages,
+    ]
     return as_json(
         {'error': f'{path!r} is not one of {", ".join(known)}'},
         '404 Not Found',
--- a/packages/burdockchute/burdockchute/metrics.py
+++ b/packages/burdockchute/burdockchute/metrics.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from typing import TypedDict
 
 from opentelemetry import metrics as otel
@@ -50,6 +52,16 @@
     return otel.get_meter('burdockchute')
 
 
+def watch(name: str, unit: str, read: Callable[[], float | None]) -> None:
+    """Measure a value whenever metrics are read; None leaves it out."""
+
+    def observe(_options: otel.CallbackOptions) -> list[otel.Observation]:
+        value = read()
+        return [] if value is None else [otel.Observation(value)]
+
+    meter().create_observable_gauge(name, callbacks=[observe], unit=unit)
+
+
 def snapshot() -> list[Point]:
     """Give every point measured so far by this process.
 
@@ -68,6 +80,36 @@
     return points
 
 
+def as_text(points: Iterable[Point]) -> str:
+    """Give points in the text format that collectors of metrics read."""
+    return ''.join(f'{line}\n' for p in points for line in _text_of(p))
+
+
+def _text_of(point: Point) -> list[str]:
+    name = point['name'].replace('.', '_')
+    labels = [f'{k}="{_escaped(v)}"' for k, v in point['attributes'].items()]
+    if not point['buckets']:
+        return [f'{name}{_braced(labels)} {point["value"]:g}']
+    lines = []
+    total = 0
+    bounds = [f'{bound:g}' for bound in point['bounds']] + ['+Inf']
+    for bound, count in zip(bounds, point['buckets'], strict=True):
+        total += count
+        braced = _braced([*labels, f'le="{bound}"'])
+        lines.append(f'{name}_bucket{braced} {total}')
+    lines.append(f'{name}_sum{_braced(labels)} {point["value"]:g}')
+    lines.append(f'{name}_count{_braced(labels)} {point["count"]}')
+    return lines
+
+
+def _braced(labels: list[str]) -> str:
+    return '{' + ','.join(labels) + '}' if labels else ''
+
+
+def _escaped(value: str) -> str:
+    return value.replace('\\', '\\\\').replace('"', '\\"')
+
+
 def _exporting_reader(endpoint: str) -> export.MetricReader:
     from opentelemetry.exporter.otlp.proto.http import metric_exporter
 
--- /dev/null
+++ b/packages/burdockchute/burdockchute/operators/explain.py
@@ -0,0 +1,135 @@
+"""`burdockchute-entry explain`: what happened to one request, from logs.
+
+Reads the log lines of any number of processes and prints, in the order of
+time, every line about a request and what the processes that had it in hand
+learnt of the upstreams it was placed on, shortly before and meanwhile.
+
+>>> line = 'at="2026-01-02 03:04:05,006" event=x request_id=q proc=e'
+>>> parse_line(line).fields['event']
+'x'
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Iterable
+from datetime import datetime
+import re
+import sys
+from typing import NamedTuple
+
+EXIT_NOT_FOUND = 1
+
+# What a process learnt so long before a request may have decided about it.
+BEFORE_S = 5.0
+AFTER_S = 1.0
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+
+# Events about the process as a whole that bear on any request.
+_ABOUT_ALL = frozenset(
+    {
+        'configuration_learnt',
+        'dependency_lost',
+        'dependency_regained',
+        'leaving',
+        'lines_left_out',
+        'reloaded',
+        'serving',
+        'stopped',
+        'version_named',
+    }
+)
+
+
+class Line(NamedTuple):
+    """One log line; `at` is in Unix seconds, 0 where it isn't said."""
+
+    at: float
+    fields: dict[str, str]
+    text: str
+
+
+def add_parser(subparsers: argparse._SubParsersAction) -> None:
+    """Add the command."""
+    parser = subparsers.add_parser(
+        'explain', help='print what logs tell of one request'
+    )
+    parser.add_argument('request_id', help='id of the request')
+    parser.add_argument(
+        'files', nargs='*', help='log files; standard input without any'
+    )
+
+
+def run(args: argparse.Namespace) -> int:
+    """Print the timeline; 1 if no line names the request."""
+    found = explain(args.request_id, _read(args.files))
+    if not found:
+        print(f'no line names {args.request_id!r}', file=sys.stderr)
+        return EXIT_NOT_FOUND
+    began = found[0].at
+    for line in found:
+        print(render(line, began))
+    return 0
+
+
+def parse_line(text: str) -> Line:
+    """Read a line, with anything before its first pair ignored."""
+    fields = {name: _unquoted(value) for name, value in _PAIR.findall(text)}
+    return Line(_time(fields.get('at', '')), fields, text)
+
+
+def explain(request_id: str, texts: Iterable[str]) -> list[Line]:
+    """Give the lines that bear on a request, in the order of time."""
+    lines = [parse_line(text) for text in texts if 'event=' in text]
+    own = [n for n in lines if n.fields.get('request_id') == request_id]
+    if not own:
+        return []
+    upstreams = {n.fields['upstream'] for n in own if n.fields.get('upstream')}
+    procs = {n.fields.get('proc') for n in own}
+    first = min(n.at for n in own) - BEFORE_S
+    last = max(n.at for n in own) + AFTER_S
+
+    def bears(line: Line) -> bool:
+        fields = line.fields
+        if 'request_id' in fields:
+            return fields['request_id'] == request_id
+        if fields.get('proc') not in procs or not first <= line.at <= last:
+            return False
+        if fields.get('event') in _ABOUT_ALL:
+            return True
+        return fields.get('upstream') in upstreams
+
+    return sorted(filter(bears, lines), key=lambda line: line.at)
+
+
+def render(line: Line, began: float) -> str:
+    """Give one line of the timeline; times are seconds from its first."""
+    fields = line.fields
+    rest = ' '.join(
+        f'{name}={value}'
+        for name, value in fields.items()
+        if name not in ('at', 'level', 'event', 'proc', 'request_id') and value
+    )
+    head = f'{line.at - began:+8.3f} {fields.get("proc", "?"):<18}'
+    return f'{head} {fields.get("event", "?"):<26} {rest}'
+
+
+def _read(files: Iterable[str]) -> list[str]:
+    texts: list[str] = []
+    for name in files:
+        with open(name, encoding='utf-8', errors='replace') as file:
+            texts.extend(file.read().splitlines())
+    return texts or sys.stdin.read().splitlines()
+
+
+def _unquoted(value: str) -> str:
+    return value[1:-1] if value.startswith('"') else value
+
+
+def _time(text: str) -> float:
+    try:
+        at = datetime.strptime(text, '%Y-%m-%d %H:%M:%S,%f')
+    except ValueError:
+        return 0.0
+    return at.timestamp()
--- a/packages/burdockchute/burdockchute/site_settings.py
+++ b/packages/burdockchute/burdockchute/site_settings.py
@@ -9,7 +9,12 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Failure
+
+from burdockchute import logs
 from burdockchute import settings as base
+from burdockchute.adapters import Adapter
+from burdockchute.model.findings import render_all
 from burdockchute.model.machines import Machine
 from burdockchute.settings import Setting
 
@@ -66,3 +71,18 @@
 def of_values(values: dict[str, Any]) -> SiteSettings:
     """Give the settings from parsed values."""
     return SiteSettings(**values)
+
+
+def reload(cfg: SiteSettings, adapter: Adapter, before: Machine) -> Machine:
+    """Read the machine's file again; gives what was in force if it's bad.
+
+    Where the machine listens and who it is stays as it was at the start;
+    only its bounds may change under a running process.
+    """
+    result = adapter.read_machine(cfg.settings)
+    if isinstance(result, Failure):
+        logs.warn('reload_failed', reason=render_all(result.failure()))
+        return before
+    after = before._replace(bounds=result.unwrap().bounds)
+    logs.event('reloaded', changed=after != before)
+    return after
--- /dev/null
+++ b/packages/burdockchute/tests/test_site_settings.py
@@ -0,0 +1,53 @@
+"""Reading the machine's file again while the process runs."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+import unittest
+
+from returns.result import Failure
+from returns.result import Success
+
+from burdockchute import site_settings
+from burdockchute.model.findings import Finding
+from burdockchute.model.machines import Bounds
+from burdockchute.model.machines import Machine
+from burdockchute.model.members import Place
+from burdockchute.model.upstreams import Endpoint
+from burdockchute.site_settings import SiteSettings
+
+BOUNDS = Bounds(2.0, 8.0, 2.0, 8.0, 3.0, 0.2, 10.0, 100.0)
+MACHINE = Machine(
+    name='front-1',
+    address='10.0.0.1',
+    place=Place('north', 'n', ''),
+    regions={'north': 'n'},
+    link_ports=(7700, 7715),
+    callers=Endpoint('10.0.0.1', 80),
+    probes=Endpoint('10.0.0.1', 81),
+    store=Endpoint('10.0.0.2', 80),
+    upstream=None,
+    service='',
+    link_bytes_per_s=1e6,
+    bounds=BOUNDS,
+)
+CFG = SiteSettings('fleet', '/etc/x', 0, '', 'info')
+
+
+def reload(result):
+    adapter = SimpleNamespace(read_machine=lambda path: result)
+    return site_settings.reload(CFG, adapter, MACHINE)
+
+
+class ReloadTest(unittest.TestCase):
+    def test_new_bounds_are_taken(self):
+        changed = BOUNDS._replace(version_s=4.0)
+        after = reload(Success(MACHINE._replace(bounds=changed, name='x')))
+        self.assertEqual(MACHINE._replace(bounds=changed), after)
+
+    def test_a_bad_file_changes_nothing(self):
+        """An operator saves a file that can't be read and sends the signal.
+
+        The process must go on as it was; ending would cut off its callers.
+        """
+        self.assertEqual(MACHINE, reload(Failure([Finding('x', 'torn')])))
