--- a/packages/burdockchute/burdockchute/decisions/listing.py
+++ b/packages/burdockchute/burdockchute/decisions/listing.py
@@ -7,9 +7,9 @@
 and every request would be refused. Never dropping a lapsed one would send
 requests to the dead.
 
-So what lapses within SETTLE_S of the store's return is kept until that time
-is over, and dropped if it has not returned by then. What lapses otherwise is
-dropped at once, as is one that says that it leaves.
+So what had lapsed when the store returned is kept for SETTLE_S, and dropped
+if it has not come back by then. What lapses later than LAPSE_S after the
+return has left since, and is dropped at once, as in calm times.
 
 An upstream that restarts may keep its id. A record of an earlier start that
 arrives late must not bring back what that start held, so records go by the
@@ -24,9 +24,11 @@
 from burdockchute.model.upstreams import Unlisted
 from burdockchute.model.upstreams import Upstream
 
-# Upstreams are back in about two seconds; the reading of the list adds its
-# own period.
-SETTLE_S = 2.5
+# Upstreams are back in about two seconds.
+SETTLE_S = 2.3
+# The first reading after the return may come before the store has taken out
+# what lapsed.
+LAPSE_S = 0.3
 
 
 class Known(NamedTuple):
@@ -40,13 +42,14 @@
 class UpstreamList(NamedTuple):
     """All known upstreams by id.
 
-    `settles_at` is until when a lapse is not believed; `gone` remembers the
-    position at which an id was dropped.
+    What lapses before `lapses_until` is kept to `settles_at`; `gone`
+    remembers the position at which an id was dropped.
     """
 
     known: dict[str, Known]
     gone: dict[str, int]
     settles_at: float = float('-inf')
+    lapses_until: float = float('-inf')
 
 
 def empty() -> UpstreamList:
@@ -56,7 +59,9 @@
 
 def on_return(listed: UpstreamList, now: float) -> UpstreamList:
     """Note that the store answers again after an outage."""
-    return listed._replace(settles_at=now + SETTLE_S)
+    return listed._replace(
+        settles_at=now + SETTLE_S, lapses_until=now + LAPSE_S
+    )
 
 
 def on_listed(listed: UpstreamList, entry: Listed) -> UpstreamList:
@@ -78,7 +83,7 @@
     old = listed.known.get(entry.id)
     if old is None or entry.position < old.position:
         return listed
-    if now < listed.settles_at:
+    if now < listed.lapses_until:
         lapsed = old._replace(position=entry.position, lapsed_at=now)
         return listed._replace(known={**listed.known, entry.id: lapsed})
     return _without(listed, entry.id, entry.position)
--- a/packages/burdockchute/tests/decisions/test_listing.py
+++ b/packages/burdockchute/tests/decisions/test_listing.py
@@ -61,6 +61,16 @@
         lapsed = listing.on_unlisted(back, Unlisted(6, 'i-1', 'x'), 100.1)
         self.assertEqual([], names(listing.on_time(lapsed, 102.6)))
 
+    def test_one_that_leaves_after_the_return_is_gone_at_once(self):
+        """The own machine was cut off and is back; then an upstream leaves.
+
+        Kept like those that lapsed in an outage, it would get requests for
+        longer than an upstream that has left may.
+        """
+        back = listing.on_return(self.listed, 100.0)
+        left = listing.on_unlisted(back, Unlisted(6, 'i-1', 'x'), 100.55)
+        self.assertEqual([], names(left))
+
     def test_a_whole_list_takes_out_who_is_missing(self):
         both = listing.on_listed(self.listed, Listed(6, upstream('i-2')))
         left = listing.on_whole(both, {'i-2'}, 9, 50.0)
