Move long answers off engines that wait to load

Cause: an engine that is to load finishes what it runs; one long answer kept it closed for 2 s on average while callers waited for the others.

--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -39,7 +39,7 @@
 # stand in the queue before this instance's link, and with it the requests
 # for its upstream. So much of it keeps the link busy and delays a request by
 # no more than some tenths of a second.
-PACED_ASKED_IN_ALL = 3
+PACED_ASKED_IN_ALL = 4
 PACED_READS_AT_ONCE = 1
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -17,6 +17,7 @@
 from burdockchute.adapters import Adapter
 from burdockchute.decisions import admission
 from burdockchute.decisions import health
+from burdockchute.decisions import moving
 from burdockchute.decisions import retries
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.suspects import Suspects
@@ -140,6 +141,7 @@
         self.upstream = ''
         self._event_at = 0.0
         self._begun: Connection | None = None
+        self._tokens_an_event = tools.placer.tokens_an_event(service)
         self._tools = tools
         self._asked = asked
         self._ctx = ctx
@@ -497,6 +499,11 @@
                     self._note_last(events)
                 if whole:
                     break
+                place = self._better_place(sent, version)
+                if place is not None:
+                    open_sent = None
+                    sent, cutter = self._move(sent, place, version)
+                    open_sent = sent
                 try:
                     found, whole = self._next_events(sent, cutter)
                 except Broken as exc:
@@ -520,6 +527,54 @@
                 open_sent.conn.close()
                 self._tools.placer.release(self._placing, open_sent.place)
 
+    def _better_place(self, sent: Sent, version: int | None) -> Place | None:
+        """Give where to go on if the engine waits for this stream to load."""
+        now = self._tools.now()
+        target = sent.place.target
+        closed_s = target.closed_for_s(now)
+        if closed_s is None:
+            return None
+        resumable = self._route.resumable and bool(self._last_event)
+        gap_s = self._route.gap_s
+        if not resumable or not moving.should_move(
+            closed_s, self._rest_s(now), gap_s, self.runs
+        ):
+            return None
+        self._placing.wish = self._wish._replace(exact=version)
+        self._placing.avoided.add(target.id)
+        place = self._tools.placer.place_now(
+            self._placing, moving.GAP_SHARE * gap_s
+        )
+        if place is None:
+            return None
+        if not self._tools.placer.may_retry(self._wish.service):
+            self._tools.placer.release(self._placing, place)
+            return None
+        return place
+
+    def _rest_s(self, now: float) -> float:
+        made = self.events * self._tokens_an_event
+        began = self._ctx.arrived + (self.first_event_s or 0.0)
+        return moving.rest_s(now - began, made / max(1, self._ctx.max_tokens))
+
+    def _move(
+        self, sent: Sent, place: Place, version: int | None
+    ) -> tuple[Sent, EventCutter]:
+        """Go on with a stream elsewhere; raises StreamBroken."""
+        sent.conn.close()
+        self._tools.placer.release(self._placing, sent.place)
+        logs.event(
+            'stream_moved',
+            request_id=self._asked.id,
+            upstream=place.target.id,
+            before=sent.place.target.id,
+            after=self._last_event,
+        )
+        moved = self._reopen(place)
+        if isinstance(moved, Sent):
+            return moved, EventCutter()
+        return self._resume(moved, version)
+
     def _note_gap(self) -> None:
         now = self._tools.now()
         self.longest_gap_s = max(self.longest_gap_s, now - self._event_at)
@@ -532,7 +587,7 @@
                 self._last_event = event.id
 
     def _resume(
-        self, lost: Lost, version: int | None
+        self, lost: Elsewhere | Lost, version: int | None
     ) -> tuple[Sent, EventCutter]:
         """Go on with a stream at another upstream; raises StreamBroken."""
         attempt: Elsewhere | Lost = lost
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -171,6 +171,25 @@
             )
         return self._wait(lane, placing, fresh_s, late_s)
 
+    def place_now(self, placing: Placing, within_s: float) -> Place | None:
+        """Give a place where the answer goes on within a time, or None."""
+        now = self._now()
+        cost = self._cost(placing.wish.service)
+        hosts = {target.id: target for target in self._hosts(placing, now)}
+        if cost is None or not hosts:
+            return None
+        views = [target.view(self.entries, now) for target in hosts.values()]
+        wanted = engine_room.Wanted(
+            placing.ctx.prompt_tokens, placing.ctx.max_tokens
+        )
+        view = engine_room.choose(views, wanted, cost, within_s)
+        return self._taken(placing, hosts[view.name], now) if view else None
+
+    def tokens_an_event(self, service: str) -> int:
+        """Give how many tokens an event of a service's streams holds."""
+        cost = self._cost(service)
+        return cost.steps_a_pass if cost else 1
+
     def ends_at(self, model: str, version: int) -> float | None:
         """Give when a version may begin nothing any more, None for never."""
         return versions.ends_at(
@@ -297,13 +316,15 @@
         target = self._choose(lane, placing, hosts, now)
         if target is None:
             return False
+        placing.place.set(self._taken(placing, target, now))
+        return True
+
+    def _taken(self, placing: Placing, target: Target, now: float) -> Place:
         target.load.sent(placing.work, now)
         target.sent_since_report += 1
         target.reading[placing.ctx.request_id] = placing.work.prompt_tokens
         model = placing.wish.model
-        version = target.versions.get(model) if model else None
-        placing.place.set(Place(target, version))
-        return True
+        return Place(target, target.versions.get(model) if model else None)
 
     def _choose(
         self,
@@ -400,6 +421,10 @@
                 upstream=target.id,
                 versions=','.join(f'{m}@{v}' for m, v in loaded.items()),
             )
+        if loaded:
+            target.closed_at = None
+        elif target.closed_at is None:
+            target.closed_at = now
         target.versions = loaded
         target.reports += 1
         target.sent_since_report = 0
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -44,6 +44,8 @@
         self.reading: dict[str, int] = {}
         self.sent_since_report = 0
         self.closes_at: float | None = None
+        # Since when its engine loads and takes nothing new.
+        self.closed_at: float | None = None
         self._idle: list[tuple[Connection, float]] = []
         self.load.report(0, upstream.slots, 1, 0.0, (), now)
 
@@ -85,6 +87,10 @@
             else self.closes_at - now,
         )
 
+    def closed_for_s(self, now: float) -> float | None:
+        """Give how long it takes nothing new, None if it does."""
+        return None if self.closed_at is None else now - self.closed_at
+
     def connection(self, now: float, careful: bool) -> Connection:
         """Give a connection for one request; raises NotConnected."""
         while self._idle:
