--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -172,7 +172,7 @@
         progress = self._progress(state)
         if loaded is None or progress is None or state.target_at is None:
             return None
-        version, share = progress
+        version, share = progress.version, progress.share
         if state.ready is not None and loaded < state.ready:
             version, share = state.ready, 1.0
         if loaded >= version:
@@ -342,6 +342,11 @@
     def _choose_target(self, state: ModelState, now: float) -> None:
         newest = self._beliefs().history(state.model).newest
         progress = self._progress(state)
+        if progress is not None:
+            progress = progress._replace(
+                copying_s=now - (state.target_at or now),
+                useful_s=self._useful_s(state.model, progress.version, now),
+            )
         target = staging.target(newest, progress)
         if target != state.target:
             logs.event(
@@ -356,6 +361,15 @@
             state.target_at = now
         self._look_through(state.model, copy_name(state.model, target), now)
 
+    def _useful_s(self, model: str, version: int, now: float) -> float:
+        """Give how long those before a version may still begin requests."""
+        history = self._beliefs().history(model)
+        named_at = versions.named_at(history, version)
+        if named_at is None:
+            return 0.0
+        limit_s = self.bounds.version_s - versions.MARGIN_S
+        return named_at + limit_s - now
+
     def _progress(self, state: ModelState) -> staging.Progress | None:
         if state.target is None:
             return None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -43,6 +43,10 @@
 # restart or are listed again within about this time.
 NOBODY_RETRY_S = 1.0
 
+# An engine that has taken nothing new for longer than this does not load but
+# has failed; a load and what ran before it takes some two seconds.
+LOADS_S = 4.0
+
 # A request whose target has no room does not hold up those behind it; more
 # than this many are not looked past in one go.
 MAX_ASIDE = 16
@@ -153,15 +157,16 @@
         """Wait for a place; gives NotRun if it can't have one in time."""
         now = self._now()
         lane = self._lane(placing.wish.service)
-        hosts = self._hosts(placing, now)
-        if not hosts:
-            reason = f'no upstream can run {placing.wish.service!r} now'
-            return NotRun(reason, 503, NOBODY_RETRY_S)
         wish = placing.wish
+        late_s = patience.late_wait_s(deadline - now)
+        if not self._hosts(placing, now):
+            if len(lane.late) >= self._opening_places(placing, now):
+                reason = f'no upstream can run {wish.service!r} now'
+                return NotRun(reason, 503, NOBODY_RETRY_S)
+            return self._wait(lane, placing, 0.0, late_s)
         fresh_s = patience.fresh_wait_s(
             wish.objective_s, wish.elapsed_s, deadline - now
         )
-        late_s = patience.late_wait_s(deadline - now)
         expected_s = lane.expected_wait_s(placing, self._loads(wish, now), now)
         if expected_s > max(fresh_s, late_s):
             return NotRun(
@@ -379,6 +384,25 @@
             and _may_run(target, wish, least)
         ]
 
+    def _opening_places(self, placing: Placing, now: float) -> float:
+        """Give this entry's part of the places on engines that load now.
+
+        Between two versions there may be a second in which all engines
+        load. Callers who were refused then would come back into it; as many
+        as the engines can take when they open again wait for that.
+        """
+        wish = placing.wish
+        if not wish.model or wish.exact is not None:
+            return 0
+        slots = sum(
+            target.load.slots
+            for target in self._targets.values()
+            if target.upstream.service == wish.service
+            and not target.upstream.draining
+            and (target.closed_for_s(now) or LOADS_S) < LOADS_S
+        )
+        return engine_room.SPARE_SHARE * slots / self.entries
+
     def _loads(self, wish: Wish, now: float) -> list[InstanceLoad]:
         return [
             target.load
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -156,4 +156,5 @@
         return False
     if not is_late:
         return True
-    return view.ours + view.others < SPARE_SHARE * view.slots
+    in_hand = view.ours + view.others + view.unseen
+    return in_hand < SPARE_SHARE * view.slots
--- a/packages/burdockchute/burdockchute/decisions/staging.py
+++ b/packages/burdockchute/burdockchute/decisions/staging.py
@@ -8,8 +8,10 @@
 everywhere by the rest of a copy.
 
 So a copy of which FINISH_SHARE is held is finished before the next one
-begins, and loaded while that goes on. Below that the newer version would gain
-more time than the older one could serve.
+begins, and loaded while that goes on, if it can be loaded before the version
+that serves now may begin nothing any more. Otherwise the older one would
+serve for a moment between two outages, and the newest would come later by as
+much as finishing takes.
 """
 
 from __future__ import annotations
@@ -18,6 +20,10 @@
 
 FINISH_SHARE = 0.5
 
+# After the first half has loaded the second one follows; a load with what
+# ran before it takes about this long.
+TURN_S = 1.0
+
 # While an engine loads it takes nothing new and finishes what it runs. If
 # all did so at once, a model would be away for seconds on each release; with
 # a half at a time the other half serves on, and two halves fit between the
@@ -37,10 +43,16 @@
 
 
 class Progress(NamedTuple):
-    """The copy under way: its version and which share of it is held."""
+    """The copy under way: its version and which share of it is held.
+
+    It has been under way for `copying_s`; after `useful_s` the version that
+    serves now may begin nothing any more.
+    """
 
     version: int
     share: float
+    copying_s: float = 0.0
+    useful_s: float = float('inf')
 
 
 class Standing(NamedTuple):
@@ -62,18 +74,17 @@
 
     >>> target(3, Progress(2, 0.7)), target(3, Progress(2, 0.2))
     (2, 3)
-    >>> target(3, Progress(2, 1.0))
-    3
+    >>> target(3, Progress(2, 1.0)), target(3, Progress(2, 0.6, 4.0, 3.0))
+    (3, 3)
     """
     if progress is None or progress.version >= newest:
         return newest
-    half_done = FINISH_SHARE <= progress.share < 1.0
-    return progress.version if half_done else newest
-
+    if not FINISH_SHARE <= progress.share < 1.0:
+        return newest
+    rest_s = progress.copying_s * (1 - progress.share) / progress.share
+    in_time = rest_s + TURN_S <= progress.useful_s
+    return progress.version if in_time else newest
 
-# After the first half has loaded the second one follows; a load with what
-# ran before it takes about this long.
-TURN_S = 1.0
 
 # Less of a copy than this says too little of when it will be whole.
 LEAST_SHARE = 0.25
--- a/packages/burdockchute/tests/decisions/test_staging.py
+++ b/packages/burdockchute/tests/decisions/test_staging.py
@@ -19,6 +19,16 @@
         self.assertEqual(2, staging.target(3, Progress(2, 0.6)))
         self.assertEqual(3, staging.target(3, Progress(2, 0.4)))
 
+    def test_a_copy_that_comes_too_late_is_given_up(self):
+        """Links are squeezed and the first copy will take three seconds more.
+
+        The version that serves now runs out before; the engine would load
+        twice in short order and answer nobody in between.
+        """
+        late = Progress(2, 0.6, copying_s=4.0, useful_s=3.0)
+        self.assertEqual(3, staging.target(3, late))
+        self.assertEqual(2, staging.target(3, late._replace(useful_s=4.0)))
+
     def test_the_next_copy_begins_when_one_is_whole(self):
         self.assertEqual(3, staging.target(3, Progress(2, 1.0)))
 
