--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -230,7 +230,7 @@
 
     def _truthful(self, outcome: NotRun) -> Reply:
         # Whatever the last upstream says: an earlier one may have run it.
-        if self.runs and not self._route.may_repeat:
+        if self.runs:
             return Unknown(outcome.reason, BAD_GATEWAY)
         return outcome
 
