Prefer engines of the own region among equals; copy two versions at once

Cause: events of a stream from another region stand behind copies on the narrow link between the two, and bytes there are dear.

The origin's return is looked for each half second.

--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -238,6 +238,15 @@
         `may_take` takes a number of bytes from the downlink's budget and
         tells whether they were there.
         """
+        return [
+            *self.plan_reads(now, may_take),
+            *self.plan_asks(now, may_take),
+        ]
+
+    def plan_reads(
+        self, now: float, may_take: Callable[[int], bool]
+    ) -> list[Action]:
+        """Give what to read from the origin, or whom to ask for a manifest."""
         if self.complete:
             return []
         self._expire(now)
@@ -245,6 +254,15 @@
             return self._plan_manifest(now)
         actions: list[Action] = []
         self._plan_reads(actions, now, may_take)
+        return actions
+
+    def plan_asks(
+        self, now: float, may_take: Callable[[int], bool]
+    ) -> list[Action]:
+        """Give the requests to peers to make now."""
+        if self.copy is None or self.complete:
+            return []
+        actions: list[Action] = []
         self._plan_asks(actions, now, may_take)
         self._plan_second_sources(actions, now, may_take)
         return actions
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -81,6 +81,7 @@
         self._corrupt: dict[tuple[str, str], int] = {}
         self._news = News(now)
         self._unreachable: frozenset[str] = frozenset()
+        self._order: tuple[str, ...] = ()
         self._metrics = WeightsMetrics()
         self._paced = paced
         self._serving = Serving(
@@ -141,9 +142,12 @@
     ) -> None:
         """Take the copies to hold, and who else hosts them, by digest.
 
-        `importers` names those in the own region, who share the bringing of
-        chunks from other regions; without it each brings its own.
+        `targets` stand in the order in which their copies go: an earlier one
+        takes of the downlink first. `importers` names those in the own
+        region, who share the bringing of chunks from other regions; without
+        it each brings its own.
         """
+        self._order = tuple(dict.fromkeys(t.digest for t in targets))
         self._hosts = hosts
         self._unreachable = frozenset()
         wanted = {target.digest: target for target in targets}
@@ -344,16 +348,30 @@
         self._peers.tick(now)
         self._bandwidth.refill(now, self._paced)
         self._skip_unreachable()
-        for copier in self._copiers.values():
+        going: list[Copier] = []
+        for digest in self._order:
+            copier = self._copiers[digest]
             if copier.complete:
                 continue
             if copier.turn.stood_still:
                 copier.turn.stood_still = False
                 self._peers.dial_again()
             copier.heard(self._expected_peers(copier.digest))
-            if copier.copy is not None and copier.digest in self.held_back:
+            if copier.copy is not None and digest in self.held_back:
                 continue
-            for action in copier.plan(now, self._bandwidth.may_receive):
+            going.append(copier)
+        # Reads of the origin go first for every copy, the newest before the
+        # others: the origin may be gone in a second, peers stay.
+        newest_first = [
+            copier
+            for copier in reversed(self._copiers.values())
+            if copier in going
+        ]
+        for copier in newest_first:
+            for action in copier.plan_reads(now, self._bandwidth.may_receive):
+                self._do(copier, action)
+        for copier in going:
+            for action in copier.plan_asks(now, self._bandwidth.may_receive):
                 self._do(copier, action)
         upload_s = self._serving.send_due()
         peers = self._peers.links.values()
@@ -395,6 +413,7 @@
         if self._paced:
             copier.asked_in_all = PACED_ASKED_IN_ALL
             copier.reads_at_once = PACED_READS_AT_ONCE
+            copier.turn.max_backoff_s = sources.HASTY_BACKOFF_S
         self._copiers[target.digest] = copier
         self._news.chunk(target.digest)
         event('copy_began', digest=target.digest)
--- a/packages/burdockchute-agent/burdockchute_agent/origin_turn.py
+++ b/packages/burdockchute-agent/burdockchute_agent/origin_turn.py
@@ -26,6 +26,7 @@
     def __init__(self, digest: str, rng: random.Random, now: float) -> None:
         self.origin_copies = 1.0
         self.stood_still = False
+        self.max_backoff_s = sources.MAX_BACKOFF_S
         self._digest = digest
         self._rng = rng
         self._began = now
@@ -62,7 +63,7 @@
     def read_failed(self, now: float) -> None:
         """Note that the store has refused or sent something else."""
         self._failures += 1
-        wait = sources.backoff_s(self._failures, self._rng)
+        wait = sources.backoff_s(self._failures, self._rng, self.max_backoff_s)
         self._not_before = now + wait
         self._progress = self._progress._replace(last=now)
 
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
@@ -0,0 +1,138 @@
+"""How far the own engine is with the versions of one model.
+
+It decides nothing by itself; see `decisions/staging.py`.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import Protocol
+
+from burdockchute import logs
+from burdockchute.decisions import staging
+from burdockchute.decisions import versions
+from burdockchute.decisions.staging import Progress
+from burdockchute.decisions.staging import Standing
+from burdockchute.decisions.versions import History
+from burdockchute_agent.staged.origins import copy_name
+
+
+class Copies(Protocol):
+    """What is asked of the copies that this instance makes."""
+
+    def progress(self, digest: str) -> tuple[int, int]:
+        """Give how many chunks are held, and of how many."""
+
+    def whole_copy(self, digest: str) -> object | None:
+        """Give a copy if it is whole."""
+
+
+class Loaded(NamedTuple):
+    """What the engine says: the version it holds and whether it loads."""
+
+    version: int | None
+    loading: bool
+
+
+class Rollout:
+    """One model.
+
+    `wanted` are the versions that are copied, the first before the others;
+    `ready` is the newest of which there is a whole copy; `busy` while that
+    is staged and ordered.
+    """
+
+    def __init__(self, model: str) -> None:
+        self.model = model
+        self.wanted: tuple[int, ...] = ()
+        self.ready: int | None = None
+        self.ordered_at: float | None = None
+        self.busy = False
+        self.pause_until = 0.0
+        self._began: dict[int, float] = {}
+
+    def name(self, version: int) -> str:
+        """Give the name of a version's copy."""
+        return copy_name(self.model, version)
+
+    def note_whole(self, copies: Copies) -> None:
+        """Take up a copy that has become whole."""
+        for version in self.wanted:
+            newer = self.ready is None or version > self.ready
+            if newer and copies.whole_copy(self.name(version)):
+                self.ready = version
+                self.ordered_at = None
+
+    def choose(
+        self, history: History, copies: Copies, limit_s: float, now: float
+    ) -> None:
+        """Choose which versions to copy now."""
+        under_way = [
+            self._progress(version, history, copies, limit_s, now)
+            for version in self.wanted
+            if self.ready is None or version > self.ready
+        ]
+        wanted = staging.wanted(history.newest, under_way)
+        if wanted == self.wanted:
+            return
+        logs.event(
+            'target_changed',
+            model=self.model,
+            target=wanted[0],
+            wanted=','.join(str(version) for version in wanted),
+            newest=history.newest,
+            shares=','.join(f'{p.version}:{p.share:.2f}' for p in under_way),
+        )
+        self.wanted = wanted
+        for version in wanted:
+            self._began.setdefault(version, now)
+
+    def held(self) -> list[int]:
+        """Give the versions of which copies are kept, the first first."""
+        versions_held = list(self.wanted)
+        if self.ready is not None and self.ready not in versions_held:
+            versions_held.append(self.ready)
+        return versions_held
+
+    def standing(self, engine: Loaded) -> Standing:
+        """Give what is known for the decision to order a load."""
+        return Standing(
+            self.ready, engine.version, engine.loading, self.ordered_at
+        )
+
+    def next_load(self, loaded: int, copies: Copies) -> Progress | None:
+        """Give the progress of what the engine loads next, if anything."""
+        if self.ready is not None and loaded < self.ready:
+            return Progress(self.ready, 1.0)
+        if not self.wanted or self.wanted[0] <= loaded:
+            return None
+        version = self.wanted[0]
+        return Progress(version, _share(copies, self.name(version)))
+
+    def copying_s(self, version: int, now: float) -> float:
+        """Give for how long a version has been copied."""
+        return now - self._began.get(version, now)
+
+    def _progress(
+        self,
+        version: int,
+        history: History,
+        copies: Copies,
+        limit_s: float,
+        now: float,
+    ) -> Progress:
+        named_at = versions.named_at(history, version)
+        useful_s = 0.0
+        if named_at is not None:
+            useful_s = named_at + limit_s - versions.MARGIN_S - now
+        return Progress(
+            version,
+            _share(copies, self.name(version)),
+            self.copying_s(version, now),
+            useful_s,
+        )
+
+
+def _share(copies: Copies, name: str) -> float:
+    held, count = copies.progress(name)
+    return held / count if count else 0.0
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -26,6 +26,7 @@
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.engines import CallFailed
 from burdockchute.model.engines import EngineReport
+from burdockchute.model.engines import OrderEnd
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
@@ -43,6 +44,8 @@
 from burdockchute_agent.staged.origins import copy_name
 from burdockchute_agent.staged.origins import NamedOrigin
 from burdockchute_agent.staged.origins import NoOrigin
+from burdockchute_agent.staged.rollout import Loaded
+from burdockchute_agent.staged.rollout import Rollout
 from burdockchute_agent.wanted import Target
 
 # How often the engine is looked at; it is on the same machine and what it
@@ -72,23 +75,6 @@
     found: int
 
 
-class ModelState:
-    """How far the engine is with one model.
-
-    `target` is the version that is copied, `ready` the newest of which there
-    is a whole copy; `busy` while that is staged and ordered.
-    """
-
-    def __init__(self, model: str) -> None:
-        self.model = model
-        self.target: int | None = None
-        self.target_at: float | None = None
-        self.ready: int | None = None
-        self.ordered_at: float | None = None
-        self.busy = False
-        self.pause_until = 0.0
-
-
 class StagedTask:
     """Copies versions, stages them and orders the engine to load them."""
 
@@ -130,7 +116,7 @@
             now(),
             paced=True,
         )
-        self._states: dict[str, ModelState] = {}
+        self._rollouts: dict[str, Rollout] = {}
         self._looked_through: set[str] = set()
         self._held_since: dict[str, float] = {}
         self._hosts: tuple[str, ...] = (self._own.name,)
@@ -164,30 +150,27 @@
     def closes_in_s(self) -> float | None:
         """Estimate when the engine takes nothing new, None for not soon."""
         now = self._now()
-        times = [self._closes_in_s(s, now) for s in self._states.values()]
+        times = [self._closes_in_s(r, now) for r in self._rollouts.values()]
         return min((t for t in times if t is not None), default=None)
 
-    def _closes_in_s(self, state: ModelState, now: float) -> float | None:
-        loaded = self.loaded().get(state.model)
-        progress = self._progress(state)
-        if loaded is None or progress is None or state.target_at is None:
+    def _closes_in_s(self, rollout: Rollout, now: float) -> float | None:
+        loaded = self.loaded().get(rollout.model)
+        if loaded is None:
             return None
-        version, share = progress.version, progress.share
-        if state.ready is not None and loaded < state.ready:
-            version, share = state.ready, 1.0
-        if loaded >= version:
+        progress = rollout.next_load(loaded, self._copying)
+        if progress is None:
             return None
-        history = self._beliefs().history(state.model)
-        named_at = versions.named_at(history, version)
+        history = self._beliefs().history(rollout.model)
+        named_at = versions.named_at(history, progress.version)
         limit_in_s = 0.0
         if named_at is not None:
             limit_s = self.bounds.version_s - staging.LAST_CALL_S
             limit_in_s = named_at + limit_s - now
-        name = copy_name(state.model, version)
+        before = self._before(rollout.name(progress.version))
         return staging.closes_in_s(
-            share,
-            now - state.target_at,
-            self._before(name) is not None,
+            progress.share,
+            rollout.copying_s(progress.version, now),
+            before is not None,
             limit_in_s,
         )
 
@@ -251,14 +234,14 @@
         self.report = report
 
     def _load_ended(self, ended: LoadEnded) -> None:
-        state = self._states[ended.model]
-        state.busy = False
+        rollout = self._rollouts[ended.model]
+        rollout.busy = False
         now = self._now()
-        if ended.end is None or ended.end.name == 'REFUSED':
-            state.ordered_at = None
-            state.pause_until = now + staging.ORDER_PAUSE_S
+        if ended.end in (None, OrderEnd.REFUSED):
+            rollout.ordered_at = None
+            rollout.pause_until = now + staging.ORDER_PAUSE_S
         else:
-            state.ordered_at = now
+            rollout.ordered_at = now
         logs.event(
             'order_ended',
             model=ended.model,
@@ -271,8 +254,8 @@
 
     def _step(self, now: float) -> float:
         for model in self._models():
-            state = self._states.setdefault(model, ModelState(model))
-            self._step_model(state, now)
+            rollout = self._rollouts.setdefault(model, Rollout(model))
+            self._step_model(rollout, now)
         targets = self._targets()
         self._copying.want(
             targets,
@@ -289,39 +272,44 @@
         service = routes.services.get(self._machine.service)
         return [model.name for model in service.models] if service else []
 
-    def _step_model(self, state: ModelState, now: float) -> None:
-        loaded = self.report.versions.get(state.model) if self.report else None
-        self._note_ready(state)
-        self._choose_target(state, now)
-        standing = staging.Standing(
-            ready=state.ready,
-            loaded=loaded,
-            loading=self.report is None or self.report.loading,
-            ordered_at=state.ordered_at,
+    def _step_model(self, rollout: Rollout, now: float) -> None:
+        history = self._beliefs().history(rollout.model)
+        rollout.note_whole(self._copying)
+        rollout.choose(history, self._copying, self.bounds.version_s, now)
+        for version in rollout.wanted:
+            self._look_through(rollout.model, rollout.name(version), now)
+        if rollout.ready is None:
+            return
+        name = rollout.name(rollout.ready)
+        engine = self._engine_with(rollout.model)
+        self._copying.set_phase(
+            name, engine.loading, engine.version == rollout.ready
         )
-        if state.busy or now < state.pause_until:
+        if rollout.busy or now < rollout.pause_until:
             return
-        if state.ready is None:
+        if not staging.may_order(rollout.standing(engine), now):
             return
-        name = copy_name(state.model, state.ready)
-        self._copying.set_phase(name, standing.loading, loaded == state.ready)
-        if staging.may_order(standing, now):
-            copy = self._copying.whole_copy(name)
-            if copy is not None and self._is_our_turn(state, loaded, now):
-                state.busy = True
-                gevent.spawn(self._load, copy, state.model, state.ready)
+        copy = self._copying.whole_copy(name)
+        if copy is not None and self._is_our_turn(rollout, engine, now):
+            rollout.busy = True
+            gevent.spawn(self._load, copy, rollout.model, rollout.ready)
+
+    def _engine_with(self, model: str) -> Loaded:
+        if self.report is None:
+            return Loaded(None, True)
+        return Loaded(self.report.versions.get(model), self.report.loading)
 
     def _is_our_turn(
-        self, state: ModelState, loaded: int | None, now: float
+        self, rollout: Rollout, engine: Loaded, now: float
     ) -> bool:
         # Where nothing is served yet a load takes nothing away.
-        if loaded is None or state.ready is None:
+        if engine.version is None or rollout.ready is None:
             return True
-        history = self._beliefs().history(state.model)
-        named_at = versions.named_at(history, state.ready)
+        history = self._beliefs().history(rollout.model)
+        named_at = versions.named_at(history, rollout.ready)
         if staging.must_start(named_at, self.bounds.version_s, now):
             return True
-        name = copy_name(state.model, state.ready)
+        name = rollout.name(rollout.ready)
         before = self._before(name)
         known = pacing.Before(
             is_open=before is not None
@@ -339,63 +327,17 @@
             name, self._own.name, self._hosts, staging.LOADING_SHARE
         )
 
-    def _choose_target(self, state: ModelState, now: float) -> None:
-        newest = self._beliefs().history(state.model).newest
-        progress = self._progress(state)
-        if progress is not None:
-            progress = progress._replace(
-                copying_s=now - (state.target_at or now),
-                useful_s=self._useful_s(state.model, progress.version, now),
-            )
-        target = staging.target(newest, progress)
-        if target != state.target:
-            logs.event(
-                'target_changed',
-                model=state.model,
-                target=target,
-                before=state.target,
-                newest=newest,
-                share=round(progress.share, 2) if progress else None,
-            )
-            state.target = target
-            state.target_at = now
-        self._look_through(state.model, copy_name(state.model, target), now)
-
-    def _useful_s(self, model: str, version: int, now: float) -> float:
-        """Give how long those before a version may still begin requests."""
-        history = self._beliefs().history(model)
-        named_at = versions.named_at(history, version)
-        if named_at is None:
-            return 0.0
-        limit_s = self.bounds.version_s - versions.MARGIN_S
-        return named_at + limit_s - now
-
-    def _progress(self, state: ModelState) -> staging.Progress | None:
-        if state.target is None:
-            return None
-        name = copy_name(state.model, state.target)
-        held, count = self._copying.progress(name)
-        return staging.Progress(state.target, held / count if count else 0.0)
-
-    def _note_ready(self, state: ModelState) -> None:
-        if state.target is None or state.target == state.ready:
-            return
-        if self._copying.whole_copy(copy_name(state.model, state.target)):
-            state.ready = state.target
-            state.ordered_at = None
-
     def _load(self, copy: Copy, model: str, version: int) -> None:
         self.inbox.put(
             loading.load(self._engine, copy, model, version, self._now)
         )
 
     def _targets(self) -> list[Target]:
-        """Give the copies to hold: the target and what is ready or loaded."""
+        """Give the copies to hold, those that go first first."""
         return [
-            _target(state.model, version)
-            for state in self._states.values()
-            for version in {state.target, state.ready}
-            if version is not None
+            _target(rollout.model, version)
+            for rollout in self._rollouts.values()
+            for version in rollout.held()
         ]
 
     # Peers.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -66,7 +66,9 @@
         now = time.monotonic
         rng = random.Random()
         self.lifetime = Lifetime(cfg.identity(machine), 'entry', lambda: 0)
-        self.placer = Placer(machine.bounds, now, rng)
+        self.placer = Placer(
+            machine.bounds, now, rng, machine.place.region, machine.regions
+        )
         self.follower = Follower(
             adapter.open_feeds(machine.store),
             self._changed,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -103,15 +103,22 @@
 
 
 class Placer:
-    """The targets, the queues and the budgets of retries of one entry."""
+    """The targets, the queues and the budgets of retries of one entry.
+
+    `region` is its own, `regions` gives that of each availability zone.
+    """
 
     def __init__(
         self,
         bounds: Bounds,
         now: Callable[[], float],
         rng: random.Random,
+        region: str = '',
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.entries = 1
+        self._region = region
+        self._regions = regions or {}
         self.bounds = bounds
         self._now = now
         self._rng = rng
@@ -183,7 +190,7 @@
         hosts = {target.id: target for target in self._hosts(placing, now)}
         if cost is None or not hosts:
             return None
-        views = [target.view(self.entries, now) for target in hosts.values()]
+        views = [self._view(target, now) for target in hosts.values()]
         wanted = engine_room.Wanted(
             placing.ctx.prompt_tokens, placing.ctx.max_tokens
         )
@@ -352,7 +359,7 @@
         if not placing.is_late:
             spent_s = placing.wish.elapsed_s + now - placing.ctx.arrived
             left_s = placing.wish.objective_s - spent_s
-        views = [target.view(self.entries, now) for target in hosts.values()]
+        views = [self._view(target, now) for target in hosts.values()]
         # Entries with the same reports must not all choose the same engine
         # among equals.
         self._rng.shuffle(views)
@@ -362,6 +369,11 @@
         view = engine_room.choose(views, wanted, cost, left_s)
         return hosts[view.name] if view else None
 
+    def _view(self, target: Target, now: float) -> engine_room.EngineView:
+        region = self._regions.get(target.upstream.zone)
+        is_far = region is not None and region != self._region
+        return target.view(self.entries, is_far, now)
+
     def _cost(self, service: str) -> EngineCost | None:
         routes = self._beliefs.routes
         known = routes.services.get(service) if routes else None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -71,7 +71,7 @@
             self.health, now
         )
 
-    def view(self, entries: int, now: float) -> EngineView:
+    def view(self, entries: int, is_far: bool, now: float) -> EngineView:
         """Give what is known of it as an engine that entries share."""
         return EngineView(
             name=self.id,
@@ -85,6 +85,7 @@
             closes_in_s=None
             if self.closes_at is None
             else self.closes_at - now,
+            is_far=is_far,
         )
 
     def closed_for_s(self, now: float) -> float | None:
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -56,6 +56,10 @@
 # five lasts longer than this many times of it.
 LENGTH_SPREAD = 1.5
 
+# Bytes between regions are dear and their links shared with copies; among
+# engines that begin nearly as soon, one in the own region is taken.
+FAR_COST_S = 0.02
+
 # A step of the batch is slowed by the prompts that are read between steps.
 STEP_SLOWDOWN = 1.4
 
@@ -75,7 +79,7 @@
     and the slots allow. `unseen` are requests that the other entries have
     probably sent since the last report. `slowness` is 1 for an engine of the
     usual speed. `closes_in_s` is when it takes nothing new any more, None
-    for no such time.
+    for no such time. `is_far` tells that it stands in another region.
     """
 
     name: str
@@ -87,6 +91,7 @@
     unseen: int = 0
     slowness: float = 1.0
     closes_in_s: float | None = None
+    is_far: bool = False
 
 
 def first_token_s(
@@ -142,6 +147,8 @@
 
 def _price_s(view: EngineView, wanted: Wanted, cost: EngineCost) -> float:
     price_s = first_token_s(view, wanted.prompt_tokens, cost)
+    if view.is_far:
+        price_s += FAR_COST_S
     if view.closes_in_s is None:
         return price_s
     longer = wanted._replace(
--- a/packages/burdockchute/burdockchute/decisions/sources.py
+++ b/packages/burdockchute/burdockchute/decisions/sources.py
@@ -50,6 +50,9 @@
 
 MIN_BACKOFF_S = 0.25
 MAX_BACKOFF_S = 2.0
+# Where a version has to be in force within seconds, and few agents read the
+# origin for each region, its return is looked for more often.
+HASTY_BACKOFF_S = 0.5
 
 # A request to a peer is overdue after so many times the usual latency.
 DEADLINE_FACTOR = 4.0
@@ -163,9 +166,11 @@
     return sample if average <= 0 else average + 0.2 * (sample - average)
 
 
-def backoff_s(failures: int, rng: random.Random) -> float:
+def backoff_s(
+    failures: int, rng: random.Random, most_s: float = MAX_BACKOFF_S
+) -> float:
     """Give the wait after so many failed reads in a row, with jitter."""
-    longest = min(MIN_BACKOFF_S * 2 ** (failures - 1), MAX_BACKOFF_S)
+    longest = min(MIN_BACKOFF_S * 2 ** (failures - 1), most_s)
     return longest * (0.5 + 0.5 * rng.random())
 
 
--- a/packages/burdockchute/burdockchute/decisions/staging.py
+++ b/packages/burdockchute/burdockchute/decisions/staging.py
@@ -7,15 +7,18 @@
 copy takes. Were each copy always finished first, the newest would be late
 everywhere by the rest of a copy.
 
-So a copy of which FINISH_SHARE is held is finished before the next one
-begins, and loaded while that goes on, if it can be loaded before the version
-that serves now may begin nothing any more. Otherwise the older one would
-serve for a moment between two outages, and the newest would come later by as
-much as finishing takes.
+So both are copied at once, one before the other. A copy of which FINISH_SHARE
+is held goes first and is loaded while the newer one follows, if it can be
+loaded before the version that serves now may begin nothing any more. One that
+has less goes after the newer and takes what the link has left: the origin may
+fail just when a version is named, and then the older one is all that can be
+had. One that would come too late is given up; it would serve for a moment
+between two loads.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 FINISH_SHARE = 0.5
@@ -69,21 +72,29 @@
     ordered_at: float | None
 
 
-def target(newest: int, progress: Progress | None) -> int:
-    """Give the version to copy now.
+def wanted(newest: int, under_way: Sequence[Progress]) -> tuple[int, ...]:
+    """Give the versions to copy now, the first before the others.
 
-    >>> target(3, Progress(2, 0.7)), target(3, Progress(2, 0.2))
-    (2, 3)
-    >>> target(3, Progress(2, 1.0)), target(3, Progress(2, 0.6, 4.0, 3.0))
-    (3, 3)
+    >>> wanted(3, [Progress(2, 0.7)]), wanted(3, [Progress(2, 0.2)])
+    ((2, 3), (3, 2))
+    >>> wanted(3, [Progress(2, 1.0)]), wanted(3, [Progress(2, 0.6, 4.0, 3.0)])
+    ((3,), (3,))
     """
-    if progress is None or progress.version >= newest:
-        return newest
-    if not FINISH_SHARE <= progress.share < 1.0:
-        return newest
+    older = max(
+        (p for p in under_way if p.version < newest and 0 < p.share < 1),
+        default=None,
+        key=lambda p: p.share,
+    )
+    if older is None or not _is_in_time(older):
+        return (newest,)
+    if older.share >= FINISH_SHARE:
+        return older.version, newest
+    return newest, older.version
+
+
+def _is_in_time(progress: Progress) -> bool:
     rest_s = progress.copying_s * (1 - progress.share) / progress.share
-    in_time = rest_s + TURN_S <= progress.useful_s
-    return progress.version if in_time else newest
+    return rest_s + TURN_S <= progress.useful_s
 
 
 # Less of a copy than this says too little of when it will be whole.
--- a/packages/burdockchute/tests/decisions/test_engine_room.py
+++ b/packages/burdockchute/tests/decisions/test_engine_room.py
@@ -82,5 +82,10 @@
         self.assertEqual('closing', choose(views, answer=20))
         self.assertEqual('closing', choose([closing], answer=200))
 
+    def test_an_engine_nearby_is_taken_among_equals(self):
+        far = view('far', others=3, is_far=True)
+        self.assertEqual('near', choose([far, view('near', others=4)]))
+        self.assertEqual('far', choose([far, view('near', others=14)]))
+
     def test_an_engine_without_room_gets_nothing(self):
         self.assertIsNone(choose([view('a', room=0)]))
