--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -58,7 +58,7 @@
 
 # Bytes between regions are dear and their links shared with copies; among
 # engines that begin nearly as soon, one in the own region is taken.
-FAR_COST_S = 0.02
+FAR_COST_S = 0.05
 
 # A step of the batch is slowed by the prompts that are read between steps.
 STEP_SLOWDOWN = 1.4
