--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -321,10 +321,7 @@
         origin's link is several times as wide and idle once every chunk was
         read there.
         """
-        wanted = self._missing & ~self._pending()
-        for peer in self.peers.values():
-            if peer.distance != ELSEWHERE:
-                wanted &= ~peer.held
+        wanted = self._missing & ~self._pending() & ~self._held_near()
         chosen = list(bits(self.imports.own_share(wanted, now)))
         while chosen and len(self._reading) < self.reads_at_once:
             chunk = chosen.pop(self._rng.randrange(len(chosen)))
@@ -344,7 +341,7 @@
             offers = self._offers(wanted, now)
             # What this agent is to bring over for its region goes before
             # what it can have nearby: the others wait for it.
-            imports = self.imports.own_share(wanted, now)
+            imports = self.imports.own_share(wanted & ~self._held_near(), now)
             first = [
                 offer._replace(useful=offer.useful & imports)
                 for offer in offers
@@ -432,6 +429,13 @@
             pending |= 1 << chunk
         return pending
 
+    def _held_near(self) -> int:
+        held = 0
+        for peer in self.peers.values():
+            if peer.distance != ELSEWHERE:
+                held |= peer.held
+        return held
+
     def _reachable(self, now: float) -> int:
         reachable = 0
         for peer in self.peers.values():
--- a/packages/burdockchute-agent/tests/test_weights_parts.py
+++ b/packages/burdockchute-agent/tests/test_weights_parts.py
@@ -103,6 +103,23 @@
         self.assertTrue(self.copier.chunk_came('q', 3, chunk(3), later))
         self.assertTrue(self.copier.complete)
 
+    def test_what_a_neighbour_has_is_not_brought_from_another_region(self):
+        """An instance joins where its neighbours hold the weights already.
+
+        Its share of what is to be brought over is nothing then; fetched
+        from another region it would use the narrow link for nothing.
+        """
+        self.begin()
+        self.copier.reads_at_once = 0
+        self.copier.imports.share_among('own', ['own'])
+        self.copier.have_came('far', 2, have(0b1111), 0.0)
+        self.copier.have_came('near', 0, have(0b0011), 0.0)
+        asked = self.plan(0.0)
+        self.assertEqual(
+            {('far', 2), ('far', 3), ('near', 0), ('near', 1)},
+            {(ask.peer, ask.chunk) for ask in asked - reads()},
+        )
+
     def test_chunks_of_a_peer_that_died_are_asked_for_elsewhere(self):
         self.begin()
         self.copier.have_came('p', 0, have(0b0011), 0.0)
