Split the exchange by role: attempts, sending, streams; name fields in errors

What an exchange did alone had grown to 660 lines. Found while reading it: a resumed stream's head was not checked for its signature and version; a refusal whose body broke was taken for a loss; the first sending was counted twice where the first upstream refused it.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -29,8 +29,8 @@
 from burdockchute_entry.straight.callers import CallersApp
 from burdockchute_entry.straight.callers import Leaving
 from burdockchute_entry.straight.counters import Counters
-from burdockchute_entry.straight.exchange import Tools
 from burdockchute_entry.straight.placer import Placer
+from burdockchute_entry.straight.sending import Tools
 
 # How often the list of upstreams is read. An upstream that leaves must get
 # nothing new after two seconds, of which reading and sending take a part.
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
@@ -0,0 +1,70 @@
+"""How an attempt at a request ends, and what an upstream has in hand.
+
+Three things are kept apart, since what a caller may be told depends on it:
+a request that was certainly not run, one that may have run, and one that was
+answered.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from burdockchute.upstreams.connections import Broken
+from burdockchute.upstreams.connections import Connection
+from burdockchute_entry.straight.placer import Place
+from burdockchute_entry.straight.replies import StreamAnswer
+from burdockchute_entry.straight.replies import WholeAnswer
+
+
+class Elsewhere(NamedTuple):
+    """It was certainly not run there; `arrived` tells if it got there."""
+
+    reason: str
+    arrived: bool
+
+
+class Lost(NamedTuple):
+    """It may have run there, and its answer did not come whole."""
+
+    reason: str
+
+
+class Failed(NamedTuple):
+    """The upstream ran it and says that it failed."""
+
+    answer: WholeAnswer
+
+    @property
+    def reason(self) -> str:
+        """Why, for the log."""
+        return f'status {self.answer.head.status}'
+
+
+class TimeUp(NamedTuple):
+    """The time of the request is over while an upstream has it."""
+
+
+class Answered(NamedTuple):
+    """The upstream's answer, or the begin of it."""
+
+    reply: WholeAnswer | StreamAnswer
+
+
+Attempt = Elsewhere | Lost | Failed | TimeUp | Answered
+
+
+class Overtaken(Broken):
+    """The request was stopped before it began on weights of the past."""
+
+
+class Sent(NamedTuple):
+    """A request that an upstream has in hand.
+
+    `begin_by` is when it has to have begun on the weights that it was sent
+    for; None for no such bound.
+    """
+
+    place: Place
+    conn: Connection
+    at: float
+    begin_by: float | None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -32,12 +32,12 @@
 from burdockchute.model.routes import Route
 from burdockchute.sockets import hung_up
 from burdockchute_entry.straight.exchange import Exchange
-from burdockchute_entry.straight.exchange import Tools
 from burdockchute_entry.straight.replies import CallerGone
 from burdockchute_entry.straight.replies import Reply
 from burdockchute_entry.straight.replies import StreamAnswer
 from burdockchute_entry.straight.replies import StreamBroken
 from burdockchute_entry.straight.replies import WholeAnswer
+from burdockchute_entry.straight.sending import Tools
 
 # A caller that comes before the first configuration is told to come back
 # when one is usually there.
@@ -193,6 +193,7 @@
         """Log and count a request that has its final outcome."""
         total_s = self._tools.now() - admitted.ctx.arrived
         first_s = exchange.first_event_s
+        stream = exchange.stream
         logs.event(
             'request_finished',
             request_id=admitted.asked.id,
@@ -200,12 +201,12 @@
             customer=admitted.ctx.customer,
             outcome=why,
             status=status,
-            upstream=exchange.upstream,
-            runs=exchange.runs,
-            sends=exchange.sends,
+            upstream=exchange.sender.upstream,
+            runs=exchange.sender.runs,
+            sends=exchange.sender.sends,
             first_ms=None if first_s is None else int(first_s * 1000),
-            gap_ms=int(exchange.longest_gap_s * 1000),
-            events=exchange.events,
+            gap_ms=int(stream.longest_gap_s * 1000) if stream else None,
+            events=stream.count if stream else None,
             tokens=f'{admitted.asked.prompt_tokens},'
             f'{admitted.asked.max_tokens},{admitted.asked.likely_tokens}',
             ms=int(total_s * 1000),
