--- a/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
@@ -11,7 +11,7 @@
 
 from burdockchute.upstreams.connections import Broken
 from burdockchute.upstreams.connections import Connection
-from burdockchute_entry.straight.placer import Place
+from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.replies import StreamAnswer
 from burdockchute_entry.straight.replies import WholeAnswer
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -10,8 +10,6 @@
 from typing import NamedTuple
 
 import blake3
-import gevent
-from gevent import get_hub
 
 from burdockchute import logs
 from burdockchute.callers import http
@@ -30,7 +28,6 @@
 from burdockchute.model.requests import RequestContext
 from burdockchute.model.routes import Kind
 from burdockchute.model.routes import Route
-from burdockchute.sockets import hung_up
 from burdockchute_entry.straight.exchange import Exchange
 from burdockchute_entry.straight.replies import CallerGone
 from burdockchute_entry.straight.replies import Reply
@@ -38,6 +35,7 @@
 from burdockchute_entry.straight.replies import StreamBroken
 from burdockchute_entry.straight.replies import WholeAnswer
 from burdockchute_entry.straight.sending import Tools
+from burdockchute_entry.straight.watching import CallerWatch
 
 # A caller that comes before the first configuration is told to come back
 # when one is usually there.
@@ -52,8 +50,6 @@
 # Callers of one route name times that differ by less than this.
 RETURN_S = 0.1
 
-READ = 1
-
 
 class Admitted(NamedTuple):
     """A request that may be served: its route, service and context."""
@@ -259,7 +255,7 @@
         self._admitted = admitted
         self._start_response = start_response
         self._exchange = app.exchange(admitted)
-        self._watch = _Watch(environ[SOCKET_KEY])
+        self._watch = CallerWatch(environ[SOCKET_KEY])
 
     def run(self) -> Iterable[bytes]:
         self._app.open_requests += 1
@@ -318,34 +314,6 @@
         self._app.finished(self._admitted, self._exchange, status, why)
 
 
-class _Watch:
-    """Ends the greenlet of a request whose caller hangs up.
-
-    A task that waits for an upstream writes nothing, so it would not see
-    this by itself, and the upstream would work for nobody. The watcher costs
-    nothing until the connection has something to read.
-    """
-
-    def __init__(self, sock: Any) -> None:
-        self._sock = sock
-        self._greenlet = gevent.getcurrent()
-        self._io = get_hub().loop.io(sock.fileno(), READ)
-
-    def start(self) -> None:
-        self._io.start(self._look)
-
-    def stop(self) -> None:
-        self._io.stop()
-        self._io.close()
-
-    def _look(self) -> None:
-        gone = hung_up(self._sock)
-        # What a caller sends ahead stays readable until its turn comes.
-        self._io.stop()
-        if gone:
-            self._greenlet.kill(CallerGone, block=False)
-
-
 def _route_of(table: RouteTable, asked: Asked) -> Routed | Turned:
     route = routing.find_route(table, asked.host, asked.path)
     if route is None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -18,8 +18,8 @@
 from burdockchute_entry.straight.attempts import Lost
 from burdockchute_entry.straight.attempts import Sent
 from burdockchute_entry.straight.attempts import TimeUp
-from burdockchute_entry.straight.placer import Place
-from burdockchute_entry.straight.placer import Wish
+from burdockchute_entry.straight.lanes import Place
+from burdockchute_entry.straight.lanes import Wish
 from burdockchute_entry.straight.replies import Reply
 from burdockchute_entry.straight.replies import StreamAnswer
 from burdockchute_entry.straight.replies import WholeAnswer
@@ -147,7 +147,8 @@
         self, place: Place, attempt: Elsewhere | Lost | Failed
     ) -> None:
         sender = self.sender
-        left = self._tools.placer.retries_left(sender.placing.wish.service)
+        service = sender.placing.wish.service
+        left = self._tools.placer.retries.left(service, self._tools.now())
         logs.event(
             'request_retried',
             request_id=sender.asked.id,
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -0,0 +1,67 @@
+"""Requests that wait for one service, and the places that they get."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from gevent import event as events
+
+from burdockchute.decisions.placement import Work
+from burdockchute.decisions.waiting import WaitingQueue
+from burdockchute.model.requests import RequestContext
+from burdockchute_entry.pools import Pool
+from burdockchute_entry.straight.targets import Target
+
+# A queue is bounded by the time that its requests may wait; this only bounds
+# its memory when thousands come at once.
+MAX_WAITING = 512
+
+
+class Wish(NamedTuple):
+    """Where a request may run.
+
+    `model` is empty for a service without weights. `elapsed_s` is what its
+    caller has spent on earlier sendings. `exact` is the version that a
+    stream was begun on, which a resumed one has to keep.
+    """
+
+    service: str
+    model: str
+    objective_s: float
+    elapsed_s: float = 0.0
+    exact: int | None = None
+
+
+class Lane(Pool):
+    """The requests that wait for one service.
+
+    Those in `queue` can still be on time; those in `late` come after them.
+    """
+
+    def __init__(self, service: str) -> None:
+        super().__init__(f'service/{service}')
+        self.queue.max_waiting = MAX_WAITING
+        self.late = WaitingQueue(MAX_WAITING)
+
+
+class Place(NamedTuple):
+    """Where a request runs, and the version of weights it runs on."""
+
+    target: Target
+    version: int | None
+
+
+class Placing:
+    """One request that wants a place; `avoided` are targets that failed."""
+
+    def __init__(self, ctx: RequestContext, work: Work, wish: Wish) -> None:
+        self.ctx = ctx
+        self.work = work
+        self.wish = wish
+        self.avoided: set[str] = set()
+        self.is_late = False
+        self.place: events.AsyncResult = events.AsyncResult()
+
+    def avoids(self, target: Target) -> bool:
+        """Tell whether it has failed there already."""
+        return target.id in self.avoided
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import random
-from typing import NamedTuple
 
 from gevent import event as events
 from gevent import Timeout
@@ -19,26 +18,23 @@
 from burdockchute.decisions import engine_room
 from burdockchute.decisions import patience
 from burdockchute.decisions import placement
-from burdockchute.decisions import retries
 from burdockchute.decisions import versions
 from burdockchute.decisions.placement import InstanceLoad
-from burdockchute.decisions.placement import Work
 from burdockchute.decisions.waiting import Waiting
 from burdockchute.decisions.waiting import WaitingQueue
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
 from burdockchute.model.outcomes import NotRun
-from burdockchute.model.requests import RequestContext
 from burdockchute.model.routes import EngineCost
 from burdockchute.model.upstreams import Upstream
 from burdockchute.wire import messages
-from burdockchute_entry.pools import Pool
+from burdockchute_entry.straight.lanes import Lane
+from burdockchute_entry.straight.lanes import Place
+from burdockchute_entry.straight.lanes import Placing
+from burdockchute_entry.straight.lanes import Wish
+from burdockchute_entry.straight.retry_budgets import RetryBudgets
 from burdockchute_entry.straight.targets import Target
 
-# A queue is bounded by the time that its requests may wait; this only bounds
-# its memory when thousands come at once.
-MAX_WAITING = 512
-
 # A request whose service has nobody to run it hears so at once; upstreams
 # restart or are listed again within about this time.
 NOBODY_RETRY_S = 1.0
@@ -52,56 +48,6 @@
 MAX_ASIDE = 16
 
 
-class Wish(NamedTuple):
-    """Where a request may run.
-
-    `model` is empty for a service without weights. `elapsed_s` is what its
-    caller has spent on earlier sendings. `exact` is the version that a
-    stream was begun on, which a resumed one has to keep.
-    """
-
-    service: str
-    model: str
-    objective_s: float
-    elapsed_s: float = 0.0
-    exact: int | None = None
-
-
-class Lane(Pool):
-    """The requests that wait for one service.
-
-    Those in `queue` can still be on time; those in `late` come after them.
-    """
-
-    def __init__(self, service: str) -> None:
-        super().__init__(f'service/{service}')
-        self.queue.max_waiting = MAX_WAITING
-        self.late = WaitingQueue(MAX_WAITING)
-
-
-class Place(NamedTuple):
-    """Where a request runs, and the version of weights it runs on."""
-
-    target: Target
-    version: int | None
-
-
-class Placing:
-    """One request that wants a place; `avoided` are targets that failed."""
-
-    def __init__(self, ctx: RequestContext, work: Work, wish: Wish) -> None:
-        self.ctx = ctx
-        self.work = work
-        self.wish = wish
-        self.avoided: set[str] = set()
-        self.is_late = False
-        self.place: events.AsyncResult = events.AsyncResult()
-
-    def avoids(self, target: Target) -> bool:
-        """Tell whether it has failed there already."""
-        return target.id in self.avoided
-
-
 class Placer:
     """The targets, the queues and the budgets of retries of one entry.
 
@@ -126,7 +72,7 @@
         self._targets: dict[str, Target] = {}
         self._lanes: dict[str, Lane] = {}
         self._waiting: dict[str, Placing] = {}
-        self._budgets: dict[str, retries.Budget] = {}
+        self.retries = RetryBudgets(lambda: self.bounds, lambda: self.entries)
 
     # What is learnt.
 
@@ -241,23 +187,6 @@
         target.load.failed(placing.work, service_s, lane.unit_s, now)
         self._fill(placing.wish.service)
 
-    def count_first(self, service: str) -> None:
-        """Count a request that is sent for the first time."""
-        now, terms = self._now(), self._terms()
-        budget = self._budget(service, now, terms)
-        self._budgets[service] = retries.earn(budget, now, terms)
-
-    def may_retry(self, service: str) -> bool:
-        """Take one retry out of a service's budget, if it has one."""
-        now, terms = self._now(), self._terms()
-        budget = self._budget(service, now, terms)
-        self._budgets[service], allowed = retries.spend(budget, now, terms)
-        return allowed
-
-    def retries_left(self, service: str) -> float:
-        """Give the balance of a service's budget."""
-        return self._budget(service, self._now(), self._terms()).balance
-
     def fill_all(self) -> None:
         """Use what room there is."""
         for service in self._lanes:
@@ -430,20 +359,6 @@
             lane = self._lanes[service] = Lane(service)
         return lane
 
-    def _terms(self) -> retries.Terms:
-        bounds = self.bounds
-        return retries.shared_terms(
-            bounds.retry_ratio,
-            bounds.retry_extra,
-            bounds.retry_window_s,
-            self.entries,
-        )
-
-    def _budget(
-        self, service: str, now: float, terms: retries.Terms
-    ) -> retries.Budget:
-        return self._budgets.get(service) or retries.full_budget(now, terms)
-
     def _take_report(
         self, target: Target, report: messages.LoadReport, now: float
     ) -> None:
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -0,0 +1,50 @@
+"""The retries that one entry may make, for each service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from burdockchute.decisions import retries
+from burdockchute.model.machines import Bounds
+
+
+class RetryBudgets:
+    """One budget a service; what operators allow is shared by all entries."""
+
+    def __init__(
+        self, bounds: Callable[[], Bounds], entries: Callable[[], int]
+    ) -> None:
+        self._bounds = bounds
+        self._entries = entries
+        self._budgets: dict[str, retries.Budget] = {}
+
+    def count_first(self, service: str, now: float) -> None:
+        """Count a request that is sent for the first time."""
+        terms = self._terms()
+        budget = self._budget(service, now, terms)
+        self._budgets[service] = retries.earn(budget, now, terms)
+
+    def take(self, service: str, now: float) -> bool:
+        """Take one retry out of a service's budget, if it has one."""
+        terms = self._terms()
+        budget = self._budget(service, now, terms)
+        self._budgets[service], allowed = retries.spend(budget, now, terms)
+        return allowed
+
+    def left(self, service: str, now: float) -> float:
+        """Give the balance of a service's budget."""
+        return self._budget(service, now, self._terms()).balance
+
+    def _terms(self) -> retries.Terms:
+        bounds = self._bounds()
+        return retries.shared_terms(
+            bounds.retry_ratio,
+            bounds.retry_extra,
+            bounds.retry_window_s,
+            self._entries(),
+        )
+
+    def _budget(
+        self, service: str, now: float, terms: retries.Terms
+    ) -> retries.Budget:
+        return self._budgets.get(service) or retries.full_budget(now, terms)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -29,10 +29,10 @@
 from burdockchute_entry.straight.attempts import Lost
 from burdockchute_entry.straight.attempts import Overtaken
 from burdockchute_entry.straight.attempts import Sent
-from burdockchute_entry.straight.placer import Place
+from burdockchute_entry.straight.lanes import Place
+from burdockchute_entry.straight.lanes import Placing
+from burdockchute_entry.straight.lanes import Wish
 from burdockchute_entry.straight.placer import Placer
-from burdockchute_entry.straight.placer import Placing
-from burdockchute_entry.straight.placer import Wish
 
 # Longest body of a plain answer that is held until it is whole.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -122,7 +122,9 @@
         return again and self._take_retry()
 
     def _take_retry(self) -> bool:
-        return self._tools.placer.may_retry(self.placing.wish.service)
+        return self._tools.placer.retries.take(
+            self.placing.wish.service, self._tools.now()
+        )
 
     # Handing on.
 
@@ -164,7 +166,9 @@
         )
         data = self._tools.adapter.encode_request(self.asked, onward)
         if self.sends == 1:
-            self._tools.placer.count_first(self.placing.wish.service)
+            self._tools.placer.retries.count_first(
+                self.placing.wish.service, sent.at
+            )
         self.runs += 1
         sent.conn.send(data, self.asked.method, self._is_ours)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import logging
 from typing import NamedTuple
 
 from burdockchute import logs
@@ -20,7 +21,7 @@
 from burdockchute_entry.straight.attempts import Elsewhere
 from burdockchute_entry.straight.attempts import Lost
 from burdockchute_entry.straight.attempts import Sent
-from burdockchute_entry.straight.placer import Place
+from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.replies import StreamBroken
 from burdockchute_entry.straight.sending import Sender
 from burdockchute_entry.straight.sending import Tools
@@ -172,7 +173,8 @@
         )
         if place is None:
             return
-        if not self._tools.placer.may_retry(sender.placing.wish.service):
+        service = sender.placing.wish.service
+        if not self._tools.placer.retries.take(service, now):
             self._tools.placer.release(sender.placing, place)
             return
         sender.abandon(self._ended())
@@ -221,6 +223,7 @@
     def _log(self, event: str, place: Place, **fields: object) -> None:
         logs.event(
             event,
+            logging.INFO,
             request_id=self._sender.asked.id,
             upstream=place.target.id,
             after=self._sender.last_event,
--- /dev/null
+++ b/packages/burdockchute-entry/tests/test_retry_budgets.py
@@ -0,0 +1,39 @@
+"""Retries that entries share without talking to each other."""
+
+from __future__ import annotations
+
+import unittest
+
+from burdockchute.model.machines import Bounds
+from burdockchute_entry.straight.retry_budgets import RetryBudgets
+
+BOUNDS = Bounds(2.0, 8.0, 2.0, 8.0, 3.0, 0.2, 10.0, 106.0)
+
+
+class RetryBudgetsTest(unittest.TestCase):
+    def test_all_entries_together_stay_within_what_is_allowed(self):
+        """All engines fail, and six entries retry whatever they may.
+
+        If each took all that operators allow, the engines that come back
+        would meet six times as many retries and fail again.
+        """
+        entries = [RetryBudgets(lambda: BOUNDS, lambda: 6) for _ in range(6)]
+        times = []
+        for step in range(4000):
+            now = step / 100
+            for budgets in entries:
+                if step % 8 == 0:
+                    budgets.count_first('drafts', now)
+                if budgets.take('drafts', now):
+                    times.append(now)
+        firsts_in_window = 6 * 10 * 100 / 8
+        allowed = 0.2 * firsts_in_window + 106
+        most = max(sum(t <= s < t + 10 for s in times) for t in times)
+        self.assertLessEqual(most, allowed)
+        self.assertGreater(most, allowed / 3)
+
+    def test_services_have_budgets_of_their_own(self):
+        budgets = RetryBudgets(lambda: BOUNDS, lambda: 6)
+        while budgets.take('drafts', 0.0):
+            pass
+        self.assertTrue(budgets.take('desk', 0.0))
