--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import NamedTuple
 
 from gevent import event as events
 
+from burdockchute.decisions import patience
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.waiting import WaitingQueue
 from burdockchute.model.requests import RequestContext
@@ -42,6 +44,19 @@
         super().__init__(f'service/{service}')
         self.queue.max_waiting = MAX_WAITING
         self.late = WaitingQueue(MAX_WAITING)
+        self._late_served: deque[float] = deque()
+
+    def note_late_served(self, now: float) -> None:
+        """Note that one of the late got a place."""
+        self._late_served.append(now)
+
+    def late_served_lately(self, now: float) -> int:
+        """Give how many of the late got a place lately."""
+        while self._late_served:
+            if now - self._late_served[0] <= patience.LATE_WAIT_S:
+                break
+            self._late_served.popleft()
+        return len(self._late_served)
 
 
 class Place(NamedTuple):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -113,7 +113,7 @@
         wish = placing.wish
         late_s = patience.late_wait_s(deadline - now)
         if not self._hosts(placing, now):
-            if len(lane.late) >= self._opening_places(placing, now):
+            if not self._opening_places(placing, now):
                 reason = f'no upstream can run {wish.service!r} now'
                 return NotRun(reason, 503, NOBODY_RETRY_S)
             return self._wait(lane, placing, 0.0, late_s)
@@ -204,6 +204,8 @@
                 placing.is_late = queue is lane.late
                 if wait_s <= 0:
                     continue
+                if placing.is_late and not self._may_wait_late(lane, placing):
+                    break
                 self._offer(queue, placing, late_s)
                 self._fill(placing.wish.service)
                 # The late stage counts from arrival.
@@ -223,8 +225,17 @@
             self._waiting.pop(placing.ctx.request_id, None)
             lane.queue.remove(placing.ctx.request_id)
             lane.late.remove(placing.ctx.request_id)
+        waited_s = self._now() - placing.ctx.arrived
         retry_s = admission.retry_after_s(late_s)
-        return NotRun(f'no place came free in {late_s:.2f} s', 503, retry_s)
+        return NotRun(f'no place came free in {waited_s:.2f} s', 503, retry_s)
+
+    def _may_wait_late(self, lane: Lane, placing: Placing) -> bool:
+        now = self._now()
+        return patience.may_wait_late(
+            len(lane.late),
+            lane.late_served_lately(now),
+            self._opening_places(placing, now),
+        )
 
     def _offer(
         self, queue: WaitingQueue, placing: Placing, retry_s: float
@@ -257,6 +268,8 @@
         target = self._choose(lane, placing, hosts, now)
         if target is None:
             return False
+        if placing.is_late:
+            lane.note_late_served(now)
         placing.place.set(self._taken(placing, target, now))
         return True
 
--- a/packages/burdockchute/burdockchute/decisions/patience.py
+++ b/packages/burdockchute/burdockchute/decisions/patience.py
@@ -11,12 +11,15 @@
 it stands behind all of these and takes only what room they leave, for at
 most LATE_SHARE of the time that its caller has left and never longer than
 LATE_WAIT_S. Whoever would wait longer than that by what stands before it is
-refused on arrival, and told when to come back.
+refused on arrival, and told when to come back. What is left for the late is
+known from what they got lately: when fresh requests take all there is, hardly
+anybody is let in to wait, and the others need not wait for a refusal.
 
 Thresholds: WAIT_SHARE of the objective may be spent waiting, as an engine
 with a free place begins an answer within about half of it. LATE_WAIT_S is
 the time for which engines are away while they load a version, the longest
-shortage that a site of a few engines meets by itself.
+shortage that a site of a few engines meets by itself. PROBES may wait though
+none got a place lately, or nobody would find out that there is room again.
 """
 
 from __future__ import annotations
@@ -24,6 +27,7 @@
 WAIT_SHARE = 0.5
 LATE_SHARE = 0.4
 LATE_WAIT_S = 2.0
+PROBES = 2
 
 # A route without an objective lets its requests wait this long.
 DEFAULT_WAIT_S = 1.0
@@ -51,3 +55,17 @@
     (2.0, 0.4)
     """
     return max(0.0, min(LATE_WAIT_S, LATE_SHARE * left_s))
+
+
+def may_wait_late(
+    waiting: int, served_lately: int, opening_places: float
+) -> bool:
+    """Tell whether one more may wait among the late.
+
+    `served_lately` got a place in the last LATE_WAIT_S, `opening_places` are
+    those of engines that are about to take requests again.
+
+    >>> may_wait_late(3, 0, 0.0), may_wait_late(3, 9, 0.0)
+    (False, True)
+    """
+    return waiting < max(PROBES, served_lately, opening_places)
--- a/packages/burdockchute/tests/decisions/test_patience.py
+++ b/packages/burdockchute/tests/decisions/test_patience.py
@@ -17,6 +17,17 @@
     def test_a_route_without_objective_still_has_a_bound(self):
         self.assertEqual(1.0, patience.fresh_wait_s(0.0, 0.0, 6.0))
 
+    def test_the_late_wait_only_where_there_is_something_to_wait_for(self):
+        """Fresh requests take all places for half a minute.
+
+        Each late one would wait for two seconds to be refused, and have
+        lost that time for another try.
+        """
+        self.assertTrue(patience.may_wait_late(1, 0, 0.0))
+        self.assertFalse(patience.may_wait_late(2, 0, 0.0))
+        self.assertTrue(patience.may_wait_late(7, 8, 0.0))
+        self.assertTrue(patience.may_wait_late(7, 0, 12.5))
+
     def test_nobody_waits_beyond_the_deadline(self):
         self.assertEqual(0.1, patience.fresh_wait_s(0.5, 0.0, 0.1))
         self.assertEqual(0.0, patience.late_wait_s(-1.0))
