--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -67,7 +67,11 @@
 
 
 class Placing:
-    """One request that wants a place; `avoided` are targets that failed."""
+    """One request that wants a place.
+
+    `avoided` are targets that failed it; `is_late` while it waits behind the
+    fresh ones, `resuming` once its caller has a part of its answer.
+    """
 
     def __init__(self, ctx: RequestContext, work: Work, wish: Wish) -> None:
         self.ctx = ctx
@@ -75,6 +79,7 @@
         self.wish = wish
         self.avoided: set[str] = set()
         self.is_late = False
+        self.resuming = False
         self.place: events.AsyncResult = events.AsyncResult()
 
     def avoids(self, target: Target) -> bool:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -111,6 +111,9 @@
         now = self._now()
         lane = self._lane(placing.wish.service)
         wish = placing.wish
+        if placing.resuming:
+            left_s = min(patience.RESUME_WAIT_S, deadline - now)
+            return self._wait(lane, placing, left_s, 0.0)
         late_s = patience.late_wait_s(deadline - now)
         if not self._hosts(placing, now):
             if not self._opening_places(placing, now):
@@ -129,8 +132,13 @@
             )
         return self._wait(lane, placing, fresh_s, late_s)
 
-    def place_now(self, placing: Placing, within_s: float) -> Place | None:
-        """Give a place where the answer goes on within a time, or None."""
+    def place_now(
+        self, placing: Placing, within_s: float, rest_s: float
+    ) -> Place | None:
+        """Give a place where the answer goes on within a time, or None.
+
+        The engine must stay open for the rest of the answer.
+        """
         now = self._now()
         cost = self._cost(placing.wish.service)
         hosts = {target.id: target for target in self._hosts(placing, now)}
@@ -140,7 +148,8 @@
         wanted = engine_room.Wanted(
             placing.ctx.prompt_tokens, placing.ctx.max_tokens
         )
-        view = engine_room.choose(views, wanted, cost, within_s)
+        staying = [v for v in views if engine_room.stays_open(v, rest_s)]
+        view = engine_room.choose(staying, wanted, cost, within_s)
         return self._taken(placing, hosts[view.name], now) if view else None
 
     def tokens_an_event(self, service: str) -> int:
@@ -298,7 +307,9 @@
             )
             return hosts[load.name] if load else None
         left_s = None
-        if not placing.is_late:
+        if placing.resuming:
+            left_s = patience.RESUME_WAIT_S
+        elif not placing.is_late:
             spent_s = placing.wish.elapsed_s + now - placing.ctx.arrived
             left_s = placing.wish.objective_s - spent_s
         views = [self._view(target, now) for target in hosts.values()]
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -169,7 +169,7 @@
         self._pin()
         sender.placing.avoided.add(target.id)
         place = self._tools.placer.place_now(
-            sender.placing, moving.GAP_SHARE * gap_s
+            sender.placing, moving.GAP_SHARE * gap_s, rest_s
         )
         if place is None:
             return
@@ -191,6 +191,7 @@
     def _pin(self) -> None:
         placing = self._sender.placing
         placing.wish = placing.wish._replace(exact=self.head.version)
+        placing.resuming = True
 
     def _reopen(self, place: Place) -> Elsewhere | Lost | None:
         """Ask an upstream for the rest; gives why there is none."""
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -116,6 +116,11 @@
     return first_s + view.slowness * step_s * wanted.answer_tokens
 
 
+def stays_open(view: EngineView, for_s: float) -> bool:
+    """Tell whether an engine takes requests for that long."""
+    return view.closes_in_s is None or view.closes_in_s > for_s
+
+
 def choose(
     views: Sequence[EngineView],
     wanted: Wanted,
--- a/packages/burdockchute/burdockchute/decisions/patience.py
+++ b/packages/burdockchute/burdockchute/decisions/patience.py
@@ -29,6 +29,11 @@
 LATE_WAIT_S = 2.0
 PROBES = 2
 
+# Callers give up on a stream that pauses for two seconds, so one that has to
+# go on elsewhere waits among the fresh ones, for as long as leaves time for
+# its next event.
+RESUME_WAIT_S = 1.2
+
 # A route without an objective lets its requests wait this long.
 DEFAULT_WAIT_S = 1.0
 
--- a/packages/burdockchute/tests/decisions/test_engine_room.py
+++ b/packages/burdockchute/tests/decisions/test_engine_room.py
@@ -82,6 +82,12 @@
         self.assertEqual('closing', choose(views, answer=20))
         self.assertEqual('closing', choose([closing], answer=200))
 
+    def test_a_stream_is_not_moved_to_an_engine_that_closes_next(self):
+        self.assertTrue(engine_room.stays_open(view('a'), 2.0))
+        closing = view('a', closes_in_s=1.0)
+        self.assertFalse(engine_room.stays_open(closing, 2.0))
+        self.assertTrue(engine_room.stays_open(closing, 0.5))
+
     def test_an_engine_nearby_is_taken_among_equals(self):
         far = view('far', others=3, is_far=True)
         self.assertEqual('near', choose([far, view('near', others=4)]))
