--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -27,10 +27,9 @@
 
 # A read for wishes stays open for so long. It is answered as soon as there
 # is one, so a longer wait costs fewer calls; but a connection that has gone
-# silent is noticed only when the wait is over, and a saved configuration
-# has to be in force within two seconds of its saving at a process in touch
-# for three.
-WISHES_WAIT_S = 4.0
+# silent is noticed only when the wait is over, and that has to be before the
+# process counts as in touch again, three seconds after.
+WISHES_WAIT_S = 2.0
 
 # Pause after a read that failed: the store may turn calls away because there
 # are too many, and each one is paid for.
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -86,7 +86,7 @@
     """
     response = None
     try:
-        with gevent.Timeout(timeout_s, TimeoutError('no answer in time')):
+        with gevent.Timeout(timeout_s):
             response = client.request(method, path, body)
             data = bytes(response.read())
             return Success(
@@ -96,6 +96,10 @@
                     _seconds(response.get('retry-after')),
                 )
             )
+    except gevent.Timeout:
+        # It is no OSError, which the library might take for a connection
+        # that broke, and go on without any bound.
+        return Failure(NoReply('no answer in time'))
     except (ConnectionRefusedError, socket.gaierror) as exc:
         return Failure(NotSent(str(exc)))
     except (OSError, geventhttpclient.response.HTTPParseError) as exc:
