--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -30,6 +30,7 @@
 from burdockchute_agent.copier import PACED_ASKED_IN_ALL
 from burdockchute_agent.copier import PACED_READS_AT_ONCE
 from burdockchute_agent.copier import SOURCES
+from burdockchute_agent.corruption import Corruption
 from burdockchute_agent.events import ManifestRead
 from burdockchute_agent.events import OriginRead
 from burdockchute_agent.news import News
@@ -78,7 +79,7 @@
         self._rng = rng
         self._copiers: dict[str, Copier] = {}
         self._hosts: Mapping[str, tuple[str, ...]] = {}
-        self._corrupt: dict[tuple[str, str], int] = {}
+        self._corruption = Corruption()
         self._news = News(now)
         self._unreachable: frozenset[str] = frozenset()
         self._order: tuple[str, ...] = ()
@@ -242,7 +243,11 @@
     ) -> None:
         peer.keep(have)
         copier = self._copiers.get(have.digest)
-        if copier is None or copier.complete or self._is_banned(peer):
+        if (
+            copier is None
+            or copier.complete
+            or self._corruption.is_banned(peer)
+        ):
             return
         copier.have_came(peer.name, peer.distance, have, now)
 
@@ -297,7 +302,7 @@
         # What peers hold could not be read without the number of chunks.
         for peer in self._peers.links.values():
             have = peer.haves.get(copier.digest)
-            if have is not None and not self._is_banned(peer):
+            if have is not None and not self._corruption.is_banned(peer):
                 copier.have_came(peer.name, peer.distance, have, now)
 
     def _chunk_read(self, read: OriginRead, now: float) -> None:
@@ -324,17 +329,16 @@
             warn('origin_chunk_corrupt', digest=read.digest, chunk=read.chunk)
 
     def _corrupt_from(self, peer: PeerLink, digest: str, index: int) -> None:
-        key = peer.name, peer.link.peer.incarnation
-        self._corrupt[key] = self._corrupt.get(key, 0) + 1
+        count = self._corruption.note(peer)
         self._metrics.failed('peer_chunk_corrupt')
         warn(
             'peer_chunk_corrupt',
             peer=peer.name,
             digest=digest,
             chunk=index,
-            count=self._corrupt[key],
+            count=count,
         )
-        if self._is_banned(peer):
+        if self._corruption.is_banned(peer):
             # A peer that corrupts what it sends would be asked again and
             # again, as it says that it holds all; the copy would crawl.
             warn('peer_banned', peer=peer.name)
@@ -419,7 +423,7 @@
         event('copy_began', digest=target.digest)
         for peer in self._peers.links.values():
             have = peer.haves.get(target.digest)
-            if have is not None and not self._is_banned(peer):
+            if have is not None and not self._corruption.is_banned(peer):
                 copier.have_came(peer.name, peer.distance, have, now)
 
     def _give_up(self, digest: str) -> None:
@@ -467,14 +471,10 @@
         banned = {
             name
             for name, peer in self._peers.links.items()
-            if self._is_banned(peer)
+            if self._corruption.is_banned(peer)
         }
         return (self._peers.expected() & hosts) - banned
 
-    def _is_banned(self, peer: PeerLink) -> bool:
-        key = peer.name, peer.link.peer.incarnation
-        return sources.is_banned(self._corrupt.get(key, 0))
-
     def _copy(self, digest: str) -> Copy | None:
         copier = self._copiers.get(digest)
         return copier.copy if copier is not None else None
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -17,6 +17,7 @@
 from returns.result import Result
 
 from burdockchute import logs
+from burdockchute import tasks
 from burdockchute.adapters import Adapter
 from burdockchute.adapters import Engine
 from burdockchute.decisions import pacing
@@ -128,7 +129,7 @@
         try:
             wait_s = 0.0
             while True:
-                self._take_messages(wait_s)
+                tasks.take_waiting(self.inbox, self._take, wait_s)
                 wait_s = self._step(self._now())
         finally:
             watch.kill(block=False)
@@ -182,18 +183,6 @@
             self.inbox.put(EngineLooked(at, self._engine.report()))
             gevent.sleep(LOOK_S)
 
-    def _take_messages(self, wait_s: float) -> None:
-        try:
-            message = self.inbox.get(timeout=wait_s)
-        except queue.Empty:
-            return
-        while message is not None:
-            self._take(message)
-            try:
-                message = self.inbox.get_nowait()
-            except queue.Empty:
-                message = None
-
     def _take(self, message: object) -> None:
         match message:
             case Beliefs():
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -21,6 +21,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import tasks
 from burdockchute.decisions import hosting
 from burdockchute.decisions import pacing
 from burdockchute.decisions import switching
@@ -134,7 +135,7 @@
         try:
             wait_s = 0.0
             while True:
-                self._take_messages(wait_s)
+                tasks.take_waiting(self.inbox, self._take_now, wait_s)
                 wait_s = self._step(time.monotonic())
         finally:
             gevent.killall(helpers, block=False)
@@ -177,17 +178,8 @@
             warn('registration_failed', reason=result.failure())
             gevent.sleep(REGISTER_RETRY_S)
 
-    def _take_messages(self, wait_s: float) -> None:
-        try:
-            message = self.inbox.get(timeout=wait_s)
-        except queue.Empty:
-            return
-        while message is not None:
-            self._take(message, time.monotonic())
-            try:
-                message = self.inbox.get_nowait()
-            except queue.Empty:
-                message = None
+    def _take_now(self, message: object) -> None:
+        self._take(message, time.monotonic())
 
     def _take(self, message: object, now: float) -> None:
         match message:
--- a/packages/burdockchute/burdockchute/tasks.py
+++ b/packages/burdockchute/burdockchute/tasks.py
@@ -55,6 +55,22 @@
         handle(message)
 
 
+def take_waiting(
+    inbox: queue.Queue, handle: Callable[[Any], None], wait_s: float
+) -> None:
+    """Wait for a message, then handle it and all others that are there."""
+    try:
+        message = inbox.get(timeout=wait_s)
+    except queue.Empty:
+        return
+    while message is not None:
+        handle(message)
+        try:
+            message = inbox.get_nowait()
+        except queue.Empty:
+            message = None
+
+
 def _watched(loop: Callable[[], Any], on_failure: Callable[[], None]) -> None:
     try:
         loop()
