--- a/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
@@ -27,14 +27,6 @@
 MAX_ROUNDS = 4
 
 
-class Staged(NamedTuple):
-    """What lies ready: its model and version, and when it was checked."""
-
-    model: str
-    version: int
-    checked_at: float
-
-
 class LoadEnded(NamedTuple):
     """An order to load has ended; `end` is None where none was given."""
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -401,12 +401,10 @@
         elif target.closed_at is None:
             target.closed_at = now
         target.versions = loaded
-        target.reports += 1
         target.sent_since_report = 0
         target.closes_at = None
         if report.closes_in_ms is not None and report.closes_in_ms >= 0:
             target.closes_at = now + report.closes_in_ms / 1000
-        target.agent_reports = True
         slots = report.slots or target.upstream.slots
         target.load.report(report.running, slots, self.entries, 0.0, (), now)
         self._fill(target.upstream.service)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -37,8 +37,6 @@
         self.versions: Mapping[str, int] = upstream.versions
         self.health = health.Health()
         self.heard_at = now
-        self.reports = 0
-        self.agent_reports = False
         self.slowness = 1.0
         # Prompt tokens of our requests that have not begun to answer.
         self.reading: dict[str, int] = {}
