Learn of what was named within a second of the store's return

The read for wishes stays open for 2 s, so one in vain takes 2.7 s; one that was sent at 25.9 s ended at 28.6 s, and after a pause the agents learnt of version 3 at 29.47 s, while the list of upstreams was back at 26.9 s.

Change: after a read that failed the next ones don't stay open until one is answered; the pause counts from when the read was sent.

--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -3,6 +3,13 @@
 Each feed has one task. A store that does not answer changes nothing: what
 was learnt stays in force, and the age of it is logged when contact is lost
 and regained.
+
+A store may take calls and answer none of them. A read that was to stay open
+is noticed as lost only after all of its wait, and one that is sent a moment
+before the store is back is lost as well: a version that was named meanwhile
+would be learnt seconds late everywhere, and its copies begin as late. So
+after a read that failed, the next ones don't stay open, until one is
+answered.
 """
 
 from __future__ import annotations
@@ -31,10 +38,12 @@
 # process counts as in touch again, three seconds after.
 WISHES_WAIT_S = 2.0
 
-# Pause after a read that failed: the store may turn calls away because there
-# are too many, and each one is paid for.
+# A read that failed is followed by the next this long after it was sent: the
+# store may turn calls away because there are too many, and each one is paid
+# for. One that was waited for in vain has paused by that already.
 MIN_PAUSE_S = 0.2
 MAX_PAUSE_S = 0.8
+LEAST_PAUSE_S = 0.05
 
 # Contact counts as lost after so long without an answer.
 LOST_AFTER_S = 1.5
@@ -134,7 +143,8 @@
         position: int | None = None
         failures = 0
         while True:
-            result = read(position, cadence.wait_s)
+            asked_at = self._now()
+            result = read(position, 0.0 if failures else cadence.wait_s)
             now = self._now()
             if isinstance(result, Failure):
                 error = result.failure()
@@ -143,7 +153,7 @@
                     continue
                 contact.failed(error, now)
                 failures += 1
-                gevent.sleep(self._pause_s(failures))
+                gevent.sleep(self._pause_s(failures, now - asked_at))
                 continue
             failures = 0
             batch = result.unwrap()
@@ -176,6 +186,7 @@
         if changed:
             self._changed(after)
 
-    def _pause_s(self, failures: int) -> float:
-        longest = min(MIN_PAUSE_S * 2 ** (failures - 1), MAX_PAUSE_S)
-        return longest * (0.5 + 0.5 * self._rng.random())
+    def _pause_s(self, failures: int, took_s: float) -> float:
+        longest_s = min(MIN_PAUSE_S * 2 ** (failures - 1), MAX_PAUSE_S)
+        apart_s = longest_s * (0.5 + 0.5 * self._rng.random())
+        return max(apart_s - took_s, LEAST_PAUSE_S)
--- /dev/null
+++ b/packages/burdockchute/tests/test_following.py
@@ -0,0 +1,109 @@
+"""The follower of feeds, against feeds that stay silent or refuse."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest import mock
+
+from returns.result import Failure
+from returns.result import Success
+
+from burdockchute import following
+from burdockchute.model.feeds import Batch
+from burdockchute.model.feeds import FeedError
+from burdockchute.model.feeds import Feeds
+from burdockchute.model.feeds import VersionRead
+
+# How long a client of a silent store waits on top of what it asked for.
+ANSWER_S = 0.7
+
+
+class Stop(Exception):
+    """Ends a task that would go on for ever."""
+
+
+class Store:
+    """A feed of wishes in time of its own; silent between two moments.
+
+    A version is named while it is silent. `asked` holds when each read came
+    and how long it was to stay open.
+    """
+
+    def __init__(self, silent_from, silent_to, until, refuses=False) -> None:
+        self.time = 0.0
+        self.asked: list[tuple[float, float]] = []
+        self._silent = (silent_from, silent_to)
+        self._until = until
+        self._refuses = refuses
+
+    def now(self):
+        return self.time
+
+    def sleep(self, seconds):
+        self.time += seconds
+
+    def read(self, position, wait_s):
+        if self.time > self._until:
+            raise Stop
+        self.asked.append((self.time, wait_s))
+        start, end = self._silent
+        if start <= self.time + wait_s and self.time < end:
+            self.time += 0.0 if self._refuses else wait_s + ANSWER_S
+            return Failure(FeedError('no answer in time'))
+        if position is None:
+            return Success(Batch(0, True, ()))
+        if position == 0 and self.time >= end:
+            named = VersionRead('story', 2)
+            return Success(Batch(1, False, (named,)))
+        self.time += wait_s
+        return Success(Batch(position, False, ()))
+
+
+class FollowerTest(unittest.TestCase):
+    def follow(self, store):
+        """Follow a store to its end; gives when the version was learnt."""
+        learnt = []
+        follower = following.Follower(
+            Feeds(store.read, store.read),
+            lambda beliefs: learnt.append((store.time, beliefs)),
+            store.now,
+            random.Random(1),
+            0.7,
+        )
+        with mock.patch.object(following.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                follower.follow_wishes()
+        for at, beliefs in learnt:
+            if beliefs.history('story').newest == 2:
+                return at
+        return None
+
+    def test_a_version_is_learnt_soon_after_the_store_is_back(self):
+        """The store takes calls and answers none for eight seconds.
+
+        Meanwhile a version is named. A reader that asks for a read that
+        stays open waits that long in vain each time, and may begin to do so
+        in the moment before the store is back: all instances learn of the
+        version seconds late, and callers are refused for as long.
+        """
+        for end in (7.3, 8.0, 8.6, 9.1, 9.7, 10.4):
+            with self.subTest(end=end):
+                at = self.follow(Store(1.0, end, until=30.0))
+                self.assertLess(at - end, 2 * ANSWER_S)
+
+    def test_reads_stay_open_again_after_that(self):
+        store = Store(1.0, 8.0, until=30.0)
+        self.follow(store)
+        waits = [wait_s for at, wait_s in store.asked if at > 12.0]
+        self.assertEqual({following.WISHES_WAIT_S}, set(waits))
+
+    def test_a_store_that_refuses_at_once_is_not_asked_all_the_time(self):
+        store = Store(1.0, 21.0, until=30.0, refuses=True)
+        self.follow(store)
+        asked = [at for at, _wait in store.asked if 2.0 < at < 20.0]
+        self.assertLess(len(asked), 18.0 / (following.MAX_PAUSE_S / 2) + 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
