Tell a fresh entry when versions were named

Cause: an entry that restarts can't tell how long ago a version was named and lets older ones begin nothing, so it refuses every caller until the first engine has loaded, while the other entries serve on.

Change: agents tell with the first report on a link, and after each naming, when they learnt of versions; the earliest time that anyone tells of counts. Unknown times still allow nothing older, so a restart of everything does not bring old weights back.

The test of the fresh entry fails without hearing.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -58,7 +58,12 @@
             time.monotonic,
             rng,
         )
-        self.reports = ReportsTask(self.staged, self._slots, self._name)
+        self.reports = ReportsTask(
+            self.staged,
+            self._slots,
+            lambda: self.follower.beliefs.histories,
+            self._name,
+        )
         self.inbox: queue.Queue = queue.Queue()
 
     def serve(self) -> int:
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import time
 
 import gevent
 
+from burdockchute.decisions.versions import History
 from burdockchute.nodes import links
 from burdockchute.wire import messages
 from burdockchute_agent.staged.origins import copy_name
@@ -34,11 +36,14 @@
         self,
         staged: StagedTask,
         slots: Callable[[], int],
+        histories: Callable[[], Mapping[str, History]],
         name: str,
     ) -> None:
         self.entries: dict[links.Link, None] = {}
         self._staged = staged
         self._slots = slots
+        self._histories = histories
+        self._told_histories: Mapping[str, History] = {}
         self._name = name
         self._told: messages.LoadReport | None = None
         self._told_at = 0.0
@@ -46,13 +51,15 @@
     def run(self) -> None:
         """Report for ever."""
         while True:
-            self._report(time.monotonic())
+            self.tell(time.monotonic())
             gevent.sleep(REPORT_S)
 
     def opened(self, link: links.Link) -> None:
-        """Take a new link to an entry, and tell it at once."""
+        """Take a new link to an entry, and tell it all at once."""
         self.entries[link] = None
-        self._send(link, self.current())
+        report = self.current()
+        report.named = self._named(time.monotonic())
+        self._send_frame(link, links.frame_of(report))
 
     def closed(self, link: links.Link) -> None:
         """Forget a link."""
@@ -88,18 +95,33 @@
             closes_in_ms=_milliseconds(self._staged.closes_in_s()),
         )
 
-    def _report(self, now: float) -> None:
+    def tell(self, now: float) -> None:
+        """Tell all entries what has changed by now."""
         current = self.current()
-        if current == self._told and now - self._told_at < IDLE_REPORT_S:
+        histories = self._histories()
+        is_news = histories != self._told_histories
+        is_due = current != self._told or now - self._told_at >= IDLE_REPORT_S
+        if not is_news and not is_due:
             return
         self._told = current
         self._told_at = now
+        self._told_histories = histories
+        if is_news:
+            current = self.current()
+            current.named = self._named(now)
         frame = links.frame_of(current)
         for link in list(self.entries):
             self._send_frame(link, frame)
 
-    def _send(self, link: links.Link, report: messages.LoadReport) -> None:
-        self._send_frame(link, links.frame_of(report))
+    def _named(self, now: float) -> list[messages.NamedVersion]:
+        return [
+            messages.NamedVersion(
+                model, named.version, int((now - named.at) * 1000)
+            )
+            for model, history in self._histories().items()
+            for named in history.named
+            if named.at is not None
+        ]
 
     def _send_frame(self, link: links.Link, frame: bytes) -> None:
         try:
--- /dev/null
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -0,0 +1,78 @@
+"""What an agent tells entries of its engine and of versions."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from burdockchute.decisions import versions
+from burdockchute.nodes import links
+from burdockchute_agent.staged import reports_task
+
+
+class FakeLink:
+    def __init__(self) -> None:
+        self.frames = []
+
+    def send_frame(self, frame):
+        self.frames.append(frame)
+
+
+class FakeStaged:
+    report = None
+
+    def loaded(self):
+        return {'story': 1}
+
+    def closes_in_s(self):
+        return None
+
+
+class ReportsTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        clock = mock.patch.object(
+            reports_task.time, 'monotonic', lambda: self.now
+        )
+        clock.start()
+        self.addCleanup(clock.stop)
+        # What is sent is looked at as the message that it was.
+        frames = mock.patch.object(links, 'frame_of', lambda message: message)
+        frames.start()
+        self.addCleanup(frames.stop)
+        self.histories = {}
+        self.task = reports_task.ReportsTask(
+            FakeStaged(), lambda: 4, lambda: self.histories, '127.0.0.1:1'
+        )
+
+    def named(self, version, at):
+        history = self.histories.get('story', versions.History())
+        history = versions.name(history, version, at)
+        self.histories = {'story': history}
+
+    def test_a_new_link_hears_how_long_versions_are_known(self):
+        self.named(2, None)
+        self.named(3, 97.5)
+        link = FakeLink()
+        self.task.opened(link)
+        told = [
+            (item.model, item.version, item.age_ms)
+            for item in link.frames[0].named
+        ]
+        self.assertEqual([('story', 3, 2500)], told)
+
+    def test_a_naming_is_told_once(self):
+        link = FakeLink()
+        self.task.opened(link)
+        self.task.tell(self.now)
+        self.named(2, 100.0)
+        self.now += 0.2
+        for _time in range(4):
+            self.task.tell(self.now)
+        news = [frame for frame in link.frames if frame.named]
+        self.assertEqual(1, len(news))
+        self.assertEqual(200, news[0].named[0].age_ms)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -22,9 +22,11 @@
 from burdockchute.following import Follower
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.beliefs import Hearsay
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
 from burdockchute.site_settings import SiteSettings
+from burdockchute.wire import messages
 from burdockchute_entry.straight.agents_task import AgentsTask
 from burdockchute_entry.straight.callers import CallersApp
 from burdockchute_entry.straight.callers import Leaving
@@ -80,7 +82,7 @@
             Member(machine.name, 'entry', machine.address, 0, machine.place),
             self.lifetime.hello,
             machine.link_ports[0],
-            self.placer.reported,
+            self._reported,
             rng,
         )
         self.counters = Counters()
@@ -197,6 +199,16 @@
         self.placer.learn(beliefs)
         self.agents.inbox.put(beliefs)
 
+    def _reported(self, address: str, report: messages.LoadReport) -> None:
+        now = time.monotonic()
+        told = [
+            Hearsay(item.model, item.version, now - item.age_ms / 1000)
+            for item in report.named or ()
+        ]
+        if told:
+            self.follower.hear(told)
+        self.placer.reported(address, report)
+
     def _keep_filling(self) -> None:
         while True:
             gevent.sleep(FILL_S)
--- a/packages/burdockchute/burdockchute/decisions/versions.py
+++ b/packages/burdockchute/burdockchute/decisions/versions.py
@@ -8,8 +8,11 @@
 is sent at the last moment may wait in its engine before it begins.
 
 A process that starts can't tell how long ago a version was named; it lets
-older ones begin nothing. That refuses more than it must for a few seconds
-after a restart, while the others serve on.
+older ones begin nothing. While engines still load a version, an entry that
+restarts would refuse all callers for seconds in which the others serve on.
+So agents tell each entry that links to them when they learnt of versions, and
+the earliest time that anyone tells of counts. Until somebody has told, older
+versions begin nothing.
 
 Versions never go back within a process, whoever tells of a lower one.
 """
@@ -62,6 +65,24 @@
     return History(kept[:MAX_NAMED])
 
 
+def heard(history: History, version: int, at: float) -> History:
+    """Give the history after another process told when it learnt of one.
+
+    >>> heard(name(History(), 3, None), 3, 8.0).named
+    (Named(version=3, at=8.0),)
+    >>> heard(name(History(), 3, 7.0), 3, 8.0).named
+    (Named(version=3, at=7.0),)
+    """
+    times = {named.version: named.at for named in history.named}
+    known = times.get(version)
+    if known is not None and known <= at:
+        return history
+    times[version] = at
+    newest_first = sorted(times, reverse=True)
+    named = tuple(Named(each, times[each]) for each in newest_first)
+    return History(named[:MAX_NAMED])
+
+
 def least_allowed(history: History, limit_s: float, now: float) -> int:
     """Give the lowest version on which a request may begin now.
 
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import logging
 import random
 from typing import NamedTuple
@@ -26,6 +27,7 @@
 from burdockchute.decisions import listing
 from burdockchute.model import beliefs as belief
 from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.beliefs import Hearsay
 from burdockchute.model.beliefs import Learnt
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import FeedError
@@ -133,6 +135,10 @@
             self._take_upstreams,
         )
 
+    def hear(self, told: Sequence[Hearsay]) -> None:
+        """Take in when other processes learnt of versions."""
+        self._replace(*belief.take_hearsay(self.beliefs, told, self._now()))
+
     def _follow(
         self,
         read: ReadFeed,
--- a/packages/burdockchute/burdockchute/model/beliefs.py
+++ b/packages/burdockchute/burdockchute/model/beliefs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from burdockchute.decisions import listing
@@ -66,6 +67,42 @@
     return beliefs, learnt
 
 
+class Hearsay(NamedTuple):
+    """What another process tells: when it learnt of a named version.
+
+    `at` is in monotonic seconds of this process.
+    """
+
+    model: str
+    version: int
+    at: float
+
+
+def take_hearsay(
+    beliefs: Beliefs, told: Sequence[Hearsay], now: float
+) -> tuple[Beliefs, list[Learnt]]:
+    """Take in when others learnt of versions."""
+    learnt = []
+    histories = dict(beliefs.histories)
+    for item in told:
+        before = histories.get(item.model, versions.History())
+        after = versions.heard(before, item.version, item.at)
+        if after == before:
+            continue
+        histories[item.model] = after
+        learnt.append(
+            Learnt(
+                'version_dated',
+                {
+                    'model': item.model,
+                    'version': item.version,
+                    'age_ms': int((now - item.at) * 1000),
+                },
+            )
+        )
+    return beliefs._replace(histories=histories), learnt
+
+
 def take_upstreams(
     beliefs: Beliefs, batch: Batch, now: float
 ) -> tuple[Beliefs, list[Learnt]]:
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -82,6 +82,14 @@
   5: i32 chunks_total
 }
 
+// A version of a model's weights and how long ago the sender learnt that it
+// was named.
+struct NamedVersion {
+  1: string model
+  2: i32 version
+  3: i64 age_ms
+}
+
 // agent -> entry: on each change, each second while busy, else each two.
 struct LoadReport {
   1: string instance
@@ -98,6 +106,7 @@
   12: i32 entries           // entries that share this instance
   13: list<string> evicted   // prefixes evicted since then
   14: i32 closes_in_ms      // until it takes nothing new for a load, -1: none
+  15: list<NamedVersion> named  // on a new link and after a naming, else none
 }
 
 struct RowRecord {
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -890,6 +890,85 @@
         return not (self == other)
 
 
+class NamedVersion(object):
+    """
+    Attributes:
+     - model
+     - version
+     - age_ms
+
+    """
+
+
+    def __init__(self, model=None, version=None, age_ms=None,):
+        self.model = model
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NamedVersion')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 2)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -907,11 +986,12 @@
      - entries
      - evicted
      - closes_in_ms
+     - named
 
     """
 
 
-    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None,):
+    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None,):
         self.instance = instance
         self.running = running
         self.waiting = waiting
@@ -926,6 +1006,7 @@
         self.entries = entries
         self.evicted = evicted
         self.closes_in_ms = closes_in_ms
+        self.named = named
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1027,6 +1108,17 @@
                     self.closes_in_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.named = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = NamedVersion()
+                        _elem29.read(iprot)
+                        self.named.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1064,22 +1156,22 @@
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter24 in self.weights:
-                iter24.write(oprot)
+            for iter30 in self.weights:
+                iter30.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter25 in self.services:
-                oprot.writeString(iter25.encode('utf-8') if sys.version_info[0] == 2 else iter25)
+            for iter31 in self.services:
+                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.prefixes))
-            for iter26 in self.prefixes:
-                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
+            for iter32 in self.prefixes:
+                oprot.writeString(iter32.encode('utf-8') if sys.version_info[0] == 2 else iter32)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_offset is not None:
@@ -1097,14 +1189,21 @@
         if self.evicted is not None:
             oprot.writeFieldBegin('evicted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.evicted))
-            for iter27 in self.evicted:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter33 in self.evicted:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.closes_in_ms is not None:
             oprot.writeFieldBegin('closes_in_ms', TType.I32, 14)
             oprot.writeI32(self.closes_in_ms)
             oprot.writeFieldEnd()
+        if self.named is not None:
+            oprot.writeFieldBegin('named', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.named))
+            for iter34 in self.named:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1324,22 +1423,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = RowRecord()
-                        _elem33.read(iprot)
-                        self.rows.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = RowRecord()
+                        _elem40.read(iprot)
+                        self.rows.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.seen = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = SeenRecord()
-                        _elem39.read(iprot)
-                        self.seen.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = SeenRecord()
+                        _elem46.read(iprot)
+                        self.seen.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1374,15 +1473,15 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter40 in self.rows:
-                iter40.write(oprot)
+            for iter47 in self.rows:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seen is not None:
             oprot.writeFieldBegin('seen', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.seen))
-            for iter41 in self.seen:
-                iter41.write(oprot)
+            for iter48 in self.seen:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten is not None:
@@ -1563,11 +1662,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Member()
-                        _elem47.read(iprot)
-                        self.members.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Member()
+                        _elem54.read(iprot)
+                        self.members.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1584,10 +1683,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1604,8 +1703,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter54 in self.members:
-                iter54.write(oprot)
+            for iter61 in self.members:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
@@ -1619,8 +1718,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter55 in self.gone:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.gone:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2024,11 +2123,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Demand()
-                        _elem61.read(iprot)
-                        self.demands.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Demand()
+                        _elem68.read(iprot)
+                        self.demands.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2045,8 +2144,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter62 in self.demands:
-                iter62.write(oprot)
+            for iter69 in self.demands:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2169,11 +2268,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Share()
-                        _elem68.read(iprot)
-                        self.shares.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Share()
+                        _elem75.read(iprot)
+                        self.shares.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2190,8 +2289,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter69 in self.shares:
-                iter69.write(oprot)
+            for iter76 in self.shares:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2853,6 +2952,13 @@
     (4, TType.I32, 'chunks_held', None, None, ),  # 4
     (5, TType.I32, 'chunks_total', None, None, ),  # 5
 )
+all_structs.append(NamedVersion)
+NamedVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'version', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -2870,6 +2976,7 @@
     (12, TType.I32, 'entries', None, None, ),  # 12
     (13, TType.LIST, 'evicted', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I32, 'closes_in_ms', None, None, ),  # 14
+    (15, TType.LIST, 'named', (TType.STRUCT, [NamedVersion, None], False), None, ),  # 15
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
--- a/packages/burdockchute/tests/decisions/test_versions.py
+++ b/packages/burdockchute/tests/decisions/test_versions.py
@@ -55,3 +55,30 @@
             allowed = versions.least_allowed(history, LIMIT_S, now)
             self.assertGreaterEqual(allowed, least)
             least = allowed
+
+    @given(
+        st.lists(st.tuples(st.integers(1, 9), st.floats(0, 100))),
+        st.lists(st.tuples(st.integers(1, 9), st.floats(0, 100))),
+    )
+    def test_hearsay_only_makes_known_times_earlier(self, names, told):
+        """Other processes learnt of versions later, or were told late.
+
+        What they say must not keep an old version in use for longer than
+        this process would have, nor make it forget a newer one.
+        """
+        history = History()
+        for version, at in names:
+            history = versions.name(history, version, at)
+        for version, at in told:
+            after = versions.heard(history, version, at)
+            self.assertGreaterEqual(after.newest, history.newest)
+            for now in (0.0, 50.0, 103.0, 110.0):
+                self.assertGreaterEqual(
+                    versions.least_allowed(after, LIMIT_S, now),
+                    versions.least_allowed(history, LIMIT_S, now),
+                )
+            history = after
+
+
+if __name__ == '__main__':
+    unittest.main()
