--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -351,6 +351,7 @@
         """Ask, send and tell what is due; gives when to come back at most."""
         self._peers.tick(now)
         self._bandwidth.refill(now, self._paced)
+        self.reads.close_idle(now)
         self._skip_unreachable()
         going: list[Copier] = []
         for digest in self._order:
--- a/packages/burdockchute-agent/burdockchute_agent/origin_reads.py
+++ b/packages/burdockchute-agent/burdockchute_agent/origin_reads.py
@@ -2,6 +2,12 @@
 
 A read can be stopped at any time, so that a copy that is given up stops
 using the store's link at once.
+
+An origin takes only so many connections, often fewer than there are agents,
+and resets each further one. Were connections kept for the next version, the
+agents whose turn comes later would be turned away by those that are done, and
+nobody would get their chunks. So a connection is kept from one read to the
+next, and closed when none follows.
 """
 
 from __future__ import annotations
@@ -22,6 +28,9 @@
 
 MAX_IDLE_CLIENTS = 4
 
+# Reads in a row follow each other within a pass of the copies, some 50 ms.
+IDLE_CLIENT_S = 0.25
+
 
 class OriginClient(Protocol):
     """Connections to one origin, for one task at a time."""
@@ -54,6 +63,7 @@
         self.bytes_read = 0
         self._open_origin = open_origin
         self._report = report
+        self.last_used = 0.0
         self._idle: list[OriginClient] = []
         self._running: dict[_Read, gevent.Greenlet] = {}
 
@@ -75,6 +85,14 @@
         """Stop every read and close all connections."""
         for digest in {read.digest for read in self._running}:
             self.stop(digest)
+        self._close_idle()
+
+    def close_idle(self, now: float) -> None:
+        """Close the connections if no read has used one for a while."""
+        if self._idle and now - self.last_used > IDLE_CLIENT_S:
+            self._close_idle()
+
+    def _close_idle(self) -> None:
         while self._idle:
             self._idle.pop().close()
 
@@ -106,6 +124,7 @@
         finally:
             # A client stopped in the middle of a reply can't be used again.
             self.bytes_read += client.bytes_read - before
+            self.last_used = time.monotonic()
             if whole and len(self._idle) < MAX_IDLE_CLIENTS:
                 self._idle.append(client)
             else:
--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -15,6 +15,7 @@
 from burdockchute import site_settings
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
+from burdockchute.following import Cadence
 from burdockchute.following import Follower
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
@@ -25,8 +26,9 @@
 from burdockchute_agent.staged.staged_task import StagedTask
 
 # An agent reads the list only to know its peers, and asks for weights for
-# seconds; reading it more often would cost calls and gain nothing.
-UPSTREAMS_PERIOD_S = 3.0
+# seconds; reading it more often would cost calls and gain nothing. A read that
+# was lost is noticed after its wait, and until then the peers are as before.
+UPSTREAMS_CADENCE = Cadence(wait_s=6.0, period_s=3.0)
 
 
 class StagedApp:
@@ -48,7 +50,7 @@
             self._changed,
             time.monotonic,
             rng,
-            UPSTREAMS_PERIOD_S,
+            UPSTREAMS_CADENCE,
         )
         self.staged = StagedTask(
             machine,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -19,7 +19,9 @@
 from burdockchute.adapters import Adapter
 from burdockchute.callers import server
 from burdockchute.decisions.suspects import Suspects
+from burdockchute.following import Cadence
 from burdockchute.following import Follower
+from burdockchute.following import WISHES_WAIT_S
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.beliefs import Hearsay
@@ -34,9 +36,11 @@
 from burdockchute_entry.straight.placer import Placer
 from burdockchute_entry.straight.sending import Tools
 
-# How often the list of upstreams is read. An upstream that leaves must get
-# nothing new after two seconds, of which reading and sending take a part.
-UPSTREAMS_PERIOD_S = 0.7
+# How the list of upstreams is read. An upstream that leaves must get nothing
+# new after two seconds, of which reading and sending take a part; so a change
+# is told at once, and what follows it within the period. The wait is that of
+# wishes, for the same reasons.
+UPSTREAMS_CADENCE = Cadence(wait_s=WISHES_WAIT_S, period_s=0.7)
 
 # How often queues are looked at although nothing came: an upstream that was
 # left alone for a while is tried again.
@@ -76,7 +80,7 @@
             self._changed,
             now,
             rng,
-            UPSTREAMS_PERIOD_S,
+            UPSTREAMS_CADENCE,
         )
         self.agents = AgentsTask(
             Member(machine.name, 'entry', machine.address, 0, machine.place),
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -51,8 +51,18 @@
 LOST_AFTER_S = 1.5
 
 
+# After the store's return reads of the list don't stay open for so long: what
+# has lapsed meanwhile comes back, or is dropped at the next reading after.
+SETTLING_S = listing.SETTLE_S + 0.7
+
+
 class Cadence(NamedTuple):
-    """How a feed is read: `wait_s` at the store, `period_s` between."""
+    """How a feed is read.
+
+    A read stays open at the store for up to `wait_s`; after one that brought
+    changes the next comes `period_s` later, so that many changes in a row
+    don't cost a call each.
+    """
 
     wait_s: float
     period_s: float
@@ -105,7 +115,7 @@
         changed: Callable[[Beliefs], None],
         now: Callable[[], float],
         rng: random.Random,
-        upstreams_period_s: float,
+        upstreams_cadence: Cadence,
     ) -> None:
         self.beliefs = Beliefs()
         self._feeds = feeds
@@ -113,7 +123,7 @@
         self._now = now
         self._rng = rng
         self._wishes_read = False
-        self._upstreams_cadence = Cadence(0.0, upstreams_period_s)
+        self._upstreams_cadence = upstreams_cadence
         self.wishes_contact = Contact('wishes', now())
         self.upstreams_contact = Contact('upstream_list', now())
 
@@ -148,9 +158,12 @@
     ) -> None:
         position: int | None = None
         failures = 0
+        settled_at = float('-inf')
         while True:
             asked_at = self._now()
-            result = read(position, 0.0 if failures else cadence.wait_s)
+            hurries = failures > 0 or asked_at < settled_at
+            wait_s = 0.0 if hurries else cadence.wait_s
+            result = read(position, wait_s)
             now = self._now()
             if isinstance(result, Failure):
                 error = result.failure()
@@ -164,8 +177,11 @@
             failures = 0
             batch = result.unwrap()
             position = batch.position
-            take(batch, contact.answered(now), now)
-            if cadence.period_s:
+            regained = contact.answered(now)
+            if regained and cadence.period_s:
+                settled_at = now + SETTLING_S
+            take(batch, regained, now)
+            if batch.changes or not wait_s:
                 gevent.sleep(cadence.period_s)
 
     def _take_wishes(self, batch: Batch, _regained: bool, now: float) -> None:
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -1,7 +1,9 @@
 """One HTTP request that gives JSON, with a deadline on the whole of it.
 
 A connection can go silent for good, or its answer can trickle; either would
-hold the caller for ever if only each read had a timeout.
+hold the caller for ever if only each read had a timeout. Where an answer may
+be long and the link thin, each part of a given size has a deadline instead,
+so that one that comes along is not given up.
 """
 
 from __future__ import annotations
@@ -19,6 +21,9 @@
 
 CONNECT_TIMEOUT_S = 2.0
 
+# At 1 Mbit/s, what the thinnest links are squeezed to, this takes 0.13 s.
+PART_BYTES = 16 * 1024
+
 
 class RawReply(NamedTuple):
     """Status and body of an answer."""
@@ -79,23 +84,28 @@
     path: str,
     body: bytes,
     timeout_s: float,
+    part_s: float | None = None,
 ) -> Result[RawReply, NotSent | NoReply]:
     """Make one request; never repeats one that may have been sent.
 
-    The client itself repeats only requests of idempotent methods.
+    The client itself repeats only requests of idempotent methods. With
+    `part_s`, `timeout_s` is for the head of the answer and `part_s` for each
+    PART_BYTES of its body.
     """
     response = None
     try:
         with gevent.Timeout(timeout_s):
             response = client.request(method, path, body)
-            data = bytes(response.read())
-            return Success(
-                RawReply(
-                    response.status_code,
-                    data,
-                    _seconds(response.get('retry-after')),
-                )
+            data = b'' if part_s else bytes(response.read())
+        if part_s:
+            data = _by_parts(response, part_s)
+        return Success(
+            RawReply(
+                response.status_code,
+                data,
+                _seconds(response.get('retry-after')),
             )
+        )
     except gevent.Timeout:
         # It is no OSError, which the library might take for a connection
         # that broke, and go on without any bound.
@@ -111,6 +121,16 @@
             response.release()
 
 
+def _by_parts(response: Any, part_s: float) -> bytes:
+    parts = []
+    while True:
+        with gevent.Timeout(part_s):
+            part = bytes(response.read(PART_BYTES))
+        if not part:
+            return b''.join(parts)
+        parts.append(part)
+
+
 def _json(data: bytes) -> Any:
     try:
         return json.loads(data)
--- a/packages/burdockchute/tests/test_following.py
+++ b/packages/burdockchute/tests/test_following.py
@@ -61,16 +61,20 @@
 
 
 class FollowerTest(unittest.TestCase):
-    def follow(self, store):
-        """Follow a store to its end; gives when the version was learnt."""
-        learnt = []
-        follower = following.Follower(
+    def follower(self, store, learnt):
+        """Give a follower; `learnt` gets its beliefs and when it had them."""
+        return following.Follower(
             Feeds(store.read, store.read),
             lambda beliefs: learnt.append((store.time, beliefs)),
             store.now,
             random.Random(1),
-            0.7,
+            following.Cadence(wait_s=2.0, period_s=0.7),
         )
+
+    def follow(self, store):
+        """Follow a store to its end; gives when the version was learnt."""
+        learnt = []
+        follower = self.follower(store, learnt)
         with mock.patch.object(following.gevent, 'sleep', store.sleep):
             with self.assertRaises(Stop):
                 follower.follow_wishes()
@@ -92,6 +96,25 @@
                 at = self.follow(Store(1.0, end, until=30.0))
                 self.assertLess(at - end, 2 * ANSWER_S)
 
+    def test_a_quiet_list_costs_few_reads_and_a_change_is_told_at_once(self):
+        """Upstreams seldom change; nearly all reads would bring nothing."""
+        store = Store(1.0, 1.0, until=30.0)
+        follower = self.follower(store, [])
+        with mock.patch.object(following.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                follower.follow_upstreams()
+        self.assertLess(len(store.asked), 30.0 / 2.0 + 4)
+
+    def test_a_list_that_is_back_is_read_often_until_it_has_settled(self):
+        """Upstreams that lapsed with the store come back one by one."""
+        store = Store(1.0, 8.0, until=30.0)
+        follower = self.follower(store, [])
+        with mock.patch.object(following.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                follower.follow_upstreams()
+        asked = [at for at, _wait in store.asked if 9.0 < at < 11.3]
+        self.assertGreaterEqual(len(asked), 3)
+
     def test_reads_stay_open_again_after_that(self):
         store = Store(1.0, 8.0, until=30.0)
         self.follow(store)
