Keep up with storms of saves over thin links

A request waited 2.5 s on an engine's link behind such a read and began on replaced weights. An entry also had no time: with 50 engines full and 50 requests waiting, each round of giving out places took 4.6 ms (measured in a process of its own), and each of some 275 reports a second started one.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -17,18 +17,29 @@
 from burdockchute.adapters import Adapter
 from burdockchute.following import Cadence
 from burdockchute.following import Follower
+from burdockchute.following import SETTLING_S
+from burdockchute.following import WISHES_WAIT_S
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Machine
 from burdockchute.nodes import links
+from burdockchute.nodes.version_news import heard_of
 from burdockchute.site_settings import SiteSettings
+from burdockchute.wire import messages
 from burdockchute_agent.staged.reports_task import ReportsTask
 from burdockchute_agent.staged.staged_task import StagedTask
 
 # An agent reads the list only to know its peers, and asks for weights for
 # seconds; reading it more often would cost calls and gain nothing. A read that
 # was lost is noticed after its wait, and until then the peers are as before.
-UPSTREAMS_CADENCE = Cadence(wait_s=6.0, period_s=3.0)
+UPSTREAMS_CADENCE = Cadence(wait_s=6.0, period_s=3.0, settling_s=SETTLING_S)
+
+# While entries tell it of versions, an agent reads the wishes only for what
+# else it needs: which models there are and where their origin is. That has to
+# be in force within the 8 s that operators wait for a change. Without an entry
+# it follows them as entries do, but takes saves in a row together.
+TOLD_CADENCE = Cadence(wait_s=0.0, period_s=7.0)
+ALONE_CADENCE = Cadence(wait_s=WISHES_WAIT_S, period_s=1.0)
 
 
 class StagedApp:
@@ -50,6 +61,7 @@
             self._changed,
             time.monotonic,
             rng,
+            self._wishes_cadence,
             UPSTREAMS_CADENCE,
         )
         self.staged = StagedTask(
@@ -138,6 +150,12 @@
                 self.reports.opened(event.link)
             elif isinstance(event, links.Closed):
                 self.reports.closed(event.link)
+            elif isinstance(event.message, messages.VersionNews):
+                news = event.message.named
+                self.follower.hear(heard_of(news, time.monotonic()))
+
+    def _wishes_cadence(self) -> Cadence:
+        return TOLD_CADENCE if self.reports.entries else ALONE_CADENCE
 
     def _reload(self) -> None:
         self._machine = site_settings.reload(
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -10,6 +10,7 @@
 
 from burdockchute.decisions.versions import History
 from burdockchute.nodes import links
+from burdockchute.nodes.version_news import news_of
 from burdockchute.wire import messages
 from burdockchute_agent.staged.origins import copy_name
 from burdockchute_agent.staged.staged_task import StagedTask
@@ -58,7 +59,7 @@
         """Take a new link to an entry, and tell it all at once."""
         self.entries[link] = None
         report = self.current()
-        report.named = self._named(time.monotonic())
+        report.named = news_of(self._histories(), time.monotonic())
         self._send_frame(link, links.frame_of(report))
 
     def closed(self, link: links.Link) -> None:
@@ -108,21 +109,11 @@
         self._told_histories = histories
         if is_news:
             current = self.current()
-            current.named = self._named(now)
+            current.named = news_of(histories, now)
         frame = links.frame_of(current)
         for link in list(self.entries):
             self._send_frame(link, frame)
 
-    def _named(self, now: float) -> list[messages.NamedVersion]:
-        return [
-            messages.NamedVersion(
-                model, named.version, int((now - named.at) * 1000)
-            )
-            for model, history in self._histories().items()
-            for named in history.named
-            if named.at is not None
-        ]
-
     def _send_frame(self, link: links.Link, frame: bytes) -> None:
         try:
             link.send_frame(frame)
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -59,7 +59,7 @@
             (item.model, item.version, item.age_ms)
             for item in link.frames[0].named
         ]
-        self.assertEqual([('story', 3, 2500)], told)
+        self.assertEqual([('story', 3, 2500), ('story', 2, -1)], told)
 
     def test_a_naming_is_told_once(self):
         link = FakeLink()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import random
 import time
 
@@ -14,12 +15,14 @@
 
 from burdockchute import logs
 from burdockchute import tasks
+from burdockchute.decisions.versions import History
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
 from burdockchute.nodes import links
 from burdockchute.nodes.peers import Dialled
 from burdockchute.nodes.peers import Peers
+from burdockchute.nodes.version_news import news_of
 from burdockchute.wire import messages
 
 # How often lost links are looked at; a redial waits longer than this.
@@ -65,6 +68,7 @@
         self._link_port = link_port
         self._reported = reported
         self._peers = Peers(own, hello, self.inbox, rng)
+        self._histories: Mapping[str, History] = {}
 
     def run(self) -> None:
         """Take messages for ever."""
@@ -80,11 +84,14 @@
         match message:
             case Beliefs():
                 self._peers.want(agents_of(message, self._link_port))
+                self._tell(message.histories)
                 self._tick()
             case Dialled():
                 self._peers.dialled(message, time.monotonic())
             case links.Opened(link=link):
-                self._peers.opened(link)
+                peer = self._peers.opened(link)
+                if peer is not None:
+                    peer.send(self._news())
                 logs.event('agent_linked', agent=link.peer.name)
             case links.Closed(link=link, reason=reason):
                 if self._peers.closed(link) is not None:
@@ -95,5 +102,15 @@
                 if self._peers.of(link) is not None:
                     self._reported(link.peer.name, message.message)
 
+    def _tell(self, histories: Mapping[str, History]) -> None:
+        if histories == self._histories:
+            return
+        self._histories = histories
+        for peer in list(self._peers.links.values()):
+            peer.send(self._news())
+
+    def _news(self) -> messages.VersionNews:
+        return messages.VersionNews(news_of(self._histories, time.monotonic()))
+
     def _tick(self) -> None:
         self._peers.tick(time.monotonic())
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -21,12 +21,13 @@
 from burdockchute.decisions.suspects import Suspects
 from burdockchute.following import Cadence
 from burdockchute.following import Follower
+from burdockchute.following import SETTLING_S
 from burdockchute.following import WISHES_WAIT_S
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
-from burdockchute.model.beliefs import Hearsay
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
+from burdockchute.nodes.version_news import heard_of
 from burdockchute.site_settings import SiteSettings
 from burdockchute.wire import messages
 from burdockchute_entry.straight.agents_task import AgentsTask
@@ -40,12 +41,16 @@
 # new after two seconds, of which reading and sending take a part; so a change
 # is told at once, and what follows it within the period. The wait is that of
 # wishes, for the same reasons.
-UPSTREAMS_CADENCE = Cadence(wait_s=WISHES_WAIT_S, period_s=0.7)
+UPSTREAMS_CADENCE = Cadence(WISHES_WAIT_S, 0.7, SETTLING_S)
 
 # How often queues are looked at although nothing came: an upstream that was
 # left alone for a while is tried again.
 FILL_S = 0.1
 
+# Configurations may be saved many times a second, and each is long; what is
+# saved within this time is read together.
+WISHES_CADENCE = Cadence(wait_s=WISHES_WAIT_S, period_s=0.3)
+
 # The balancer looks once a second and takes an entry out after two misses.
 # Until then it still sends callers, who are served; a zone of which it has
 # taken out too many sends them on. These are refused, as a long answer
@@ -80,6 +85,7 @@
             self._changed,
             now,
             rng,
+            lambda: WISHES_CADENCE,
             UPSTREAMS_CADENCE,
         )
         self.agents = AgentsTask(
@@ -204,13 +210,8 @@
         self.agents.inbox.put(beliefs)
 
     def _reported(self, address: str, report: messages.LoadReport) -> None:
-        now = time.monotonic()
-        told = [
-            Hearsay(item.model, item.version, now - item.age_ms / 1000)
-            for item in report.named or ()
-        ]
-        if told:
-            self.follower.hear(told)
+        if report.named:
+            self.follower.hear(heard_of(report.named, time.monotonic()))
         self.placer.reported(address, report)
 
     def _keep_filling(self) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 import random
 
+import gevent
 from gevent import event as events
 from gevent import Timeout
 
@@ -33,6 +34,7 @@
 from burdockchute_entry.straight.lanes import Placing
 from burdockchute_entry.straight.lanes import Wish
 from burdockchute_entry.straight.retry_budgets import RetryBudgets
+from burdockchute_entry.straight.survey import Survey
 from burdockchute_entry.straight.targets import Target
 
 # A request whose service has nobody to run it hears so at once; upstreams
@@ -43,6 +45,10 @@
 # has failed; a load and what ran before it takes some two seconds.
 LOADS_S = 4.0
 
+# After a report that may have freed places, those that come in this time are
+# used in one round; it is a fiftieth of the usual objective.
+FILL_WAIT_S = 0.01
+
 # A request whose target has no room does not hold up those behind it; more
 # than this many are not looked past in one go.
 MAX_ASIDE = 16
@@ -71,7 +77,9 @@
         self._beliefs = Beliefs()
         self._targets: dict[str, Target] = {}
         self._lanes: dict[str, Lane] = {}
+        self._at_address: dict[str, list[str]] = {}
         self._waiting: dict[str, Placing] = {}
+        self._due: set[str] = set()
         self.retries = RetryBudgets(lambda: self.bounds, lambda: self.entries)
 
     # What is learnt.
@@ -90,15 +98,18 @@
             if target is not None:
                 target.close_idle()
             self._targets[name] = Target(upstream, self._now())
+        self._at_address = {}
+        for name, target in self._targets.items():
+            address = str(target.upstream.endpoint)
+            self._at_address.setdefault(address, []).append(name)
         self.fill_all()
 
     def reported(self, address: str, report: messages.LoadReport) -> None:
         """Take in what the agent at an upstream's address reports."""
         now = self._now()
         self.entries = max(1, report.entries or 1)
-        for target in self._targets.values():
-            if str(target.upstream.endpoint) == address:
-                self._take_report(target, report, now)
+        for name in self._at_address.get(address, ()):
+            self._take_report(self._targets[name], report, now)
 
     def targets(self) -> list[Target]:
         """Give all targets, by id."""
@@ -257,29 +268,64 @@
                 wait_s = admission.retry_after_s(retry_s)
                 victim.place.set(NotRun('too many wait', 503, wait_s))
 
+    def _fill_soon(self, service: str) -> None:
+        # Reports come from each agent several times a second.
+        lane = self._lane(service)
+        if service in self._due or not (len(lane.queue) or len(lane.late)):
+            return
+        self._due.add(service)
+        gevent.spawn_later(FILL_WAIT_S, self._fill_due, service)
+
+    def _fill_due(self, service: str) -> None:
+        self._due.discard(service)
+        self._fill(service)
+
     def _fill(self, service: str) -> None:
         lane = self._lane(service)
+        if not len(lane.queue) and not len(lane.late):
+            return
         now = self._now()
+        survey = self._survey(service, now)
         for queue in (lane.queue, lane.late):
             aside: list[Waiting] = []
+            is_late = queue is lane.late
             while len(queue) and len(aside) < MAX_ASIDE:
+                if not survey.has_room(is_late and self._is_engine(service)):
+                    break
                 item = queue.pop(now)
                 if item is None:
                     break
                 placing = self._waiting[item.ctx.request_id]
-                if not self._give(lane, placing, now):
+                if not self._give(lane, placing, survey, now):
                     aside.append(item)
             for item in aside:
                 queue.put_back(item)
 
-    def _give(self, lane: Lane, placing: Placing, now: float) -> bool:
-        hosts = {target.id: target for target in self._hosts(placing, now)}
-        target = self._choose(lane, placing, hosts, now)
+    def _survey(self, service: str, now: float) -> Survey:
+        targets = [
+            target
+            for target in self._targets.values()
+            if target.upstream.service == service and target.is_usable(now)
+        ]
+        # Entries with the same reports must not all choose the same engine
+        # among equals.
+        self._rng.shuffle(targets)
+        return Survey(targets, lambda target: self._view(target, now), now)
+
+    def _give(
+        self, lane: Lane, placing: Placing, survey: Survey, now: float
+    ) -> bool:
+        left_s = self._left_s(placing, now)
+        if survey.is_hopeless(placing, left_s):
+            return False
+        target = self._choose(lane, placing, survey, left_s, now)
         if target is None:
+            survey.found_nothing(placing, left_s)
             return False
         if placing.is_late:
             lane.note_late_served(now)
         placing.place.set(self._taken(placing, target, now))
+        survey.taken(target)
         return True
 
     def _taken(self, placing: Placing, target: Target, now: float) -> Place:
@@ -289,38 +335,55 @@
         model = placing.wish.model
         return Place(target, target.versions.get(model) if model else None)
 
+    def _left_s(self, placing: Placing, now: float) -> float | None:
+        # None for a request that can't be on time.
+        if placing.resuming:
+            return patience.RESUME_WAIT_S
+        if placing.is_late:
+            return None
+        spent_s = placing.wish.elapsed_s + now - placing.ctx.arrived
+        return placing.wish.objective_s - spent_s
+
     def _choose(
         self,
         lane: Lane,
         placing: Placing,
-        hosts: Mapping[str, Target],
+        survey: Survey,
+        left_s: float | None,
         now: float,
     ) -> Target | None:
+        least = self._least_version(placing.wish, now)
+        found = survey.open_to(
+            lambda target: (
+                not placing.avoids(target)
+                and _may_run(target, placing.wish, least)
+            )
+        )
         cost = self._cost(placing.wish.service)
         if cost is None:
             load = placement.choose(
-                [target.load for target in hosts.values()],
+                [target.load for target, _view in found.values()],
                 placing.work,
                 lane.unit_s,
                 now,
                 self._rng,
             )
-            return hosts[load.name] if load else None
-        left_s = None
-        if placing.resuming:
-            left_s = patience.RESUME_WAIT_S
-        elif not placing.is_late:
-            spent_s = placing.wish.elapsed_s + now - placing.ctx.arrived
-            left_s = placing.wish.objective_s - spent_s
-        views = [self._view(target, now) for target in hosts.values()]
-        # Entries with the same reports must not all choose the same engine
-        # among equals.
-        self._rng.shuffle(views)
+            return found[load.name][0] if load else None
         wanted = engine_room.Wanted(
             placing.ctx.prompt_tokens, placing.ctx.max_tokens
         )
+        views = [view for _target, view in found.values()]
         view = engine_room.choose(views, wanted, cost, left_s)
-        return hosts[view.name] if view else None
+        return found[view.name][0] if view else None
+
+    def _is_engine(self, service: str) -> bool:
+        return self._cost(service) is not None
+
+    def _least_version(self, wish: Wish, now: float) -> int:
+        if not wish.model:
+            return 0
+        history = self._beliefs.history(wish.model)
+        return versions.least_allowed(history, self.bounds.version_s, now)
 
     def _view(self, target: Target, now: float) -> engine_room.EngineView:
         region = self._regions.get(target.upstream.zone)
@@ -336,10 +399,7 @@
 
     def _hosts(self, placing: Placing, now: float) -> list[Target]:
         wish = placing.wish
-        least = 0
-        if wish.model:
-            history = self._beliefs.history(wish.model)
-            least = versions.least_allowed(history, self.bounds.version_s, now)
+        least = self._least_version(wish, now)
         return [
             target
             for target in self._targets.values()
@@ -407,7 +467,7 @@
             target.closes_at = now + report.closes_in_ms / 1000
         slots = report.slots or target.upstream.slots
         target.load.report(report.running, slots, self.entries, 0.0, (), now)
-        self._fill(target.upstream.service)
+        self._fill_soon(target.upstream.service)
 
 
 def _may_run(target: Target, wish: Wish, least: int) -> bool:
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
@@ -0,0 +1,94 @@
+"""What one round of giving out places knows of a service's targets.
+
+Load: more callers than places, at a service of dozens of upstreams. Each
+report of an agent and each answer may free a place and starts a round, some
+hundreds a second. A round that looked anew at every target for every request
+that waits takes milliseconds, and then the entry does nothing else: answers
+crawl, and what operators have saved is taken in seconds late.
+
+So a round looks at each target once, keeps those that have room, and is over
+when there are none. A request that asks for more than one that found nothing
+in the same round is passed over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from burdockchute.decisions import engine_room
+from burdockchute.decisions.engine_room import EngineView
+from burdockchute_entry.straight.lanes import Placing
+from burdockchute_entry.straight.targets import Target
+
+Look = Callable[[Target], EngineView]
+
+
+class Survey:
+    """The targets that have room, and what was asked of them in vain.
+
+    `look` gives the view of a target as it is now.
+    """
+
+    def __init__(
+        self, targets: Iterable[Target], look: Look, now: float
+    ) -> None:
+        self._look = look
+        self._now = now
+        self._open = {
+            target.id: (target, look(target))
+            for target in targets
+            if target.load.room(now) > 0
+        }
+        # Prompt and time left of what found no place.
+        self._in_vain: list[tuple[int, float | None]] = []
+
+    def has_room(self, is_late: bool) -> bool:
+        """Tell whether any target may take a request, fresh or late."""
+        if not is_late:
+            return bool(self._open)
+        return any(
+            engine_room.has_spare_room(view)
+            for _target, view in self._open.values()
+        )
+
+    def open_to(
+        self, allows: Callable[[Target], bool]
+    ) -> dict[str, tuple[Target, EngineView]]:
+        """Give the targets with room that a request may run on, by id."""
+        return {
+            name: (target, view)
+            for name, (target, view) in self._open.items()
+            if allows(target)
+        }
+
+    def taken(self, target: Target) -> None:
+        """Note that a target was given one more request."""
+        if target.load.room(self._now) > 0:
+            self._open[target.id] = (target, self._look(target))
+        else:
+            self._open.pop(target.id, None)
+
+    def found_nothing(self, placing: Placing, left_s: float | None) -> None:
+        """Note a request that no target could take."""
+        if not _is_choosy(placing):
+            self._in_vain.append((placing.ctx.prompt_tokens, left_s))
+
+    def is_hopeless(self, placing: Placing, left_s: float | None) -> bool:
+        """Tell whether a request asks for more than one that found nothing.
+
+        A late one needs spare room, whatever its prompt.
+        """
+        prompt = placing.ctx.prompt_tokens
+        for other, other_left_s in self._in_vain:
+            if left_s is None and other_left_s is None:
+                return True
+            if left_s is None or other_left_s is None:
+                continue
+            if prompt >= other and left_s <= other_left_s:
+                return True
+        return False
+
+
+def _is_choosy(placing: Placing) -> bool:
+    return bool(placing.avoided) or placing.wish.exact is not None
--- /dev/null
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -0,0 +1,135 @@
+"""A round of giving out places in a shortage."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest import mock
+
+import gevent
+
+from burdockchute.decisions.engine_room import EngineView
+from burdockchute.decisions.placement import Work
+from burdockchute.model.machines import Bounds
+from burdockchute.model.requests import RequestContext
+from burdockchute.model.upstreams import Endpoint
+from burdockchute.model.upstreams import Upstream
+from burdockchute_entry.straight.lanes import Placing
+from burdockchute_entry.straight.lanes import Wish
+from burdockchute_entry.straight.placer import Placer
+from burdockchute_entry.straight.survey import Survey
+from burdockchute_entry.straight.targets import Target
+
+BOUNDS = Bounds(2.0, 8.0, 2.0, 8.0, 3.0, 0.2, 10.0, 100.0)
+TARGETS = 50
+SLOTS = 4
+
+
+def placing(number, prompt=900):
+    ctx = RequestContext(
+        request_id=f'q-{number}',
+        customer='school',
+        target='drafts',
+        kind='stream',
+        idempotent=True,
+        idempotency_key='',
+        arrived=0.0,
+        deadline=6.0,
+        priority=0,
+        prompt_tokens=prompt,
+        max_tokens=94,
+        stream=True,
+        method='POST',
+        path='/',
+        content_type='',
+        body=b'',
+        fingerprint='f',
+    )
+    return Placing(ctx, Work(1.0, False, prompt, ()), Wish('drafts', '', 0.4))
+
+
+def targets():
+    return [
+        Target(
+            Upstream(
+                id=f'i-{number}',
+                service='drafts',
+                endpoint=Endpoint('127.0.0.1', 1 + number),
+                zone='',
+                slots=SLOTS,
+                draining=False,
+                warm_in_s=0.0,
+                versions={},
+                started_ms=None,
+            ),
+            0.0,
+        )
+        for number in range(TARGETS)
+    ]
+
+
+def view_of(target):
+    return EngineView(target.id, 0, 0, SLOTS, 1, 0)
+
+
+class SurveyTest(unittest.TestCase):
+    def test_full_targets_are_not_looked_at(self):
+        """All engines are full, hundreds of reports a second come in.
+
+        An entry that weighed each waiting request against each engine at
+        every report would have no time left for answers.
+        """
+        full = targets()
+        for target in full:
+            target.load.reserved_for = 'somebody else'
+        look = mock.Mock(side_effect=view_of)
+        survey = Survey(full, look, 0.0)
+        self.assertFalse(survey.has_room(False))
+        look.assert_not_called()
+
+    def test_what_asks_for_more_than_one_in_vain_is_passed_over(self):
+        survey = Survey(targets(), view_of, 0.0)
+        survey.found_nothing(placing(1, prompt=900), 0.2)
+        self.assertTrue(survey.is_hopeless(placing(2, prompt=1200), 0.1))
+        self.assertFalse(survey.is_hopeless(placing(3, prompt=300), 0.1))
+        self.assertFalse(survey.is_hopeless(placing(4, prompt=1200), 0.3))
+        self.assertFalse(survey.is_hopeless(placing(5), None))
+
+    def test_one_that_avoids_targets_says_nothing_of_others(self):
+        survey = Survey(targets(), view_of, 0.0)
+        choosy = placing(1)
+        choosy.avoided.add('i-1')
+        survey.found_nothing(choosy, 0.2)
+        self.assertFalse(survey.is_hopeless(placing(2, prompt=1200), 0.1))
+
+
+class PlacerTest(unittest.TestCase):
+    def test_a_storm_of_reports_is_one_round(self):
+        """Fifty agents report within a moment while callers wait.
+
+        Each report starts no round of its own: all that came free is given
+        out together a moment later.
+        """
+        placer = Placer(BOUNDS, lambda: 0.0, random.Random(1))
+        for target in targets():
+            placer._targets[target.id] = target
+            target.load.reserved_for = 'somebody else'
+        waiting = [
+            gevent.spawn(placer.place, placing(number), 6.0)
+            for number in range(8)
+        ]
+        gevent.sleep(0)
+        with mock.patch.object(
+            placer, '_survey', wraps=placer._survey
+        ) as look:
+            for target in placer.targets():
+                target.load.reserved_for = ''
+                placer._fill_soon('drafts')
+            look.assert_not_called()
+            gevent.joinall(waiting, timeout=5)
+            self.assertEqual(1, look.call_count)
+        self.assertTrue(all(place.value.target for place in waiting))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -121,6 +121,12 @@
     return view.closes_in_s is None or view.closes_in_s > for_s
 
 
+def has_spare_room(view: EngineView) -> bool:
+    """Tell whether a request that can't be on time may go there."""
+    in_hand = view.ours + view.others + view.unseen
+    return in_hand < SPARE_SHARE * view.slots
+
+
 def choose(
     views: Sequence[EngineView],
     wanted: Wanted,
@@ -166,7 +172,4 @@
 def _is_open(view: EngineView, is_late: bool) -> bool:
     if view.room <= 0:
         return False
-    if not is_late:
-        return True
-    in_hand = view.ours + view.others + view.unseen
-    return in_hand < SPARE_SHARE * view.slots
+    return not is_late or has_spare_room(view)
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -61,11 +61,13 @@
 
     A read stays open at the store for up to `wait_s`; after one that brought
     changes the next comes `period_s` later, so that many changes in a row
-    don't cost a call each.
+    don't cost a call each. For `settling_s` after the store's return reads
+    don't stay open.
     """
 
     wait_s: float
     period_s: float
+    settling_s: float = 0.0
 
 
 class Contact:
@@ -115,6 +117,7 @@
         changed: Callable[[Beliefs], None],
         now: Callable[[], float],
         rng: random.Random,
+        wishes_cadence: Callable[[], Cadence],
         upstreams_cadence: Cadence,
     ) -> None:
         self.beliefs = Beliefs()
@@ -123,6 +126,7 @@
         self._now = now
         self._rng = rng
         self._wishes_read = False
+        self._wishes_cadence = wishes_cadence
         self._upstreams_cadence = upstreams_cadence
         self.wishes_contact = Contact('wishes', now())
         self.upstreams_contact = Contact('upstream_list', now())
@@ -131,7 +135,7 @@
         """Follow what operators want, for ever."""
         self._follow(
             self._feeds.wishes,
-            Cadence(WISHES_WAIT_S, 0.0),
+            self._wishes_cadence,
             self.wishes_contact,
             self._take_wishes,
         )
@@ -140,7 +144,7 @@
         """Follow the list of upstreams, for ever."""
         self._follow(
             self._feeds.upstreams,
-            self._upstreams_cadence,
+            lambda: self._upstreams_cadence,
             self.upstreams_contact,
             self._take_upstreams,
         )
@@ -152,7 +156,7 @@
     def _follow(
         self,
         read: ReadFeed,
-        cadence: Cadence,
+        cadence_now: Callable[[], Cadence],
         contact: Contact,
         take: Callable[[Batch, bool, float], None],
     ) -> None:
@@ -160,6 +164,7 @@
         failures = 0
         settled_at = float('-inf')
         while True:
+            cadence = cadence_now()
             asked_at = self._now()
             hurries = failures > 0 or asked_at < settled_at
             wait_s = 0.0 if hurries else cadence.wait_s
@@ -178,8 +183,8 @@
             batch = result.unwrap()
             position = batch.position
             regained = contact.answered(now)
-            if regained and cadence.period_s:
-                settled_at = now + SETTLING_S
+            if regained:
+                settled_at = now + cadence.settling_s
             take(batch, regained, now)
             if batch.changes or not wait_s:
                 gevent.sleep(cadence.period_s)
--- a/packages/burdockchute/burdockchute/model/beliefs.py
+++ b/packages/burdockchute/burdockchute/model/beliefs.py
@@ -70,12 +70,13 @@
 class Hearsay(NamedTuple):
     """What another process tells: when it learnt of a named version.
 
-    `at` is in monotonic seconds of this process.
+    `at` is in monotonic seconds of this process, None if the other could not
+    tell.
     """
 
     model: str
     version: int
-    at: float
+    at: float | None
 
 
 def take_hearsay(
@@ -86,17 +87,22 @@
     histories = dict(beliefs.histories)
     for item in told:
         before = histories.get(item.model, versions.History())
-        after = versions.heard(before, item.version, item.at)
+        if item.at is None:
+            after = versions.name(before, item.version, None)
+        else:
+            after = versions.heard(before, item.version, item.at)
         if after == before:
             continue
         histories[item.model] = after
+        age_s = None if item.at is None else now - item.at
         learnt.append(
             Learnt(
-                'version_dated',
+                'version_heard',
                 {
                     'model': item.model,
                     'version': item.version,
-                    'age_ms': int((now - item.at) * 1000),
+                    'before': before.newest,
+                    'age_ms': None if age_s is None else int(age_s * 1000),
                 },
             )
         )
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -122,7 +122,7 @@
 
 
 def _by_parts(response: Any, part_s: float) -> bytes:
-    parts = []
+    parts: list[bytes] = []
     while True:
         with gevent.Timeout(part_s):
             part = bytes(response.read(PART_BYTES))
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -83,13 +83,18 @@
 }
 
 // A version of a model's weights and how long ago the sender learnt that it
-// was named.
+// was named, -1 where it can't tell.
 struct NamedVersion {
   1: string model
   2: i32 version
   3: i64 age_ms
 }
 
+// entry -> agent: on a new link and after a naming.
+struct VersionNews {
+  1: list<NamedVersion> named
+}
+
 // agent -> entry: on each change, each second while busy, else each two.
 struct LoadReport {
   1: string instance
@@ -243,4 +248,5 @@
   16: ClaimRequest claim_request
   17: ClaimReply claim_reply
   18: TableRequest table_request
+  19: VersionNews version_news
 }
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -969,6 +969,72 @@
         return not (self == other)
 
 
+class VersionNews(object):
+    """
+    Attributes:
+     - named
+
+    """
+
+
+    def __init__(self, named=None,):
+        self.named = named
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.named = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = NamedVersion()
+                        _elem5.read(iprot)
+                        self.named.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionNews')
+        if self.named is not None:
+            oprot.writeFieldBegin('named', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.named))
+            for iter6 in self.named:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -1050,31 +1116,31 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = WeightsState()
-                        _elem5.read(iprot)
-                        self.weights.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = WeightsState()
+                        _elem12.read(iprot)
+                        self.weights.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.services.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.prefixes.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prefixes.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1096,10 +1162,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.evicted = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evicted.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evicted.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1111,11 +1177,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.named = []
-                    (_etype27, _size24) = iprot.readListBegin()
-                    for _i28 in range(_size24):
-                        _elem29 = NamedVersion()
-                        _elem29.read(iprot)
-                        self.named.append(_elem29)
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = NamedVersion()
+                        _elem36.read(iprot)
+                        self.named.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1156,22 +1222,22 @@
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter30 in self.weights:
-                iter30.write(oprot)
+            for iter37 in self.weights:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter31 in self.services:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter38 in self.services:
+                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.prefixes))
-            for iter32 in self.prefixes:
-                oprot.writeString(iter32.encode('utf-8') if sys.version_info[0] == 2 else iter32)
+            for iter39 in self.prefixes:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_offset is not None:
@@ -1189,8 +1255,8 @@
         if self.evicted is not None:
             oprot.writeFieldBegin('evicted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.evicted))
-            for iter33 in self.evicted:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter40 in self.evicted:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.closes_in_ms is not None:
@@ -1200,8 +1266,8 @@
         if self.named is not None:
             oprot.writeFieldBegin('named', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.named))
-            for iter34 in self.named:
-                iter34.write(oprot)
+            for iter41 in self.named:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1423,22 +1489,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = RowRecord()
-                        _elem40.read(iprot)
-                        self.rows.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = RowRecord()
+                        _elem47.read(iprot)
+                        self.rows.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.seen = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = SeenRecord()
-                        _elem46.read(iprot)
-                        self.seen.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = SeenRecord()
+                        _elem53.read(iprot)
+                        self.seen.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1473,15 +1539,15 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter47 in self.rows:
-                iter47.write(oprot)
+            for iter54 in self.rows:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seen is not None:
             oprot.writeFieldBegin('seen', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.seen))
-            for iter48 in self.seen:
-                iter48.write(oprot)
+            for iter55 in self.seen:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten is not None:
@@ -1662,11 +1728,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Member()
-                        _elem54.read(iprot)
-                        self.members.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Member()
+                        _elem61.read(iprot)
+                        self.members.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1683,10 +1749,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1703,8 +1769,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter61 in self.members:
-                iter61.write(oprot)
+            for iter68 in self.members:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
@@ -1718,8 +1784,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter62 in self.gone:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.gone:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2123,11 +2189,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Demand()
-                        _elem68.read(iprot)
-                        self.demands.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Demand()
+                        _elem75.read(iprot)
+                        self.demands.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2144,8 +2210,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter69 in self.demands:
-                iter69.write(oprot)
+            for iter76 in self.demands:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2268,11 +2334,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Share()
-                        _elem75.read(iprot)
-                        self.shares.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Share()
+                        _elem82.read(iprot)
+                        self.shares.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2289,8 +2355,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter76 in self.shares:
-                iter76.write(oprot)
+            for iter83 in self.shares:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2635,11 +2701,12 @@
      - claim_request
      - claim_reply
      - table_request
+     - version_news
 
     """
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, version_news=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -2658,6 +2725,7 @@
         self.claim_request = claim_request
         self.claim_reply = claim_reply
         self.table_request = table_request
+        self.version_news = version_news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2776,6 +2844,12 @@
                     self.table_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.version_news = VersionNews()
+                    self.version_news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2858,6 +2932,10 @@
             oprot.writeFieldBegin('table_request', TType.STRUCT, 18)
             self.table_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.version_news is not None:
+            oprot.writeFieldBegin('version_news', TType.STRUCT, 19)
+            self.version_news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2959,6 +3037,11 @@
     (2, TType.I32, 'version', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(VersionNews)
+VersionNews.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'named', (TType.STRUCT, [NamedVersion, None], False), None, ),  # 1
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -3118,6 +3201,7 @@
     (16, TType.STRUCT, 'claim_request', [ClaimRequest, None], None, ),  # 16
     (17, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 17
     (18, TType.STRUCT, 'table_request', [TableRequest, None], None, ),  # 18
+    (19, TType.STRUCT, 'version_news', [VersionNews, None], None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/burdockchute/tests/test_following.py
+++ b/packages/burdockchute/tests/test_following.py
@@ -68,7 +68,8 @@
             lambda beliefs: learnt.append((store.time, beliefs)),
             store.now,
             random.Random(1),
-            following.Cadence(wait_s=2.0, period_s=0.7),
+            lambda: following.Cadence(following.WISHES_WAIT_S, 0.0),
+            following.Cadence(2.0, 0.7, following.SETTLING_S),
         )
 
     def follow(self, store):
