--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -69,6 +69,20 @@
     twice: int = 0
 
 
+class Standing(NamedTuple):
+    """How a copy stands, in chunks.
+
+    `near` are those that peers of the own region hold, `known` those that any
+    peer holds; `asked` and `reading` are under way.
+    """
+
+    held: int
+    near: int
+    known: int
+    asked: int
+    reading: int
+
+
 class Copier:
     """The copy of one digest and the state of its getting."""
 
@@ -211,6 +225,19 @@
         """Whether the whole copy is held and verified."""
         return self.copy is not None and self.copy.complete
 
+    def standing(self) -> Standing:
+        """Give how it stands, for the log."""
+        known = 0
+        for peer in self.peers.values():
+            known |= peer.held
+        return Standing(
+            self.copy.held_count if self.copy else 0,
+            self._held_near().bit_count(),
+            known.bit_count(),
+            len(self._asked),
+            len(self._reading),
+        )
+
     def heard(self, names: set[str]) -> None:
         """Note which peers there are.
 
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -118,6 +118,18 @@
         copy = self._copy(digest)
         return (copy.held_count, len(copy.manifest.chunks)) if copy else (0, 0)
 
+    def log_standing(self) -> None:
+        """Write a line on each copy that is not whole."""
+        for digest, copier in self._copiers.items():
+            if not copier.complete:
+                event(
+                    'copy_progress',
+                    digest=digest,
+                    uploads=len(self._serving),
+                    peers=len(copier.peers),
+                    **copier.standing()._asdict(),
+                )
+
     def held_bytes(self) -> int:
         """Give the memory that all copies take."""
         copies = [copier.copy for copier in self._copiers.values()]
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -61,6 +61,10 @@
 # next in order.
 ORIGIN_COPIES = 1.0
 
+# How a copy comes along is written this often: who looks for why a version
+# does not spread sees which chunks nobody near has.
+STANDING_S = 1.0
+
 
 class EngineLooked(NamedTuple):
     """The engine's report, asked for at `at`, or why there is none."""
@@ -119,6 +123,7 @@
         )
         self._rollouts: dict[str, Rollout] = {}
         self._looked_through: set[str] = set()
+        self._standing_at = 0.0
         self._held_since: dict[str, float] = {}
         self._hosts: tuple[str, ...] = (self._own.name,)
         self._region_hosts: tuple[str, ...] = self._hosts
@@ -252,6 +257,9 @@
             now,
             {target.digest: self._region_hosts for target in targets},
         )
+        if now - self._standing_at >= STANDING_S:
+            self._standing_at = now
+            self._copying.log_standing()
         return self._copying.tick(now)
 
     def _models(self) -> list[str]:
