--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -203,7 +203,7 @@
         self._machine = site_settings.reload(
             self._cfg, self._adapter, self._machine
         )
-        self.placer.bounds = self._machine.bounds
+        self.placer.bound_by(self._machine.bounds)
 
     def _changed(self, beliefs: Beliefs) -> None:
         self.placer.learn(beliefs)
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -0,0 +1,250 @@
+"""The targets of one entry: which may run a request, and what is known."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import random
+
+from burdockchute import logs
+from burdockchute.decisions import engine_room
+from burdockchute.decisions import placement
+from burdockchute.decisions import versions
+from burdockchute.decisions.placement import InstanceLoad
+from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.machines import Bounds
+from burdockchute.model.routes import EngineCost
+from burdockchute.model.upstreams import Upstream
+from burdockchute.wire import messages
+from burdockchute_entry.straight.lanes import Placing
+from burdockchute_entry.straight.lanes import Wish
+from burdockchute_entry.straight.survey import Survey
+from burdockchute_entry.straight.targets import Target
+
+# An engine that has taken nothing new for longer than this does not load but
+# has failed; a load and what ran before it takes some two seconds.
+LOADS_S = 4.0
+
+
+class KnownTargets:
+    """All targets, by what the list, their agents and operators say.
+
+    `entries` is how many entries share them, by their agents. `region` is the
+    own one, `regions` gives that of each availability zone.
+    """
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        rng: random.Random,
+        region: str,
+        regions: Mapping[str, str],
+    ) -> None:
+        self.bounds = bounds
+        self.entries = 1
+        self._rng = rng
+        self._region = region
+        self._regions = regions
+        self._beliefs = Beliefs()
+        self._targets: dict[str, Target] = {}
+        self._at_address: dict[str, list[str]] = {}
+
+    # What is learnt.
+
+    def learn(self, beliefs: Beliefs, now: float) -> None:
+        """Take in new beliefs."""
+        self._beliefs = beliefs
+        present = {upstream.id: upstream for upstream in beliefs.present()}
+        for name in self._targets.keys() - present.keys():
+            self._targets.pop(name).close_idle()
+        for name, upstream in present.items():
+            target = self._targets.get(name)
+            if target is not None and _same_start(target, upstream):
+                target.relisted(upstream)
+                continue
+            if target is not None:
+                target.close_idle()
+            self._targets[name] = Target(upstream, now)
+        self._at_address = {}
+        for name, target in self._targets.items():
+            address = str(target.upstream.endpoint)
+            self._at_address.setdefault(address, []).append(name)
+
+    def reported(
+        self, address: str, report: messages.LoadReport, now: float
+    ) -> set[str]:
+        """Take in what the agent at an address reports.
+
+        Gives the services whose targets it is about.
+        """
+        self.entries = max(1, report.entries or 1)
+        known = [self._targets[n] for n in self._at_address.get(address, ())]
+        for target in known:
+            self._take_report(target, report, now)
+        return {target.upstream.service for target in known}
+
+    def _take_report(
+        self, target: Target, report: messages.LoadReport, now: float
+    ) -> None:
+        loaded = {}
+        for state in report.weights or ():
+            model, _at, version = state.digest.rpartition('@')
+            loaded[model] = int(version)
+        if dict(target.versions) != loaded:
+            logs.event(
+                'upstream_versions_reported',
+                upstream=target.id,
+                versions=','.join(f'{m}@{v}' for m, v in loaded.items()),
+            )
+        if loaded:
+            target.closed_at = None
+        elif target.closed_at is None:
+            target.closed_at = now
+        target.versions = loaded
+        target.sent_since_report = 0
+        target.closes_at = None
+        if report.closes_in_ms is not None and report.closes_in_ms >= 0:
+            target.closes_at = now + report.closes_in_ms / 1000
+        slots = report.slots or target.upstream.slots
+        target.load.report(report.running, slots, self.entries, 0.0, (), now)
+
+    # What is asked.
+
+    def everyone(self) -> list[Target]:
+        """Give all targets, by id."""
+        return [self._targets[name] for name in sorted(self._targets)]
+
+    def cost(self, service: str) -> EngineCost | None:
+        """Give how a service's engines work, None if it has none."""
+        routes = self._beliefs.routes
+        known = routes.services.get(service) if routes else None
+        if known is None or known.cost is None:
+            return None
+        return known.cost if known.cost.prompt_tokens_per_s > 0 else None
+
+    def ends_at(self, model: str, version: int) -> float | None:
+        """Give when a version may begin nothing any more, None for never."""
+        return versions.ends_at(
+            self._beliefs.history(model), version, self.bounds.version_s
+        )
+
+    def hosts(self, placing: Placing, now: float) -> list[Target]:
+        """Give the targets that may run a request, with room or without."""
+        may_run = self._rule(placing, now)
+        return [
+            target
+            for target in self._usable(placing.wish.service, now)
+            if may_run(target)
+        ]
+
+    def loads(self, wish: Wish, now: float) -> list[InstanceLoad]:
+        """Give the loads of the targets that share a wish's service."""
+        return [
+            target.load
+            for target in self._usable(wish.service, now)
+            if not wish.model or wish.model in target.versions
+        ]
+
+    def opening_places(self, wish: Wish, now: float) -> float:
+        """Give this entry's part of the places on engines that load now.
+
+        Between two versions there may be a second in which all engines
+        load. Callers who were refused then would come back into it; as many
+        as the engines can take when they open again wait for that.
+        """
+        if not wish.model or wish.exact is not None:
+            return 0
+        slots = sum(
+            target.load.slots
+            for target in self._targets.values()
+            if target.upstream.service == wish.service
+            and not target.upstream.draining
+            and (target.closed_for_s(now) or LOADS_S) < LOADS_S
+        )
+        return engine_room.SPARE_SHARE * slots / self.entries
+
+    def view(self, target: Target, now: float) -> engine_room.EngineView:
+        """Give what is known of a target as an engine."""
+        region = self._regions.get(target.upstream.zone)
+        is_far = region is not None and region != self._region
+        return target.view(self.entries, is_far, now)
+
+    # One round of giving out places.
+
+    def survey(self, service: str, now: float) -> Survey:
+        """Look at the targets of a service."""
+        targets = self._usable(service, now)
+        # Entries with the same reports must not all choose the same engine
+        # among equals.
+        self._rng.shuffle(targets)
+        return Survey(targets, lambda target: self.view(target, now), now)
+
+    def choose(
+        self,
+        placing: Placing,
+        survey: Survey,
+        left_s: float | None,
+        unit_s: float,
+        now: float,
+    ) -> Target | None:
+        """Give the target for a request, None for none now.
+
+        `left_s` is what is left of its objective, None if it can't be on
+        time; `unit_s` is the usual time for a unit of work.
+        """
+        found = survey.open_to(self._rule(placing, now))
+        cost = self.cost(placing.wish.service)
+        if cost is None:
+            load = placement.choose(
+                [target.load for target, _view in found.values()],
+                placing.work,
+                unit_s,
+                now,
+                self._rng,
+            )
+            return found[load.name][0] if load else None
+        views = [view for _target, view in found.values()]
+        view = engine_room.choose(views, wanted_of(placing), cost, left_s)
+        return found[view.name][0] if view else None
+
+    def _usable(self, service: str, now: float) -> list[Target]:
+        return [
+            target
+            for target in self._targets.values()
+            if target.upstream.service == service and target.is_usable(now)
+        ]
+
+    def _rule(self, placing: Placing, now: float) -> Callable[[Target], bool]:
+        wish = placing.wish
+        least = 0
+        if wish.model:
+            history = self._beliefs.history(wish.model)
+            least = versions.least_allowed(history, self.bounds.version_s, now)
+        return lambda target: (
+            not placing.avoids(target) and _may_run(target, wish, least)
+        )
+
+
+def wanted_of(placing: Placing) -> engine_room.Wanted:
+    """Give what placement needs of a request."""
+    return engine_room.Wanted(
+        placing.ctx.prompt_tokens, placing.ctx.max_tokens
+    )
+
+
+def _may_run(target: Target, wish: Wish, least: int) -> bool:
+    if not wish.model:
+        return True
+    version = target.versions.get(wish.model)
+    if version is None or version < least:
+        return False
+    return wish.exact in (None, version)
+
+
+def _same_start(target: Target, upstream: Upstream) -> bool:
+    known = target.upstream
+    return (known.endpoint, known.started_ms, known.service) == (
+        upstream.endpoint,
+        upstream.started_ms,
+        upstream.service,
+    )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -14,25 +14,20 @@
 from gevent import event as events
 from gevent import Timeout
 
-from burdockchute import logs
 from burdockchute.decisions import admission
 from burdockchute.decisions import engine_room
 from burdockchute.decisions import patience
-from burdockchute.decisions import placement
-from burdockchute.decisions import versions
-from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.decisions.waiting import Waiting
 from burdockchute.decisions.waiting import WaitingQueue
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
 from burdockchute.model.outcomes import NotRun
-from burdockchute.model.routes import EngineCost
-from burdockchute.model.upstreams import Upstream
 from burdockchute.wire import messages
+from burdockchute_entry.straight.known_targets import KnownTargets
+from burdockchute_entry.straight.known_targets import wanted_of
 from burdockchute_entry.straight.lanes import Lane
 from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.lanes import Placing
-from burdockchute_entry.straight.lanes import Wish
 from burdockchute_entry.straight.retry_budgets import RetryBudgets
 from burdockchute_entry.straight.survey import Survey
 from burdockchute_entry.straight.targets import Target
@@ -41,10 +36,6 @@
 # restart or are listed again within about this time.
 NOBODY_RETRY_S = 1.0
 
-# An engine that has taken nothing new for longer than this does not load but
-# has failed; a load and what ran before it takes some two seconds.
-LOADS_S = 4.0
-
 # After a report that may have freed places, those that come in this time are
 # used in one round; it is a fiftieth of the usual objective.
 FILL_WAIT_S = 0.01
@@ -55,7 +46,7 @@
 
 
 class Placer:
-    """The targets, the queues and the budgets of retries of one entry.
+    """The queues and the budgets of retries of one entry.
 
     `region` is its own, `regions` gives that of each availability zone.
     """
@@ -68,52 +59,34 @@
         region: str = '',
         regions: Mapping[str, str] | None = None,
     ) -> None:
-        self.entries = 1
-        self._region = region
-        self._regions = regions or {}
-        self.bounds = bounds
         self._now = now
-        self._rng = rng
-        self._beliefs = Beliefs()
-        self._targets: dict[str, Target] = {}
+        self._known = KnownTargets(bounds, rng, region, regions or {})
         self._lanes: dict[str, Lane] = {}
-        self._at_address: dict[str, list[str]] = {}
         self._waiting: dict[str, Placing] = {}
         self._due: set[str] = set()
-        self.retries = RetryBudgets(lambda: self.bounds, lambda: self.entries)
+        self.retries = RetryBudgets(
+            lambda: self._known.bounds, lambda: self._known.entries
+        )
 
     # What is learnt.
 
     def learn(self, beliefs: Beliefs) -> None:
         """Take in new beliefs."""
-        self._beliefs = beliefs
-        present = {upstream.id: upstream for upstream in beliefs.present()}
-        for name in self._targets.keys() - present.keys():
-            self._targets.pop(name).close_idle()
-        for name, upstream in present.items():
-            target = self._targets.get(name)
-            if target is not None and _same_start(target, upstream):
-                target.relisted(upstream)
-                continue
-            if target is not None:
-                target.close_idle()
-            self._targets[name] = Target(upstream, self._now())
-        self._at_address = {}
-        for name, target in self._targets.items():
-            address = str(target.upstream.endpoint)
-            self._at_address.setdefault(address, []).append(name)
+        self._known.learn(beliefs, self._now())
         self.fill_all()
 
     def reported(self, address: str, report: messages.LoadReport) -> None:
         """Take in what the agent at an upstream's address reports."""
-        now = self._now()
-        self.entries = max(1, report.entries or 1)
-        for name in self._at_address.get(address, ()):
-            self._take_report(self._targets[name], report, now)
+        for service in self._known.reported(address, report, self._now()):
+            self._fill_soon(service)
+
+    def bound_by(self, bounds: Bounds) -> None:
+        """Take the machine's bounds from its settings, read again."""
+        self._known.bounds = bounds
 
     def targets(self) -> list[Target]:
         """Give all targets, by id."""
-        return [self._targets[name] for name in sorted(self._targets)]
+        return self._known.everyone()
 
     # Requests.
 
@@ -126,15 +99,17 @@
             left_s = min(patience.RESUME_WAIT_S, deadline - now)
             return self._wait(lane, placing, left_s, 0.0)
         late_s = patience.late_wait_s(deadline - now)
-        if not self._hosts(placing, now):
-            if not self._opening_places(placing, now):
+        if not self._known.hosts(placing, now):
+            if not self._known.opening_places(placing.wish, now):
                 reason = f'no upstream can run {wish.service!r} now'
                 return NotRun(reason, 503, NOBODY_RETRY_S)
             return self._wait(lane, placing, 0.0, late_s)
         fresh_s = patience.fresh_wait_s(
             wish.objective_s, wish.elapsed_s, deadline - now
         )
-        expected_s = lane.expected_wait_s(placing, self._loads(wish, now), now)
+        expected_s = lane.expected_wait_s(
+            placing, self._known.loads(wish, now), now
+        )
         if expected_s > max(fresh_s, late_s):
             return NotRun(
                 f'the wait would be {expected_s:.2f} s',
@@ -151,28 +126,25 @@
         The engine must stay open for the rest of the answer.
         """
         now = self._now()
-        cost = self._cost(placing.wish.service)
-        hosts = {target.id: target for target in self._hosts(placing, now)}
+        cost = self._known.cost(placing.wish.service)
+        hosts = {
+            target.id: target for target in self._known.hosts(placing, now)
+        }
         if cost is None or not hosts:
             return None
-        views = [self._view(target, now) for target in hosts.values()]
-        wanted = engine_room.Wanted(
-            placing.ctx.prompt_tokens, placing.ctx.max_tokens
-        )
+        views = [self._known.view(target, now) for target in hosts.values()]
         staying = [v for v in views if engine_room.stays_open(v, rest_s)]
-        view = engine_room.choose(staying, wanted, cost, within_s)
+        view = engine_room.choose(staying, wanted_of(placing), cost, within_s)
         return self._taken(placing, hosts[view.name], now) if view else None
 
     def tokens_an_event(self, service: str) -> int:
         """Give how many tokens an event of a service's streams holds."""
-        cost = self._cost(service)
+        cost = self._known.cost(service)
         return cost.steps_a_pass if cost else 1
 
     def ends_at(self, model: str, version: int) -> float | None:
         """Give when a version may begin nothing any more, None for never."""
-        return versions.ends_at(
-            self._beliefs.history(model), version, self.bounds.version_s
-        )
+        return self._known.ends_at(model, version)
 
     def began(self, placing: Placing, place: Place) -> None:
         """Note that an answer has begun: its prompt was read."""
@@ -254,7 +226,7 @@
         return patience.may_wait_late(
             len(lane.late),
             lane.late_served_lately(now),
-            self._opening_places(placing, now),
+            self._known.opening_places(placing.wish, now),
         )
 
     def _offer(
@@ -285,12 +257,13 @@
         if not len(lane.queue) and not len(lane.late):
             return
         now = self._now()
-        survey = self._survey(service, now)
+        survey = self._known.survey(service, now)
+        is_engine = self._known.cost(service) is not None
         for queue in (lane.queue, lane.late):
             aside: list[Waiting] = []
             is_late = queue is lane.late
             while len(queue) and len(aside) < MAX_ASIDE:
-                if not survey.has_room(is_late and self._is_engine(service)):
+                if not survey.has_room(is_late and is_engine):
                     break
                 item = queue.pop(now)
                 if item is None:
@@ -301,24 +274,13 @@
             for item in aside:
                 queue.put_back(item)
 
-    def _survey(self, service: str, now: float) -> Survey:
-        targets = [
-            target
-            for target in self._targets.values()
-            if target.upstream.service == service and target.is_usable(now)
-        ]
-        # Entries with the same reports must not all choose the same engine
-        # among equals.
-        self._rng.shuffle(targets)
-        return Survey(targets, lambda target: self._view(target, now), now)
-
     def _give(
         self, lane: Lane, placing: Placing, survey: Survey, now: float
     ) -> bool:
         left_s = self._left_s(placing, now)
         if survey.is_hopeless(placing, left_s):
             return False
-        target = self._choose(lane, placing, survey, left_s, now)
+        target = self._known.choose(placing, survey, left_s, lane.unit_s, now)
         if target is None:
             survey.found_nothing(placing, left_s)
             return False
@@ -344,145 +306,8 @@
         spent_s = placing.wish.elapsed_s + now - placing.ctx.arrived
         return placing.wish.objective_s - spent_s
 
-    def _choose(
-        self,
-        lane: Lane,
-        placing: Placing,
-        survey: Survey,
-        left_s: float | None,
-        now: float,
-    ) -> Target | None:
-        least = self._least_version(placing.wish, now)
-        found = survey.open_to(
-            lambda target: (
-                not placing.avoids(target)
-                and _may_run(target, placing.wish, least)
-            )
-        )
-        cost = self._cost(placing.wish.service)
-        if cost is None:
-            load = placement.choose(
-                [target.load for target, _view in found.values()],
-                placing.work,
-                lane.unit_s,
-                now,
-                self._rng,
-            )
-            return found[load.name][0] if load else None
-        wanted = engine_room.Wanted(
-            placing.ctx.prompt_tokens, placing.ctx.max_tokens
-        )
-        views = [view for _target, view in found.values()]
-        view = engine_room.choose(views, wanted, cost, left_s)
-        return found[view.name][0] if view else None
-
-    def _is_engine(self, service: str) -> bool:
-        return self._cost(service) is not None
-
-    def _least_version(self, wish: Wish, now: float) -> int:
-        if not wish.model:
-            return 0
-        history = self._beliefs.history(wish.model)
-        return versions.least_allowed(history, self.bounds.version_s, now)
-
-    def _view(self, target: Target, now: float) -> engine_room.EngineView:
-        region = self._regions.get(target.upstream.zone)
-        is_far = region is not None and region != self._region
-        return target.view(self.entries, is_far, now)
-
-    def _cost(self, service: str) -> EngineCost | None:
-        routes = self._beliefs.routes
-        known = routes.services.get(service) if routes else None
-        if known is None or known.cost is None:
-            return None
-        return known.cost if known.cost.prompt_tokens_per_s > 0 else None
-
-    def _hosts(self, placing: Placing, now: float) -> list[Target]:
-        wish = placing.wish
-        least = self._least_version(wish, now)
-        return [
-            target
-            for target in self._targets.values()
-            if target.upstream.service == wish.service
-            and target.is_usable(now)
-            and not placing.avoids(target)
-            and _may_run(target, wish, least)
-        ]
-
-    def _opening_places(self, placing: Placing, now: float) -> float:
-        """Give this entry's part of the places on engines that load now.
-
-        Between two versions there may be a second in which all engines
-        load. Callers who were refused then would come back into it; as many
-        as the engines can take when they open again wait for that.
-        """
-        wish = placing.wish
-        if not wish.model or wish.exact is not None:
-            return 0
-        slots = sum(
-            target.load.slots
-            for target in self._targets.values()
-            if target.upstream.service == wish.service
-            and not target.upstream.draining
-            and (target.closed_for_s(now) or LOADS_S) < LOADS_S
-        )
-        return engine_room.SPARE_SHARE * slots / self.entries
-
-    def _loads(self, wish: Wish, now: float) -> list[InstanceLoad]:
-        return [
-            target.load
-            for target in self._targets.values()
-            if target.upstream.service == wish.service
-            and target.is_usable(now)
-            and (not wish.model or wish.model in target.versions)
-        ]
-
     def _lane(self, service: str) -> Lane:
         lane = self._lanes.get(service)
         if lane is None:
             lane = self._lanes[service] = Lane(service)
         return lane
-
-    def _take_report(
-        self, target: Target, report: messages.LoadReport, now: float
-    ) -> None:
-        loaded = {}
-        for state in report.weights or ():
-            model, _at, version = state.digest.rpartition('@')
-            loaded[model] = int(version)
-        if dict(target.versions) != loaded:
-            logs.event(
-                'upstream_versions_reported',
-                upstream=target.id,
-                versions=','.join(f'{m}@{v}' for m, v in loaded.items()),
-            )
-        if loaded:
-            target.closed_at = None
-        elif target.closed_at is None:
-            target.closed_at = now
-        target.versions = loaded
-        target.sent_since_report = 0
-        target.closes_at = None
-        if report.closes_in_ms is not None and report.closes_in_ms >= 0:
-            target.closes_at = now + report.closes_in_ms / 1000
-        slots = report.slots or target.upstream.slots
-        target.load.report(report.running, slots, self.entries, 0.0, (), now)
-        self._fill_soon(target.upstream.service)
-
-
-def _may_run(target: Target, wish: Wish, least: int) -> bool:
-    if not wish.model:
-        return True
-    version = target.versions.get(wish.model)
-    if version is None or version < least:
-        return False
-    return wish.exact in (None, version)
-
-
-def _same_start(target: Target, upstream: Upstream) -> bool:
-    known = target.upstream
-    return (known.endpoint, known.started_ms, known.service) == (
-        upstream.endpoint,
-        upstream.started_ms,
-        upstream.service,
-    )
--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -9,11 +9,16 @@
 import gevent
 
 from burdockchute.decisions.engine_room import EngineView
+from burdockchute.decisions.listing import Known
+from burdockchute.decisions.listing import UpstreamList
 from burdockchute.decisions.placement import Work
+from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
 from burdockchute.model.requests import RequestContext
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.model.upstreams import Upstream
+from burdockchute.wire import messages
+from burdockchute_entry.straight.known_targets import KnownTargets
 from burdockchute_entry.straight.lanes import Placing
 from burdockchute_entry.straight.lanes import Wish
 from burdockchute_entry.straight.placer import Placer
@@ -48,26 +53,27 @@
     return Placing(ctx, Work(1.0, False, prompt, ()), Wish('drafts', '', 0.4))
 
 
-def targets():
+def upstreams():
     return [
-        Target(
-            Upstream(
-                id=f'i-{number}',
-                service='drafts',
-                endpoint=Endpoint('127.0.0.1', 1 + number),
-                zone='',
-                slots=SLOTS,
-                draining=False,
-                warm_in_s=0.0,
-                versions={},
-                started_ms=None,
-            ),
-            0.0,
+        Upstream(
+            id=f'i-{number}',
+            service='drafts',
+            endpoint=Endpoint('127.0.0.1', 1 + number),
+            zone='',
+            slots=SLOTS,
+            draining=False,
+            warm_in_s=0.0,
+            versions={},
+            started_ms=None,
         )
         for number in range(TARGETS)
     ]
 
 
+def targets():
+    return [Target(upstream, 0.0) for upstream in upstreams()]
+
+
 def view_of(target):
     return EngineView(target.id, 0, 0, SLOTS, 1, 0)
 
@@ -111,20 +117,22 @@
         out together a moment later.
         """
         placer = Placer(BOUNDS, lambda: 0.0, random.Random(1))
-        for target in targets():
-            placer._targets[target.id] = target
+        known = {u.id: Known(u, 0) for u in upstreams()}
+        placer.learn(Beliefs(upstreams=UpstreamList(known, {})))
+        for target in placer.targets():
             target.load.reserved_for = 'somebody else'
         waiting = [
             gevent.spawn(placer.place, placing(number), 6.0)
             for number in range(8)
         ]
         gevent.sleep(0)
-        with mock.patch.object(
-            placer, '_survey', wraps=placer._survey
-        ) as look:
+        survey = KnownTargets.survey
+        with mock.patch.object(KnownTargets, 'survey', autospec=True) as look:
+            look.side_effect = survey
             for target in placer.targets():
                 target.load.reserved_for = ''
-                placer._fill_soon('drafts')
+                address = str(target.upstream.endpoint)
+                placer.reported(address, messages.LoadReport(running=0))
             look.assert_not_called()
             gevent.joinall(waiting, timeout=5)
             self.assertEqual(1, look.call_count)
