Measure what a request and an event cost the straight path

make bench-straight: an entry as the tests wire it, upstreams and callers in processes of their own; processor time of the entry for a plain request, a stream and each of its events, with one and with fifty engines, with and without log lines.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 WIRE := packages/burdockchute/burdockchute/wire
 
-.PHONY: demo test lint format bench bench-path bench-control \
+.PHONY: demo test lint format bench bench-path bench-straight bench-control \
 	bench-claims bench-rollout bench-load bench-table wire lock setup clean
 
 setup: $(VENV)/.stamp
@@ -55,6 +55,9 @@
 bench-table: setup
 	$(BIN)/python -m burdockchute_testing.benches.$(subst bench-,,$@)
 
+bench-straight: setup
+	cd platform && PYTHONPATH=. ../$(BIN)/python -m benches.straight_path
+
 wire:
 	thrift --gen py -out $(WIRE)/gen \
 		$(WIRE)/burdockchute.thrift
