Give an engine that has fallen behind nothing new

Its streams trickle on, so it is not silent; its reports are late, so it looks emptier than the rest and gets the most. From 20.4 to 21.3 s thirteen requests were sent there that arrived 2.5 s later, after their callers had given up, and the engine worked for nobody.

Change: an engine on which a request of the entry has not begun for 1.0 s gets nothing new from it until that has begun or ended.

The test fails without the change.

Trial before it, taken back: chunks under way bounded by what the own link carries in 0.8 s.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -30,6 +30,7 @@
 from burdockchute_entry.straight.lanes import Placing
 from burdockchute_entry.straight.retry_budgets import RetryBudgets
 from burdockchute_entry.straight.survey import Survey
+from burdockchute_entry.straight.targets import Reading
 from burdockchute_entry.straight.targets import Target
 
 # A request whose service has nobody to run it hears so at once; upstreams
@@ -293,7 +294,9 @@
     def _taken(self, placing: Placing, target: Target, now: float) -> Place:
         target.load.sent(placing.work, now)
         target.sent_since_report += 1
-        target.reading[placing.ctx.request_id] = placing.work.prompt_tokens
+        target.reading[placing.ctx.request_id] = Reading(
+            placing.work.prompt_tokens, now
+        )
         model = placing.wish.model
         return Place(target, target.versions.get(model) if model else None)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from burdockchute.decisions import health
 from burdockchute.decisions.engine_room import EngineView
@@ -24,11 +25,19 @@
 CAREFUL_IDLE_S = 1.0
 
 
+class Reading(NamedTuple):
+    """A request of ours that has not begun to answer."""
+
+    prompt_tokens: int
+    sent_at: float
+
+
 class Target:
     """One upstream.
 
     `versions` is what it last said that it has loaded, by its own entry in
-    the list or by its agent. `heard_at` is when its last byte came.
+    the list or by its agent. `heard_at` is when its last byte came, `reading`
+    has our requests that have not begun to answer, by id.
     """
 
     def __init__(self, upstream: Upstream, now: float) -> None:
@@ -38,8 +47,7 @@
         self.health = health.Health()
         self.heard_at = now
         self.slowness = 1.0
-        # Prompt tokens of our requests that have not begun to answer.
-        self.reading: dict[str, int] = {}
+        self.reading: dict[str, Reading] = {}
         self.sent_since_report = 0
         self.closes_at: float | None = None
         # Since when its engine loads and takes nothing new.
@@ -71,13 +79,17 @@
 
     def view(self, entries: int, is_far: bool, now: float) -> EngineView:
         """Give what is known of it as an engine that entries share."""
+        sent_at = [item.sent_at for item in self.reading.values()]
+        is_stalled = health.is_stalled(sent_at, now)
         return EngineView(
             name=self.id,
             ours=self.load.ours,
             others=self.load.in_flight(now) - self.load.ours,
             slots=self.load.slots,
-            room=self.load.room(now),
-            reading_tokens=sum(self.reading.values()),
+            room=0 if is_stalled else self.load.room(now),
+            reading_tokens=sum(
+                item.prompt_tokens for item in self.reading.values()
+            ),
             unseen=self.sent_since_report * (entries - 1),
             slowness=self.slowness,
             closes_in_s=None
--- a/packages/burdockchute/burdockchute/decisions/health.py
+++ b/packages/burdockchute/burdockchute/decisions/health.py
@@ -15,15 +15,25 @@
 come for SILENT_S is taken for dark: a batch of streams brings an event each
 few dozen milliseconds, and callers give up on a stream that pauses for two
 seconds.
+
+An engine whose link is squeezed is not silent: its streams trickle on. But
+what is sent there stands before it for seconds, and since its reports are
+late as well it looks emptier than the rest and gets the most. Callers give up
+before their requests have arrived, and the engine then works for nobody. So
+one on which a request of ours has not begun for STALLED_S gets nothing new
+until that has begun or ended. Of 2,170 requests of a calm day 99 in 100 began
+within 0.9 s.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 BLOCK_S = 0.2
 MAX_BLOCK_S = 1.6
 SILENT_S = 1.2
+STALLED_S = 1.0
 
 
 class Health(NamedTuple):
@@ -57,3 +67,14 @@
     waits was sent.
     """
     return now - max(heard_at, sent_at) > SILENT_S
+
+
+def is_stalled(sent_at: Iterable[float], now: float) -> bool:
+    """Tell whether an engine has fallen behind.
+
+    `sent_at` is when the requests were sent that have not begun there.
+
+    >>> is_stalled([], 9.0), is_stalled([8.5, 7.9], 9.0)
+    (False, True)
+    """
+    return any(now - at > STALLED_S for at in sent_at)
