Make one of what stood twice in the change

- The agent beside an upstream was built in the entry and in the agent alike: nodes/agents.agent_beside.
- The ages of the feeds were watched in both wirings; the agent's lacked that of the list, which docs/OPERATIONS.md names for it.
Follower.watch_ages, so an agent has that metric now.
- A report with news was put together twice; the second is a copy now.
- Whether nobody waits in a lane was asked in two ways: Lane.is_empty.
- Target.name, which nothing reads, is gone; both binaries hand over a Site whole; the time-out of a whole answer is no longer told by an empty one; a site's name is out of a doc example.

No decision changes.

--- a/packages/burdockchute-agent/burdockchute_agent/main.py
+++ b/packages/burdockchute-agent/burdockchute_agent/main.py
@@ -67,9 +67,7 @@
     from burdockchute_agent.staged.app import StagedApp
 
     return commands.serve_site(
-        args,
-        os.environ,
-        lambda site: StagedApp(site.cfg, site.machine, site.adapter).serve(),
+        args, os.environ, lambda site: StagedApp(*site).serve()
     )
 
 
--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -112,11 +112,7 @@
     def _watch(self) -> None:
         metrics.watch('burdockchute.engine_running', '1', self._running)
         metrics.watch('burdockchute.held_bytes', 'By', self.staged.held_bytes)
-        metrics.watch(
-            'burdockchute.wishes_age',
-            's',
-            lambda: self.follower.wishes_contact.age_s(time.monotonic()),
-        )
+        self.follower.watch_ages()
 
     def _running(self) -> int | None:
         report = self.staged.report
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import copy
 import time
 
 import gevent
@@ -108,7 +109,8 @@
         self._told_at = now
         self._told_histories = histories
         if is_news:
-            current = self.current()
+            # What was told is kept without ages, which are no change.
+            current = copy.copy(current)
             current.named = news_of(histories, now)
         frame = links.frame_of(current)
         for link in list(self.entries):
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -30,7 +30,7 @@
 from burdockchute.model.engines import OrderEnd
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
-from burdockchute.model.members import Place
+from burdockchute.nodes.agents import agent_beside
 from burdockchute.nodes.peers import Peers
 from burdockchute.weights.copies import Copy
 from burdockchute.weights.manifest import parse_named
@@ -340,17 +340,11 @@
     # Peers.
 
     def _engines(self, beliefs: Beliefs) -> list[Member]:
-        regions = self._machine.regions
+        machine = self._machine
         return [
-            Member(
-                str(upstream.endpoint),
-                'agent',
-                upstream.endpoint.ip,
-                self._machine.link_ports[0],
-                Place(upstream.zone, regions.get(upstream.zone, ''), ''),
-            )
+            agent_beside(upstream, machine.link_ports[0], machine.regions)
             for upstream in beliefs.present()
-            if upstream.service == self._machine.service
+            if upstream.service == machine.service
         ]
 
     def _want_peers(self, beliefs: Beliefs) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -82,9 +82,7 @@
     from burdockchute_entry.straight.app import StraightApp
 
     return commands.serve_site(
-        args,
-        os.environ,
-        lambda site: StraightApp(site.cfg, site.machine, site.adapter).serve(),
+        args, os.environ, lambda site: StraightApp(*site).serve()
     )
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -18,8 +18,8 @@
 from burdockchute.decisions.versions import History
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.members import Member
-from burdockchute.model.members import Place
 from burdockchute.nodes import links
+from burdockchute.nodes.agents import agent_beside
 from burdockchute.nodes.peers import Dialled
 from burdockchute.nodes.peers import Peers
 from burdockchute.nodes.version_news import news_of
@@ -32,11 +32,7 @@
 
 
 def agents_of(beliefs: Beliefs, link_port: int) -> dict[str, Member]:
-    """Give the agents of all engines, by the engine's address.
-
-    An agent stands on its engine's machine and takes links at a port that is
-    the same everywhere.
-    """
+    """Give the agents of all engines, by the engine's address."""
     if beliefs.routes is None:
         return {}
     services = beliefs.routes.services
@@ -45,11 +41,8 @@
         service = services.get(upstream.service)
         if service is None or not service.models:
             continue
-        name = str(upstream.endpoint)
-        place = Place(upstream.zone, '', '')
-        found[name] = Member(
-            name, 'agent', upstream.endpoint.ip, link_port, place
-        )
+        agent = agent_beside(upstream, link_port, {})
+        found[agent.name] = agent
     return found
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -138,7 +138,7 @@
         return self._leave(callers)
 
     def _watch(self) -> None:
-        follower = self.follower
+        self.follower.watch_ages()
         metrics.watch(
             'burdockchute.open_requests',
             '1',
@@ -147,16 +147,6 @@
         metrics.watch(
             'burdockchute.configuration_version', '1', self._configuration
         )
-        metrics.watch(
-            'burdockchute.wishes_age',
-            's',
-            lambda: follower.wishes_contact.age_s(time.monotonic()),
-        )
-        metrics.watch(
-            'burdockchute.upstream_list_age',
-            's',
-            lambda: follower.upstreams_contact.age_s(time.monotonic()),
-        )
         metrics.watch(
             'burdockchute.upstreams', '1', lambda: len(self.placer.targets())
         )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -46,6 +46,11 @@
         self.late = WaitingQueue(MAX_WAITING)
         self._late_served: deque[float] = deque()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nobody waits."""
+        return not len(self.queue) and not len(self.late)
+
     def note_late_served(self, now: float) -> None:
         """Note that one of the late got a place."""
         self._late_served.append(now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -243,8 +243,7 @@
 
     def _fill_soon(self, service: str) -> None:
         # Reports come from each agent several times a second.
-        lane = self._lane(service)
-        if service in self._due or not (len(lane.queue) or len(lane.late)):
+        if service in self._due or self._lane(service).is_empty:
             return
         self._due.add(service)
         gevent.spawn_later(FILL_WAIT_S, self._fill_due, service)
@@ -255,7 +254,7 @@
 
     def _fill(self, service: str) -> None:
         lane = self._lane(service)
-        if not len(lane.queue) and not len(lane.late):
+        if lane.is_empty:
             return
         now = self._now()
         survey = self._known.survey(service, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -60,11 +60,6 @@
         """The id of the upstream."""
         return self.upstream.id
 
-    @property
-    def name(self) -> str:
-        """The id, under the name that pools use."""
-        return self.upstream.id
-
     def relisted(self, upstream: Upstream) -> None:
         """Take in a newer entry of the list."""
         if upstream.versions != self.upstream.versions:
--- a/packages/burdockchute/burdockchute/decisions/hosting.py
+++ b/packages/burdockchute/burdockchute/decisions/hosting.py
@@ -42,9 +42,9 @@
 def matches(placement: str, name: str, place: Place) -> bool:
     """Tell whether an instance matches a placement.
 
-    >>> matches('zone:graz-1,zone:graz-2', 'a', Place('graz-1', 'graz', 'p'))
+    >>> matches('zone:z-1,zone:z-2', 'a', Place('z-1', 'north', 'p'))
     True
-    >>> matches('zone:graz-1,pool:q', 'a', Place('graz-1', 'graz', 'p'))
+    >>> matches('zone:z-1,pool:q', 'a', Place('z-1', 'north', 'p'))
     False
     """
     terms = [term.strip() for term in placement.split(',') if term.strip()]
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -16,6 +16,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+from functools import partial
 import logging
 import random
 from typing import NamedTuple
@@ -24,6 +25,7 @@
 from returns.result import Failure
 
 from burdockchute import logs
+from burdockchute import metrics
 from burdockchute.decisions import listing
 from burdockchute.model import beliefs as belief
 from burdockchute.model.beliefs import Beliefs
@@ -131,6 +133,19 @@
         self.wishes_contact = Contact('wishes', now())
         self.upstreams_contact = Contact('upstream_list', now())
 
+    def watch_ages(self) -> None:
+        """Measure how long ago each feed last answered."""
+        for name, contact in (
+            ('wishes_age', self.wishes_contact),
+            ('upstream_list_age', self.upstreams_contact),
+        ):
+            metrics.watch(
+                f'burdockchute.{name}', 's', partial(self._age_s, contact)
+            )
+
+    def _age_s(self, contact: Contact) -> float:
+        return contact.age_s(self._now())
+
     def follow_wishes(self) -> None:
         """Follow what operators want, for ever."""
         self._follow(
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -96,8 +96,9 @@
     try:
         with gevent.Timeout(timeout_s):
             response = client.request(method, path, body)
-            data = b'' if part_s else bytes(response.read())
-        if part_s:
+            if part_s is None:
+                data = bytes(response.read())
+        if part_s is not None:
             data = _by_parts(response, part_s)
         return Success(
             RawReply(
