--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -14,7 +14,6 @@
 from burdockchute.decisions.placement import Work
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
-from burdockchute.model.requests import RequestContext
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.model.upstreams import Upstream
 from burdockchute.wire import messages
@@ -24,6 +23,7 @@
 from burdockchute_entry.straight.placer import Placer
 from burdockchute_entry.straight.survey import Survey
 from burdockchute_entry.straight.targets import Target
+from burdockchute_testing.builders import requests
 
 BOUNDS = Bounds(2.0, 8.0, 2.0, 8.0, 3.0, 0.2, 10.0, 100.0)
 TARGETS = 50
@@ -31,24 +31,12 @@
 
 
 def placing(number, prompt=900):
-    ctx = RequestContext(
+    ctx = requests.request(
         request_id=f'q-{number}',
-        customer='school',
         target='drafts',
-        kind='stream',
-        idempotent=True,
-        idempotency_key='',
-        arrived=0.0,
         deadline=6.0,
-        priority=0,
         prompt_tokens=prompt,
         max_tokens=94,
-        stream=True,
-        method='POST',
-        path='/',
-        content_type='',
-        body=b'',
-        fingerprint='f',
     )
     return Placing(ctx, Work(1.0, False, prompt, ()), Wish('drafts', '', 0.4))
 
