Agents hear from entries what they need of the configuration

Cause: while a version was copied, agents read a configuration of a thousand routes each 7 s (400 KB, 0.7 s of a link of 4.7 Mbit/s, and again after a read that came too late).

Change: entries tell agents the models and slots of their service and the address of the origin, and whether the store answers them. An agent reads the wishes only while no such entry is linked.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -23,9 +23,11 @@
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Machine
 from burdockchute.nodes import links
-from burdockchute.nodes.version_news import heard_of
+from burdockchute.nodes.wishes_news import heard_of
+from burdockchute.nodes.wishes_news import needs_heard
 from burdockchute.site_settings import SiteSettings
 from burdockchute.wire import messages
+from burdockchute_agent.staged.informants import Informants
 from burdockchute_agent.staged.reports_task import ReportsTask
 from burdockchute_agent.staged.staged_task import StagedTask
 
@@ -34,11 +36,8 @@
 # was lost is noticed after its wait, and until then the peers are as before.
 UPSTREAMS_CADENCE = Cadence(wait_s=6.0, period_s=3.0, settling_s=SETTLING_S)
 
-# While entries tell it of versions, an agent reads the wishes only for what
-# else it needs: which models there are and where their origin is. That has to
-# be in force within the 8 s that operators wait for a change. Without an entry
-# it follows them as entries do, but takes saves in a row together.
-TOLD_CADENCE = Cadence(wait_s=0.0, period_s=7.0)
+# Without an entry that tells it what operators want, an agent follows the
+# wishes as entries do, but takes saves in a row together.
 ALONE_CADENCE = Cadence(wait_s=WISHES_WAIT_S, period_s=1.0)
 
 
@@ -56,6 +55,7 @@
         rng = random.Random()
         identity = cfg.identity(machine)._replace(name=self._name)
         self.lifetime = Lifetime(identity, 'agent', lambda: 0)
+        self._informants = Informants(time.monotonic())
         self.follower = Follower(
             adapter.open_feeds(machine.store),
             self._changed,
@@ -146,12 +146,22 @@
                 self.reports.opened(event.link)
             elif isinstance(event, links.Closed):
                 self.reports.closed(event.link)
-            elif isinstance(event.message, messages.VersionNews):
-                news = event.message.named
-                self.follower.hear(heard_of(news, time.monotonic()))
+                self._informants.closed(event.link, time.monotonic())
+            elif isinstance(event.message, messages.WishesNews):
+                self._hear(event.link, event.message, time.monotonic())
 
-    def _wishes_cadence(self) -> Cadence:
-        return TOLD_CADENCE if self.reports.entries else ALONE_CADENCE
+    def _hear(
+        self, link: links.Link, news: messages.WishesNews, now: float
+    ) -> None:
+        needs = needs_heard(news.needs)
+        self._informants.told(link, news.in_contact and needs is not None, now)
+        self.follower.hear(heard_of(news.named, now))
+        if needs is not None:
+            self.follower.hear_needs(needs)
+
+    def _wishes_cadence(self) -> Cadence | None:
+        is_alone = self._informants.are_missing(time.monotonic())
+        return ALONE_CADENCE if is_alone else None
 
     def _reload(self) -> None:
         self._machine = site_settings.reload(
@@ -163,11 +173,8 @@
         self.staged.inbox.put(beliefs)
 
     def _slots(self) -> int:
-        routes = self.follower.beliefs.routes
-        service = (
-            routes.services.get(self._machine.service) if routes else None
-        )
-        return service.slots if service else 0
+        needs = self.follower.beliefs.needs(self._machine.service)
+        return needs.slots if needs else 0
 
     def _probe(self) -> http_admin.Probe:
         return http_admin.Probe(True, '')
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -11,7 +11,7 @@
 
 from burdockchute.decisions.versions import History
 from burdockchute.nodes import links
-from burdockchute.nodes.version_news import news_of
+from burdockchute.nodes.wishes_news import news_of
 from burdockchute.wire import messages
 from burdockchute_agent.staged.origins import copy_name
 from burdockchute_agent.staged.staged_task import StagedTask
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -263,11 +263,8 @@
         return self._copying.tick(now)
 
     def _models(self) -> list[str]:
-        routes = self._beliefs().routes
-        if routes is None:
-            return []
-        service = routes.services.get(self._machine.service)
-        return [model.name for model in service.models] if service else []
+        needs = self._beliefs().needs(self._machine.service)
+        return list(needs.models) if needs else []
 
     def _step_model(self, rollout: Rollout, now: float) -> None:
         history = self._beliefs().history(rollout.model)
@@ -366,12 +363,11 @@
     # The origin and what lies here.
 
     def _open_origin(self) -> OriginClient:
-        routes = self._beliefs().routes
-        for service in routes.services.values() if routes else ():
-            if service.origin:
-                address = self._adapter.endpoint(service.origin)
-                return NamedOrigin(self._adapter.origin(address))
-        return NoOrigin()
+        needs = self._beliefs().needs(self._machine.service)
+        if needs is None or not needs.origin:
+            return NoOrigin()
+        address = self._adapter.endpoint(needs.origin)
+        return NamedOrigin(self._adapter.origin(address))
 
     def _look_through(self, model: str, name: str, now: float) -> None:
         """Take what lies in the staging area already.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 import random
 import time
+from typing import NamedTuple
 
 from gevent import queue
 
@@ -18,11 +19,14 @@
 from burdockchute.decisions.versions import History
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.members import Member
+from burdockchute.model.needs import Needs
 from burdockchute.nodes import links
 from burdockchute.nodes.agents import agent_beside
 from burdockchute.nodes.peers import Dialled
+from burdockchute.nodes.peers import PeerLink
 from burdockchute.nodes.peers import Peers
-from burdockchute.nodes.version_news import news_of
+from burdockchute.nodes.wishes_news import needs_news
+from burdockchute.nodes.wishes_news import news_of
 from burdockchute.wire import messages
 
 # How often lost links are looked at; a redial waits longer than this.
@@ -46,8 +50,20 @@
     return found
 
 
+class _Told(NamedTuple):
+    """What an agent was told last."""
+
+    histories: Mapping[str, History]
+    needs: Needs | None
+    in_contact: bool
+
+
 class AgentsTask:
-    """Keeps a link to each agent; `reported` gets what they report."""
+    """Keeps a link to each agent; `reported` gets what they report.
+
+    Agents are told what operators want, and whether the store answers this
+    entry (`in_contact`): one that it does not answer knows nothing new.
+    """
 
     def __init__(
         self,
@@ -55,13 +71,17 @@
         hello: Callable[[], messages.Hello],
         link_port: int,
         reported: Reported,
+        in_contact: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._link_port = link_port
         self._reported = reported
         self._peers = Peers(own, hello, self.inbox, rng)
-        self._histories: Mapping[str, History] = {}
+        self._in_contact = in_contact
+        self._beliefs = Beliefs()
+        self._services: dict[str, str] = {}
+        self._told: dict[str, _Told] = {}
 
     def run(self) -> None:
         """Take messages for ever."""
@@ -76,18 +96,24 @@
     def _take(self, message: object) -> None:
         match message:
             case Beliefs():
+                self._beliefs = message
+                self._services = {
+                    str(upstream.endpoint): upstream.service
+                    for upstream in message.present()
+                }
                 self._peers.want(agents_of(message, self._link_port))
-                self._tell(message.histories)
                 self._tick()
             case Dialled():
                 self._peers.dialled(message, time.monotonic())
             case links.Opened(link=link):
                 peer = self._peers.opened(link)
                 if peer is not None:
-                    peer.send(self._news())
+                    self._told.pop(peer.name, None)
+                    self._tell(peer)
                 logs.event('agent_linked', agent=link.peer.name)
             case links.Closed(link=link, reason=reason):
                 if self._peers.closed(link) is not None:
+                    self._told.pop(link.peer.name, None)
                     logs.warn(
                         'agent_lost', agent=link.peer.name, reason=reason
                     )
@@ -95,15 +121,24 @@
                 if self._peers.of(link) is not None:
                     self._reported(link.peer.name, message.message)
 
-    def _tell(self, histories: Mapping[str, History]) -> None:
-        if histories == self._histories:
+    def _tell(self, peer: PeerLink) -> None:
+        service = self._services.get(peer.name, '')
+        needs = self._beliefs.needs(service)
+        # Most saves change nothing for agents; those aren't told of.
+        told = _Told(
+            self._beliefs.histories,
+            needs._replace(configuration=0) if needs else None,
+            self._in_contact(),
+        )
+        if told == self._told.get(peer.name):
             return
-        self._histories = histories
-        for peer in list(self._peers.links.values()):
-            peer.send(self._news())
-
-    def _news(self) -> messages.VersionNews:
-        return messages.VersionNews(news_of(self._histories, time.monotonic()))
+        self._told[peer.name] = told
+        named = news_of(told.histories, time.monotonic())
+        peer.send(
+            messages.WishesNews(named, needs_news(needs), told.in_contact)
+        )
 
     def _tick(self) -> None:
+        for peer in list(self._peers.links.values()):
+            self._tell(peer)
         self._peers.tick(time.monotonic())
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -27,7 +27,7 @@
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
-from burdockchute.nodes.version_news import heard_of
+from burdockchute.nodes.wishes_news import heard_of
 from burdockchute.site_settings import SiteSettings
 from burdockchute.wire import messages
 from burdockchute_entry.straight.agents_task import AgentsTask
@@ -93,6 +93,7 @@
             self.lifetime.hello,
             machine.link_ports[0],
             self._reported,
+            lambda: not self.follower.wishes_contact.lost,
             rng,
         )
         self.counters = Counters()
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -7,13 +7,24 @@
 import unittest
 
 from burdockchute.decisions import versions
+from burdockchute.decisions.routing import route_table
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
+from burdockchute.model.routes import CallerLimits
+from burdockchute.model.routes import Configuration
+from burdockchute.model.routes import Model
+from burdockchute.model.routes import Service
+from burdockchute.model.upstreams import Endpoint
 from burdockchute.nodes import links
+from burdockchute.wire import messages
 from burdockchute_entry.straight.agents_task import AgentsTask
+from burdockchute_testing.builders.upstreams import listed
+from burdockchute_testing.builders.upstreams import upstream
 
 OWN = Member('front-1', 'entry', '127.0.0.1', 0, Place('z', 'r', ''))
+ADDRESS = Endpoint('10.0.0.1', 1)
+LIMITS = CallerLimits(8192, 1_000_000, 1.0, 5.0)
 
 
 class FakeLink:
@@ -24,8 +35,10 @@
             name=name, zone='z', region='r', incarnation='1'
         )
         self.sent = []
+        self.news = []
 
     def send(self, message):
+        self.news.append(message)
         self.sent.append(
             [(i.model, i.version, i.age_ms >= 0) for i in message.named]
         )
@@ -35,11 +48,14 @@
     """An agent reads the wishes seldom, and has to know of versions soon."""
 
     def setUp(self):
+        self.in_contact = True
+        self.beliefs = Beliefs()
         self.task = AgentsTask(
             OWN,
             lambda: None,
             1,
             lambda address, report: None,
+            lambda: self.in_contact,
             random.Random(1),
         )
 
@@ -48,7 +64,7 @@
         for version, at in named:
             history = versions.name(history, version, at)
         histories = {'story': history} if named else {}
-        self.task._take(Beliefs(histories=histories))
+        self.task._take(self.beliefs._replace(histories=histories))
 
     def opened(self, name):
         link = FakeLink(name)
@@ -69,6 +85,53 @@
         for link in (first, second):
             self.assertEqual([[], [('story', 2, True)]], link.sent)
 
+    def saved(self, version, origin):
+        """Take in a saved configuration with one engine of `drafts`."""
+        drafts = Service('drafts', 8, models=(Model('story', 0.3),), slots=4)
+        weights = Service('weights', 8, origin=origin)
+        routes = route_table(
+            Configuration(version, (), (drafts, weights), None, LIMITS)
+        )
+        self.beliefs = self.beliefs._replace(
+            routes=routes,
+            upstreams=listed(upstream(endpoint=ADDRESS)),
+            listed=True,
+        )
+        self.task._take(self.beliefs)
+
+    def test_an_agent_is_told_what_it_needs_and_not_of_each_save(self):
+        """Operators save routes in a storm; the origin moves once.
+
+        An agent that read each save would fill its engine's thin link with
+        routes that it has no use for.
+        """
+        link = self.opened(str(ADDRESS))
+        for version in range(1, 20):
+            self.saved(version, '10.0.0.8:80')
+        self.saved(20, '10.0.0.9:80')
+        self.assertEqual(
+            [
+                None,
+                messages.AgentNeeds(1, ['story'], 4, '10.0.0.8:80'),
+                messages.AgentNeeds(20, ['story'], 4, '10.0.0.9:80'),
+            ],
+            [news.needs for news in link.news],
+        )
+
+    def test_an_entry_that_hears_nothing_says_so(self):
+        """The store turns one entry away and serves the agents.
+
+        An agent that went on relying on it would miss a version.
+        """
+        link = self.opened(str(ADDRESS))
+        self.in_contact = False
+        self.task._tick()
+        self.in_contact = True
+        self.task._tick()
+        self.assertEqual(
+            [True, False, True], [news.in_contact for news in link.news]
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -15,7 +15,6 @@
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
 from burdockchute.model.upstreams import Endpoint
-from burdockchute.model.upstreams import Upstream
 from burdockchute.wire import messages
 from burdockchute_entry.straight.known_targets import KnownTargets
 from burdockchute_entry.straight.lanes import Placing
@@ -24,6 +23,7 @@
 from burdockchute_entry.straight.survey import Survey
 from burdockchute_entry.straight.targets import Target
 from burdockchute_testing.builders import requests
+from burdockchute_testing.builders.upstreams import upstream
 
 BOUNDS = Bounds(2.0, 8.0, 2.0, 8.0, 3.0, 0.2, 10.0, 100.0)
 TARGETS = 50
@@ -43,14 +43,11 @@
 
 def upstreams():
     return [
-        Upstream(
+        upstream(
             id=f'i-{number}',
-            service='drafts',
             endpoint=Endpoint('127.0.0.1', 1 + number),
             zone='',
             slots=SLOTS,
-            draining=False,
-            warm_in_s=0.0,
             versions={},
             started_ms=None,
         )
--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/builders/upstreams.py
@@ -0,0 +1,39 @@
+"""Upstreams as the list names them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from burdockchute.decisions import listing
+from burdockchute.decisions.listing import UpstreamList
+from burdockchute.model.upstreams import Endpoint
+from burdockchute.model.upstreams import Listed
+from burdockchute.model.upstreams import Upstream
+
+
+def upstream(**changes: Any) -> Upstream:
+    """Give an engine of the service `drafts`.
+
+    >>> upstream(slots=4).slots
+    4
+    """
+    usual = Upstream(
+        id='i-1',
+        service='drafts',
+        endpoint=Endpoint('10.0.0.1', 80),
+        zone='north',
+        slots=16,
+        draining=False,
+        warm_in_s=0.0,
+        versions={'story': 1},
+        started_ms=1000,
+    )
+    return usual._replace(**changes)
+
+
+def listed(*upstreams: Upstream) -> UpstreamList:
+    """Give the list that names these."""
+    found = listing.empty()
+    for position, each in enumerate(upstreams):
+        found = listing.on_listed(found, Listed(position, each))
+    return found
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -35,6 +35,7 @@
 from burdockchute.model.feeds import FeedError
 from burdockchute.model.feeds import Feeds
 from burdockchute.model.feeds import ReadFeed
+from burdockchute.model.needs import Needs
 
 # A read for wishes stays open for so long. It is answered as soon as there
 # is one, so a longer wait costs fewer calls; but a connection that has gone
@@ -58,6 +59,12 @@
 SETTLING_S = listing.SETTLE_S + 0.7
 
 
+# A feed that others tell of is not read; whether they still do is looked at
+# this often. It adds to the time in which a reader that is left alone learns
+# of a version, which is paid for by the seconds until copies are whole.
+REST_S = 0.25
+
+
 class Cadence(NamedTuple):
     """How a feed is read.
 
@@ -97,6 +104,10 @@
         self.lost = False
         return regained
 
+    def rest(self, now: float) -> None:
+        """Note that nothing was asked, so that silence means nothing."""
+        self._answered_at = now
+
     def failed(self, error: FeedError, now: float) -> None:
         """Note a read that brought nothing."""
         silent_s = self.age_s(now)
@@ -111,7 +122,10 @@
 
 
 class Follower:
-    """Keeps `beliefs`; calls `changed` with each new value of it."""
+    """Keeps `beliefs`; calls `changed` with each new value of it.
+
+    `wishes_cadence` gives None while others tell what operators want.
+    """
 
     def __init__(
         self,
@@ -119,7 +133,7 @@
         changed: Callable[[Beliefs], None],
         now: Callable[[], float],
         rng: random.Random,
-        wishes_cadence: Callable[[], Cadence],
+        wishes_cadence: Callable[[], Cadence | None],
         upstreams_cadence: Cadence,
     ) -> None:
         self.beliefs = Beliefs()
@@ -168,10 +182,14 @@
         """Take in when other processes learnt of versions."""
         self._replace(*belief.take_hearsay(self.beliefs, told, self._now()))
 
+    def hear_needs(self, told: Needs) -> None:
+        """Take in what an agent needs of the configuration."""
+        self._replace(*belief.take_told_needs(self.beliefs, told))
+
     def _follow(
         self,
         read: ReadFeed,
-        cadence_now: Callable[[], Cadence],
+        cadence_now: Callable[[], Cadence | None],
         contact: Contact,
         take: Callable[[Batch, bool, float], None],
     ) -> None:
@@ -181,6 +199,10 @@
         while True:
             cadence = cadence_now()
             asked_at = self._now()
+            if cadence is None:
+                contact.rest(asked_at)
+                gevent.sleep(REST_S)
+                continue
             hurries = failures > 0 or asked_at < settled_at
             wait_s = 0.0 if hurries else cadence.wait_s
             result = read(position, wait_s)
--- a/packages/burdockchute/burdockchute/model/beliefs.py
+++ b/packages/burdockchute/burdockchute/model/beliefs.py
@@ -16,6 +16,8 @@
 from burdockchute.model.feeds import ConfigurationRead
 from burdockchute.model.feeds import Unreadable
 from burdockchute.model.feeds import VersionRead
+from burdockchute.model.needs import Needs
+from burdockchute.model.needs import needs_of
 from burdockchute.model.upstreams import Listed
 from burdockchute.model.upstreams import Unlisted
 from burdockchute.model.upstreams import Upstream
@@ -24,13 +26,16 @@
 class Beliefs(NamedTuple):
     """Routes, named versions and upstreams; replaced as a whole.
 
-    `histories` is by model. `listed` is true once the list was read.
+    `histories` is by model. `listed` is true once the list was read. `told`
+    is what others say an agent needs of the routes, where it has not read
+    them.
     """
 
     routes: RouteTable | None = None
     histories: Mapping[str, versions.History] = {}
     upstreams: UpstreamList = listing.empty()
     listed: bool = False
+    told: Needs | None = None
 
     @property
     def complete(self) -> bool:
@@ -41,6 +46,15 @@
         """Give the upstreams, also those that leave."""
         return [known.upstream for known in self.upstreams.known.values()]
 
+    def needs(self, service: str) -> Needs | None:
+        """Give the newest that is known of what an agent needs."""
+        if self.routes is None:
+            return self.told
+        version = self.routes.configuration.version
+        if self.told is not None and self.told.configuration > version:
+            return self.told
+        return needs_of(version, self.routes.services, service)
+
     def history(self, model: str) -> versions.History:
         """Give the versions of a model that were named."""
         return self.histories.get(model, versions.History())
@@ -109,6 +123,26 @@
     return beliefs._replace(histories=histories), learnt
 
 
+def take_told_needs(
+    beliefs: Beliefs, told: Needs
+) -> tuple[Beliefs, list[Learnt]]:
+    """Take in what an entry says that an agent needs; never goes back."""
+    before = beliefs.told
+    if before is not None and told.configuration <= before.configuration:
+        return beliefs, []
+    learnt = Learnt(
+        'needs_heard',
+        {
+            'version': told.configuration,
+            'before': before.configuration if before else None,
+            'models': ','.join(told.models),
+            'slots': told.slots,
+            'origin': told.origin,
+        },
+    )
+    return beliefs._replace(told=told), [learnt]
+
+
 def take_upstreams(
     beliefs: Beliefs, batch: Batch, now: float
 ) -> tuple[Beliefs, list[Learnt]]:
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -90,9 +90,19 @@
   3: i64 age_ms
 }
 
-// entry -> agent: on a new link and after a naming.
-struct VersionNews {
+// What an agent needs of the configuration in force.
+struct AgentNeeds {
+  1: i64 configuration      // version of the configuration this is from
+  2: list<string> models    // models of the agent's own service
+  3: i32 slots              // requests that its engine runs at once
+  4: string origin          // service that gives out weights, empty for none
+}
+
+// entry -> agent: on a new link and on each change of it.
+struct WishesNews {
   1: list<NamedVersion> named
+  2: optional AgentNeeds needs  // unset while the entry knows none
+  3: bool in_contact        // the store answers this entry
 }
 
 // agent -> entry: on each change, each second while busy, else each two.
@@ -248,5 +258,5 @@
   16: ClaimRequest claim_request
   17: ClaimReply claim_reply
   18: TableRequest table_request
-  19: VersionNews version_news
+  19: WishesNews wishes_news
 }
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -969,16 +969,118 @@
         return not (self == other)
 
 
-class VersionNews(object):
+class AgentNeeds(object):
+    """
+    Attributes:
+     - configuration
+     - models
+     - slots
+     - origin
+
+    """
+
+
+    def __init__(self, configuration=None, models=None, slots=None, origin=None,):
+        self.configuration = configuration
+        self.models = models
+        self.slots = slots
+        self.origin = origin
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.configuration = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.models = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AgentNeeds')
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I64, 1)
+            oprot.writeI64(self.configuration)
+            oprot.writeFieldEnd()
+        if self.models is not None:
+            oprot.writeFieldBegin('models', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.models))
+            for iter6 in self.models:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 3)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 4)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WishesNews(object):
     """
     Attributes:
      - named
+     - needs
+     - in_contact
 
     """
 
 
-    def __init__(self, named=None,):
+    def __init__(self, named=None, needs=None, in_contact=None,):
         self.named = named
+        self.needs = needs
+        self.in_contact = in_contact
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -992,14 +1094,25 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.named = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = NamedVersion()
-                        _elem5.read(iprot)
-                        self.named.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = NamedVersion()
+                        _elem12.read(iprot)
+                        self.named.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.needs = AgentNeeds()
+                    self.needs.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.in_contact = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1009,14 +1122,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('VersionNews')
+        oprot.writeStructBegin('WishesNews')
         if self.named is not None:
             oprot.writeFieldBegin('named', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.named))
-            for iter6 in self.named:
-                iter6.write(oprot)
+            for iter13 in self.named:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.needs is not None:
+            oprot.writeFieldBegin('needs', TType.STRUCT, 2)
+            self.needs.write(oprot)
+            oprot.writeFieldEnd()
+        if self.in_contact is not None:
+            oprot.writeFieldBegin('in_contact', TType.BOOL, 3)
+            oprot.writeBool(self.in_contact)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1116,31 +1237,31 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = WeightsState()
-                        _elem12.read(iprot)
-                        self.weights.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = WeightsState()
+                        _elem19.read(iprot)
+                        self.weights.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.services.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.prefixes.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prefixes.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1162,10 +1283,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.evicted = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evicted.append(_elem30)
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evicted.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1177,11 +1298,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.named = []
-                    (_etype34, _size31) = iprot.readListBegin()
-                    for _i35 in range(_size31):
-                        _elem36 = NamedVersion()
-                        _elem36.read(iprot)
-                        self.named.append(_elem36)
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = NamedVersion()
+                        _elem43.read(iprot)
+                        self.named.append(_elem43)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1222,22 +1343,22 @@
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter37 in self.weights:
-                iter37.write(oprot)
+            for iter44 in self.weights:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter38 in self.services:
-                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
+            for iter45 in self.services:
+                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.prefixes))
-            for iter39 in self.prefixes:
-                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
+            for iter46 in self.prefixes:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_offset is not None:
@@ -1255,8 +1376,8 @@
         if self.evicted is not None:
             oprot.writeFieldBegin('evicted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.evicted))
-            for iter40 in self.evicted:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter47 in self.evicted:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.closes_in_ms is not None:
@@ -1266,8 +1387,8 @@
         if self.named is not None:
             oprot.writeFieldBegin('named', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.named))
-            for iter41 in self.named:
-                iter41.write(oprot)
+            for iter48 in self.named:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1489,22 +1610,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = RowRecord()
-                        _elem47.read(iprot)
-                        self.rows.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = RowRecord()
+                        _elem54.read(iprot)
+                        self.rows.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.seen = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = SeenRecord()
-                        _elem53.read(iprot)
-                        self.seen.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = SeenRecord()
+                        _elem60.read(iprot)
+                        self.seen.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1539,15 +1660,15 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter54 in self.rows:
-                iter54.write(oprot)
+            for iter61 in self.rows:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seen is not None:
             oprot.writeFieldBegin('seen', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.seen))
-            for iter55 in self.seen:
-                iter55.write(oprot)
+            for iter62 in self.seen:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten is not None:
@@ -1728,11 +1849,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Member()
-                        _elem61.read(iprot)
-                        self.members.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Member()
+                        _elem68.read(iprot)
+                        self.members.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1749,10 +1870,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1769,8 +1890,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter68 in self.members:
-                iter68.write(oprot)
+            for iter75 in self.members:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
@@ -1784,8 +1905,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter69 in self.gone:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.gone:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2189,11 +2310,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Demand()
-                        _elem75.read(iprot)
-                        self.demands.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Demand()
+                        _elem82.read(iprot)
+                        self.demands.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2210,8 +2331,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter76 in self.demands:
-                iter76.write(oprot)
+            for iter83 in self.demands:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2334,11 +2455,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Share()
-                        _elem82.read(iprot)
-                        self.shares.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Share()
+                        _elem89.read(iprot)
+                        self.shares.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2355,8 +2476,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter83 in self.shares:
-                iter83.write(oprot)
+            for iter90 in self.shares:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2701,12 +2822,12 @@
      - claim_request
      - claim_reply
      - table_request
-     - version_news
+     - wishes_news
 
     """
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, version_news=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -2725,7 +2846,7 @@
         self.claim_request = claim_request
         self.claim_reply = claim_reply
         self.table_request = table_request
-        self.version_news = version_news
+        self.wishes_news = wishes_news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2846,8 +2967,8 @@
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.STRUCT:
-                    self.version_news = VersionNews()
-                    self.version_news.read(iprot)
+                    self.wishes_news = WishesNews()
+                    self.wishes_news.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -2932,9 +3053,9 @@
             oprot.writeFieldBegin('table_request', TType.STRUCT, 18)
             self.table_request.write(oprot)
             oprot.writeFieldEnd()
-        if self.version_news is not None:
-            oprot.writeFieldBegin('version_news', TType.STRUCT, 19)
-            self.version_news.write(oprot)
+        if self.wishes_news is not None:
+            oprot.writeFieldBegin('wishes_news', TType.STRUCT, 19)
+            self.wishes_news.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3037,10 +3158,20 @@
     (2, TType.I32, 'version', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
-all_structs.append(VersionNews)
-VersionNews.thrift_spec = (
+all_structs.append(AgentNeeds)
+AgentNeeds.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'configuration', None, None, ),  # 1
+    (2, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I32, 'slots', None, None, ),  # 3
+    (4, TType.STRING, 'origin', 'UTF8', None, ),  # 4
+)
+all_structs.append(WishesNews)
+WishesNews.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'named', (TType.STRUCT, [NamedVersion, None], False), None, ),  # 1
+    (2, TType.STRUCT, 'needs', [AgentNeeds, None], None, ),  # 2
+    (3, TType.BOOL, 'in_contact', None, None, ),  # 3
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -3201,7 +3332,7 @@
     (16, TType.STRUCT, 'claim_request', [ClaimRequest, None], None, ),  # 16
     (17, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 17
     (18, TType.STRUCT, 'table_request', [TableRequest, None], None, ),  # 18
-    (19, TType.STRUCT, 'version_news', [VersionNews, None], None, ),  # 19
+    (19, TType.STRUCT, 'wishes_news', [WishesNews, None], None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/burdockchute/tests/decisions/test_listing.py
+++ b/packages/burdockchute/tests/decisions/test_listing.py
@@ -8,22 +8,16 @@
 from hypothesis import strategies as st
 
 from burdockchute.decisions import listing
-from burdockchute.model.upstreams import Endpoint
 from burdockchute.model.upstreams import Listed
 from burdockchute.model.upstreams import Unlisted
-from burdockchute.model.upstreams import Upstream
+from burdockchute_testing.builders import upstreams
 
 
 def upstream(name='i-1', started_ms=1000, version=1, draining=False):
-    return Upstream(
+    return upstreams.upstream(
         id=name,
-        service='drafts',
-        endpoint=Endpoint('10.0.0.1', 80),
-        zone='north',
-        slots=16,
-        draining=draining,
-        warm_in_s=0.0,
         versions={'story': version},
+        draining=draining,
         started_ms=started_ms,
     )
 
--- a/packages/burdockchute/tests/test_beliefs.py
+++ b/packages/burdockchute/tests/test_beliefs.py
@@ -13,6 +13,7 @@
 from burdockchute.model.feeds import ConfigurationRead
 from burdockchute.model.feeds import Unreadable
 from burdockchute.model.feeds import VersionRead
+from burdockchute.model.needs import Needs
 from burdockchute.model.routes import CallerLimits
 from burdockchute.model.routes import Configuration
 
@@ -53,6 +54,25 @@
             ]
             self.assertGreaterEqual(after[0], max(newest, default=0))
 
+    @given(st.lists(st.integers(1, 9), max_size=8), st.integers(0, 9))
+    def test_told_needs_do_not_go_back(self, told, read):
+        """Entries tell an agent of configurations late and out of order.
+
+        An agent that went back to an origin that has moved would fetch
+        nothing more.
+        """
+        beliefs = Beliefs()
+        if read:
+            batch = Batch(0, True, (configuration(read),))
+            beliefs, _learnt = belief.take_wishes(beliefs, batch, True, 0.0)
+        newest = read
+        for version in told:
+            needs = Needs(version, ('story',), 4, '10.0.0.1:80')
+            beliefs, _learnt = belief.take_told_needs(beliefs, needs)
+            newest = max(newest, version)
+            known = beliefs.needs('drafts')
+            self.assertEqual(newest, known.configuration)
+
     def test_each_change_of_belief_is_told(self):
         batch = Batch(3, True, (configuration(4), VersionRead('story', 2)))
         _beliefs, learnt = belief.take_wishes(Beliefs(), batch, True, 0.0)
--- a/packages/burdockchute/tests/test_following.py
+++ b/packages/burdockchute/tests/test_following.py
@@ -128,6 +128,26 @@
         asked = [at for at, _wait in store.asked if 2.0 < at < 20.0]
         self.assertLess(len(asked), 18.0 / (following.MAX_PAUSE_S / 2) + 1)
 
+    def test_a_feed_that_others_tell_of_is_not_read(self):
+        """Entries tell an agent what operators want, until they are killed.
+
+        An agent that read the wishes beside them would draw each save of a
+        long configuration over its engine's link; one that did not begin to
+        once they are gone would miss a version.
+        """
+        store = Store(0.0, 0.0, until=30.0)
+        learnt = []
+        follower = self.follower(store, learnt)
+        alone = following.Cadence(following.WISHES_WAIT_S, 0.0)
+        follower._wishes_cadence = lambda: None if store.time < 8.0 else alone
+        with mock.patch.object(following.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                follower.follow_wishes()
+        first_at, _wait_s = store.asked[0]
+        self.assertGreaterEqual(first_at, 8.0)
+        self.assertLess(learnt[-1][0], 8.0 + 2 * following.REST_S + 2.0)
+        self.assertFalse(follower.wishes_contact.lost)
+
 
 if __name__ == '__main__':
     unittest.main()
