--- a/packages/burdockchute-testing/burdockchute_testing/forwarder.py
+++ b/packages/burdockchute-testing/burdockchute_testing/forwarder.py
@@ -1,8 +1,12 @@
-"""A TCP forwarder that can go silent, in place of a network that does."""
+"""A TCP forwarder that fails in the ways that networks do."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import socket as sockets
+import struct
 from typing import Any
+from typing import NamedTuple
 
 import gevent
 from gevent import event
@@ -11,21 +15,53 @@
 
 ADDRESS = '127.0.0.1'
 _READ_BYTES = 65536
+# Closing with no time to linger resets the connection.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
+
+class Address(NamedTuple):
+    """An address of the loopback; port 0 takes any free one."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.ip}:{self.port}'
+
+
+ANYWHERE = Address(ADDRESS, 0)
 
 
 class Forwarder:
-    """Forwards an own port to another port of the loopback.
+    """Forwards an own address to another one of the loopback.
 
     After `cut` no byte goes through and no error comes back, on old and on
-    new connections, until `heal`; connections from before then break.
+    new connections, until `heal`; connections from before then break. A cut
+    of one way lets the other through. `delay_s` holds back what goes either
+    way.
+
+    Connections whose first bytes are `exempt` go through in any case: those
+    of a process on the same machine, which shares no link with others.
+
+    >>> forwarder = Forwarder(8080)  # doctest: +SKIP
+    >>> forwarder.cut(back=False)  # doctest: +SKIP
     """
 
-    def __init__(self, target_port: int) -> None:
-        self._target_port = target_port
-        self._whole = event.Event()
-        self._whole.set()
+    def __init__(
+        self,
+        target: int | Address,
+        own: Address = ANYWHERE,
+        exempt: Callable[[bytes], bool] = lambda first: False,
+    ) -> None:
+        self.delay_s = 0.0
+        self._target = (
+            Address(ADDRESS, target) if isinstance(target, int) else target
+        )
+        self._exempt = exempt
+        self._there = _open_gate()
+        self._back = _open_gate()
         self._socks: list[Any] = []
-        self._server = server.StreamServer((ADDRESS, 0), self._handle)
+        self._server = server.StreamServer(own, self._handle)
         self._server.start()
 
     @property
@@ -36,18 +72,27 @@
     @property
     def url(self) -> str:
         """Give the URL to connect to."""
-        return f'http://{ADDRESS}:{self.port}'
+        return f'http://{self._server.server_host}:{self.port}'
 
-    def cut(self) -> None:
-        """Let nothing through any more."""
-        self._whole.clear()
+    def cut(self, there: bool = True, back: bool = True) -> None:
+        """Let nothing through any more, `there` to the target or `back`."""
+        if there:
+            self._there.clear()
+        if back:
+            self._back.clear()
 
     def heal(self) -> None:
         """Let everything through; breaks the connections from before."""
-        for sock in self._socks:
-            sock.close()
-        self._socks.clear()
-        self._whole.set()
+        self.delay_s = 0.0
+        self.reset()
+        self._there.set()
+        self._back.set()
+
+    def reset(self) -> None:
+        """Break all connections but those that are exempt."""
+        socks, self._socks = self._socks, []
+        for sock in socks:
+            _reset(sock)
 
     def close(self) -> None:
         """Stop forwarding."""
@@ -57,21 +102,72 @@
     def _handle(self, near: Any, _address: Any) -> None:
         self._socks.append(near)
         try:
-            self._whole.wait()
-            far = socket.create_connection((ADDRESS, self._target_port))
-            self._socks.append(far)
-            back = gevent.spawn(self._pump, far, near)
-            self._pump(near, far)
-            back.join()
+            first = near.recv(_READ_BYTES)
+            exempt = self._exempt(first)
+            if not exempt:
+                self._there.wait()
+            far = socket.create_connection(self._target)
         except OSError:
             near.close()
+            return
+        if exempt:
+            self._join(near, far, first, _open_gate(), _open_gate(), False)
+        else:
+            self._join(near, far, first, self._there, self._back, True)
+
+    def _join(
+        self,
+        near: Any,
+        far: Any,
+        first: bytes,
+        there: event.Event,
+        back: event.Event,
+        delays: bool,
+    ) -> None:
+        if delays:
+            self._socks.append(far)
+        elif near in self._socks:
+            self._socks.remove(near)
+        answers = gevent.spawn(self._pump, far, near, b'', back, delays)
+        self._pump(near, far, first, there, delays)
+        answers.join()
+        self._socks = [s for s in self._socks if s not in (near, far)]
 
-    def _pump(self, source: Any, target: Any) -> None:
+    def _pump(
+        self,
+        source: Any,
+        target: Any,
+        data: bytes,
+        gate: event.Event,
+        delays: bool,
+    ) -> None:
         try:
-            while data := source.recv(_READ_BYTES):
-                self._whole.wait()
+            data = data or source.recv(_READ_BYTES)
+            while data:
+                if delays and self.delay_s:
+                    gevent.sleep(self.delay_s)
+                gate.wait()
                 target.sendall(data)
+                data = source.recv(_READ_BYTES)
         except OSError:
+            # One end was reset or closed; the other learns of it here.
             pass
         for sock in (source, target):
             sock.close()
+
+
+def _open_gate() -> event.Event:
+    gate = event.Event()
+    gate.set()
+    return gate
+
+
+def _reset(sock: Any) -> None:
+    try:
+        sock.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _NO_LINGER)
+        # A reader of this socket wakes up only if it is shut down first.
+        sock.shutdown(sockets.SHUT_RD)
+    except OSError:
+        # It is closed already.
+        pass
+    sock.close()
--- a/packages/burdockchute-testing/burdockchute_testing/processes.py
+++ b/packages/burdockchute-testing/burdockchute_testing/processes.py
@@ -94,6 +94,10 @@
         """Ask it to end gracefully."""
         self._signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Ask it to read its settings again."""
+        self._signal(signal.SIGHUP)
+
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Wait for its end and give the status; raises ProcessFailed."""
         try:
