Copies leave a link that has become narrow to live requests

Change: an instance measures how wide its link is by the time that chunks take, and has one chunk under way while it is narrow.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# make demo | test | lint | format | bench | wire
+# make demo | test | lint | format | bench | soak | wire
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
@@ -8,7 +8,8 @@
 WIRE := packages/burdockchute/burdockchute/wire
 
 .PHONY: demo test lint format bench bench-path bench-straight bench-control \
-	bench-claims bench-rollout bench-load bench-table wire lock setup clean
+	bench-claims bench-rollout bench-load bench-table soak wire lock setup \
+	clean
 
 setup: $(VENV)/.stamp
 
@@ -58,6 +59,11 @@
 bench-straight: setup
 	cd platform && PYTHONPATH=. ../$(BIN)/python -m benches.straight_path
 
+SEEDS ?= 1-50
+soak: setup
+	cd platform && PYTHONPATH=. ../$(BIN)/python -m soak --failed \
+		--seeds $(SEEDS) --seconds 40
+
 wire:
 	thrift --gen py -out $(WIRE)/gen \
 		$(WIRE)/burdockchute.thrift
--- a/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
+++ b/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
@@ -15,6 +15,11 @@
         self._down = rates.Bucket(0.0, now)
         self._live = rates.Meter(0.0, now)
 
+    @property
+    def link(self) -> float:
+        """Bytes per second that the link carries towards this instance."""
+        return self._downlink
+
     def note_live(self, count: int, now: float) -> None:
         """Count bytes of live requests, which go first."""
         self._live = rates.measure(self._live, count, now)
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -12,6 +12,7 @@
 from gevent import queue
 from returns.result import Result
 
+from burdockchute.decisions import narrowing
 from burdockchute.decisions import sources
 from burdockchute.logs import event
 from burdockchute.logs import warn
@@ -85,6 +86,8 @@
         self._order: tuple[str, ...] = ()
         self._metrics = WeightsMetrics()
         self._paced = paced
+        most = PACED_ASKED_IN_ALL + PACED_READS_AT_ONCE
+        self._window = narrowing.Window(most, most) if paced else None
         self._serving = Serving(
             peers.links, self._copy, bandwidth, self._metrics, paced
         )
@@ -218,10 +221,13 @@
                 self._opened(link)
             case links.Closed(link=link):
                 self._closed(link)
-            case links.Received(link=link, message=received):
+            case links.Received(link=link, message=received, took_s=took_s):
                 peer = self._peers.of(link)
-                if peer is not None:
-                    self._received(peer, received, now)
+                if peer is None:
+                    return
+                if isinstance(received, messages.Chunk):
+                    self._note_width(peer, received, took_s)
+                self._received(peer, received, now)
 
     def _opened(self, link: links.Link) -> None:
         peer = self._peers.opened(link)
@@ -250,6 +256,41 @@
             case messages.Chunk():
                 self._chunk_came(peer, message, now)
 
+    def _note_width(
+        self, peer: PeerLink, chunk: messages.Chunk, took_s: float
+    ) -> None:
+        if self._window is None or not chunk.data or chunk.index == MANIFEST:
+            return
+        sharing = max(1, self._under_way())
+        usual_s = sharing * len(chunk.data) / self._bandwidth.link
+        before = self._window
+        arrival = narrowing.Arrival(peer.name, took_s / usual_s)
+        self._window = narrowing.arrived(before, arrival)
+        if self._window.size != before.size and 1 in (
+            self._window.size,
+            before.size,
+        ):
+            event(
+                'copy_window_changed',
+                window=self._window.size,
+                before=before.size,
+                took_ms=int(took_s * 1000),
+                usual_ms=int(usual_s * 1000),
+                peer=peer.name,
+            )
+
+    def _may_receive(self, size: int) -> bool:
+        return not self._is_window_full() and self._bandwidth.may_receive(size)
+
+    def _is_window_full(self) -> bool:
+        if self._window is None or self._window.size == self._window.most:
+            return False
+        # What is under way of all copies stands before the same link.
+        return self._under_way() >= self._window.size
+
+    def _under_way(self) -> int:
+        return sum(copier.under_way for copier in self._copiers.values())
+
     def _have_came(
         self, peer: PeerLink, have: messages.Have, now: float
     ) -> None:
@@ -385,10 +426,10 @@
             if copier in going
         ]
         for copier in newest_first:
-            for action in copier.plan_reads(now, self._bandwidth.may_receive):
+            for action in copier.plan_reads(now, self._may_receive):
                 self._do(copier, action)
         for copier in going:
-            for action in copier.plan_asks(now, self._bandwidth.may_receive):
+            for action in copier.plan_asks(now, self._may_receive):
                 self._do(copier, action)
         upload_s = self._serving.send_due()
         peers = self._peers.links.values()
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -63,10 +63,14 @@
 
 
 class Received(NamedTuple):
-    """One message, never a heartbeat."""
+    """One message, never a heartbeat.
+
+    `took_s` is the time from its first byte to its last.
+    """
 
     link: Link
     message: Any
+    took_s: float = 0.0
 
 
 class Closed(NamedTuple):
@@ -153,10 +157,12 @@
 
     def _read(self) -> None:
         try:
-            for message in _messages(self._sock, SILENCE_S, self._count):
+            for frame in _messages(self._sock, SILENCE_S, self._count):
                 self.last_received = time.monotonic()
-                if not isinstance(message, messages.Heartbeat):
-                    self._inbox.put(Received(self, message))
+                if not isinstance(frame.message, messages.Heartbeat):
+                    self._inbox.put(
+                        Received(self, frame.message, frame.took_s)
+                    )
             self.close('closed by peer')
         except TimeoutError:
             self.close('silent')
@@ -288,22 +294,33 @@
     return data
 
 
+class _Frame(NamedTuple):
+    message: Any
+    took_s: float
+
+
 def _messages(
     sock: Any, silence_s: float, count: Callable[[int], None]
-) -> Iterator[Any]:
+) -> Iterator[_Frame]:
     sock.settimeout(silence_s)
     buffer = bytearray()
+    began = 0.0
     while True:
         while len(buffer) >= _LENGTH.size:
             end = _LENGTH.size + _checked_length(buffer[: _LENGTH.size])
             if len(buffer) < end:
                 break
-            yield wire.decode(bytes(buffer[_LENGTH.size : end]))
+            message = wire.decode(bytes(buffer[_LENGTH.size : end]))
+            now = time.monotonic()
+            yield _Frame(message, now - began)
+            began = now
             del buffer[:end]
         data = sock.recv(_READ_BYTES)
         if not data:
             return
         count(len(data))
+        if not buffer:
+            began = time.monotonic()
         buffer += data
 
 
