Uploads make way on a narrow link; start without repeated look-ups; longer reads

Cause of the rest of GONE at a squeezed link: an agent's own uploads go on at the width of the settings. They go out at a tenth while the link is narrow, which two slow chunks in a row of two senders show.

Reads of the store stay open for a second less than the time after which a process counts as in touch, 15 s at agents: fewer calls where that is longer than 3 s.

--- a/packages/burdockchute-agent/burdockchute_agent/arrivals.py
+++ b/packages/burdockchute-agent/burdockchute_agent/arrivals.py
@@ -84,6 +84,7 @@
         if self._width is not None and chunk.data and chunk.index != MANIFEST:
             size = len(chunk.data)
             self._width.came(peer.name, size, took_s, self.under_way())
+            self._bandwidth.is_narrow = self._width.is_narrow
 
     def _have_came(
         self, peer: PeerLink, have: messages.Have, now: float
--- a/packages/burdockchute-agent/burdockchute_agent/link_width.py
+++ b/packages/burdockchute-agent/burdockchute_agent/link_width.py
@@ -21,8 +21,12 @@
 
         On a link of its usual width each copy has its own bounds.
         """
-        window = self._window
-        return window.size == window.most or under_way < window.size
+        return not self.is_narrow or under_way < self._window.size
+
+    @property
+    def is_narrow(self) -> bool:
+        """Whether the link carries less than it should."""
+        return self._window.size < self._window.most
 
     def came(
         self, peer: str, size: int, took_s: float, under_way: int
--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -17,8 +17,8 @@
 from burdockchute.adapters import Adapter
 from burdockchute.following import Cadence
 from burdockchute.following import Follower
+from burdockchute.following import longest_wait_s
 from burdockchute.following import SETTLING_S
-from burdockchute.following import WISHES_WAIT_S
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Machine
@@ -33,12 +33,13 @@
 
 # An agent reads the list only to know its peers, and asks for weights for
 # seconds; reading it more often would cost calls and gain nothing. A read that
-# was lost is noticed after its wait, and until then the peers are as before.
-UPSTREAMS_CADENCE = Cadence(wait_s=6.0, period_s=3.0, settling_s=SETTLING_S)
+# was lost is noticed after its wait; until then the peers are as before, and
+# new ones open their links to it by themselves.
+UPSTREAMS_CADENCE = Cadence(wait_s=15.0, period_s=3.0, settling_s=SETTLING_S)
 
 # Without an entry that tells it what operators want, an agent follows the
 # wishes as entries do, but takes saves in a row together.
-ALONE_CADENCE = Cadence(wait_s=WISHES_WAIT_S, period_s=1.0)
+ALONE_PERIOD_S = 1.0
 
 
 class StagedApp:
@@ -55,6 +56,9 @@
         rng = random.Random()
         identity = cfg.identity(machine)._replace(name=self._name)
         self.lifetime = Lifetime(identity, 'agent', lambda: 0)
+        self._alone_cadence = Cadence(
+            longest_wait_s(machine.bounds.contact_s), ALONE_PERIOD_S
+        )
         self._informants = Informants(time.monotonic())
         self.follower = Follower(
             adapter.open_feeds(machine.store),
@@ -161,7 +165,7 @@
 
     def _wishes_cadence(self) -> Cadence | None:
         is_alone = self._informants.are_missing(time.monotonic())
-        return ALONE_CADENCE if is_alone else None
+        return self._alone_cadence if is_alone else None
 
     def _reload(self) -> None:
         self._machine = site_settings.reload(
--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
-from gevent import config
-from gevent import monkey
-
-# Every address is an IP number, which is resolved without asking anybody. The
-# default resolver hands each to a thread all the same and waits for it, once
-# for each call to an upstream.
-config.resolver = 'block'
-monkey.patch_all()
+from burdockchute import patching
+
+patching.patch()
 
 import argparse  # noqa: E402
 from collections.abc import Callable  # noqa: E402
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -21,8 +21,8 @@
 from burdockchute.decisions.suspects import Suspects
 from burdockchute.following import Cadence
 from burdockchute.following import Follower
+from burdockchute.following import longest_wait_s
 from burdockchute.following import SETTLING_S
-from burdockchute.following import WISHES_WAIT_S
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Machine
@@ -39,9 +39,8 @@
 
 # How the list of upstreams is read. An upstream that leaves must get nothing
 # new after two seconds, of which reading and sending take a part; so a change
-# is told at once, and what follows it within the period. The wait is that of
-# wishes, for the same reasons.
-UPSTREAMS_CADENCE = Cadence(WISHES_WAIT_S, 0.7, SETTLING_S)
+# is told at once, and what follows it within this time.
+UPSTREAMS_PERIOD_S = 0.7
 
 # How often queues are looked at although nothing came: an upstream that was
 # left alone for a while is tried again.
@@ -49,7 +48,7 @@
 
 # Configurations may be saved many times a second, and each is long; what is
 # saved within this time is read together.
-WISHES_CADENCE = Cadence(wait_s=WISHES_WAIT_S, period_s=0.3)
+WISHES_PERIOD_S = 0.3
 
 # The balancer looks once a second and takes an entry out after two misses.
 # Until then it still sends callers, who are served; a zone of which it has
@@ -80,13 +79,15 @@
         self.placer = Placer(
             machine.bounds, now, rng, machine.place.region, machine.regions
         )
+        wait_s = longest_wait_s(machine.bounds.contact_s)
+        wishes_cadence = Cadence(wait_s, WISHES_PERIOD_S)
         self.follower = Follower(
             adapter.open_feeds(machine.store),
             self._changed,
             now,
             rng,
-            lambda: WISHES_CADENCE,
-            UPSTREAMS_CADENCE,
+            lambda: wishes_cadence,
+            Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
         )
         self.agents = AgentsTask(
             Member(machine.name, 'entry', machine.address, 0, machine.place),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -293,10 +293,11 @@
     def _taken(self, placing: Placing, target: Target, now: float) -> Place:
         target.load.sent(placing.work, now)
         target.sent_since_report += 1
-        target.reading[placing.ctx.request_id] = Reading(
-            placing.work.prompt_tokens, now
-        )
         model = placing.wish.model
+        if model:
+            target.reading[placing.ctx.request_id] = Reading(
+                placing.work.prompt_tokens, now
+            )
         return Place(target, target.versions.get(model) if model else None)
 
     def _left_s(self, placing: Placing, now: float) -> float | None:
--- a/packages/burdockchute/burdockchute/decisions/narrowing.py
+++ b/packages/burdockchute/burdockchute/decisions/narrowing.py
@@ -12,7 +12,8 @@
 slow by itself; when the last chunks of two senders or more were all slow, it
 is our own link. Then one chunk at a time is asked for until chunks are as
 fast again as they should be: at a quarter of the link that is 0.3 s before
-it.
+it. Chunks that we send go out slowly meanwhile (`rates.FLOOR_SHARE`), as the
+way out is most likely as narrow, and answers go that way.
 """
 
 from __future__ import annotations
@@ -24,8 +25,9 @@
 SLOW = 3.0
 # At half of its usual width a link still carries one chunk in twice the time.
 FAST = 2.0
-# Fewer would narrow for two chunks that met a burst of live requests.
-EVIDENCE = 3
+# One chunk may have met a burst of live requests. On a link of a quarter of
+# its width each one takes a second, so waiting for more costs seconds.
+EVIDENCE = 2
 
 
 class Arrival(NamedTuple):
@@ -50,7 +52,7 @@
     """Take in how long a chunk took.
 
     >>> window = Window(4, 4)
-    >>> for peer in ('p', 'q', 'p'):
+    >>> for peer in ('p', 'q'):
     ...     window = arrived(window, Arrival(peer, 9.0))
     >>> window.size
     1
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -37,11 +37,12 @@
 from burdockchute.model.feeds import ReadFeed
 from burdockchute.model.needs import Needs
 
-# A read for wishes stays open for so long. It is answered as soon as there
-# is one, so a longer wait costs fewer calls; but a connection that has gone
-# silent is noticed only when the wait is over, and that has to be before the
-# process counts as in touch again, three seconds after.
-WISHES_WAIT_S = 2.0
+# A connection that has gone silent is noticed only when a read that was to
+# stay open is over and its answer overdue, and a read after that takes a
+# moment. All of it has to be over before the process counts as in touch
+# again.
+NOTICE_S = 1.0
+LEAST_WAIT_S = 0.5
 
 # A read that failed is followed by the next this long after it was sent: the
 # store may turn calls away because there are too many, and each one is paid
@@ -65,6 +66,19 @@
 REST_S = 0.25
 
 
+def longest_wait_s(contact_s: float) -> float:
+    """Give how long a read may stay open.
+
+    It is answered as soon as there is something, so a longer wait costs fewer
+    calls. `contact_s` is how long after a disturbance a process counts as in
+    touch again.
+
+    >>> longest_wait_s(3.0), longest_wait_s(1.0)
+    (2.0, 0.5)
+    """
+    return max(contact_s - NOTICE_S, LEAST_WAIT_S)
+
+
 class Cadence(NamedTuple):
     """How a feed is read.
 
