Take back the window for narrow links

The window closes 1.8 to 7 s after the squeeze, as chunks stand before the link as a whole; the requests that break the rule were sent in the first 1.5 s.

--- a/packages/burdockchute-agent/burdockchute_agent/arrivals.py
+++ b/packages/burdockchute-agent/burdockchute_agent/arrivals.py
@@ -18,7 +18,6 @@
 from burdockchute_agent.copier import SOURCES
 from burdockchute_agent.corruption import Corruption
 from burdockchute_agent.events import OriginRead
-from burdockchute_agent.link_width import LinkWidth
 from burdockchute_agent.news import News
 from burdockchute_agent.origin_turn import MANIFEST
 from burdockchute_agent.serving import Serving
@@ -26,10 +25,7 @@
 
 
 class Arrivals:
-    """Checks what arrives and hands it to the copiers of its digest.
-
-    `width` is None where nothing paces copies.
-    """
+    """Checks what arrives and hands it to the copiers of its digest."""
 
     def __init__(
         self,
@@ -40,7 +36,6 @@
         serving: Serving,
         news: News,
         metrics: WeightsMetrics,
-        width: LinkWidth | None,
     ) -> None:
         self._copiers = copiers
         self._links = links
@@ -49,24 +44,12 @@
         self._serving = serving
         self._news = news
         self._metrics = metrics
-        self._width = width
         self._corruption = Corruption()
 
     def is_banned(self, peer: PeerLink) -> bool:
         """Tell whether a peer has sent too much that was corrupt."""
         return self._corruption.is_banned(peer)
 
-    def under_way(self) -> int:
-        """Give how many chunks of all copies are under way to us."""
-        return sum(copier.under_way for copier in self._copiers.values())
-
-    def has_room(self) -> bool:
-        """Tell whether the link towards us may have one more under way.
-
-        What is under way of all copies stands before the same link.
-        """
-        return self._width is None or self._width.allows(self.under_way())
-
     def received(self, peer: PeerLink, message: object, now: float) -> None:
         """Take a message of a peer about copies."""
         match message:
@@ -77,15 +60,6 @@
             case messages.Chunk():
                 self._chunk_came(peer, message, now)
 
-    def note_width(
-        self, peer: PeerLink, chunk: messages.Chunk, took_s: float
-    ) -> None:
-        """Note how long a chunk took to come; before it is taken."""
-        if self._width is not None and chunk.data and chunk.index != MANIFEST:
-            size = len(chunk.data)
-            self._width.came(peer.name, size, took_s, self.under_way())
-            self._bandwidth.is_narrow = self._width.is_narrow
-
     def _have_came(
         self, peer: PeerLink, have: messages.Have, now: float
     ) -> None:
--- a/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
+++ b/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
@@ -14,13 +14,6 @@
         self._up = rates.Bucket(0.0, now)
         self._down = rates.Bucket(0.0, now)
         self._live = rates.Meter(0.0, now)
-        # The link carries less than it should at the moment.
-        self.is_narrow = False
-
-    @property
-    def link(self) -> float:
-        """Bytes per second that the link carries towards this instance."""
-        return self._downlink
 
     def note_live(self, count: int, now: float) -> None:
         """Count bytes of live requests, which go first."""
@@ -63,8 +56,6 @@
     @property
     def send_rate(self) -> float:
         """Bytes per second that copies may send now."""
-        if self.is_narrow:
-            return rates.FLOOR_SHARE * self._uplink
         return rates.cap(self._uplink, self._live.rate)
 
     def pace(self, size: int, now: float) -> float:
--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -225,11 +225,6 @@
         """Whether the whole copy is held and verified."""
         return self.copy is not None and self.copy.complete
 
-    @property
-    def under_way(self) -> int:
-        """How many chunks were asked for or are being read."""
-        return len(self._asked) + len(self._reading)
-
     def standing(self) -> Standing:
         """Give how it stands, for the log."""
         known = 0
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -30,7 +30,6 @@
 from burdockchute_agent.copier import PACED_READS_AT_ONCE
 from burdockchute_agent.events import ManifestRead
 from burdockchute_agent.events import OriginRead
-from burdockchute_agent.link_width import LinkWidth
 from burdockchute_agent.news import News
 from burdockchute_agent.origin_reads import OriginClient
 from burdockchute_agent.origin_reads import OriginReads
@@ -91,7 +90,6 @@
             self._serving,
             self._news,
             metrics,
-            LinkWidth(bandwidth.link) if paced else None,
         )
 
     def stop(self) -> None:
@@ -223,13 +221,10 @@
                 self._opened(link)
             case links.Closed(link=link):
                 self._closed(link)
-            case links.Received(link=link, message=received, took_s=took_s):
+            case links.Received(link=link, message=received):
                 peer = self._peers.of(link)
-                if peer is None:
-                    return
-                if isinstance(received, messages.Chunk):
-                    self._arrivals.note_width(peer, received, took_s)
-                self._arrivals.received(peer, received, now)
+                if peer is not None:
+                    self._arrivals.received(peer, received, now)
 
     def _opened(self, link: links.Link) -> None:
         peer = self._peers.opened(link)
@@ -249,9 +244,6 @@
             for copier in self._copiers.values():
                 copier.peer_gone(name)
 
-    def _may_receive(self, size: int) -> bool:
-        return self._arrivals.has_room() and self._bandwidth.may_receive(size)
-
     # What to do.
 
     def tick(self, now: float) -> float:
@@ -280,10 +272,10 @@
             if copier in going
         ]
         for copier in newest_first:
-            for action in copier.plan_reads(now, self._may_receive):
+            for action in copier.plan_reads(now, self._bandwidth.may_receive):
                 self._do(copier, action)
         for copier in going:
-            for action in copier.plan_asks(now, self._may_receive):
+            for action in copier.plan_asks(now, self._bandwidth.may_receive):
                 self._do(copier, action)
         upload_s = self._serving.send_due()
         peers = self._peers.links.values()
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -63,14 +63,10 @@
 
 
 class Received(NamedTuple):
-    """One message, never a heartbeat.
-
-    `took_s` is the time from its first byte to its last.
-    """
+    """One message, never a heartbeat."""
 
     link: Link
     message: Any
-    took_s: float = 0.0
 
 
 class Closed(NamedTuple):
@@ -157,12 +153,10 @@
 
     def _read(self) -> None:
         try:
-            for frame in _messages(self._sock, SILENCE_S, self._count):
+            for message in _messages(self._sock, SILENCE_S, self._count):
                 self.last_received = time.monotonic()
-                if not isinstance(frame.message, messages.Heartbeat):
-                    self._inbox.put(
-                        Received(self, frame.message, frame.took_s)
-                    )
+                if not isinstance(message, messages.Heartbeat):
+                    self._inbox.put(Received(self, message))
             self.close('closed by peer')
         except TimeoutError:
             self.close('silent')
@@ -294,33 +288,22 @@
     return data
 
 
-class _Frame(NamedTuple):
-    message: Any
-    took_s: float
-
-
 def _messages(
     sock: Any, silence_s: float, count: Callable[[int], None]
-) -> Iterator[_Frame]:
+) -> Iterator[Any]:
     sock.settimeout(silence_s)
     buffer = bytearray()
-    began = 0.0
     while True:
         while len(buffer) >= _LENGTH.size:
             end = _LENGTH.size + _checked_length(buffer[: _LENGTH.size])
             if len(buffer) < end:
                 break
-            message = wire.decode(bytes(buffer[_LENGTH.size : end]))
-            now = time.monotonic()
-            yield _Frame(message, now - began)
-            began = now
+            yield wire.decode(bytes(buffer[_LENGTH.size : end]))
             del buffer[:end]
         data = sock.recv(_READ_BYTES)
         if not data:
             return
         count(len(data))
-        if not buffer:
-            began = time.monotonic()
         buffer += data
 
 
