Entries share which requests were in flight in a crash, through agents

On the users' platform entries have no links to each other, and each counted crashes for itself: with N entries a request that crashes engines could crash two at each. An entry tells three agents of a crash, and these their other entries; what is learnt counts as in the project's own protocol.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -151,6 +151,8 @@
             elif isinstance(event, links.Closed):
                 self.reports.closed(event.link)
                 self._informants.closed(event.link, time.monotonic())
+            elif isinstance(event.message, messages.CrashNews):
+                self.reports.hand_on(event.link, event.message)
             elif isinstance(event.message, messages.WishesNews):
                 self._hear(event.link, event.message, time.monotonic())
 
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -67,6 +67,13 @@
         """Forget a link."""
         self.entries.pop(link, None)
 
+    def hand_on(self, link: links.Link, news: messages.CrashNews) -> None:
+        """Tell all other entries what one has said of a crash."""
+        frame = links.frame_of(news)
+        for other in list(self.entries):
+            if other is not link:
+                self._send_frame(other, frame)
+
     def current(self) -> messages.LoadReport:
         """Give the report as of now."""
         report = self._staged.report
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -7,6 +7,7 @@
 
 from burdockchute.decisions import versions
 from burdockchute.nodes import links
+from burdockchute.wire import messages
 from burdockchute_agent.staged import reports_task
 
 
@@ -50,6 +51,15 @@
         history = versions.name(history, version, at)
         self.histories = {'story': history}
 
+    def test_a_crash_is_handed_on_to_the_other_entries(self):
+        first, second = FakeLink(), FakeLink()
+        self.task.opened(first)
+        self.task.opened(second)
+        news = messages.CrashNews('f-1', 'i-1', True, True)
+        self.task.hand_on(first, news)
+        self.assertNotIn(news, first.frames)
+        self.assertEqual(news, second.frames[-1])
+
     def test_a_new_link_hears_how_long_versions_are_known(self):
         self.named(2, None)
         self.named(3, 97.5)
--- a/packages/burdockchute-entry/burdockchute_entry/router.py
+++ b/packages/burdockchute-entry/burdockchute_entry/router.py
@@ -17,7 +17,6 @@
 from burdockchute import logs
 from burdockchute.decisions import admission
 from burdockchute.decisions import retries
-from burdockchute.decisions.suspects import REFUSE_S
 from burdockchute.decisions.suspects import Suspects
 from burdockchute.model import claims
 from burdockchute.model import table as tables
@@ -404,7 +403,4 @@
         self._intake.entries = event.entries
 
     def _crash_learned(self, event: CrashLearned) -> None:
-        seen, at = event.seen, self._now() - event.age_s
-        self._suspects.crashed(seen.fingerprint, seen.upstream, seen.alone, at)
-        if seen.convicted:
-            self._suspects.refuse(seen.fingerprint, REFUSE_S, at)
+        self._suspects.learned(event, self._now())
--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -18,6 +18,8 @@
 from burdockchute import tasks
 from burdockchute.decisions.versions import History
 from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.crashes import CrashLearned
+from burdockchute.model.crashes import CrashSeen
 from burdockchute.model.members import Member
 from burdockchute.model.needs import Needs
 from burdockchute.nodes import links
@@ -32,6 +34,10 @@
 # How often lost links are looked at; a redial waits longer than this.
 TICK_S = 0.25
 
+# A crash is told to so many agents, each of which tells its other entries: one
+# of them may be paused or gone.
+RELAYS = 3
+
 Reported = Callable[[str, messages.LoadReport], None]
 
 
@@ -61,6 +67,9 @@
 class AgentsTask:
     """Keeps a link to each agent; `reported` gets what they report.
 
+    Entries have no links to each other, so agents hand on which requests were
+    in flight in a crash; `learned` gets those of other entries.
+
     Agents are told what operators want, and whether the store answers this
     entry (`in_contact`): one that it does not answer knows nothing new.
     """
@@ -71,6 +80,7 @@
         hello: Callable[[], messages.Hello],
         link_port: int,
         reported: Reported,
+        learned: Callable[[CrashLearned], None],
         in_contact: Callable[[], bool],
         rng: random.Random,
     ) -> None:
@@ -78,7 +88,9 @@
         self._link_port = link_port
         self._reported = reported
         self._peers = Peers(own, hello, self.inbox, rng)
+        self._learned = learned
         self._in_contact = in_contact
+        self._rng = rng
         self._beliefs = Beliefs()
         self._services: dict[str, str] = {}
         self._told: dict[str, _Told] = {}
@@ -117,10 +129,21 @@
                     logs.warn(
                         'agent_lost', agent=link.peer.name, reason=reason
                     )
+            case CrashSeen():
+                self._spread(messages.CrashNews(*message))
+            case links.Received(message=messages.CrashNews()):
+                self._learned(
+                    CrashLearned(_crash_of(message.message), age_s=0.0)
+                )
             case links.Received(link=link, message=messages.LoadReport()):
                 if self._peers.of(link) is not None:
                     self._reported(link.peer.name, message.message)
 
+    def _spread(self, news: messages.CrashNews) -> None:
+        linked = list(self._peers.links.values())
+        for peer in self._rng.sample(linked, min(RELAYS, len(linked))):
+            peer.send(news)
+
     def _tell(self, peer: PeerLink) -> None:
         service = self._services.get(peer.name, '')
         needs = self._beliefs.needs(service)
@@ -142,3 +165,9 @@
         for peer in list(self._peers.links.values()):
             self._tell(peer)
         self._peers.tick(time.monotonic())
+
+
+def _crash_of(news: messages.CrashNews) -> CrashSeen:
+    return CrashSeen(
+        news.fingerprint, news.upstream, news.alone, news.convicted
+    )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -25,6 +25,7 @@
 from burdockchute.following import SETTLING_S
 from burdockchute.lifetime import Lifetime
 from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.crashes import CrashLearned
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
 from burdockchute.nodes.wishes_news import heard_of
@@ -89,17 +90,25 @@
             lambda: wishes_cadence,
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
         )
+        self._suspects = Suspects()
         self.agents = AgentsTask(
             Member(machine.name, 'entry', machine.address, 0, machine.place),
             self.lifetime.hello,
             machine.link_ports[0],
             self._reported,
+            self._crash_learned,
             lambda: not self.follower.wishes_contact.lost,
             rng,
         )
         self.counters = Counters()
         self.callers = CallersApp(
-            Tools(adapter, self.placer, Suspects(), now),
+            Tools(
+                adapter,
+                self.placer,
+                self._suspects,
+                now,
+                self.agents.inbox.put,
+            ),
             self.beliefs,
             lambda: Leaving(self.leaving, self.taking),
             self.counters.finished,
@@ -206,6 +215,11 @@
             self.follower.hear(heard_of(report.named, time.monotonic()))
         self.placer.reported(address, report)
 
+    def _crash_learned(self, learned: CrashLearned) -> None:
+        seen = learned.seen
+        logs.event('crash_learned', **seen._asdict())
+        self._suspects.learned(learned, time.monotonic())
+
     def _keep_filling(self) -> None:
         while True:
             gevent.sleep(FILL_S)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -13,6 +13,7 @@
 from burdockchute.decisions import retries
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.suspects import Suspects
+from burdockchute.model.crashes import CrashSeen
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.model.exchanges import Asked
 from burdockchute.model.exchanges import Onward
@@ -51,12 +52,16 @@
 
 
 class Tools(NamedTuple):
-    """What all exchanges of an entry share."""
+    """What all exchanges of an entry share.
+
+    `crash` tells other entries of a request that was in flight in a crash.
+    """
 
     adapter: Adapter
     placer: Placer
     suspects: Suspects
     now: Callable[[], float]
+    crash: Callable[[CrashSeen], None] = lambda seen: None
 
 
 class Sender:
@@ -306,6 +311,7 @@
         convicted = self._tools.suspects.crashed(
             fingerprint, target.id, alone, self._tools.now()
         )
+        self._tools.crash(CrashSeen(fingerprint, target.id, alone, convicted))
         logs.warn(
             'upstream_broke_off',
             request_id=self.asked.id,
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -9,6 +9,8 @@
 from burdockchute.decisions import versions
 from burdockchute.decisions.routing import route_table
 from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.crashes import CrashLearned
+from burdockchute.model.crashes import CrashSeen
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
 from burdockchute.model.routes import CallerLimits
@@ -39,6 +41,8 @@
 
     def send(self, message):
         self.news.append(message)
+        if isinstance(message, messages.CrashNews):
+            return
         self.sent.append(
             [(i.model, i.version, i.age_ms >= 0) for i in message.named]
         )
@@ -49,12 +53,14 @@
 
     def setUp(self):
         self.in_contact = True
+        self.learned = []
         self.beliefs = Beliefs()
         self.task = AgentsTask(
             OWN,
             lambda: None,
             1,
             lambda address, report: None,
+            self.learned.append,
             lambda: self.in_contact,
             random.Random(1),
         )
@@ -118,6 +124,21 @@
             [news.needs for news in link.news],
         )
 
+    def test_a_crash_is_told_to_few_agents_and_learnt_from_any(self):
+        """A request that crashes engines is sent again, to any entry.
+
+        Entries that count crashes each for itself would let it crash two
+        engines each, and callers there lose their answers.
+        """
+        opened = [self.opened(f'10.0.0.{n}:1') for n in range(1, 9)]
+        seen = CrashSeen('f-1', 'i-1', True, False)
+        self.task._take(seen)
+        told = [link for link in opened if len(link.news) > 1]
+        self.assertEqual(3, len(told))
+        news = told[0].news[-1]
+        self.task._take(links.Received(opened[0], news))
+        self.assertEqual([CrashLearned(seen, 0.0)], self.learned)
+
     def test_an_entry_that_hears_nothing_says_so(self):
         """The store turns one entry away and serves the agents.
 
--- a/packages/burdockchute/burdockchute/decisions/suspects.py
+++ b/packages/burdockchute/burdockchute/decisions/suspects.py
@@ -30,6 +30,8 @@
 
 from typing import NamedTuple
 
+from burdockchute.model.crashes import CrashLearned
+
 CRASHES = 2
 SHARED_CRASHES = 3
 ONE_CRASH_S = 1.0
@@ -83,6 +85,13 @@
         self.refuse(fingerprint, REFUSE_S, now)
         return True
 
+    def learned(self, learned: CrashLearned, now: float) -> None:
+        """Count a crash that another entry saw."""
+        seen, at = learned.seen, now - learned.age_s
+        self.crashed(seen.fingerprint, seen.upstream, seen.alone, at)
+        if seen.convicted:
+            self.refuse(seen.fingerprint, REFUSE_S, at)
+
     def answered(self, fingerprint: str) -> None:
         """Clear a request that an upstream has survived."""
         self._records.pop(fingerprint, None)
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -105,6 +105,15 @@
   3: bool in_contact        // the store answers this entry
 }
 
+// entry -> agent, which hands it on to its other entries: an upstream went
+// away with this request in flight.
+struct CrashNews {
+  1: string fingerprint
+  2: string upstream
+  3: bool alone             // it ran there by itself
+  4: bool convicted         // it is refused from now on
+}
+
 // agent -> entry: on each change, each second while busy, else each two.
 struct LoadReport {
   1: string instance
@@ -259,4 +268,5 @@
   17: ClaimReply claim_reply
   18: TableRequest table_request
   19: WishesNews wishes_news
+  20: CrashNews crash_news
 }
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1156,6 +1156,96 @@
         return not (self == other)
 
 
+class CrashNews(object):
+    """
+    Attributes:
+     - fingerprint
+     - upstream
+     - alone
+     - convicted
+
+    """
+
+
+    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None,):
+        self.fingerprint = fingerprint
+        self.upstream = upstream
+        self.alone = alone
+        self.convicted = convicted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.alone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.convicted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashNews')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.alone is not None:
+            oprot.writeFieldBegin('alone', TType.BOOL, 3)
+            oprot.writeBool(self.alone)
+            oprot.writeFieldEnd()
+        if self.convicted is not None:
+            oprot.writeFieldBegin('convicted', TType.BOOL, 4)
+            oprot.writeBool(self.convicted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -2823,11 +2913,12 @@
      - claim_reply
      - table_request
      - wishes_news
+     - crash_news
 
     """
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None, crash_news=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -2847,6 +2938,7 @@
         self.claim_reply = claim_reply
         self.table_request = table_request
         self.wishes_news = wishes_news
+        self.crash_news = crash_news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2971,6 +3063,12 @@
                     self.wishes_news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.crash_news = CrashNews()
+                    self.crash_news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3057,6 +3155,10 @@
             oprot.writeFieldBegin('wishes_news', TType.STRUCT, 19)
             self.wishes_news.write(oprot)
             oprot.writeFieldEnd()
+        if self.crash_news is not None:
+            oprot.writeFieldBegin('crash_news', TType.STRUCT, 20)
+            self.crash_news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3173,6 +3275,14 @@
     (2, TType.STRUCT, 'needs', [AgentNeeds, None], None, ),  # 2
     (3, TType.BOOL, 'in_contact', None, None, ),  # 3
 )
+all_structs.append(CrashNews)
+CrashNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'alone', None, None, ),  # 3
+    (4, TType.BOOL, 'convicted', None, None, ),  # 4
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -3333,6 +3443,7 @@
     (17, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 17
     (18, TType.STRUCT, 'table_request', [TableRequest, None], None, ),  # 18
     (19, TType.STRUCT, 'wishes_news', [WishesNews, None], None, ),  # 19
+    (20, TType.STRUCT, 'crash_news', [CrashNews, None], None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
