The log names what is turned away, and says why nobody can run a request

Lines of what is turned away carry the id, the reason counts known and usable upstreams and those with weights from the least version, and explain shows when a process that never finished a request started again.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -82,11 +82,15 @@
 
 
 class Turned(NamedTuple):
-    """A request that goes no further, with the status that says why."""
+    """A request that goes no further, with the status that says why.
+
+    `request_id` is empty where none could be read.
+    """
 
     status: int
     reason: str
     retry_after_s: float = 0.0
+    request_id: str = ''
 
 
 class Finished(NamedTuple):
@@ -130,11 +134,6 @@
     def _admit(
         self, environ: dict[str, Any], arrived: float
     ) -> Admitted | Turned:
-        if not self._leaving().taking:
-            return Turned(503, 'this entry is leaving', LEAVING_RETRY_S)
-        beliefs = self._beliefs()
-        if beliefs.routes is None or not beliefs.complete:
-            return Turned(503, 'no configuration yet', NOT_READY_RETRY_S)
         try:
             asked = self._tools.adapter.decode_request(
                 environ['REQUEST_METHOD'],
@@ -145,6 +144,19 @@
             return Turned(400, str(exc))
         if not asked.id:
             return Turned(400, 'no request id')
+        admitted = self._admit_asked(environ, asked, arrived)
+        if isinstance(admitted, Turned):
+            return admitted._replace(request_id=asked.id)
+        return admitted
+
+    def _admit_asked(
+        self, environ: dict[str, Any], asked: Asked, arrived: float
+    ) -> Admitted | Turned:
+        if not self._leaving().taking:
+            return Turned(503, 'this entry is leaving', LEAVING_RETRY_S)
+        beliefs = self._beliefs()
+        if beliefs.routes is None or not beliefs.complete:
+            return Turned(503, 'no configuration yet', NOT_READY_RETRY_S)
         routed = _route_of(beliefs.routes, asked)
         if isinstance(routed, Turned):
             return routed
@@ -223,6 +235,7 @@
     ) -> list[bytes]:
         logs.event(
             'request_turned_away',
+            request_id=turned.request_id,
             status=turned.status,
             reason=turned.reason,
             target=environ.get(TARGET_KEY),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -137,6 +137,22 @@
             if may_run(target)
         ]
 
+    def why_nobody(self, placing: Placing, now: float) -> str:
+        """Say why no target may run a request now, for the log."""
+        wish = placing.wish
+        own = [
+            target
+            for target in self._targets.values()
+            if target.upstream.service == wish.service
+        ]
+        usable = self._usable(wish.service, now)
+        least = self._least_version(wish, now)
+        fit = [target for target in usable if _may_run(target, wish, least)]
+        return (
+            f'{len(own)} known, {len(usable)} usable, {len(fit)} with weights '
+            f'from version {least}'
+        )
+
     def loads(self, wish: Wish, now: float) -> list[InstanceLoad]:
         """Give the loads of the targets that share a wish's service."""
         return [
@@ -216,14 +232,17 @@
 
     def _rule(self, placing: Placing, now: float) -> Callable[[Target], bool]:
         wish = placing.wish
-        least = 0
-        if wish.model:
-            history = self._beliefs.history(wish.model)
-            least = versions.least_allowed(history, self.bounds.version_s, now)
+        least = self._least_version(wish, now)
         return lambda target: (
             not placing.avoids(target) and _may_run(target, wish, least)
         )
 
+    def _least_version(self, wish: Wish, now: float) -> int:
+        if not wish.model:
+            return 0
+        history = self._beliefs.history(wish.model)
+        return versions.least_allowed(history, self.bounds.version_s, now)
+
 
 def wanted_of(placing: Placing) -> engine_room.Wanted:
     """Give what placement needs of a request."""
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -102,7 +102,8 @@
         late_s = patience.late_wait_s(deadline - now)
         if not self._known.hosts(placing, now):
             if not self._known.opening_places(placing.wish, now):
-                reason = f'no upstream can run {wish.service!r} now'
+                why = self._known.why_nobody(placing, now)
+                reason = f'no upstream can run {wish.service!r} now ({why})'
                 return NotRun(reason, 503, NOBODY_RETRY_S)
             return self._wait(lane, placing, 0.0, late_s)
         fresh_s = patience.fresh_wait_s(
--- a/packages/burdockchute/burdockchute/operators/explain.py
+++ b/packages/burdockchute/burdockchute/operators/explain.py
@@ -37,10 +37,14 @@
         'reloaded',
         'serving',
         'stopped',
+        'version_heard',
         'version_named',
     }
 )
 
+# The last line about a request at a process.
+_ENDS = frozenset({'request_finished', 'request_turned_away'})
+
 
 class Line(NamedTuple):
     """One log line; `at` is in Unix seconds, 0 where it isn't said."""
@@ -100,7 +104,27 @@
             return True
         return fields.get('upstream') in upstreams
 
-    return sorted(filter(bears, lines), key=lambda line: line.at)
+    found = [*filter(bears, lines), *_starts_after(own, lines, last)]
+    return sorted(found, key=lambda line: line.at)
+
+
+def _starts_after(
+    own: list[Line], lines: list[Line], last: float
+) -> list[Line]:
+    """Give when processes that had an unfinished request started again.
+
+    One that is killed or loses power writes nothing of its end.
+    """
+    if any(n.fields.get('event') in _ENDS for n in own):
+        return []
+    starts: dict[str, Line] = {}
+    procs = {n.fields.get('proc') for n in own}
+    for line in sorted(lines, key=lambda line: line.at):
+        name = line.fields.get('proc', '')
+        begins = line.fields.get('event') == 'serving' and line.at > last
+        if begins and name in procs:
+            starts.setdefault(name, line)
+    return list(starts.values())
 
 
 def render(line: Line, began: float) -> str:
--- a/packages/burdockchute/tests/test_explain.py
+++ b/packages/burdockchute/tests/test_explain.py
@@ -39,5 +39,29 @@
             explain.render(found[-1], found[0].at),
         )
 
+    def test_a_process_that_was_killed_started_again(self):
+        """An entry loses power with a request in hand, and writes nothing.
+
+        Without its next start, the timeline ends with the placing and leaves
+        the reader to guess.
+        """
+        lines = [
+            'at="2026-01-02 03:04:03,000" event=request_placed '
+            'request_id=q-1 upstream=i-1 proc=e-1',
+            'at="2026-01-02 03:04:09,000" event=serving proc=e-1',
+            'at="2026-01-02 03:04:19,000" event=serving proc=e-1',
+            'at="2026-01-02 03:04:09,000" event=serving proc=e-2',
+        ]
+        found = explain.explain('q-1', lines)
+        self.assertEqual(
+            ['request_placed', 'serving'],
+            [line.fields['event'] for line in found],
+        )
+        finished = (
+            'at="2026-01-02 03:04:03,500" event=request_finished '
+            'request_id=q-1 outcome=answered proc=e-1'
+        )
+        self.assertEqual(2, len(explain.explain('q-1', [*lines, finished])))
+
     def test_an_id_that_no_line_names(self):
         self.assertEqual([], explain.explain('q-9', LINES.splitlines()))
