--- a/packages/burdockchute/burdockchute/decisions/suspects.py
+++ b/packages/burdockchute/burdockchute/decisions/suspects.py
@@ -86,9 +86,16 @@
         return True
 
     def learned(self, learned: CrashLearned, now: float) -> None:
-        """Count a crash that another entry saw."""
+        """Count a crash that another entry saw.
+
+        An upstream that loses answers breaks off many requests, and common
+        ones again and again; all entries together would soon convict these.
+        So one that another entry lost at the same upstream counts once.
+        """
         seen, at = learned.seen, now - learned.age_s
-        self.crashed(seen.fingerprint, seen.upstream, seen.alone, at)
+        known = self._records.get(seen.fingerprint)
+        if known is None or known.upstream != seen.upstream:
+            self.crashed(seen.fingerprint, seen.upstream, seen.alone, at)
         if seen.convicted:
             self.refuse(seen.fingerprint, REFUSE_S, at)
 
--- a/packages/burdockchute/tests/decisions/test_suspects.py
+++ b/packages/burdockchute/tests/decisions/test_suspects.py
@@ -6,6 +6,8 @@
 
 from burdockchute.decisions import suspects
 from burdockchute.decisions.suspects import Suspects
+from burdockchute.model.crashes import CrashLearned
+from burdockchute.model.crashes import CrashSeen
 
 
 class SuspectsTest(unittest.TestCase):
@@ -57,6 +59,20 @@
         self.assertFalse(self.suspects.crashed('p', 'b', True, later))
         self.assertEqual(1, len(self.suspects))
 
+    def test_an_upstream_that_loses_answers_convicts_no_common_request(self):
+        """A server breaks off one answer in thirty, of all entries.
+
+        Counted together, the same look-up that many callers make would soon
+        be refused to all of them for ten minutes.
+        """
+        for second in range(9):
+            seen = CrashSeen('p', 'a', True, False)
+            self.suspects.learned(CrashLearned(seen, 0.0), 2.0 * second)
+        self.assertEqual(0.0, self.suspects.refused_for_s('p', 20.0))
+        seen = CrashSeen('p', 'b', True, False)
+        self.suspects.learned(CrashLearned(seen, 0.0), 20.0)
+        self.assertGreater(self.suspects.refused_for_s('p', 20.0), 0.0)
+
     def test_other_entry_tells_whom_to_refuse(self):
         self.suspects.refuse('p', 60.0, 0.0)
         self.assertEqual(50.0, self.suspects.refused_for_s('p', 10.0))
