--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -145,8 +145,10 @@
             peer.send(news)
 
     def _tell(self, peer: PeerLink) -> None:
-        service = self._services.get(peer.name, '')
-        needs = self._beliefs.needs(service)
+        # An agent of whose engine the list says nothing keeps what it knows;
+        # told of no service, it would take its models for withdrawn.
+        service = self._services.get(peer.name)
+        needs = self._beliefs.needs(service) if service else None
         # Most saves change nothing for agents; those aren't told of.
         told = _Told(
             self._beliefs.histories,
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -124,6 +124,15 @@
             [news.needs for news in link.news],
         )
 
+    def test_an_agent_of_an_unlisted_engine_is_told_of_no_service(self):
+        """The list drops engines through an outage of the store.
+
+        An agent that took its models for withdrawn would drop its copies.
+        """
+        link = self.opened('10.0.0.9:1')
+        self.saved(1, '10.0.0.8:80')
+        self.assertEqual([None], [news.needs for news in link.news])
+
     def test_a_crash_is_told_to_few_agents_and_learnt_from_any(self):
         """A request that crashes engines is sent again, to any entry.
 
