--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 		packages/burdockchute-entry/burdockchute_entry \
 		packages/burdockchute-agent/burdockchute_agent \
 		packages/burdockchute-testing/burdockchute_testing \
-		platform/burdockchute_platform
+		platform/burdockchute_platform platform/soak
 
 format: setup
 	$(BIN)/ruff check -q --fix --select I .
