A reload asked for during the start is carried out

Programs hold it back from their first line, and carry it out once they serve. The soak sends SIGHUP only to programs that have run their first line, as their signal masks tell.

--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from burdockchute import patching
+from burdockchute import starting
 
-patching.patch()
+starting.prepare()
 
 import argparse  # noqa: E402
 from collections.abc import Callable  # noqa: E402
--- a/packages/burdockchute-testing/burdockchute_testing/processes.py
+++ b/packages/burdockchute-testing/burdockchute_testing/processes.py
@@ -94,6 +94,17 @@
         """Ask it to end gracefully."""
         self._signal(signal.SIGTERM)
 
+    def catches_hang_up(self) -> bool:
+        """Tell whether it has a handler for a request to reload by now."""
+        try:
+            status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
+        except OSError:
+            # It has ended.
+            return False
+        caught = re.search(r'^SigCgt:\s*([0-9a-f]+)$', status, re.MULTILINE)
+        bit = 1 << (signal.SIGHUP - 1)
+        return caught is not None and bool(int(caught[1], 16) & bit)
+
     def hang_up(self) -> None:
         """Ask it to read its settings again."""
         self._signal(signal.SIGHUP)
--- a/packages/burdockchute/burdockchute/lifetime.py
+++ b/packages/burdockchute/burdockchute/lifetime.py
@@ -14,6 +14,7 @@
 from gevent import event as events
 
 from burdockchute import metrics
+from burdockchute import starting
 from burdockchute import tasks
 from burdockchute.nodes import links
 from burdockchute.wire import messages
@@ -63,8 +64,11 @@
         metrics.set_up(self._cfg.name, self._cfg.otlp_endpoint)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._stopping.set)
-        if reload is not None:
-            gevent.signal_handler(signal.SIGHUP, reload)
+        if reload is None:
+            return
+        gevent.signal_handler(signal.SIGHUP, reload)
+        if starting.was_reload_asked():
+            gevent.spawn(reload)
 
     def run_until_stopped(self, loops: Iterable[Callable[[], None]]) -> bool:
         """Run the tasks; False if one failed, True if asked to stop."""
