One loop for what peers have said of a digest before

Copying and Arrivals each had it; Arrivals keeps it. Copier.plan was left with a test as its only caller and goes; the test calls the two halves.

--- a/packages/burdockchute-agent/burdockchute_agent/arrivals.py
+++ b/packages/burdockchute-agent/burdockchute_agent/arrivals.py
@@ -123,6 +123,10 @@
         copier.manifest_came(manifest, now)
         self._news.chunk(copier.digest)
         # What peers hold could not be read without the number of chunks.
+        self.take_kept(copier, now)
+
+    def take_kept(self, copier: Copier, now: float) -> None:
+        """Hand a copier what peers have said of its digest before."""
         for peer in self._links.values():
             have = peer.haves.get(copier.digest)
             if have is not None and not self._corruption.is_banned(peer):
--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -1,7 +1,7 @@
 """One copy in the making: what is held, asked for and from whom.
 
-It has no socket and reads no clock: it is told what arrives, and `plan`
-gives the requests to make now.
+It has no socket and reads no clock: it is told what arrives, and `plan_reads`
+and `plan_asks` give the requests to make now.
 """
 
 from __future__ import annotations
@@ -257,23 +257,14 @@
         """Give what is held, for a Have; empty without a manifest."""
         return self.copy.bitmap() if self.copy else b''
 
-    def plan(
+    def plan_reads(
         self, now: float, may_take: Callable[[int], bool]
     ) -> list[Action]:
-        """Give the requests to make now and note them as made.
+        """Give what to read from the origin, or whom to ask for a manifest.
 
-        `may_take` takes a number of bytes from the downlink's budget and
-        tells whether they were there.
+        What is given is noted as under way. `may_take` takes a number of
+        bytes from the downlink's budget and tells whether they were there.
         """
-        return [
-            *self.plan_reads(now, may_take),
-            *self.plan_asks(now, may_take),
-        ]
-
-    def plan_reads(
-        self, now: float, may_take: Callable[[int], bool]
-    ) -> list[Action]:
-        """Give what to read from the origin, or whom to ask for a manifest."""
         if self.complete:
             return []
         self._expire(now)
@@ -286,7 +277,7 @@
     def plan_asks(
         self, now: float, may_take: Callable[[int], bool]
     ) -> list[Action]:
-        """Give the requests to peers to make now."""
+        """Give the requests to peers to make now, as `plan_reads` does."""
         if self.copy is None or self.complete:
             return []
         actions: list[Action] = []
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -321,10 +321,7 @@
         self._copiers[target.digest] = copier
         self._news.chunk(target.digest)
         event('copy_began', digest=target.digest)
-        for peer in self._peers.links.values():
-            have = peer.haves.get(target.digest)
-            if have is not None and not self._arrivals.is_banned(peer):
-                copier.have_came(peer.name, peer.distance, have, now)
+        self._arrivals.take_kept(copier, now)
 
     def _give_up(self, digest: str) -> None:
         self.reads.stop(digest)
--- a/packages/burdockchute-agent/tests/test_weights_parts.py
+++ b/packages/burdockchute-agent/tests/test_weights_parts.py
@@ -62,7 +62,8 @@
         self.copier.manifest_came(MANIFEST_OF, 0.0)
 
     def plan(self, now: float) -> set:
-        return set(self.copier.plan(now, unlimited))
+        reads = self.copier.plan_reads(now, unlimited)
+        return {*reads, *self.copier.plan_asks(now, unlimited)}
 
     def test_manifest_comes_from_a_peer_that_has_it(self):
         self.copier.have_came('p', 0, have(0), 0.0)
