Agents are told on a change, not compared four times a second

Each tick worked out anew, for every agent, what it needs. Beliefs and the contact with the store are all that can change it; both tell by themselves.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -94,6 +94,7 @@
         self._beliefs = Beliefs()
         self._services: dict[str, str] = {}
         self._told: dict[str, _Told] = {}
+        self._was_in_contact = in_contact()
 
     def run(self) -> None:
         """Take messages for ever."""
@@ -114,6 +115,7 @@
                     for upstream in message.present()
                 }
                 self._peers.want(agents_of(message, self._link_port))
+                self._tell_all()
                 self._tick()
             case Dialled():
                 self._peers.dialled(message, time.monotonic())
@@ -163,9 +165,14 @@
             messages.WishesNews(named, needs_news(needs), told.in_contact)
         )
 
-    def _tick(self) -> None:
+    def _tell_all(self) -> None:
         for peer in list(self._peers.links.values()):
             self._tell(peer)
+
+    def _tick(self) -> None:
+        if self._in_contact() != self._was_in_contact:
+            self._was_in_contact = not self._was_in_contact
+            self._tell_all()
         self._peers.tick(time.monotonic())
 
 
