--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import types
 import unittest
 
 from burdockchute.decisions import versions
@@ -21,6 +20,7 @@
 from burdockchute.nodes import links
 from burdockchute.wire import messages
 from burdockchute_entry.straight.agents_task import AgentsTask
+from burdockchute_testing.builders.routing import FakeLink
 from burdockchute_testing.builders.upstreams import listed
 from burdockchute_testing.builders.upstreams import upstream
 
@@ -29,23 +29,12 @@
 LIMITS = CallerLimits(8192, 1_000_000, 1.0, 5.0)
 
 
-class FakeLink:
-    """An open link that keeps what is sent on it."""
-
-    def __init__(self, name) -> None:
-        self.peer = types.SimpleNamespace(
-            name=name, zone='z', region='r', incarnation='1'
-        )
-        self.sent = []
-        self.news = []
-
-    def send(self, message):
-        self.news.append(message)
-        if isinstance(message, messages.CrashNews):
-            return
-        self.sent.append(
-            [(i.model, i.version, i.age_ms >= 0) for i in message.named]
-        )
+def named(link):
+    """Give the versions that each message on a link has told of."""
+    return [
+        [(i.model, i.version, i.age_ms >= 0) for i in message.named]
+        for message in link.sent
+    ]
 
 
 class AgentsTaskTest(unittest.TestCase):
@@ -81,7 +70,7 @@
         self.believe((2, None), (3, 1.0))
         link = self.opened('10.0.0.1:1')
         self.assertEqual(
-            [[('story', 3, True), ('story', 2, False)]], link.sent
+            [[('story', 3, True), ('story', 2, False)]], named(link)
         )
 
     def test_a_naming_is_told_once_to_each_link(self):
@@ -89,7 +78,7 @@
         self.believe((2, 5.0))
         self.believe((2, 5.0))
         for link in (first, second):
-            self.assertEqual([[], [('story', 2, True)]], link.sent)
+            self.assertEqual([[], [('story', 2, True)]], named(link))
 
     def saved(self, version, origin):
         """Take in a saved configuration with one engine of `drafts`."""
@@ -121,7 +110,7 @@
                 messages.AgentNeeds(1, ['story'], 4, '10.0.0.8:80'),
                 messages.AgentNeeds(20, ['story'], 4, '10.0.0.9:80'),
             ],
-            [news.needs for news in link.news],
+            [news.needs for news in link.sent],
         )
 
     def test_an_agent_of_an_unlisted_engine_is_told_of_no_service(self):
@@ -131,7 +120,7 @@
         """
         link = self.opened('10.0.0.9:1')
         self.saved(1, '10.0.0.8:80')
-        self.assertEqual([None], [news.needs for news in link.news])
+        self.assertEqual([None], [news.needs for news in link.sent])
 
     def test_a_crash_is_told_to_few_agents_and_learnt_from_any(self):
         """A request that crashes engines is sent again, to any entry.
@@ -142,9 +131,9 @@
         opened = [self.opened(f'10.0.0.{n}:1') for n in range(1, 9)]
         seen = CrashSeen('f-1', 'i-1', True, False)
         self.task._take(seen)
-        told = [link for link in opened if len(link.news) > 1]
+        told = [link for link in opened if len(link.sent) > 1]
         self.assertEqual(3, len(told))
-        news = told[0].news[-1]
+        news = told[0].sent[-1]
         self.task._take(links.Received(opened[0], news))
         self.assertEqual([CrashLearned(seen, 0.0)], self.learned)
 
@@ -159,7 +148,7 @@
         self.in_contact = True
         self.task._tick()
         self.assertEqual(
-            [True, False, True], [news.in_contact for news in link.news]
+            [True, False, True], [news.in_contact for news in link.sent]
         )
 
 
--- a/packages/burdockchute-testing/burdockchute_testing/forwarder.py
+++ b/packages/burdockchute-testing/burdockchute_testing/forwarder.py
@@ -64,15 +64,20 @@
         self._server = server.StreamServer(own, self._handle)
         self._server.start()
 
+    @property
+    def address(self) -> Address:
+        """Give the address to connect to."""
+        return Address(self._server.server_host, self._server.server_port)
+
     @property
     def port(self) -> int:
         """Give the port to connect to."""
-        return self._server.server_port
+        return self.address.port
 
     @property
     def url(self) -> str:
         """Give the URL to connect to."""
-        return f'http://{self._server.server_host}:{self.port}'
+        return f'http://{self.address}'
 
     def cut(self, there: bool = True, back: bool = True) -> None:
         """Let nothing through any more, `there` to the target or `back`."""
