A fresh process ends no version for the others

A process that has read the wishes before now takes it as named when it hears of it, as if it had read it.

--- a/packages/burdockchute/burdockchute/model/beliefs.py
+++ b/packages/burdockchute/burdockchute/model/beliefs.py
@@ -96,13 +96,20 @@
 def take_hearsay(
     beliefs: Beliefs, told: Sequence[Hearsay], now: float
 ) -> tuple[Beliefs, list[Learnt]]:
-    """Take in when others learnt of versions."""
+    """Take in when others learnt of versions.
+
+    One that starts can't tell when a version was named. A process that has
+    read the wishes before then takes it as named now, as if it had read of
+    it by itself. Without this, an entry that restarts while the store is
+    away would end the version that all engines hold for everybody.
+    """
     learnt = []
     histories = dict(beliefs.histories)
     for item in told:
         before = histories.get(item.model, versions.History())
         if item.at is None:
-            after = versions.name(before, item.version, None)
+            at = now if beliefs.routes is not None else None
+            after = versions.name(before, item.version, at)
         else:
             after = versions.heard(before, item.version, item.at)
         if after == before:
--- a/packages/burdockchute/tests/test_beliefs.py
+++ b/packages/burdockchute/tests/test_beliefs.py
@@ -7,8 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from burdockchute.decisions import versions
 from burdockchute.model import beliefs as belief
 from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.beliefs import Hearsay
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import ConfigurationRead
 from burdockchute.model.feeds import Unreadable
@@ -73,6 +75,34 @@
             known = beliefs.needs('drafts')
             self.assertEqual(newest, known.configuration)
 
+    def test_a_fresh_process_ends_no_version_for_the_others(self):
+        """An entry restarts while the store is away, and is the first to
+        hear of a new version once it is back.
+
+        It can't tell when the version was named. If the others took that for
+        long ago, none of them would let the version that all engines hold
+        begin anything, and every caller would be refused until the new one
+        is copied.
+        """
+        batch = Batch(0, True, (configuration(1), VersionRead('story', 1)))
+        running, _learnt = belief.take_wishes(Beliefs(), batch, True, 0.0)
+        told = [Hearsay('story', 2, None)]
+        running, _learnt = belief.take_hearsay(running, told, 60.0)
+        history = running.history('story')
+        self.assertEqual(1, versions.least_allowed(history, 8.0, 62.0))
+        self.assertEqual(2, versions.least_allowed(history, 8.0, 69.0))
+
+    def test_two_fresh_processes_do_not_vouch_for_an_old_version(self):
+        """Everything restarts long after a version was named.
+
+        Whoever has read nothing yet knows no more than who tells of it; the
+        version before must begin nothing.
+        """
+        told = [Hearsay('story', 2, None)]
+        fresh, _learnt = belief.take_hearsay(Beliefs(), told, 60.0)
+        history = fresh.history('story')
+        self.assertEqual(2, versions.least_allowed(history, 8.0, 60.0))
+
     def test_each_change_of_belief_is_told(self):
         batch = Batch(3, True, (configuration(4), VersionRead('story', 2)))
         _beliefs, learnt = belief.take_wishes(Beliefs(), batch, True, 0.0)
