Late work takes any free slot

A step of sixteen takes 4 in 100 longer than one of one, so the empty slots served nobody.

Hypothesis: any free slot for late work.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -177,7 +177,7 @@
             and not target.upstream.draining
             and (target.closed_for_s(now) or LOADS_S) < LOADS_S
         )
-        return engine_room.SPARE_SHARE * slots / self.entries
+        return slots / self.entries
 
     def view(self, target: Target, now: float) -> engine_room.EngineView:
         """Give what is known of a target as an engine."""
--- a/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
@@ -48,7 +48,7 @@
         if not is_late:
             return bool(self._open)
         return any(
-            engine_room.has_spare_room(view)
+            engine_room.has_free_slot(view)
             for _target, view in self._open.values()
         )
 
@@ -77,7 +77,7 @@
     def is_hopeless(self, placing: Placing, left_s: float | None) -> bool:
         """Tell whether a request asks for more than one that found nothing.
 
-        A late one needs spare room, whatever its prompt.
+        A late one needs a free slot, whatever its prompt.
         """
         prompt = placing.ctx.prompt_tokens
         for other, other_left_s in self._in_vain:
--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -14,9 +14,11 @@
 from burdockchute.decisions.placement import Work
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
+from burdockchute.model.routes import EngineCost
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.wire import messages
 from burdockchute_entry.straight.known_targets import KnownTargets
+from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.lanes import Placing
 from burdockchute_entry.straight.lanes import Wish
 from burdockchute_entry.straight.placer import Placer
@@ -123,6 +125,25 @@
             self.assertEqual(1, look.call_count)
         self.assertTrue(all(place.value.target for place in waiting))
 
+    def test_a_long_prompt_gets_the_slot_that_stands_empty(self):
+        """Engines have twelve of sixteen slots taken, and prompts come in.
+
+        By the estimate no engine reads a long one in time, so it waits; then
+        it is late. Were the last slots kept free of late work, its caller
+        would be refused after two seconds beside four empty slots, and with
+        most of those who come then it would be the same.
+        """
+        placer = Placer(BOUNDS, lambda: 0.0, random.Random(1))
+        known = {u.id: Known(u._replace(slots=16), 0) for u in upstreams()[:6]}
+        placer.learn(Beliefs(upstreams=UpstreamList(known, {})))
+        for target in placer.targets():
+            target.load.report(12, 16, 1, 0.0, (), 0.0)
+            target.load.window = 16
+        cost = EngineCost(0.0093, 0.000023, 20_700.0, 5, 950.0, 95.0)
+        with mock.patch.object(KnownTargets, 'cost', return_value=cost):
+            place = placer.place(placing(1, prompt=3800), 6.0)
+        self.assertIsInstance(place, Place)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -21,11 +21,16 @@
 that alone, so what lasts longer than it stays open goes elsewhere if any
 other engine is nearly as good (CLOSING_COST_S).
 
+A request that can no longer be on time takes any place that is left over.
+A batch of sixteen takes 4 in 100 longer a step than a single request does, so
+a place that stands empty saves the others nothing, and is lost: who would
+have had it waits, and whoever comes next waits behind it. Keeping three of
+ten places free of late work left a third of all answers late at a load of
+1.1 times what six engines carry, where it is a fifth without (single runs).
+
 Thresholds: of the requests that other entries have there OTHERS_READING are
 taken to be waiting for their first token; at the usual lengths an engine
-spends about a sixth of a request's time on its prompt. A request that can
-no longer be on time only takes room that is spare: below SPARE_SHARE of the
-slots, where a fresh one that comes next still begins on time.
+spends about a sixth of a request's time on its prompt.
 """
 
 from __future__ import annotations
@@ -36,7 +41,6 @@
 from burdockchute.model.routes import EngineCost
 
 OTHERS_READING = 0.17
-SPARE_SHARE = 0.7
 
 # Read at most this many tokens of prompts in one pass of the batch.
 PASS_TOKENS = 2048
@@ -121,10 +125,9 @@
     return view.closes_in_s is None or view.closes_in_s > for_s
 
 
-def has_spare_room(view: EngineView) -> bool:
+def has_free_slot(view: EngineView) -> bool:
     """Tell whether a request that can't be on time may go there."""
-    in_hand = view.ours + view.others + view.unseen
-    return in_hand < SPARE_SHARE * view.slots
+    return view.ours + view.others + view.unseen < view.slots
 
 
 def choose(
@@ -136,7 +139,7 @@
     """Give the engine where a request begins soonest, None for none now.
 
     `left_s` is what is left of the objective; None for a request that can't
-    be on time, which only takes spare room.
+    be on time, which takes any free slot.
     """
     open_views = [view for view in views if _is_open(view, left_s is None)]
     if not open_views:
@@ -172,4 +175,4 @@
 def _is_open(view: EngineView, is_late: bool) -> bool:
     if view.room <= 0:
         return False
-    return not is_late or has_spare_room(view)
+    return not is_late or has_free_slot(view)
