Callers wait for engines whose opening is known

Agents know when a copy will be whole.

Agents tell when their engine is likely to open; as many callers as the engines can take then wait for it, where their answer can still be whole in time, and the others hear when to come back. Whoever has no time for it is refused at once, as before.

Tests replay both sides.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -26,7 +26,7 @@
 
 OPEN = 'open'
 
-# Closing times are told in steps of this; -1 stands for none.
+# Closing and opening times are told in steps of this; -1 stands for none.
 CLOSING_STEP_S = 0.25
 NEVER = -1
 
@@ -102,6 +102,7 @@
             entries=max(1, len(self.entries)),
             evicted=[],
             closes_in_ms=_milliseconds(self._staged.closes_in_s()),
+            opens_in_ms=_milliseconds(self._staged.opens_in_s()),
         )
 
     def tell(self, now: float) -> None:
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -21,6 +21,7 @@
 from burdockchute.adapters import Adapter
 from burdockchute.adapters import Engine
 from burdockchute.decisions import pacing
+from burdockchute.decisions import rates
 from burdockchute.decisions import staging
 from burdockchute.decisions import versions
 from burdockchute.decisions.neighbours import neighbours
@@ -180,6 +181,47 @@
             limit_in_s,
         )
 
+    def opens_in_s(self) -> float | None:
+        """Estimate when the engine takes requests again.
+
+        None where it does now, or where nothing tells.
+        """
+        now = self._now()
+        times = [self._opens_in_s(r, now) for r in self._rollouts.values()]
+        return min((t for t in times if t is not None), default=None)
+
+    def _opens_in_s(self, rollout: Rollout, now: float) -> float | None:
+        if self.report is None:
+            return None
+        history = self._beliefs().history(rollout.model)
+        least = versions.least_allowed(history, self.bounds.version_s, now)
+        loaded = self.loaded().get(rollout.model)
+        if loaded is not None and loaded >= least:
+            return None
+        if self.report.loading:
+            drain_s = staging.DRAIN_S if self.report.running else 0.0
+            return staging.LOAD_S + drain_s
+        times = [
+            self._copied_in_s(rollout, version, now)
+            for version in rollout.held()
+            if version >= least
+        ]
+        return min((t for t in times if t is not None), default=None)
+
+    def _copied_in_s(
+        self, rollout: Rollout, version: int, now: float
+    ) -> float | None:
+        name = rollout.name(version)
+        held, count = self._copying.progress(name)
+        if not count:
+            return None
+        share = held / count
+        rate = rates.CAP_SHARE * self._machine.link_bytes_per_s
+        rest_s = (1 - share) * self._copying.size_of(name) / rate
+        return staging.opens_in_s(
+            share, rollout.copying_s(version, now), rest_s
+        )
+
     # What arrives.
 
     def _watch_engine(self) -> None:
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -28,6 +28,9 @@
     def closes_in_s(self):
         return None
 
+    def opens_in_s(self):
+        return None
+
 
 class ReportsTest(unittest.TestCase):
     def setUp(self):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -8,6 +8,7 @@
 
 from burdockchute import logs
 from burdockchute.decisions import engine_room
+from burdockchute.decisions import patience
 from burdockchute.decisions import placement
 from burdockchute.decisions import versions
 from burdockchute.decisions.placement import InstanceLoad
@@ -105,6 +106,9 @@
         target.closes_at = None
         if report.closes_in_ms is not None and report.closes_in_ms >= 0:
             target.closes_at = now + report.closes_in_ms / 1000
+        target.opens_at = None
+        if report.opens_in_ms is not None and report.opens_in_ms >= 0:
+            target.opens_at = now + report.opens_in_ms / 1000
         slots = report.slots or target.upstream.slots
         target.load.report(report.running, slots, self.entries, 0.0, (), now)
 
@@ -161,23 +165,39 @@
             if not wish.model or wish.model in target.versions
         ]
 
-    def opening_places(self, wish: Wish, now: float) -> float:
-        """Give this entry's part of the places on engines that load now.
+    def opening(
+        self, wish: Wish, until: float, now: float
+    ) -> patience.Opening:
+        """Give what opens for a request until a time, for this entry.
 
-        Between two versions there may be a second in which all engines
-        load. Callers who were refused then would come back into it; as many
-        as the engines can take when they open again wait for that.
+        Engines load, or copy what they are to load, and their agents tell
+        when that is likely to end.
         """
         if not wish.model or wish.exact is not None:
-            return 0
-        slots = sum(
-            target.load.slots
+            return patience.NOTHING_OPENS
+        opening = [
+            (opens_at, target.load.slots)
             for target in self._targets.values()
             if target.upstream.service == wish.service
             and not target.upstream.draining
-            and (target.closed_for_s(now) or LOADS_S) < LOADS_S
-        )
-        return slots / self.entries
+            and (opens_at := _opens_at(target, now)) is not None
+        ]
+        slots = sum(slots for opens_at, slots in opening if opens_at <= until)
+        first_at = min((at for at, _slots in opening), default=None)
+        in_s = None if first_at is None else max(0.0, first_at - now)
+        return patience.Opening(in_s, slots / self.entries)
+
+    def answer_s(self, placing: Placing) -> float:
+        """Estimate how long an answer takes on an engine that just opened.
+
+        It is full at once then, and reads all prompts at the same time.
+        """
+        cost = self.cost(placing.wish.service)
+        if cost is None:
+            return 0.0
+        slots = max((t.load.slots for t in self._targets.values()), default=1)
+        full = engine_room.EngineView('', 0, 0, slots, 1, 0, unseen=slots)
+        return engine_room.lasts_s(full, wanted_of(placing), cost)
 
     def view(self, target: Target, now: float) -> engine_room.EngineView:
         """Give what is known of a target as an engine."""
@@ -260,6 +280,15 @@
     return wish.exact in (None, version)
 
 
+def _opens_at(target: Target, now: float) -> float | None:
+    if target.opens_at is not None:
+        return target.opens_at
+    # Its agent does not tell, and it takes nothing new: it loads, unless
+    # that lasts too long.
+    closed_s = target.closed_for_s(now)
+    return now if closed_s is not None and closed_s < LOADS_S else None
+
+
 def _same_start(target: Target, upstream: Upstream) -> bool:
     known = target.upstream
     return (known.endpoint, known.started_ms, known.service) == (
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -99,12 +99,11 @@
         if placing.resuming:
             left_s = min(patience.RESUME_WAIT_S, deadline - now)
             return self._wait(lane, placing, left_s, 0.0)
-        late_s = patience.late_wait_s(deadline - now)
+        opening = self._opening(placing, now)
+        late_s = self._late_wait_s(placing, opening, now)
         if not self._known.hosts(placing, now):
-            if not self._known.opening_places(placing.wish, now):
-                why = self._known.why_nobody(placing, now)
-                reason = f'no upstream can run {wish.service!r} now ({why})'
-                return NotRun(reason, 503, NOBODY_RETRY_S)
+            if not opening.places or not late_s:
+                return self._nobody(placing, opening, now)
             return self._wait(lane, placing, 0.0, late_s)
         fresh_s = patience.fresh_wait_s(
             wish.objective_s, wish.elapsed_s, deadline - now
@@ -186,6 +185,36 @@
         for service in self._lanes:
             self._fill(service)
 
+    # What opens.
+
+    def _opening(self, placing: Placing, now: float) -> patience.Opening:
+        answer_s = self._known.answer_s(placing)
+        latest = placing.ctx.deadline - answer_s
+        return self._known.opening(placing.wish, latest, now)
+
+    def _late_wait_s(
+        self, placing: Placing, opening: patience.Opening, now: float
+    ) -> float:
+        left_s = placing.ctx.deadline - now
+        answer_s = self._known.answer_s(placing)
+        return max(
+            patience.late_wait_s(left_s),
+            patience.opening_wait_s(opening, answer_s, left_s),
+        )
+
+    def _nobody(
+        self, placing: Placing, opening: patience.Opening, now: float
+    ) -> NotRun:
+        why = self._known.why_nobody(placing, now)
+        opens = 'nothing opens'
+        retry_s = NOBODY_RETRY_S
+        if opening.in_s is not None:
+            opens = f'one opens in {opening.in_s:.2f} s'
+            retry_s = admission.retry_after_s(opening.in_s)
+        service = placing.wish.service
+        reason = f'no upstream can run {service!r} now ({why}; {opens})'
+        return NotRun(reason, 503, retry_s)
+
     # How places are found.
 
     def _wait(
@@ -228,7 +257,7 @@
         return patience.may_wait_late(
             len(lane.late),
             lane.late_served_lately(now),
-            self._known.opening_places(placing.wish, now),
+            self._opening(placing, now).places,
         )
 
     def _offer(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -53,6 +53,8 @@
         self.is_behind = False
         self.sent_since_report = 0
         self.closes_at: float | None = None
+        # When it is likely to take requests again, by its agent.
+        self.opens_at: float | None = None
         # Since when its engine loads and takes nothing new.
         self.closed_at: float | None = None
         self._idle: list[tuple[Connection, float]] = []
--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -145,5 +145,69 @@
         self.assertIsInstance(place, Place)
 
 
+class OpeningTest(unittest.TestCase):
+    """All engines have restarted and copy their weights."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.placer = Placer(BOUNDS, lambda: self.now, random.Random(1))
+        known = {u.id: Known(u, 0) for u in upstreams()[:2]}
+        self.placer.learn(Beliefs(upstreams=UpstreamList(known, {})))
+        cost = EngineCost(0.0093, 0.000023, 20_700.0, 5, 950.0, 95.0)
+        patch = mock.patch.object(KnownTargets, 'cost', return_value=cost)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def report(self, opens_in_ms, digest=None):
+        states = [messages.WeightsState(digest=digest)] if digest else []
+        for target in self.placer.targets():
+            report = messages.LoadReport(
+                running=0,
+                slots=SLOTS,
+                entries=1,
+                weights=states,
+                opens_in_ms=opens_in_ms,
+            )
+            self.placer.reported(str(target.upstream.endpoint), report)
+
+    def ask(self, number):
+        ctx = placing(number).ctx._replace(
+            arrived=self.now, deadline=self.now + 6.0
+        )
+        wish = Wish('drafts', 'story', 0.4)
+        asked = Placing(ctx, Work(1.0, False, 900, ()), wish)
+        return gevent.spawn(self.placer.place, asked, ctx.deadline)
+
+    def test_as_many_as_the_engines_can_take_wait_for_them(self):
+        """Copies are whole in three seconds; callers have six.
+
+        Refused until then, each would come back once, be refused again and
+        have nothing, while the engines open and stand empty.
+        """
+        self.report(opens_in_ms=3000)
+        waiting = [self.ask(number) for number in range(2 * SLOTS)]
+        gevent.sleep(0.01)
+        self.assertFalse(any(asked.ready() for asked in waiting))
+        refused = self.ask(99)
+        gevent.sleep(0.01)
+        self.assertEqual(503, refused.value.status)
+        for target in self.placer.targets():
+            target.load.window = SLOTS
+        self.report(opens_in_ms=-1, digest='story@1')
+        gevent.joinall(waiting, timeout=5)
+        self.assertTrue(all(isinstance(w.value, Place) for w in waiting))
+
+    def test_who_has_no_time_for_it_hears_so_at_once(self):
+        """Copies are whole in five and a half seconds, answers take one.
+
+        Whoever waited would hear nothing but its own deadline.
+        """
+        self.report(opens_in_ms=5500)
+        refused = self.ask(1)
+        gevent.sleep(0.01)
+        self.assertEqual(503, refused.value.status)
+        self.assertEqual(5.5, refused.value.retry_after_s)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/packages/burdockchute/burdockchute/decisions/patience.py
+++ b/packages/burdockchute/burdockchute/decisions/patience.py
@@ -15,6 +15,14 @@
 known from what they got lately: when fresh requests take all there is, hardly
 anybody is let in to wait, and the others need not wait for a refusal.
 
+There may be no engine at all that may begin anything: all were restarted and
+copy their weights, or a version's time is over before the next one has come.
+That shortage has an end that the agents can tell, some seconds off, and most
+callers have the time for it. Sent away for a second at a time, each comes back
+once, is refused again and is lost. So as many wait for it as the engines can
+take when they open, each for as long as leaves the time for its answer, and
+the others hear when to come back (`opening_wait_s`).
+
 Thresholds: WAIT_SHARE of the objective may be spent waiting, as an engine
 with a free place begins an answer within about half of it. LATE_WAIT_S is
 the time for which engines are away while they load a version, the longest
@@ -24,6 +32,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 WAIT_SHARE = 0.5
 LATE_SHARE = 0.4
 LATE_WAIT_S = 2.0
@@ -38,6 +48,41 @@
 DEFAULT_WAIT_S = 1.0
 
 
+class Opening(NamedTuple):
+    """When engines open that take nothing now, and how many places that is.
+
+    `in_s` is until the first of them opens, None where none is known to;
+    `places` is the part of one entry.
+    """
+
+    in_s: float | None
+    places: float
+
+
+NOTHING_OPENS = Opening(None, 0.0)
+
+
+def opening_wait_s(opening: Opening, answer_s: float, left_s: float) -> float:
+    """Give how long a request may wait for engines that open.
+
+    `answer_s` is what its answer takes then and `left_s` until its deadline.
+    It is 0 for one whose answer could not be whole in time. Who has got no
+    place LATE_WAIT_S after the opening does not wait for the rest of its
+    time, as it would in any other shortage.
+
+    >>> opening_wait_s(Opening(1.0, 8.0), 1.5, 6.0)
+    3.0
+    >>> opening_wait_s(Opening(3.0, 8.0), 1.5, 6.0)
+    4.5
+    >>> opening_wait_s(Opening(5.0, 8.0), 1.5, 6.0)
+    0.0
+    """
+    spare_s = left_s - answer_s
+    if opening.in_s is None or opening.in_s > spare_s:
+        return 0.0
+    return min(spare_s, opening.in_s + LATE_WAIT_S)
+
+
 def fresh_wait_s(objective_s: float, elapsed_s: float, left_s: float) -> float:
     """Give how long a request may wait among the fresh ones.
 
--- a/packages/burdockchute/burdockchute/decisions/staging.py
+++ b/packages/burdockchute/burdockchute/decisions/staging.py
@@ -97,6 +97,12 @@
     return rest_s + TURN_S <= progress.useful_s
 
 
+# An engine with nothing to finish loads what is staged within this time, the
+# staging and the report of it included.
+LOAD_S = 0.5
+# One that loads has to finish what it runs; most of that ends so soon.
+DRAIN_S = 1.0
+
 # Less of a copy than this says too little of when it will be whole.
 LEAST_SHARE = 0.25
 
@@ -121,6 +127,22 @@
     return max(0.0, min(copy_s + turn_s, limit_in_s))
 
 
+def opens_in_s(share: float, copying_s: float, rest_by_link_s: float) -> float:
+    """Estimate when an engine that serves nothing takes requests again.
+
+    Callers who can wait that long are let in to wait, and the others are
+    told when to come back. `share` is that of the copy, which has been under
+    way for `copying_s`; `rest_by_link_s` is what the rest takes at the most
+    that the link carries, for as long as too little has come to tell.
+
+    >>> opens_in_s(0.5, 2.0, 1.5), opens_in_s(0.1, 0.5, 4.0)
+    (2.5, 4.5)
+    """
+    if share < LEAST_SHARE:
+        return rest_by_link_s + LOAD_S
+    return copying_s * (1 - share) / share + LOAD_S
+
+
 def must_start(named_at: float | None, limit_s: float, now: float) -> bool:
     """Tell whether a load can wait for its turn no longer.
 
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1264,11 +1264,12 @@
      - evicted
      - closes_in_ms
      - named
+     - opens_in_ms
 
     """
 
 
-    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None,):
+    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None, opens_in_ms=None,):
         self.instance = instance
         self.running = running
         self.waiting = waiting
@@ -1284,6 +1285,7 @@
         self.evicted = evicted
         self.closes_in_ms = closes_in_ms
         self.named = named
+        self.opens_in_ms = opens_in_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1396,6 +1398,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.opens_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1481,6 +1488,10 @@
                 iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.opens_in_ms is not None:
+            oprot.writeFieldBegin('opens_in_ms', TType.I32, 16)
+            oprot.writeI32(self.opens_in_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3301,6 +3312,7 @@
     (13, TType.LIST, 'evicted', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I32, 'closes_in_ms', None, None, ),  # 14
     (15, TType.LIST, 'named', (TType.STRUCT, [NamedVersion, None], False), None, ),  # 15
+    (16, TType.I32, 'opens_in_ms', None, None, ),  # 16
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
