--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -21,6 +21,9 @@
 
 CONNECT_TIMEOUT_S = 2.0
 
+# The library adds one to what its pool says.
+NO_REPEATS = -1
+
 # At 1 Mbit/s, what the thinnest links are squeezed to, this takes 0.13 s.
 PART_BYTES = 16 * 1024
 
@@ -54,15 +57,28 @@
 
 
 def make_client(
-    url: str, concurrency: int, connect_s: float = CONNECT_TIMEOUT_S
+    url: str,
+    concurrency: int,
+    connect_s: float = CONNECT_TIMEOUT_S,
+    repeats: bool = True,
 ) -> geventhttpclient.HTTPClient:
-    """Give a client that keeps its connections."""
-    return geventhttpclient.HTTPClient.from_url(
+    """Give a client that keeps its connections.
+
+    With `repeats` a GET whose connection breaks is sent again at once, a few
+    times. That serves where one connection in some is reset, as at an origin
+    with few of them. Where all are, it only multiplies the calls.
+    """
+    client = geventhttpclient.HTTPClient.from_url(
         url,
         concurrency=concurrency,
         connection_timeout=connect_s,
         network_timeout=None,
     )
+    if not repeats:
+        # The library repeats as often as its pool has connections and once
+        # more. It has no setting for that.
+        client._connection_pool.size = NO_REPEATS
+    return client
 
 
 def ask(
@@ -88,7 +104,7 @@
 ) -> Result[RawReply, NotSent | NoReply]:
     """Make one request; never repeats one that may have been sent.
 
-    The client itself repeats only requests of idempotent methods. With
+    With
     `part_s`, `timeout_s` is for the head of the answer and `part_s` for each
     PART_BYTES of its body.
     """
