--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -58,7 +58,7 @@
     def late_served_lately(self, now: float) -> int:
         """Give how many of the late got a place lately."""
         while self._late_served:
-            if now - self._late_served[0] <= patience.LATE_WAIT_S:
+            if now - self._late_served[0] <= patience.LATELY_S:
                 break
             self._late_served.popleft()
         return len(self._late_served)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -198,7 +198,7 @@
         left_s = placing.ctx.deadline - now
         answer_s = self._known.answer_s(placing)
         return max(
-            patience.late_wait_s(left_s),
+            patience.late_wait_s(placing.wish.objective_s, left_s),
             patience.opening_wait_s(opening, answer_s, left_s),
         )
 
--- a/packages/burdockchute/burdockchute/decisions/patience.py
+++ b/packages/burdockchute/burdockchute/decisions/patience.py
@@ -10,7 +10,7 @@
 still begin within the objective it stands among the fresh ones. After that
 it stands behind all of these and takes only what room they leave, for at
 most LATE_SHARE of the time that its caller has left and never longer than
-LATE_WAIT_S. Whoever would wait longer than that by what stands before it is
+LATE_OBJECTIVES times the objective from its arrival on. Whoever would wait longer than that by what stands before it is
 refused on arrival, and told when to come back. What is left for the late is
 known from what they got lately: when fresh requests take all there is, hardly
 anybody is let in to wait, and the others need not wait for a refusal.
@@ -24,10 +24,13 @@
 the others hear when to come back (`opening_wait_s`).
 
 Thresholds: WAIT_SHARE of the objective may be spent waiting, as an engine
-with a free place begins an answer within about half of it. LATE_WAIT_S is
-the time for which engines are away while they load a version, the longest
-shortage that a site of a few engines meets by itself. PROBES may wait though
-none got a place lately, or nobody would find out that there is room again.
+with a free place begins an answer within about half of it. Late work that
+waits for long keeps every engine full after a shortage is over, and the fresh
+wait behind it until they are late as well: with up to 2 s, a site that
+carries 1.3 times its load took 8 s to be on time again after a loss of power,
+with LATE_OBJECTIVES some 4 s. Below that, callers are refused whom the next
+half second could have served. PROBES may wait though none got a place lately,
+or nobody would find out that there is room again.
 """
 
 from __future__ import annotations
@@ -36,9 +39,16 @@
 
 WAIT_SHARE = 0.5
 LATE_SHARE = 0.4
-LATE_WAIT_S = 2.0
+LATE_OBJECTIVES = 1.5
+# An objective may be shorter than what a place takes to come free.
+LEAST_LATE_S = 0.25
+# What the late got in so long tells how many more may wait.
+LATELY_S = 0.6
 PROBES = 2
 
+# Engines open one after the other, and the estimate of when is as wrong.
+AFTER_OPENING_S = 0.6
+
 # Callers give up on a stream that pauses for two seconds, so one that has to
 # go on elsewhere waits among the fresh ones, for as long as leaves time for
 # its next event.
@@ -67,12 +77,12 @@
 
     `answer_s` is what its answer takes then and `left_s` until its deadline.
     It is 0 for one whose answer could not be whole in time. Who has got no
-    place LATE_WAIT_S after the opening does not wait for the rest of its
-    time, as it would in any other shortage.
+    place AFTER_OPENING_S after the opening does not wait for the rest of its
+    time.
 
-    >>> opening_wait_s(Opening(1.0, 8.0), 1.5, 6.0)
-    3.0
     >>> opening_wait_s(Opening(3.0, 8.0), 1.5, 6.0)
+    3.6
+    >>> opening_wait_s(Opening(4.2, 8.0), 1.5, 6.0)
     4.5
     >>> opening_wait_s(Opening(5.0, 8.0), 1.5, 6.0)
     0.0
@@ -80,7 +90,7 @@
     spare_s = left_s - answer_s
     if opening.in_s is None or opening.in_s > spare_s:
         return 0.0
-    return min(spare_s, opening.in_s + LATE_WAIT_S)
+    return min(spare_s, opening.in_s + AFTER_OPENING_S)
 
 
 def fresh_wait_s(objective_s: float, elapsed_s: float, left_s: float) -> float:
@@ -98,13 +108,15 @@
     return max(0.0, min(wanted_s, left_s))
 
 
-def late_wait_s(left_s: float) -> float:
+def late_wait_s(objective_s: float, left_s: float) -> float:
     """Give how long it may wait in all once it can't be on time.
 
-    >>> late_wait_s(6.0), late_wait_s(1.0)
-    (2.0, 0.4)
+    >>> late_wait_s(0.5, 6.0), late_wait_s(0.5, 1.0), late_wait_s(0.1, 6.0)
+    (0.75, 0.4, 0.25)
     """
-    return max(0.0, min(LATE_WAIT_S, LATE_SHARE * left_s))
+    wanted_s = LATE_OBJECTIVES * objective_s or DEFAULT_WAIT_S
+    wanted_s = max(wanted_s, LEAST_LATE_S)
+    return max(0.0, min(wanted_s, LATE_SHARE * left_s))
 
 
 def may_wait_late(
@@ -112,7 +124,7 @@
 ) -> bool:
     """Tell whether one more may wait among the late.
 
-    `served_lately` got a place in the last LATE_WAIT_S, `opening_places` are
+    `served_lately` got a place in the last LATELY_S, `opening_places` are
     those of engines that are about to take requests again.
 
     >>> may_wait_late(3, 0, 0.0), may_wait_late(3, 9, 0.0)
--- a/packages/burdockchute/tests/decisions/test_patience.py
+++ b/packages/burdockchute/tests/decisions/test_patience.py
@@ -28,6 +28,19 @@
         self.assertTrue(patience.may_wait_late(7, 8, 0.0))
         self.assertTrue(patience.may_wait_late(7, 0, 12.5))
 
+    def test_a_shortage_that_is_over_does_not_last_in_the_queue(self):
+        """All engines were away for two seconds; now they carry the load and
+        a third more.
+
+        Who waits for seconds behind the fresh takes each place the moment it
+        is free, so the next fresh one is late too, and so on for long after
+        the engines are back.
+        """
+        backlog, per_s, carried_per_s = 160.0, 80.0, 107.0
+        waits_s = patience.late_wait_s(0.45, 6.0)
+        left = min(backlog, per_s * waits_s)
+        self.assertLess(left / (carried_per_s - per_s), 3.0)
+
     def test_nobody_waits_beyond_the_deadline(self):
         self.assertEqual(0.1, patience.fresh_wait_s(0.5, 0.0, 0.1))
-        self.assertEqual(0.0, patience.late_wait_s(-1.0))
+        self.assertEqual(0.0, patience.late_wait_s(0.4, -1.0))
