--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -31,6 +31,9 @@
 TARGETS = 50
 SLOTS = 4
 
+# Figures of an engine as its operators would declare them.
+COST = EngineCost(0.0093, 0.000023, 20_700.0, 5, 950.0, 95.0)
+
 
 def placing(number, prompt=900):
     ctx = requests.request(
@@ -57,6 +60,12 @@
     ]
 
 
+def cost_is(cost):
+    return mock.patch.object(
+        KnownTargets, 'cost', autospec=True, return_value=cost
+    )
+
+
 def targets():
     return [Target(upstream, 0.0) for upstream in upstreams()]
 
@@ -139,8 +148,7 @@
         for target in placer.targets():
             target.load.report(12, 16, 1, 0.0, (), 0.0)
             target.load.window = 16
-        cost = EngineCost(0.0093, 0.000023, 20_700.0, 5, 950.0, 95.0)
-        with mock.patch.object(KnownTargets, 'cost', return_value=cost):
+        with cost_is(COST):
             place = placer.place(placing(1, prompt=3800), 6.0)
         self.assertIsInstance(place, Place)
 
@@ -153,8 +161,7 @@
         self.placer = Placer(BOUNDS, lambda: self.now, random.Random(1))
         known = {u.id: Known(u, 0) for u in upstreams()[:2]}
         self.placer.learn(Beliefs(upstreams=UpstreamList(known, {})))
-        cost = EngineCost(0.0093, 0.000023, 20_700.0, 5, 950.0, 95.0)
-        patch = mock.patch.object(KnownTargets, 'cost', return_value=cost)
+        patch = cost_is(COST)
         patch.start()
         self.addCleanup(patch.stop)
 
--- a/packages/burdockchute/burdockchute/decisions/patience.py
+++ b/packages/burdockchute/burdockchute/decisions/patience.py
@@ -10,10 +10,11 @@
 still begin within the objective it stands among the fresh ones. After that
 it stands behind all of these and takes only what room they leave, for at
 most LATE_SHARE of the time that its caller has left and never longer than
-LATE_OBJECTIVES times the objective from its arrival on. Whoever would wait longer than that by what stands before it is
-refused on arrival, and told when to come back. What is left for the late is
-known from what they got lately: when fresh requests take all there is, hardly
-anybody is let in to wait, and the others need not wait for a refusal.
+LATE_OBJECTIVES times the objective from its arrival on. Whoever would wait
+longer than that by what stands before it is refused on arrival, and told when
+to come back. What is left for the late is known from what they got lately:
+when fresh requests take all there is, hardly anybody is let in to wait, and
+the others need not wait for a refusal.
 
 There may be no engine at all that may begin anything: all were restarted and
 copy their weights, or a version's time is over before the next one has come.
@@ -27,10 +28,11 @@
 with a free place begins an answer within about half of it. Late work that
 waits for long keeps every engine full after a shortage is over, and the fresh
 wait behind it until they are late as well: with up to 2 s, a site that
-carries 1.3 times its load took 8 s to be on time again after a loss of power,
-with LATE_OBJECTIVES some 4 s. Below that, callers are refused whom the next
-half second could have served. PROBES may wait though none got a place lately,
-or nobody would find out that there is room again.
+carries 1.3 times its load took 4, 8 and 4 s in three runs to be on time again
+after a loss of power, with LATE_OBJECTIVES 4 s in each. Below that, callers
+are refused whom the next half second could have served. PROBES may wait
+though none got a place lately, or nobody would find out that there is room
+again.
 """
 
 from __future__ import annotations
--- a/packages/burdockchute/tests/decisions/test_patience.py
+++ b/packages/burdockchute/tests/decisions/test_patience.py
@@ -29,9 +29,9 @@
         self.assertTrue(patience.may_wait_late(7, 0, 12.5))
 
     def test_a_shortage_that_is_over_does_not_last_in_the_queue(self):
-        """All engines were away for two seconds; now they carry the load and
-        a third more.
+        """Engines that were away for two seconds are back.
 
+        They carry the load and a third more.
         Who waits for seconds behind the fresh takes each place the moment it
         is free, so the next fresh one is late too, and so on for long after
         the engines are back.
--- a/packages/burdockchute/tests/test_beliefs.py
+++ b/packages/burdockchute/tests/test_beliefs.py
@@ -76,13 +76,12 @@
             self.assertEqual(newest, known.configuration)
 
     def test_a_fresh_process_ends_no_version_for_the_others(self):
-        """An entry restarts while the store is away, and is the first to
-        hear of a new version once it is back.
+        """An entry that restarted is the first to read of a new version.
 
-        It can't tell when the version was named. If the others took that for
-        long ago, none of them would let the version that all engines hold
-        begin anything, and every caller would be refused until the new one
-        is copied.
+        The store was away, and it can't tell when the version was named. If
+        the others took that for long ago, none of them would let the version
+        that all engines hold begin anything, and every caller would be
+        refused until the new one is copied.
         """
         batch = Batch(0, True, (configuration(1), VersionRead('story', 1)))
         running, _learnt = belief.take_wishes(Beliefs(), batch, True, 0.0)
