--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -102,9 +102,14 @@
             entries=max(1, len(self.entries)),
             evicted=[],
             closes_in_ms=_milliseconds(self._staged.closes_in_s()),
-            opens_in_ms=_milliseconds(self._staged.opens_in_s()),
+            opens_in_ms=self._opens_in_ms(),
         )
 
+    def _opens_in_ms(self) -> int | None:
+        # Left out where it serves, so that reports in quiet grow by nothing.
+        opens_in_s = self._staged.opens_in_s()
+        return None if opens_in_s is None else _milliseconds(opens_in_s)
+
     def tell(self, now: float) -> None:
         """Tell all entries what has changed by now."""
         current = self.current()
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -21,6 +21,7 @@
 
 class FakeStaged:
     report = None
+    opens = None
 
     def loaded(self):
         return {'story': 1}
@@ -29,7 +30,7 @@
         return None
 
     def opens_in_s(self):
-        return None
+        return self.opens
 
 
 class ReportsTest(unittest.TestCase):
@@ -45,8 +46,9 @@
         frames.start()
         self.addCleanup(frames.stop)
         self.histories = {}
+        self.staged = FakeStaged()
         self.task = reports_task.ReportsTask(
-            FakeStaged(), lambda: 4, lambda: self.histories, '127.0.0.1:1'
+            self.staged, lambda: 4, lambda: self.histories, '127.0.0.1:1'
         )
 
     def named(self, version, at):
@@ -74,6 +76,16 @@
         ]
         self.assertEqual([('story', 3, 2500), ('story', 2, -1)], told)
 
+    def test_when_an_engine_opens_is_told_while_it_is_closed(self):
+        """Callers wait for engines that copy; in quiet nobody asks.
+
+        A report goes to every entry some times a second, so what says
+        nothing is left out of it.
+        """
+        self.assertIsNone(self.task.current().opens_in_ms)
+        self.staged.opens = 3.1
+        self.assertEqual(3000, self.task.current().opens_in_ms)
+
     def test_a_naming_is_told_once(self):
         link = FakeLink()
         self.task.opened(link)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -107,7 +107,7 @@
         if report.closes_in_ms is not None and report.closes_in_ms >= 0:
             target.closes_at = now + report.closes_in_ms / 1000
         target.opens_at = None
-        if report.opens_in_ms is not None and report.opens_in_ms >= 0:
+        if report.opens_in_ms is not None:
             target.opens_at = now + report.opens_in_ms / 1000
         slots = report.slots or target.upstream.slots
         target.load.report(report.running, slots, self.entries, 0.0, (), now)
--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -200,7 +200,7 @@
         self.assertEqual(503, refused.value.status)
         for target in self.placer.targets():
             target.load.window = SLOTS
-        self.report(opens_in_ms=-1, digest='story@1')
+        self.report(opens_in_ms=None, digest='story@1')
         gevent.joinall(waiting, timeout=5)
         self.assertTrue(all(isinstance(w.value, Place) for w in waiting))
 
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -131,7 +131,7 @@
   13: list<string> evicted   // prefixes evicted since then
   14: i32 closes_in_ms      // until it takes nothing new for a load, -1: none
   15: list<NamedVersion> named  // on a new link and after a naming, else none
-  16: i32 opens_in_ms       // until it is likely to take requests, -1: unknown
+  16: i32 opens_in_ms       // until it is likely to take requests, else unset
 }
 
 struct RowRecord {
--- a/packages/burdockchute/tests/decisions/test_staging.py
+++ b/packages/burdockchute/tests/decisions/test_staging.py
@@ -74,6 +74,17 @@
         self.assertTrue(staging.must_start(100.0, 8.0, 107.0))
         self.assertTrue(staging.must_start(None, 8.0, 0.0))
 
+    def test_an_opening_is_told_from_the_link_until_a_copy_comes_along(self):
+        """All engines have restarted; the first chunks have come.
+
+        The first fifth of a second says little of how fast the rest will
+        come, and callers are let in to wait by it.
+        """
+        by_link = staging.opens_in_s(0.1, 0.1, 4.0)
+        self.assertAlmostEqual(4.0 + staging.LOAD_S, by_link)
+        measured = staging.opens_in_s(0.5, 3.0, 2.0)
+        self.assertAlmostEqual(3.0 + staging.LOAD_S, measured)
+
     def test_closing_is_told_only_when_it_can_be_estimated(self):
         self.assertIsNone(staging.closes_in_s(0.1, 0.5, False, 7.0))
         self.assertAlmostEqual(0.5, staging.closes_in_s(0.8, 2.0, False, 7.0))
