--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -165,14 +165,14 @@
             if not wish.model or wish.model in target.versions
         ]
 
-    def opening(
-        self, wish: Wish, until: float, now: float
-    ) -> patience.Opening:
-        """Give what opens for a request until a time, for this entry.
+    def opening(self, placing: Placing, now: float) -> patience.Opening:
+        """Give what opens for a request, for this entry.
 
         Engines load, or copy what they are to load, and their agents tell
-        when that is likely to end.
+        when that is likely to end. Places count that open while the answer
+        can still be whole in time.
         """
+        wish = placing.wish
         if not wish.model or wish.exact is not None:
             return patience.NOTHING_OPENS
         opening = [
@@ -182,10 +182,12 @@
             and not target.upstream.draining
             and (opens_at := _opens_at(target, now)) is not None
         ]
-        slots = sum(slots for opens_at, slots in opening if opens_at <= until)
-        first_at = min((at for at, _slots in opening), default=None)
-        in_s = None if first_at is None else max(0.0, first_at - now)
-        return patience.Opening(in_s, slots / self.entries)
+        if not opening:
+            return patience.NOTHING_OPENS
+        latest = placing.ctx.deadline - self.answer_s(placing)
+        slots = sum(slots for opens_at, slots in opening if opens_at <= latest)
+        first_at = min(opens_at for opens_at, _slots in opening)
+        return patience.Opening(max(0.0, first_at - now), slots / self.entries)
 
     def answer_s(self, placing: Placing) -> float:
         """Estimate how long an answer takes on an engine that just opened.
@@ -195,7 +197,12 @@
         cost = self.cost(placing.wish.service)
         if cost is None:
             return 0.0
-        slots = max((t.load.slots for t in self._targets.values()), default=1)
+        service = placing.wish.service
+        slots = max(
+            target.load.slots
+            for target in self._targets.values()
+            if target.upstream.service == service
+        )
         full = engine_room.EngineView('', 0, 0, slots, 1, 0, unseen=slots)
         return engine_room.lasts_s(full, wanted_of(placing), cost)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -99,7 +99,7 @@
         if placing.resuming:
             left_s = min(patience.RESUME_WAIT_S, deadline - now)
             return self._wait(lane, placing, left_s, 0.0)
-        opening = self._opening(placing, now)
+        opening = self._known.opening(placing, now)
         late_s = self._late_wait_s(placing, opening, now)
         if not self._known.hosts(placing, now):
             if not opening.places or not late_s:
@@ -187,20 +187,15 @@
 
     # What opens.
 
-    def _opening(self, placing: Placing, now: float) -> patience.Opening:
-        answer_s = self._known.answer_s(placing)
-        latest = placing.ctx.deadline - answer_s
-        return self._known.opening(placing.wish, latest, now)
-
     def _late_wait_s(
         self, placing: Placing, opening: patience.Opening, now: float
     ) -> float:
         left_s = placing.ctx.deadline - now
+        late_s = patience.late_wait_s(placing.wish.objective_s, left_s)
+        if opening.in_s is None:
+            return late_s
         answer_s = self._known.answer_s(placing)
-        return max(
-            patience.late_wait_s(placing.wish.objective_s, left_s),
-            patience.opening_wait_s(opening, answer_s, left_s),
-        )
+        return max(late_s, patience.opening_wait_s(opening, answer_s, left_s))
 
     def _nobody(
         self, placing: Placing, opening: patience.Opening, now: float
@@ -257,7 +252,7 @@
         return patience.may_wait_late(
             len(lane.late),
             lane.late_served_lately(now),
-            self._opening(placing, now).places,
+            self._known.opening(placing, now).places,
         )
 
     def _offer(
