--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -16,6 +16,7 @@
 from burdockchute.operators import burn  # noqa: E402
 from burdockchute.operators import explain  # noqa: E402
 from burdockchute.operators import keys  # noqa: E402
+from burdockchute.operators import losses  # noqa: E402
 from burdockchute.operators import manifests  # noqa: E402
 from burdockchute.operators import table_commands  # noqa: E402
 from burdockchute_entry import settings  # noqa: E402
@@ -37,6 +38,7 @@
         'key': lambda: keys.run(args),
         'manifest': lambda: manifests.run(args),
         'explain': lambda: explain.run(args),
+        'losses': lambda: losses.run(args),
     }
     return commands_by_name[args.command]()
 
@@ -58,6 +60,7 @@
     keys.add_parser(subparsers)
     manifests.add_parser(subparsers)
     explain.add_parser(subparsers)
+    losses.add_parser(subparsers)
     return parser
 
 
--- a/packages/burdockchute/burdockchute/operators/explain.py
+++ b/packages/burdockchute/burdockchute/operators/explain.py
@@ -67,7 +67,7 @@
 
 def run(args: argparse.Namespace) -> int:
     """Print the timeline; 1 if no line names the request."""
-    found = explain(args.request_id, _read(args.files))
+    found = explain(args.request_id, read_lines(args.files))
     if not found:
         print(f'no line names {args.request_id!r}', file=sys.stderr)
         return EXIT_NOT_FOUND
@@ -139,7 +139,8 @@
     return f'{head} {fields.get("event", "?"):<26} {rest}'
 
 
-def _read(files: Iterable[str]) -> list[str]:
+def read_lines(files: Iterable[str]) -> list[str]:
+    """Give the lines of files, those of standard input without any."""
     texts: list[str] = []
     for name in files:
         with open(name, encoding='utf-8', errors='replace') as file:
--- /dev/null
+++ b/packages/burdockchute/tests/test_losses.py
@@ -0,0 +1,77 @@
+"""When callers got no whole answer, from the logs of entries."""
+
+from __future__ import annotations
+
+import argparse
+import unittest
+
+from burdockchute.operators import losses
+
+NO_PLACE = 'not-run: no place came free in {} s'
+
+
+def line(second, event, **fields):
+    pairs = ' '.join(f'{name}="{value}"' for name, value in fields.items())
+    return (
+        f'at="2026-01-02 03:04:{second:06.3f}" event={event} {pairs}'.replace(
+            '.', ',', 1
+        )
+    )
+
+
+def finished(second, outcome, status):
+    return line(second, 'request_finished', outcome=outcome, status=status)
+
+
+LINES = [
+    line(1.0, 'request_placed', waited_ms=10),
+    line(1.2, 'request_placed', waited_ms=40),
+    line(1.3, 'request_placed', waited_ms=900),
+    finished(1.5, 'answered', 200),
+    finished(2.0, NO_PLACE.format(0.25), 503),
+    finished(2.1, NO_PLACE.format(0.31), 503),
+    finished(2.2, 'answered', 504),
+    line(7.5, 'request_turned_away', reason="no route for 'a' 'b'"),
+    line(7.6, 'configuration_learnt', version=3),
+    'not a line of ours',
+]
+
+
+class LossesTest(unittest.TestCase):
+    def test_reasons_are_counted_by_span(self):
+        """Two seconds of a day went badly, and nobody knows why.
+
+        Each refusal names its own wait; counted as they stand, every line
+        would be a reason of its own.
+        """
+        first, last = losses.losses(LINES, 2.0)
+        self.assertEqual((0.0, 4, 1, 40.0), first[:4])
+        self.assertEqual(
+            [
+                ('not-run: no place came free in N s', 2),
+                ('status 504 of an upstream', 1),
+            ],
+            first.reasons,
+        )
+        self.assertEqual((6.0, 1, 0, None), last[:4])
+        self.assertEqual([('no route for NAME NAME', 1)], last.reasons)
+
+    def test_the_table_has_a_row_for_each_span(self):
+        table = losses.render(losses.losses(LINES, 2.0)).splitlines()
+        self.assertEqual(3, len(table))
+        self.assertIn('2 not-run: no place came free in N s; 1 s', table[1])
+
+    def test_logs_without_requests_give_nothing(self):
+        self.assertEqual([], losses.losses(['x', 'event=request_x'], 2.0))
+
+    def test_a_span_is_longer_than_nothing(self):
+        for text in ('0', '-1', 'x', 'inf', 'nan'):
+            with (
+                self.subTest(text=text),
+                self.assertRaisesRegex(argparse.ArgumentTypeError, text),
+            ):
+                losses._seconds(text)
+
+
+if __name__ == '__main__':
+    unittest.main()
