Chunks are staged beside the engine as they come

Chunks are put there as they come, unless another copy waits to be loaded or the engine may still take an order. A fresh agent finds and checks them, as it did before.

--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -180,6 +180,10 @@
                 )
             self._set_readers(digest)
 
+    def copy_of(self, digest: str) -> Copy | None:
+        """Give a wanted copy, whole or not, once its manifest is known."""
+        return self._copy(digest)
+
     def manifest_of(self, digest: str) -> Manifest | None:
         """Give the manifest of a wanted copy once it is known."""
         copy = self._copy(digest)
--- a/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
@@ -27,6 +27,14 @@
 MAX_ROUNDS = 4
 
 
+class StagedAhead(NamedTuple):
+    """Chunks of a copy were staged before it is whole."""
+
+    model: str
+    version: int
+    chunks: list[int]
+
+
 class LoadEnded(NamedTuple):
     """An order to load has ended; `end` is None where none was given."""
 
@@ -36,6 +44,27 @@
     reason: str
 
 
+def stage_ahead(
+    engine: Engine, copy: Copy, model: str, version: int, chunks: list[int]
+) -> StagedAhead:
+    """Stage chunks as they come; gives those that lie there now.
+
+    What is staged outlives this process and a crash of the engine, and what
+    is in memory does not. An agent that is killed, or loses power, just
+    before its copy is whole would otherwise copy all of it again, while no
+    engine may serve: five seconds on a link that carries a copy in four.
+    """
+    staged = []
+    for index in chunks:
+        data = copy.chunk(index)
+        if data is None or isinstance(
+            engine.stage(model, index, data), Failure
+        ):
+            break
+        staged.append(index)
+    return StagedAhead(model, version, staged)
+
+
 def load(
     engine: Engine,
     copy: Copy,
--- a/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 from typing import Protocol
 
@@ -14,6 +15,7 @@
 from burdockchute.decisions.staging import Progress
 from burdockchute.decisions.staging import Standing
 from burdockchute.decisions.versions import History
+from burdockchute.weights.copies import Copy
 from burdockchute_agent.staged.origins import copy_name
 
 
@@ -26,6 +28,9 @@
     def whole_copy(self, digest: str) -> object | None:
         """Give a copy if it is whole."""
 
+    def copy_of(self, digest: str) -> Copy | None:
+        """Give a copy, whole or not, once its size is known."""
+
 
 class Loaded(NamedTuple):
     """What the engine says: the version it holds and whether it loads."""
@@ -34,6 +39,14 @@
     loading: bool
 
 
+class Ahead(NamedTuple):
+    """Chunks of a copy to put into the staging area before it is whole."""
+
+    version: int
+    copy: Copy
+    chunks: list[int]
+
+
 class Rollout:
     """One model.
 
@@ -49,8 +62,45 @@
         self.ordered_at: float | None = None
         self.busy = False
         self.pause_until = 0.0
+        # Chunks are being staged ahead of the order to load.
+        self.is_staging = False
+        self._staged: set[tuple[int, int]] = set()
         self._began: dict[int, float] = {}
 
+    def note_staged(self, version: int, chunks: Iterable[int]) -> None:
+        """Note chunks that lie in the staging area now."""
+        self._staged = {
+            (each, chunk) for each, chunk in self._staged if each == version
+        }
+        self._staged.update((version, chunk) for chunk in chunks)
+
+    def forget_staged(self) -> None:
+        """Note that nothing is known of the staging area any more."""
+        self._staged.clear()
+
+    def to_stage(self, engine: Loaded, copies: Copies) -> Ahead | None:
+        """Give what to stage ahead, None for nothing now.
+
+        What lies there is loaded as it is at the moment of an order. So
+        nothing is put there while a whole copy waits to be loaded, or while
+        the engine may still take an order.
+        """
+        if self.busy or self.is_staging or engine.loading or not self.wanted:
+            return None
+        loaded = engine.version or 0
+        if self.ready is not None and loaded < self.ready:
+            return None
+        version = self.wanted[0]
+        copy = copies.copy_of(self.name(version))
+        if copy is None or version == self.ready:
+            return None
+        chunks = [
+            chunk
+            for chunk in range(len(copy.manifest.chunks))
+            if copy.holds(chunk) and (version, chunk) not in self._staged
+        ]
+        return Ahead(version, copy, chunks) if chunks else None
+
     def name(self, version: int) -> str:
         """Give the name of a version's copy."""
         return copy_name(self.model, version)
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -43,9 +43,11 @@
 from burdockchute_agent.policy import DEFAULT
 from burdockchute_agent.staged import loading
 from burdockchute_agent.staged.loading import LoadEnded
+from burdockchute_agent.staged.loading import StagedAhead
 from burdockchute_agent.staged.origins import copy_name
 from burdockchute_agent.staged.origins import NamedOrigin
 from burdockchute_agent.staged.origins import NoOrigin
+from burdockchute_agent.staged.rollout import Ahead
 from burdockchute_agent.staged.rollout import Loaded
 from burdockchute_agent.staged.rollout import Rollout
 from burdockchute_agent.wanted import Target
@@ -238,6 +240,10 @@
                 self._looked(result)
             case LoadEnded():
                 self._load_ended(message)
+            case StagedAhead(model=model, version=version, chunks=chunks):
+                rollout = self._rollouts[model]
+                rollout.is_staging = False
+                rollout.note_staged(version, chunks)
             case FoundHere(name=name, found=found):
                 self._copying.held_back.discard(name)
                 logs.event('chunks_found_here', copy=name, found=found)
@@ -250,8 +256,11 @@
             if before is not None:
                 logs.warn('engine_lost', reason=result.failure().reason)
             self.report = None
+            self._forget_staged()
             return
         report = result.unwrap()
+        if before is not None and report.sequence < before.sequence:
+            self._forget_staged()
         if before is None or (
             dict(before.versions),
             before.loading,
@@ -269,6 +278,11 @@
             )
         self.report = report
 
+    def _forget_staged(self) -> None:
+        # It may have lost power, and what was staged with it.
+        for rollout in self._rollouts.values():
+            rollout.forget_staged()
+
     def _load_ended(self, ended: LoadEnded) -> None:
         rollout = self._rollouts[ended.model]
         rollout.busy = False
@@ -314,14 +328,15 @@
         rollout.choose(history, self._copying, self.bounds.version_s, now)
         for version in rollout.wanted:
             self._look_through(rollout.model, rollout.name(version), now)
+        engine = self._engine_with(rollout.model)
+        self._stage_ahead(rollout, engine)
         if rollout.ready is None:
             return
         name = rollout.name(rollout.ready)
-        engine = self._engine_with(rollout.model)
         self._copying.set_phase(
             name, engine.loading, engine.version == rollout.ready
         )
-        if rollout.busy or now < rollout.pause_until:
+        if rollout.busy or rollout.is_staging or now < rollout.pause_until:
             return
         if not staging.may_order(rollout.standing(engine), now):
             return
@@ -363,6 +378,22 @@
             name, self._own.name, self._hosts, staging.LOADING_SHARE
         )
 
+    def _stage_ahead(self, rollout: Rollout, engine: Loaded) -> None:
+        ahead = rollout.to_stage(engine, self._copying)
+        if ahead is None or rollout.name(ahead.version) not in (
+            self._looked_through
+        ):
+            return
+        rollout.is_staging = True
+        gevent.spawn(self._put_ahead, rollout.model, ahead)
+
+    def _put_ahead(self, model: str, ahead: Ahead) -> None:
+        self.inbox.put(
+            loading.stage_ahead(
+                self._engine, ahead.copy, model, ahead.version, ahead.chunks
+            )
+        )
+
     def _load(self, copy: Copy, model: str, version: int) -> None:
         self.inbox.put(
             loading.load(self._engine, copy, model, version, self._now)
--- a/packages/burdockchute-agent/tests/test_staged.py
+++ b/packages/burdockchute-agent/tests/test_staged.py
@@ -14,6 +14,8 @@
 from burdockchute.weights.copies import Copy
 from burdockchute_agent.imports import Imports
 from burdockchute_agent.staged import loading
+from burdockchute_agent.staged.rollout import Loaded
+from burdockchute_agent.staged.rollout import Rollout
 
 CONTENT = b'abcdefgh'
 
@@ -118,6 +120,78 @@
         self.assertIsNone(self.load().end)
 
 
+class FakeCopies:
+    """The copy of version 2, of which three chunks of four have come."""
+
+    def __init__(self) -> None:
+        self.copy = Copy(manifests.build('story', CONTENT, 2))
+        for index in range(3):
+            self.copy.add(index, CONTENT[2 * index : 2 * index + 2])
+
+    def copy_of(self, digest):
+        return self.copy if digest.endswith('@2') else None
+
+
+class AheadTest(unittest.TestCase):
+    def setUp(self):
+        self.copies = FakeCopies()
+        self.rollout = Rollout('story')
+        self.rollout.wanted = (2,)
+
+    def to_stage(self, loaded=1, loading=False):
+        return self.rollout.to_stage(Loaded(loaded, loading), self.copies)
+
+    def test_a_killed_agent_goes_on_with_its_copy(self):
+        """An agent is killed, or all lose power, with a copy nearly whole.
+
+        What was only in its memory is gone. It would copy all of it again,
+        and while no other engine has the weights every caller is refused.
+        """
+        engine = FakeEngine()
+        ahead = self.to_stage()
+        loading.stage_ahead(engine, ahead.copy, 'story', 2, ahead.chunks)
+        again = Copy(self.copies.copy.manifest)
+        for index in range(4):
+            lying = engine.staged('story', index)
+            if isinstance(lying, Success):
+                again.add(index, lying.unwrap())
+        self.assertEqual(3, again.held_count)
+
+    def test_each_chunk_is_staged_once(self):
+        self.assertEqual([0, 1, 2], self.to_stage().chunks)
+        self.rollout.note_staged(2, [0, 1])
+        self.assertEqual([2], self.to_stage().chunks)
+        self.rollout.note_staged(2, [2])
+        self.assertIsNone(self.to_stage())
+        self.rollout.forget_staged()
+        self.assertEqual([0, 1, 2], self.to_stage().chunks)
+
+    def test_nothing_is_staged_over_what_waits_to_be_loaded(self):
+        """Version 1 is whole and waits for its turn; version 2 comes in.
+
+        The engine loads what lies there when it takes the order. Chunks of
+        both versions would make answers that look sound and are worthless.
+        """
+        self.rollout.ready = 1
+        self.assertIsNone(self.to_stage(loaded=None))
+        self.assertIsNone(self.to_stage(loaded=1, loading=True))
+        self.rollout.busy = True
+        self.assertIsNone(self.to_stage(loaded=1))
+        self.rollout.busy = False
+        self.assertEqual(2, self.to_stage(loaded=1).version)
+
+    def test_an_engine_that_does_not_answer_is_asked_again(self):
+        engine = FakeEngine()
+        engine.stage = lambda model, index, data: Failure(
+            CallFailed(0, 'no answer')
+        )
+        ahead = self.to_stage()
+        staged = loading.stage_ahead(
+            engine, ahead.copy, 'story', 2, ahead.chunks
+        )
+        self.assertEqual([], staged.chunks)
+
+
 class ImportsTest(unittest.TestCase):
     def test_each_chunk_is_brought_over_by_one_agent_of_a_region(self):
         """Three agents of a region see a copy in another one.
