--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -253,9 +253,21 @@
         if regained:
             upstreams = listing.on_return(before.upstreams, now)
             before = before._replace(upstreams=upstreams)
+            gevent.spawn_later(listing.SETTLE_S, self._settle)
         after, learnt = belief.take_upstreams(before, batch, now)
         self._replace(after, learnt)
 
+    def _settle(self) -> None:
+        """Drop what has not come back since the store's return.
+
+        The next reading may be 0.7 s away, and an engine that left meanwhile
+        would get requests for as much longer than it stays.
+        """
+        nothing = Batch(0, False, ())
+        self._replace(
+            *belief.take_upstreams(self.beliefs, nothing, self._now())
+        )
+
     def _replace(self, after: Beliefs, learnt: list[Learnt]) -> None:
         for item in learnt:
             logs.event(item.event, logging.INFO, **item.fields)
--- a/packages/burdockchute/tests/test_following.py
+++ b/packages/burdockchute/tests/test_following.py
@@ -10,10 +10,13 @@
 from returns.result import Success
 
 from burdockchute import following
+from burdockchute.decisions import listing
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import FeedError
 from burdockchute.model.feeds import Feeds
 from burdockchute.model.feeds import VersionRead
+from burdockchute.model.upstreams import Listed
+from burdockchute_testing.builders import upstreams
 
 # How long a client of a silent store waits on top of what it asked for.
 ANSWER_S = 0.7
@@ -61,6 +64,21 @@
         return Success(Batch(position, False, ()))
 
 
+class ListStore(Store):
+    """A list that names one upstream until the store is silent."""
+
+    def read(self, position, wait_s):
+        result = super().read(position, wait_s)
+        if isinstance(result, Failure):
+            return result
+        if position is None:
+            listed = Listed(0, upstreams.upstream(id='i-1'))
+            return Success(Batch(0, True, (listed,)))
+        if position == 0 and self.time >= self._silent[1]:
+            return Success(Batch(1, True, ()))
+        return Success(Batch(position, False, ()))
+
+
 class FollowerTest(unittest.TestCase):
     def follower(self, store, learnt):
         """Give a follower; `learnt` gets its beliefs and when it had them."""
@@ -117,6 +135,36 @@
         asked = [at for at, _wait in store.asked if 9.0 < at < 11.3]
         self.assertGreaterEqual(len(asked), 3)
 
+    def test_what_has_not_come_back_is_dropped_on_time(self):
+        """An upstream left while the store turned this entry away.
+
+        After the store's return it is kept for a while, as it may come back.
+        Were it dropped only at the next reading of the list, up to 0.7 s
+        later, an engine that leaves would get requests for longer than it
+        stays.
+        """
+        store = ListStore(4.0, 8.0, until=10.0)
+        follower = self.follower(store, [])
+        timers = []
+        with (
+            mock.patch.object(following.gevent, 'sleep', store.sleep),
+            mock.patch.object(
+                following.gevent,
+                'spawn_later',
+                lambda delay_s, task: timers.append(
+                    (store.time + delay_s, task)
+                ),
+            ),
+            self.assertRaises(Stop),
+        ):
+            follower.follow_upstreams()
+        self.assertEqual(1, len(follower.beliefs.present()))
+        store.time, settle = timers[-1]
+        settle()
+        self.assertEqual([], follower.beliefs.present())
+        back_at = min(at for at, _wait in store.asked if at >= 8.0)
+        self.assertLess(store.time - back_at, listing.SETTLE_S + 0.1)
+
     def test_reads_stay_open_again_after_that(self):
         store = Store(1.0, 8.0, until=30.0)
         self.follow(store)
