What lapsed in an outage is kept for 2.1 s, not 2.3

An entry notices the store's return up to 0.7 s late, counts as in touch three seconds after it, and must have dropped by then who left meanwhile.

--- a/packages/burdockchute/burdockchute/decisions/listing.py
+++ b/packages/burdockchute/burdockchute/decisions/listing.py
@@ -33,8 +33,10 @@
 from burdockchute.model.upstreams import Unlisted
 from burdockchute.model.upstreams import Upstream
 
-# Upstreams are back in about two seconds.
-SETTLE_S = 2.3
+# Upstreams are back about two seconds after the return, which is noticed a
+# moment later. A process counts as in touch again three seconds after it, and
+# must have dropped by then whoever left meanwhile.
+SETTLE_S = 2.1
 # The first reading after the return may come before the store has taken out
 # what lapsed.
 LAPSE_S = 0.3
