--- a/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
@@ -28,11 +28,15 @@
 
 
 class StagedAhead(NamedTuple):
-    """Chunks of a copy were staged before it is whole."""
+    """Chunks of a copy were staged before it is whole.
+
+    `reason` says why some were not, empty where all were.
+    """
 
     model: str
     version: int
     chunks: list[int]
+    reason: str = ''
 
 
 class LoadEnded(NamedTuple):
@@ -54,13 +58,16 @@
     before its copy is whole would otherwise copy all of it again, while no
     engine may serve: five seconds on a link that carries a copy in four.
     """
-    staged = []
+    staged: list[int] = []
     for index in chunks:
         data = copy.chunk(index)
-        if data is None or isinstance(
-            engine.stage(model, index, data), Failure
-        ):
+        if data is None:
+            # The copy was given up meanwhile.
             break
+        result = engine.stage(model, index, data)
+        if isinstance(result, Failure):
+            reason = result.failure().reason
+            return StagedAhead(model, version, staged, reason)
         staged.append(index)
     return StagedAhead(model, version, staged)
 
--- a/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
@@ -64,6 +64,7 @@
         self.pause_until = 0.0
         # Chunks are being staged ahead of the order to load.
         self.is_staging = False
+        self.stage_after = 0.0
         self._staged: set[tuple[int, int]] = set()
         self._began: dict[int, float] = {}
 
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -240,10 +240,8 @@
                 self._looked(result)
             case LoadEnded():
                 self._load_ended(message)
-            case StagedAhead(model=model, version=version, chunks=chunks):
-                rollout = self._rollouts[model]
-                rollout.is_staging = False
-                rollout.note_staged(version, chunks)
+            case StagedAhead():
+                self._staged_ahead(message)
             case FoundHere(name=name, found=found):
                 self._copying.held_back.discard(name)
                 logs.event('chunks_found_here', copy=name, found=found)
@@ -278,6 +276,20 @@
             )
         self.report = report
 
+    def _staged_ahead(self, staged: StagedAhead) -> None:
+        rollout = self._rollouts[staged.model]
+        rollout.is_staging = False
+        rollout.note_staged(staged.version, staged.chunks)
+        if staged.reason:
+            rollout.stage_after = self._now() + staging.ORDER_PAUSE_S
+            logs.warn(
+                'chunks_not_staged',
+                model=staged.model,
+                version=staged.version,
+                staged=len(staged.chunks),
+                reason=staged.reason,
+            )
+
     def _forget_staged(self) -> None:
         # It may have lost power, and what was staged with it.
         for rollout in self._rollouts.values():
@@ -379,6 +391,8 @@
         )
 
     def _stage_ahead(self, rollout: Rollout, engine: Loaded) -> None:
+        if self._now() < rollout.stage_after:
+            return
         ahead = rollout.to_stage(engine, self._copying)
         if ahead is None or rollout.name(ahead.version) not in (
             self._looked_through
--- a/packages/burdockchute-agent/tests/test_staged.py
+++ b/packages/burdockchute-agent/tests/test_staged.py
@@ -189,7 +189,7 @@
         staged = loading.stage_ahead(
             engine, ahead.copy, 'story', 2, ahead.chunks
         )
-        self.assertEqual([], staged.chunks)
+        self.assertEqual(([], 'no answer'), (staged.chunks, staged.reason))
 
 
 class ImportsTest(unittest.TestCase):
