--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -261,7 +261,17 @@
         wish = placing.wish
         least = self._least_version(wish, now)
         return lambda target: (
-            not placing.avoids(target) and _may_run(target, wish, least)
+            not placing.avoids(target)
+            and _may_run(target, wish, least)
+            and self._begins_in_time(target, wish, now)
+        )
+
+    def _begins_in_time(self, target: Target, wish: Wish, now: float) -> bool:
+        version = target.versions.get(wish.model)
+        if version is None:
+            return True
+        return versions.begins_in_time(
+            self.ends_at(wish.model, version), target.begins_in_s(now), now
         )
 
     def _least_version(self, wish: Wish, now: float) -> int:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -11,6 +11,7 @@
 from burdockchute.decisions import admission
 from burdockchute.decisions import health
 from burdockchute.decisions import retries
+from burdockchute.decisions import versions
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.suspects import Suspects
 from burdockchute.model.crashes import CrashSeen
@@ -235,9 +236,9 @@
         # What still waits in its engine would begin on weights that may
         # begin nothing any more; nobody would notice but the reader of a
         # page of last week's weights.
-        if sent.begin_by is None or sent.conn is self._begun:
+        if sent.conn is self._begun:
             return
-        if now > sent.begin_by:
+        if versions.must_stop(sent.begin_by, sent.at, now):
             raise Overtaken('its weights are replaced', False)
 
     # Ends.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -49,6 +49,8 @@
         self.heard_at = now
         self.slowness = 1.0
         self.reading: dict[str, Reading] = {}
+        # What the last request took from its sending to its first event.
+        self.began_in_s = 0.0
         # Requests end there without having begun.
         self.is_behind = False
         self.sent_since_report = 0
@@ -99,6 +101,11 @@
             is_far=is_far,
         )
 
+    def begins_in_s(self, now: float) -> float:
+        """Give what a request takes to begin there, by the last of ours."""
+        waits = [now - item.sent_at for item in self.reading.values()]
+        return max(self.began_in_s, *waits, 0.0)
+
     def closed_for_s(self, now: float) -> float | None:
         """Give how long it takes nothing new, None if it does."""
         return None if self.closed_at is None else now - self.closed_at
@@ -127,6 +134,8 @@
         item = self.reading.pop(request_id, None)
         if item is None:
             return
+        if begun:
+            self.began_in_s = now - item.sent_at
         before = self.is_behind
         self.is_behind = health.is_behind(before, item.sent_at, begun, now)
         if self.is_behind != before:
--- a/packages/burdockchute/burdockchute/decisions/versions.py
+++ b/packages/burdockchute/burdockchute/decisions/versions.py
@@ -30,6 +30,9 @@
 # takes the way to its engine and up to a quarter of a second to be noticed.
 STOP_S = 0.5
 
+# A link that is squeezed gets slower while what was sent before stands in it.
+BEGIN_SLACK = 1.5
+
 # So many versions may replace each other before the first one's time is up.
 MAX_NAMED = 16
 
@@ -109,6 +112,35 @@
     return min(known) + limit_s - STOP_S if known else None
 
 
+def begins_in_time(
+    ends_at_s: float | None, begins_in_s: float, now: float
+) -> bool:
+    """Tell whether a request that is sent now begins before its version ends.
+
+    `begins_in_s` is what requests take on that engine lately. Behind a link
+    that is squeezed it is over a second, and what is sent in the last moments
+    would begin on weights of the past.
+
+    >>> begins_in_time(17.5, 0.3, 16.0), begins_in_time(17.5, 1.2, 16.0)
+    (True, False)
+    """
+    return ends_at_s is None or now + BEGIN_SLACK * begins_in_s < ends_at_s
+
+
+def must_stop(begin_by: float | None, sent_at: float, now: float) -> bool:
+    """Tell whether a request that has not begun is to be stopped.
+
+    Its stop takes the way that it took, so one that has been under way for
+    long is stopped by as much earlier.
+
+    >>> must_stop(17.5, 17.0, 17.4), must_stop(17.5, 15.5, 16.9)
+    (False, True)
+    """
+    if begin_by is None:
+        return False
+    return now + max(0.0, now - sent_at - STOP_S) > begin_by
+
+
 def named_at(history: History, version: int) -> float | None:
     """Give when a version was named, None where that isn't known."""
     for named in history.named:
--- a/packages/burdockchute/tests/decisions/test_versions.py
+++ b/packages/burdockchute/tests/decisions/test_versions.py
@@ -79,6 +79,20 @@
                 )
             history = after
 
+    def test_a_slow_way_ends_a_version_sooner_there(self):
+        """An engine's link is squeezed while a new version is copied.
+
+        A request takes 1.7 s to its engine, and so does its stop. Sent, or
+        stopped, by the distances of a sound link it begins on weights whose
+        time is over.
+        """
+        ends = 17.5
+        self.assertTrue(versions.begins_in_time(ends, 0.2, 16.5))
+        self.assertFalse(versions.begins_in_time(ends, 1.6, 15.5))
+        self.assertTrue(versions.must_stop(ends, 15.4, 16.8))
+        self.assertFalse(versions.must_stop(ends, 16.5, 16.8))
+        self.assertFalse(versions.must_stop(None, 1.0, 16.8))
+
 
 if __name__ == '__main__':
     unittest.main()
