Log lines are read in a module of their own; what fetch says of repeats

`losses` took them from `explain`, its sibling. The docstring of fetch said that nothing is repeated, which is so only for clients made without repeats.

--- a/packages/burdockchute/burdockchute/operators/explain.py
+++ b/packages/burdockchute/burdockchute/operators/explain.py
@@ -3,20 +3,17 @@
 Reads the log lines of any number of processes and prints, in the order of
 time, every line about a request and what the processes that had it in hand
 learnt of the upstreams it was placed on, shortly before and meanwhile.
-
->>> line = 'at="2026-01-02 03:04:05,006" event=x request_id=q proc=e'
->>> parse_line(line).fields['event']
-'x'
 """
 
 from __future__ import annotations
 
 import argparse
 from collections.abc import Iterable
-from datetime import datetime
-import re
 import sys
-from typing import NamedTuple
+
+from burdockchute.operators.log_lines import Line
+from burdockchute.operators.log_lines import parse_line
+from burdockchute.operators.log_lines import read_lines
 
 EXIT_NOT_FOUND = 1
 
@@ -24,8 +21,6 @@
 BEFORE_S = 5.0
 AFTER_S = 1.0
 
-_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
-
 # Events about the process as a whole that bear on any request.
 _ABOUT_ALL = frozenset(
     {
@@ -46,14 +41,6 @@
 _ENDS = frozenset({'request_finished', 'request_turned_away'})
 
 
-class Line(NamedTuple):
-    """One log line; `at` is in Unix seconds, 0 where it isn't said."""
-
-    at: float
-    fields: dict[str, str]
-    text: str
-
-
 def add_parser(subparsers: argparse._SubParsersAction) -> None:
     """Add the command."""
     parser = subparsers.add_parser(
@@ -77,12 +64,6 @@
     return 0
 
 
-def parse_line(text: str) -> Line:
-    """Read a line, with anything before its first pair ignored."""
-    fields = {name: _unquoted(value) for name, value in _PAIR.findall(text)}
-    return Line(_time(fields.get('at', '')), fields, text)
-
-
 def explain(request_id: str, texts: Iterable[str]) -> list[Line]:
     """Give the lines that bear on a request, in the order of time."""
     lines = [parse_line(text) for text in texts if 'event=' in text]
@@ -137,24 +118,3 @@
     )
     head = f'{line.at - began:+8.3f} {fields.get("proc", "?"):<18}'
     return f'{head} {fields.get("event", "?"):<26} {rest}'
-
-
-def read_lines(files: Iterable[str]) -> list[str]:
-    """Give the lines of files, those of standard input without any."""
-    texts: list[str] = []
-    for name in files:
-        with open(name, encoding='utf-8', errors='replace') as file:
-            texts.extend(file.read().splitlines())
-    return texts or sys.stdin.read().splitlines()
-
-
-def _unquoted(value: str) -> str:
-    return value[1:-1] if value.startswith('"') else value
-
-
-def _time(text: str) -> float:
-    try:
-        at = datetime.strptime(text, '%Y-%m-%d %H:%M:%S,%f')
-    except ValueError:
-        return 0.0
-    return at.timestamp()
--- a/packages/burdockchute/burdockchute/operators/losses.py
+++ b/packages/burdockchute/burdockchute/operators/losses.py
@@ -19,9 +19,9 @@
 import sys
 from typing import NamedTuple
 
-from burdockchute.operators.explain import Line
-from burdockchute.operators.explain import parse_line
-from burdockchute.operators.explain import read_lines
+from burdockchute.operators.log_lines import Line
+from burdockchute.operators.log_lines import parse_line
+from burdockchute.operators.log_lines import read_lines
 
 EXIT_NOTHING = 1
 
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -102,11 +102,10 @@
     timeout_s: float,
     part_s: float | None = None,
 ) -> Result[RawReply, NotSent | NoReply]:
-    """Make one request; never repeats one that may have been sent.
+    """Make one request; repeats none but as `make_client` says.
 
-    With
-    `part_s`, `timeout_s` is for the head of the answer and `part_s` for each
-    PART_BYTES of its body.
+    With `part_s`, `timeout_s` is for the head of the answer and `part_s` for
+    each PART_BYTES of its body.
     """
     response = None
     try:
