--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -260,18 +260,25 @@
     def _rule(self, placing: Placing, now: float) -> Callable[[Target], bool]:
         wish = placing.wish
         least = self._least_version(wish, now)
+        # The same for all targets with a version, and looked up for each one
+        # in every round of giving out places.
+        ends: dict[int, float | None] = {}
+
+        def begins_in_time(target: Target) -> bool:
+            version = target.versions.get(wish.model)
+            if version is None:
+                return True
+            if version not in ends:
+                ends[version] = self.ends_at(wish.model, version)
+            ends_at = ends[version]
+            return ends_at is None or versions.begins_in_time(
+                ends_at, target.begins_in_s(now), now
+            )
+
         return lambda target: (
             not placing.avoids(target)
             and _may_run(target, wish, least)
-            and self._begins_in_time(target, wish, now)
-        )
-
-    def _begins_in_time(self, target: Target, wish: Wish, now: float) -> bool:
-        version = target.versions.get(wish.model)
-        if version is None:
-            return True
-        return versions.begins_in_time(
-            self.ends_at(wish.model, version), target.begins_in_s(now), now
+            and begins_in_time(target)
         )
 
     def _least_version(self, wish: Wish, now: float) -> int:
--- a/packages/burdockchute/burdockchute/decisions/versions.py
+++ b/packages/burdockchute/burdockchute/decisions/versions.py
@@ -112,9 +112,7 @@
     return min(known) + limit_s - STOP_S if known else None
 
 
-def begins_in_time(
-    ends_at_s: float | None, begins_in_s: float, now: float
-) -> bool:
+def begins_in_time(ends_at: float, begins_in_s: float, now: float) -> bool:
     """Tell whether a request that is sent now begins before its version ends.
 
     `begins_in_s` is what requests take on that engine lately. Behind a link
@@ -124,7 +122,7 @@
     >>> begins_in_time(17.5, 0.3, 16.0), begins_in_time(17.5, 1.2, 16.0)
     (True, False)
     """
-    return ends_at_s is None or now + BEGIN_SLACK * begins_in_s < ends_at_s
+    return now + BEGIN_SLACK * begins_in_s < ends_at
 
 
 def must_stop(begin_by: float | None, sent_at: float, now: float) -> bool:
