Estimates of closing and opening in a module; one estimate of a copy's rest

Two methods that differed in what they estimate share how the first of all models is taken, three places share the rest of a copy, and a copy is asked for by one method in place of two.

--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -80,7 +80,7 @@
         self._paced = paced
         metrics = WeightsMetrics()
         self._serving = Serving(
-            peers.links, self._copy, bandwidth, metrics, paced
+            peers.links, self.copy_of, bandwidth, metrics, paced
         )
         self._arrivals = Arrivals(
             self._copiers,
@@ -113,12 +113,12 @@
 
     def size_of(self, digest: str) -> int:
         """Give the size of weights in bytes, 0 while it isn't known."""
-        copy = self._copy(digest)
+        copy = self.copy_of(digest)
         return copy.manifest.size if copy else 0
 
     def progress(self, digest: str) -> tuple[int, int]:
         """Give how many chunks are held, and of how many."""
-        copy = self._copy(digest)
+        copy = self.copy_of(digest)
         return (copy.held_count, len(copy.manifest.chunks)) if copy else (0, 0)
 
     def log_standing(self) -> None:
@@ -182,11 +182,12 @@
 
     def copy_of(self, digest: str) -> Copy | None:
         """Give a wanted copy, whole or not, once its manifest is known."""
-        return self._copy(digest)
+        copier = self._copiers.get(digest)
+        return copier.copy if copier is not None else None
 
     def manifest_of(self, digest: str) -> Manifest | None:
         """Give the manifest of a wanted copy once it is known."""
-        copy = self._copy(digest)
+        copy = self.copy_of(digest)
         return copy.manifest if copy else None
 
     def found_here(
@@ -204,7 +205,7 @@
 
     def missing(self, digest: str) -> list[int]:
         """Give the chunks that a wanted copy still lacks."""
-        copy = self._copy(digest)
+        copy = self.copy_of(digest)
         if copy is None:
             return []
         count = len(copy.manifest.chunks)
@@ -364,7 +365,3 @@
             if self._arrivals.is_banned(peer)
         }
         return (self._peers.expected() & hosts) - banned
-
-    def _copy(self, digest: str) -> Copy | None:
-        copier = self._copiers.get(digest)
-        return copier.copy if copier is not None else None
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -21,7 +21,6 @@
 from burdockchute.adapters import Adapter
 from burdockchute.adapters import Engine
 from burdockchute.decisions import pacing
-from burdockchute.decisions import rates
 from burdockchute.decisions import staging
 from burdockchute.decisions import versions
 from burdockchute.decisions.neighbours import neighbours
@@ -47,6 +46,8 @@
 from burdockchute_agent.staged.origins import copy_name
 from burdockchute_agent.staged.origins import NamedOrigin
 from burdockchute_agent.staged.origins import NoOrigin
+from burdockchute_agent.staged.outlook import loaded_on
+from burdockchute_agent.staged.outlook import Outlook
 from burdockchute_agent.staged.rollout import Ahead
 from burdockchute_agent.staged.rollout import Loaded
 from burdockchute_agent.staged.rollout import Rollout
@@ -144,13 +145,8 @@
             self._copying.stop()
 
     def loaded(self) -> dict[str, int]:
-        """Give the versions on which the engine may begin requests.
-
-        While it loads it takes nothing new, so there are none.
-        """
-        if self.report is None or self.report.loading:
-            return {}
-        return dict(self.report.versions)
+        """Give the versions on which the engine may begin requests."""
+        return loaded_on(self.report)
 
     def held_bytes(self) -> int:
         """Give the memory that all copies take."""
@@ -158,70 +154,21 @@
 
     def closes_in_s(self) -> float | None:
         """Estimate when the engine takes nothing new, None for not soon."""
-        now = self._now()
-        times = [self._closes_in_s(r, now) for r in self._rollouts.values()]
-        return min((t for t in times if t is not None), default=None)
-
-    def _closes_in_s(self, rollout: Rollout, now: float) -> float | None:
-        loaded = self.loaded().get(rollout.model)
-        if loaded is None:
-            return None
-        progress = rollout.next_load(loaded, self._copying)
-        if progress is None:
-            return None
-        history = self._beliefs().history(rollout.model)
-        named_at = versions.named_at(history, progress.version)
-        limit_in_s = 0.0
-        if named_at is not None:
-            limit_s = self.bounds.version_s - staging.LAST_CALL_S
-            limit_in_s = named_at + limit_s - now
-        before = self._before(rollout.name(progress.version))
-        return staging.closes_in_s(
-            progress.share,
-            rollout.copying_s(progress.version, now),
-            before is not None,
-            limit_in_s,
-        )
+        return self._outlook().closes_in_s(self._now())
 
     def opens_in_s(self) -> float | None:
-        """Estimate when the engine takes requests again.
-
-        None where it does now, or where nothing tells.
-        """
-        now = self._now()
-        times = [self._opens_in_s(r, now) for r in self._rollouts.values()]
-        return min((t for t in times if t is not None), default=None)
-
-    def _opens_in_s(self, rollout: Rollout, now: float) -> float | None:
-        if self.report is None:
-            return None
-        history = self._beliefs().history(rollout.model)
-        least = versions.least_allowed(history, self.bounds.version_s, now)
-        loaded = self.loaded().get(rollout.model)
-        if loaded is not None and loaded >= least:
-            return None
-        if self.report.loading:
-            drain_s = staging.DRAIN_S if self.report.running else 0.0
-            return staging.LOAD_S + drain_s
-        times = [
-            self._copied_in_s(rollout, version, now)
-            for version in rollout.held()
-            if version >= least
-        ]
-        return min((t for t in times if t is not None), default=None)
-
-    def _copied_in_s(
-        self, rollout: Rollout, version: int, now: float
-    ) -> float | None:
-        name = rollout.name(version)
-        held, count = self._copying.progress(name)
-        if not count:
-            return None
-        share = held / count
-        rate = rates.CAP_SHARE * self._machine.link_bytes_per_s
-        rest_s = (1 - share) * self._copying.size_of(name) / rate
-        return staging.opens_in_s(
-            share, rollout.copying_s(version, now), rest_s
+        """Estimate when the engine takes requests again, None for unknown."""
+        return self._outlook().opens_in_s(self._now())
+
+    def _outlook(self) -> Outlook:
+        return Outlook(
+            self.report,
+            self._rollouts.values(),
+            self._copying,
+            lambda model: self._beliefs().history(model),
+            self.bounds.version_s,
+            self._machine.link_bytes_per_s,
+            self._before,
         )
 
     # What arrives.
--- a/packages/burdockchute/burdockchute/decisions/staging.py
+++ b/packages/burdockchute/burdockchute/decisions/staging.py
@@ -93,10 +93,15 @@
 
 
 def _is_in_time(progress: Progress) -> bool:
-    rest_s = progress.copying_s * (1 - progress.share) / progress.share
+    rest_s = _rest_s(progress.share, progress.copying_s)
     return rest_s + TURN_S <= progress.useful_s
 
 
+def _rest_s(share: float, copying_s: float) -> float:
+    """Estimate what the rest of a copy takes, at the pace it had so far."""
+    return copying_s * (1 - share) / share
+
+
 # An engine with nothing to finish loads what is staged within this time, the
 # staging and the report of it included.
 LOAD_S = 0.5
@@ -122,7 +127,7 @@
     """
     if share < LEAST_SHARE:
         return None
-    copy_s = copying_s * (1 - share) / share
+    copy_s = _rest_s(share, copying_s)
     turn_s = TURN_S if waits_for_other else 0.0
     return max(0.0, min(copy_s + turn_s, limit_in_s))
 
@@ -140,7 +145,7 @@
     """
     if share < LEAST_SHARE:
         return rest_by_link_s + LOAD_S
-    return copying_s * (1 - share) / share + LOAD_S
+    return _rest_s(share, copying_s) + LOAD_S
 
 
 def must_start(named_at: float | None, limit_s: float, now: float) -> bool:
