Logs and a counter of why attempts at streams end early

Callers saw streams closed in the middle; where no other engine took the rest, an engine that broke off, one taken for dark and one that rejected the rest left the same lines, and the wait in the last one counted from the arrival. Each attempt that ends early now leaves stream_interrupted with its cause, and is counted by cause and outcome. No decision changes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
@@ -57,6 +57,10 @@
     """The request was stopped before it began on weights of the past."""
 
 
+class Silent(Broken):
+    """Nothing came from the upstream for so long that it is taken for dark."""
+
+
 class Sent(NamedTuple):
     """A request that an upstream has in hand.
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -94,13 +94,17 @@
 
 
 class Finished(NamedTuple):
-    """How a request ended, for counters; times are seconds."""
+    """How a request ended, for counters; times are seconds.
+
+    `interruptions` has why attempts at a stream ended early.
+    """
 
     route: str
     outcome: str
     status: int
     total_s: float
     first_event_s: float | None
+    interruptions: tuple[str, ...] = ()
 
 
 class CallersApp:
@@ -220,7 +224,14 @@
             ms=int(total_s * 1000),
         )
         self._observe(
-            Finished(admitted.route.name, why, status, total_s, first_s)
+            Finished(
+                admitted.route.name,
+                why,
+                status,
+                total_s,
+                first_s,
+                tuple(stream.interruptions) if stream else (),
+            )
         )
 
     def connection_headers(self) -> list[tuple[str, str]]:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/counters.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/counters.py
@@ -14,6 +14,10 @@
         self._requests = meter.create_counter(
             'burdockchute.requests', description='finished requests'
         )
+        self._interruptions = meter.create_counter(
+            'burdockchute.stream_interruptions',
+            description='attempts at streams that ended early',
+        )
         self._seconds = meter.create_histogram(
             'burdockchute.request_time', unit='s'
         )
@@ -34,3 +38,5 @@
         self._seconds.record(done.total_s, attributes)
         if done.first_event_s is not None:
             self._first_event.record(done.first_event_s, {'route': done.route})
+        for cause in done.interruptions:
+            self._interruptions.add(1, {'cause': cause, 'outcome': outcome})
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -217,6 +217,7 @@
     ) -> Place | NotRun:
         placing.place = events.AsyncResult()
         self._waiting[placing.ctx.request_id] = placing
+        began = self._now()
         try:
             for queue, wait_s in ((lane.queue, fresh_s), (lane.late, late_s)):
                 placing.is_late = queue is lane.late
@@ -243,7 +244,7 @@
             self._waiting.pop(placing.ctx.request_id, None)
             lane.queue.remove(placing.ctx.request_id)
             lane.late.remove(placing.ctx.request_id)
-        waited_s = self._now() - placing.ctx.arrived
+        waited_s = self._now() - began
         retry_s = admission.retry_after_s(late_s)
         return NotRun(f'no place came free in {waited_s:.2f} s', 503, retry_s)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -31,6 +31,7 @@
 from burdockchute_entry.straight.attempts import Lost
 from burdockchute_entry.straight.attempts import Overtaken
 from burdockchute_entry.straight.attempts import Sent
+from burdockchute_entry.straight.attempts import Silent
 from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.lanes import Placing
 from burdockchute_entry.straight.lanes import Wish
@@ -227,7 +228,7 @@
                 self._check_begun(sent, now)
                 silent = health.is_silent(target.heard_at, sent.at, now)
                 if silent and self.route.may_repeat:
-                    raise Broken('the upstream is silent', False) from None
+                    raise Silent('the upstream is silent', False) from None
                 continue
             target.heard_at = self._tools.now()
             return result
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -20,7 +20,9 @@
 from burdockchute.upstreams.events import EventCutter
 from burdockchute_entry.straight.attempts import Elsewhere
 from burdockchute_entry.straight.attempts import Lost
+from burdockchute_entry.straight.attempts import Overtaken
 from burdockchute_entry.straight.attempts import Sent
+from burdockchute_entry.straight.attempts import Silent
 from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.replies import StreamBroken
 from burdockchute_entry.straight.sending import Sender
@@ -37,7 +39,10 @@
 
 
 class Stream:
-    """One stream; `longest_gap_s` is the longest pause between two reads."""
+    """One stream; `longest_gap_s` is the longest pause between two reads.
+
+    `interruptions` has why each attempt at it ended early, the first first.
+    """
 
     def __init__(
         self, tools: Tools, sender: Sender, sent: Sent, head: AnswerHead
@@ -46,6 +51,7 @@
         self.longest_gap_s = 0.0
         self.began_at = 0.0
         self.head = head
+        self.interruptions: list[str] = []
         self._tools = tools
         self._sender = sender
         self._sent: Sent | None = sent
@@ -70,8 +76,7 @@
                 try:
                     found = self._next()
                 except Broken as exc:
-                    lost = self._sender.broke(self._ended(), exc)
-                    self._resume(lost)
+                    self._resume(self._broke(exc))
                     continue
                 if found is None:
                     raise StreamBroken('its time is over')
@@ -177,6 +182,7 @@
         if not self._tools.placer.retries.take(service, now):
             self._tools.placer.release(sender.placing, place)
             return
+        self._note_interruption('closing', target.id, 'its engine is to load')
         sender.abandon(self._ended())
         self._log('stream_moved', place, before=target.id)
         failure = self._reopen(place)
@@ -197,6 +203,7 @@
         """Ask an upstream for the rest; gives why there is none."""
         sent = self._sender.hand_on(place)
         if isinstance(sent, Elsewhere):
+            self._note_interruption('refused', place.target.id, sent.reason)
             return sent
         self._sent = sent
         try:
@@ -205,10 +212,12 @@
             if head is not None and head.not_run:
                 refused = self._sender.refused(sent, head)
                 self._sent = None
+                target = place.target.id
+                self._note_interruption('refused', target, refused.reason)
                 return refused
             self._check_rest(head)
         except Broken as exc:
-            return self._sender.broke(self._ended(), exc)
+            return self._broke(exc)
         self._cutter = EventCutter()
         return None
 
@@ -221,6 +230,37 @@
             if head.version != self.head.version:
                 raise Broken(f'the rest is of version {head.version}', False)
 
+    def _broke(self, exc: Broken) -> Lost:
+        sent = self._ended()
+        cause = _cause_of(exc)
+        self._note_interruption(cause, sent.place.target.id, str(exc))
+        return self._sender.broke(sent, exc)
+
+    def _note_interruption(
+        self, cause: str, upstream: str, reason: str
+    ) -> None:
+        self.interruptions.append(cause)
+        sender = self._sender
+        now = self._tools.now()
+        service = sender.placing.wish.service
+        logs.event(
+            'stream_interrupted',
+            logging.INFO,
+            request_id=sender.asked.id,
+            upstream=upstream,
+            cause=cause,
+            reason=reason,
+            after=sender.last_event,
+            version=self.head.version,
+            quiet_ms=int((now - self._event_at) * 1000),
+            left_ms=int((sender.ctx.deadline - now) * 1000),
+            runs=sender.runs,
+            sends=sender.sends,
+            retries_left=round(
+                self._tools.placer.retries.left(service, now), 1
+            ),
+        )
+
     def _log(self, event: str, place: Place, **fields: object) -> None:
         logs.event(
             event,
@@ -231,3 +271,11 @@
             version=self.head.version,
             **fields,
         )
+
+
+def _cause_of(exc: Broken) -> str:
+    if isinstance(exc, Silent):
+        return 'silent'
+    if isinstance(exc, Overtaken):
+        return 'overtaken'
+    return 'broken_off' if exc.ended else 'invalid'
