Make before break: a stream's rest begins before its run is given up

Cause: to let an engine load, an entry closed the stream that ran there and only then asked another engine for the rest. Where that one rejected it, 0.54 s later in the trace, nothing was left to go back to, and 1.2 s later the entry broke the caller off. An engine that had been silent for 1.2 s was closed the same way, even where no other attempt was allowed.

Others are asked for the rest by a greenlet of its own now, while events of the present run are still passed on. The run is given up when the new one has brought an event; where nobody takes the rest, it goes on as if nothing had been tried, and so does a silent engine that speaks again first. Events that both runs bring are passed on once.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from burdockchute.upstreams.connections import Broken
@@ -61,6 +62,10 @@
     """Nothing came from the upstream for so long that it is taken for dark."""
 
 
+# Told of an attempt at a stream that ended early: upstream, cause, reason.
+Interrupted = Callable[[str, str, str], None]
+
+
 class Sent(NamedTuple):
     """A request that an upstream has in hand.
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -18,6 +18,7 @@
 from burdockchute_entry.straight.attempts import Lost
 from burdockchute_entry.straight.attempts import Sent
 from burdockchute_entry.straight.attempts import TimeUp
+from burdockchute_entry.straight.handover import OK
 from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.lanes import Wish
 from burdockchute_entry.straight.replies import Reply
@@ -25,7 +26,6 @@
 from burdockchute_entry.straight.replies import WholeAnswer
 from burdockchute_entry.straight.sending import Sender
 from burdockchute_entry.straight.sending import Tools
-from burdockchute_entry.straight.streams import OK
 from burdockchute_entry.straight.streams import Stream
 
 GATEWAY_TIMEOUT = 504
@@ -97,7 +97,7 @@
         return outcome
 
     def _attempt(self, place: Place) -> Attempt:
-        sent = self.sender.hand_on(place)
+        sent = self.sender.dispatch(place)
         if isinstance(sent, Elsewhere):
             return sent
         try:
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
@@ -0,0 +1,191 @@
+"""Has the rest of a stream begun elsewhere before its run is given up.
+
+A `Run` is what one upstream makes of a stream. A `Handover` asks others for
+the rest in a greenlet of its own, while events of the present run are still
+passed on. Its owner changes over once the new run has brought an event.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import gevent
+
+from burdockchute.model.exchanges import AnswerHead
+from burdockchute.upstreams.connections import Broken
+from burdockchute.upstreams.events import Event
+from burdockchute.upstreams.events import EventCutter
+from burdockchute_entry.straight.attempts import Elsewhere
+from burdockchute_entry.straight.attempts import Interrupted
+from burdockchute_entry.straight.attempts import Lost
+from burdockchute_entry.straight.attempts import Overtaken
+from burdockchute_entry.straight.attempts import Sent
+from burdockchute_entry.straight.attempts import Silent
+from burdockchute_entry.straight.lanes import Place
+from burdockchute_entry.straight.sending import Sender
+
+OK = 200
+
+
+class Begun(NamedTuple):
+    """Events of a stream that came together, and whether they end it."""
+
+    events: list[Event]
+    whole: bool
+
+
+class Run:
+    """One upstream's run of a stream."""
+
+    def __init__(self, sender: Sender, sent: Sent) -> None:
+        self.sent = sent
+        self._sender = sender
+        self._cutter = EventCutter()
+
+    @property
+    def upstream(self) -> str:
+        """The id of the upstream."""
+        return self.sent.place.target.id
+
+    @property
+    def torn(self) -> bytes:
+        """What came after the last whole event."""
+        return self._cutter.rest
+
+    def next(self) -> Begun | None:
+        """Wait for more events; None when the time is over.
+
+        Raises Broken.
+        """
+        while True:
+            data = self._sender.part(self.sent)
+            if data is None:
+                return None
+            if not data:
+                return Begun([], True)
+            events = self._cutter.feed(data)
+            if events:
+                self._sender.note_begun(self.sent)
+                return Begun(events, False)
+
+
+class Rest(NamedTuple):
+    """The rest of a stream has begun; `begun` are its first events."""
+
+    run: Run
+    begun: Begun
+
+
+class NoRest(NamedTuple):
+    """Nobody goes on with a stream, at the moment."""
+
+    reason: str
+
+
+class Handover:
+    """Has the rest of a stream begun at another upstream.
+
+    `place` is where to ask first; None to wait for a place and, if that
+    attempt comes to nothing, for another one. The attempts that come to
+    nothing are told to `interrupted`, by upstream, cause and reason.
+    """
+
+    def __init__(
+        self,
+        sender: Sender,
+        head: AnswerHead,
+        place: Place | None,
+        interrupted: Interrupted,
+    ) -> None:
+        self.is_move = place is not None
+        self._sender = sender
+        self._head = head
+        self._interrupted = interrupted
+        self._cancelled = False
+        self._greenlet = gevent.spawn(self._seek, place)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the rest has begun, or nobody goes on with it."""
+        return self._greenlet.ready()
+
+    @property
+    def reason(self) -> str:
+        """Why nobody goes on, empty unless that is so."""
+        found = self._greenlet.value
+        return found.reason if isinstance(found, NoRest) else ''
+
+    def wait(self) -> Rest | NoRest:
+        """Wait until it is ready, which it is by the request's deadline."""
+        return self._greenlet.get()
+
+    def cancel(self) -> None:
+        """End it; what it has begun is given up."""
+        self._cancelled = True
+        if not self._greenlet.ready():
+            self._greenlet.kill(block=False)
+        elif isinstance(rest := self._greenlet.value, Rest):
+            self._sender.abandon(rest.run.sent)
+
+    def _seek(self, place: Place | None) -> Rest | NoRest:
+        found = self._begin(place) if place else self._seek_place()
+        if self._cancelled and isinstance(found, Rest):
+            self._sender.abandon(found.run.sent)
+        if isinstance(found, Rest | NoRest):
+            return found
+        return NoRest(found.reason)
+
+    def _seek_place(self) -> Rest | NoRest:
+        while True:
+            place = self._sender.next_place()
+            if not isinstance(place, Place):
+                return NoRest(place.reason)
+            found = self._begin(place)
+            if isinstance(found, Rest):
+                return found
+            if not self._sender.may_go_on(found):
+                return NoRest(found.reason)
+
+    def _begin(self, place: Place) -> Rest | Elsewhere | Lost:
+        target = place.target.id
+        sent = self._sender.dispatch(place)
+        if isinstance(sent, Elsewhere):
+            self._interrupted(target, 'refused', sent.reason)
+            return sent
+        try:
+            self._sender.send(sent)
+            head = self._sender.head(sent)
+            if head is not None and head.not_run:
+                refused = self._sender.refused(sent, head)
+                self._interrupted(target, 'refused', refused.reason)
+                return refused
+            self._check(head)
+            run = Run(self._sender, sent)
+            begun = run.next()
+            if begun is None:
+                raise Broken('no event in time', False)
+            return Rest(run, begun)
+        except Broken as exc:
+            self._interrupted(target, cause_of(exc), str(exc))
+            return self._sender.broke(sent, exc)
+        except BaseException:
+            self._sender.abandon(sent)
+            raise
+
+    def _check(self, head: AnswerHead | None) -> None:
+        if head is None:
+            raise Broken('no answer in time', False)
+        if head.status != OK or not head.is_stream or not head.sealed:
+            raise Broken(f'status {head.status} for the rest', False)
+        if None not in (head.version, self._head.version):
+            if head.version != self._head.version:
+                raise Broken(f'the rest is of version {head.version}', False)
+
+
+def cause_of(exc: Broken) -> str:
+    """Name why an attempt at a stream ended, for the log."""
+    if isinstance(exc, Silent):
+        return 'silent'
+    if isinstance(exc, Overtaken):
+        return 'overtaken'
+    return 'broken_off' if exc.ended else 'invalid'
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -23,6 +23,7 @@
 from burdockchute.model.routes import Kind
 from burdockchute.model.routes import Route
 from burdockchute.upstreams.connections import Broken
+from burdockchute.upstreams.connections import Connection
 from burdockchute.upstreams.connections import HeaderList
 from burdockchute.upstreams.connections import NotConnected
 from burdockchute.upstreams.connections import Waiting
@@ -93,7 +94,7 @@
         work = Work(admission.cost_of(ctx), False, ctx.prompt_tokens, ())
         self.placing = Placing(ctx, work, wish)
         self._tools = tools
-        self._begun: object = None
+        self._begun: set[Connection] = set()
 
     # Places.
 
@@ -133,9 +134,9 @@
             self.placing.wish.service, self._tools.now()
         )
 
-    # Handing on.
+    # Dispatch.
 
-    def hand_on(self, place: Place) -> Sent | Elsewhere:
+    def dispatch(self, place: Place) -> Sent | Elsewhere:
         """Connect to the upstream of a place and send the request there.
 
         Raises Broken if it could not be sent whole; the place is free then.
@@ -213,7 +214,7 @@
 
     def note_begun(self, sent: Sent) -> None:
         """Note that the answer has begun: the prompt was read there."""
-        self._begun = sent.conn
+        self._begun.add(sent.conn)
         self._tools.placer.began(self.placing, sent.place)
 
     def _patiently(self, sent: Sent, read: Callable[[], Read]) -> Read | None:
@@ -233,11 +234,17 @@
             target.heard_at = self._tools.now()
             return result
 
+    def note_silent(self, sent: Sent) -> None:
+        """Note that an upstream has fallen silent; it keeps the request."""
+        target = sent.place.target
+        self.placing.avoided.add(target.id)
+        target.failed(self._tools.now())
+
     def _check_begun(self, sent: Sent, now: float) -> None:
         # What still waits in its engine would begin on weights that may
         # begin nothing any more; nobody would notice but the reader of a
         # page of last week's weights.
-        if sent.conn is self._begun:
+        if sent.conn in self._begun:
             return
         if versions.must_stop(sent.begin_by, sent.at, now):
             raise Overtaken('its weights are replaced', False)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -1,41 +1,38 @@
 """Passes a stream on, and goes on with it elsewhere where that is needed.
 
-A stream goes on at another upstream when its own breaks off, or when its
-engine waits for it to load other weights. It goes on after the last event
-that the caller has, on the same weights, and never looks whole when it is
-not.
+A stream goes on at another upstream when its own breaks off or falls silent,
+or when its engine waits for it to load other weights. It goes on after the
+last event that the caller has, on the same weights, and never looks whole
+when it is not. A run that may still bring events is kept until the rest has
+begun elsewhere.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 import logging
-from typing import NamedTuple
 
 from burdockchute import logs
 from burdockchute.decisions import moving
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.upstreams.connections import Broken
+from burdockchute.upstreams.connections import LOOK_S
 from burdockchute.upstreams.events import Event
-from burdockchute.upstreams.events import EventCutter
-from burdockchute_entry.straight.attempts import Elsewhere
 from burdockchute_entry.straight.attempts import Lost
-from burdockchute_entry.straight.attempts import Overtaken
 from burdockchute_entry.straight.attempts import Sent
 from burdockchute_entry.straight.attempts import Silent
+from burdockchute_entry.straight.handover import Begun
+from burdockchute_entry.straight.handover import cause_of
+from burdockchute_entry.straight.handover import Handover
+from burdockchute_entry.straight.handover import NoRest
+from burdockchute_entry.straight.handover import Run
 from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.replies import StreamBroken
 from burdockchute_entry.straight.sending import Sender
 from burdockchute_entry.straight.sending import Tools
 
-OK = 200
-
-
-class Begun(NamedTuple):
-    """The first events of a stream, and whether they are all."""
-
-    events: list[Event]
-    whole: bool
+# How often to look whether the rest has begun elsewhere.
+HANDOVER_LOOK_S = 0.05
 
 
 class Stream:
@@ -54,16 +51,24 @@
         self.interruptions: list[str] = []
         self._tools = tools
         self._sender = sender
-        self._sent: Sent | None = sent
-        self._cutter = EventCutter()
+        self._run: Run | None = Run(sender, sent)
+        self._handover: Handover | None = None
+        self._may_move = True
+        # The rest was sought since this run was last heard.
+        self._has_sought = False
+        self._lost: Lost | None = None
         self._event_at = 0.0
         self._tokens_an_event = tools.placer.tokens_an_event(
             sender.placing.wish.service
         )
 
     def begin(self) -> Begun | None:
-        """Wait for the first events; None when the time is over."""
-        begun = self._next()
+        """Wait for the first events; None when the time is over.
+
+        Raises Broken.
+        """
+        assert self._run is not None
+        begun = self._run.next()
         self.began_at = self._event_at = self._tools.now()
         return begun
 
@@ -72,45 +77,50 @@
         try:
             yield from self._joined(begun.events)
             while not begun.whole:
-                self._move_if_better()
-                try:
-                    found = self._next()
-                except Broken as exc:
-                    self._resume(self._broke(exc))
-                    continue
-                if found is None:
-                    raise StreamBroken('its time is over')
-                begun = found
-                self._note_gap()
-                yield from self._joined(begun.events)
-            if self._cutter.rest:
-                yield self._cutter.rest
+                begun = self._next()
+                events = self._new_only(begun.events)
+                if events:
+                    self._note_gap()
+                yield from self._joined(events)
+            if self._run is not None and self._run.torn:
+                yield self._run.torn
             self._sender.settle(self._ended(), self.head)
         finally:
-            if self._sent is not None:
+            self._cancel_handover()
+            if self._run is not None:
                 self._sender.abandon(self._ended())
 
     def _ended(self) -> Sent:
         """Give what an upstream has in hand, for whoever ends it."""
-        assert self._sent is not None
-        sent, self._sent = self._sent, None
+        assert self._run is not None
+        sent, self._run = self._run.sent, None
         return sent
 
-    def _next(self) -> Begun | None:
-        assert self._sent is not None
+    def _next(self) -> Begun:
+        """Wait for more events of whichever run has them first."""
         while True:
-            data = self._sender.part(self._sent)
-            if data is None:
-                return None
-            if not data:
-                return Begun([], True)
-            events = self._new_only(self._cutter.feed(data))
-            if events:
-                self._sender.note_begun(self._sent)
-                return Begun(events, False)
+            self._move_if_better()
+            if self._handover is not None and self._handover.ready:
+                begun = self._take_over(self._handover)
+                if begun is not None:
+                    return begun
+            if self._run is None:
+                return self._next_elsewhere()
+            try:
+                begun = self._run.next()
+            except Silent as exc:
+                self._seek_beside(exc)
+                continue
+            except Broken as exc:
+                self._seek_instead(exc)
+                continue
+            if begun is None:
+                raise StreamBroken('its time is over')
+            self._note_heard()
+            return begun
 
     def _new_only(self, events: list[Event]) -> list[Event]:
-        # After a resumption an upstream might begin too early.
+        # The rest may begin before the last event that was passed on.
         last = self._sender.last_event
         if not last.isdigit():
             return events
@@ -141,31 +151,62 @@
         resumable = self._sender.route.resumable
         return resumable and bool(self._sender.last_event)
 
-    def _resume(self, attempt: Elsewhere | Lost) -> None:
-        """Go on at another upstream; raises StreamBroken."""
+    def _seek_beside(self, exc: Silent) -> None:
+        """Ask others for the rest; the silent run may still go on."""
+        if self._handover is not None or self._has_sought:
+            return
+        self._has_sought = True
         self._pin()
-        while True:
-            if not self._may_resume or not self._sender.may_go_on(attempt):
-                raise StreamBroken(attempt.reason)
-            place = self._sender.next_place()
-            if not isinstance(place, Place):
-                raise StreamBroken(place.reason)
-            failure = self._reopen(place)
-            if failure is None:
-                self._log('stream_resumed', place, reason=attempt.reason)
-                return
-            attempt = failure
+        if not self._may_resume or not self._sender.may_go_on(Lost(str(exc))):
+            return
+        assert self._run is not None
+        self._note_interruption(self._run.upstream, 'silent', str(exc))
+        self._sender.note_silent(self._run.sent)
+        self._hand_over(None)
 
-    def _move_if_better(self) -> None:
-        """Go on elsewhere if the engine waits for this stream to load.
+    def _seek_instead(self, exc: Broken) -> None:
+        """Ask others for the rest of a run that has ended.
+
+        Raises StreamBroken.
+        """
+        sent = self._ended()
+        upstream = sent.place.target.id
+        self._note_interruption(upstream, cause_of(exc), str(exc))
+        self._lost = self._sender.broke(sent, exc)
+        if self._handover is None:
+            self._seek_again(self._lost)
+
+    def _seek_again(self, lost: Lost) -> None:
+        """Ask others for the rest of a lost run; raises StreamBroken."""
+        self._pin()
+        if not self._may_resume or not self._sender.may_go_on(lost):
+            raise StreamBroken(lost.reason)
+        self._hand_over(None)
+
+    def _next_elsewhere(self) -> Begun:
+        """Wait for the rest, which no run of ours brings any more.
 
         Raises StreamBroken.
         """
-        assert self._sent is not None
+        while True:
+            assert self._handover is not None and self._lost is not None
+            handover = self._handover
+            begun = self._take_over(handover)
+            if begun is not None:
+                return begun
+            if not handover.is_move:
+                raise StreamBroken(handover.reason)
+            # A move has one place to try.
+            self._seek_again(self._lost)
+
+    def _move_if_better(self) -> None:
+        """Ask another engine for the rest if its own waits to load."""
+        if self._run is None or self._handover is not None:
+            return
         now = self._tools.now()
-        sender, target = self._sender, self._sent.place.target
+        sender, target = self._sender, self._run.sent.place.target
         closed_s = target.closed_for_s(now)
-        if closed_s is None or not self._may_resume:
+        if closed_s is None or not self._may_move or not self._may_resume:
             return
         gap_s = sender.route.gap_s
         rest_s = self._rest_s(now)
@@ -182,12 +223,8 @@
         if not self._tools.placer.retries.take(service, now):
             self._tools.placer.release(sender.placing, place)
             return
-        self._note_interruption('closing', target.id, 'its engine is to load')
-        sender.abandon(self._ended())
-        self._log('stream_moved', place, before=target.id)
-        failure = self._reopen(place)
-        if failure is not None:
-            self._resume(failure)
+        self._may_move = False
+        self._hand_over(place)
 
     def _rest_s(self, now: float) -> float:
         made = self.count * self._tokens_an_event
@@ -199,45 +236,50 @@
         placing.wish = placing.wish._replace(exact=self.head.version)
         placing.resuming = True
 
-    def _reopen(self, place: Place) -> Elsewhere | Lost | None:
-        """Ask an upstream for the rest; gives why there is none."""
-        sent = self._sender.hand_on(place)
-        if isinstance(sent, Elsewhere):
-            self._note_interruption('refused', place.target.id, sent.reason)
-            return sent
-        self._sent = sent
-        try:
-            self._sender.send(sent)
-            head = self._sender.head(sent)
-            if head is not None and head.not_run:
-                refused = self._sender.refused(sent, head)
-                self._sent = None
-                target = place.target.id
-                self._note_interruption('refused', target, refused.reason)
-                return refused
-            self._check_rest(head)
-        except Broken as exc:
-            return self._broke(exc)
-        self._cutter = EventCutter()
-        return None
-
-    def _check_rest(self, head: AnswerHead | None) -> None:
-        if head is None:
-            raise Broken('no answer in time', False)
-        if head.status != OK or not head.is_stream or not head.sealed:
-            raise Broken(f'status {head.status} for the rest', False)
-        if None not in (head.version, self.head.version):
-            if head.version != self.head.version:
-                raise Broken(f'the rest is of version {head.version}', False)
-
-    def _broke(self, exc: Broken) -> Lost:
-        sent = self._ended()
-        cause = _cause_of(exc)
-        self._note_interruption(cause, sent.place.target.id, str(exc))
-        return self._sender.broke(sent, exc)
+    def _hand_over(self, place: Place | None) -> None:
+        self._handover = Handover(
+            self._sender, self.head, place, self._note_interruption
+        )
+        if self._run is not None:
+            self._run.sent.conn.look_each(HANDOVER_LOOK_S)
+
+    def _take_over(self, handover: Handover) -> Begun | None:
+        """Change over to the run that has begun; None if there is none."""
+        rest = handover.wait()
+        self._handover = None
+        if isinstance(rest, NoRest):
+            if self._run is not None:
+                self._sender.upstream = self._run.upstream
+                self._run.sent.conn.look_each(LOOK_S)
+            return None
+        self._has_sought = False
+        before = ''
+        if self._run is not None:
+            before = self._run.upstream
+            if handover.is_move:
+                why = 'its engine is to load'
+                self._note_interruption(before, 'closing', why)
+            self._sender.abandon(self._ended())
+        event = 'stream_moved' if handover.is_move else 'stream_resumed'
+        self._log(event, rest.run.sent.place, before)
+        self._run = rest.run
+        return rest.begun
+
+    def _note_heard(self) -> None:
+        """Note that the run goes on; only a move is still of use."""
+        self._has_sought = False
+        if self._handover is not None and not self._handover.is_move:
+            self._cancel_handover()
+
+    def _cancel_handover(self) -> None:
+        handover, self._handover = self._handover, None
+        if handover is not None:
+            handover.cancel()
+
+    # What is logged.
 
     def _note_interruption(
-        self, cause: str, upstream: str, reason: str
+        self, upstream: str, cause: str, reason: str
     ) -> None:
         self.interruptions.append(cause)
         sender = self._sender
@@ -261,21 +303,13 @@
             ),
         )
 
-    def _log(self, event: str, place: Place, **fields: object) -> None:
+    def _log(self, event: str, place: Place, before: str) -> None:
         logs.event(
             event,
             logging.INFO,
             request_id=self._sender.asked.id,
             upstream=place.target.id,
+            before=before,
             after=self._sender.last_event,
             version=self.head.version,
-            **fields,
         )
-
-
-def _cause_of(exc: Broken) -> str:
-    if isinstance(exc, Silent):
-        return 'silent'
-    if isinstance(exc, Overtaken):
-        return 'overtaken'
-    return 'broken_off' if exc.ended else 'invalid'
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -50,7 +50,7 @@
 
 
 class Waiting(Exception):
-    """Nothing came for LOOK_S; the call may be made again to wait on."""
+    """Nothing came for a while; the call may be made again to wait on."""
 
 
 class _Parser(responses.HTTPResponse):
@@ -174,6 +174,10 @@
         """
         return not is_readable(self._sock)
 
+    def look_each(self, seconds: float) -> None:
+        """Break off waits for bytes this often, in place of LOOK_S."""
+        self._sock.settimeout(seconds)
+
     def close(self) -> None:
         """Close the connection, which also cancels what runs on it."""
         self._sock.close()
