The rest of a stream has a queue of its own and waits as long as its caller

A caller that had a part of its answer was broken off when no place came free for 1.2 s, with seconds left, or when new requests had filled the queue of the service; and it waited those 1.2 s also where nobody held its weights any more.

Cause: the rest stood among new requests, under limits that are meant for them. It has a queue of its own now that gets places first, is bounded by its caller (who leaves, or whose time is over), and is refused at once when no upstream holds its weights.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -141,6 +141,19 @@
             if may_run(target)
         ]
 
+    def may_host(self, placing: Placing, now: float) -> bool:
+        """Tell whether any target may run a request, now or after a while.
+
+        Those that are left alone after a failure count as well.
+        """
+        may_run = self._rule(placing, now)
+        return any(
+            target.upstream.service == placing.wish.service
+            and not target.upstream.draining
+            and may_run(target)
+            for target in self._targets.values()
+        )
+
     def why_nobody(self, placing: Placing, now: float) -> str:
         """Say why no target may run a request now, for the log."""
         wish = placing.wish
--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -37,19 +37,26 @@
 class Lane(Pool):
     """The requests that wait for one service.
 
-    Those in `queue` can still be on time; those in `late` come after them.
+    Streams that have begun wait in `resumed` and come first, then those in
+    `queue`, which can still be on time, then those in `late`.
     """
 
     def __init__(self, service: str) -> None:
         super().__init__(f'service/{service}')
         self.queue.max_waiting = MAX_WAITING
+        self.resumed = WaitingQueue(MAX_WAITING)
         self.late = WaitingQueue(MAX_WAITING)
         self._late_served: deque[float] = deque()
 
     @property
     def is_empty(self) -> bool:
         """Whether nobody waits."""
-        return not len(self.queue) and not len(self.late)
+        return not any(map(len, self.queues))
+
+    @property
+    def queues(self) -> tuple[WaitingQueue, WaitingQueue, WaitingQueue]:
+        """The queues, in the order in which they get places."""
+        return self.resumed, self.queue, self.late
 
     def note_late_served(self, now: float) -> None:
         """Note that one of the late got a place."""
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import random
 
 import gevent
@@ -97,14 +98,15 @@
         lane = self._lane(placing.wish.service)
         wish = placing.wish
         if placing.resuming:
-            left_s = min(patience.RESUME_WAIT_S, deadline - now)
-            return self._wait(lane, placing, left_s, 0.0)
+            if not self._known.may_host(placing, now):
+                return self._nobody(placing, patience.NOTHING_OPENS, now)
+            return self._wait(placing, [(lane.resumed, deadline - now)], 0.0)
         opening = self._known.opening(placing, now)
         late_s = self._late_wait_s(placing, opening, now)
         if not self._known.hosts(placing, now):
             if not opening.places or not late_s:
                 return self._nobody(placing, opening, now)
-            return self._wait(lane, placing, 0.0, late_s)
+            return self._wait(placing, [(lane.late, late_s)], late_s)
         fresh_s = patience.fresh_wait_s(
             wish.objective_s, wish.elapsed_s, deadline - now
         )
@@ -117,7 +119,8 @@
                 503,
                 admission.retry_after_s(expected_s),
             )
-        return self._wait(lane, placing, fresh_s, late_s)
+        stages = [(lane.queue, fresh_s), (lane.late, late_s)]
+        return self._wait(placing, stages, late_s)
 
     def place_now(
         self, placing: Placing, within_s: float, rest_s: float
@@ -182,7 +185,8 @@
 
     def fill_all(self) -> None:
         """Use what room there is."""
-        for service in self._lanes:
+        for service, lane in self._lanes.items():
+            self._refuse_hopeless(lane)
             self._fill(service)
 
     # What opens.
@@ -213,19 +217,23 @@
     # How places are found.
 
     def _wait(
-        self, lane: Lane, placing: Placing, fresh_s: float, late_s: float
+        self,
+        placing: Placing,
+        stages: Sequence[tuple[WaitingQueue, float]],
+        retry_s: float,
     ) -> Place | NotRun:
+        lane = self._lane(placing.wish.service)
         placing.place = events.AsyncResult()
         self._waiting[placing.ctx.request_id] = placing
         began = self._now()
         try:
-            for queue, wait_s in ((lane.queue, fresh_s), (lane.late, late_s)):
+            for queue, wait_s in stages:
                 placing.is_late = queue is lane.late
                 if wait_s <= 0:
                     continue
                 if placing.is_late and not self._may_wait_late(lane, placing):
                     break
-                self._offer(queue, placing, late_s)
+                self._offer(queue, placing, retry_s)
                 self._fill(placing.wish.service)
                 # The late stage counts from arrival.
                 if placing.is_late:
@@ -242,11 +250,25 @@
             raise
         finally:
             self._waiting.pop(placing.ctx.request_id, None)
-            lane.queue.remove(placing.ctx.request_id)
-            lane.late.remove(placing.ctx.request_id)
+            for queue in lane.queues:
+                queue.remove(placing.ctx.request_id)
         waited_s = self._now() - began
-        retry_s = admission.retry_after_s(late_s)
-        return NotRun(f'no place came free in {waited_s:.2f} s', 503, retry_s)
+        return NotRun(
+            f'no place came free in {waited_s:.2f} s',
+            503,
+            admission.retry_after_s(retry_s),
+        )
+
+    def _refuse_hopeless(self, lane: Lane) -> None:
+        # The weights that a stream was begun on may go while it waits.
+        now = self._now()
+        for item in lane.resumed.since_before(now):
+            placing = self._waiting[item.ctx.request_id]
+            if self._known.may_host(placing, now) or placing.place.ready():
+                continue
+            placing.place.set(
+                self._nobody(placing, patience.NOTHING_OPENS, now)
+            )
 
     def _may_wait_late(self, lane: Lane, placing: Placing) -> bool:
         now = self._now()
@@ -285,7 +307,7 @@
         now = self._now()
         survey = self._known.survey(service, now)
         is_engine = self._known.cost(service) is not None
-        for queue in (lane.queue, lane.late):
+        for queue in lane.queues:
             aside: list[Waiting] = []
             is_late = queue is lane.late
             while len(queue) and len(aside) < MAX_ASIDE:
@@ -329,7 +351,7 @@
     def _left_s(self, placing: Placing, now: float) -> float | None:
         # None for a request that can't be on time.
         if placing.resuming:
-            return patience.RESUME_WAIT_S
+            return patience.RESUME_BEGIN_S
         if placing.is_late:
             return None
         spent_s = placing.wish.elapsed_s + now - placing.ctx.arrived
--- a/packages/burdockchute/burdockchute/decisions/patience.py
+++ b/packages/burdockchute/burdockchute/decisions/patience.py
@@ -24,6 +24,9 @@
 take when they open, each for as long as leaves the time for its answer, and
 the others hear when to come back (`opening_wait_s`).
 
+The rest of a stream that has begun comes before all of these and waits for
+as long as its caller does, unless nobody holds its weights any more.
+
 Thresholds: WAIT_SHARE of the objective may be spent waiting, as an engine
 with a free place begins an answer within about half of it. Late work that
 waits for long keeps every engine full after a shortage is over, and the fresh
@@ -51,10 +54,8 @@
 # Engines open one after the other, and the estimate of when is as wrong.
 AFTER_OPENING_S = 0.6
 
-# Callers give up on a stream that pauses for two seconds, so one that has to
-# go on elsewhere waits among the fresh ones, for as long as leaves time for
-# its next event.
-RESUME_WAIT_S = 1.2
+# The rest of a stream goes where it is expected to begin within this time.
+RESUME_BEGIN_S = 1.2
 
 # A route without an objective lets its requests wait this long.
 DEFAULT_WAIT_S = 1.0
