Retries are kept for streams that have begun

Cause: the budget of retries was first come, first served, and a crash fails new requests in the same moment. A burst of a single retry is not divided.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -24,11 +24,17 @@
         budget = self._budget(service, now, terms)
         self._budgets[service] = retries.earn(budget, now, terms)
 
-    def take(self, service: str, now: float) -> bool:
-        """Take one retry out of a service's budget, if it has one."""
+    def take(self, service: str, now: float, begun: bool = False) -> bool:
+        """Take one retry out of a service's budget, if it has one.
+
+        `begun` is for the rest of a stream, for which a part is kept.
+        """
         terms = self._terms()
         budget = self._budget(service, now, terms)
-        self._budgets[service], allowed = retries.spend(budget, now, terms)
+        kept = 0.0 if begun else retries.kept_for_begun(terms)
+        self._budgets[service], allowed = retries.spend(
+            budget, now, terms, kept
+        )
         return allowed
 
     def left(self, service: str, now: float) -> float:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -131,7 +131,9 @@
 
     def _take_retry(self) -> bool:
         return self._tools.placer.retries.take(
-            self.placing.wish.service, self._tools.now()
+            self.placing.wish.service,
+            self._tools.now(),
+            self.placing.resuming,
         )
 
     # Dispatch.
--- a/packages/burdockchute-entry/tests/test_retry_budgets.py
+++ b/packages/burdockchute-entry/tests/test_retry_budgets.py
@@ -37,3 +37,19 @@
         while budgets.take('drafts', 0.0):
             pass
         self.assertTrue(budgets.take('desk', 0.0))
+
+    def test_new_requests_leave_retries_for_begun_streams(self):
+        """A crash fails new requests and breaks off streams at once.
+
+        Whoever asked first took all, and callers lost the rest of an answer.
+        """
+        budgets = RetryBudgets(lambda: BOUNDS, lambda: 6)
+        while budgets.take('drafts', 0.0):
+            pass
+        self.assertTrue(budgets.take('drafts', 0.0, begun=True))
+
+    def test_one_of_many_entries_may_still_retry_new_requests(self):
+        """So many entries share the retries that each has one at a time."""
+        budgets = RetryBudgets(lambda: BOUNDS, lambda: 400)
+        self.assertTrue(budgets.take('drafts', 0.0))
+        self.assertFalse(budgets.take('drafts', 0.0, begun=True))
--- a/packages/burdockchute/burdockchute/decisions/retries.py
+++ b/packages/burdockchute/burdockchute/decisions/retries.py
@@ -14,6 +14,10 @@
 TRICKLE_S, or its balance would never come back. A request that an agent
 certainly did not run has cost no upstream anything and draws on no budget;
 MAX_PLACEMENTS ends its way through a pool in which nobody will have it.
+
+KEPT_SHARE of the burst is kept for streams that have begun: a crash breaks
+off streams and fails new requests in the same moment, and the first of them
+to ask would take all.
 """
 
 from __future__ import annotations
@@ -24,6 +28,8 @@
 MIN_BURST = 4.0
 TRICKLE_S = 10.0
 
+KEPT_SHARE = 0.25
+
 MAX_ATTEMPTS = 3
 MAX_PLACEMENTS = 8
 
@@ -79,19 +85,35 @@
 
 
 def spend(
-    budget: Budget, now: float, terms: Terms = DEFAULT_TERMS
+    budget: Budget,
+    now: float,
+    terms: Terms = DEFAULT_TERMS,
+    kept: float = 0.0,
 ) -> tuple[Budget, bool]:
-    """Take one retry out of the budget, if it has one.
+    """Take one retry out of the budget, if it has one beyond what is kept.
 
     >>> spend(Budget(1.0, 0.0), 0.0)
     (Budget(balance=0.0, at=0.0), True)
+    >>> spend(Budget(1.5, 0.0), 0.0, kept=1.0)
+    (Budget(balance=1.5, at=0.0), False)
     """
     filled = _fill(budget, now, terms)
-    if filled.balance < 1.0:
+    if filled.balance < 1.0 + kept:
         return filled, False
     return Budget(filled.balance - 1.0, now), True
 
 
+def kept_for_begun(terms: Terms) -> float:
+    """Give the retries that are kept for streams that have begun.
+
+    A burst of one retry is not divided.
+
+    >>> kept_for_begun(Terms(burst=6.0)), kept_for_begun(Terms(burst=1.0))
+    (1.5, 0.0)
+    """
+    return min(KEPT_SHARE * terms.burst, terms.burst - 1.0)
+
+
 def _fill(budget: Budget, now: float, terms: Terms) -> Budget:
     earned = max(0.0, now - budget.at) / terms.trickle_s
     return Budget(min(terms.burst, budget.balance + earned), now)
