Handover: faults found when its code was read again

- A caller who left in the moment in which its stream was to move took the place for the rest with it: a greenlet that is ended before it has begun never runs.
The handover gives the place back.
- A run that broke off when nobody had taken the rest was waited for as if somebody had; the stream ended by an assertion.
It ends with its reason.
- Events whose ids are no numbers came twice, as two runs overlapped.
Only streams with numbered events are run twice at a time.

A connection that is kept after a handover is looked at as seldom as before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
@@ -102,7 +102,8 @@
         self._head = head
         self._interrupted = interrupted
         self._cancelled = False
-        self._greenlet = gevent.spawn(self._seek, place)
+        self._place = place
+        self._greenlet = gevent.spawn(self._seek)
 
     @property
     def ready(self) -> bool:
@@ -122,12 +123,17 @@
     def cancel(self) -> None:
         """End it; what it has begun is given up."""
         self._cancelled = True
+        place, self._place = self._place, None
+        if place is not None:
+            # Killed before it has begun, its greenlet would keep the place.
+            self._sender.release(place)
         if not self._greenlet.ready():
             self._greenlet.kill(block=False)
         elif isinstance(rest := self._greenlet.value, Rest):
             self._sender.abandon(rest.run.sent)
 
-    def _seek(self, place: Place | None) -> Rest | NoRest:
+    def _seek(self) -> Rest | NoRest:
+        place, self._place = self._place, None
         found = self._begin(place) if place else self._seek_place()
         if self._cancelled and isinstance(found, Rest):
             self._sender.abandon(found.run.sent)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -236,6 +236,10 @@
             target.heard_at = self._tools.now()
             return result
 
+    def release(self, place: Place) -> None:
+        """Give back a place on which nothing was sent."""
+        self._tools.placer.release(self.placing, place)
+
     def note_silent(self, sent: Sent) -> None:
         """Note that an upstream has fallen silent; it keeps the request."""
         target = sent.place.target
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -82,6 +82,7 @@
                 if events:
                     self._note_gap()
                 yield from self._joined(events)
+            self._cancel_handover()
             if self._run is not None and self._run.torn:
                 yield self._run.torn
             self._sender.settle(self._ended(), self.head)
@@ -99,13 +100,13 @@
     def _next(self) -> Begun:
         """Wait for more events of whichever run has them first."""
         while True:
+            if self._run is None:
+                return self._next_elsewhere()
             self._move_if_better()
             if self._handover is not None and self._handover.ready:
                 begun = self._take_over(self._handover)
                 if begun is not None:
                     return begun
-            if self._run is None:
-                return self._next_elsewhere()
             try:
                 begun = self._run.next()
             except Silent as exc:
@@ -151,13 +152,18 @@
         resumable = self._sender.route.resumable
         return resumable and bool(self._sender.last_event)
 
+    @property
+    def _may_overlap(self) -> bool:
+        # What two runs both bring is told by the numbers of the events.
+        return self._may_resume and self._sender.last_event.isdigit()
+
     def _seek_beside(self, exc: Silent) -> None:
         """Ask others for the rest; the silent run may still go on."""
         if self._handover is not None or self._has_sought:
             return
         self._has_sought = True
         self._pin()
-        if not self._may_resume or not self._sender.may_go_on(Lost(str(exc))):
+        if not self._may_overlap or not self._sender.may_go_on(Lost(str(exc))):
             return
         assert self._run is not None
         self._note_interruption(self._run.upstream, 'silent', str(exc))
@@ -206,7 +212,7 @@
         now = self._tools.now()
         sender, target = self._sender, self._run.sent.place.target
         closed_s = target.closed_for_s(now)
-        if closed_s is None or not self._may_move or not self._may_resume:
+        if closed_s is None or not self._may_move or not self._may_overlap:
             return
         gap_s = sender.route.gap_s
         rest_s = self._rest_s(now)
@@ -248,9 +254,7 @@
         rest = handover.wait()
         self._handover = None
         if isinstance(rest, NoRest):
-            if self._run is not None:
-                self._sender.upstream = self._run.upstream
-                self._run.sent.conn.look_each(LOOK_S)
+            self._stay()
             return None
         self._has_sought = False
         before = ''
@@ -275,6 +279,13 @@
         handover, self._handover = self._handover, None
         if handover is not None:
             handover.cancel()
+            self._stay()
+
+    def _stay(self) -> None:
+        """Go on with the present run, if there is one."""
+        if self._run is not None:
+            self._sender.upstream = self._run.upstream
+            self._run.sent.conn.look_each(LOOK_S)
 
     # What is logged.
 
