--- a/packages/burdockchute/burdockchute/decisions/moving.py
+++ b/packages/burdockchute/burdockchute/decisions/moving.py
@@ -8,8 +8,9 @@
 So what still runs MOVE_AFTER_S after the engine has closed is resumed on
 another engine with the same weights, if one can go on within the pause that
 the caller's route allows, and if the rest of the answer is likely to take
-longer than LEAST_REST_S; a shorter one ends sooner where it is. A stream is
-moved once, as a second engine may be lost as well.
+longer than LEAST_REST_S; a shorter one ends sooner where it is. It runs on
+where it is until its rest has begun, as the other engine may reject it. A
+stream is moved once, as a second engine may be lost as well.
 """
 
 from __future__ import annotations
