A stream goes on when its run ends after a rejected move

A caller was cut off with an AssertionError when the engine that wrote its stream broke off after another one had rejected the rest, and before the next event. The result of the move was taken first, and left neither a run nor a handover to wait for.

test_stream_goes_on_when_its_run_ends_after_a_rejected_move failed before and passes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -99,13 +99,13 @@
     def _next(self) -> Begun:
         """Wait for more events of whichever run has them first."""
         while True:
+            if self._run is None:
+                return self._next_elsewhere()
             self._move_if_better()
             if self._handover is not None and self._handover.ready:
                 begun = self._take_over(self._handover)
                 if begun is not None:
                     return begun
-            if self._run is None:
-                return self._next_elsewhere()
             try:
                 begun = self._run.next()
             except Silent as exc:
