A kept connection waits as long as before a handover

A connection on which a stream had been handed over, or nearly so, was kept with waits of 0.05 s. They bound the sending of the next request as well, which was given up after a fifth of the usual time.

test_kept_connection_waits_as_long_as_before_a_handover failed before and passes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -126,6 +126,7 @@
             conn.close()
             return
         known_s = idle_s if idle_s < float('inf') else DEFAULT_IDLE_S
+        conn.look_each(connections.LOOK_S)
         conn.idle_until = now + known_s - IDLE_MARGIN_S
         self._idle.append((conn, now))
 
