Events that a caller has are not sent again

A caller that resumes by itself got events twice from a server that began too early; the first events of a stream were no longer compared with its Last-Event-Id.

test_events_that_a_caller_has_are_not_sent_again failed before and passes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -75,7 +75,7 @@
     def events(self, begun: Begun) -> Iterator[bytes]:
         """Give the events as they come; raises StreamBroken."""
         try:
-            yield from self._joined(begun.events)
+            yield from self._joined(self._new_only(begun.events))
             while not begun.whole:
                 begun = self._next()
                 events = self._new_only(begun.events)
