A place that comes free as the time is over is not lost

When a place was given between the end of a wait and its notice, nobody freed it. The server looked as if a request had not begun there, and this entry sent it nothing more.

test_place_that_comes_free_as_the_time_is_over_is_not_lost failed before and passes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -242,6 +242,8 @@
                     return placing.place.get(timeout=max(0.0, wait_s))
                 except Timeout:
                     queue.remove(placing.ctx.request_id)
+                    if placing.place.ready():
+                        return placing.place.value
         except BaseException:
             # The caller has gone: what it was given in this moment is free.
             given = placing.place.value if placing.place.ready() else None
