Less than one retry is kept for begun streams

With a burst below four the share that is kept is less than one retry, with which nothing can be done once new requests have taken the rest.

test_a_small_share_is_kept_whole_for_begun_streams fails.

--- a/packages/burdockchute-entry/tests/test_retry_budgets.py
+++ b/packages/burdockchute-entry/tests/test_retry_budgets.py
@@ -53,3 +53,16 @@
         budgets = RetryBudgets(lambda: BOUNDS, lambda: 400)
         self.assertTrue(budgets.take('drafts', 0.0))
         self.assertFalse(budgets.take('drafts', 0.0, begun=True))
+
+    def test_a_small_share_is_kept_whole_for_begun_streams(self):
+        """Fourteen entries share the retries, and a crash used some up.
+
+        New requests left less than one retry, with which a stream that has
+        begun can do nothing.
+        """
+        budgets = RetryBudgets(lambda: BOUNDS, lambda: 14)
+        while budgets.take('drafts', 0.0, begun=True):
+            pass
+        while budgets.take('drafts', 6.0):
+            pass
+        self.assertTrue(budgets.take('drafts', 6.0, begun=True))
