--- a/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
 
+from burdockchute.decisions import patience
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.upstreams.connections import Broken
 from burdockchute.upstreams.events import Event
@@ -52,13 +54,13 @@
         """What came after the last whole event."""
         return self._cutter.rest
 
-    def next(self) -> Begun | None:
+    def next(self, until: Callable[[], bool] | None = None) -> Begun | None:
         """Wait for more events; None when the time is over.
 
-        Raises Broken.
+        Raises Broken, and Waiting once `until` is so and nothing came.
         """
         while True:
-            data = self._sender.part(self.sent)
+            data = self._sender.part(self.sent, until)
             if data is None:
                 return None
             if not data:
@@ -110,15 +112,13 @@
         """Whether the rest has begun, or nobody goes on with it."""
         return self._greenlet.ready()
 
-    @property
-    def reason(self) -> str:
-        """Why nobody goes on, empty unless that is so."""
-        found = self._greenlet.value
-        return found.reason if isinstance(found, NoRest) else ''
-
     def wait(self) -> Rest | NoRest:
         """Wait until it is ready, which it is by the request's deadline."""
-        return self._greenlet.get()
+        self._greenlet.join()
+        if not self._greenlet.successful():
+            # The event loop has logged it.
+            return NoRest(f'internal error: {self._greenlet.exception!r}')
+        return self._greenlet.value
 
     def cancel(self) -> None:
         """End it; what it has begun is given up."""
@@ -149,7 +149,7 @@
             found = self._begin(place)
             if isinstance(found, Rest):
                 return found
-            if not self._sender.may_go_on(found):
+            if not self._sender.may_go_on(found, patience.RETRY_WAIT_S):
                 return NoRest(found.reason)
 
     def _begin(self, place: Place) -> Rest | Elsewhere | Lost:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -144,13 +144,15 @@
     def may_host(self, placing: Placing, now: float) -> bool:
         """Tell whether any target may run a request, now or after a while.
 
-        Those that are left alone after a failure count as well.
+        Those that are left alone after a failure, or had no room, count as
+        well.
         """
-        may_run = self._rule(placing, now)
+        fits = self._fits(placing, now)
         return any(
             target.upstream.service == placing.wish.service
             and not target.upstream.draining
-            and may_run(target)
+            and not placing.avoids(target)
+            and fits(target)
             for target in self._targets.values()
         )
 
@@ -271,6 +273,14 @@
         ]
 
     def _rule(self, placing: Placing, now: float) -> Callable[[Target], bool]:
+        fits = self._fits(placing, now)
+        return lambda target: (
+            not placing.avoids(target)
+            and not placing.was_rejected(target, now)
+            and fits(target)
+        )
+
+    def _fits(self, placing: Placing, now: float) -> Callable[[Target], bool]:
         wish = placing.wish
         least = self._least_version(wish, now)
         # The same for all targets with a version, and looked up for each one
@@ -289,9 +299,7 @@
             )
 
         return lambda target: (
-            not placing.avoids(target)
-            and _may_run(target, wish, least)
-            and begins_in_time(target)
+            _may_run(target, wish, least) and begins_in_time(target)
         )
 
     def _least_version(self, wish: Wish, now: float) -> int:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -81,8 +81,9 @@
 class Placing:
     """One request that wants a place.
 
-    `avoided` are targets that failed it; `is_late` while it waits behind the
-    fresh ones, `resuming` once its caller has a part of its answer.
+    `avoided` are targets that failed it, `rejected` when others had no room
+    for it; `is_late` while it waits behind the fresh ones, `resuming` once
+    its caller has a part of its answer.
     """
 
     def __init__(self, ctx: RequestContext, work: Work, wish: Wish) -> None:
@@ -90,6 +91,7 @@
         self.work = work
         self.wish = wish
         self.avoided: set[str] = set()
+        self.rejected: dict[str, float] = {}
         self.is_late = False
         self.resuming = False
         self.place: events.AsyncResult = events.AsyncResult()
@@ -97,3 +99,8 @@
     def avoids(self, target: Target) -> bool:
         """Tell whether it has failed there already."""
         return target.id in self.avoided
+
+    def was_rejected(self, target: Target, now: float) -> bool:
+        """Tell whether it was rejected there a moment ago."""
+        rejected_at = self.rejected.get(target.id, float('-inf'))
+        return now - rejected_at < patience.REJECTED_S
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -98,7 +98,7 @@
         lane = self._lane(placing.wish.service)
         wish = placing.wish
         if placing.resuming:
-            if not self._known.may_host(placing, now):
+            if not self.may_host(placing):
                 return self._nobody(placing, patience.NOTHING_OPENS, now)
             return self._wait(placing, [(lane.resumed, deadline - now)], 0.0)
         opening = self._known.opening(placing, now)
@@ -141,6 +141,10 @@
         view = engine_room.choose(staying, wanted_of(placing), cost, within_s)
         return self._taken(placing, hosts[view.name], now) if view else None
 
+    def may_host(self, placing: Placing) -> bool:
+        """Tell whether any target may run it, now or after a while."""
+        return self._known.may_host(placing, self._now())
+
     def tokens_an_event(self, service: str) -> int:
         """Give how many tokens an event of a service's streams holds."""
         cost = self._known.cost(service)
@@ -266,7 +270,7 @@
         now = self._now()
         for item in lane.resumed.since_before(now):
             placing = self._waiting[item.ctx.request_id]
-            if self._known.may_host(placing, now) or placing.place.ready():
+            if placing.place.ready() or self.may_host(placing):
                 continue
             placing.place.set(
                 self._nobody(placing, patience.NOTHING_OPENS, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -31,12 +31,19 @@
         """
         terms = self._terms()
         budget = self._budget(service, now, terms)
-        kept = 0.0 if begun else retries.kept_for_begun(terms)
         self._budgets[service], allowed = retries.spend(
-            budget, now, terms, kept
+            budget, now, terms, _kept(terms, begun)
         )
         return allowed
 
+    def next_in_s(
+        self, service: str, now: float, begun: bool = False
+    ) -> float:
+        """Give when time alone brings a retry, in seconds from now."""
+        terms = self._terms()
+        budget = self._budget(service, now, terms)
+        return retries.next_in_s(budget, now, terms, _kept(terms, begun))
+
     def left(self, service: str, now: float) -> float:
         """Give the balance of a service's budget."""
         return self._budget(service, now, self._terms()).balance
@@ -54,3 +61,7 @@
         self, service: str, now: float, terms: retries.Terms
     ) -> retries.Budget:
         return self._budgets.get(service) or retries.full_budget(now, terms)
+
+
+def _kept(terms: retries.Terms, begun: bool) -> float:
+    return 0.0 if begun else retries.kept_for_begun(terms)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 from typing import TypeVar
 
+import gevent
+
 from burdockchute import logs
 from burdockchute.adapters import Adapter
 from burdockchute.decisions import admission
@@ -118,23 +120,36 @@
             )
         return place
 
-    def may_go_on(self, attempt: Elsewhere | Lost | Failed) -> bool:
-        """Tell whether another attempt may follow; takes it of the budget."""
+    def may_go_on(
+        self, attempt: Elsewhere | Lost | Failed, wait_s: float = 0.0
+    ) -> bool:
+        """Tell whether another attempt may follow; takes it of the budget.
+
+        Waits for the next retry if that comes within `wait_s`.
+        """
         if self.sends >= retries.MAX_PLACEMENTS:
             return False
         if isinstance(attempt, Elsewhere):
-            return not attempt.arrived or self._take_retry()
+            return not attempt.arrived or self._take_retry(wait_s)
         if isinstance(attempt, Failed) and self.route.kind is Kind.STREAM:
             return False
         again = self.route.may_repeat and self.runs < self.route.max_attempts
-        return again and self._take_retry()
+        return again and self._take_retry(wait_s)
 
-    def _take_retry(self) -> bool:
-        return self._tools.placer.retries.take(
+    def _take_retry(self, wait_s: float) -> bool:
+        budgets, service = (
+            self._tools.placer.retries,
             self.placing.wish.service,
-            self._tools.now(),
-            self.placing.resuming,
         )
+        until = self._tools.now() + wait_s
+        while True:
+            now = self._tools.now()
+            if budgets.take(service, now, self.placing.resuming):
+                return True
+            next_s = budgets.next_in_s(service, now, self.placing.resuming)
+            if now + next_s > until:
+                return False
+            gevent.sleep(next_s)
 
     # Dispatch.
 
@@ -199,9 +214,14 @@
         read = self._patiently(sent, sent.conn.head)
         return self._tools.adapter.decode_answer(*read) if read else None
 
-    def part(self, sent: Sent) -> bytes | None:
-        """Wait for more of the body; gives nothing at its end."""
-        return self._patiently(sent, sent.conn.body)
+    def part(
+        self, sent: Sent, until: Callable[[], bool] | None = None
+    ) -> bytes | None:
+        """Wait for more of the body; gives nothing at its end.
+
+        Raises Waiting as well, once `until` is so and nothing came.
+        """
+        return self._patiently(sent, sent.conn.body, until)
 
     def body(self, sent: Sent) -> bytes | None:
         """Wait for the whole body."""
@@ -219,7 +239,12 @@
         self._begun.add(sent.conn)
         self._tools.placer.began(self.placing, sent.place)
 
-    def _patiently(self, sent: Sent, read: Callable[[], Read]) -> Read | None:
+    def _patiently(
+        self,
+        sent: Sent,
+        read: Callable[[], Read],
+        until: Callable[[], bool] | None = None,
+    ) -> Read | None:
         target = sent.place.target
         while True:
             try:
@@ -229,6 +254,8 @@
                 if now > self.ctx.deadline + LAST_ANSWER_S:
                     return None
                 self._check_begun(sent, now)
+                if until is not None and until():
+                    raise
                 silent = health.is_silent(target.heard_at, sent.at, now)
                 if silent and self.route.may_repeat:
                     raise Silent('the upstream is silent', False) from None
@@ -290,7 +317,10 @@
             target.versions = {}
             target.failed(self._tools.now())
         self._tools.placer.failed(self.placing, sent.place, self._took(sent))
-        self.placing.avoided.add(target.id)
+        if self.placing.resuming and head.status != MISDIRECTED:
+            self.placing.rejected[target.id] = self._tools.now()
+        else:
+            self.placing.avoided.add(target.id)
         return Elsewhere(f'refused with status {head.status}', True)
 
     def _finish_refusal(self, sent: Sent, head: AnswerHead) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -14,9 +14,11 @@
 
 from burdockchute import logs
 from burdockchute.decisions import moving
+from burdockchute.decisions import patience
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.upstreams.connections import Broken
 from burdockchute.upstreams.connections import LOOK_S
+from burdockchute.upstreams.connections import Waiting
 from burdockchute.upstreams.events import Event
 from burdockchute_entry.straight.attempts import Lost
 from burdockchute_entry.straight.attempts import Sent
@@ -34,6 +36,9 @@
 # How often to look whether the rest has begun elsewhere.
 HANDOVER_LOOK_S = 0.05
 
+# How often to seek the rest of a stream whose upstream stays silent.
+SEEK_S = 0.5
+
 
 class Stream:
     """One stream; `longest_gap_s` is the longest pause between two reads.
@@ -54,8 +59,8 @@
         self._run: Run | None = Run(sender, sent)
         self._handover: Handover | None = None
         self._may_move = True
-        # The rest was sought since this run was last heard.
-        self._has_sought = False
+        # When the rest was last sought since this run was heard.
+        self._sought_at: float | None = None
         self._lost: Lost | None = None
         self._event_at = 0.0
         self._tokens_an_event = tools.placer.tokens_an_event(
@@ -104,11 +109,13 @@
                 return self._next_elsewhere()
             self._move_if_better()
             if self._handover is not None and self._handover.ready:
-                begun = self._take_over(self._handover)
-                if begun is not None:
-                    return begun
+                rest = self._take_over(self._handover)
+                if isinstance(rest, Begun):
+                    return rest
             try:
-                begun = self._run.next()
+                begun = self._run.next(self._is_rest_ready)
+            except Waiting:
+                continue
             except Silent as exc:
                 self._seek_beside(exc)
                 continue
@@ -159,11 +166,16 @@
 
     def _seek_beside(self, exc: Silent) -> None:
         """Ask others for the rest; the silent run may still go on."""
-        if self._handover is not None or self._has_sought:
+        now = self._tools.now()
+        if self._handover is not None or not self._may_overlap:
+            return
+        if self._sought_at is not None and now - self._sought_at < SEEK_S:
             return
-        self._has_sought = True
+        self._sought_at = now
         self._pin()
-        if not self._may_overlap or not self._sender.may_go_on(Lost(str(exc))):
+        if not self._tools.placer.may_host(self._sender.placing):
+            return
+        if not self._sender.may_go_on(Lost(str(exc))):
             return
         assert self._run is not None
         self._note_interruption(self._run.upstream, 'silent', str(exc))
@@ -185,7 +197,8 @@
     def _seek_again(self, lost: Lost) -> None:
         """Ask others for the rest of a lost run; raises StreamBroken."""
         self._pin()
-        if not self._may_resume or not self._sender.may_go_on(lost):
+        wait_s = patience.RETRY_WAIT_S
+        if not self._may_resume or not self._sender.may_go_on(lost, wait_s):
             raise StreamBroken(lost.reason)
         self._hand_over(None)
 
@@ -197,11 +210,11 @@
         while True:
             assert self._handover is not None and self._lost is not None
             handover = self._handover
-            begun = self._take_over(handover)
-            if begun is not None:
-                return begun
+            rest = self._take_over(handover)
+            if isinstance(rest, Begun):
+                return rest
             if not handover.is_move:
-                raise StreamBroken(handover.reason)
+                raise StreamBroken(rest.reason)
             # A move has one place to try.
             self._seek_again(self._lost)
 
@@ -249,14 +262,19 @@
         if self._run is not None:
             self._run.sent.conn.look_each(HANDOVER_LOOK_S)
 
-    def _take_over(self, handover: Handover) -> Begun | None:
-        """Change over to the run that has begun; None if there is none."""
+    def _take_over(self, handover: Handover) -> Begun | NoRest:
+        """Change over to the run that has begun, if there is one."""
         rest = handover.wait()
         self._handover = None
         if isinstance(rest, NoRest):
             self._stay()
-            return None
-        self._has_sought = False
+            return rest
+        if self._run is not None and self._is_empty(rest.begun):
+            # The run that goes on knows better where the stream ends.
+            self._sender.abandon(rest.run.sent)
+            self._stay()
+            return NoRest('the rest is empty')
+        self._sought_at = None
         before = ''
         if self._run is not None:
             before = self._run.upstream
@@ -269,9 +287,15 @@
         self._run = rest.run
         return rest.begun
 
+    def _is_empty(self, begun: Begun) -> bool:
+        return begun.whole and not self._new_only(begun.events)
+
+    def _is_rest_ready(self) -> bool:
+        return self._handover is not None and self._handover.ready
+
     def _note_heard(self) -> None:
         """Note that the run goes on; only a move is still of use."""
-        self._has_sought = False
+        self._sought_at = None
         if self._handover is not None and not self._handover.is_move:
             self._cancel_handover()
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
@@ -91,4 +91,5 @@
 
 
 def _is_choosy(placing: Placing) -> bool:
-    return bool(placing.avoided) or placing.wish.exact is not None
+    picky = placing.avoided or placing.rejected
+    return bool(picky) or placing.wish.exact is not None
--- a/packages/burdockchute/burdockchute/decisions/patience.py
+++ b/packages/burdockchute/burdockchute/decisions/patience.py
@@ -54,6 +54,14 @@
 # Engines open one after the other, and the estimate of when is as wrong.
 AFTER_OPENING_S = 0.6
 
+# An upstream that had no room for the rest of a stream is asked again after
+# this time. Each rejection takes a retry of the entry.
+REJECTED_S = 0.5
+
+# Whoever hears at once that its stream has ended may ask anew by itself, so
+# it does not wait longer than this for the next retry of the entry.
+RETRY_WAIT_S = 0.5
+
 # The rest of a stream goes where it is expected to begin within this time.
 RESUME_BEGIN_S = 1.2
 
--- a/packages/burdockchute/burdockchute/decisions/retries.py
+++ b/packages/burdockchute/burdockchute/decisions/retries.py
@@ -15,9 +15,9 @@
 certainly did not run has cost no upstream anything and draws on no budget;
 MAX_PLACEMENTS ends its way through a pool in which nobody will have it.
 
-KEPT_SHARE of the burst is kept for streams that have begun: a crash breaks
-off streams and fails new requests in the same moment, and the first of them
-to ask would take all.
+KEPT_SHARE of the burst, at least one, is kept for streams that have begun: a
+crash breaks off streams and fails new requests in the same moment, and the
+first of them to ask would take all.
 """
 
 from __future__ import annotations
@@ -106,12 +106,26 @@
 def kept_for_begun(terms: Terms) -> float:
     """Give the retries that are kept for streams that have begun.
 
-    A burst of one retry is not divided.
+    It is at least one, as less is of no use; new requests keep one as well.
 
-    >>> kept_for_begun(Terms(burst=6.0)), kept_for_begun(Terms(burst=1.0))
-    (1.5, 0.0)
+    >>> kept_for_begun(Terms(burst=6.0)), kept_for_begun(Terms(burst=2.5))
+    (1.5, 1.0)
+    >>> kept_for_begun(Terms(burst=1.0))
+    0.0
     """
-    return min(KEPT_SHARE * terms.burst, terms.burst - 1.0)
+    return min(max(1.0, KEPT_SHARE * terms.burst), terms.burst - 1.0)
+
+
+def next_in_s(
+    budget: Budget, now: float, terms: Terms, kept: float = 0.0
+) -> float:
+    """Give when time alone brings a retry beyond what is kept.
+
+    >>> next_in_s(Budget(0.5, 0.0), 0.0, Terms(trickle_s=2.0))
+    1.0
+    """
+    missing = 1.0 + kept - _fill(budget, now, terms).balance
+    return max(0.0, missing) * terms.trickle_s
 
 
 def _fill(budget: Budget, now: float, terms: Terms) -> Budget:
