A silent upstream keeps a request until another has answered

What callers saw: a request that may be repeated, and a stream that has not begun, was told 502 after 1.2 to 1.5 s with most of its time left, where its upstream was slow and not dark.

Cause: an upstream that sends nothing for SILENT_S was left before another had the request. With nobody else to run it, or only upstreams that reject it, nothing was left to go back to.

Change: the connection to the silent upstream stays open while others are asked, and is closed once one of them has answered; otherwise the answer is waited for until the deadline. Retries are taken only for a place that was found. Streams that have begun are not touched.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TypeVar
+
 from burdockchute import logs
 from burdockchute.decisions import admission
+from burdockchute.decisions import retries
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.model.exchanges import Asked
 from burdockchute.model.outcomes import NotRun
@@ -17,6 +21,7 @@
 from burdockchute_entry.straight.attempts import Failed
 from burdockchute_entry.straight.attempts import Lost
 from burdockchute_entry.straight.attempts import Sent
+from burdockchute_entry.straight.attempts import Silent
 from burdockchute_entry.straight.attempts import TimeUp
 from burdockchute_entry.straight.handover import OK
 from burdockchute_entry.straight.lanes import Place
@@ -35,6 +40,16 @@
 # hear the same until its time of refusal is over.
 SUSPECT_RETRY_S = 1.0
 
+Read = TypeVar('Read')
+
+
+class _ReplacedError(Exception):
+    """Another upstream has answered in place of one that was silent."""
+
+    def __init__(self, attempt: Answered) -> None:
+        super().__init__('another upstream has answered')
+        self.attempt = attempt
+
 
 class Exchange:
     """One caller's request; its methods run in the caller's greenlet."""
@@ -52,6 +67,8 @@
         wish = Wish(service, asked.model, route.objective_s, elapsed_s)
         self.sender = Sender(tools, asked, ctx, route, wish)
         self._tools = tools
+        # Upstreams that have the request in hand, the newest last.
+        self._open: list[Sent] = []
 
     @property
     def first_event_s(self) -> float | None:
@@ -100,19 +117,25 @@
         sent = self.sender.dispatch(place)
         if isinstance(sent, Elsewhere):
             return sent
+        self._open.append(sent)
         try:
             self.sender.send(sent)
             return self._read(sent)
+        except _ReplacedError as exc:
+            self.sender.broke(sent, Silent(str(exc), False))
+            return exc.attempt
         except Broken as exc:
             return self.sender.broke(sent, exc)
         except BaseException:
             # The caller has gone, or an error that nobody foresaw.
             self.sender.abandon(sent)
             raise
+        finally:
+            self._open.remove(sent)
 
     def _read(self, sent: Sent) -> Attempt:
         sender = self.sender
-        head = sender.head(sent)
+        head = self._unless_replaced(sent, lambda: sender.head(sent))
         if head is None:
             return self._time_up(sent)
         if head.not_run:
@@ -121,7 +144,10 @@
             raise Broken(f'status {head.status} without a signature', False)
         if head.is_stream and head.status == OK:
             return self._begin_stream(sent, head)
-        body = sender.body(sent)
+        body = sender.body(
+            sent,
+            lambda: self._unless_replaced(sent, lambda: sender.part(sent)),
+        )
         if body is None:
             return self._time_up(sent)
         answer = WholeAnswer(head, body)
@@ -133,12 +159,61 @@
 
     def _begin_stream(self, sent: Sent, head: AnswerHead) -> Attempt:
         stream = Stream(self._tools, self.sender, sent, head)
-        begun = stream.begin()
+        begun = self._unless_replaced(sent, stream.begin)
         if begun is None:
             return self._time_up(sent)
         self.stream = stream
         return Answered(StreamAnswer(head, stream.events(begun)))
 
+    # Silent upstreams.
+
+    def _unless_replaced(self, sent: Sent, read: Callable[[], Read]) -> Read:
+        """Read on from an upstream until another one has answered.
+
+        One that is silent may be dark or only slow. It keeps the request
+        while another is asked, since that one may reject it.
+        """
+        while True:
+            try:
+                return read()
+            except Silent:
+                self._ask_another(sent)
+
+    def _ask_another(self, sent: Sent) -> None:
+        """Ask other upstreams for the answer; returns if none gives it.
+
+        Raises _ReplacedError if one does, and Silent if an upstream that was
+        asked before has begun to answer.
+        """
+        sender, target = self.sender, sent.place.target
+        earlier = self._open[: self._open.index(sent)]
+        if any(not other.conn.is_quiet() for other in earlier):
+            raise Silent('an earlier upstream answers', False)
+        if not sender.placing.avoids(target):
+            sender.note_silent(sent)
+        while self._may_ask_more():
+            place = sender.next_place()
+            if not isinstance(place, Place):
+                break
+            silent = Lost('the upstream is silent')
+            if not sender.may_go_on(silent):
+                self._tools.placer.release(sender.placing, place)
+                break
+            self._log_retry(sent.place, silent)
+            attempt = self._attempt(place)
+            if isinstance(attempt, Answered):
+                raise _ReplacedError(attempt)
+            if not sent.conn.is_quiet():
+                break
+        sender.upstream = target.id
+
+    def _may_ask_more(self) -> bool:
+        sender = self.sender
+        return (
+            sender.runs < sender.route.max_attempts
+            and sender.sends < retries.MAX_PLACEMENTS
+        )
+
     def _time_up(self, sent: Sent) -> TimeUp:
         self.sender.give_up(sent)
         return TimeUp()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -223,11 +223,14 @@
         """
         return self._patiently(sent, sent.conn.body, until)
 
-    def body(self, sent: Sent) -> bytes | None:
-        """Wait for the whole body."""
+    def body(
+        self, sent: Sent, read: Callable[[], bytes | None] | None = None
+    ) -> bytes | None:
+        """Wait for the whole body; `read` gives a part in place of `part`."""
+        read = read or (lambda: self.part(sent))
         parts: list[bytes] = []
         size = 0
-        while data := self.part(sent):
+        while data := read():
             size += len(data)
             if size > MAX_ANSWER_BYTES:
                 raise Broken(f'an answer over {MAX_ANSWER_BYTES} bytes', False)
