A leaving entry writes the answers that it has taken on to their end

What callers saw: a long answer to a caller who reads slowly ended in the middle when its entry was asked to stop, with seconds of its grace left.

Cause: a request stopped counting as open when its answer was known, before it was written. The entry waits for open requests only, and its end closed the connection.

Change: a request counts until the server has closed the body of its answer, which it does after the last byte.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -108,7 +108,10 @@
 
 
 class CallersApp:
-    """The WSGI application; `open_requests` counts those under way."""
+    """The WSGI application.
+
+    `open_requests` counts those under way, up to the last byte written.
+    """
 
     def __init__(
         self,
@@ -265,6 +268,27 @@
         )
 
 
+class _Body:
+    """The body of an answer; the server closes it when it is written."""
+
+    def __init__(
+        self, parts: Iterable[bytes], written: Callable[[], None]
+    ) -> None:
+        self._parts = parts
+        self._written = written
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._parts)
+
+    def close(self) -> None:
+        try:
+            close = getattr(self._parts, 'close', None)
+            if close is not None:
+                close()
+        finally:
+            self._written()
+
+
 class _Answering:
     """The answer to one admitted request."""
 
@@ -283,6 +307,16 @@
 
     def run(self) -> Iterable[bytes]:
         self._app.open_requests += 1
+        try:
+            return _Body(self._begin(), self._written)
+        except BaseException:
+            self._written()
+            raise
+
+    def _written(self) -> None:
+        self._app.open_requests -= 1
+
+    def _begin(self) -> Iterable[bytes]:
         try:
             self._watch.start()
             reply = self._exchange.answer()
@@ -334,7 +368,6 @@
 
     def _end(self, status: int, why: str) -> None:
         self._watch.stop()
-        self._app.open_requests -= 1
         self._app.finished(self._admitted, self._exchange, status, why)
 
 
