Links to agents stay while the chosen ones can't be reached

What callers saw: when the agents that an entry should link to changed to some that did not answer, as those of a zone that has failed and is still listed, the entry refused every request a minute later, though agents that it had been linked to answered.

Cause: links that are no longer chosen were closed after SURPLUS_S whether or not those that replace them had opened.

Change: for each chosen agent without a link one of the others stays.

Result: with all three chosen agents dead the entry keeps three links, and had none before; they go once the chosen ones answer.

--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -230,14 +230,23 @@
 
     def _close_surplus(self, now: float) -> None:
         members = {member.name for member in self.members}
+        surplus: dict[str, links.Link] = {}
         for link in self.agent_links():
             name = link.peer.name
             # One that is not listed is kept as long as it answers.
             if name in self._wanted or name not in members:
                 self._surplus.pop(name, None)
-                continue
+            else:
+                surplus[name] = link
+        # The chosen may not answer; until they do, as many others stand in.
+        missing = (self._wanted & members) - self._links.keys()
+        spare = len(surplus) - len(missing)
+        for name, link in surplus.items():
             since = self._surplus.setdefault(name, now)
-            if now - since > SURPLUS_S and not self._handing.in_use(name):
+            if spare <= 0 or now - since <= SURPLUS_S:
+                continue
+            if not self._handing.in_use(name):
+                spare -= 1
                 del self._surplus[name]
                 link.close('not in the subset of this entry')
 
--- a/packages/burdockchute-entry/tests/test_links_subset.py
+++ b/packages/burdockchute-entry/tests/test_links_subset.py
@@ -11,6 +11,7 @@
 from gevent import queue
 from returns.result import Success
 
+from burdockchute.decisions import membership
 from burdockchute.decisions import subset
 from burdockchute.model import deltas
 from burdockchute.model.members import Member
@@ -108,6 +109,26 @@
         self.list.members = [own, *self.agents]
         self.wait_for(lambda: self.linked() == names)
 
+    def test_links_stay_while_the_chosen_agents_can_not_be_reached(self):
+        """The choice moves to agents of a zone that has just failed.
+
+        The list still names them. The links to agents that answer were
+        closed, and the entry had nobody left to run a request.
+        """
+        own = Member('e0', 'entry', '127.0.0.1', 1, PLACE)
+        others = [own._replace(name=f'e{number}') for number in range(1, 10)]
+        wanted = self.chosen([own, *others, *self.agents])
+        alive = [a for a in self.agents if a.name not in wanted]
+        self.list.members = [own, *alive]
+        self.wait_for(lambda: len(self.linked()) == len(alive))
+        dead = [a._replace(port=1) for a in self.agents if a.name in wanted]
+        self.list.members = [own, *others, *alive, *dead]
+        self.wait_for(lambda: len(self.task.members) == 1 + 9 + AGENTS)
+        gevent.sleep(3 * membership.LEAST_INTERVAL_S)
+        self.assertEqual(len(wanted), len(self.linked()))
+        self.list.members = [own, *others, *self.agents]
+        self.wait_for(lambda: self.linked() == wanted)
+
     def chosen(self, members: list[Member]) -> set[str]:
         choice = subset.Subset('e0')
         choice.set_members(members)
