A second link to an agent does not end the first

What callers saw: requests at an agent that was slow to greet were told 502, or run a second time, though the agent was well.

Cause: a dial may take longer than the 2.5 s after which the next one begins, as each part of a greeting has 2 s. When the second link opened, the first was closed with the requests on it.

Change: of two links to the same process the older one stays. A link to another incarnation still takes the place of the one before.

Result: with a greeting in two parts, 1.6 s each, the link that requests are on stays open; it was closed with 'replaced by a newer link' before.

--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -309,6 +309,10 @@
     def _agent_opened(self, event: links.Opened) -> None:
         link = event.link
         old: links.Link | None = self._links.get(link.peer.name)
+        if old is not None and _is_same_process(old, link):
+            # Two dials overlapped, and requests may be on the older link.
+            link.close('duplicate')
+            return
         self._links[link.peer.name] = link
         self._sent_offset[link] = link.peer.table_offset
         self._send_rows([link])
@@ -405,3 +409,8 @@
         except links.LinkError:
             # The Closed event of this link is on its way.
             pass
+
+
+def _is_same_process(old: links.Link, link: links.Link) -> bool:
+    same = old.peer.incarnation == link.peer.incarnation
+    return same and not old.closed_reason
--- a/packages/burdockchute-entry/tests/test_links_subset.py
+++ b/packages/burdockchute-entry/tests/test_links_subset.py
@@ -9,6 +9,7 @@
 
 import gevent
 from gevent import queue
+from gevent import server
 from returns.result import Success
 
 from burdockchute.decisions import membership
@@ -136,6 +137,73 @@
         return choice.wanted(TABLE)
 
 
+class OverlappingDialsTest(unittest.TestCase):
+    def test_a_second_link_to_an_agent_does_not_end_the_first(self):
+        """An agent takes longer to greet than a dial is waited for.
+
+        The entry dialled again, and closed the first link with the requests
+        on it when the second one opened.
+        """
+        opened: list[links.Link] = []
+        slow = SlowGreeter()
+        self.addCleanup(slow.stop)
+        agents = FakeList()
+        agents.members = [Member('a0', 'agent', '127.0.0.1', slow.port, PLACE)]
+        task = links_task.LinksTask(
+            'e0',
+            lambda: hello('e0', 'entry'),
+            agents,
+            links_task.TableSource(
+                lambda: TABLE.offset,
+                lambda offset: deltas.whole(TABLE),
+                lambda offset: None,
+            ),
+            links_task.Handing(
+                lambda event: (
+                    opened.append(event.link)
+                    if isinstance(event, links.Opened)
+                    else None
+                ),
+                {},
+                lambda name: True,
+            ),
+            random.Random(1),
+        )
+        running = gevent.spawn(task.run)
+        self.addCleanup(running.kill)
+        with gevent.Timeout(WITHIN_S):
+            while slow.greeted < 2:
+                gevent.sleep(0.01)
+        gevent.sleep(0.2)
+        self.assertEqual('', opened[0].closed_reason)
+        self.assertEqual([opened[0]], task.agent_links())
+
+
+class SlowGreeter:
+    """An agent that greets in two parts, each of them within the bound."""
+
+    def __init__(self) -> None:
+        self.greeted = 0
+        self._server = server.StreamServer(('127.0.0.1', 0), self._greet)
+        self._server.start()
+
+    @property
+    def port(self) -> int:
+        return self._server.server_port
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+    def _greet(self, sock: Any, _address: Any) -> None:
+        frame = links.frame_of(hello('a0', 'agent'))
+        for part in (frame[:2], frame[2:]):
+            gevent.sleep(0.8 * links.DIAL_TIMEOUT_S)
+            sock.sendall(part)
+        self.greeted += 1
+        while sock.recv(4096):
+            pass
+
+
 class SubsetTaskTest(unittest.TestCase):
     def test_choice_is_published_when_it_changes(self):
         published: list[frozenset[str]] = []
