A request that may have run makes no room for new ones

What callers saw: a request that an agent had lost and that waited for another attempt was told 502, that it may have run, with most of its time left, as soon as more urgent requests filled the queue.

Cause: the queue chose it to make room as if it had just come. A newcomer that is refused hears that it was not run and may go elsewhere at once.

Change: where the one chosen has been at an agent, the newcomer is refused.

Result: the lost request is dispatched to the next agent that has room; it was told 'too many wait' with 502 before.

--- a/packages/burdockchute-entry/burdockchute_entry/dispatcher.py
+++ b/packages/burdockchute-entry/burdockchute_entry/dispatcher.py
@@ -110,7 +110,9 @@
         ctx, now = request.ctx, self._now()
         is_long = pool.is_long(request.work.cost)
         request.work = request.work._replace(is_long=is_long)
-        refused = pool.queue.offer(ctx, request.work.cost, is_long, now)
+        refused = pool.queue.offer(
+            ctx, request.work.cost, is_long, now, self._may_yield
+        )
         for item in refused:
             victim = self._requests[item.ctx.request_id]
             drain_s = pool.drain_s(self.loads_of(pool), now)
@@ -227,6 +229,10 @@
                 text = f'no instance is open for {request.ctx.target!r}'
                 self._refuse(request, NotRun(text, 503, NO_INSTANCE_RETRY_S))
 
+    def _may_yield(self, item: Waiting) -> bool:
+        # Its caller could only be told that it may have run.
+        return not self._requests[item.ctx.request_id].attempts
+
     def _is_ours(self, instance: str) -> bool:
         if self._name not in self.entries:
             return True
--- a/packages/burdockchute-entry/tests/test_router.py
+++ b/packages/burdockchute-entry/tests/test_router.py
@@ -176,6 +176,26 @@
         self.bench.advance(2.5)
         self.assertIsInstance(self.bench.outcome(rid), Unknown)
 
+    def test_request_that_may_have_run_makes_no_room_for_new_ones(self):
+        """An agent loses a request, which waits for another attempt.
+
+        More urgent requests filled the queue, and its caller was told that
+        nobody knows whether it ran, with most of its time left.
+        """
+        row = requests.STORY._replace(max_waiting=1)
+        table = requests.table_of(row, requests.LINDWURM, requests.SAHYOG)
+        self.bench = routing.Bench(table)
+        first = self.bench.agent('a')
+        lost = self.bench.submit(requests.request())
+        self.bench.close(first)
+        urgent = self.bench.submit(
+            requests.request(customer='sahyog', priority=3)
+        )
+        self.assertIsNone(self.bench.outcome(lost))
+        self.assertIsInstance(self.bench.outcome(urgent), NotRun)
+        second = self.bench.agent('b')
+        self.assertEqual(lost, self.only_dispatch(second).request_id)
+
     def test_no_instance_is_answered_within_seconds(self):
         rid = self.bench.submit(requests.request())
         self.bench.advance(2.5)
--- a/packages/burdockchute/burdockchute/decisions/waiting.py
+++ b/packages/burdockchute/burdockchute/decisions/waiting.py
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import heapq
 import math
 from typing import NamedTuple
@@ -72,15 +73,23 @@
         return len(self._waiting)
 
     def offer(
-        self, ctx: RequestContext, cost: float, is_long: bool, now: float
+        self,
+        ctx: RequestContext,
+        cost: float,
+        is_long: bool,
+        now: float,
+        may_yield: Callable[[Waiting], bool] = lambda item: True,
     ) -> list[Waiting]:
-        """Let a request wait; gives whatever has to make room, or itself."""
+        """Let a request wait; gives whatever has to make room, or itself.
+
+        What `may_yield` denies is kept, and the newcomer refused.
+        """
         self._next_sequence += 1
         item = Waiting(ctx, cost, is_long, now, self._next_sequence)
         refused = []
         if len(self._waiting) >= self.max_waiting:
             victim = self._victim(item)
-            if victim is item:
+            if victim is item or not may_yield(victim):
                 return [item]
             self.remove(victim.ctx.request_id)
             refused.append(victim)
