A version that fails to load does not take the one before away

What callers saw: a version was published that engines could not load, and within seconds no instance served the model any more, neither in the new version nor in the old one.

Cause: after two failed loads an agent took it that its engine has no room for two versions, and unloaded the one that served before the third try. Every agent of the row came to that after two failures.

Result: with loads failing on both engines the old version was closed within 8 s before; it is open throughout now, and the new one opens once loads work.

--- a/packages/burdockchute-agent/burdockchute_agent/row_switch.py
+++ b/packages/burdockchute-agent/burdockchute_agent/row_switch.py
@@ -14,12 +14,11 @@
 # a broken copy keeps its instance busy.
 RETRY_S = 1.0
 MAX_RETRY_S = 30.0
-# An engine short of memory for a second version refuses or drops the load;
-# after this many failures the old version is taken away first.
-FAILURES_BESIDE = 2
 # A taken order shows as loading at once; this covers a report that was made
 # just before.
 GRACE_S = 0.5
+# An engine short of memory for a second version says so. A load that fails
+# for any other reason may never work, and the old version is all there is.
 NO_ROOM_STATUS = (409, 507)
 
 
@@ -114,8 +113,6 @@
             return False
         self._ordered = None
         self._failures += 1
-        if loaded and self._failures >= FAILURES_BESIDE:
-            self.beside = False
         wait = min(RETRY_S * 2 ** (self._failures - 1), MAX_RETRY_S)
         self._not_before = now + wait
         return True
--- a/packages/burdockchute-agent/tests/test_rollouts.py
+++ b/packages/burdockchute-agent/tests/test_rollouts.py
@@ -119,6 +119,27 @@
         self.fleet.wait_open(second)
         self.assertEqual({second}, agent.loaded())
 
+    def test_version_that_no_engine_can_load_leaves_the_one_before(self):
+        """A version is published whose load fails on every engine.
+
+        There is room for both. Each agent took the version that served away
+        after two failures, and nobody served the model any more.
+        """
+        self.start(2)
+        first = self.fleet.publish(seed=1)
+        second = self.fleet.publish(seed=2)
+        self.fleet.set_rows(story(first))
+        self.fleet.wait_open(first)
+        for agent in self.fleet.agents.values():
+            agent.fault(fail_orders=True)
+        self.fleet.set_rows(story(second))
+        # Long enough for three orders, each later than the one before.
+        gevent.sleep(8.0)
+        for agent in self.fleet.agents.values():
+            self.assertEqual({first}, agent.open_digests())
+            agent.fault()
+        self.fleet.wait_open(second)
+
     def test_adapter_opens_with_its_base(self):
         self.start(2)
         base = self.fleet.publish(seed=1)
--- a/packages/burdockchute-testing/burdockchute_testing/fakes/fleet.py
+++ b/packages/burdockchute-testing/burdockchute_testing/fakes/fleet.py
@@ -102,6 +102,11 @@
         state = _ask(self.engine.handle, '/state')
         return {item['digest'] for item in state['loaded']}
 
+    def fault(self, **faults: Any) -> None:
+        """Set the faults of the engine; none makes it whole."""
+        body = json.dumps(faults).encode()
+        self.engine.handle(serving.Request('POST', '/faults', {}, {}, body))
+
     def _hello(self) -> messages.Hello:
         return messages.Hello(
             self.name,
