Links to peers stay until those in their place have opened

What was seen: when the list named other engines, an agent closed its links to the peers that it no longer wanted at once, with the chunks on their way, also where the others could not be reached. A copy stood still meanwhile; how often callers wait for that was not measured.

Change: for each wanted peer without a link one of those no longer wanted stays.

Result: a link stays while the peer in its place takes no connection, and closes when that one has opened; it was closed at once before.

--- a/packages/burdockchute/burdockchute/nodes/peers.py
+++ b/packages/burdockchute/burdockchute/nodes/peers.py
@@ -84,13 +84,15 @@
         self._dialled: set[links.Link] = set()
 
     def want(self, wanted: Mapping[str, Member]) -> None:
-        """Say with whom a link is wanted; others may still dial us."""
+        """Say with whom a link is wanted; others may still dial us.
+
+        For each of them that is not linked yet, a link that is not wanted
+        any more stays.
+        """
         self._wanted = dict(wanted)
         for name in set(self._redials) - set(wanted):
             del self._redials[name]
-        for name, peer in list(self.links.items()):
-            if name not in wanted and peer.link in self._dialled:
-                peer.link.close('no longer wanted')
+        self._close_surplus()
 
     def expected(self) -> set[str]:
         """Give who is linked or is yet to be, as far as one can tell."""
@@ -151,7 +153,8 @@
         redial.not_before = now + wait * (0.5 + 0.5 * self._rng.random())
 
     def tick(self, now: float) -> None:
-        """Dial who is wanted and not there."""
+        """Dial who is wanted and not there, close what they replace."""
+        self._close_surplus()
         for name, member in self._wanted.items():
             redial = self._redials.setdefault(name, _Redial())
             if name in self.links or redial.dialling:
@@ -165,6 +168,18 @@
         for peer in list(self.links.values()):
             peer.link.close('agent ends')
 
+    def _close_surplus(self) -> None:
+        surplus = [
+            peer.link
+            for name, peer in self.links.items()
+            if name not in self._wanted
+            and peer.link in self._dialled
+            and not peer.link.closed_reason
+        ]
+        missing = self._wanted.keys() - self.links.keys()
+        for link in surplus[len(missing) :]:
+            link.close('no longer wanted')
+
     def _dial(self, member: Member) -> None:
         hello = self._hello()
         try:
--- /dev/null
+++ b/packages/burdockchute/tests/test_peers.py
@@ -0,0 +1,88 @@
+"""Links to the agents that a process wants to have."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+import unittest
+
+import gevent
+from gevent import queue
+
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.nodes import links
+from burdockchute.nodes.peers import Dialled
+from burdockchute.nodes.peers import Peers
+from burdockchute.wire import messages
+
+PLACE = Place('z', 'r', '')
+WITHIN_S = 5.0
+
+
+def hello(name: str) -> messages.Hello:
+    return messages.Hello(name, 'agent', 'z', 'r', name, -1, links.PROTOCOL)
+
+
+class PeersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.inbox: queue.Queue = queue.Queue()
+        own = Member('own', 'agent', '127.0.0.1', 0, PLACE)
+        self.peers = Peers(
+            own, lambda: hello('own'), self.inbox, random.Random(1)
+        )
+        self.addCleanup(self.peers.close_all)
+
+    def serve(self, name: str) -> Member:
+        listening = links.listen(
+            '127.0.0.1', 0, lambda: hello(name), queue.Queue(), lambda: -1
+        )
+        self.addCleanup(listening.stop, 0)
+        return Member(name, 'agent', '127.0.0.1', listening.server_port, PLACE)
+
+    def want(self, *members: Member) -> None:
+        self.peers.want({member.name: member for member in members})
+
+    def run_for(self, seconds: float) -> None:
+        """Dial what is due and take what comes of it."""
+        with gevent.Timeout(seconds, False):
+            while True:
+                self.peers.tick(self.now)
+                self.take(self.inbox.get())
+
+    def take(self, event: Any) -> None:
+        match event:
+            case Dialled():
+                self.peers.dialled(event, self.now)
+            case links.Opened(link=link):
+                self.peers.opened(link)
+            case links.Closed(link=link):
+                self.peers.closed(link)
+
+    def test_link_stays_until_the_one_in_its_place_has_opened(self):
+        """A list names other engines, which do not answer yet.
+
+        All links were closed at once, with the chunks on their way, and a
+        copy stood still until the others could be reached.
+        """
+        first = self.serve('a')
+        self.want(first)
+        self.run_for(0.2)
+        second = self.serve('b')
+        self.want(second._replace(port=1))
+        self.run_for(0.2)
+        self.assertEqual({'a'}, set(self.peers.links))
+        self.want(second)
+        self.peers.dial_again()
+        self.run_for(0.2)
+        self.assertEqual({'b'}, set(self.peers.links))
+
+    def test_links_of_nobody_wanted_close(self):
+        """A row is gone, and nothing takes the place of its peers."""
+        self.want(self.serve('a'), self.serve('b'))
+        self.run_for(0.2)
+        self.assertEqual({'a', 'b'}, set(self.peers.links))
+        self.want()
+        self.run_for(0.2)
+        self.assertEqual(set(), set(self.peers.links))
