An entry of the own protocol leaves after its last answer is written

What callers saw: as on machines of the platform, a long answer to a caller who reads slowly ended in the middle when its entry was replaced.

Cause: an entry that leaves waits for requests without an outcome. What was still written to callers then had a second.

Change: answers are counted until they are written, and the entry waits for them as long as it drains. The body that tells of its end is shared with the other kind of entry.

--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -127,8 +127,9 @@
             self.links_task.inbox,
             self.table_offset,
         )
+        answers = server.CountedApp(self._callers_app())
         callers = server.make_server(
-            self.cfg.address, self.cfg.http_port, self._callers_app()
+            self.cfg.address, self.cfg.http_port, answers
         )
         callers.start()
         admin = http_admin.serve(
@@ -142,7 +143,7 @@
         )
         if not self.lifetime.run_until_stopped(self._loops()):
             return tasks.EXIT_TASK_FAILED
-        return self._leave(callers)
+        return self._leave(callers, answers)
 
     def status(self) -> dict[str, Any]:
         """Give what this process holds and does."""
@@ -225,7 +226,7 @@
             return http_admin.Probe(False, 'leaving')
         return http_admin.Probe(True, '')
 
-    def _leave(self, callers: Any) -> int:
+    def _leave(self, callers: Any, answers: server.CountedApp) -> int:
         # Requests that were accepted are finished; new connections are still
         # taken for a moment and told that nothing was run.
         logs.event('leaving', in_flight=self.router.open_requests())
@@ -243,6 +244,8 @@
             if time.monotonic() > settle_until:
                 break
             gevent.sleep(0.02)
+        while answers.open and time.monotonic() < until:
+            gevent.sleep(0.02)
         callers.stop(timeout=LEAVING_S)
         logs.event('stopped', left=left)
         return 1 if left else 0
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -14,6 +14,7 @@
 from burdockchute import logs
 from burdockchute.callers import http
 from burdockchute.callers.parse import Rejection
+from burdockchute.callers.server import Body
 from burdockchute.callers.server import HEADERS_KEY
 from burdockchute.callers.server import SOCKET_KEY
 from burdockchute.callers.server import status_line
@@ -268,27 +269,6 @@
         )
 
 
-class _Body:
-    """The body of an answer; the server closes it when it is written."""
-
-    def __init__(
-        self, parts: Iterable[bytes], written: Callable[[], None]
-    ) -> None:
-        self._parts = parts
-        self._written = written
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._parts)
-
-    def close(self) -> None:
-        try:
-            close = getattr(self._parts, 'close', None)
-            if close is not None:
-                close()
-        finally:
-            self._written()
-
-
 class _Answering:
     """The answer to one admitted request."""
 
@@ -308,7 +288,7 @@
     def run(self) -> Iterable[bytes]:
         self._app.open_requests += 1
         try:
-            return _Body(self._begin(), self._written)
+            return Body(self._begin(), self._written)
         except BaseException:
             self._written()
             raise
--- a/packages/burdockchute-testing/tests/test_failures.py
+++ b/packages/burdockchute-testing/tests/test_failures.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import random
+import socket
 import unittest
 
+import blake3
 import gevent
 
 from burdockchute_testing import calls
 from burdockchute_testing import harness
 from burdockchute_testing.calls import Call
+from burdockchute_testing.site import BEARER
 from burdockchute_testing.site import finish
 from burdockchute_testing.site import Site
 
@@ -17,6 +20,8 @@
 # Callers begin within this time, and the fault comes in the midst of them.
 SPREAD_S = 1.2
 FAULT_AFTER_S = 0.5
+# More than the buffers of a connection take.
+ECHO_BYTES = 7_000_000
 
 
 class FailureCase(unittest.TestCase):
@@ -172,6 +177,49 @@
         )
 
 
+class LongAnswerTest(unittest.TestCase):
+    def test_a_leaving_entry_writes_its_last_answer_to_the_end(self):
+        """A caller reads a long answer slowly while its entry leaves.
+
+        The entry waited a second for it, with most of its time to drain left,
+        and its end cut the answer off.
+        """
+        system = harness.System()
+        self.addCleanup(system.close)
+        system.add_platform()
+        url = system.add_entry('e1', max_body_bytes=2 * ECHO_BYTES)
+        system.add_service('s1', 'proofs')
+        system.add_agent('as1', 's1', services='proofs')
+        digest = blake3.blake3(BEARER.encode()).hexdigest()
+        system.set_row('customer', 'lindwurm', key_digests=digest)
+        system.set_row('service', 'proofs', idempotent='true')
+        ask = calls.service('x' * ECHO_BYTES, 'proofs')
+        harness.wait_until(
+            lambda: calls.send(url, BEARER, ask).outcome == calls.ANSWERED,
+            'proofs are served',
+        )
+        headers = calls.headers_of(ask, BEARER)
+        lines = [f'{name}: {value}' for name, value in headers.items()]
+        lines.append(f'Content-Length: {ECHO_BYTES}')
+        head = '\r\n'.join(['POST /v1/services/proofs/work HTTP/1.0', *lines])
+        caller = socket.create_connection(
+            (harness.ADDRESS, system['e1'].ports['http_port'])
+        )
+        self.addCleanup(caller.close)
+        caller.sendall(f'{head}\r\n\r\n{ask.text}'.encode())
+        harness.wait_until(
+            lambda: system['e1'].log().count('event=request_finished') > 1,
+            'the answer is known',
+        )
+        system['e1'].terminate()
+        gevent.sleep(4.0)
+        received = b''
+        while data := caller.recv(65536):
+            received += data
+        self.assertGreater(len(received), ECHO_BYTES)
+        self.assertEqual(0, system['e1'].wait())
+
+
 class SilentConnectionTest(FailureCase):
     def test_links_go_silent_under_traffic(self):
         # Something between entries and an instance forgets their
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 from http import client
 import logging
 import socket as sockets
@@ -64,6 +66,50 @@
     return sock is not None and hung_up(sock)
 
 
+class Body:
+    """The body of an answer; the server closes it when it is written."""
+
+    def __init__(
+        self, parts: Iterable[bytes], written: Callable[[], None]
+    ) -> None:
+        self._parts = parts
+        self._written = written
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._parts)
+
+    def close(self) -> None:
+        """Close the parts and tell that nothing more is written."""
+        try:
+            close = getattr(self._parts, 'close', None)
+            if close is not None:
+                close()
+        finally:
+            self._written()
+
+
+class CountedApp:
+    """A WSGI application; `open` counts answers that aren't written whole."""
+
+    def __init__(self, app: Callable[..., Iterable[bytes]]) -> None:
+        self.open = 0
+        self._app = app
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Body:
+        """Answer one request."""
+        self.open += 1
+        try:
+            return Body(self._app(environ, start_response), self._written)
+        except BaseException:
+            self._written()
+            raise
+
+    def _written(self) -> None:
+        self.open -= 1
+
+
 class _Handler(pywsgi.WSGIHandler):
     wsgi_input: Any
 
