--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -14,6 +14,7 @@
 from burdockchute import logs
 from burdockchute.callers import http
 from burdockchute.callers.parse import Rejection
+from burdockchute.callers.server import Body
 from burdockchute.callers.server import HEADERS_KEY
 from burdockchute.callers.server import SOCKET_KEY
 from burdockchute.callers.server import status_line
@@ -108,7 +109,10 @@
 
 
 class CallersApp:
-    """The WSGI application; `open_requests` counts those under way."""
+    """The WSGI application.
+
+    `open_requests` counts those under way, up to the last byte written.
+    """
 
     def __init__(
         self,
@@ -283,6 +287,16 @@
 
     def run(self) -> Iterable[bytes]:
         self._app.open_requests += 1
+        try:
+            return Body(self._begin(), self._written)
+        except BaseException:
+            self._written()
+            raise
+
+    def _written(self) -> None:
+        self._app.open_requests -= 1
+
+    def _begin(self) -> Iterable[bytes]:
         try:
             self._watch.start()
             reply = self._exchange.answer()
@@ -334,7 +348,6 @@
 
     def _end(self, status: int, why: str) -> None:
         self._watch.stop()
-        self._app.open_requests -= 1
         self._app.finished(self._admitted, self._exchange, status, why)
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -37,19 +37,26 @@
 class Lane(Pool):
     """The requests that wait for one service.
 
-    Those in `queue` can still be on time; those in `late` come after them.
+    Streams that have begun wait in `resumed` and come first, then those in
+    `queue`, which can still be on time, then those in `late`.
     """
 
     def __init__(self, service: str) -> None:
         super().__init__(f'service/{service}')
         self.queue.max_waiting = MAX_WAITING
+        self.resumed = WaitingQueue(MAX_WAITING)
         self.late = WaitingQueue(MAX_WAITING)
         self._late_served: deque[float] = deque()
 
     @property
     def is_empty(self) -> bool:
         """Whether nobody waits."""
-        return not len(self.queue) and not len(self.late)
+        return not any(map(len, self.queues))
+
+    @property
+    def queues(self) -> tuple[WaitingQueue, WaitingQueue, WaitingQueue]:
+        """The queues, in the order in which they get places."""
+        return self.resumed, self.queue, self.late
 
     def note_late_served(self, now: float) -> None:
         """Note that one of the late got a place."""
@@ -74,8 +81,9 @@
 class Placing:
     """One request that wants a place.
 
-    `avoided` are targets that failed it; `is_late` while it waits behind the
-    fresh ones, `resuming` once its caller has a part of its answer.
+    `avoided` are targets that failed it, `rejected` when others had no room
+    for it; `is_late` while it waits behind the fresh ones, `resuming` once
+    its caller has a part of its answer.
     """
 
     def __init__(self, ctx: RequestContext, work: Work, wish: Wish) -> None:
@@ -83,6 +91,7 @@
         self.work = work
         self.wish = wish
         self.avoided: set[str] = set()
+        self.rejected: dict[str, float] = {}
         self.is_late = False
         self.resuming = False
         self.place: events.AsyncResult = events.AsyncResult()
@@ -90,3 +99,8 @@
     def avoids(self, target: Target) -> bool:
         """Tell whether it has failed there already."""
         return target.id in self.avoided
+
+    def was_rejected(self, target: Target, now: float) -> bool:
+        """Tell whether it was rejected there a moment ago."""
+        rejected_at = self.rejected.get(target.id, float('-inf'))
+        return now - rejected_at < patience.REJECTED_S
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 from typing import TypeVar
 
+import gevent
+
 from burdockchute import logs
 from burdockchute.adapters import Adapter
 from burdockchute.decisions import admission
@@ -23,6 +25,7 @@
 from burdockchute.model.routes import Kind
 from burdockchute.model.routes import Route
 from burdockchute.upstreams.connections import Broken
+from burdockchute.upstreams.connections import Connection
 from burdockchute.upstreams.connections import HeaderList
 from burdockchute.upstreams.connections import NotConnected
 from burdockchute.upstreams.connections import Waiting
@@ -93,7 +96,7 @@
         work = Work(admission.cost_of(ctx), False, ctx.prompt_tokens, ())
         self.placing = Placing(ctx, work, wish)
         self._tools = tools
-        self._begun: object = None
+        self._begun: set[Connection] = set()
 
     # Places.
 
@@ -117,25 +120,40 @@
             )
         return place
 
-    def may_go_on(self, attempt: Elsewhere | Lost | Failed) -> bool:
-        """Tell whether another attempt may follow; takes it of the budget."""
+    def may_go_on(
+        self, attempt: Elsewhere | Lost | Failed, wait_s: float = 0.0
+    ) -> bool:
+        """Tell whether another attempt may follow; takes it of the budget.
+
+        Waits for the next retry if that comes within `wait_s`.
+        """
         if self.sends >= retries.MAX_PLACEMENTS:
             return False
         if isinstance(attempt, Elsewhere):
-            return not attempt.arrived or self._take_retry()
+            return not attempt.arrived or self._take_retry(wait_s)
         if isinstance(attempt, Failed) and self.route.kind is Kind.STREAM:
             return False
         again = self.route.may_repeat and self.runs < self.route.max_attempts
-        return again and self._take_retry()
+        return again and self._take_retry(wait_s)
 
-    def _take_retry(self) -> bool:
-        return self._tools.placer.retries.take(
-            self.placing.wish.service, self._tools.now()
+    def _take_retry(self, wait_s: float) -> bool:
+        budgets, service = (
+            self._tools.placer.retries,
+            self.placing.wish.service,
         )
+        until = self._tools.now() + wait_s
+        while True:
+            now = self._tools.now()
+            if budgets.take(service, now, self.placing.resuming):
+                return True
+            next_s = budgets.next_in_s(service, now, self.placing.resuming)
+            if now + next_s > until:
+                return False
+            gevent.sleep(next_s)
 
-    # Handing on.
+    # Dispatch.
 
-    def hand_on(self, place: Place) -> Sent | Elsewhere:
+    def dispatch(self, place: Place) -> Sent | Elsewhere:
         """Connect to the upstream of a place and send the request there.
 
         Raises Broken if it could not be sent whole; the place is free then.
@@ -196,15 +214,23 @@
         read = self._patiently(sent, sent.conn.head)
         return self._tools.adapter.decode_answer(*read) if read else None
 
-    def part(self, sent: Sent) -> bytes | None:
-        """Wait for more of the body; gives nothing at its end."""
-        return self._patiently(sent, sent.conn.body)
+    def part(
+        self, sent: Sent, until: Callable[[], bool] | None = None
+    ) -> bytes | None:
+        """Wait for more of the body; gives nothing at its end.
 
-    def body(self, sent: Sent) -> bytes | None:
-        """Wait for the whole body."""
+        Raises Waiting as well, once `until` is so and nothing came.
+        """
+        return self._patiently(sent, sent.conn.body, until)
+
+    def body(
+        self, sent: Sent, read: Callable[[], bytes | None] | None = None
+    ) -> bytes | None:
+        """Wait for the whole body; `read` gives a part in place of `part`."""
+        read = read or (lambda: self.part(sent))
         parts: list[bytes] = []
         size = 0
-        while data := self.part(sent):
+        while data := read():
             size += len(data)
             if size > MAX_ANSWER_BYTES:
                 raise Broken(f'an answer over {MAX_ANSWER_BYTES} bytes', False)
@@ -213,10 +239,15 @@
 
     def note_begun(self, sent: Sent) -> None:
         """Note that the answer has begun: the prompt was read there."""
-        self._begun = sent.conn
+        self._begun.add(sent.conn)
         self._tools.placer.began(self.placing, sent.place)
 
-    def _patiently(self, sent: Sent, read: Callable[[], Read]) -> Read | None:
+    def _patiently(
+        self,
+        sent: Sent,
+        read: Callable[[], Read],
+        until: Callable[[], bool] | None = None,
+    ) -> Read | None:
         target = sent.place.target
         while True:
             try:
@@ -226,6 +257,8 @@
                 if now > self.ctx.deadline + LAST_ANSWER_S:
                     return None
                 self._check_begun(sent, now)
+                if until is not None and until():
+                    raise
                 silent = health.is_silent(target.heard_at, sent.at, now)
                 if silent and self.route.may_repeat:
                     raise Silent('the upstream is silent', False) from None
@@ -233,11 +266,21 @@
             target.heard_at = self._tools.now()
             return result
 
+    def release(self, place: Place) -> None:
+        """Give back a place on which nothing was sent."""
+        self._tools.placer.release(self.placing, place)
+
+    def note_silent(self, sent: Sent) -> None:
+        """Note that an upstream has fallen silent; it keeps the request."""
+        target = sent.place.target
+        self.placing.avoided.add(target.id)
+        target.failed(self._tools.now())
+
     def _check_begun(self, sent: Sent, now: float) -> None:
         # What still waits in its engine would begin on weights that may
         # begin nothing any more; nobody would notice but the reader of a
         # page of last week's weights.
-        if sent.conn is self._begun:
+        if sent.conn in self._begun:
             return
         if versions.must_stop(sent.begin_by, sent.at, now):
             raise Overtaken('its weights are replaced', False)
@@ -277,7 +320,10 @@
             target.versions = {}
             target.failed(self._tools.now())
         self._tools.placer.failed(self.placing, sent.place, self._took(sent))
-        self.placing.avoided.add(target.id)
+        if self.placing.resuming and head.status != MISDIRECTED:
+            self.placing.rejected[target.id] = self._tools.now()
+        else:
+            self.placing.avoided.add(target.id)
         return Elsewhere(f'refused with status {head.status}', True)
 
     def _finish_refusal(self, sent: Sent, head: AnswerHead) -> None:
--- a/packages/burdockchute-entry/tests/test_links_subset.py
+++ b/packages/burdockchute-entry/tests/test_links_subset.py
@@ -9,8 +9,10 @@
 
 import gevent
 from gevent import queue
+from gevent import server
 from returns.result import Success
 
+from burdockchute.decisions import membership
 from burdockchute.decisions import subset
 from burdockchute.model import deltas
 from burdockchute.model.members import Member
@@ -108,6 +110,26 @@
         self.list.members = [own, *self.agents]
         self.wait_for(lambda: self.linked() == names)
 
+    def test_links_stay_while_the_chosen_agents_can_not_be_reached(self):
+        """The choice moves to agents of a zone that has just failed.
+
+        The list still names them. The links to agents that answer were
+        closed, and the entry had nobody left to run a request.
+        """
+        own = Member('e0', 'entry', '127.0.0.1', 1, PLACE)
+        others = [own._replace(name=f'e{number}') for number in range(1, 10)]
+        wanted = self.chosen([own, *others, *self.agents])
+        alive = [a for a in self.agents if a.name not in wanted]
+        self.list.members = [own, *alive]
+        self.wait_for(lambda: len(self.linked()) == len(alive))
+        dead = [a._replace(port=1) for a in self.agents if a.name in wanted]
+        self.list.members = [own, *others, *alive, *dead]
+        self.wait_for(lambda: len(self.task.members) == 1 + 9 + AGENTS)
+        gevent.sleep(3 * membership.LEAST_INTERVAL_S)
+        self.assertEqual(len(wanted), len(self.linked()))
+        self.list.members = [own, *others, *self.agents]
+        self.wait_for(lambda: self.linked() == wanted)
+
     def chosen(self, members: list[Member]) -> set[str]:
         choice = subset.Subset('e0')
         choice.set_members(members)
@@ -115,6 +137,73 @@
         return choice.wanted(TABLE)
 
 
+class OverlappingDialsTest(unittest.TestCase):
+    def test_a_second_link_to_an_agent_does_not_end_the_first(self):
+        """An agent takes longer to greet than a dial is waited for.
+
+        The entry dialled again, and closed the first link with the requests
+        on it when the second one opened.
+        """
+        opened: list[links.Link] = []
+        slow = SlowGreeter()
+        self.addCleanup(slow.stop)
+        agents = FakeList()
+        agents.members = [Member('a0', 'agent', '127.0.0.1', slow.port, PLACE)]
+        task = links_task.LinksTask(
+            'e0',
+            lambda: hello('e0', 'entry'),
+            agents,
+            links_task.TableSource(
+                lambda: TABLE.offset,
+                lambda offset: deltas.whole(TABLE),
+                lambda offset: None,
+            ),
+            links_task.Handing(
+                lambda event: (
+                    opened.append(event.link)
+                    if isinstance(event, links.Opened)
+                    else None
+                ),
+                {},
+                lambda name: True,
+            ),
+            random.Random(1),
+        )
+        running = gevent.spawn(task.run)
+        self.addCleanup(running.kill)
+        with gevent.Timeout(WITHIN_S):
+            while slow.greeted < 2:
+                gevent.sleep(0.01)
+        gevent.sleep(0.2)
+        self.assertEqual('', opened[0].closed_reason)
+        self.assertEqual([opened[0]], task.agent_links())
+
+
+class SlowGreeter:
+    """An agent that greets in two parts, each of them within the bound."""
+
+    def __init__(self) -> None:
+        self.greeted = 0
+        self._server = server.StreamServer(('127.0.0.1', 0), self._greet)
+        self._server.start()
+
+    @property
+    def port(self) -> int:
+        return self._server.server_port
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+    def _greet(self, sock: Any, _address: Any) -> None:
+        frame = links.frame_of(hello('a0', 'agent'))
+        for part in (frame[:2], frame[2:]):
+            gevent.sleep(0.8 * links.DIAL_TIMEOUT_S)
+            sock.sendall(part)
+        self.greeted += 1
+        while sock.recv(4096):
+            pass
+
+
 class SubsetTaskTest(unittest.TestCase):
     def test_choice_is_published_when_it_changes(self):
         published: list[frozenset[str]] = []
--- a/packages/burdockchute/burdockchute/decisions/retries.py
+++ b/packages/burdockchute/burdockchute/decisions/retries.py
@@ -14,6 +14,10 @@
 TRICKLE_S, or its balance would never come back. A request that an agent
 certainly did not run has cost no upstream anything and draws on no budget;
 MAX_PLACEMENTS ends its way through a pool in which nobody will have it.
+
+KEPT_SHARE of the burst, at least one, is kept for streams that have begun: a
+crash breaks off streams and fails new requests in the same moment, and the
+first of them to ask would take all.
 """
 
 from __future__ import annotations
@@ -24,6 +28,8 @@
 MIN_BURST = 4.0
 TRICKLE_S = 10.0
 
+KEPT_SHARE = 0.25
+
 MAX_ATTEMPTS = 3
 MAX_PLACEMENTS = 8
 
@@ -79,19 +85,49 @@
 
 
 def spend(
-    budget: Budget, now: float, terms: Terms = DEFAULT_TERMS
+    budget: Budget,
+    now: float,
+    terms: Terms = DEFAULT_TERMS,
+    kept: float = 0.0,
 ) -> tuple[Budget, bool]:
-    """Take one retry out of the budget, if it has one.
+    """Take one retry out of the budget, if it has one beyond what is kept.
 
     >>> spend(Budget(1.0, 0.0), 0.0)
     (Budget(balance=0.0, at=0.0), True)
+    >>> spend(Budget(1.5, 0.0), 0.0, kept=1.0)
+    (Budget(balance=1.5, at=0.0), False)
     """
     filled = _fill(budget, now, terms)
-    if filled.balance < 1.0:
+    if filled.balance < 1.0 + kept:
         return filled, False
     return Budget(filled.balance - 1.0, now), True
 
 
+def kept_for_begun(terms: Terms) -> float:
+    """Give the retries that are kept for streams that have begun.
+
+    It is at least one, as less is of no use; new requests keep one as well.
+
+    >>> kept_for_begun(Terms(burst=6.0)), kept_for_begun(Terms(burst=2.5))
+    (1.5, 1.0)
+    >>> kept_for_begun(Terms(burst=1.0))
+    0.0
+    """
+    return min(max(1.0, KEPT_SHARE * terms.burst), terms.burst - 1.0)
+
+
+def next_in_s(
+    budget: Budget, now: float, terms: Terms, kept: float = 0.0
+) -> float:
+    """Give when time alone brings a retry beyond what is kept.
+
+    >>> next_in_s(Budget(0.5, 0.0), 0.0, Terms(trickle_s=2.0))
+    1.0
+    """
+    missing = 1.0 + kept - _fill(budget, now, terms).balance
+    return max(0.0, missing) * terms.trickle_s
+
+
 def _fill(budget: Budget, now: float, terms: Terms) -> Budget:
     earned = max(0.0, now - budget.at) / terms.trickle_s
     return Budget(min(terms.burst, budget.balance + earned), now)
