The rest of one stream is rejected three times at most

A stream whose rest is rejected asked again up to eight times, each time with a retry of its entry, which other streams need as well. A move keeps to the route's most attempts, too.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -97,6 +97,8 @@
         self.placing = Placing(ctx, work, wish)
         self._tools = tools
         self._begun: set[Connection] = set()
+        # Of the rest of a stream that has begun.
+        self._rejections = 0
 
     # Places.
 
@@ -129,6 +131,8 @@
         """
         if self.sends >= retries.MAX_PLACEMENTS:
             return False
+        if self._rejections >= retries.MAX_REJECTIONS:
+            return False
         if isinstance(attempt, Elsewhere):
             return not attempt.arrived or self._take_retry(wait_s)
         if isinstance(attempt, Failed) and self.route.kind is Kind.STREAM:
@@ -321,6 +325,7 @@
             target.failed(self._tools.now())
         self._tools.placer.failed(self.placing, sent.place, self._took(sent))
         if self.placing.resuming and head.status != MISDIRECTED:
+            self._rejections += 1
             self.placing.rejected[target.id] = self._tools.now()
         else:
             self.placing.avoided.add(target.id)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -229,6 +229,8 @@
             return
         gap_s = sender.route.gap_s
         rest_s = self._rest_s(now)
+        if sender.runs >= sender.route.max_attempts:
+            return
         if not moving.should_move(closed_s, rest_s, gap_s, sender.runs):
             return
         self._pin()
--- a/packages/burdockchute/burdockchute/decisions/retries.py
+++ b/packages/burdockchute/burdockchute/decisions/retries.py
@@ -33,6 +33,10 @@
 MAX_ATTEMPTS = 3
 MAX_PLACEMENTS = 8
 
+# How often the rest of a stream may be rejected. Each time takes a retry, and
+# one stream must not use up those of all.
+MAX_REJECTIONS = 3
+
 
 class Terms(NamedTuple):
     """How retries are earned: by first attempts, and by time alone."""
