A kept connection goes by the Keep-Alive of its own server

A stream that had gone on elsewhere kept the connection of its second server for as long as the first one had said. Where that is longer, a request crosses the close. Found by the review; no caller is known to have been hurt.

test_kept_connection_is_given_up_when_its_own_server_says failed before and passes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
@@ -39,8 +39,9 @@
 class Run:
     """One upstream's run of a stream."""
 
-    def __init__(self, sender: Sender, sent: Sent) -> None:
+    def __init__(self, sender: Sender, sent: Sent, head: AnswerHead) -> None:
         self.sent = sent
+        self.head = head
         self._sender = sender
         self._cutter = EventCutter()
 
@@ -165,8 +166,7 @@
                 refused = self._sender.refused(sent, head)
                 self._interrupted(target, 'refused', refused.reason)
                 return refused
-            self._check(head)
-            run = Run(self._sender, sent)
+            run = Run(self._sender, sent, self._checked(head))
             begun = run.next()
             if begun is None:
                 raise Broken('no event in time', False)
@@ -178,7 +178,7 @@
             self._sender.abandon(sent)
             raise
 
-    def _check(self, head: AnswerHead | None) -> None:
+    def _checked(self, head: AnswerHead | None) -> AnswerHead:
         if head is None:
             raise Broken('no answer in time', False)
         if head.status != OK or not head.is_stream or not head.sealed:
@@ -186,6 +186,7 @@
         if None not in (head.version, self._head.version):
             if head.version != self._head.version:
                 raise Broken(f'the rest is of version {head.version}', False)
+        return head
 
 
 def cause_of(exc: Broken) -> str:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -56,7 +56,7 @@
         self.interruptions: list[str] = []
         self._tools = tools
         self._sender = sender
-        self._run: Run | None = Run(sender, sent)
+        self._run: Run | None = Run(sender, sent, head)
         self._handover: Handover | None = None
         self._may_move = True
         # When the rest was last sought since this run was heard.
@@ -88,9 +88,11 @@
                     self._note_gap()
                 yield from self._joined(events)
             self._cancel_handover()
-            if self._run is not None and self._run.torn:
+            assert self._run is not None
+            if self._run.torn:
                 yield self._run.torn
-            self._sender.settle(self._ended(), self.head)
+            head = self._run.head
+            self._sender.settle(self._ended(), head)
         finally:
             self._cancel_handover()
             if self._run is not None:
