--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -43,7 +43,7 @@
 Read = TypeVar('Read')
 
 
-class _ReplacedError(Exception):
+class _Replaced(Exception):
     """Another upstream has answered in place of one that was silent."""
 
     def __init__(self, attempt: Answered) -> None:
@@ -121,7 +121,7 @@
         try:
             self.sender.send(sent)
             return self._read(sent)
-        except _ReplacedError as exc:
+        except _Replaced as exc:
             self.sender.broke(sent, Silent(str(exc), False))
             return exc.attempt
         except Broken as exc:
@@ -182,7 +182,7 @@
     def _ask_another(self, sent: Sent) -> None:
         """Ask other upstreams for the answer; returns if none gives it.
 
-        Raises _ReplacedError if one does, and Silent if an upstream that was
+        Raises _Replaced if one does, and Silent if an upstream that was
         asked before has begun to answer.
         """
         sender, target = self.sender, sent.place.target
@@ -202,7 +202,7 @@
             self._log_retry(sent.place, silent)
             attempt = self._attempt(place)
             if isinstance(attempt, Answered):
-                raise _ReplacedError(attempt)
+                raise _Replaced(attempt)
             if not sent.conn.is_quiet():
                 break
         sender.upstream = target.id
