--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -218,3 +218,50 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class RestTest(unittest.TestCase):
+    """The rest of a stream beside new requests, at one upstream."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.placer = Placer(BOUNDS, lambda: self.now, random.Random(1))
+        only = upstreams()[0]._replace(slots=1)
+        known = UpstreamList({only.id: Known(only, 0)}, {})
+        self.placer.learn(Beliefs(upstreams=known))
+        self.target = self.placer.targets()[0]
+
+    def wait(self, number, resuming):
+        item = placing(number)
+        item.resuming = resuming
+        waiting = gevent.spawn(self.placer.place, item, 6.0)
+        self.addCleanup(waiting.kill)
+        gevent.sleep(0)
+        return waiting
+
+    def test_a_rest_gets_the_first_place(self):
+        """A new request waits for the only place, and then a stream's rest.
+
+        A caller who had a part of its answer waited behind one who had none.
+        """
+        self.target.load.reserved_for = 'somebody else'
+        new = self.wait(1, resuming=False)
+        rest = self.wait(2, resuming=True)
+        self.target.load.reserved_for = ''
+        self.placer.fill_all()
+        gevent.sleep(0)
+        self.assertIsInstance(rest.value, Place)
+        self.assertFalse(new.ready())
+
+    def test_a_rest_waits_for_an_upstream_that_is_left_alone(self):
+        """The only upstream reset a connection a moment ago.
+
+        A caller who had a part of its answer was told that nobody is there.
+        """
+        self.target.failed(self.now)
+        rest = self.wait(1, resuming=True)
+        self.assertFalse(rest.ready())
+        self.now += 1.0
+        self.placer.fill_all()
+        gevent.sleep(0)
+        self.assertIsInstance(rest.value, Place)
