Silence takes no retry where nobody else holds the weights

The only engine that held a stream's weights was counted as one to ask when it was silent; a retry was taken and nothing sent.

test_silence_takes_no_retry_where_nobody_else_has_the_weights failed before and passes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -175,13 +175,13 @@
             return
         self._sought_at = now
         self._pin()
+        assert self._run is not None
+        self._sender.note_silent(self._run.sent)
         if not self._tools.placer.may_host(self._sender.placing):
             return
         if not self._sender.may_go_on(Lost(str(exc))):
             return
-        assert self._run is not None
         self._note_interruption(self._run.upstream, 'silent', str(exc))
-        self._sender.note_silent(self._run.sent)
         self._hand_over(None)
 
     def _seek_instead(self, exc: Broken) -> None:
