--- a/packages/burdockchute/burdockchute/decisions/retries.py
+++ b/packages/burdockchute/burdockchute/decisions/retries.py
@@ -15,9 +15,9 @@
 certainly did not run has cost no upstream anything and draws on no budget;
 MAX_PLACEMENTS ends its way through a pool in which nobody will have it.
 
-KEPT_SHARE of the burst, at least one, is kept for streams that have begun: a
-crash breaks off streams and fails new requests in the same moment, and the
-first of them to ask would take all.
+The last retry is kept for streams that have begun: a crash breaks off streams
+and fails new requests in the same moment, and the first of them to ask would
+take all.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 MIN_BURST = 4.0
 TRICKLE_S = 10.0
 
-KEPT_SHARE = 0.25
+KEPT = 1.0
 
 MAX_ATTEMPTS = 3
 MAX_PLACEMENTS = 8
@@ -110,14 +110,12 @@
 def kept_for_begun(terms: Terms) -> float:
     """Give the retries that are kept for streams that have begun.
 
-    It is at least one, as less is of no use; new requests keep one as well.
+    New requests have one as well.
 
-    >>> kept_for_begun(Terms(burst=6.0)), kept_for_begun(Terms(burst=2.5))
-    (1.5, 1.0)
-    >>> kept_for_begun(Terms(burst=1.0))
-    0.0
+    >>> kept_for_begun(Terms(burst=6.0)), kept_for_begun(Terms(burst=1.5))
+    (1.0, 0.5)
     """
-    return min(max(1.0, KEPT_SHARE * terms.burst), terms.burst - 1.0)
+    return min(KEPT, terms.burst - 1.0)
 
 
 def next_in_s(
