Requests no longer pile up before an engine whose link is narrowed

Cause, from logs of all processes: 0.7 s after a version is named, the links of four engines are narrowed while chunks are under way to them. The chunks stand before the links, and requests behind them for 1.8 s; the callers' leaving takes as long. Nothing told the entries: what an engine sends is not held up, so its streams go on and its reports come on time, and they show it as idle, so it got the most. Each of 14 entries found out for itself, a second late and by requests lost there; then each tried again by one request at a time.

Ruled out: that attempts start after their caller has left. The late arrivals had all been sent before, most of them a second or more.

Change: a request that has not begun after twice the usual time has the link to the agent beside the engine probed. An agent that goes on reporting and has not returned the probe after 0.3 s stands behind a slow link. Its engine gets nothing new until a probe is back in time, and agents hand that on to the other entries, which have no links to each other. An entry for which more than a quarter of the links look slow takes itself to be the cause; news of more than a quarter is not believed.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -151,7 +151,11 @@
             elif isinstance(event, links.Closed):
                 self.reports.closed(event.link)
                 self._informants.closed(event.link, time.monotonic())
-            elif isinstance(event.message, messages.CrashNews):
+            elif isinstance(event.message, messages.LinkProbe):
+                self.reports.give_back(event.link, event.message)
+            elif isinstance(
+                event.message, messages.CrashNews | messages.LinkNews
+            ):
                 self.reports.hand_on(event.link, event.message)
             elif isinstance(event.message, messages.WishesNews):
                 self._hear(event.link, event.message, time.monotonic())
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -67,8 +67,14 @@
         """Forget a link."""
         self.entries.pop(link, None)
 
-    def hand_on(self, link: links.Link, news: messages.CrashNews) -> None:
-        """Tell all other entries what one has said of a crash."""
+    def give_back(self, link: links.Link, probe: messages.LinkProbe) -> None:
+        """Return an entry's probe of its link."""
+        self._send_frame(link, links.frame_of(probe))
+
+    def hand_on(
+        self, link: links.Link, news: messages.CrashNews | messages.LinkNews
+    ) -> None:
+        """Tell all other entries what one has said."""
         frame = links.frame_of(news)
         for other in list(self.entries):
             if other is not link:
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -65,6 +65,23 @@
         self.assertNotIn(news, first.frames)
         self.assertEqual(news, second.frames[-1])
 
+    def test_news_of_a_slow_link_is_handed_on(self):
+        """Entries have no links to each other."""
+        first, second = FakeLink(), FakeLink()
+        self.task.opened(first)
+        self.task.opened(second)
+        news = messages.LinkNews('10.0.0.1:1', True)
+        self.task.hand_on(first, news)
+        self.assertNotIn(news, first.frames)
+        self.assertEqual(news, second.frames[-1])
+
+    def test_a_probe_is_returned_as_it_came(self):
+        """The entry knows it by its time."""
+        link = FakeLink()
+        probe = messages.LinkProbe(12345678901)
+        self.task.give_back(link, probe)
+        self.assertEqual([probe], link.frames)
+
     def test_a_new_link_hears_how_long_versions_are_known(self):
         self.named(2, None)
         self.named(3, 97.5)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -20,6 +20,11 @@
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.crashes import CrashLearned
 from burdockchute.model.crashes import CrashSeen
+from burdockchute.model.link_news import LinkEvent
+from burdockchute.model.link_news import LinkLost
+from burdockchute.model.link_news import LinkTold
+from burdockchute.model.link_news import ProbeReturned
+from burdockchute.model.link_news import ProbeWanted
 from burdockchute.model.members import Member
 from burdockchute.model.needs import Needs
 from burdockchute.nodes import links
@@ -34,7 +39,7 @@
 # How often lost links are looked at; a redial waits longer than this.
 TICK_S = 0.25
 
-# A crash is told to so many agents, each of which tells its other entries: one
+# News is told to so many agents, each of which tells its other entries: one
 # of them may be paused or gone.
 RELAYS = 3
 
@@ -83,6 +88,7 @@
         learned: Callable[[CrashLearned], None],
         in_contact: Callable[[], bool],
         rng: random.Random,
+        heard: Callable[[LinkEvent], None] = lambda event: None,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._link_port = link_port
@@ -90,6 +96,7 @@
         self._peers = Peers(own, hello, self.inbox, rng)
         self._learned = learned
         self._in_contact = in_contact
+        self._heard = heard
         self._rng = rng
         self._beliefs = Beliefs()
         self._services: dict[str, str] = {}
@@ -128,11 +135,22 @@
             case links.Closed(link=link, reason=reason):
                 if self._peers.closed(link) is not None:
                     self._told.pop(link.peer.name, None)
+                    self._heard(LinkLost(link.peer.name))
                     logs.warn(
                         'agent_lost', agent=link.peer.name, reason=reason
                     )
             case CrashSeen():
                 self._spread(messages.CrashNews(*message))
+            case ProbeWanted():
+                self._probe(message)
+            case LinkTold():
+                self._spread(messages.LinkNews(*message), message.agent)
+            case links.Received(link=link, message=messages.LinkProbe()):
+                sent_at = message.message.sent_us / 1e6
+                self._heard(ProbeReturned(link.peer.name, sent_at))
+            case links.Received(message=messages.LinkNews()):
+                news = message.message
+                self._heard(LinkTold(news.agent, news.is_slow))
             case links.Received(message=messages.CrashNews()):
                 self._learned(
                     CrashLearned(_crash_of(message.message), age_s=0.0)
@@ -141,8 +159,17 @@
                 if self._peers.of(link) is not None:
                     self._reported(link.peer.name, message.message)
 
-    def _spread(self, news: messages.CrashNews) -> None:
-        linked = list(self._peers.links.values())
+    def _probe(self, wanted: ProbeWanted) -> None:
+        peer = self._peers.links.get(wanted.agent)
+        if peer is not None:
+            peer.send(messages.LinkProbe(round(wanted.sent_at * 1e6)))
+
+    def _spread(
+        self, news: messages.CrashNews | messages.LinkNews, about: str = ''
+    ) -> None:
+        linked = [
+            peer for name, peer in self._peers.links.items() if name != about
+        ]
         for peer in self._rng.sample(linked, min(RELAYS, len(linked))):
             peer.send(news)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -78,7 +78,12 @@
         rng = random.Random()
         self.lifetime = Lifetime(cfg.identity(machine), 'entry', lambda: 0)
         self.placer = Placer(
-            machine.bounds, now, rng, machine.place.region, machine.regions
+            machine.bounds,
+            now,
+            rng,
+            machine.place.region,
+            machine.regions,
+            lambda message: self.agents.inbox.put(message),
         )
         wait_s = longest_wait_s(machine.bounds.contact_s)
         wishes_cadence = Cadence(wait_s, WISHES_PERIOD_S)
@@ -99,6 +104,7 @@
             self._crash_learned,
             lambda: not self.follower.wishes_contact.lost,
             rng,
+            self.placer.learn_of_link,
         )
         self.counters = Counters()
         self.callers = CallersApp(
@@ -223,6 +229,7 @@
     def _keep_filling(self) -> None:
         while True:
             gevent.sleep(FILL_S)
+            self.placer.look_at_links()
             self.placer.fill_all()
 
     def _probe(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -79,7 +79,7 @@
         Gives the services whose targets it is about.
         """
         self.entries = max(1, report.entries or 1)
-        known = [self._targets[n] for n in self._at_address.get(address, ())]
+        known = self.at(address)
         for target in known:
             self._take_report(target, report, now)
         return {target.upstream.service for target in known}
@@ -114,6 +114,10 @@
 
     # What is asked.
 
+    def at(self, address: str) -> list[Target]:
+        """Give the targets at an address."""
+        return [self._targets[n] for n in self._at_address.get(address, ())]
+
     def everyone(self) -> list[Target]:
         """Give all targets, by id."""
         return [self._targets[name] for name in sorted(self._targets)]
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import random
+from typing import NamedTuple
 
 import gevent
 from gevent import event as events
@@ -21,6 +22,7 @@
 from burdockchute.decisions.waiting import Waiting
 from burdockchute.decisions.waiting import WaitingQueue
 from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.link_news import LinkEvent
 from burdockchute.model.machines import Bounds
 from burdockchute.model.outcomes import NotRun
 from burdockchute.wire import messages
@@ -30,6 +32,8 @@
 from burdockchute_entry.straight.lanes import Place
 from burdockchute_entry.straight.lanes import Placing
 from burdockchute_entry.straight.retry_budgets import RetryBudgets
+from burdockchute_entry.straight.slow_links import Ask
+from burdockchute_entry.straight.slow_links import SlowLinks
 from burdockchute_entry.straight.survey import Survey
 from burdockchute_entry.straight.targets import Reading
 from burdockchute_entry.straight.targets import Target
@@ -47,10 +51,34 @@
 MAX_ASIDE = 16
 
 
+class Stage(NamedTuple):
+    """A queue in which a request waits, and for how many seconds."""
+
+    queue: WaitingQueue
+    wait_s: float
+
+
+class Plan(NamedTuple):
+    """How a request waits; who is refused after it comes in `retry_s`."""
+
+    stages: Sequence[Stage]
+    retry_s: float
+
+
+def no_place(waited_s: float, plan: Plan) -> NotRun:
+    """Refuse a request whose time to wait is over."""
+    return NotRun(
+        f'no place came free in {waited_s:.2f} s',
+        503,
+        admission.retry_after_s(plan.retry_s),
+    )
+
+
 class Placer:
     """The queues and the budgets of retries of one entry.
 
-    `region` is its own, `regions` gives that of each availability zone.
+    `region` is its own, `regions` gives that of each availability zone. `ask`
+    has links to agents probed, and other entries told of slow ones.
     """
 
     def __init__(
@@ -60,8 +88,10 @@
         rng: random.Random,
         region: str = '',
         regions: Mapping[str, str] | None = None,
+        ask: Ask = lambda message: None,
     ) -> None:
         self._now = now
+        self._slow_links = SlowLinks(ask)
         self._known = KnownTargets(bounds, rng, region, regions or {})
         self._lanes: dict[str, Lane] = {}
         self._waiting: dict[str, Placing] = {}
@@ -82,6 +112,17 @@
         for service in self._known.reported(address, report, self._now()):
             self._fill_soon(service)
 
+    def learn_of_link(self, event: LinkEvent) -> None:
+        """Take in what is heard of the link to an agent."""
+        now = self._now()
+        self._slow_links.learn(event, now)
+        for target in self._known.at(event.agent):
+            target.is_held = self._slow_links.is_held(event.agent, now)
+
+    def look_at_links(self) -> None:
+        """Find out whether requests stand before a slow link."""
+        self._slow_links.look(self._known.everyone(), self._now())
+
     def bound_by(self, bounds: Bounds) -> None:
         """Take the machine's bounds from its settings, read again."""
         self._known.bounds = bounds
@@ -94,19 +135,24 @@
 
     def place(self, placing: Placing, deadline: float) -> Place | NotRun:
         """Wait for a place; gives NotRun if it can't have one in time."""
+        plan = self.plan(placing, deadline)
+        return self._wait(placing, plan) if isinstance(plan, Plan) else plan
+
+    def plan(self, placing: Placing, deadline: float) -> Plan | NotRun:
+        """Tell where a request waits and for how long, or that it can't."""
         now = self._now()
         lane = self._lane(placing.wish.service)
         wish = placing.wish
         if placing.resuming:
             if not self.may_host(placing):
                 return self._nobody(placing, patience.NOTHING_OPENS, now)
-            return self._wait(placing, [(lane.resumed, deadline - now)], 0.0)
+            return Plan((Stage(lane.resumed, deadline - now),), 0.0)
         opening = self._known.opening(placing, now)
         late_s = self._late_wait_s(placing, opening, now)
         if not self._known.hosts(placing, now):
             if not opening.places or not late_s:
                 return self._nobody(placing, opening, now)
-            return self._wait(placing, [(lane.late, late_s)], late_s)
+            return Plan((Stage(lane.late, late_s),), late_s)
         fresh_s = patience.fresh_wait_s(
             wish.objective_s, wish.elapsed_s, deadline - now
         )
@@ -119,8 +165,37 @@
                 503,
                 admission.retry_after_s(expected_s),
             )
-        stages = [(lane.queue, fresh_s), (lane.late, late_s)]
-        return self._wait(placing, stages, late_s)
+        return Plan(
+            (Stage(lane.queue, fresh_s), Stage(lane.late, late_s)), late_s
+        )
+
+    def begin_stage(
+        self, placing: Placing, stage: Stage, retry_s: float
+    ) -> float | None:
+        """Let a request wait in a stage; gives for how long, None for not.
+
+        Its `place` may be ready at once.
+        """
+        lane = self._lane(placing.wish.service)
+        placing.is_late = stage.queue is lane.late
+        if stage.wait_s <= 0:
+            return None
+        if placing.is_late and not self._may_wait_late(lane, placing):
+            return None
+        self._waiting[placing.ctx.request_id] = placing
+        self._offer(stage.queue, placing, retry_s)
+        self._fill(placing.wish.service)
+        if not placing.is_late:
+            return stage.wait_s
+        # The late stage counts from arrival.
+        spent_s = self._now() - placing.ctx.arrived
+        return max(0.0, stage.wait_s - spent_s)
+
+    def end_wait(self, placing: Placing) -> None:
+        """Take a request out of all queues."""
+        self._waiting.pop(placing.ctx.request_id, None)
+        for queue in self._lane(placing.wish.service).queues:
+            queue.remove(placing.ctx.request_id)
 
     def place_now(
         self, placing: Placing, within_s: float, rest_s: float
@@ -156,7 +231,10 @@
 
     def began(self, placing: Placing, place: Place) -> None:
         """Note that an answer has begun: its prompt was read."""
-        place.target.read(placing.ctx.request_id, True, self._now())
+        target, now = place.target, self._now()
+        if target.read(placing.ctx.request_id, True, now):
+            service = placing.wish.service
+            self._slow_links.note_begun(service, target.began_in_s)
         self._fill(placing.wish.service)
 
     def release(self, placing: Placing, place: Place) -> None:
@@ -220,32 +298,18 @@
 
     # How places are found.
 
-    def _wait(
-        self,
-        placing: Placing,
-        stages: Sequence[tuple[WaitingQueue, float]],
-        retry_s: float,
-    ) -> Place | NotRun:
-        lane = self._lane(placing.wish.service)
+    def _wait(self, placing: Placing, plan: Plan) -> Place | NotRun:
         placing.place = events.AsyncResult()
-        self._waiting[placing.ctx.request_id] = placing
         began = self._now()
         try:
-            for queue, wait_s in stages:
-                placing.is_late = queue is lane.late
-                if wait_s <= 0:
+            for stage in plan.stages:
+                wait_s = self.begin_stage(placing, stage, plan.retry_s)
+                if wait_s is None:
                     continue
-                if placing.is_late and not self._may_wait_late(lane, placing):
-                    break
-                self._offer(queue, placing, retry_s)
-                self._fill(placing.wish.service)
-                # The late stage counts from arrival.
-                if placing.is_late:
-                    wait_s -= self._now() - placing.ctx.arrived
                 try:
-                    return placing.place.get(timeout=max(0.0, wait_s))
+                    return placing.place.get(timeout=wait_s)
                 except Timeout:
-                    queue.remove(placing.ctx.request_id)
+                    stage.queue.remove(placing.ctx.request_id)
                     if placing.place.ready():
                         return placing.place.value
         except BaseException:
@@ -255,15 +319,8 @@
                 self.release(placing, given)
             raise
         finally:
-            self._waiting.pop(placing.ctx.request_id, None)
-            for queue in lane.queues:
-                queue.remove(placing.ctx.request_id)
-        waited_s = self._now() - began
-        return NotRun(
-            f'no place came free in {waited_s:.2f} s',
-            503,
-            admission.retry_after_s(retry_s),
-        )
+            self.end_wait(placing)
+        return no_place(self._now() - began, plan)
 
     def _refuse_hopeless(self, lane: Lane) -> None:
         # The weights that a stream was begun on may go while it waits.
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slow_links.py
@@ -0,0 +1,123 @@
+"""Links to agents behind which requests stand, as one entry knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from burdockchute import logs
+from burdockchute.decisions import slow_links
+from burdockchute.decisions.slow_links import LinkState
+from burdockchute.model.link_news import LinkEvent
+from burdockchute.model.link_news import LinkLost
+from burdockchute.model.link_news import LinkTold
+from burdockchute.model.link_news import ProbeReturned
+from burdockchute.model.link_news import ProbeWanted
+from burdockchute_entry.straight.targets import Target
+
+Ask = Callable[[ProbeWanted | LinkTold], None]
+
+
+class SlowLinks:
+    """The state of each link that was ever suspected, by its agent.
+
+    `ask` has a probe sent, or tells the other entries.
+    """
+
+    def __init__(self, ask: Ask) -> None:
+        self._ask = ask
+        self._states: dict[str, LinkState] = {}
+        self._usual_s: dict[str, float] = {}
+        self._known = 0
+
+    def note_begun(self, service: str, began_in_s: float) -> None:
+        """Note what a request took from its sending to its first event."""
+        self._usual_s[service] = slow_links.usual_begin_s(
+            self._usual_s.get(service, 0.0), began_in_s
+        )
+
+    def is_held(self, agent: str, now: float) -> bool:
+        """Tell whether the engine beside an agent gets nothing new."""
+        state = self._states.get(agent)
+        return state is not None and slow_links.is_held(state, now)
+
+    def look(self, targets: Iterable[Target], now: float) -> None:
+        """Probe links that are suspect and tell of those that are slow."""
+        agents = {_agent_of(target): target for target in targets}
+        for agent in self._states.keys() - agents.keys():
+            del self._states[agent]
+        self._known = len(agents)
+        for agent, target in agents.items():
+            self._look_at(agent, target, now)
+        if not slow_links.may_hold(self._own_count(), self._known):
+            self._clear()
+        for agent, target in agents.items():
+            self._tell_of(agent, now)
+            target.is_held = self.is_held(agent, now)
+
+    def learn(self, event: LinkEvent, now: float) -> None:
+        """Take in what an agent returned, or another entry tells."""
+        before = self._states.get(event.agent, LinkState())
+        match event:
+            case ProbeReturned(sent_at=sent_at):
+                state = slow_links.probe_returned(before, sent_at, now)
+            case LinkTold(is_slow=slow):
+                if slow and not self._may_hold_one_more(event.agent, now):
+                    return
+                state = slow_links.heard(before, slow, now)
+            case LinkLost():
+                state = LinkState()
+        self._keep(event.agent, before, state)
+
+    def _may_hold_one_more(self, agent: str, now: float) -> bool:
+        held = sum(
+            slow_links.is_held(state, now)
+            for name, state in self._states.items()
+            if name != agent
+        )
+        return slow_links.may_hold(held + 1, self._known)
+
+    def _own_count(self) -> int:
+        return sum(s.slow_at is not None for s in self._states.values())
+
+    def _clear(self) -> None:
+        for agent, state in list(self._states.items()):
+            if state.slow_at is not None:
+                self._keep(agent, state, state._replace(slow_at=None))
+
+    def _look_at(self, agent: str, target: Target, now: float) -> None:
+        before = self._states.get(agent)
+        usual_s = self._usual_s.get(target.upstream.service, 0.0)
+        suspect = slow_links.is_suspect(target.longest_wait_s(now), usual_s)
+        if before is None:
+            if not suspect:
+                return
+            before = LinkState()
+        state = slow_links.looked_at(before, target.load.reported_at, now)
+        if slow_links.wants_probe(state, suspect):
+            # To the microsecond, as it comes back.
+            sent_at = round(now, 6)
+            state = state._replace(probe_at=sent_at)
+            self._ask(ProbeWanted(agent, sent_at))
+        self._keep(agent, before, state)
+
+    def _tell_of(self, agent: str, now: float) -> None:
+        state = self._states.get(agent)
+        if state is not None and slow_links.must_tell(state, now):
+            self._states[agent] = state._replace(told_at=now)
+            self._ask(LinkTold(agent, True))
+
+    def _keep(self, agent: str, before: LinkState, state: LinkState) -> None:
+        was_slow, is_slow = before.slow_at, state.slow_at
+        if (was_slow is None) != (is_slow is None):
+            logs.event(
+                'link_fast' if is_slow is None else 'link_slow', agent=agent
+            )
+        if was_slow is not None and is_slow is None and before.told_at:
+            self._ask(LinkTold(agent, False))
+            state = state._replace(told_at=None)
+        self._states[agent] = state
+
+
+def _agent_of(target: Target) -> str:
+    return str(target.upstream.endpoint)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -59,6 +59,8 @@
         self.opens_at: float | None = None
         # Since when its engine loads and takes nothing new.
         self.closed_at: float | None = None
+        # What was sent before stands in the link to it.
+        self.is_held = False
         self._idle: list[tuple[Connection, float]] = []
         self.load.report(0, upstream.slots, 1, 0.0, (), now)
 
@@ -87,7 +89,9 @@
             ours=self.load.ours,
             others=self.load.in_flight(now) - self.load.ours,
             slots=self.load.slots,
-            room=health.room(
+            room=0
+            if self.is_held
+            else health.room(
                 self.load.room(now), sent_at, self.is_behind, now
             ),
             reading_tokens=sum(
@@ -106,6 +110,13 @@
         waits = [now - item.sent_at for item in self.reading.values()]
         return max(self.began_in_s, *waits, 0.0)
 
+    def longest_wait_s(self, now: float) -> float:
+        """Give for how long a request of ours has waited to begin there."""
+        sent_at = min(
+            (item.sent_at for item in self.reading.values()), default=now
+        )
+        return now - sent_at
+
     def closed_for_s(self, now: float) -> float | None:
         """Give how long it takes nothing new, None if it does."""
         return None if self.closed_at is None else now - self.closed_at
@@ -130,11 +141,14 @@
         conn.idle_until = now + known_s - IDLE_MARGIN_S
         self._idle.append((conn, now))
 
-    def read(self, request_id: str, begun: bool, now: float) -> None:
-        """Note that a request of ours has begun to answer, or ended."""
+    def read(self, request_id: str, begun: bool, now: float) -> bool:
+        """Note that a request of ours has begun to answer, or ended.
+
+        Tells whether this was not known yet.
+        """
         item = self.reading.pop(request_id, None)
         if item is None:
-            return
+            return False
         if begun:
             self.began_in_s = now - item.sent_at
         before = self.is_behind
@@ -146,6 +160,7 @@
                 request_id=request_id,
                 waited_ms=int((now - item.sent_at) * 1000),
             )
+        return True
 
     def failed(self, now: float) -> None:
         """Note a request or connection that the upstream failed."""
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -10,6 +10,10 @@
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.crashes import CrashLearned
 from burdockchute.model.crashes import CrashSeen
+from burdockchute.model.link_news import LinkLost
+from burdockchute.model.link_news import LinkTold
+from burdockchute.model.link_news import ProbeReturned
+from burdockchute.model.link_news import ProbeWanted
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
 from burdockchute.model.routes import CallerLimits
@@ -43,6 +47,7 @@
     def setUp(self):
         self.in_contact = True
         self.learned = []
+        self.heard = []
         self.beliefs = Beliefs()
         self.task = AgentsTask(
             OWN,
@@ -52,6 +57,7 @@
             self.learned.append,
             lambda: self.in_contact,
             random.Random(1),
+            self.heard.append,
         )
 
     def believe(self, *named):
@@ -80,6 +86,37 @@
         for link in (first, second):
             self.assertEqual([[], [('story', 2, True)]], named(link))
 
+    def test_a_probe_goes_to_its_agent_and_comes_back(self):
+        """A time that is changed on its way would match no probe."""
+        link, other = self.opened('10.0.0.1:1'), self.opened('10.0.0.2:1')
+        sent_at = round(12345.678901234, 6)
+        self.task._take(ProbeWanted('10.0.0.1:1', sent_at))
+        probe = link.sent[-1]
+        self.assertNotIn(probe, other.sent)
+        self.task._take(links.Received(link, probe))
+        self.assertEqual([ProbeReturned('10.0.0.1:1', sent_at)], self.heard)
+
+    def test_no_probe_without_a_link(self):
+        """An agent that restarts has no link for a moment."""
+        self.task._take(ProbeWanted('10.0.0.9:1', 1.0))
+        self.assertEqual([], self.heard)
+
+    def test_news_of_a_slow_link_does_not_go_over_that_link(self):
+        """It would stand behind what has made the link slow."""
+        slow, fast = self.opened('10.0.0.1:1'), self.opened('10.0.0.2:1')
+        self.task._take(LinkTold('10.0.0.1:1', True))
+        news = messages.LinkNews('10.0.0.1:1', True)
+        self.assertIn(news, fast.sent)
+        self.assertNotIn(news, slow.sent)
+        self.task._take(links.Received(fast, news))
+        self.assertEqual([LinkTold('10.0.0.1:1', True)], self.heard)
+
+    def test_a_link_that_is_gone_is_no_longer_slow(self):
+        """An agent that was killed would leave its engine without work."""
+        link = self.opened('10.0.0.1:1')
+        self.task._take(links.Closed(link, 'killed'))
+        self.assertEqual([LinkLost('10.0.0.1:1')], self.heard)
+
     def saved(self, version, origin):
         """Take in a saved configuration with one engine of `drafts`."""
         drafts = Service('drafts', 8, models=(Model('story', 0.3),), slots=4)
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -114,6 +114,18 @@
   4: bool convicted         // it is refused from now on
 }
 
+// entry -> agent and back unchanged: what stands in the link before it.
+struct LinkProbe {
+  1: i64 sent_us            // by the clock of the entry
+}
+
+// entry -> agent -> its other entries: the link to an agent has become slow,
+// or is no longer.
+struct LinkNews {
+  1: string agent
+  2: bool is_slow
+}
+
 // agent -> entry: on each change, each second while busy, else each two.
 struct LoadReport {
   1: string instance
@@ -270,4 +282,6 @@
   18: TableRequest table_request
   19: WishesNews wishes_news
   20: CrashNews crash_news
+  21: LinkProbe link_probe
+  22: LinkNews link_news
 }
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1246,6 +1246,131 @@
         return not (self == other)
 
 
+class LinkProbe(object):
+    """
+    Attributes:
+     - sent_us
+
+    """
+
+
+    def __init__(self, sent_us=None,):
+        self.sent_us = sent_us
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sent_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkProbe')
+        if self.sent_us is not None:
+            oprot.writeFieldBegin('sent_us', TType.I64, 1)
+            oprot.writeI64(self.sent_us)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LinkNews(object):
+    """
+    Attributes:
+     - agent
+     - is_slow
+
+    """
+
+
+    def __init__(self, agent=None, is_slow=None,):
+        self.agent = agent
+        self.is_slow = is_slow
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.agent = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_slow = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkNews')
+        if self.agent is not None:
+            oprot.writeFieldBegin('agent', TType.STRING, 1)
+            oprot.writeString(self.agent.encode('utf-8') if sys.version_info[0] == 2 else self.agent)
+            oprot.writeFieldEnd()
+        if self.is_slow is not None:
+            oprot.writeFieldBegin('is_slow', TType.BOOL, 2)
+            oprot.writeBool(self.is_slow)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -2925,11 +3050,13 @@
      - table_request
      - wishes_news
      - crash_news
+     - link_probe
+     - link_news
 
     """
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None, crash_news=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None, crash_news=None, link_probe=None, link_news=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -2950,6 +3077,8 @@
         self.table_request = table_request
         self.wishes_news = wishes_news
         self.crash_news = crash_news
+        self.link_probe = link_probe
+        self.link_news = link_news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3080,6 +3209,18 @@
                     self.crash_news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.link_probe = LinkProbe()
+                    self.link_probe.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.link_news = LinkNews()
+                    self.link_news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3170,6 +3311,14 @@
             oprot.writeFieldBegin('crash_news', TType.STRUCT, 20)
             self.crash_news.write(oprot)
             oprot.writeFieldEnd()
+        if self.link_probe is not None:
+            oprot.writeFieldBegin('link_probe', TType.STRUCT, 21)
+            self.link_probe.write(oprot)
+            oprot.writeFieldEnd()
+        if self.link_news is not None:
+            oprot.writeFieldBegin('link_news', TType.STRUCT, 22)
+            self.link_news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3294,6 +3443,17 @@
     (3, TType.BOOL, 'alone', None, None, ),  # 3
     (4, TType.BOOL, 'convicted', None, None, ),  # 4
 )
+all_structs.append(LinkProbe)
+LinkProbe.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sent_us', None, None, ),  # 1
+)
+all_structs.append(LinkNews)
+LinkNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'agent', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'is_slow', None, None, ),  # 2
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -3456,6 +3616,8 @@
     (18, TType.STRUCT, 'table_request', [TableRequest, None], None, ),  # 18
     (19, TType.STRUCT, 'wishes_news', [WishesNews, None], None, ),  # 19
     (20, TType.STRUCT, 'crash_news', [CrashNews, None], None, ),  # 20
+    (21, TType.STRUCT, 'link_probe', [LinkProbe, None], None, ),  # 21
+    (22, TType.STRUCT, 'link_news', [LinkNews, None], None, ),  # 22
 )
 fix_spec(all_structs)
 del all_structs
