Entries share an engine's free slots in place of all choosing one engine

Cause: 14 to 36 entries see the same reports at the same moment and none sees what the others send. Each compared all engines and took the one that looked best, so the engine with the least load in a report got everybody's requests until the next one: i-5a944ce1e3 reported nothing in hand at 1.77 s and was sent a request by each of ten entries and more in 0.25 s. That others send as much as oneself, which was the estimate, is right on average and tells an entry nothing before its own first request.

Change: an entry uses its part of an engine's free slots, drawn by chance anew with each report, so that all entries together use about what is free; and it compares two engines of its own region and one of another for each request. All are compared only where none of these is on time.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -102,7 +102,7 @@
         elif target.closed_at is None:
             target.closed_at = now
         target.versions = loaded
-        target.sent_since_report = 0
+        target.share_until = now
         target.closes_at = None
         if report.closes_in_ms is not None and report.closes_in_ms >= 0:
             target.closes_at = now + report.closes_in_ms / 1000
@@ -229,7 +229,8 @@
         """Give what is known of a target as an engine."""
         region = self._regions.get(target.upstream.zone)
         is_far = region is not None and region != self._region
-        return target.view(self.entries, is_far, now)
+        chance = self._rng.random()
+        return target.view(self.entries, is_far, chance, now)
 
     # One round of giving out places.
 
@@ -266,7 +267,11 @@
             )
             return found[load.name][0] if load else None
         views = [view for _target, view in found.values()]
-        view = engine_room.choose(views, wanted_of(placing), cost, left_s)
+        wanted = wanted_of(placing)
+        drawn = engine_room.draw(views, self._rng)
+        view = engine_room.choose(drawn, wanted, cost, left_s)
+        if view is None and len(drawn) < len(views):
+            view = engine_room.choose(views, wanted, cost, left_s)
         return found[view.name][0] if view else None
 
     def _usable(self, service: str, now: float) -> list[Target]:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -403,7 +403,7 @@
 
     def _taken(self, placing: Placing, target: Target, now: float) -> Place:
         target.load.sent(placing.work, now)
-        target.sent_since_report += 1
+        target.share -= 1
         model = placing.wish.model
         if model:
             target.reading[placing.ctx.request_id] = Reading(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from burdockchute import logs
+from burdockchute.decisions import engine_room
 from burdockchute.decisions import health
 from burdockchute.decisions.engine_room import EngineView
 from burdockchute.decisions.placement import InstanceLoad
@@ -25,6 +26,9 @@
 # recently, or on a new one: a reset leaves its outcome unknown.
 CAREFUL_IDLE_S = 1.0
 
+# Free slots are shared out anew after each report, and at least this often.
+SHARE_S = 0.15
+
 
 class Reading(NamedTuple):
     """A request of ours that has not begun to answer."""
@@ -53,7 +57,9 @@
         self.began_in_s = 0.0
         # Requests end there without having begun.
         self.is_behind = False
-        self.sent_since_report = 0
+        # Of its free slots, those that this entry may use until `share_until`.
+        self.share = 0
+        self.share_until = now
         self.closes_at: float | None = None
         # When it is likely to take requests again, by its agent.
         self.opens_at: float | None = None
@@ -81,23 +87,29 @@
             self.health, now
         )
 
-    def view(self, entries: int, is_far: bool, now: float) -> EngineView:
-        """Give what is known of it as an engine that entries share."""
+    def view(
+        self, entries: int, is_far: bool, chance: float, now: float
+    ) -> EngineView:
+        """Give what is known of it as an engine that entries share.
+
+        `chance` is drawn from 0 to 1, for the part of this entry.
+        """
         sent_at = [item.sent_at for item in self.reading.values()]
+        others = self.load.in_flight(now) - self.load.ours
+        free = health.room(self.load.room(now), sent_at, self.is_behind, now)
+        if now >= self.share_until:
+            slots = self.load.slots - self.load.ours - others
+            self.share = engine_room.share_of(slots, entries, chance)
+            self.share_until = now + SHARE_S
         return EngineView(
             name=self.id,
             ours=self.load.ours,
-            others=self.load.in_flight(now) - self.load.ours,
+            others=others,
             slots=self.load.slots,
-            room=0
-            if self.is_held
-            else health.room(
-                self.load.room(now), sent_at, self.is_behind, now
-            ),
+            room=0 if self.is_held else min(free, self.share),
             reading_tokens=sum(
                 item.prompt_tokens for item in self.reading.values()
             ),
-            unseen=self.sent_since_report * (entries - 1),
             slowness=self.slowness,
             closes_in_s=None
             if self.closes_at is None
--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/deployments.py
@@ -0,0 +1,60 @@
+"""Deployments of the sizes that the product has to serve.
+
+Figures of engines are those that operators publish for theirs.
+"""
+
+from __future__ import annotations
+
+from burdockchute.model.routes import EngineCost
+from burdockchute_testing.emulator.site import Deployment
+from burdockchute_testing.emulator.site import Shape
+
+# Long prompts with short answers and the other way round, as in an evening
+# that swings between them.
+LONG_PROMPTS = (Shape(1900.0, 35.0, 0.6, 1.0),)
+LONG_ANSWERS = (Shape(350.0, 130.0, 0.6, 1.0),)
+
+
+def small(entries: int = 5, engines: int = 6) -> Deployment:
+    """Give a site of a few large engines."""
+    return Deployment(
+        entries,
+        engines,
+        16,
+        EngineCost(0.00887, 0.00004, 19_100.0, 5, 950.0, 95.0),
+        (
+            Shape(1330.0, 105.0, 0.5, 0.40),
+            Shape(827.0, 105.0, 0.4, 0.31),
+            Shape(647.0, 70.0, 0.4, 0.29),
+        ),
+    )
+
+
+def grown(entries: int = 14, engines: int = 20) -> Deployment:
+    """Give a site of some dozens of machines."""
+    return Deployment(
+        entries,
+        engines,
+        12,
+        EngineCost(0.00673, 0.00004, 30_600.0, 7, 950.0, 120.0),
+        (
+            Shape(1330.0, 147.0, 0.4, 0.33),
+            Shape(827.0, 147.0, 0.4, 0.39),
+            Shape(647.0, 70.0, 0.4, 0.28),
+        ),
+    )
+
+
+def large(entries: int = 36, engines: int = 60) -> Deployment:
+    """Give a site of a hundred machines."""
+    return Deployment(
+        entries,
+        engines,
+        8,
+        EngineCost(0.0133, 0.00006, 12_700.0, 5, 950.0, 73.0),
+        (
+            Shape(1330.0, 74.0, 0.8, 0.44),
+            Shape(827.0, 74.0, 0.6, 0.32),
+            Shape(647.0, 70.0, 0.5, 0.24),
+        ),
+    )
--- /dev/null
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -0,0 +1,329 @@
+"""A site: callers, entries that don't see each other's work, and engines."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import functools
+import itertools
+import random
+from typing import NamedTuple
+
+from burdockchute.decisions import admission
+from burdockchute.decisions import returns
+from burdockchute.decisions.listing import Known
+from burdockchute.decisions.listing import UpstreamList
+from burdockchute.decisions.placement import Work
+from burdockchute.decisions.routing import route_table
+from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.machines import Bounds
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.routes import CallerLimits
+from burdockchute.model.routes import Configuration
+from burdockchute.model.routes import EngineCost
+from burdockchute.model.routes import Model
+from burdockchute.model.routes import Service
+from burdockchute.model.upstreams import Endpoint
+from burdockchute.model.upstreams import Upstream
+from burdockchute.wire import messages
+from burdockchute_entry.straight.lanes import Place
+from burdockchute_entry.straight.lanes import Placing
+from burdockchute_entry.straight.lanes import Wish
+from burdockchute_entry.straight.placer import no_place
+from burdockchute_entry.straight.placer import Placer
+from burdockchute_entry.straight.placer import Plan
+from burdockchute_testing.builders import requests
+from burdockchute_testing.emulator.clock import Clock
+from burdockchute_testing.emulator.engines import Engine
+from burdockchute_testing.emulator.engines import Job
+from burdockchute_testing.emulator.engines import WAY_S
+
+SERVICE = 'drafts'
+MODEL = 'story'
+BOUNDS = Bounds(2.0, 8.0, 2.0, 8.0, 3.0, 0.2, 10.0, 100.0)
+FILL_S = 0.1
+DEADLINE_S = 6.0
+# Callers have up to this part less time than the most patient ones.
+PATIENCE_SPREAD = 0.15
+
+
+class Shape(NamedTuple):
+    """A kind of request: mean tokens and the time to its first event."""
+
+    prompt_tokens: float
+    answer_tokens: float
+    objective_s: float
+    share: float
+
+
+class Deployment(NamedTuple):
+    """The parts of a site; `queue` requests may wait at each engine."""
+
+    entries: int
+    engines: int
+    slots: int
+    cost: EngineCost
+    shapes: tuple[Shape, ...]
+    queue: int = 16
+
+
+class Result(NamedTuple):
+    """What callers got: counts of requests by the second of their arrival."""
+
+    asked: int
+    on_time: int
+    late: int
+    refused: int
+    refused_again: int
+    failed: int
+
+
+class _Call:
+    """One caller's request with what it spent on earlier sendings."""
+
+    def __init__(self, site: Site, shape: Shape) -> None:
+        rng = site.rng
+        self.shape = shape
+        self.began = site.clock.now
+        patience = 1.0 - PATIENCE_SPREAD * rng.random()
+        self.deadline = self.began + DEADLINE_S * patience
+        self.prompt_tokens = max(
+            16, int(rng.gammavariate(1.5, 1 / 1.5) * shape.prompt_tokens)
+        )
+        self.answer_tokens = max(
+            5, int(rng.gammavariate(1.5, 1 / 1.5) * shape.answer_tokens)
+        )
+        self.tries = 0
+        self.outcome = ''
+        self.name = ''
+
+
+class Site:
+    """One run; `rate` gives the callers a second at a time.
+
+    `shapes` at a time may be given, for loads that swing.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        rate: Callable[[float], float],
+        seed: int = 1,
+        shapes: Callable[[float], Sequence[Shape]] | None = None,
+    ) -> None:
+        self.clock = Clock()
+        self.rng = random.Random(seed)
+        self.deployment = deployment
+        self.calls: list[_Call] = []
+        self.begins_s: list[float] = []
+        self.engines = [
+            Engine(
+                self.clock,
+                deployment.cost,
+                deployment.slots,
+                deployment.queue,
+                lambda in_hand, n=number: self._told(n, in_hand),
+                self.rng.random() * 0.2,
+            )
+            for number in range(deployment.engines)
+        ]
+        self.entries = [_Entry(self) for _n in range(deployment.entries)]
+        self._rate = rate
+        self._shapes = shapes or (lambda now: deployment.shapes)
+        self._names = itertools.count()
+        self.clock.after(0.0, self._arrive)
+
+    def open_engines(self, numbers: Sequence[int], at_s: float = 0.0) -> None:
+        """Have engines take requests from a time on."""
+        for number in numbers:
+            self.clock.after(at_s, self.engines[number].open)
+
+    def run(self, until_s: float) -> None:
+        """Play up to a time."""
+        self.clock.run_until(until_s)
+
+    def result(self, first_s: float, last_s: float) -> Result:
+        """Count what came of those who began between two times."""
+        calls = [c for c in self.calls if first_s <= c.began < last_s]
+        counts = [
+            sum(call.outcome == name for call in calls)
+            for name in ('on time', 'late', 'refused', 'again', 'failed')
+        ]
+        return Result(len(calls), *counts)
+
+    def send(self, call: _Call) -> None:
+        """Send a call to one of the entries."""
+        call.tries += 1
+        call.name = f'q-{next(self._names)}'
+        self.rng.choice(self.entries).arrive(call)
+
+    def _arrive(self) -> None:
+        now = self.clock.now
+        shapes = list(self._shapes(now))
+        shape = self.rng.choices(shapes, [s.share for s in shapes])[0]
+        call = _Call(self, shape)
+        self.calls.append(call)
+        self.send(call)
+        self.clock.after(self.rng.expovariate(self._rate(now)), self._arrive)
+
+    def _told(self, number: int, in_hand: int) -> None:
+        for entry in self.entries:
+            entry.told(number, in_hand)
+
+
+class _Entry:
+    """One entry: the product's placer, and the calls that wait in it."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self._clock = site.clock
+        rng = random.Random(site.rng.random())
+        self.placer = Placer(BOUNDS, lambda: site.clock.now, rng)
+        self.placer.learn(_beliefs_of(site.deployment))
+        self._waiting: dict[str, tuple[_Call, Placing, Plan, int]] = {}
+        self._clock.after(rng.random() * FILL_S, self._tick)
+
+    def told(self, number: int, in_hand: int) -> None:
+        deployment = self._site.deployment
+        report = messages.LoadReport(
+            running=in_hand,
+            waiting=max(0, in_hand - deployment.slots),
+            slots=deployment.slots,
+            weights=[messages.WeightsState(digest=f'{MODEL}@1')],
+            entries=deployment.entries,
+        )
+        self.placer.reported(str(_address(number)), report)
+        self._clock.after(0.01, self._fill)
+
+    def arrive(self, call: _Call) -> None:
+        now, deadline = self._clock.now, call.deadline
+        ctx = requests.request(
+            request_id=call.name,
+            target=SERVICE,
+            arrived=now,
+            deadline=deadline,
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=int(call.shape.answer_tokens),
+        )
+        work = Work(admission.cost_of(ctx), False, ctx.prompt_tokens, ())
+        spent_s = returns.spent_s(DEADLINE_S, deadline - now)
+        wish = Wish(SERVICE, MODEL, call.shape.objective_s, spent_s)
+        placing = Placing(ctx, work, wish)
+        plan = self.placer.plan(placing, deadline)
+        if isinstance(plan, NotRun):
+            self._refuse(call, plan)
+            return
+        self._next_stage(call, placing, plan, 0)
+
+    def _next_stage(
+        self, call: _Call, placing: Placing, plan: Plan, number: int
+    ) -> None:
+        while number < len(plan.stages):
+            stage = plan.stages[number]
+            wait_s = self.placer.begin_stage(placing, stage, plan.retry_s)
+            if wait_s is not None:
+                self._waiting[call.name] = (call, placing, plan, number)
+                self._clock.after(
+                    wait_s, functools.partial(self._over, call.name, number)
+                )
+                self._collect()
+                return
+            number += 1
+        self.placer.end_wait(placing)
+        waited_s = self._clock.now - placing.ctx.arrived
+        self._refuse(call, no_place(waited_s, plan))
+
+    def _over(self, name: str, number: int) -> None:
+        found = self._waiting.get(name)
+        if found is None or found[3] != number:
+            return
+        del self._waiting[name]
+        call, placing, plan, _number = found
+        plan.stages[number].queue.remove(name)
+        self._next_stage(call, placing, plan, number + 1)
+
+    def _collect(self) -> None:
+        for name, (call, placing, _plan, _n) in list(self._waiting.items()):
+            if not placing.place.ready():
+                continue
+            del self._waiting[name]
+            self.placer.end_wait(placing)
+            place = placing.place.value
+            if isinstance(place, Place):
+                self._dispatch(call, placing, place)
+            else:
+                self._refuse(call, place)
+
+    def _dispatch(self, call: _Call, placing: Placing, place: Place) -> None:
+        number = int(place.target.id.removeprefix('i-'))
+        sent_at = self._clock.now
+
+        def begun() -> None:
+            now = self._clock.now
+            self._site.begins_s.append(now - sent_at)
+            self.placer.began(placing, place)
+            on_time = now - call.began <= call.shape.objective_s
+            call.outcome = 'on time' if on_time else 'late'
+            self._collect()
+
+        def ended() -> None:
+            self.placer.answered(placing, place, self._clock.now - sent_at)
+            self._collect()
+
+        def arrive() -> None:
+            job = Job(call.prompt_tokens, call.answer_tokens, begun, ended)
+            if not self._site.engines[number].take(job):
+                self.placer.failed(placing, place, self._clock.now - sent_at)
+                self._refuse(call, NotRun('full', 503, 0.1))
+
+        self._clock.after(WAY_S, arrive)
+
+    def _refuse(self, call: _Call, reply: NotRun) -> None:
+        call.outcome = 'refused' if call.tries == 1 else 'again'
+        wait_s = reply.retry_after_s
+        if call.tries == 1 and self._clock.now + wait_s < call.deadline - 1.0:
+            self._clock.after(wait_s, lambda: self._site.send(call))
+
+    def _fill(self) -> None:
+        self.placer.fill_all()
+        self._collect()
+
+    def _tick(self) -> None:
+        self._fill()
+        self._clock.after(FILL_S, self._tick)
+
+
+def _address(number: int) -> Endpoint:
+    return Endpoint('10.0.0.1', 1 + number)
+
+
+def _beliefs_of(deployment: Deployment) -> Beliefs:
+    known = {
+        f'i-{number}': Known(
+            Upstream(
+                id=f'i-{number}',
+                service=SERVICE,
+                endpoint=_address(number),
+                zone='',
+                slots=deployment.slots,
+                draining=False,
+                warm_in_s=0.0,
+                versions={},
+                started_ms=None,
+            ),
+            0,
+        )
+        for number in range(deployment.engines)
+    }
+    service = Service(
+        SERVICE,
+        8,
+        models=(Model(MODEL, 0.3),),
+        slots=deployment.slots,
+        cost=deployment.cost,
+    )
+    limits = CallerLimits(8192, 1_000_000, 1.0, 5.0)
+    routes = route_table(Configuration(1, (), (service,), None, limits))
+    return Beliefs(
+        routes=routes, upstreams=UpstreamList(known, {}), listed=True
+    )
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -11,9 +11,10 @@
 So the time to the first token is estimated from what an entry knows: the
 prompts that it has sent there and that have not begun, what others have
 there by the last report, and how the engine works by its operators' figures.
-All entries see the same report at the same moment and decide alike, so the
-others are taken to have sent there since as much as this one has.
-The engine with the least expected time is taken, and none whose expected
+All entries see the same report at the same moment and would decide alike. So
+each uses only its part of an engine's free slots, drawn by chance
+(`share_of`), and compares only a few engines for each request (`draw`). Of
+these the one with the least expected time is taken, and none whose expected
 time would break the objective; the request then waits for a better moment.
 
 An engine that is about to load a version finishes what it runs and takes
@@ -36,6 +37,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import random
 from typing import NamedTuple
 
 from burdockchute.model.routes import EngineCost
@@ -66,6 +68,10 @@
 # engines that begin nearly as soon, one in the own region is taken.
 FAR_COST_S = 0.05
 
+# So many engines are compared for a request, drawn at random.
+NEAR_DRAWN = 2
+FAR_DRAWN = 1
+
 # A step of the batch is slowed by the prompts that are read between steps.
 STEP_SLOWDOWN = 1.4
 
@@ -132,6 +138,28 @@
     return view.ours + view.others + view.unseen < view.slots
 
 
+def share_of(free: int, entries: int, chance: float) -> int:
+    """Give how many of an engine's free slots one of the entries may use.
+
+    All entries see the same free slots and none sees what the others send,
+    so each takes its part at random. `chance` is drawn evenly from 0 to 1.
+
+    >>> share_of(5, 36, 0.5), share_of(5, 36, 0.9), share_of(12, 5, 0.5)
+    (0, 1, 2)
+    """
+    return int(max(0, free) / max(1, entries) + chance)
+
+
+def draw(
+    views: Sequence[EngineView], rng: random.Random
+) -> Sequence[EngineView]:
+    """Give the engines to compare: a few of the own region, one of others."""
+    near = [view for view in views if not view.is_far]
+    far = [view for view in views if view.is_far]
+    drawn = rng.sample(near, min(NEAR_DRAWN, len(near)))
+    return drawn + rng.sample(far, min(FAR_DRAWN, len(far)))
+
+
 def choose(
     views: Sequence[EngineView],
     wanted: Wanted,
--- a/packages/burdockchute/tests/decisions/test_engine_room.py
+++ b/packages/burdockchute/tests/decisions/test_engine_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from burdockchute.decisions import engine_room
@@ -43,6 +44,33 @@
             sent += 1
         self.assertEqual(1, sent)
 
+    def test_entries_share_what_is_free(self):
+        """36 entries see five free slots at the same moment.
+
+        Each that took all it sees would send 36 requests there, of which
+        31 wait in the engine.
+        """
+        rng = random.Random(1)
+        taken = [
+            sum(engine_room.share_of(5, 36, rng.random()) for _e in range(36))
+            for _report in range(300)
+        ]
+        self.assertAlmostEqual(5.0, sum(taken) / len(taken), delta=0.5)
+        self.assertEqual(5, engine_room.share_of(5, 1, 0.99))
+        self.assertEqual(0, engine_room.share_of(-2, 4, 0.99))
+
+    def test_few_engines_are_compared_most_of_the_own_region(self):
+        """All entries would choose the one that looks best to all."""
+        rng = random.Random(1)
+        views = [view(f'near-{n}') for n in range(9)]
+        views += [view(f'far-{n}', is_far=True) for n in range(30)]
+        drawn = engine_room.draw(views, rng)
+        self.assertEqual(
+            engine_room.NEAR_DRAWN, sum(not v.is_far for v in drawn)
+        )
+        self.assertEqual(engine_room.FAR_DRAWN, sum(v.is_far for v in drawn))
+        self.assertEqual(views[:1], engine_room.draw(views[:1], rng))
+
     def test_least_expected_time_wins(self):
         self.assertEqual(
             'b', choose([view('a', others=12), view('b', others=3)])
