In an overload new callers go before those who are late already

Cause: late requests take any free slot, and in an overload there is always one of them. Each takes as much of an engine as a new request, which then is late itself; the engines work all the time and hardly anybody is on time.

Change: while more than 15 in 100 of the new requests of the last 1.5 s missed their objective, half of each engine's slots is kept free of late work (decisions/overload.py). It stands empty only when the overload is over, and then the late get it at once. Who is sent away hears to come back after as long again as the overload has lasted, and not before the time from which a return is known as such; nobody is told a time that leaves none for the answer.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -248,12 +248,14 @@
         survey: Survey,
         left_s: float | None,
         unit_s: float,
+        reserve: float,
         now: float,
     ) -> Target | None:
         """Give the target for a request, None for none now.
 
         `left_s` is what is left of its objective, None if it can't be on
-        time; `unit_s` is the usual time for a unit of work.
+        time; `unit_s` is the usual time for a unit of work. `reserve` is the
+        part of an engine's slots that is kept free of late work.
         """
         found = survey.open_to(self._rule(placing, now))
         cost = self.cost(placing.wish.service)
@@ -269,9 +271,9 @@
         views = [view for _target, view in found.values()]
         wanted = wanted_of(placing)
         drawn = engine_room.draw(views, self._rng)
-        view = engine_room.choose(drawn, wanted, cost, left_s)
+        view = engine_room.choose(drawn, wanted, cost, left_s, reserve)
         if view is None and len(drawn) < len(views):
-            view = engine_room.choose(views, wanted, cost, left_s)
+            view = engine_room.choose(views, wanted, cost, left_s, reserve)
         return found[view.name][0] if view else None
 
     def _usable(self, service: str, now: float) -> list[Target]:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/lanes.py
@@ -8,6 +8,7 @@
 from gevent import event as events
 
 from burdockchute.decisions import patience
+from burdockchute.decisions.overload import Overload
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.waiting import WaitingQueue
 from burdockchute.model.requests import RequestContext
@@ -46,6 +47,7 @@
         self.queue.max_waiting = MAX_WAITING
         self.resumed = WaitingQueue(MAX_WAITING)
         self.late = WaitingQueue(MAX_WAITING)
+        self.overload = Overload()
         self._late_served: deque[float] = deque()
 
     @property
@@ -82,8 +84,8 @@
     """One request that wants a place.
 
     `avoided` are targets that failed it, `rejected` when others had no room
-    for it; `is_late` while it waits behind the fresh ones, `resuming` once
-    its caller has a part of its answer.
+    for it; `is_new` as long as it may be on time, `is_late` while it waits
+    behind those, `resuming` once its caller has a part of its answer.
     """
 
     def __init__(self, ctx: RequestContext, work: Work, wish: Wish) -> None:
@@ -92,6 +94,7 @@
         self.wish = wish
         self.avoided: set[str] = set()
         self.rejected: dict[str, float] = {}
+        self.is_new = False
         self.is_late = False
         self.resuming = False
         self.place: events.AsyncResult = events.AsyncResult()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -18,7 +18,9 @@
 
 from burdockchute.decisions import admission
 from burdockchute.decisions import engine_room
+from burdockchute.decisions import overload as overloads
 from burdockchute.decisions import patience
+from burdockchute.decisions import returns
 from burdockchute.decisions.waiting import Waiting
 from burdockchute.decisions.waiting import WaitingQueue
 from burdockchute.model.beliefs import Beliefs
@@ -165,8 +167,9 @@
                 503,
                 admission.retry_after_s(expected_s),
             )
+        retry_s = self._retry_s(placing, late_s, now)
         return Plan(
-            (Stage(lane.queue, fresh_s), Stage(lane.late, late_s)), late_s
+            (Stage(lane.queue, fresh_s), Stage(lane.late, late_s)), retry_s
         )
 
     def begin_stage(
@@ -177,7 +180,10 @@
         Its `place` may be ready at once.
         """
         lane = self._lane(placing.wish.service)
+        was_new, placing.is_new = placing.is_new, stage.queue is lane.queue
         placing.is_late = stage.queue is lane.late
+        if was_new and placing.is_late:
+            lane.overload.note(True, self._now())
         if stage.wait_s <= 0:
             return None
         if placing.is_late and not self._may_wait_late(lane, placing):
@@ -235,6 +241,10 @@
         if target.read(placing.ctx.request_id, True, now):
             service = placing.wish.service
             self._slow_links.note_begun(service, target.began_in_s)
+            if placing.is_new:
+                left_s = self._left_s(placing, now)
+                missed = left_s is not None and left_s < 0
+                self._lane(service).overload.note(missed, now)
         self._fill(placing.wish.service)
 
     def release(self, placing: Placing, place: Place) -> None:
@@ -283,6 +293,20 @@
         answer_s = self._known.answer_s(placing)
         return max(late_s, patience.opening_wait_s(opening, answer_s, left_s))
 
+    def _retry_s(self, placing: Placing, late_s: float, now: float) -> float:
+        # The overload as it is on arrival; the wait until the refusal is
+        # short against it.
+        overload = self._lane(placing.wish.service).overload
+        lasted_s = overload.lasted_s(now)
+        if lasted_s is None:
+            return late_s
+        left_s = placing.ctx.deadline - now
+        return overloads.retry_in_s(
+            max(late_s, returns.least_s(left_s)),
+            lasted_s,
+            left_s - self._known.answer_s(placing) - late_s,
+        )
+
     def _nobody(
         self, placing: Placing, opening: patience.Opening, now: float
     ) -> NotRun:
@@ -370,33 +394,44 @@
         now = self._now()
         survey = self._known.survey(service, now)
         is_engine = self._known.cost(service) is not None
+        reserve = lane.overload.late_reserve(now)
         for queue in lane.queues:
             aside: list[Waiting] = []
             is_late = queue is lane.late
             while len(queue) and len(aside) < MAX_ASIDE:
-                if not survey.has_room(is_late and is_engine):
+                if not survey.has_room(is_late and is_engine, reserve):
                     break
                 item = queue.pop(now)
                 if item is None:
                     break
                 placing = self._waiting[item.ctx.request_id]
-                if not self._give(lane, placing, survey, now):
+                if not self._give(lane, placing, survey, reserve, now):
                     aside.append(item)
             for item in aside:
                 queue.put_back(item)
 
     def _give(
-        self, lane: Lane, placing: Placing, survey: Survey, now: float
+        self,
+        lane: Lane,
+        placing: Placing,
+        survey: Survey,
+        reserve: float,
+        now: float,
     ) -> bool:
         left_s = self._left_s(placing, now)
         if survey.is_hopeless(placing, left_s):
             return False
-        target = self._known.choose(placing, survey, left_s, lane.unit_s, now)
+        target = self._known.choose(
+            placing, survey, left_s, lane.unit_s, reserve, now
+        )
         if target is None:
             survey.found_nothing(placing, left_s)
             return False
         if placing.is_late:
             lane.note_late_served(now)
+        elif placing.is_new and not placing.wish.model:
+            # Others are on time or not once their prompt is read.
+            lane.overload.note(False, now)
         placing.place.set(self._taken(placing, target, now))
         survey.taken(target)
         return True
--- a/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
@@ -43,12 +43,15 @@
         # Prompt and time left of what found no place.
         self._in_vain: list[tuple[int, float | None]] = []
 
-    def has_room(self, is_late: bool) -> bool:
-        """Tell whether any target may take a request, fresh or late."""
+    def has_room(self, is_late: bool, reserve: float = 0.0) -> bool:
+        """Tell whether any target may take a request, fresh or late.
+
+        `reserve` is the part of its slots that is kept free of late work.
+        """
         if not is_late:
             return bool(self._open)
         return any(
-            engine_room.has_free_slot(view)
+            engine_room.has_free_slot(view, reserve)
             for _target, view in self._open.values()
         )
 
--- a/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -122,7 +122,7 @@
                 deployment.cost,
                 deployment.slots,
                 deployment.queue,
-                lambda in_hand, n=number: self._told(n, in_hand),
+                functools.partial(self._told, number),
                 self.rng.random() * 0.2,
             )
             for number in range(deployment.engines)
--- a/packages/burdockchute-testing/tests/test_emulator.py
+++ b/packages/burdockchute-testing/tests/test_emulator.py
@@ -17,7 +17,7 @@
 class EmulatorTest(unittest.TestCase):
     def setUp(self):
         # Lines of some thousand requests tell nothing here.
-        quiet = mock.patch.object(logs, 'event')
+        quiet = mock.patch.object(logs, 'event', autospec=True)
         quiet.start()
         self.addCleanup(quiet.stop)
 
@@ -42,6 +42,57 @@
         self.assertGreater(result.on_time, 0.9 * result.asked)
 
 
+class OverloadTest(EmulatorTest):
+    def test_engines_go_on_serving_on_time_in_a_lasting_overload(self):
+        """More callers than the engines carry, for seconds.
+
+        Callers past their objective kept the engines full, and those who
+        came new were late behind them: half as many were on time as the
+        engines can carry.
+        """
+        for load in (1.2, 1.7):
+            with self.subTest(load=load):
+                result = self.play(
+                    deployments.small(), lambda now, x=load: x * SMALL_CARRIES
+                )
+                a_second = result.on_time / 6.0
+                self.assertGreater(a_second, 0.68 * SMALL_CARRIES)
+
+    def test_many_entries_serve_on_time_in_a_lasting_overload(self):
+        """A standing queue in each engine made nearly everybody late."""
+        result = self.play(
+            deployments.grown(), lambda now: 1.2 * GROWN_CARRIES, 6.0
+        )
+        self.assertGreater(result.on_time / 4.0, 0.65 * GROWN_CARRIES)
+
+    def test_a_swing_between_long_prompts_and_long_answers(self):
+        """An evening that swings each two seconds, at its worst load."""
+
+        def shapes(now):
+            if now % 4.0 < 2.0:
+                return deployments.LONG_PROMPTS
+            return deployments.LONG_ANSWERS
+
+        result = self.play(
+            deployments.small(),
+            lambda now: 1.2 * SMALL_CARRIES,
+            10.0,
+            shapes,
+        )
+        self.assertGreater(result.on_time / 8.0, 0.6 * SMALL_CARRIES)
+
+    def test_the_late_are_served_when_a_burst_is_over(self):
+        """A burst of a second; nobody has to be turned away for good."""
+
+        def rate(now):
+            return SMALL_CARRIES * (2.5 if 3.0 <= now < 4.0 else 0.5)
+
+        result = self.play(deployments.small(), rate, 6.0)
+        lost = result.refused + result.refused_again + result.failed
+        self.assertLess(lost, 0.15 * result.asked)
+        self.assertGreater(result.on_time, 0.6 * result.asked)
+
+
 class ModelTest(EmulatorTest):
     def test_a_run_is_the_same_each_time(self):
         """A seed that finds a fault has to find it again."""
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -133,9 +133,13 @@
     return view.closes_in_s is None or view.closes_in_s > for_s
 
 
-def has_free_slot(view: EngineView) -> bool:
-    """Tell whether a request that can't be on time may go there."""
-    return view.ours + view.others + view.unseen < view.slots
+def has_free_slot(view: EngineView, reserve: float = 0.0) -> bool:
+    """Tell whether a request that can't be on time may go there.
+
+    `reserve` is the part of the slots that is kept for those who can.
+    """
+    free = view.slots - view.ours - view.others - view.unseen
+    return free > reserve * view.slots
 
 
 def share_of(free: int, entries: int, chance: float) -> int:
@@ -165,13 +169,15 @@
     wanted: Wanted,
     cost: EngineCost,
     left_s: float | None,
+    reserve: float = 0.0,
 ) -> EngineView | None:
     """Give the engine where a request begins soonest, None for none now.
 
     `left_s` is what is left of the objective; None for a request that can't
-    be on time, which takes any free slot.
+    be on time, which takes any free slot beyond `reserve`, a part of all.
     """
-    open_views = [view for view in views if _is_open(view, left_s is None)]
+    late_reserve = reserve if left_s is None else None
+    open_views = [view for view in views if _is_open(view, late_reserve)]
     if not open_views:
         return None
     best = min(
@@ -202,7 +208,7 @@
     return price_s + (CLOSING_COST_S if outlasts_s > CLOSING_SLACK_S else 0.0)
 
 
-def _is_open(view: EngineView, is_late: bool) -> bool:
+def _is_open(view: EngineView, late_reserve: float | None) -> bool:
     if view.room <= 0:
         return False
-    return not is_late or has_free_slot(view)
+    return late_reserve is None or has_free_slot(view, late_reserve)
--- a/packages/burdockchute/tests/decisions/test_engine_room.py
+++ b/packages/burdockchute/tests/decisions/test_engine_room.py
@@ -71,6 +71,14 @@
         self.assertEqual(engine_room.FAR_DRAWN, sum(v.is_far for v in drawn))
         self.assertEqual(views[:1], engine_room.draw(views[:1], rng))
 
+    def test_late_work_leaves_a_reserve(self):
+        """New callers miss their objective while late ones fill engines."""
+        views = [view('a', others=9)]
+        wanted = Wanted(PROMPT, 95)
+        self.assertIsNotNone(engine_room.choose(views, wanted, COST, None))
+        self.assertIsNone(engine_room.choose(views, wanted, COST, None, 0.5))
+        self.assertIsNotNone(engine_room.choose(views, wanted, COST, 0.4, 0.5))
+
     def test_least_expected_time_wins(self):
         self.assertEqual(
             'b', choose([view('a', others=12), view('b', others=3)])
