--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -270,10 +270,13 @@
             return found[load.name][0] if load else None
         views = [view for _target, view in found.values()]
         wanted = wanted_of(placing)
+        begun = placing.resuming
         drawn = engine_room.draw(views, self._rng)
-        view = engine_room.choose(drawn, wanted, cost, left_s, reserve)
+        view = engine_room.choose(drawn, wanted, cost, left_s, reserve, begun)
         if view is None and len(drawn) < len(views):
-            view = engine_room.choose(views, wanted, cost, left_s, reserve)
+            view = engine_room.choose(
+                views, wanted, cost, left_s, reserve, begun
+            )
         return found[view.name][0] if view else None
 
     def _usable(self, service: str, now: float) -> list[Target]:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -219,7 +219,9 @@
             return None
         views = [self._known.view(target, now) for target in hosts.values()]
         staying = [v for v in views if engine_room.stays_open(v, rest_s)]
-        view = engine_room.choose(staying, wanted_of(placing), cost, within_s)
+        view = engine_room.choose(
+            staying, wanted_of(placing), cost, within_s, begun=True
+        )
         return self._taken(placing, hosts[view.name], now) if view else None
 
     def may_host(self, placing: Placing) -> bool:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -106,7 +106,7 @@
             ours=self.load.ours,
             others=others,
             slots=self.load.slots,
-            room=0 if self.is_held else min(free, self.share),
+            room=0 if self.is_held else free,
             reading_tokens=sum(
                 item.prompt_tokens for item in self.reading.values()
             ),
@@ -115,6 +115,7 @@
             if self.closes_at is None
             else self.closes_at - now,
             is_far=is_far,
+            share=self.share,
         )
 
     def begins_in_s(self, now: float) -> float:
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -88,7 +88,8 @@
 
     `ours` and `others` are requests there, `reading_tokens` those of our
     prompts whose answers have not begun. `room` is how many more the window
-    and the slots allow. `unseen` are requests that the other entries have
+    and the slots allow, `share` how many of these new requests of this entry
+    may take, None for all. `unseen` are requests that the other entries have
     probably sent since the last report. `slowness` is 1 for an engine of the
     usual speed. `closes_in_s` is when it takes nothing new any more, None
     for no such time. `is_far` tells that it stands in another region.
@@ -104,6 +105,7 @@
     slowness: float = 1.0
     closes_in_s: float | None = None
     is_far: bool = False
+    share: int | None = None
 
 
 def first_token_s(
@@ -170,14 +172,20 @@
     cost: EngineCost,
     left_s: float | None,
     reserve: float = 0.0,
+    begun: bool = False,
 ) -> EngineView | None:
     """Give the engine where a request begins soonest, None for none now.
 
     `left_s` is what is left of the objective; None for a request that can't
     be on time, which takes any free slot beyond `reserve`, a part of all.
+    `begun` is for the rest of a stream, which is bound to no share.
     """
     late_reserve = reserve if left_s is None else None
-    open_views = [view for view in views if _is_open(view, late_reserve)]
+    open_views = [
+        view
+        for view in views
+        if _is_open(view, late_reserve) and (begun or _has_share(view))
+    ]
     if not open_views:
         return None
     best = min(
@@ -208,6 +216,10 @@
     return price_s + (CLOSING_COST_S if outlasts_s > CLOSING_SLACK_S else 0.0)
 
 
+def _has_share(view: EngineView) -> bool:
+    return view.share is None or view.share > 0
+
+
 def _is_open(view: EngineView, late_reserve: float | None) -> bool:
     if view.room <= 0:
         return False
--- a/packages/burdockchute/tests/decisions/test_engine_room.py
+++ b/packages/burdockchute/tests/decisions/test_engine_room.py
@@ -59,6 +59,14 @@
         self.assertEqual(5, engine_room.share_of(5, 1, 0.99))
         self.assertEqual(0, engine_room.share_of(-2, 4, 0.99))
 
+    def test_the_rest_of_a_stream_is_bound_to_no_share(self):
+        """Its caller has a part of the answer; new ones draw their share."""
+        views = [view('a', share=0)]
+        wanted = Wanted(PROMPT, 95)
+        self.assertIsNone(engine_room.choose(views, wanted, COST, 0.4))
+        found = engine_room.choose(views, wanted, COST, 1.2, begun=True)
+        self.assertIsNotNone(found)
+
     def test_few_engines_are_compared_most_of_the_own_region(self):
         """All entries would choose the one that looks best to all."""
         rng = random.Random(1)
