--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -18,7 +18,7 @@
 
 from burdockchute.decisions import admission
 from burdockchute.decisions import engine_room
-from burdockchute.decisions import overload as overloads
+from burdockchute.decisions import overload
 from burdockchute.decisions import patience
 from burdockchute.decisions import returns
 from burdockchute.decisions.waiting import Waiting
@@ -298,12 +298,12 @@
     def _retry_s(self, placing: Placing, late_s: float, now: float) -> float:
         # The overload as it is on arrival; the wait until the refusal is
         # short against it.
-        overload = self._lane(placing.wish.service).overload
-        lasted_s = overload.lasted_s(now)
+        lane = self._lane(placing.wish.service)
+        lasted_s = lane.overload.lasted_s(now)
         if lasted_s is None:
             return late_s
         left_s = placing.ctx.deadline - now
-        return overloads.retry_in_s(
+        return overload.retry_in_s(
             max(late_s, returns.least_s(left_s)),
             lasted_s,
             left_s - self._known.answer_s(placing) - late_s,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -105,8 +105,8 @@
         free = health.room(self.load.room(now), sent_at, self.is_behind, now)
         if now >= self.share_until:
             slots = self.load.slots - self.load.ours - others
-            free_now = min(slots, most)
-            self.share = engine_room.share_of(free_now, entries, chance)
+            shared = min(slots, most)
+            self.share = engine_room.share_of(shared, entries, chance)
             self.share_until = now + SHARE_S
         return EngineView(
             name=self.id,
