--- a/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -48,7 +48,7 @@
 
 
 class Shape(NamedTuple):
-    """A kind of request: mean tokens and the time to its first event."""
+    """A kind of request: mean tokens, seconds to its first event, weight."""
 
     prompt_tokens: float
     answer_tokens: float
@@ -68,14 +68,16 @@
 
 
 class Result(NamedTuple):
-    """What callers got: counts of requests by the second of their arrival."""
+    """What callers got, as counts; who still waits is only among the asked.
+
+    `refused_again` are those who came back as told.
+    """
 
     asked: int
     on_time: int
     late: int
     refused: int
     refused_again: int
-    failed: int
 
 
 class _Call:
@@ -147,7 +149,7 @@
         calls = [c for c in self.calls if first_s <= c.began < last_s]
         counts = [
             sum(call.outcome == name for call in calls)
-            for name in ('on time', 'late', 'refused', 'again', 'failed')
+            for name in ('on time', 'late', 'refused', 'again')
         ]
         return Result(len(calls), *counts)
 
