Returned callers are no new ones that miss their objective

Found when reading the change once more. A caller that has come back has no time among the new ones; its first stage is passed over, and the next one took it for a new caller whose time had run out. So the return of those who were sent away prolonged the overload that had sent them away.

Test seen failing before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -180,10 +180,11 @@
         Its `place` may be ready at once.
         """
         lane = self._lane(placing.wish.service)
-        was_new, placing.is_new = placing.is_new, stage.queue is lane.queue
         placing.is_late = stage.queue is lane.late
-        if was_new and placing.is_late:
+        if placing.is_new and placing.is_late:
             lane.overload.note(True, self._now())
+        # One that has come back has no time to wait among the new ones.
+        placing.is_new = stage.queue is lane.queue and stage.wait_s > 0
         if stage.wait_s <= 0:
             return None
         if placing.is_late and not self._may_wait_late(lane, placing):
--- a/packages/burdockchute-entry/tests/test_survey.py
+++ b/packages/burdockchute-entry/tests/test_survey.py
@@ -11,6 +11,7 @@
 from burdockchute.decisions.engine_room import EngineView
 from burdockchute.decisions.listing import Known
 from burdockchute.decisions.listing import UpstreamList
+from burdockchute.decisions.overload import Overload
 from burdockchute.decisions.placement import Work
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
@@ -153,6 +154,26 @@
         self.assertIsInstance(place, Place)
 
 
+class OverloadTest(unittest.TestCase):
+    def test_returned_callers_are_no_new_ones_that_miss(self):
+        """A burst is over and those sent away come back, past their aim.
+
+        Counted as new ones, they alone kept half of each engine closed to
+        themselves.
+        """
+        placer = Placer(BOUNDS, lambda: 0.0, random.Random(1))
+        known = {u.id: Known(u, 0) for u in upstreams()}
+        placer.learn(Beliefs(upstreams=UpstreamList(known, {})))
+        with mock.patch.object(Overload, 'note', autospec=True) as note:
+            for number in range(20):
+                returned = placing(number)
+                returned.wish = returned.wish._replace(elapsed_s=1.5)
+                plan = placer.plan(returned, 6.0)
+                for stage in plan.stages:
+                    placer.begin_stage(returned, stage, plan.retry_s)
+        self.assertEqual([], note.call_args_list)
+
+
 class OpeningTest(unittest.TestCase):
     """All engines have restarted and copy their weights."""
 
