A round of places ends when this entry has no share of any engine

Work done for nothing, found when reading the change once more: with shares drawn by chance, engines with free slots but none for this entry counted as room, so each waiting request looked at all of them, hundreds of times a second in an overload.

A round now asks whether any engine is open to a request that needs a share, and the share is drawn only when it is due (Target.draw_share). What is chosen stays as it was.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -228,14 +228,18 @@
 
     def view(self, target: Target, now: float) -> engine_room.EngineView:
         """Give what is known of a target as an engine."""
+        if now >= target.share_until:
+            self._draw_share(target, now)
         region = self._regions.get(target.upstream.zone)
         is_far = region is not None and region != self._region
-        chance = self._rng.random()
+        return target.view(is_far, now)
+
+    def _draw_share(self, target: Target, now: float) -> None:
         cost = self.cost(target.upstream.service)
         most = float('inf')
         if cost is not None and self.entries > 1:
             most = engine_room.prompts_read(cost, targets.SHARE_S)
-        return target.view(self.entries, is_far, chance, now, most)
+        target.draw_share(self.entries, most, self._rng.random(), now)
 
     # One round of giving out places.
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placer.py
@@ -400,9 +400,10 @@
         reserve = lane.overload.late_reserve(now)
         for queue in lane.queues:
             aside: list[Waiting] = []
-            is_late = queue is lane.late
+            needs_slot = is_engine and queue is lane.late
+            is_shared = is_engine and queue is not lane.resumed
             while len(queue) and len(aside) < MAX_ASIDE:
-                if not survey.has_room(is_late and is_engine, reserve):
+                if not survey.has_room(needs_slot, reserve, is_shared):
                     break
                 item = queue.pop(now)
                 if item is None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/survey.py
@@ -43,15 +43,17 @@
         # Prompt and time left of what found no place.
         self._in_vain: list[tuple[int, float | None]] = []
 
-    def has_room(self, is_late: bool, reserve: float = 0.0) -> bool:
+    def has_room(
+        self, is_late: bool, reserve: float = 0.0, is_shared: bool = False
+    ) -> bool:
         """Tell whether any target may take a request, fresh or late.
 
-        `reserve` is the part of its slots that is kept free of late work.
+        `reserve` is the part of its slots that is kept free of late work;
+        `is_shared` is for a request that is bound to this entry's share.
         """
-        if not is_late:
-            return bool(self._open)
         return any(
-            engine_room.has_free_slot(view, reserve)
+            (not is_shared or engine_room.has_share(view))
+            and (not is_late or engine_room.has_free_slot(view, reserve))
             for _target, view in self._open.values()
         )
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -87,31 +87,25 @@
             self.health, now
         )
 
-    def view(
-        self,
-        entries: int,
-        is_far: bool,
-        chance: float,
-        now: float,
-        most: float = float('inf'),
-    ) -> EngineView:
-        """Give what is known of it as an engine that entries share.
-
-        `chance` is drawn from 0 to 1, for the part of this entry; all of them
-        may send `most` in SHARE_S.
+    def draw_share(
+        self, entries: int, most: float, chance: float, now: float
+    ) -> None:
+        """Draw how many of its free slots this entry may use for SHARE_S.
+
+        `chance` is drawn from 0 to 1; all entries together may use `most`.
         """
+        free = self.load.slots - self.load.in_flight(now)
+        self.share = engine_room.share_of(min(free, most), entries, chance)
+        self.share_until = now + SHARE_S
+
+    def view(self, is_far: bool, now: float) -> EngineView:
+        """Give what is known of it as an engine that entries share."""
         sent_at = [item.sent_at for item in self.reading.values()]
-        others = self.load.in_flight(now) - self.load.ours
         free = health.room(self.load.room(now), sent_at, self.is_behind, now)
-        if now >= self.share_until:
-            slots = self.load.slots - self.load.ours - others
-            shared = min(slots, most)
-            self.share = engine_room.share_of(shared, entries, chance)
-            self.share_until = now + SHARE_S
         return EngineView(
             name=self.id,
             ours=self.load.ours,
-            others=others,
+            others=self.load.in_flight(now) - self.load.ours,
             slots=self.load.slots,
             room=0 if self.is_held else free,
             reading_tokens=sum(
--- a/packages/burdockchute-entry/tests/test_slow_links.py
+++ b/packages/burdockchute-entry/tests/test_slow_links.py
@@ -73,7 +73,7 @@
         """Send a request to each engine that has room."""
         now = self.site.now
         for target in self.targets:
-            if target.view(1, False, 0.0, now).room <= 0:
+            if target.view(False, now).room <= 0:
                 continue
             name = f'q-{next(self._ids)}'
             target.reading[name] = Reading(900, now)
--- a/packages/burdockchute/burdockchute/decisions/engine_room.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_room.py
@@ -144,6 +144,11 @@
     return free > reserve * view.slots
 
 
+def has_share(view: EngineView) -> bool:
+    """Tell whether a new request of this entry may go there."""
+    return view.share is None or view.share > 0
+
+
 def prompts_read(cost: EngineCost, for_s: float) -> float:
     """Give how many prompts an engine may get in so long, one at least.
 
@@ -199,7 +204,7 @@
     open_views = [
         view
         for view in views
-        if _is_open(view, late_reserve) and (begun or _has_share(view))
+        if _is_open(view, late_reserve) and (begun or has_share(view))
     ]
     if not open_views:
         return None
@@ -231,10 +236,6 @@
     return price_s + (CLOSING_COST_S if outlasts_s > CLOSING_SLACK_S else 0.0)
 
 
-def _has_share(view: EngineView) -> bool:
-    return view.share is None or view.share > 0
-
-
 def _is_open(view: EngineView, late_reserve: float | None) -> bool:
     if view.room <= 0:
         return False
