A store that comes back from a copy takes nobody back

Read by offset alone, a process would have passed over every record that stands at an offset it knows, without an error: a version, a revoked key, an upstream that left.

Cause: offsets were the only position. A store that returns from a copy gives the lost ones out again, and only its header Store-Era tells.

Change: era and offset together are a position, and nothing compares offsets of two eras. Each answer is looked at, so a read that stays open across the return, a page of another era and a position beyond the end all lead to a whole read. An era that falls or jumps is a return and one line in the log; one that is missing or no number is no return. Of the list in a copy only what can't be outdated is taken (a drain, a later start, a later version), those it lacks are kept for as long as after an outage, and who was seen to leave stays gone until listed anew. Configurations and versions never went back and don't now. A process that starts waits up to half a second for three agents, which now know each save within about a second, and holds back a configuration older than theirs for 15 s at most; with no agent it believes the copy.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -79,7 +79,7 @@
         self.reports = ReportsTask(
             self.staged,
             self._slots,
-            lambda: self.follower.beliefs.histories,
+            lambda: self.follower.beliefs,
             self._name,
         )
         self.inbox: queue.Queue = queue.Queue()
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -10,6 +10,7 @@
 import gevent
 
 from burdockchute.decisions.versions import History
+from burdockchute.model.beliefs import Beliefs
 from burdockchute.nodes import links
 from burdockchute.nodes.wishes_news import news_of
 from burdockchute.wire import messages
@@ -38,13 +39,13 @@
         self,
         staged: StagedTask,
         slots: Callable[[], int],
-        histories: Callable[[], Mapping[str, History]],
+        beliefs: Callable[[], Beliefs],
         name: str,
     ) -> None:
         self.entries: dict[links.Link, None] = {}
         self._staged = staged
         self._slots = slots
-        self._histories = histories
+        self._beliefs = beliefs
         self._told_histories: Mapping[str, History] = {}
         self._name = name
         self._told: messages.LoadReport | None = None
@@ -60,7 +61,9 @@
         """Take a new link to an entry, and tell it all at once."""
         self.entries[link] = None
         report = self.current()
-        report.named = news_of(self._histories(), time.monotonic())
+        beliefs = self._beliefs()
+        report.named = news_of(beliefs.histories, time.monotonic())
+        report.configuration = beliefs.newest_configuration()
         self._send_frame(link, links.frame_of(report))
 
     def closed(self, link: links.Link) -> None:
@@ -119,7 +122,7 @@
     def tell(self, now: float) -> None:
         """Tell all entries what has changed by now."""
         current = self.current()
-        histories = self._histories()
+        histories = self._beliefs().histories
         is_news = histories != self._told_histories
         is_due = current != self._told or now - self._told_at >= IDLE_REPORT_S
         if not is_news and not is_due:
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -6,6 +6,8 @@
 from unittest import mock
 
 from burdockchute.decisions import versions
+from burdockchute.model.beliefs import Beliefs
+from burdockchute.model.needs import Needs
 from burdockchute.nodes import links
 from burdockchute.wire import messages
 from burdockchute_agent.staged import reports_task
@@ -46,9 +48,13 @@
         frames.start()
         self.addCleanup(frames.stop)
         self.histories = {}
+        self.told = None
         self.staged = FakeStaged()
         self.task = reports_task.ReportsTask(
-            self.staged, lambda: 4, lambda: self.histories, '127.0.0.1:1'
+            self.staged,
+            lambda: 4,
+            lambda: Beliefs(histories=self.histories, told=self.told),
+            '127.0.0.1:1',
         )
 
     def named(self, version, at):
@@ -56,6 +62,15 @@
         history = versions.name(history, version, at)
         self.histories = {'story': history}
 
+    def test_a_new_entry_is_told_of_the_newest_configuration(self):
+        """The store may show it an older one, with a key revoked since."""
+        first, second = FakeLink(), FakeLink()
+        self.task.opened(first)
+        self.assertEqual(0, first.frames[-1].configuration)
+        self.told = Needs(7, ('story',), 4, '10.0.0.8:80')
+        self.task.opened(second)
+        self.assertEqual(7, second.frames[-1].configuration)
+
     def test_a_crash_is_handed_on_to_the_other_entries(self):
         first, second = FakeLink(), FakeLink()
         self.task.opened(first)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -43,6 +43,10 @@
 # of them may be paused or gone.
 RELAYS = 3
 
+# Agents hear of a save that changes nothing for them this often at most, so
+# that an entry that starts learns of it from them.
+SAVES_S = 1.0
+
 Reported = Callable[[str, messages.LoadReport], None]
 
 
@@ -102,11 +106,13 @@
         self._services: dict[str, str] = {}
         self._told: dict[str, _Told] = {}
         self._was_in_contact = in_contact()
+        self._told_saves: dict[str, int] = {}
+        self._saves_told_at = 0.0
 
     def run(self) -> None:
         """Take messages for ever."""
         tasks.take_messages(
-            self.inbox, self._take, self._tick, TICK_S, time.monotonic
+            self.inbox, self._take, self._look, TICK_S, time.monotonic
         )
 
     def close(self) -> None:
@@ -173,7 +179,7 @@
         for peer in self._rng.sample(linked, min(RELAYS, len(linked))):
             peer.send(news)
 
-    def _tell(self, peer: PeerLink) -> None:
+    def _tell(self, peer: PeerLink, of_saves: bool = False) -> None:
         # An agent of whose engine the list says nothing keeps what it knows;
         # told of no service, it would take its models for withdrawn.
         service = self._services.get(peer.name)
@@ -184,8 +190,9 @@
             needs._replace(configuration=0) if needs else None,
             self._in_contact(),
         )
-        if told == self._told.get(peer.name):
+        if not of_saves and told == self._told.get(peer.name):
             return
+        self._told_saves[peer.name] = needs.configuration if needs else 0
         self._told[peer.name] = told
         named = news_of(told.histories, time.monotonic())
         peer.send(
@@ -196,6 +203,20 @@
         for peer in list(self._peers.links.values()):
             self._tell(peer)
 
+    def _look(self) -> None:
+        now = time.monotonic()
+        if now - self._saves_told_at >= SAVES_S:
+            self._saves_told_at = now
+            self._tell_of_saves()
+        self._tick()
+
+    def _tell_of_saves(self) -> None:
+        newest = self._beliefs.newest_configuration()
+        for name, peer in list(self._peers.links.items()):
+            is_listed = name in self._services
+            if is_listed and self._told_saves.get(name, 0) < newest:
+                self._tell(peer, of_saves=True)
+
     def _tick(self) -> None:
         if self._in_contact() != self._was_in_contact:
             self._was_in_contact = not self._was_in_contact
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -219,6 +219,8 @@
     def _reported(self, address: str, report: messages.LoadReport) -> None:
         if report.named:
             self.follower.hear(heard_of(report.named, time.monotonic()))
+        if report.configuration is not None:
+            self.follower.hear_configuration(report.configuration)
         self.placer.reported(address, report)
 
     def _crash_learned(self, learned: CrashLearned) -> None:
--- a/packages/burdockchute-testing/burdockchute_testing/builders/upstreams.py
+++ b/packages/burdockchute-testing/burdockchute_testing/builders/upstreams.py
@@ -6,6 +6,7 @@
 
 from burdockchute.decisions import listing
 from burdockchute.decisions.listing import UpstreamList
+from burdockchute.model.positions import Position
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.model.upstreams import Listed
 from burdockchute.model.upstreams import Upstream
@@ -34,6 +35,6 @@
 def listed(*upstreams: Upstream) -> UpstreamList:
     """Give the list that names these."""
     found = listing.empty()
-    for position, each in enumerate(upstreams):
-        found = listing.on_listed(found, Listed(position, each))
+    for offset, each in enumerate(upstreams):
+        found = listing.on_listed(found, Listed(Position(0, offset), each))
     return found
--- a/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -18,6 +18,7 @@
 from burdockchute.model.beliefs import Beliefs
 from burdockchute.model.machines import Bounds
 from burdockchute.model.outcomes import NotRun
+from burdockchute.model.positions import Position
 from burdockchute.model.routes import CallerLimits
 from burdockchute.model.routes import Configuration
 from burdockchute.model.routes import EngineCost
@@ -313,7 +314,7 @@
                 versions={},
                 started_ms=None,
             ),
-            0,
+            Position(0, 0),
         )
         for number in range(deployment.engines)
     }
--- a/packages/burdockchute/burdockchute/decisions/listing.py
+++ b/packages/burdockchute/burdockchute/decisions/listing.py
@@ -20,14 +20,21 @@
 at an address, so whoever was listed there last takes the other's place. After
 a loss of power at all engines half of the requests went to ids that were
 gone, and one in three of two seconds' callers was refused for it.
+
+A store that comes back from a copy shows the list as it was some seconds
+before. Of an upstream that is known it can only tell what never goes back:
+that it leaves, a later start, a later version of weights. One that was seen
+to leave stays gone until it is listed anew.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from types import MappingProxyType
 from typing import NamedTuple
 
+from burdockchute.model.positions import Position
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.model.upstreams import Listed
 from burdockchute.model.upstreams import Unlisted
@@ -46,20 +53,27 @@
     """One upstream; `lapsed_at` is set while it is missing from the list."""
 
     upstream: Upstream
-    position: int
+    position: Position
     lapsed_at: float | None = None
 
 
+class Gone(NamedTuple):
+    """An upstream that was dropped, and the last record of it."""
+
+    upstream: Upstream
+    position: Position
+
+
 class UpstreamList(NamedTuple):
     """All known upstreams by id.
 
     What lapses before `lapses_until` is kept to `settles_at`; `gone`
-    remembers the position at which an id was dropped, `at_endpoint` who was
-    listed last at each address.
+    remembers who was dropped, `at_endpoint` who was listed last at each
+    address.
     """
 
     known: dict[str, Known]
-    gone: dict[str, int]
+    gone: dict[str, Gone]
     settles_at: float = float('-inf')
     lapses_until: float = float('-inf')
     at_endpoint: Mapping[Endpoint, str] = MappingProxyType({})
@@ -81,7 +95,8 @@
     """Take in what the list says of an upstream."""
     upstream, position = entry.upstream, entry.position
     old = listed.known.get(upstream.id)
-    if position <= listed.gone.get(upstream.id, -1):
+    gone = listed.gone.get(upstream.id)
+    if gone is not None and position <= gone.position:
         return listed
     if old is not None and not _follows(old, upstream, position):
         return listed
@@ -110,7 +125,7 @@
 
 
 def on_whole(
-    listed: UpstreamList, names: set[str], position: int, now: float
+    listed: UpstreamList, names: set[str], position: Position, now: float
 ) -> UpstreamList:
     """Take in that the list names these ids and no others."""
     for name in [n for n in listed.known if n not in names]:
@@ -119,6 +134,30 @@
     return listed
 
 
+def on_restored(
+    listed: UpstreamList,
+    entries: Sequence[Listed],
+    position: Position,
+    now: float,
+) -> UpstreamList:
+    """Take in the whole list of a store that came back from a copy."""
+    listed = on_return(listed, now)
+    for entry in entries:
+        upstream = entry.upstream
+        old = listed.known.get(upstream.id)
+        if old is not None and not _started_later(old.upstream, upstream):
+            merged = Known(
+                _merged(old.upstream, upstream),
+                max(old.position, entry.position),
+            )
+            known = {**listed.known, upstream.id: merged}
+            listed = listed._replace(known=known)
+        elif _is_newer_than_known(listed, upstream):
+            listed = on_listed(listed, entry)
+    names = {entry.upstream.id for entry in entries}
+    return on_whole(listed, names, position, now)
+
+
 def on_time(listed: UpstreamList, now: float) -> UpstreamList:
     """Drop those that lapsed and have not come back in time."""
     if now < listed.settles_at:
@@ -139,13 +178,43 @@
     return listed.known.get(name) if name != upstream.id else None
 
 
-def _follows(old: Known, upstream: Upstream, position: int) -> bool:
+def _follows(old: Known, upstream: Upstream, position: Position) -> bool:
     before, after = old.upstream.started_ms, upstream.started_ms
     if before is not None and after is not None and before != after:
         return after > before
     return position > old.position
 
 
-def _without(listed: UpstreamList, name: str, position: int) -> UpstreamList:
+def _started_later(old: Upstream, upstream: Upstream) -> bool:
+    before, after = old.started_ms, upstream.started_ms
+    return before is not None and after is not None and after > before
+
+
+def _merged(known: Upstream, copied: Upstream) -> Upstream:
+    """Give what is known with what a copy tells that can't be outdated."""
+    if _started_later(copied, known):
+        return known
+    versions = {
+        model: max(version, copied.versions.get(model, version))
+        for model, version in known.versions.items()
+    }
+    return known._replace(
+        draining=known.draining or copied.draining, versions=versions
+    )
+
+
+def _is_newer_than_known(listed: UpstreamList, upstream: Upstream) -> bool:
+    """Tell whether an entry of a copy is of a start not heard of before."""
+    gone = listed.gone.get(upstream.id)
+    if gone is not None and not _started_later(gone.upstream, upstream):
+        return False
+    rival = _rival(listed, upstream)
+    return rival is None or _started_later(rival.upstream, upstream)
+
+
+def _without(
+    listed: UpstreamList, name: str, position: Position
+) -> UpstreamList:
+    left = Gone(listed.known[name].upstream, position)
     known = {n: k for n, k in listed.known.items() if n != name}
-    return listed._replace(known=known, gone={**listed.gone, name: position})
+    return listed._replace(known=known, gone={**listed.gone, name: left})
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -26,6 +26,7 @@
 
 from burdockchute import logs
 from burdockchute import metrics
+from burdockchute.decisions import fresh_starts
 from burdockchute.decisions import listing
 from burdockchute.model import beliefs as belief
 from burdockchute.model.beliefs import Beliefs
@@ -36,6 +37,7 @@
 from burdockchute.model.feeds import Feeds
 from burdockchute.model.feeds import ReadFeed
 from burdockchute.model.needs import Needs
+from burdockchute.model.positions import Position
 
 # A connection that has gone silent is noticed only when a read that was to
 # stay open is over and its answer overdue, and a read after that takes a
@@ -65,6 +67,9 @@
 # of a version, which is paid for by the seconds until copies are whole.
 REST_S = 0.25
 
+# How often a process that starts looks whether its neighbours have told.
+NEIGHBOURS_POLL_S = 0.01
+
 
 def longest_wait_s(contact_s: float) -> float:
     """Give how long a read may stay open.
@@ -93,6 +98,36 @@
     settling_s: float = 0.0
 
 
+class Cursor:
+    """Where a feed is read on; `position` is None where all is to be read."""
+
+    def __init__(self) -> None:
+        self.position: Position | None = None
+        self._era: int | None = None
+
+    def expire(self) -> None:
+        """Note that the store has dropped what stood at the position."""
+        self.position = None
+
+    def advance(self, position: Position) -> bool:
+        """Go on from a position; true if the store came back from a copy."""
+        restored = self._era is not None and position.era != self._era
+        self.position = position
+        self._era = position.era
+        return restored
+
+
+class Returned(NamedTuple):
+    """What a batch comes after.
+
+    `regained` marks the first answer after an outage, `restored` the first
+    one of a store that came back from a copy.
+    """
+
+    regained: bool
+    restored: bool
+
+
 class Contact:
     """Whether one feed answers, and since when it has not."""
 
@@ -118,6 +153,16 @@
         self.lost = False
         return regained
 
+    def restored(self, position: Position) -> None:
+        """Note that the store has come back from a copy."""
+        logs.warn(
+            'dependency_restored',
+            dependency=self._name,
+            era=position.era,
+            position=position.offset,
+            kept_s=listing.SETTLE_S,
+        )
+
     def rest(self, now: float) -> None:
         """Note that nothing was asked, so that silence means nothing."""
         self._answered_at = now
@@ -156,6 +201,9 @@
         self._now = now
         self._rng = rng
         self._wishes_read = False
+        self._started_at = now()
+        self._heard = fresh_starts.Heard()
+        self._held_back_at = 0.0
         self._wishes_cadence = wishes_cadence
         self._upstreams_cadence = upstreams_cadence
         self.wishes_contact = Contact('wishes', now())
@@ -200,14 +248,18 @@
         """Take in what an agent needs of the configuration."""
         self._replace(*belief.take_told_needs(self.beliefs, told))
 
+    def hear_configuration(self, version: int) -> None:
+        """Take in the version of the configuration that a neighbour knows."""
+        self._heard = fresh_starts.told(self._heard, version)
+
     def _follow(
         self,
         read: ReadFeed,
         cadence_now: Callable[[], Cadence | None],
         contact: Contact,
-        take: Callable[[Batch, bool, float], None],
+        take: Callable[[Batch, Returned, float], None],
     ) -> None:
-        position: int | None = None
+        cursor = Cursor()
         failures = 0
         settled_at = float('-inf')
         while True:
@@ -219,12 +271,12 @@
                 continue
             hurries = failures > 0 or asked_at < settled_at
             wait_s = 0.0 if hurries else cadence.wait_s
-            result = read(position, wait_s)
+            result = read(cursor.position, wait_s)
             now = self._now()
             if isinstance(result, Failure):
                 error = result.failure()
                 if error.expired:
-                    position = None
+                    cursor.expire()
                     continue
                 contact.failed(error, now)
                 failures += 1
@@ -232,29 +284,56 @@
                 continue
             failures = 0
             batch = result.unwrap()
-            position = batch.position
+            restored = cursor.advance(batch.position)
             regained = contact.answered(now)
-            if regained:
+            if restored:
+                contact.restored(batch.position)
+            if regained or restored:
                 settled_at = now + cadence.settling_s
-            take(batch, regained, now)
+            take(batch, Returned(regained, restored), now)
             if batch.changes or not wait_s:
                 gevent.sleep(cadence.period_s)
 
-    def _take_wishes(self, batch: Batch, _regained: bool, now: float) -> None:
+    def _take_wishes(
+        self, batch: Batch, _returned: Returned, now: float
+    ) -> None:
         first = not self._wishes_read
+        if first:
+            now = self._wait_for_neighbours(batch.position)
         self._wishes_read = True
-        after, learnt = belief.take_wishes(self.beliefs, batch, first, now)
+        least = self._heard.configuration
+        after, learnt = belief.take_wishes(
+            self.beliefs, batch, first, now, least
+        )
+        if after.held_back is not None:
+            if self.beliefs.held_back is None:
+                self._held_back_at = now
+            elif fresh_starts.gives_up(self._held_back_at, now):
+                after, taken = belief.take_held_back(after)
+                learnt = [*learnt, *taken]
         self._replace(after, learnt)
 
+    def _wait_for_neighbours(self, position: Position) -> float:
+        now = self._now()
+        while fresh_starts.waits_for_neighbours(
+            self._heard, position, self._started_at, now
+        ):
+            gevent.sleep(NEIGHBOURS_POLL_S)
+            now = self._now()
+        return now
+
     def _take_upstreams(
-        self, batch: Batch, regained: bool, now: float
+        self, batch: Batch, returned: Returned, now: float
     ) -> None:
         before = self.beliefs
-        if regained:
+        if returned.regained or returned.restored:
             upstreams = listing.on_return(before.upstreams, now)
             before = before._replace(upstreams=upstreams)
             gevent.spawn_later(listing.SETTLE_S, self._settle)
-        after, learnt = belief.take_upstreams(before, batch, now)
+        take = belief.take_upstreams
+        if returned.restored:
+            take = belief.take_restored_upstreams
+        after, learnt = take(before, batch, now)
         self._replace(after, learnt)
 
     def _settle(self) -> None:
@@ -263,7 +342,7 @@
         The next reading may be 0.7 s away, and an engine that left meanwhile
         would get requests for as much longer than it stays.
         """
-        nothing = Batch(0, False, ())
+        nothing = Batch(Position(0, 0), False, ())
         self._replace(
             *belief.take_upstreams(self.beliefs, nothing, self._now())
         )
--- a/packages/burdockchute/burdockchute/model/beliefs.py
+++ b/packages/burdockchute/burdockchute/model/beliefs.py
@@ -18,6 +18,7 @@
 from burdockchute.model.feeds import VersionRead
 from burdockchute.model.needs import Needs
 from burdockchute.model.needs import needs_of
+from burdockchute.model.routes import Configuration
 from burdockchute.model.upstreams import Listed
 from burdockchute.model.upstreams import Unlisted
 from burdockchute.model.upstreams import Upstream
@@ -28,7 +29,7 @@
 
     `histories` is by model. `listed` is true once the list was read. `told`
     is what others say an agent needs of the routes, where it has not read
-    them.
+    them. `held_back` is a configuration that neighbours know to be outdated.
     """
 
     routes: RouteTable | None = None
@@ -36,6 +37,7 @@
     upstreams: UpstreamList = listing.empty()
     listed: bool = False
     told: Needs | None = None
+    held_back: Configuration | None = None
 
     @property
     def complete(self) -> bool:
@@ -55,6 +57,11 @@
             return self.told
         return needs_of(version, self.routes.services, service)
 
+    def newest_configuration(self) -> int:
+        """Give the newest configuration heard of, 0 for none."""
+        read = self.routes.configuration.version if self.routes else 0
+        return max(read, self.told.configuration if self.told else 0)
+
     def history(self, model: str) -> versions.History:
         """Give the versions of a model that were named."""
         return self.histories.get(model, versions.History())
@@ -68,19 +75,49 @@
 
 
 def take_wishes(
-    beliefs: Beliefs, batch: Batch, first: bool, now: float
+    beliefs: Beliefs,
+    batch: Batch,
+    first: bool,
+    now: float,
+    least_configuration: int = 0,
 ) -> tuple[Beliefs, list[Learnt]]:
     """Take in what operators want.
 
     `first` marks the first reading of a process, which can't tell when a
-    version was named.
+    version was named. A process without a configuration holds back one that
+    is older than `least_configuration`, which its neighbours know.
     """
     learnt: list[Learnt] = []
     for change in batch.changes:
+        if (
+            isinstance(change, ConfigurationRead)
+            and beliefs.routes is None
+            and change.configuration.version < least_configuration
+        ):
+            beliefs = beliefs._replace(held_back=change.configuration)
+            learnt.append(
+                Learnt(
+                    'configuration_held_back',
+                    {
+                        'version': change.configuration.version,
+                        'neighbours': least_configuration,
+                    },
+                )
+            )
+            continue
         beliefs = _take_wish(beliefs, change, None if first else now, learnt)
     return beliefs, learnt
 
 
+def take_held_back(beliefs: Beliefs) -> tuple[Beliefs, list[Learnt]]:
+    """Take in the configuration that was held back, if none has come since."""
+    learnt: list[Learnt] = []
+    if beliefs.held_back is not None:
+        read = ConfigurationRead(beliefs.held_back)
+        beliefs = _take_wish(beliefs, read, None, learnt)
+    return beliefs, learnt
+
+
 class Hearsay(NamedTuple):
     """What another process tells: when it learnt of a named version.
 
@@ -150,6 +187,17 @@
     return beliefs._replace(told=told), [learnt]
 
 
+def take_restored_upstreams(
+    beliefs: Beliefs, batch: Batch, now: float
+) -> tuple[Beliefs, list[Learnt]]:
+    """Take in the whole list of a store that came back from a copy."""
+    before = beliefs.upstreams
+    listed = [c for c in batch.changes if isinstance(c, Listed)]
+    after = listing.on_restored(before, listed, batch.position, now)
+    learnt = _compared(before, after)
+    return beliefs._replace(upstreams=after, listed=True), learnt
+
+
 def take_upstreams(
     beliefs: Beliefs, batch: Batch, now: float
 ) -> tuple[Beliefs, list[Learnt]]:
@@ -187,7 +235,7 @@
                 },
             )
         )
-        return beliefs._replace(routes=route_table(new))
+        return beliefs._replace(routes=route_table(new), held_back=None)
     if isinstance(change, VersionRead):
         old_history = beliefs.history(change.model)
         history = versions.name(old_history, change.version, at)
@@ -236,7 +284,8 @@
                         f'{m}@{v}' for m, v in upstream.versions.items()
                     ),
                     'started_ms': upstream.started_ms,
-                    'position': known.position,
+                    'era': known.position.era,
+                    'position': known.position.offset,
                 },
             )
         )
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -2,7 +2,8 @@
 
 A feed is read by position. Without one it gives all that is in force, as
 `whole`; what is missing then is not in force any more. With one it gives
-what has changed since.
+what has changed since, or all where that can't be told: a store that came
+back from a copy has other records at the same offsets.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 from returns.result import Result
 
+from burdockchute.model.positions import Position
 from burdockchute.model.routes import Configuration
 from burdockchute.model.upstreams import Listed
 from burdockchute.model.upstreams import Unlisted
@@ -43,7 +45,7 @@
 class Batch(NamedTuple):
     """Changes in their order; the next read goes on at `position`."""
 
-    position: int
+    position: Position
     whole: bool
     changes: tuple[Change, ...]
 
@@ -58,7 +60,7 @@
     expired: bool = False
 
 
-ReadFeed = Callable[[int | None, float], Result[Batch, FeedError]]
+ReadFeed = Callable[[Position | None, float], Result[Batch, FeedError]]
 
 
 class Feeds(NamedTuple):
--- a/packages/burdockchute/burdockchute/model/upstreams.py
+++ b/packages/burdockchute/burdockchute/model/upstreams.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from burdockchute.model.positions import Position
+
 
 class Endpoint(NamedTuple):
     """IP number and port.
@@ -42,13 +44,13 @@
 class Listed(NamedTuple):
     """The list names an upstream or has changed what it says of one."""
 
-    position: int
+    position: Position
     upstream: Upstream
 
 
 class Unlisted(NamedTuple):
     """The list names an upstream no more, or says nothing usable of it."""
 
-    position: int
+    position: Position
     id: str
     reason: str
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -8,8 +8,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import json
 import socket
+from types import MappingProxyType
 from typing import Any
 from typing import NamedTuple
 
@@ -29,11 +31,12 @@
 
 
 class RawReply(NamedTuple):
-    """Status and body of an answer."""
+    """Status, body and headers of an answer; names are in lower case."""
 
     status: int
     body: bytes
     retry_after_s: float
+    headers: Mapping[str, str] = MappingProxyType({})
 
 
 class Reply(NamedTuple):
@@ -120,6 +123,7 @@
                 response.status_code,
                 data,
                 _seconds(response.get('retry-after')),
+                {name.lower(): value for name, value in response.items()},
             )
         )
     except gevent.Timeout:
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1390,11 +1390,12 @@
      - closes_in_ms
      - named
      - opens_in_ms
+     - configuration
 
     """
 
 
-    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None, opens_in_ms=None,):
+    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None, opens_in_ms=None, configuration=None,):
         self.instance = instance
         self.running = running
         self.waiting = waiting
@@ -1411,6 +1412,7 @@
         self.closes_in_ms = closes_in_ms
         self.named = named
         self.opens_in_ms = opens_in_ms
+        self.configuration = configuration
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1528,6 +1530,11 @@
                     self.opens_in_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.configuration = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1617,6 +1624,10 @@
             oprot.writeFieldBegin('opens_in_ms', TType.I32, 16)
             oprot.writeI32(self.opens_in_ms)
             oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I64, 17)
+            oprot.writeI64(self.configuration)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3473,6 +3484,7 @@
     (14, TType.I32, 'closes_in_ms', None, None, ),  # 14
     (15, TType.LIST, 'named', (TType.STRUCT, [NamedVersion, None], False), None, ),  # 15
     (16, TType.I32, 'opens_in_ms', None, None, ),  # 16
+    (17, TType.I64, 'configuration', None, None, ),  # 17
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
--- a/packages/burdockchute/tests/test_beliefs.py
+++ b/packages/burdockchute/tests/test_beliefs.py
@@ -16,6 +16,7 @@
 from burdockchute.model.feeds import Unreadable
 from burdockchute.model.feeds import VersionRead
 from burdockchute.model.needs import Needs
+from burdockchute.model.positions import Position
 from burdockchute.model.routes import CallerLimits
 from burdockchute.model.routes import Configuration
 
@@ -26,6 +27,36 @@
     return ConfigurationRead(Configuration(version, (), (), None, LIMITS))
 
 
+class FreshStartTest(unittest.TestCase):
+    """The store is back from a copy, with a key that was revoked since."""
+
+    def read(self, beliefs, version, least):
+        batch = Batch(Position(1, 3), True, (configuration(version),))
+        return belief.take_wishes(beliefs, batch, True, 5.0, least)
+
+    def test_an_older_configuration_than_neighbours_know_is_held_back(self):
+        after, learnt = self.read(Beliefs(), 6, 7)
+        self.assertIsNone(after.routes)
+        self.assertEqual(
+            ['configuration_held_back'], [x.event for x in learnt]
+        )
+        again, _learnt = self.read(after, 7, 7)
+        self.assertEqual(7, again.routes.configuration.version)
+        self.assertEqual((again, []), belief.take_held_back(again))
+
+    def test_it_is_served_where_nobody_writes_the_newer_one_again(self):
+        after, _learnt = self.read(Beliefs(), 6, 7)
+        served, learnt = belief.take_held_back(after)
+        self.assertEqual(6, served.routes.configuration.version)
+        self.assertEqual(['configuration_learnt'], [x.event for x in learnt])
+
+    def test_a_running_process_is_bound_by_what_it_has_read(self):
+        """A neighbour that reads faster makes no other one unready."""
+        running, _learnt = self.read(Beliefs(), 6, 0)
+        after, _learnt = self.read(running, 6, 7)
+        self.assertEqual(6, after.routes.configuration.version)
+
+
 CHANGES = st.one_of(
     st.integers(1, 9).map(configuration),
     st.integers(1, 9).map(lambda version: VersionRead('story', version)),
@@ -43,7 +74,7 @@
         beliefs = Beliefs()
         for number, changes in enumerate(batches):
             version = _versions(beliefs)
-            batch = Batch(number, number == 0, tuple(changes))
+            batch = Batch(Position(0, number), number == 0, tuple(changes))
             beliefs, _learnt = belief.take_wishes(
                 beliefs, batch, number == 0, float(number)
             )
@@ -65,7 +96,7 @@
         """
         beliefs = Beliefs()
         if read:
-            batch = Batch(0, True, (configuration(read),))
+            batch = Batch(Position(0, 0), True, (configuration(read),))
             beliefs, _learnt = belief.take_wishes(beliefs, batch, True, 0.0)
         newest = read
         for version in told:
@@ -83,7 +114,9 @@
         that all engines hold begin anything, and every caller would be
         refused until the new one is copied.
         """
-        batch = Batch(0, True, (configuration(1), VersionRead('story', 1)))
+        batch = Batch(
+            Position(0, 0), True, (configuration(1), VersionRead('story', 1))
+        )
         running, _learnt = belief.take_wishes(Beliefs(), batch, True, 0.0)
         told = [Hearsay('story', 2, None)]
         running, _learnt = belief.take_hearsay(running, told, 60.0)
@@ -103,7 +136,9 @@
         self.assertEqual(2, versions.least_allowed(history, 8.0, 60.0))
 
     def test_each_change_of_belief_is_told(self):
-        batch = Batch(3, True, (configuration(4), VersionRead('story', 2)))
+        batch = Batch(
+            Position(0, 3), True, (configuration(4), VersionRead('story', 2))
+        )
         _beliefs, learnt = belief.take_wishes(Beliefs(), batch, True, 0.0)
         self.assertEqual(
             ['configuration_learnt', 'version_named'],
--- a/packages/burdockchute/tests/test_following.py
+++ b/packages/burdockchute/tests/test_following.py
@@ -12,9 +12,13 @@
 from burdockchute import following
 from burdockchute.decisions import listing
 from burdockchute.model.feeds import Batch
+from burdockchute.model.feeds import ConfigurationRead
 from burdockchute.model.feeds import FeedError
 from burdockchute.model.feeds import Feeds
 from burdockchute.model.feeds import VersionRead
+from burdockchute.model.positions import Position
+from burdockchute.model.routes import CallerLimits
+from burdockchute.model.routes import Configuration
 from burdockchute.model.upstreams import Listed
 from burdockchute_testing.builders import upstreams
 
@@ -56,10 +60,10 @@
             self.time += 0.0 if self._refuses else wait_s + ANSWER_S
             return Failure(FeedError('no answer in time'))
         if position is None:
-            return Success(Batch(0, True, ()))
-        if position == 0 and self.time >= end:
+            return Success(Batch(Position(0, 0), True, ()))
+        if position.offset == 0 and self.time >= end:
             named = VersionRead('story', 2)
-            return Success(Batch(1, False, (named,)))
+            return Success(Batch(Position(0, 1), False, (named,)))
         self.time += wait_s
         return Success(Batch(position, False, ()))
 
@@ -72,10 +76,10 @@
         if isinstance(result, Failure):
             return result
         if position is None:
-            listed = Listed(0, upstreams.upstream(id='i-1'))
-            return Success(Batch(0, True, (listed,)))
-        if position == 0 and self.time >= self._silent[1]:
-            return Success(Batch(1, True, ()))
+            listed = Listed(Position(0, 0), upstreams.upstream(id='i-1'))
+            return Success(Batch(Position(0, 0), True, (listed,)))
+        if position.offset == 0 and self.time >= self._silent[1]:
+            return Success(Batch(Position(0, 1), True, ()))
         return Success(Batch(position, False, ()))
 
 
@@ -198,5 +202,83 @@
         self.assertFalse(follower.wishes_contact.lost)
 
 
+class RestoredStore:
+    """A feed whose configuration is that of a copy for a while."""
+
+    def __init__(self, era, until):
+        self.time = 0.0
+        self.told = []
+        self.follower = None
+        self._era = era
+        self._until = until
+
+    def now(self):
+        return self.time
+
+    def sleep(self, seconds):
+        self.time += seconds
+        while self.told and self.told[0][0] <= self.time:
+            self.follower.hear_configuration(self.told.pop(0)[1])
+
+    def read(self, position, wait_s):
+        if self.time > 20.0:
+            raise Stop
+        version = 6 if self.time < self._until else 7
+        self.sleep(0.01 if position is None else wait_s)
+        read = ConfigurationRead(
+            Configuration(version, (), (), None, CallerLimits(1, 1, 1.0, 1.0))
+        )
+        return Success(Batch(Position(self._era, 1), True, (read,)))
+
+
+class FreshStartTest(unittest.TestCase):
+    """The store is back from a copy; a key was revoked in what it lost."""
+
+    def learnt(self, store):
+        """Give when a process that starts takes which configuration."""
+        learnt = []
+
+        def changed(beliefs):
+            if beliefs.routes is not None:
+                version = beliefs.routes.configuration.version
+                learnt.append((round(store.time, 1), version))
+
+        store.follower = following.Follower(
+            Feeds(store.read, store.read),
+            changed,
+            store.now,
+            random.Random(1),
+            lambda: following.Cadence(WAIT_S, 0.0),
+            following.Cadence(2.0, 0.7),
+        )
+        with mock.patch.object(following.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                store.follower.follow_wishes()
+        return learnt
+
+    def test_it_serves_nothing_older_than_its_neighbours_know(self):
+        store = RestoredStore(era=1, until=4.0)
+        store.told = [(0.1, 6), (0.1, 0), (0.2, 7), (0.2, 7)]
+        ((at, version),) = self.learnt(store)
+        self.assertEqual(7, version)
+        self.assertGreaterEqual(at, 4.0)
+
+    def test_without_neighbours_it_serves_what_the_store_shows(self):
+        """Nobody is left who could know better."""
+        store = RestoredStore(era=1, until=4.0)
+        self.assertEqual((0.5, 6), self.learnt(store)[0])
+
+    def test_it_does_not_wait_for_ever_for_a_save_to_come_back(self):
+        store = RestoredStore(era=1, until=99.0)
+        store.told = [(0.1, 7)]
+        ((at, version),) = self.learnt(store)
+        self.assertEqual(6, version)
+        self.assertGreaterEqual(at, 15.0)
+
+    def test_a_store_that_never_returns_from_copies_costs_no_wait(self):
+        store = RestoredStore(era=0, until=4.0)
+        self.assertEqual((0.0, 6), self.learnt(store)[0])
+
+
 if __name__ == '__main__':
     unittest.main()
