The first record behind a whole list counts

What callers would see: an upstream that lapses and is listed again with the very next record stays out of use until it writes once more.

Cause: those that a whole list lacks were dropped as of the position at which it is read on, which is that of the next record.

Test seen failing before.

--- a/packages/burdockchute/burdockchute/decisions/listing.py
+++ b/packages/burdockchute/burdockchute/decisions/listing.py
@@ -127,9 +127,13 @@
 def on_whole(
     listed: UpstreamList, names: set[str], position: Position, now: float
 ) -> UpstreamList:
-    """Take in that the list names these ids and no others."""
+    """Take in that the list names these ids and no others.
+
+    `position` is where it is read on: what stands there comes after it.
+    """
+    last_read = position._replace(offset=position.offset - 1)
     for name in [n for n in listed.known if n not in names]:
-        missing = Unlisted(position, name, 'missing from the list')
+        missing = Unlisted(last_read, name, 'missing from the list')
         listed = on_unlisted(listed, missing, now)
     return listed
 
