Chunks go in fragments, few of them on their way at a time

Cause: four chunks of 48 KiB may be asked for at a time, and each sender writes its own as fast as its own link takes it, 190 KB in all. A link that narrows to 1.2 Mbit/s takes 1.3 s for that. Nobody notices on the way.

Change: on paced links a large message goes in fragments of 8 KiB, each acknowledged at once; two are out at the most, and a sender whose fragments take over 0.12 s pauses for as long as they took (after LEDBAT, RFC 6817). Small messages pass between them. A peer of the version before gets whole messages as before.

Reads of the origin are still whole chunks.

--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -235,7 +235,7 @@
         peer = self._peers.opened(link)
         if peer is not None:
             if self._paced:
-                link.pace = self._pace
+                link.pace(self._pace)
             for digest in self._copiers:
                 peer.send(self._have(digest))
 
--- /dev/null
+++ b/packages/burdockchute/burdockchute/decisions/flow.py
@@ -0,0 +1,67 @@
+"""How much of a large message may be under way on one link.
+
+Load: a link narrows while several peers send chunks over it. What they have
+sent by then stands before it, and requests, their cancellation and the end
+of a version stand behind that. So a sender has few fragments out that the
+receiver has not acknowledged, and pauses while they take long to arrive.
+
+After LEDBAT (RFC 6817), which gives way once its own packets are delayed.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+# Enough for a link of 10 Mbit/s at the delay between two regions.
+WINDOW = 2
+
+# A fragment that takes longer stands in a queue; 64 KiB of four senders pass
+# a link of 4.7 Mbit/s in as long.
+TARGET_S = 0.12
+
+# No pause is longer: a link that was cut for a moment is used again.
+MAX_PAUSE_S = 0.5
+
+
+class Flow(NamedTuple):
+    """When each fragment that is out was sent, and until when to pause."""
+
+    out: tuple[float, ...] = ()
+    pause_until: float = 0.0
+
+
+def sent(flow: Flow, now: float) -> Flow:
+    """Give the flow after one more fragment was sent."""
+    return flow._replace(out=(*flow.out, now))
+
+
+def acknowledged(flow: Flow, now: float) -> Flow:
+    """Give the flow after the oldest fragment was acknowledged.
+
+    >>> acknowledged(Flow(out=(5.0,)), 5.05)
+    Flow(out=(), pause_until=0.0)
+    >>> acknowledged(Flow(out=(5.0,)), 5.25).pause_until
+    5.5
+    """
+    if not flow.out:
+        return flow
+    delay_s = now - flow.out[0]
+    pause_until = flow.pause_until
+    if delay_s > TARGET_S:
+        pause_until = now + min(delay_s, MAX_PAUSE_S)
+    return Flow(flow.out[1:], pause_until)
+
+
+def wait_s(flow: Flow, now: float) -> float | None:
+    """Give how long until a fragment may be sent.
+
+    None until one is acknowledged.
+
+    >>> wait_s(Flow(out=(5.0,)), 5.1), wait_s(Flow(out=(5.0, 5.0)), 5.1)
+    (0.0, None)
+    >>> wait_s(Flow(pause_until=5.5), 5.25)
+    0.25
+    """
+    if len(flow.out) >= WINDOW:
+        return None
+    return max(0.0, flow.pause_until - now)
--- a/packages/burdockchute/burdockchute/lifetime.py
+++ b/packages/burdockchute/burdockchute/lifetime.py
@@ -57,6 +57,7 @@
             self.incarnation,
             self._table_offset(),
             links.PROTOCOL,
+            fragments=True,
         )
 
     def begin(self, reload: Callable[[], None] | None = None) -> None:
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -9,6 +9,9 @@
 for many minutes. Both sides therefore send a heartbeat when they have
 nothing else to send, and a link that brings nothing for SILENCE_S is closed.
 An operator notices by `link_closed reason=silent`.
+
+Where a link is paced, what is large goes in fragments (`fragments.py`), and
+whatever else there is to send goes between them.
 """
 
 from __future__ import annotations
@@ -29,6 +32,7 @@
 from gevent import socket
 
 from burdockchute import wire
+from burdockchute.nodes import fragments
 from burdockchute.wire import messages
 
 # Two heartbeats in SILENCE_S, and a second to spare for a stop of the
@@ -38,11 +42,6 @@
 DIAL_TIMEOUT_S = 2.0
 PROTOCOL = 1
 
-# Frames larger than this are written in slices where a link is paced. At
-# 4.7 Mbit/s, the thinnest link in use, a slice takes 14 ms, which is what a
-# token of a live answer may have to wait behind it.
-SLICE_BYTES = 8 * 1024
-
 # A link that can't drain this much is as good as silent: its peer reads
 # slower than we write, and keeping more would let one slow peer take the
 # memory of this process.
@@ -51,6 +50,9 @@
 _LENGTH = struct.Struct('>I')
 _READ_BYTES = 256 * 1024
 
+# Stands in an outbox for a fragment that may have become due.
+_WAKE = b''
+
 
 class LinkError(Exception):
     """No link could be made, or this one is closed."""
@@ -79,13 +81,19 @@
 Event = Opened | Received | Closed
 
 
+class _Due(NamedTuple):
+    """A frame to write, and what of it was counted as queued."""
+
+    frame: bytes
+    queued: int
+
+
 class Link:
     """One open connection and its two tasks.
 
     `peer` is the other side's Hello. `send` queues a message and never
-    blocks; the order of messages is kept. `pace` is asked before each slice
-    of a large frame: it counts the slice and gives 0, or gives the seconds
-    to wait before asking again.
+    blocks; the order of messages is kept, but that large ones are overtaken
+    where the link is paced.
     """
 
     def __init__(
@@ -96,12 +104,15 @@
         self.last_received = time.monotonic()
         self.bytes_sent = 0
         self.bytes_received = 0
-        self.pace: Callable[[int], float] | None = None
         self._sock = sock
         self._inbox = inbox
         self._outbox: queue.Queue = queue.Queue()
+        self._large: fragments.Outgoing | None = None
+        self._incoming = fragments.Incoming()
         self._queued_bytes = 0
         self._offset: Callable[[], int] = lambda: -1
+        self._sequence = 0
+        self._written_at = time.monotonic()
         self._tasks: list[gevent.Greenlet] = []
 
     def start(self, table_offset: Callable[[], int]) -> None:
@@ -115,6 +126,11 @@
         """How much is queued and not yet written."""
         return self._queued_bytes
 
+    def pace(self, pace: fragments.Pace) -> None:
+        """Send what is large in fragments, if the other side takes them."""
+        if self.peer.fragments:
+            self._large = fragments.Outgoing(pace)
+
     def send(self, message: Any) -> None:
         """Queue a message; raises LinkError if the link is closed."""
         self.send_frame(frame_of(message))
@@ -123,11 +139,18 @@
         """Queue what `frame_of` gave, made once for many links."""
         if self.closed_reason:
             raise LinkError(f'link is closed: {self.closed_reason}')
-        self._queued_bytes += len(frame)
+        is_large = self._large is not None and (
+            len(frame) > fragments.FRAGMENT_BYTES
+        )
+        self._queued_bytes += len(frame) - (_LENGTH.size if is_large else 0)
         if self._queued_bytes > MAX_QUEUED_BYTES:
             self.close('peer reads too slowly')
             raise LinkError('peer reads too slowly')
-        self._outbox.put(frame)
+        if self._large is not None and is_large:
+            self._large.add(frame[_LENGTH.size :])
+            self._outbox.put(_WAKE)
+        else:
+            self._outbox.put(frame)
 
     def close(self, reason: str) -> None:
         """Close the link; messages still queued may be lost."""
@@ -155,50 +178,71 @@
         try:
             for message in _messages(self._sock, SILENCE_S, self._count):
                 self.last_received = time.monotonic()
-                if not isinstance(message, messages.Heartbeat):
-                    self._inbox.put(Received(self, message))
+                self._take(message)
             self.close('closed by peer')
         except TimeoutError:
             self.close('silent')
         except (OSError, wire.WireError) as exc:
             self.close(str(exc))
 
+    def _take(self, message: Any) -> None:
+        match message:
+            case messages.Heartbeat():
+                pass
+            case messages.Fragment():
+                self.send(messages.FragmentTaken())
+                data = self._incoming.take(message)
+                if data is not None:
+                    self._inbox.put(Received(self, wire.decode(data)))
+            case messages.FragmentTaken():
+                if self._large is not None:
+                    self._large.acknowledged(time.monotonic())
+                    self._outbox.put(_WAKE)
+            case _:
+                self._inbox.put(Received(self, message))
+
     def _count(self, received: int) -> None:
         self.bytes_received += received
 
     def _write(self) -> None:
-        sequence = 0
         while not self.closed_reason:
-            try:
-                frame = self._outbox.get(timeout=HEARTBEAT_S)
-            except queue.Empty:
-                sequence += 1
-                frame = frame_of(messages.Heartbeat(sequence, self._offset()))
-                self._queued_bytes += len(frame)
-            if frame is None:
+            due = self._next_due()
+            if due is None:
                 return
+            if not due.frame:
+                continue
             try:
-                self._write_frame(frame)
+                self._sock.sendall(due.frame)
             except OSError as exc:
                 self.close(str(exc))
                 return
-            self._queued_bytes -= len(frame)
-            self.bytes_sent += len(frame)
-
-    def _write_frame(self, frame: bytes) -> None:
-        if self.pace is None or len(frame) <= SLICE_BYTES:
-            self._sock.sendall(frame)
-            return
-        # Copies share this instance's link with live answers. A chunk that
-        # is handed over at once fills the queue before the link, and each
-        # token stands behind all of it.
-        for start in range(0, len(frame), SLICE_BYTES):
-            piece = frame[start : start + SLICE_BYTES]
-            wait_s = self.pace(len(piece))
-            while wait_s > 0:
-                gevent.sleep(wait_s)
-                wait_s = self.pace(len(piece))
-            self._sock.sendall(piece)
+            self._written_at = time.monotonic()
+            self._queued_bytes -= due.queued
+            self.bytes_sent += len(due.frame)
+
+    def _next_due(self) -> _Due | None:
+        """Wait for what is to be written next; None once the link is closed.
+
+        Fragments go when nothing else waits.
+        """
+        now = time.monotonic()
+        until = self._written_at + HEARTBEAT_S
+        if self._large is not None and self._outbox.empty():
+            wait_s = self._large.wait_s(now)
+            if wait_s == 0.0:
+                fragment = self._large.next(now)
+                return _Due(frame_of(fragment), len(fragment.data))
+            if wait_s is not None:
+                until = min(until, now + wait_s)
+        try:
+            frame = self._outbox.get(timeout=max(0.0, until - now))
+        except queue.Empty:
+            if time.monotonic() - self._written_at < HEARTBEAT_S:
+                return _Due(_WAKE, 0)
+            self._sequence += 1
+            beat = messages.Heartbeat(self._sequence, self._offset())
+            return _Due(frame_of(beat), 0)
+        return None if frame is None else _Due(frame, len(frame))
 
 
 def dial(
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -13,6 +13,7 @@
   5: string incarnation     // new for each start of the process
   6: i64 table_offset       // highest offset applied, -1 for none
   7: i32 protocol
+  8: bool fragments         // takes large messages in fragments
 }
 
 // Sent when nothing else has been sent for a while, by both sides.
@@ -257,6 +258,17 @@
   6: i32 retry_after_ms
 }
 
+// A part of an encoded Envelope, on a link that is paced. Whole messages may
+// come between the fragments of one, and never fragments of another.
+struct Fragment {
+  1: binary data
+  2: bool last
+}
+
+// The receiver of a Fragment, at once, for each.
+struct FragmentTaken {
+}
+
 // A fresh entry asks its peers for the table while the log is away.
 struct TableRequest {
   1: i64 known_offset
@@ -285,4 +297,6 @@
   20: CrashNews crash_news
   21: LinkProbe link_probe
   22: LinkNews link_news
+  23: Fragment fragment
+  24: FragmentTaken fragment_taken
 }
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -26,11 +26,12 @@
      - incarnation
      - table_offset
      - protocol
+     - fragments
 
     """
 
 
-    def __init__(self, name=None, role=None, zone=None, region=None, incarnation=None, table_offset=None, protocol=None,):
+    def __init__(self, name=None, role=None, zone=None, region=None, incarnation=None, table_offset=None, protocol=None, fragments=None,):
         self.name = name
         self.role = role
         self.zone = zone
@@ -38,6 +39,7 @@
         self.incarnation = incarnation
         self.table_offset = table_offset
         self.protocol = protocol
+        self.fragments = fragments
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -83,6 +85,11 @@
                     self.protocol = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.fragments = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -121,6 +128,10 @@
             oprot.writeFieldBegin('protocol', TType.I32, 7)
             oprot.writeI32(self.protocol)
             oprot.writeFieldEnd()
+        if self.fragments is not None:
+            oprot.writeFieldBegin('fragments', TType.BOOL, 8)
+            oprot.writeBool(self.fragments)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2981,6 +2992,114 @@
         return not (self == other)
 
 
+class Fragment(object):
+    """
+    Attributes:
+     - data
+     - last
+
+    """
+
+
+    def __init__(self, data=None, last=None,):
+        self.data = data
+        self.last = last
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.last = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Fragment')
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 1)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        if self.last is not None:
+            oprot.writeFieldBegin('last', TType.BOOL, 2)
+            oprot.writeBool(self.last)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FragmentTaken(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FragmentTaken')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TableRequest(object):
     """
     Attributes:
@@ -3063,11 +3182,13 @@
      - crash_news
      - link_probe
      - link_news
+     - fragment
+     - fragment_taken
 
     """
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None, crash_news=None, link_probe=None, link_news=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None, crash_news=None, link_probe=None, link_news=None, fragment=None, fragment_taken=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -3090,6 +3211,8 @@
         self.crash_news = crash_news
         self.link_probe = link_probe
         self.link_news = link_news
+        self.fragment = fragment
+        self.fragment_taken = fragment_taken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3232,6 +3355,18 @@
                     self.link_news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.fragment = Fragment()
+                    self.fragment.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.fragment_taken = FragmentTaken()
+                    self.fragment_taken.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3330,6 +3465,14 @@
             oprot.writeFieldBegin('link_news', TType.STRUCT, 22)
             self.link_news.write(oprot)
             oprot.writeFieldEnd()
+        if self.fragment is not None:
+            oprot.writeFieldBegin('fragment', TType.STRUCT, 23)
+            self.fragment.write(oprot)
+            oprot.writeFieldEnd()
+        if self.fragment_taken is not None:
+            oprot.writeFieldBegin('fragment_taken', TType.STRUCT, 24)
+            self.fragment_taken.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3356,6 +3499,7 @@
     (5, TType.STRING, 'incarnation', 'UTF8', None, ),  # 5
     (6, TType.I64, 'table_offset', None, None, ),  # 6
     (7, TType.I32, 'protocol', None, None, ),  # 7
+    (8, TType.BOOL, 'fragments', None, None, ),  # 8
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -3600,6 +3744,15 @@
     (5, TType.STRING, 'outcome', 'BINARY', None, ),  # 5
     (6, TType.I32, 'retry_after_ms', None, None, ),  # 6
 )
+all_structs.append(Fragment)
+Fragment.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data', 'BINARY', None, ),  # 1
+    (2, TType.BOOL, 'last', None, None, ),  # 2
+)
+all_structs.append(FragmentTaken)
+FragmentTaken.thrift_spec = (
+)
 all_structs.append(TableRequest)
 TableRequest.thrift_spec = (
     None,  # 0
@@ -3630,6 +3783,8 @@
     (20, TType.STRUCT, 'crash_news', [CrashNews, None], None, ),  # 20
     (21, TType.STRUCT, 'link_probe', [LinkProbe, None], None, ),  # 21
     (22, TType.STRUCT, 'link_news', [LinkNews, None], None, ),  # 22
+    (23, TType.STRUCT, 'fragment', [Fragment, None], None, ),  # 23
+    (24, TType.STRUCT, 'fragment_taken', [FragmentTaken, None], None, ),  # 24
 )
 fix_spec(all_structs)
 del all_structs
