Copies by what the fleet holds, and one copy out of the origin first

Change: an older version is kept while what peers hold can reach this engine in time, and goes first where engines serve for longer with it. Chunks are dealt out evenly and read in their order, twelve unknown ones at a time; one whose reader is gone is taken over after three times what a read takes. Second copies for a region wait until each chunk is out. One copy reads the origin and asks peers at a time, the one that is half out first.

--- a/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
+++ b/packages/burdockchute-agent/burdockchute_agent/bandwidth.py
@@ -25,10 +25,9 @@
         Where slices are paced, the uplink's grows as they go out.
         """
         self._live = rates.measure(self._live, 0.0, now)
-        downlink = rates.cap(self._downlink, self._live.rate)
         if not paced:
             self._up = rates.refill(self._up, self.send_rate, now)
-        self._down = rates.refill(self._down, downlink, now)
+        self._down = rates.refill(self._down, self.receive_rate, now)
 
     def may_receive(self, size: int) -> bool:
         """Take bytes of the downlink, or tell that none are left."""
@@ -58,6 +57,11 @@
         """Bytes per second that copies may send now."""
         return rates.cap(self._uplink, self._live.rate)
 
+    @property
+    def receive_rate(self) -> float:
+        """Bytes per second that copies may receive now."""
+        return rates.cap(self._downlink, self._live.rate)
+
     def pace(self, size: int, now: float) -> float:
         """Take bytes of the uplink, or give how long until they are there."""
         self._up = rates.refill(
--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 import random
 from typing import NamedTuple
 
@@ -95,15 +96,17 @@
         now: float,
     ) -> None:
         self.digest = digest
-        self.turn = OriginTurn(digest, rng, now)
+        self.turn = OriginTurn(rng, now)
         self.turn.origin_copies = origin_copies
         self.copy: Copy | None = None
         self.peers: dict[str, Peer] = {}
         self.whole_at: float | None = None
         self.received = Received()
-        self.imports = Imports(digest)
+        self.imports = Imports()
         self.asked_in_all = ASKED_IN_ALL
         self.reads_at_once = READS_AT_ONCE
+        # Whether the fleet reads few chunks of the origin at a time.
+        self.reads_in_order = False
         self._choose = choose
         self._rng = rng
         self._all = 0
@@ -112,6 +115,9 @@
         self._holders: list[int] = []
         self._asked = Asks()
         self._reading: dict[int, float] = {}
+        self._read_s = 0.0
+        # When each chunk could first be read, where they are read in order.
+        self._open_since: dict[int, float] = {}
         self._latency = 0.0
 
     # What arrives.
@@ -192,7 +198,8 @@
 
     def read_came(self, chunk: int, data: bytes, now: float) -> bool:
         """Take a chunk from the origin; False if it is corrupt."""
-        self._reading.pop(chunk, None)
+        began = self._reading.pop(chunk, now)
+        self._read_s = sources.smooth(self._read_s, now - began)
         if self.copy is None or self.copy.holds(chunk):
             return True
         if not self.copy.add(chunk, data):
@@ -227,9 +234,7 @@
 
     def standing(self) -> Standing:
         """Give how it stands, for the log."""
-        known = 0
-        for peer in self.peers.values():
-            known |= peer.held
+        known = self._known()
         return Standing(
             self.copy.held_count if self.copy else 0,
             self._held_near().bit_count(),
@@ -238,6 +243,33 @@
             len(self._reading),
         )
 
+    def known_count(self) -> int:
+        """Give how many chunks are held here or by a peer."""
+        return self._known().bit_count()
+
+    def knows_all(self) -> bool:
+        """Tell whether each chunk is held here or by a peer."""
+        return self.copy is not None and self._known() == self._all
+
+    def is_half_known(self) -> bool:
+        """Tell whether half of the chunks are held here or by a peer."""
+        return self.copy is not None and (
+            2 * self.known_count() >= self._all.bit_count()
+        )
+
+    def wants_of_peers(self, now: float) -> bool:
+        """Tell whether peers that may be asked hold what is missing here."""
+        return any(
+            peer.held & self._missing and peer.avoid_until <= now
+            for peer in self.peers.values()
+        )
+
+    def _known(self) -> int:
+        known = self._all & ~self._missing
+        for peer in self.peers.values():
+            known |= peer.held
+        return known
+
     def heard(self, names: set[str]) -> None:
         """Note which peers there are.
 
@@ -311,12 +343,11 @@
             now
         ):
             return
-        near = self._reachable(now)
-        unseen = self._missing & ~near & ~self._pending()
+        unseen = self._missing & ~self._reachable(now) & ~self._pending()
         due = [
-            (self.turn.rank(chunk), self._rng.random(), chunk)
-            for chunk in bits(unseen)
-            if self.turn.is_due(chunk, now)
+            (self.turn.rank(chunk), self._order(chunk), chunk)
+            for chunk in bits(unseen & self._first_unknown(now))
+            if self._is_due(chunk, now)
         ]
         for _rank, _lot, chunk in sorted(due):
             if len(self._reading) >= self.reads_at_once:
@@ -325,7 +356,36 @@
                 return
             self._reading[chunk] = now
             actions.append(ReadOrigin(chunk))
-        self._plan_reads_for_region(actions, now, may_take)
+        if not self.reads_in_order or self.knows_all():
+            self._plan_reads_for_region(actions, now, may_take)
+
+    def _order(self, chunk: int) -> float:
+        return chunk if self.reads_in_order else self._rng.random()
+
+    def _first_unknown(self, now: float) -> int:
+        """Give the chunks that may be read now, whoever reads them."""
+        if not self.reads_in_order:
+            return self._all
+        at_once = self.turn.chunks_at_once(now)
+        unknown = itertools.islice(bits(self._all & ~self._known()), at_once)
+        # Those that peers hold may have to be read where these are silent.
+        found = self._known()
+        for chunk in unknown:
+            self._open_since.setdefault(chunk, now)
+            found |= 1 << chunk
+        return found
+
+    def _is_due(self, chunk: int, now: float) -> bool:
+        if not self.reads_in_order or chunk not in self._open_since:
+            return self.turn.is_due(chunk, now)
+        rank = self.turn.rank(chunk)
+        if rank == 0:
+            return self.turn.is_due(chunk, now)
+        read_s = max(
+            [self._read_s, *(now - began for began in self._reading.values())]
+        )
+        unread_s = now - self._open_since[chunk]
+        return unread_s >= sources.take_over_s(rank, read_s)
 
     def _plan_reads_for_region(
         self,
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -41,6 +41,33 @@
 IDLE_S = 0.05
 
 
+def reading(going: Sequence[Copier]) -> list[Copier]:
+    """Give the copies that may read the origin, of those in their order.
+
+    One at a time, since the origin may fail with neither of two whole. One of
+    which half is out goes first: its rest is out in little time, and agents
+    can finish it by themselves then. A copy whose reads fail holds up none.
+    """
+    unread = [c for c in going if not c.knows_all() and not c.turn.fails]
+    half_out = [c for c in unread if c.is_half_known()]
+    if half_out:
+        return half_out[:1]
+    last = going.index(unread[0]) if unread else len(going)
+    return list(going[: last + 1])
+
+
+def asking(going: Sequence[Copier], now: float) -> list[Copier]:
+    """Give the copies that may ask peers, of those in their order.
+
+    What is asked for a later one takes of the uplinks that the earlier one
+    waits for.
+    """
+    for number, copier in enumerate(going):
+        if copier.wants_of_peers(now):
+            return list(going[: number + 1])
+    return list(going)
+
+
 class Source(NamedTuple):
     """Where weights come from first, and how peers' manifests are read."""
 
@@ -121,6 +148,16 @@
         copy = self.copy_of(digest)
         return (copy.held_count, len(copy.manifest.chunks)) if copy else (0, 0)
 
+    def known(self, digest: str) -> int:
+        """Give how many chunks are held here or by a peer."""
+        copier = self._copiers.get(digest)
+        return copier.known_count() if copier is not None else 0
+
+    def link_s(self, digest: str) -> float:
+        """Give what a whole copy takes over the own link at the least."""
+        size = self.size_of(digest)
+        return size / self._bandwidth.receive_rate if size else float('inf')
+
     def log_standing(self) -> None:
         """Write a line on each copy that is not whole."""
         for digest, copier in self._copiers.items():
@@ -269,17 +306,11 @@
             if copier.copy is not None and digest in self.held_back:
                 continue
             going.append(copier)
-        # Reads of the origin go first for every copy, the newest before the
-        # others: the origin may be gone in a second, peers stay.
-        newest_first = [
-            copier
-            for copier in reversed(self._copiers.values())
-            if copier in going
-        ]
-        for copier in newest_first:
+        # Copies of unlike rows have nothing to do with each other.
+        for copier in reading(going) if self._paced else reversed(going):
             for action in copier.plan_reads(now, self._bandwidth.may_receive):
                 self._do(copier, action)
-        for copier in going:
+        for copier in asking(going, now) if self._paced else going:
             for action in copier.plan_asks(now, self._bandwidth.may_receive):
                 self._do(copier, action)
         upload_s = self._serving.send_due()
@@ -322,6 +353,7 @@
         if self._paced:
             copier.asked_in_all = PACED_ASKED_IN_ALL
             copier.reads_at_once = PACED_READS_AT_ONCE
+            copier.reads_in_order = True
             copier.turn.max_backoff_s = sources.HASTY_BACKOFF_S
         self._copiers[target.digest] = copier
         self._news.chunk(target.digest)
@@ -348,13 +380,10 @@
                     self._set_readers(digest)
 
     def _set_readers(self, digest: str) -> None:
-        names = [
-            name
-            for name in self._hosts.get(digest, ())
-            if name not in self._unreachable
-        ]
+        hosts = self._hosts.get(digest, ())
+        readers = self._policy.readers(digest, self._own.name, hosts)
         self._copiers[digest].turn.set_readers(
-            self._policy.readers(digest, self._own.name, names)
+            readers._replace(absent=self._unreachable)
         )
 
     def _expected_peers(self, digest: str) -> set[str]:
--- a/packages/burdockchute-agent/burdockchute_agent/imports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/imports.py
@@ -12,8 +12,7 @@
 class Imports:
     """The shares of the agents of one region in the chunks of one copy."""
 
-    def __init__(self, digest: str) -> None:
-        self._digest = digest
+    def __init__(self) -> None:
         self._readers: Readers | None = None
         self._ranks: dict[int, int] = {}
         self._seen_at: dict[int, float] = {}
@@ -56,7 +55,5 @@
     def _rank(self, chunk: int) -> int:
         assert self._readers is not None
         if chunk not in self._ranks:
-            self._ranks[chunk] = sources.reader_rank(
-                self._readers, f'{self._digest}/import', chunk
-            )
+            self._ranks[chunk] = sources.reader_rank(self._readers, chunk)
         return self._ranks[chunk]
--- a/packages/burdockchute-agent/burdockchute_agent/origin_turn.py
+++ b/packages/burdockchute-agent/burdockchute_agent/origin_turn.py
@@ -23,11 +23,10 @@
     its owner should dial its peers again and clear it.
     """
 
-    def __init__(self, digest: str, rng: random.Random, now: float) -> None:
+    def __init__(self, rng: random.Random, now: float) -> None:
         self.origin_copies = 1.0
         self.stood_still = False
         self.max_backoff_s = sources.MAX_BACKOFF_S
-        self._digest = digest
         self._rng = rng
         self._began = now
         self._heard_all = False
@@ -73,6 +72,11 @@
         gap = sources.smooth(self._progress.gap, gap)
         self._progress = Progress(now, gap)
 
+    @property
+    def fails(self) -> bool:
+        """Whether the last read came to nothing."""
+        return self._failures > 0
+
     def may_read(self, now: float) -> bool:
         """Tell whether the order is known and no read failed just now."""
         return self._readers is not None and now >= self._not_before
@@ -82,11 +86,16 @@
         if self._readers is None:
             return 0
         if chunk not in self._ranks:
-            self._ranks[chunk] = sources.reader_rank(
-                self._readers, self._digest, chunk
-            )
+            self._ranks[chunk] = sources.reader_rank(self._readers, chunk)
         return self._ranks[chunk]
 
+    def chunks_at_once(self, now: float) -> int:
+        """Give how many unknown chunks all readers may read at a time."""
+        began = self._progress._replace(
+            last=max(self._progress.last, self._began)
+        )
+        return sources.chunks_at_once(began, now)
+
     def is_due(self, chunk: int, now: float) -> bool:
         """Tell whether a chunk that no neighbour has may be read."""
         copies = MANIFEST_READERS
--- a/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
@@ -25,6 +25,12 @@
     def progress(self, digest: str) -> tuple[int, int]:
         """Give how many chunks are held, and of how many."""
 
+    def known(self, digest: str) -> int:
+        """Give how many chunks are held here or by a peer."""
+
+    def link_s(self, digest: str) -> float:
+        """Give what a whole copy takes over the own link at the least."""
+
     def whole_copy(self, digest: str) -> object | None:
         """Give a copy if it is whole."""
 
@@ -120,7 +126,7 @@
         """Choose which versions to copy now."""
         under_way = [
             self._progress(version, history, copies, limit_s, now)
-            for version in self.wanted
+            for version in {*self.wanted, history.newest}
             if self.ready is None or version > self.ready
         ]
         wanted = staging.wanted(history.newest, under_way)
@@ -133,6 +139,7 @@
             wanted=','.join(str(version) for version in wanted),
             newest=history.newest,
             shares=','.join(f'{p.version}:{p.share:.2f}' for p in under_way),
+            known=','.join(f'{p.version}:{p.known:.2f}' for p in under_way),
         )
         self.wanted = wanted
         for version in wanted:
@@ -176,11 +183,15 @@
         useful_s = 0.0
         if named_at is not None:
             useful_s = named_at + limit_s - versions.MARGIN_S - now
+        name = self.name(version)
+        _held, count = copies.progress(name)
         return Progress(
             version,
-            _share(copies, self.name(version)),
+            _share(copies, name),
             self.copying_s(version, now),
             useful_s,
+            copies.known(name) / count if count else 0.0,
+            copies.link_s(name),
         )
 
 
--- a/packages/burdockchute-agent/tests/test_staged.py
+++ b/packages/burdockchute-agent/tests/test_staged.py
@@ -203,7 +203,7 @@
         everything = (1 << 48) - 1
         shares = []
         for name in names:
-            imports = Imports('story@2')
+            imports = Imports()
             imports.share_among(name, names)
             imports.seen(everything, 10.0)
             shares.append(imports.allowed(everything, 10.5))
@@ -212,11 +212,11 @@
         self.assertEqual(48, sum(share.bit_count() for share in shares))
 
     def test_others_step_in_for_one_that_is_gone(self):
-        imports = Imports('story@2')
+        imports = Imports()
         imports.share_among('a', ('a', 'b', 'c'))
         everything = (1 << 48) - 1
         imports.seen(everything, 10.0)
         self.assertEqual(everything, imports.allowed(everything, 14.5))
 
     def test_without_a_region_everything_may_come_from_anywhere(self):
-        self.assertEqual(7, Imports('x').allowed(7, 0.0))
+        self.assertEqual(7, Imports().allowed(7, 0.0))
--- a/packages/burdockchute-agent/tests/test_weights_parts.py
+++ b/packages/burdockchute-agent/tests/test_weights_parts.py
@@ -4,9 +4,11 @@
 
 import random
 import unittest
+from unittest import mock
 
 from burdockchute.decisions import chunks
 from burdockchute.decisions import sources
+from burdockchute.decisions.neighbours import ELSEWHERE
 from burdockchute.decisions.switching import settle_s
 from burdockchute.upstreams.gate import Weights
 from burdockchute.upstreams.orders import EngineError
@@ -41,6 +43,10 @@
     return CONTENT[10 * index : 10 * index + 10]
 
 
+def is_read(action) -> bool:
+    return isinstance(action, ReadOrigin)
+
+
 def unlimited(size: int) -> bool:
     return True
 
@@ -151,10 +157,7 @@
         # for each of them.
         hosts = [f'a{number}' for number in range(30)]
         readers = sources.readers('d', 'a7', hosts)
-        ranks = {
-            sources.reader_rank(readers, MANIFEST_OF.digest, index)
-            for index in range(4)
-        }
+        ranks = {sources.reader_rank(readers, index) for index in range(4)}
         self.assertNotIn(0, ranks)
         self.copier.turn.set_readers(readers)
         self.begin()
@@ -165,6 +168,52 @@
         self.assertEqual(set(), self.plan(back))
         self.assertNotEqual(set(), self.plan(back + 100.0))
 
+    def test_few_unknown_chunks_are_read_at_a_time(self):
+        """All readers of a thin origin at once would end together, late."""
+        self.copier.reads_in_order = True
+        self.copier.reads_at_once = 4
+        self.begin()
+        with mock.patch.object(sources, 'CHUNKS_AT_ONCE', 2):
+            now = sources.GRACE_S
+            self.copier.turn.turned_up(1, now)
+            readers = sources.readers('d', 'own', ['own'])
+            self.copier.turn.set_readers(readers)
+            self.assertEqual({ReadOrigin(0), ReadOrigin(1)}, self.plan(now))
+            # A peer has told that it holds one of them.
+            self.copier.have_came('p', 0, have(0b0010), now)
+            self.assertIn(ReadOrigin(2), self.plan(now))
+
+    def test_more_are_read_where_none_turns_up(self):
+        """A reader may be dead, or the origin slow."""
+        self.copier.reads_in_order = True
+        self.copier.reads_at_once = 4
+        self.begin()
+        with mock.patch.object(sources, 'CHUNKS_AT_ONCE', 1):
+            readers = sources.readers('d', 'own', ['own'])
+            self.copier.turn.set_readers(readers)
+            now = sources.GRACE_S
+            self.copier.turn.turned_up(1, now)
+            self.assertEqual({ReadOrigin(0)}, self.plan(now))
+            now += sources.STALLED_S * 1.1
+            self.assertEqual({ReadOrigin(1)}, self.plan(now))
+
+    def test_a_second_copy_for_a_region_waits_for_the_first(self):
+        """Chunks that nobody has are lost if the origin fails."""
+        self.copier.reads_in_order = True
+        self.copier.reads_at_once = 4
+        self.copier.imports.share_among('own', ('own',))
+        self.begin()
+        now = sources.GRACE_S
+        readers = sources.readers('d', 'other', ['own', 'other'])
+        self.copier.turn.set_readers(readers._replace(own='own'))
+        far = (1 << len(MANIFEST_OF.chunks)) - 1
+        self.copier.have_came('far', ELSEWHERE, have(far & ~1), now)
+        unknown = {a.chunk for a in self.plan(now) if is_read(a)}
+        self.assertLessEqual(unknown, {0})
+        self.copier.have_came('far', ELSEWHERE, have(far), now)
+        asked = self.plan(now + 0.01)
+        self.assertTrue(any(is_read(a) and a.chunk != 0 for a in asked))
+
     def test_failed_reads_wait_before_the_next(self):
         self.copier.heard(set())
         now = sources.GRACE_S + 4.0
--- a/packages/burdockchute/burdockchute/decisions/sources.py
+++ b/packages/burdockchute/burdockchute/decisions/sources.py
@@ -23,13 +23,20 @@
 import random
 from typing import NamedTuple
 
-import blake3
-
 from burdockchute.decisions.hosting import ranked
 
 # So many agents share the reading of one set of weights. More would spread
 # it no better, and the order for each chunk costs one hash for each reader.
 READERS = 64
+# A thin origin that serves all its readers at once ends all their reads late,
+# and where it fails none has come. So few chunks are read at a time, in their
+# order; with fewer than this the origin idles until news of a chunk is there.
+CHUNKS_AT_ONCE = 12
+# A chunk that is read in its order is taken over from its reader after this
+# many times what a read takes.
+READS_TO_WAIT = 3.0
+# While no new chunk turns up, as many more may be read each time this passes.
+STALLED_S = 0.6
 # If so many readers in a row are silent the whole group is taken for dead
 # and the next group begins.
 GROUP_STEPS = 6
@@ -72,12 +79,14 @@
     """The order in which agents may read from the origin.
 
     `group` is the group of the own agent, `names` who is in it, and `step`
-    the position of the group among all groups.
+    the position of the group among all groups. `absent` are those of them
+    that can't be reached; the others keep their turns.
     """
 
     own: str
     names: tuple[str, ...]
     step: int
+    absent: frozenset[str] = frozenset()
 
 
 class Progress(NamedTuple):
@@ -99,15 +108,48 @@
     return Readers(own, tuple(order[start : start + READERS]), step)
 
 
-def reader_rank(known: Readers, digest: str, chunk: int) -> int:
-    """Give how many of the own group come before the own agent."""
-    seed = blake3.blake3(f'{digest}\0{chunk}\0'.encode())
-    own = _score(seed, known.own)
-    return sum(
-        1
-        for name in known.names
-        if name != known.own and _score(seed, name) < own
-    )
+def reader_rank(known: Readers, chunk: int) -> int:
+    """Give how many of the own group come before the own agent.
+
+    Chunks are dealt out in turn, so that nobody has more to read than others.
+
+    >>> readers = Readers('b', ('a', 'b', 'c'), 0)
+    >>> [reader_rank(readers, chunk) for chunk in range(4)]
+    [1, 0, 2, 1]
+    >>> reader_rank(readers._replace(absent=frozenset('a')), 0)
+    0
+    """
+    names = known.names
+    if known.own not in names:
+        return len(names)
+    first = chunk % len(names)
+    own = names.index(known.own)
+    before = names[first:own] if first <= own else names[first:] + names[:own]
+    return sum(1 for name in before if name not in known.absent)
+
+
+def chunks_at_once(progress: Progress, now: float) -> int:
+    """Give how many unknown chunks may be read at a time, in their order.
+
+    >>> chunks_at_once(Progress(5.0, 0.1), 5.2)
+    12
+    >>> chunks_at_once(Progress(5.0, 0.1), 6.3)
+    36
+    """
+    stalled_s = max(0.0, now - progress.last)
+    return CHUNKS_AT_ONCE * (1 + int(stalled_s / STALLED_S))
+
+
+def take_over_s(rank: int, read_s: float) -> float:
+    """Give how long a chunk may be unread before this agent reads it.
+
+    `read_s` is what this agent's own reads take. Others take as long, so a
+    chunk that does not turn up has a reader that is gone.
+
+    >>> take_over_s(0, 0.5), take_over_s(2, 0.1), take_over_s(1, 2.0)
+    (0.0, 2.0, 6.0)
+    """
+    return rank * max(MIN_WAIT_S, READS_TO_WAIT * read_s)
 
 
 def copies_of(allowed: float, chunk: int) -> int:
@@ -197,9 +239,3 @@
 def is_banned(corrupt: int) -> bool:
     """Tell whether a peer has sent too many corrupt chunks."""
     return corrupt >= CORRUPT_LIMIT
-
-
-def _score(seed: blake3.blake3, name: str) -> bytes:
-    hasher = seed.copy()
-    hasher.update(name.encode())
-    return hasher.digest(8)
--- a/packages/burdockchute/burdockchute/decisions/staging.py
+++ b/packages/burdockchute/burdockchute/decisions/staging.py
@@ -9,11 +9,12 @@
 
 So both are copied at once, one before the other. A copy of which FINISH_SHARE
 is held goes first and is loaded while the newer one follows, if it can be
-loaded before the version that serves now may begin nothing any more. One that
-has less goes after the newer and takes what the link has left: the origin may
-fail just when a version is named, and then the older one is all that can be
-had. One that would come too late is given up; it would serve for a moment
-between two loads.
+loaded before the version that serves now may begin nothing any more. So does
+one that the agents hold between them, where engines serve for longer with it.
+One that has less goes after the newer and takes what the link has left: the
+origin may fail just when a version is named, and then the older one is all
+that can be had. One that would come too late is given up; it would serve for
+a moment between two loads.
 """
 
 from __future__ import annotations
@@ -23,6 +24,19 @@
 
 FINISH_SHARE = 0.5
 
+# A copy of which the agents hold less between them says too little of when it
+# will be whole.
+FEW_KNOWN = 0.25
+# A whole copy over a link that nothing else uses takes so many times what its
+# bytes do: the last chunks come one after the other.
+COPY_SLACK = 1.2
+# One of which nobody holds anything also waits for the origin.
+FRESH_COPY_SLACK = 1.3
+# Turning to another copy for less than this would be undone by the next look.
+LEAST_GAIN_S = 0.5
+# The origin gives out a share of FEW_KNOWN within this time, or is away.
+ORIGIN_SILENT_S = 1.5
+
 # After the first half has loaded the second one follows; a load with what
 # ran before it takes about this long.
 TURN_S = 1.0
@@ -49,13 +63,17 @@
     """The copy under way: its version and which share of it is held.
 
     It has been under way for `copying_s`; after `useful_s` the version that
-    serves now may begin nothing any more.
+    serves now may begin nothing any more. `known` is the share that this
+    instance and its peers hold, `link_s` what a whole copy takes over its
+    link at the least.
     """
 
     version: int
     share: float
     copying_s: float = 0.0
     useful_s: float = float('inf')
+    known: float = 0.0
+    link_s: float = float('inf')
 
 
 class Standing(NamedTuple):
@@ -87,14 +105,46 @@
     )
     if older is None or not _is_in_time(older):
         return (newest,)
-    if older.share >= FINISH_SHARE:
-        return older.version, newest
-    return newest, older.version
+    copy = next((p for p in under_way if p.version == newest), None)
+    if copy is None or older.known < FEW_KNOWN:
+        goes_first = older.share >= FINISH_SHARE
+    else:
+        gain_s = _closed_s_without(older, copy) - _closed_s(older, copy)
+        goes_first = gain_s > LEAST_GAIN_S
+    return (older.version, newest) if goes_first else (newest, older.version)
 
 
 def _is_in_time(progress: Progress) -> bool:
+    return _fleet_rest_s(progress) + TURN_S <= progress.useful_s
+
+
+def _fleet_rest_s(progress: Progress) -> float:
+    """Estimate the rest of a copy that peers can feed."""
     rest_s = _rest_s(progress.share, progress.copying_s)
-    return rest_s + TURN_S <= progress.useful_s
+    if progress.known < FEW_KNOWN:
+        return rest_s
+    by_link_s = (1 - progress.share) * progress.link_s * COPY_SLACK
+    return min(rest_s, by_link_s)
+
+
+def _closed_s(older: Progress, newest: Progress) -> float:
+    """Estimate how long nothing serves if an older copy goes first."""
+    older_s = _fleet_rest_s(older) + TURN_S
+    newest_s = older_s + (1 - newest.share) * older.link_s * COPY_SLACK
+    return max(0.0, older_s - older.useful_s) + max(
+        0.0, newest_s - newest.useful_s
+    )
+
+
+def _closed_s_without(older: Progress, newest: Progress) -> float:
+    """Estimate how long nothing serves if the newest copy goes first."""
+    if newest.copying_s > ORIGIN_SILENT_S and newest.known < FEW_KNOWN:
+        return float('inf')
+    rest_s = max(
+        (1 - newest.share) * older.link_s * COPY_SLACK,
+        older.link_s * FRESH_COPY_SLACK - newest.copying_s,
+    )
+    return max(0.0, rest_s + TURN_S - older.useful_s)
 
 
 def _rest_s(share: float, copying_s: float) -> float:
--- a/packages/burdockchute/tests/decisions/test_spreading.py
+++ b/packages/burdockchute/tests/decisions/test_spreading.py
@@ -135,7 +135,7 @@
     def ranks(self, chunk: int) -> dict[str, int]:
         return {
             name: sources.reader_rank(
-                sources.readers('d', name, self.NAMES), 'd', chunk
+                sources.readers('d', name, self.NAMES), chunk
             )
             for name in self.NAMES
         }
@@ -151,7 +151,18 @@
             for chunk in range(120)
         )
         self.assertEqual(12, len(first))
-        self.assertLess(max(first.values()), 25)
+        self.assertEqual(10, max(first.values()))
+
+    def test_others_keep_their_turns_when_one_is_absent(self):
+        """Agents see different ones as gone; they read no chunk twice."""
+        known = sources.readers('d', 'a3', self.NAMES)
+        others = {name for name in self.NAMES if name != 'a3'}
+        for chunk in range(12):
+            rank = sources.reader_rank(known, chunk)
+            one_gone = known._replace(absent=frozenset({'a5'}))
+            self.assertIn(rank - sources.reader_rank(one_gone, chunk), (0, 1))
+            alone = known._replace(absent=frozenset(others))
+            self.assertEqual(0, sources.reader_rank(alone, chunk))
 
     def test_groups_follow_each_other(self):
         names = tuple(f'a{number}' for number in range(200))
--- a/packages/burdockchute/tests/decisions/test_staging.py
+++ b/packages/burdockchute/tests/decisions/test_staging.py
@@ -37,6 +37,30 @@
         in_time = late._replace(useful_s=4.0)
         self.assertEqual((2, 3), staging.wanted(3, [in_time]))
 
+    def test_a_copy_that_the_fleet_holds_goes_first(self):
+        """A second version follows after two seconds.
+
+        At its own pace of the first two seconds an agent would take ten for
+        the older copy; its peers hold most of that.
+        """
+        older = Progress(2, 0.2, 2.0, 6.7, known=0.75, link_s=4.5)
+        newest = Progress(3, 0.0, 1.6, 8.7, known=0.0, link_s=4.5)
+        self.assertEqual((2, 3), staging.wanted(3, [older, newest]))
+        alone = older._replace(known=0.0, link_s=float('inf'))
+        self.assertEqual((3,), staging.wanted(3, [alone, newest]))
+
+    def test_the_newest_goes_first_where_it_comes_in_time(self):
+        """It is named half a second after the one before."""
+        older = Progress(2, 0.05, 0.5, 8.2, known=0.3, link_s=4.5)
+        newest = Progress(3, 0.0, 0.0, 8.7, link_s=4.5)
+        self.assertEqual((3, 2), staging.wanted(3, [older, newest]))
+
+    def test_two_copies_do_not_change_places_for_little(self):
+        """Turned to by turns, neither would be whole in time."""
+        older = Progress(2, 0.4, 2.0, 5.9, known=1.0, link_s=4.5)
+        newest = Progress(3, 0.1, 0.5, 8.0, known=0.5, link_s=4.5)
+        self.assertEqual((3, 2), staging.wanted(3, [older, newest]))
+
     def test_the_newest_is_wanted_alone_otherwise(self):
         self.assertEqual((1,), staging.wanted(1, []))
         self.assertEqual((3,), staging.wanted(3, [Progress(2, 1.0)]))
