An agent whose peers take nothing no longer looks for work all the time

Cause: since fragments wait for their acknowledgement, the uplink's budget may be full while chunks are queued, and the time until something may be sent was given as none. A peer behind a slow link also held the room in the queues that others could have used.

A copy whose reads fail begins to wait anew for its readers.

--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -223,6 +223,8 @@
     def read_lost(self, chunk: int, now: float) -> None:
         """Note that a read from the origin has failed."""
         self._reading.pop(chunk, None)
+        # It fails for the other readers too, so none of them is gone.
+        self._open_since.clear()
         self.turn.read_failed(now)
 
     # What to do.
--- a/packages/burdockchute-agent/burdockchute_agent/copying.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copying.py
@@ -313,7 +313,7 @@
         for copier in asking(going, now) if self._paced else going:
             for action in copier.plan_asks(now, self._bandwidth.may_receive):
                 self._do(copier, action)
-        upload_s = self._serving.send_due()
+        upload_s = self._serving.send_due(now)
         peers = self._peers.links.values()
         news_s = self._news.tell(peers, self._have, now)
         due = [IDLE_S, news_s, upload_s]
--- a/packages/burdockchute-agent/burdockchute_agent/serving.py
+++ b/packages/burdockchute-agent/burdockchute_agent/serving.py
@@ -59,19 +59,28 @@
             wait_s = waiting / self._bandwidth.send_rate / 2
             peer.send(_refusal(digest, index, 'busy', int(wait_s * 1000)))
 
-    def send_due(self) -> float | None:
+    def send_due(self, now: float) -> float | None:
         """Send what the uplink allows; gives when to come back, if at all."""
-        while self._has_room():
+        while self._has_room(now):
             upload = self._uploads.next()
             if upload is None:
                 return None
             self._send(upload)
-        return self._bandwidth.send_wait_s() if len(self._uploads) else None
+        # What waits for a paced link goes on with the next look: the uplink
+        # may have room all the while, where a peer takes nothing.
+        if self._paced or not len(self._uploads):
+            return None
+        return self._bandwidth.send_wait_s()
 
-    def _has_room(self) -> bool:
+    def _has_room(self, now: float) -> bool:
         if not self._paced:
             return self._bandwidth.may_send
-        queued = sum(p.link.queued_bytes for p in self._links.values())
+        # What waits for peers behind slow links holds up no others.
+        queued = sum(
+            peer.link.queued_bytes
+            for peer in self._links.values()
+            if not peer.link.is_slow(now)
+        )
         return queued < PACED_BYTES
 
     def forget_peer(self, name: str) -> None:
--- a/packages/burdockchute/burdockchute/decisions/flow.py
+++ b/packages/burdockchute/burdockchute/decisions/flow.py
@@ -52,6 +52,16 @@
     return Flow(flow.out[1:], pause_until)
 
 
+def is_slow(flow: Flow, now: float) -> bool:
+    """Tell whether the link takes less than it is sent.
+
+    >>> is_slow(Flow(out=(5.0,)), 5.1), is_slow(Flow(out=(5.0,)), 5.2)
+    (False, True)
+    """
+    is_overdue = bool(flow.out) and now - flow.out[0] > TARGET_S
+    return is_overdue or now < flow.pause_until
+
+
 def wait_s(flow: Flow, now: float) -> float | None:
     """Give how long until a fragment may be sent.
 
--- a/packages/burdockchute/burdockchute/nodes/fragments.py
+++ b/packages/burdockchute/burdockchute/nodes/fragments.py
@@ -51,6 +51,10 @@
             return wait_s
         return self._pace(len(self._waiting[0].data))
 
+    def is_slow(self, now: float) -> bool:
+        """Tell whether the link takes less than it is sent."""
+        return flow.is_slow(self._flow, now)
+
     def next(self, now: float) -> messages.Fragment:
         """Take the next fragment, which is sent now."""
         self._flow = flow.sent(self._flow, now)
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -131,6 +131,10 @@
         if self.peer.fragments:
             self._large = fragments.Outgoing(pace)
 
+    def is_slow(self, now: float) -> bool:
+        """Tell whether a paced link takes less than it is sent."""
+        return self._large is not None and self._large.is_slow(now)
+
     def send(self, message: Any) -> None:
         """Queue a message; raises LinkError if the link is closed."""
         self.send_frame(frame_of(message))
