The order of origin reads goes by the last chunk that has turned up

Chunks that are out but held elsewhere filled its window of unknown ones, and the readers of later chunks waited for news. Besides, what peers sent took the downlink from the reads that all wait for.

Change: the window is counted from the last chunk that has turned up, and an agent that reads the origin asks peers for one chunk at a time until each chunk is out.

--- a/packages/burdockchute-agent/burdockchute_agent/copier.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copier.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import itertools
 import random
 from typing import NamedTuple
 
@@ -42,6 +41,7 @@
 # no more than some tenths of a second.
 PACED_ASKED_IN_ALL = 4
 PACED_READS_AT_ONCE = 1
+ASKED_BESIDE_READS = 1
 
 
 class AskPeer(NamedTuple):
@@ -348,7 +348,7 @@
         unseen = self._missing & ~self._reachable(now) & ~self._pending()
         due = [
             (self.turn.rank(chunk), self._order(chunk), chunk)
-            for chunk in bits(unseen & self._first_unknown(now))
+            for chunk in bits(unseen & self._open_chunks(now))
             if self._is_due(chunk, now)
         ]
         for _rank, _lot, chunk in sorted(due):
@@ -364,17 +364,18 @@
     def _order(self, chunk: int) -> float:
         return chunk if self.reads_in_order else self._rng.random()
 
-    def _first_unknown(self, now: float) -> int:
-        """Give the chunks that may be read now, whoever reads them."""
+    def _open_chunks(self, now: float) -> int:
+        """Give the chunks that may be read now, whoever reads them.
+
+        They go by the last one that has turned up: an agent is linked to some
+        of the others only, and hears of the ones before it later.
+        """
         if not self.reads_in_order:
             return self._all
-        at_once = self.turn.chunks_at_once(now)
-        unknown = itertools.islice(bits(self._all & ~self._known()), at_once)
-        # Those that peers hold may have to be read where these are silent.
-        found = self._known()
-        for chunk in unknown:
+        last = self._known().bit_length() + self.turn.chunks_at_once(now)
+        found = self._all & ((1 << last) - 1)
+        for chunk in bits(found & ~self._known()):
             self._open_since.setdefault(chunk, now)
-            found |= 1 << chunk
         return found
 
     def _is_due(self, chunk: int, now: float) -> bool:
@@ -416,7 +417,11 @@
         now: float,
         may_take: Callable[[int], bool],
     ) -> None:
-        while len(self._asked) < self.asked_in_all and may_take(0):
+        # Everybody waits for a chunk that is read; what peers send meanwhile
+        # would take the downlink from it.
+        reads_first = self.reads_in_order and not self.knows_all()
+        most = ASKED_BESIDE_READS if reads_first and self._reading else None
+        while len(self._asked) < (most or self.asked_in_all) and may_take(0):
             wanted = self._missing & ~self._pending()
             offers = self._offers(wanted, now)
             # What this agent is to bring over for its region goes before
