An older copy is finished while nothing serves and no newer one can come

Cause: a copy was of use only if it came while the version before still served, although after that any version is better than none.

Change: it is also kept where it comes before its own end, and clearly before the newest can, which while the origin is silent is never.

--- a/packages/burdockchute/burdockchute/decisions/staging.py
+++ b/packages/burdockchute/burdockchute/decisions/staging.py
@@ -103,9 +103,11 @@
         default=None,
         key=lambda p: p.share,
     )
-    if older is None or not _is_in_time(older):
+    if older is None:
         return (newest,)
     copy = next((p for p in under_way if p.version == newest), None)
+    if not _is_useful(older, copy):
+        return (newest,)
     if copy is None or older.known < FEW_KNOWN:
         goes_first = older.share >= FINISH_SHARE
     else:
@@ -114,8 +116,19 @@
     return (older.version, newest) if goes_first else (newest, older.version)
 
 
-def _is_in_time(progress: Progress) -> bool:
-    return _fleet_rest_s(progress) + TURN_S <= progress.useful_s
+def _is_useful(older: Progress, newest: Progress | None) -> bool:
+    """Tell whether an older version would serve for longer than a moment.
+
+    It does where it replaces the one that serves, or where nothing serves by
+    then and the newest can't be here.
+    """
+    older_s = _fleet_rest_s(older) + TURN_S
+    if older_s <= older.useful_s:
+        return True
+    if newest is None:
+        return False
+    newest_s = _newest_rest_s(older, newest) + TURN_S
+    return older_s + TURN_S <= min(newest.useful_s, newest_s)
 
 
 def _fleet_rest_s(progress: Progress) -> float:
@@ -138,13 +151,18 @@
 
 def _closed_s_without(older: Progress, newest: Progress) -> float:
     """Estimate how long nothing serves if the newest copy goes first."""
+    newest_s = _newest_rest_s(older, newest) + TURN_S
+    return max(0.0, newest_s - older.useful_s)
+
+
+def _newest_rest_s(older: Progress, newest: Progress) -> float:
+    """Estimate the rest of the newest copy if it goes first."""
     if newest.copying_s > ORIGIN_SILENT_S and newest.known < FEW_KNOWN:
         return float('inf')
-    rest_s = max(
+    return max(
         (1 - newest.share) * older.link_s * COPY_SLACK,
         older.link_s * FRESH_COPY_SLACK - newest.copying_s,
     )
-    return max(0.0, rest_s + TURN_S - older.useful_s)
 
 
 def _rest_s(share: float, copying_s: float) -> float:
--- a/packages/burdockchute/tests/decisions/test_staging.py
+++ b/packages/burdockchute/tests/decisions/test_staging.py
@@ -55,6 +55,20 @@
         newest = Progress(3, 0.0, 0.0, 8.7, link_s=4.5)
         self.assertEqual((3, 2), staging.wanted(3, [older, newest]))
 
+    def test_an_older_copy_is_finished_while_nothing_serves(self):
+        """The origin is away, and two chunks were lacking when it went.
+
+        The version that serves ends before the older copy is whole; the
+        newer one will be seconds later still.
+        """
+        older = Progress(2, 0.96, 7.5, 0.5, known=0.96, link_s=4.5)
+        newest = Progress(3, 0.0, 5.5, 2.8, known=0.0, link_s=4.5)
+        self.assertEqual((2, 3), staging.wanted(3, [older, newest]))
+        ends = newest._replace(useful_s=1.5)
+        self.assertEqual((3,), staging.wanted(3, [older, ends]))
+        comes = newest._replace(share=0.8, known=1.0)
+        self.assertEqual((3,), staging.wanted(3, [older, comes]))
+
     def test_two_copies_do_not_change_places_for_little(self):
         """Turned to by turns, neither would be whole in time."""
         older = Progress(2, 0.4, 2.0, 5.9, known=1.0, link_s=4.5)
