--- a/packages/burdockchute-testing/burdockchute_testing/emulator/swarm.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/swarm.py
@@ -12,10 +12,10 @@
 import functools
 import hashlib
 import random
-from typing import NamedTuple
 
 from burdockchute.decisions import neighbours
 from burdockchute.decisions import pacing
+from burdockchute.decisions import rates
 from burdockchute.decisions import staging
 from burdockchute.decisions import versions
 from burdockchute.model.members import Member
@@ -38,10 +38,13 @@
 from burdockchute_agent.staged.rollout import Rollout
 from burdockchute_agent.uploads import Upload
 from burdockchute_agent.uploads import Uploads
+from burdockchute_testing.emulator.network import between
+from burdockchute_testing.emulator.network import Fleet
+from burdockchute_testing.emulator.network import MBIT_BYTES
+from burdockchute_testing.emulator.network import Network
+from burdockchute_testing.emulator.network import ORIGIN
 
 MODEL = 'story'
-MBIT_BYTES = 125_000
-
 # Chunks that are copied are this small, those on the links of full size.
 DATA_BYTES = 32
 
@@ -59,36 +62,6 @@
 LOAD_S = 0.4
 
 
-class Fleet(NamedTuple):
-    """Agents and links; `origin_away` gives the times when it refuses."""
-
-    agents: int = 23
-    regions: int = 3
-    side_mbit: float = 4.7
-    region_mbit: float = 15.0
-    origin_mbit: float = 9.0
-    chunks: int = 48
-    chunk_bytes: int = 49_152
-    version_s: float = 9.7
-    origin_away: Sequence[tuple[float, float]] = ()
-
-
-class _Transfer:
-    """Bytes on their way over several links at a time."""
-
-    def __init__(
-        self,
-        links: Sequence[str],
-        size: int,
-        arrived: Callable[[], None],
-        failed: Callable[[], None],
-    ) -> None:
-        self.links = links
-        self.left = float(size)
-        self.arrived = arrived
-        self.failed = failed
-
-
 class Agent:
     """One agent and its engine."""
 
@@ -142,7 +115,7 @@
         """Give what a whole copy takes over the own link at the least."""
         fleet = self._swarm.fleet
         size = fleet.chunks * fleet.chunk_bytes
-        return size / (0.9 * fleet.side_mbit * MBIT_BYTES)
+        return size / (rates.CAP_SHARE * fleet.side_mbit * MBIT_BYTES)
 
     def whole_copy(self, digest: str) -> Copy | None:
         """Give a copy if it is whole."""
@@ -370,7 +343,7 @@
         self.cut: set[str] = set()
         self.open_at: list[tuple[float, int]] = []
         self._due: list[tuple[float, Callable[[float], None]]] = []
-        self._transfers: list[_Transfer] = []
+        self._network = Network(fleet)
         self._manifests: dict[str, Manifest] = {}
         self._regions: dict[str, tuple[str, ...]] = {}
         rng = random.Random(seed)
@@ -436,9 +409,6 @@
 
     # Links.
 
-    def _origin_is_away(self) -> bool:
-        return any(a <= self.now < b for a, b in self.fleet.origin_away)
-
     def read(self, agent: Agent, digest: str, chunk: int) -> None:
         """Read the origin for an agent."""
 
@@ -454,15 +424,15 @@
                 self.origin_chunks += 1
                 agent.chunk_came('', digest, chunk, self.now)
 
-        if self._origin_is_away() or agent.name in self.cut:
+        if self._network.origin_is_away(self.now) or agent.name in self.cut:
             self.after(WAY_S, lambda now: failed())
             return
-        links = ['origin', f'down {agent.name}']
+        links = [ORIGIN, f'down {agent.name}']
         region = agent.member.place.region
         if region != 'r0':
-            links.append(f'r0>{region}')
+            links.append(between('r0', region))
         size = self.fleet.chunk_bytes if chunk >= 0 else 4000
-        self._transfers.append(_Transfer(links, size, arrived, failed))
+        self._network.send(links, size, arrived, failed)
 
     def send(self, sender: Agent, taker: Agent, upload: Upload) -> None:
         """Send a chunk from one agent to another."""
@@ -480,39 +450,8 @@
         links = [f'up {sender.name}', f'down {taker.name}']
         here, there = sender.member.place.region, taker.member.place.region
         if here != there:
-            links.append(f'{here}>{there}')
-        self._transfers.append(
-            _Transfer(links, self.fleet.chunk_bytes, arrived, done)
-        )
-
-    def _capacity(self, link: str) -> float:
-        fleet = self.fleet
-        mbit = fleet.region_mbit if '>' in link else 0.9 * fleet.side_mbit
-        if link == 'origin':
-            mbit = fleet.origin_mbit
-        return mbit * MBIT_BYTES
-
-    def _move(self) -> None:
-        if self._origin_is_away():
-            lost = [t for t in self._transfers if 'origin' in t.links]
-            self._transfers = [
-                t for t in self._transfers if 'origin' not in t.links
-            ]
-            for transfer in lost:
-                transfer.failed()
-        users: dict[str, int] = {}
-        for transfer in self._transfers:
-            for link in transfer.links:
-                users[link] = users.get(link, 0) + 1
-        going: list[_Transfer] = []
-        came: list[_Transfer] = []
-        for transfer in self._transfers:
-            rate = min(self._capacity(k) / users[k] for k in transfer.links)
-            transfer.left -= rate * STEP_S
-            (going if transfer.left > 0 else came).append(transfer)
-        self._transfers = going
-        for transfer in came:
-            transfer.arrived()
+            links.append(between(here, there))
+        self._network.send(links, self.fleet.chunk_bytes, arrived, done)
 
     def run(self, until_s: float) -> None:
         """Play until a time."""
@@ -523,7 +462,7 @@
             self._due = [d for d in self._due if d[0] > self.now]
             for _at, act in sorted(due, key=lambda d: d[0]):
                 act(self.now)
-            self._move()
+            self._network.move(self.now, STEP_S)
             is_due = self.now >= look_at
             look_at += LOOK_S if is_due else 0.0
             for agent in self.agents.values():
--- a/packages/burdockchute-testing/tests/test_swarm.py
+++ b/packages/burdockchute-testing/tests/test_swarm.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from burdockchute_testing.emulator.swarm import Fleet
+from burdockchute_testing.emulator.network import Fleet
 from burdockchute_testing.emulator.swarm import Swarm
 
 NAMED_AT = 1.0
--- a/packages/burdockchute/burdockchute/decisions/flow.py
+++ b/packages/burdockchute/burdockchute/decisions/flow.py
@@ -15,8 +15,8 @@
 # Enough for a link of 10 Mbit/s at the delay between two regions.
 WINDOW = 2
 
-# A fragment that takes longer stands in a queue; 64 KiB of four senders pass
-# a link of 4.7 Mbit/s in as long.
+# A fragment that takes longer stands in a queue. 64 KiB, what four senders
+# have out, pass a link of 4.7 Mbit/s in 0.11 s.
 TARGET_S = 0.12
 
 # No pause is longer: a link that was cut for a moment is used again.
--- a/packages/burdockchute/burdockchute/decisions/staging.py
+++ b/packages/burdockchute/burdockchute/decisions/staging.py
@@ -27,10 +27,10 @@
 # A copy of which the agents hold less between them says too little of when it
 # will be whole.
 FEW_KNOWN = 0.25
-# A whole copy over a link that nothing else uses takes so many times what its
-# bytes do: the last chunks come one after the other.
+# Time of a copy over an idle link, as a multiple of that of its bytes alone;
+# the last chunks come one after the other.
 COPY_SLACK = 1.2
-# One of which nobody holds anything also waits for the origin.
+# The same for a copy of which nobody holds anything: it waits for the origin.
 FRESH_COPY_SLACK = 1.3
 # Turning to another copy for less than this would be undone by the next look.
 LEAST_GAIN_S = 0.5
