Who lapsed and was listed again in lost seconds is back in use

Cause found while looking for it: a server lapses, a process reads of that, the server is listed again as before, and the store comes back from a copy older than both records. For the server nothing is lost, so it writes nothing, and the process kept it out of use for good, as one seen to leave.

Change: a feed is read whole once more SETTLE_S after a return, when writers had the time to write again; what the store names then is in force. An agent that takes a fragment on a link which is being closed no longer answers it.

--- a/packages/burdockchute/burdockchute/decisions/listing.py
+++ b/packages/burdockchute/burdockchute/decisions/listing.py
@@ -24,7 +24,7 @@
 A store that comes back from a copy shows the list as it was some seconds
 before. Of an upstream that is known it can only tell what never goes back:
 that it leaves, a later start, a later version of weights. One that was seen
-to leave stays gone until it is listed anew.
+to leave stays gone until the list is read again, SETTLE_S later.
 """
 
 from __future__ import annotations
--- a/packages/burdockchute/burdockchute/following.py
+++ b/packages/burdockchute/burdockchute/following.py
@@ -260,6 +260,7 @@
         take: Callable[[Batch, Returned, float], None],
     ) -> None:
         cursor = Cursor()
+        reads_again_at = float('inf')
         failures = 0
         settled_at = float('-inf')
         while True:
@@ -269,6 +270,11 @@
                 contact.rest(asked_at)
                 gevent.sleep(REST_S)
                 continue
+            if asked_at >= reads_again_at:
+                # Writers had the time to write again, so that what the store
+                # names now is in force, though it was seen to leave.
+                reads_again_at = float('inf')
+                cursor.expire()
             hurries = failures > 0 or asked_at < settled_at
             wait_s = 0.0 if hurries else cadence.wait_s
             result = read(cursor.position, wait_s)
@@ -288,6 +294,7 @@
             regained = contact.answered(now)
             if restored:
                 contact.restored(batch.position)
+                reads_again_at = now + listing.SETTLE_S
             if regained or restored:
                 settled_at = now + cadence.settling_s
             take(batch, Returned(regained, restored), now)
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -194,6 +194,8 @@
             case messages.Heartbeat():
                 pass
             case messages.Fragment():
+                if self.closed_reason:
+                    return
                 self.send(messages.FragmentTaken())
                 data = self._incoming.take(message)
                 if data is not None:
--- a/packages/burdockchute/tests/test_following.py
+++ b/packages/burdockchute/tests/test_following.py
@@ -231,6 +231,50 @@
         return Success(Batch(Position(self._era, 1), True, (read,)))
 
 
+class ReturningStore:
+    """A feed that stays open; its era rises at five seconds."""
+
+    def __init__(self):
+        self.time = 0.0
+        self.whole_at = []
+
+    def now(self):
+        return self.time
+
+    def sleep(self, seconds):
+        self.time += seconds
+
+    def read(self, position, wait_s):
+        if self.time > 20.0:
+            raise Stop
+        if position is None:
+            self.whole_at.append(round(self.time, 1))
+        self.time += 0.01 if position is None else min(wait_s, 0.5)
+        era = 1 if self.time < 5.0 else 2
+        return Success(Batch(Position(era, 1), position is None, ()))
+
+
+class ReturnTest(unittest.TestCase):
+    def test_all_is_read_again_once_writers_had_the_time(self):
+        """One that was seen to leave may be in force in the copy."""
+        store = ReturningStore()
+        follower = following.Follower(
+            Feeds(store.read, store.read),
+            lambda beliefs: None,
+            store.now,
+            random.Random(1),
+            lambda: following.Cadence(WAIT_S, 0.0),
+            following.Cadence(2.0, 0.7),
+        )
+        with mock.patch.object(following.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                follower.follow_upstreams()
+        first, again = store.whole_at
+        self.assertEqual(0.0, first)
+        self.assertGreaterEqual(again, 5.0 + listing.SETTLE_S)
+        self.assertLess(again, 5.0 + listing.SETTLE_S + 1.0)
+
+
 class FreshStartTest(unittest.TestCase):
     """The store is back from a copy; a key was revoked in what it lost."""
 
