--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -225,7 +225,18 @@
     def read_head(self, sent: SentRequest) -> AnswerHead | None:
         """Wait for the head of the answer."""
         read = self._read_until_deadline(sent, sent.conn.read_head)
-        return self._deps.adapter.decode_answer(*read) if read else None
+        if read is None:
+            return None
+        head = self._deps.adapter.decode_answer(*read)
+        if head.status != MISDIRECTED:
+            # Another upstream may have sent a 421.
+            sent.slot.target.record_backpressure(
+                head.backpressure,
+                self.inbound.id,
+                sent.sent_at,
+                self._deps.now(),
+            )
+        return head
 
     def read_part(
         self, sent: SentRequest, should_stop: Callable[[], bool] | None = None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -10,6 +10,8 @@
 from burdockchute.decisions import health
 from burdockchute.decisions.engine_placement import EngineView
 from burdockchute.decisions.placement import InstanceLoad
+from burdockchute.model.exchanges import Backpressure
+from burdockchute.model.exchanges import NO_BACKPRESSURE
 from burdockchute.model.upstreams import Upstream
 from burdockchute.upstreams import connections
 from burdockchute.upstreams.connections import Connection
@@ -70,6 +72,7 @@
         self.closed_at: float | None = None
         # Earlier requests are still queued in the link to it.
         self.is_held = False
+        self.backpressure = NO_BACKPRESSURE
         self._idle: list[tuple[Connection, float]] = []
         self.load.apply_report(0, upstream.slots, 1, 0.0, (), now)
 
@@ -186,6 +189,26 @@
             )
         return True
 
+    def record_backpressure(
+        self, stated: Backpressure, request_id: str, sent_at: float, now: float
+    ) -> None:
+        """Record what it asked of its clients in an answer.
+
+        The request that was answered had been sent at `sent_at`.
+        """
+        before, self.backpressure = self.backpressure, stated
+        if stated == before:
+            return
+        logs.event(
+            'upstream_backpressure',
+            upstream=self.id,
+            request_id=request_id,
+            max_rate=stated.max_rate,
+            before=before.max_rate,
+            unreadable='; '.join(stated.unreadable),
+            sent_ms=int((now - sent_at) * 1000),
+        )
+
     def record_failure(self, now: float) -> None:
         """Record a failed request or connection attempt."""
         self.health = health.after_failure(self.health, now)
--- a/packages/burdockchute/burdockchute/model/exchanges.py
+++ b/packages/burdockchute/burdockchute/model/exchanges.py
@@ -56,6 +56,21 @@
     urgency: int | None = None
 
 
+class Backpressure(NamedTuple):
+    """What an upstream asks of its clients in an answer.
+
+    `max_rate` is the number of requests per second that it accepts from all
+    machines together, None if it names no limit. `unreadable` describes the
+    values that could not be decoded.
+    """
+
+    max_rate: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
+NO_BACKPRESSURE = Backpressure()
+
+
 class AnswerHead(NamedTuple):
     """Status and headers of an upstream's answer.
 
@@ -74,3 +89,4 @@
     is_stream: bool
     idle_s: float | None
     headers: Headers
+    backpressure: Backpressure = NO_BACKPRESSURE
