Entry: keep the limit that an upstream names, all entries together

Callers saw nothing yet; upstreams in need got ten and more requests too many.

What an upstream asks for in an answer is now state of its target (decisions/backpressure.py): a limit holds until the upstream states another one or none in an answer to a later request. Each entry has an equal share as turns at a regular interval with a random start; unused turns lapse after 0.5 s, so that idle entries save up no burst. Slots are taken in one place, Target.record_sent, for first attempts, retries, resumed streams and moves alike. The number of entries is the highest that any agent reported in the last 10 to 20 s, as an agent that restarts or is cut off reports too few. If all upstreams of a service have limits, a request that would wait too long for a turn is refused at once, with the time of its turn as Retry-After.

Failed before: 7 of the 8 tests of test_named_limits, with 20 to 57 requests in 4 s where 11 or 14 are allowed, and no refusals at once.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -7,11 +7,14 @@
 import random
 
 from burdockchute import logs
+from burdockchute.decisions import backpressure
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import placement
 from burdockchute.decisions import versions
 from burdockchute.decisions import wait_limits
+from burdockchute.decisions.backpressure import EntryCount
 from burdockchute.decisions.placement import InstanceLoad
+from burdockchute.model.exchanges import Backpressure
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.machines import Bounds
 from burdockchute.model.routes import EngineCost
@@ -45,6 +48,7 @@
     ) -> None:
         self.bounds = bounds
         self.entries = 1
+        self._entry_count = EntryCount()
         self._rng = rng
         self._region = region
         self._regions = regions
@@ -84,11 +88,42 @@
         Returns the services of the targets there.
         """
         self.entries = max(1, report.entries or 1)
+        self._count_entries(now)
         known = self.at_address(address)
         for target in known:
             self._take_report(target, report, now)
         return {target.upstream.service for target in known}
 
+    def _count_entries(self, now: float) -> None:
+        before = self._entry_count.value
+        self._entry_count.record(self.entries, now)
+        entries = self._entry_count.value
+        if entries == before:
+            return
+        for target in self._targets.values():
+            if target.limit is not None:
+                target.limit = backpressure.shared_among(
+                    target.limit, entries, now
+                )
+
+    def record_backpressure(
+        self,
+        target: Target,
+        stated: Backpressure,
+        request_id: str,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Apply what an upstream asked for in an answer to a request."""
+        target.record_backpressure(
+            stated,
+            request_id,
+            sent_at,
+            self._entry_count.value,
+            self._rng.random(),
+            now,
+        )
+
     def _take_report(
         self, target: Target, report: messages.LoadReport, now: float
     ) -> None:
@@ -195,6 +230,17 @@
             if not spec.model or spec.model in target.versions
         ]
 
+    def wait_for_turn_s(
+        self, pending: PendingRequest, ahead: int, now: float
+    ) -> float:
+        """Return the seconds until the limits of upstreams allow a request.
+
+        `ahead` is the number of requests that are sent before it. It is 0 if
+        any eligible upstream has no limit.
+        """
+        limits = [target.limit for target in self.eligible(pending, now)]
+        return backpressure.wait_for_turn_s(limits, ahead, now)
+
     def opening(
         self, pending: PendingRequest, now: float
     ) -> wait_limits.Opening:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -23,6 +23,7 @@
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.fair_queue import FairQueue
 from burdockchute.decisions.fair_queue import QueuedRequest
+from burdockchute.model.exchanges import Backpressure
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.link_events import LinkEvent
 from burdockchute.model.machines import Bounds
@@ -172,8 +173,13 @@
         on_time_s = wait_limits.on_time_wait_s(
             spec.objective_s, spec.elapsed_s, deadline - now
         )
-        expected_s = service_queue.expected_wait_s(
-            pending, self._known.loads(spec, now), now
+        expected_s = max(
+            service_queue.expected_wait_s(
+                pending, self._known.loads(spec, now), now
+            ),
+            self._known.wait_for_turn_s(
+                pending, service_queue.waiting_count, now
+            ),
         )
         if expected_s > max(on_time_s, overdue_s):
             return NotRun(
@@ -238,7 +244,9 @@
         now = self._now()
         cost = self._known.cost(pending.spec.service)
         eligible = {
-            target.id: target for target in self._known.eligible(pending, now)
+            target.id: target
+            for target in self._known.eligible(pending, now)
+            if target.accepts(now)
         }
         if cost is None or not eligible:
             return None
@@ -268,6 +276,18 @@
         """Return until when a version may start requests, None for ever."""
         return self._known.start_deadline(model, version)
 
+    def record_backpressure(
+        self,
+        target: Target,
+        stated: Backpressure,
+        request_id: str,
+        sent_at: float,
+    ) -> None:
+        """Apply what an upstream asked for in an answer to a request."""
+        self._known.record_backpressure(
+            target, stated, request_id, sent_at, self._now()
+        )
+
     def mark_started(self, pending: PendingRequest, slot: Slot) -> None:
         """Record that an answer has started: its prompt was processed."""
         target, now = slot.target, self._now()
@@ -508,8 +528,7 @@
     def _take_slot(
         self, pending: PendingRequest, target: Target, now: float
     ) -> Slot:
-        target.load.on_sent(pending.work, now)
-        target.share -= 1
+        target.record_sent(pending.work, now)
         model = pending.spec.model
         if model:
             target.unstarted[pending.ctx.request_id] = UnstartedRequest(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -230,11 +230,11 @@
         head = self._deps.adapter.decode_answer(*read)
         if head.status != MISDIRECTED:
             # Another upstream may have sent a 421.
-            sent.slot.target.record_backpressure(
+            self._deps.scheduler.record_backpressure(
+                sent.slot.target,
                 head.backpressure,
                 self.inbound.id,
                 sent.sent_at,
-                self._deps.now(),
             )
         return head
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -53,7 +53,12 @@
     @property
     def is_empty(self) -> bool:
         """Whether no request waits."""
-        return not any(map(len, self.queues))
+        return not self.waiting_count
+
+    @property
+    def waiting_count(self) -> int:
+        """The number of requests that wait."""
+        return sum(map(len, self.queues))
 
     @property
     def queues(self) -> tuple[FairQueue, FairQueue, FairQueue]:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -6,10 +6,13 @@
 from typing import NamedTuple
 
 from burdockchute import logs
+from burdockchute.decisions import backpressure
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import health
+from burdockchute.decisions.backpressure import RateLimit
 from burdockchute.decisions.engine_placement import EngineView
 from burdockchute.decisions.placement import InstanceLoad
+from burdockchute.decisions.placement import Work
 from burdockchute.model.exchanges import Backpressure
 from burdockchute.model.exchanges import NO_BACKPRESSURE
 from burdockchute.model.upstreams import Upstream
@@ -72,7 +75,9 @@
         self.closed_at: float | None = None
         # Earlier requests are still queued in the link to it.
         self.is_held = False
-        self.backpressure = NO_BACKPRESSURE
+        # What its last answer asked for, and the limit that is in force.
+        self.stated = NO_BACKPRESSURE
+        self.limit: RateLimit | None = None
         self._idle: list[tuple[Connection, float]] = []
         self.load.apply_report(0, upstream.slots, 1, 0.0, (), now)
 
@@ -93,6 +98,19 @@
             self.health, now
         )
 
+    def accepts(self, now: float) -> bool:
+        """Whether it has headroom, and its limit allows a request now."""
+        if backpressure.next_turn_at(self.limit, now) > now:
+            return False
+        return self.load.headroom(now) > 0
+
+    def record_sent(self, work: Work, now: float) -> None:
+        """Record that a request is sent to it."""
+        self.load.on_sent(work, now)
+        self.share -= 1
+        if self.limit is not None:
+            self.limit = backpressure.take_turn(self.limit, now)
+
     def draw_share(
         self, entries: int, max_slots: float, chance: float, now: float
     ) -> None:
@@ -190,13 +208,23 @@
         return True
 
     def record_backpressure(
-        self, stated: Backpressure, request_id: str, sent_at: float, now: float
+        self,
+        stated: Backpressure,
+        request_id: str,
+        sent_at: float,
+        entries: int,
+        chance: float,
+        now: float,
     ) -> None:
-        """Record what it asked of its clients in an answer.
+        """Apply what it asked of its clients in an answer.
 
-        The request that was answered had been sent at `sent_at`.
+        The request that was answered had been sent at `sent_at`. `chance` is
+        a random number from 0 to 1; `entries` share a limit.
         """
-        before, self.backpressure = self.backpressure, stated
+        self.limit = backpressure.after_answer(
+            self.limit, stated, sent_at, entries, chance, now
+        )
+        before, self.stated = self.stated, stated
         if stated == before:
             return
         logs.event(
@@ -205,6 +233,8 @@
             request_id=request_id,
             max_rate=stated.max_rate,
             before=before.max_rate,
+            in_force=self.limit.rate if self.limit else None,
+            entries=entries,
             unreadable='; '.join(stated.unreadable),
             sent_ms=int((now - sent_at) * 1000),
         )
