Entry: decode and log that an upstream says it is leaving

The list can't tell, and no line of the entry says what the answer told. It does now; nothing heeds it yet.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -233,6 +233,7 @@
             request_id=request_id,
             max_rate=stated.max_rate,
             before=before.max_rate,
+            leaving=stated.leaving,
             in_force=self.limit.rate if self.limit else None,
             entries=entries,
             unreadable='; '.join(stated.unreadable),
--- a/packages/burdockchute/burdockchute/decisions/backpressure.py
+++ b/packages/burdockchute/burdockchute/decisions/backpressure.py
@@ -117,15 +117,14 @@
     >>> after_answer(limit, Backpressure(), 1.05, 4, 0.5, 1.1) is None
     True
     """
-    if stated.unreadable:
-        return limit
     if limit is None:
         if stated.max_rate is None:
             return None
         named = RateLimit(stated.max_rate, entries, now, now)
         return named._replace(next_at=now + chance * named.interval_s)
     if stated.max_rate is None:
-        return None if sent_at >= limit.stated_at else limit
+        lifted = sent_at >= limit.stated_at and not stated.unreadable
+        return None if lifted else limit
     if stated.max_rate > limit.rate and sent_at < limit.stated_at:
         return limit
     changed = _rescaled(limit, limit._replace(rate=stated.max_rate), now)
--- a/packages/burdockchute/burdockchute/model/exchanges.py
+++ b/packages/burdockchute/burdockchute/model/exchanges.py
@@ -60,11 +60,12 @@
     """What an upstream asks of its clients in an answer.
 
     `max_rate` is the number of requests per second that it accepts from all
-    machines together, None if it names no limit. `unreadable` describes the
-    values that could not be decoded.
+    machines together, None if it names no limit. `leaving` is set by one that
+    will end. `unreadable` describes the values that could not be decoded.
     """
 
     max_rate: float | None = None
+    leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/packages/burdockchute/tests/decisions/test_backpressure.py
+++ b/packages/burdockchute/tests/decisions/test_backpressure.py
@@ -88,7 +88,8 @@
         self.assertEqual(1.0, self.after(1.0, sent_at=0.9).rate)
 
     def test_an_unreadable_limit_leaves_the_one_in_force(self):
-        found = self.after(None, ('Server-Limit: few',), sent_at=1.0)
+        stated = Backpressure(unreadable=('Server-Limit: few',))
+        found = backpressure.after_answer(self.limit, stated, 1.0, 4, 0.5, 1.5)
         self.assertEqual(self.limit, found)
 
     def test_repeating_a_limit_does_not_renew_a_turn(self):
