Entry: send nothing new to an upstream that says it is leaving

Callers were still served, but an upstream that leaves got requests until its end, later than drainMs after an answer had told the entry. Cause: leaving was known from the list of upstreams alone.

The word in an answer is kept with the target (Restrictions.leaving) until its process ends: a later record of the list or an answer without it does not take it back, as a process that leaves does not return; a new start is a new target. All ways to a slot ask Target.is_usable, so first attempts, retries, remainders and moves are covered, and a service of which every upstream leaves refuses at once.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -195,7 +195,7 @@
                 {
                     'id': target.id,
                     'service': target.upstream.service,
-                    'draining': target.upstream.draining,
+                    'draining': target.is_leaving,
                     'ours': target.load.ours,
                     'others': target.load.others,
                     'versions': dict(target.versions),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -101,10 +101,7 @@
         if entries == before:
             return
         for target in self._targets.values():
-            if target.limit is not None:
-                target.limit = backpressure.shared_among(
-                    target.limit, entries, now
-                )
+            target.share_limit(entries, now)
 
     def record_backpressure(
         self,
@@ -198,7 +195,7 @@
         fits = self._version_rule(pending, now)
         return any(
             target.upstream.service == pending.spec.service
-            and not target.upstream.draining
+            and not target.is_leaving
             and not pending.avoids(target)
             and fits(target)
             for target in self._targets.values()
@@ -257,7 +254,7 @@
             (opens_at, target.load.slots)
             for target in self._targets.values()
             if target.upstream.service == spec.service
-            and not target.upstream.draining
+            and not target.is_leaving
             and (opens_at := _opens_at(target, now)) is not None
         ]
         if not opening:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -10,6 +10,7 @@
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import health
 from burdockchute.decisions.backpressure import RateLimit
+from burdockchute.decisions.backpressure import Restrictions
 from burdockchute.decisions.engine_placement import EngineView
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.decisions.placement import Work
@@ -75,9 +76,9 @@
         self.closed_at: float | None = None
         # Earlier requests are still queued in the link to it.
         self.is_held = False
-        # What its last answer asked for, and the limit that is in force.
+        # What its last answer asked for, and what is in force.
         self.stated = NO_BACKPRESSURE
-        self.limit: RateLimit | None = None
+        self.restrictions = Restrictions()
         self._idle: list[tuple[Connection, float]] = []
         self.load.apply_report(0, upstream.slots, 1, 0.0, (), now)
 
@@ -92,11 +93,25 @@
             self.versions = upstream.versions
         self.upstream = upstream
 
+    @property
+    def limit(self) -> RateLimit | None:
+        """The limit of requests that it has named, None for none."""
+        return self.restrictions.limit
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the list, or one of its answers, says that it leaves."""
+        return self.upstream.draining or self.restrictions.leaving
+
     def is_usable(self, now: float) -> bool:
         """Whether it may be sent a request."""
-        return not self.upstream.draining and health.is_usable(
-            self.health, now
-        )
+        return not self.is_leaving and health.is_usable(self.health, now)
+
+    def share_limit(self, entries: int, now: float) -> None:
+        """Share its limit among another number of entries."""
+        if self.limit is not None:
+            limit = backpressure.shared_among(self.limit, entries, now)
+            self.restrictions = self.restrictions._replace(limit=limit)
 
     def accepts(self, now: float) -> bool:
         """Whether it has headroom, and its limit allows a request now."""
@@ -109,7 +124,8 @@
         self.load.on_sent(work, now)
         self.share -= 1
         if self.limit is not None:
-            self.limit = backpressure.take_turn(self.limit, now)
+            limit = backpressure.take_turn(self.limit, now)
+            self.restrictions = self.restrictions._replace(limit=limit)
 
     def draw_share(
         self, entries: int, max_slots: float, chance: float, now: float
@@ -221,8 +237,8 @@
         The request that was answered had been sent at `sent_at`. `chance` is
         a random number from 0 to 1; `entries` share a limit.
         """
-        self.limit = backpressure.after_answer(
-            self.limit, stated, sent_at, entries, chance, now
+        self.restrictions = backpressure.after_answer(
+            self.restrictions, stated, sent_at, entries, chance, now
         )
         before, self.stated = self.stated, stated
         if stated == before:
--- a/packages/burdockchute/burdockchute/decisions/backpressure.py
+++ b/packages/burdockchute/burdockchute/decisions/backpressure.py
@@ -1,4 +1,8 @@
-"""When a request may be sent to an upstream that limits its clients.
+"""What upstreams ask of their clients, and when a request may be sent there.
+
+An upstream that is leaving says so in its answers. It gets nothing new from
+then on until its process ends, whatever the list of upstreams shows: the list
+is late, or does not change while its store is away.
 
 An upstream that is short of capacity names in its answers how many requests
 per second it accepts from all entries together. Entries can't agree on every
@@ -97,7 +101,40 @@
         return self.entries / (share * max(MIN_RATE, self.rate))
 
 
+class Restrictions(NamedTuple):
+    """What one run of an upstream has asked for that is still in force."""
+
+    limit: RateLimit | None = None
+    leaving: bool = False
+
+
 def after_answer(
+    restrictions: Restrictions,
+    stated: Backpressure,
+    sent_at: float,
+    entries: int,
+    chance: float,
+    now: float,
+) -> Restrictions:
+    """Return the restrictions after an answer to a request.
+
+    The request had been sent at `sent_at`; `chance` is a random number from
+    0 to 1.
+
+    >>> after_answer(
+    ...     Restrictions(), Backpressure(leaving=True), 0.0, 4, 0.5, 1.0
+    ... )
+    Restrictions(limit=None, leaving=True)
+    """
+    return Restrictions(
+        limit=limit_after_answer(
+            restrictions.limit, stated, sent_at, entries, chance, now
+        ),
+        leaving=restrictions.leaving or stated.leaving,
+    )
+
+
+def limit_after_answer(
     limit: RateLimit | None,
     stated: Backpressure,
     sent_at: float,
@@ -109,12 +146,12 @@
 
     `chance` is a random number from 0 to 1.
 
-    >>> limit = after_answer(None, Backpressure(2.0), 0.0, 4, 0.5, 1.0)
+    >>> limit = limit_after_answer(None, Backpressure(2.0), 0.0, 4, 0.5, 1.0)
     >>> limit
     RateLimit(rate=2.0, entries=4, next_at=2.25, stated_at=1.0)
-    >>> after_answer(limit, Backpressure(), 0.9, 4, 0.5, 1.1) == limit
+    >>> limit_after_answer(limit, Backpressure(), 0.9, 4, 0.5, 1.1) == limit
     True
-    >>> after_answer(limit, Backpressure(), 1.05, 4, 0.5, 1.1) is None
+    >>> limit_after_answer(limit, Backpressure(), 1.05, 4, 0.5, 1.1) is None
     True
     """
     if limit is None:
--- a/packages/burdockchute/tests/decisions/test_backpressure.py
+++ b/packages/burdockchute/tests/decisions/test_backpressure.py
@@ -29,7 +29,7 @@
     """Return when entries send that have the same upstream."""
     rng = random.Random(seed)
     limits = [
-        backpressure.after_answer(
+        backpressure.limit_after_answer(
             None, Backpressure(rate), 0.0, entries, rng.random(), rng.random()
         )
         for _entry in range(entries)
@@ -71,7 +71,7 @@
         self.limit = RateLimit(2.0, 4, 2.25, 1.0)
 
     def after(self, *stated, sent_at, now=1.5):
-        return backpressure.after_answer(
+        return backpressure.limit_after_answer(
             self.limit, Backpressure(*stated), sent_at, 4, 0.5, now
         )
 
@@ -89,7 +89,9 @@
 
     def test_an_unreadable_limit_leaves_the_one_in_force(self):
         stated = Backpressure(unreadable=('Server-Limit: few',))
-        found = backpressure.after_answer(self.limit, stated, 1.0, 4, 0.5, 1.5)
+        found = backpressure.limit_after_answer(
+            self.limit, stated, 1.0, 4, 0.5, 1.5
+        )
         self.assertEqual(self.limit, found)
 
     def test_repeating_a_limit_does_not_renew_a_turn(self):
