--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -250,6 +250,7 @@
             max_rate=stated.max_rate,
             before=before.max_rate,
             leaving=stated.leaving,
+            rest_s=stated.rest_s,
             in_force=self.limit.rate if self.limit else None,
             entries=entries,
             unreadable='; '.join(stated.unreadable),
--- a/packages/burdockchute/burdockchute/model/exchanges.py
+++ b/packages/burdockchute/burdockchute/model/exchanges.py
@@ -61,11 +61,14 @@
 
     `max_rate` is the number of requests per second that it accepts from all
     machines together, None if it names no limit. `leaving` is set by one that
-    will end. `unreadable` describes the values that could not be decoded.
+    will end. `rest_s` is the time in seconds for which it wants nothing more
+    from this machine, None if it does not say. `unreadable` describes the
+    values that could not be decoded.
     """
 
     max_rate: float | None = None
     leaving: bool = False
+    rest_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
