Entry: give an upstream the rest that it asks for

Callers whose requests were turned away were served elsewhere or got 503 themselves, and the upstream that had asked for rest got one request after the other. Cause: a refusal took an upstream out for the refused request alone (PendingRequest.avoided); the next request knew nothing of it, and Retry-After was read nowhere.

The end of the rest is kept with the target (Restrictions.rests_until) and excludes it in Target.is_usable, for all ways to a slot. Only a longer rest changes it. While all upstreams of a service that are not leaving rest, requests are refused at once with the time of the first that has rested as Retry-After, also those that wait already; a stream's remainder waits if the rest ends before its deadline.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -200,6 +200,8 @@
                     'others': target.load.others,
                     'versions': dict(target.versions),
                     'failures': target.health.failures,
+                    'limit': target.limit.rate if target.limit else None,
+                    'rest_s': target.rest_left_s(time.monotonic()),
                 }
                 for target in self.scheduler.targets()
             ],
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -108,7 +108,10 @@
             return attempt.answer
         if isinstance(attempt, OutcomeUnknown):
             return Unknown(attempt.reason, BAD_GATEWAY)
-        retry_s = admission.retry_after_s(self.sender.route.objective_s)
+        retry_s = max(
+            admission.retry_after_s(self.sender.route.objective_s),
+            self._deps.scheduler.rest_left_s(self.sender.pending.spec.service),
+        )
         return self._not_run_unless_sent(NotRun(attempt.reason, 503, retry_s))
 
     def _not_run_unless_sent(self, outcome: NotRun) -> Reply:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -190,17 +190,33 @@
         """Whether any target may run a request, now or later.
 
         Targets that are not used for a while after a failure, or that had no
-        capacity, count as well.
+        capacity, count as well, and those that rest until a time before the
+        deadline.
         """
         fits = self._version_rule(pending, now)
         return any(
             target.upstream.service == pending.spec.service
             and not target.is_leaving
+            and now + target.rest_left_s(now) < pending.ctx.deadline
             and not pending.avoids(target)
             and fits(target)
             for target in self._targets.values()
         )
 
+    def rest_left_s(self, service: str, now: float) -> float:
+        """Return the seconds until the first upstream of a service has rested.
+
+        It is 0 if any that isn't leaving has not asked for rest.
+        """
+        return min(
+            (
+                target.rest_left_s(now)
+                for target in self._targets.values()
+                if target.upstream.service == service and not target.is_leaving
+            ),
+            default=0.0,
+        )
+
     def explain_ineligible(self, pending: PendingRequest, now: float) -> str:
         """Describe why no target may run a request now, for the log."""
         spec = pending.spec
@@ -214,9 +230,11 @@
         fit = [
             target for target in usable if _may_run(target, spec, min_version)
         ]
+        resting = sum(target.rest_left_s(now) > 0 for target in own)
         return (
             f'{len(own)} known, {len(usable)} usable, {len(fit)} with weights '
             f'from version {min_version}'
+            + (f', {resting} asked for rest' if resting else '')
         )
 
     def loads(self, spec: RequestSpec, now: float) -> list[InstanceLoad]:
@@ -420,12 +438,14 @@
 
 
 def _opens_at(target: Target, now: float) -> float | None:
+    rested_at = now + target.rest_left_s(now)
     if target.opens_at is not None:
-        return target.opens_at
+        return max(target.opens_at, rested_at)
     # Without an estimate of its agent, a target that accepts no requests is
     # loading, unless that lasts too long.
     closed_s = target.closed_for_s(now)
-    return now if closed_s is not None and closed_s < MAX_LOADING_S else None
+    is_loading = closed_s is not None and closed_s < MAX_LOADING_S
+    return rested_at if is_loading else None
 
 
 def _is_same_process(target: Target, upstream: Upstream) -> bool:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -267,6 +267,10 @@
         """Whether any target may run the request, now or later."""
         return self._known.is_servable(pending, self._now())
 
+    def rest_left_s(self, service: str) -> float:
+        """Return the seconds for which all upstreams of a service rest."""
+        return self._known.rest_left_s(service, self._now())
+
     def tokens_per_event(self, service: str) -> int:
         """Return the number of tokens in an event of a service's streams."""
         cost = self._known.cost(service)
@@ -342,6 +346,7 @@
         """Assign all free slots to waiting requests."""
         for service, service_queue in self._service_queues.items():
             self._refuse_unservable(service_queue)
+            self._refuse_during_rest(service, service_queue)
             self._assign_slots(service)
 
     # Waiting times.
@@ -386,6 +391,9 @@
         if opening.in_s is not None:
             opens = f'one opens in {opening.in_s:.2f} s'
             retry_s = admission.retry_after_s(opening.in_s)
+        elif rest_s := self._known.rest_left_s(pending.spec.service, now):
+            opens = f'one has rested in {rest_s:.2f} s'
+            retry_s = rest_s
         service = pending.spec.service
         reason = f'no upstream can run {service!r} now ({details}; {opens})'
         return NotRun(reason, 503, retry_s)
@@ -431,6 +439,20 @@
                 self._no_upstream(pending, wait_limits.NO_OPENING, now)
             )
 
+    def _refuse_during_rest(
+        self, service: str, service_queue: ServiceQueue
+    ) -> None:
+        # Requests may wait when the last upstream of a service asks for rest.
+        now = self._now()
+        if service_queue.is_empty or not self._known.rest_left_s(service, now):
+            return
+        for queue in (service_queue.queue, service_queue.overdue):
+            for item in queue.queued_before(now):
+                pending = self._waiting[item.ctx.request_id]
+                opening = self._known.opening(pending, now)
+                if not pending.slot.ready() and not opening.slots:
+                    pending.slot.set(self._no_upstream(pending, opening, now))
+
     def _may_wait_overdue(
         self, service_queue: ServiceQueue, pending: PendingRequest
     ) -> bool:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -103,9 +103,15 @@
         """Whether the list, or one of its answers, says that it leaves."""
         return self.upstream.draining or self.restrictions.leaving
 
+    def rest_left_s(self, now: float) -> float:
+        """Return the seconds for which it wants nothing from this entry."""
+        return backpressure.rest_left_s(self.restrictions, now)
+
     def is_usable(self, now: float) -> bool:
         """Whether it may be sent a request."""
-        return not self.is_leaving and health.is_usable(self.health, now)
+        if self.is_leaving or self.rest_left_s(now):
+            return False
+        return health.is_usable(self.health, now)
 
     def share_limit(self, entries: int, now: float) -> None:
         """Share its limit among another number of entries."""
--- a/packages/burdockchute/burdockchute/decisions/backpressure.py
+++ b/packages/burdockchute/burdockchute/decisions/backpressure.py
@@ -4,6 +4,10 @@
 then on until its process ends, whatever the list of upstreams shows: the list
 is late, or does not change while its store is away.
 
+An upstream that turns a request away may ask for rest: it gets nothing from
+this entry until that time is over. A later answer to a request that was under
+way does not end the rest, and a shorter rest does not shorten it.
+
 An upstream that is short of capacity names in its answers how many requests
 per second it accepts from all entries together. Entries can't agree on every
 request, so each uses an equal share of the rate, as turns at a regular
@@ -106,6 +110,16 @@
 
     limit: RateLimit | None = None
     leaving: bool = False
+    rests_until: float = float('-inf')
+
+
+def rest_left_s(restrictions: Restrictions, now: float) -> float:
+    """Return the seconds until the upstream accepts requests again.
+
+    >>> rest_left_s(Restrictions(rests_until=4.0), 1.5)
+    2.5
+    """
+    return max(0.0, restrictions.rests_until - now)
 
 
 def after_answer(
@@ -121,16 +135,19 @@
     The request had been sent at `sent_at`; `chance` is a random number from
     0 to 1.
 
-    >>> after_answer(
-    ...     Restrictions(), Backpressure(leaving=True), 0.0, 4, 0.5, 1.0
-    ... )
-    Restrictions(limit=None, leaving=True)
+    >>> stated = Backpressure(leaving=True, rest_s=2.0)
+    >>> after_answer(Restrictions(), stated, 0.0, 4, 0.5, 1.0)
+    Restrictions(limit=None, leaving=True, rests_until=3.0)
     """
+    rests_until = restrictions.rests_until
+    if stated.rest_s is not None:
+        rests_until = max(rests_until, now + stated.rest_s)
     return Restrictions(
         limit=limit_after_answer(
             restrictions.limit, stated, sent_at, entries, chance, now
         ),
         leaving=restrictions.leaving or stated.leaving,
+        rests_until=rests_until,
     )
 
 
--- a/packages/burdockchute/tests/decisions/test_backpressure.py
+++ b/packages/burdockchute/tests/decisions/test_backpressure.py
@@ -109,6 +109,19 @@
         self.assertGreater(len(times), 2)
 
 
+class RestTest(unittest.TestCase):
+    def test_only_a_longer_rest_changes_one_in_force(self):
+        """Requests that were sent together are turned away one by one."""
+        restrictions = backpressure.Restrictions(rests_until=4.0)
+        for rest_s, until in ((1.0, 4.0), (None, 4.0), (0.0, 4.0), (3.5, 4.5)):
+            with self.subTest(rest_s=rest_s):
+                stated = Backpressure(rest_s=rest_s)
+                found = backpressure.after_answer(
+                    restrictions, stated, 0.9, 4, 0.5, 1.0
+                )
+                self.assertEqual(until, found.rests_until)
+
+
 class EntryCountTest(unittest.TestCase):
     def setUp(self):
         self.count = EntryCount()
