Agent: give the upstream beside it the rest that it asks for

All entries reach an upstream through its agent, so the agent keeps the rest for all of them, by the same decision, and refuses requests meanwhile with the time left.

--- a/packages/burdockchute-agent/burdockchute_agent/runner.py
+++ b/packages/burdockchute-agent/burdockchute_agent/runner.py
@@ -10,6 +10,7 @@
 
 import collections
 import json
+import math
 import time
 import traceback
 from typing import Any
@@ -18,6 +19,8 @@
 import gevent
 
 from burdockchute import logs
+from burdockchute.decisions import backpressure
+from burdockchute.model.exchanges import Backpressure
 from burdockchute.nodes import links
 from burdockchute.upstreams import calls
 from burdockchute.upstreams.gate import Gate
@@ -59,7 +62,11 @@
 
 
 class _NotRunError(Exception):
-    pass
+    """The request was not run; it may be sent again in `retry_ms`."""
+
+    def __init__(self, reason: str, retry_ms: int = REFUSED_RETRY_MS) -> None:
+        super().__init__(reason)
+        self.retry_ms = retry_ms
 
 
 class _WeightsMismatchError(Exception):
@@ -74,6 +81,7 @@
         self.finished = 0
         self._upstream = upstream
         self._gate = gate
+        self._restrictions = backpressure.Restrictions()
         self._runs: dict[str, RunningRequest] = {}
         self._attempts: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -141,7 +149,7 @@
         except _NotRunError as exc:
             _send(
                 link,
-                messages.NotRun(req.request_id, str(exc), REFUSED_RETRY_MS),
+                messages.NotRun(req.request_id, str(exc), exc.retry_ms),
             )
             logs.event(
                 'request_not_run',
@@ -178,6 +186,7 @@
             raise _NotRunError(LEAVING)
         if req.budget_ms <= 0:
             raise _NotRunError('deadline passed')
+        self._check_rest()
         pinned = (_row_name(req), req.digest, req.adapter_digest)
         refusal = self._gate.enter(*pinned)
         if refusal is not None:
@@ -226,6 +235,7 @@
         reply = self._send_call(req, 'POST', '/v1/completions', body)
         try:
             if reply.status in ENGINE_REFUSALS:
+                self._check_rest()
                 raise _NotRunError(f'engine answered {reply.status}')
             forward = _forward_stream if req.stream else _forward_plain
             parts = forward(link, req, reply)
@@ -244,8 +254,9 @@
             'Content-Type': req.content_type or 'application/json',
             'Burdockchute-Request-Id': req.request_id,
         }
+        sent_at = time.monotonic()
         try:
-            return calls.send(
+            reply = calls.send(
                 self._upstream.url,
                 method,
                 path,
@@ -255,6 +266,29 @@
             )
         except calls.NotConnected as exc:
             raise _NotRunError(f'upstream takes no connection: {exc}') from exc
+        self._record_rest(reply.rest_s, sent_at)
+        return reply
+
+    def _record_rest(self, rest_s: float | None, sent_at: float) -> None:
+        # An agent is the only client of its upstream, so it has the whole of
+        # a rest for itself.
+        self._restrictions = backpressure.after_answer(
+            self._restrictions,
+            Backpressure(rest_s=rest_s),
+            sent_at,
+            entries=1,
+            chance=0.0,
+            now=time.monotonic(),
+        )
+        if rest_s is not None:
+            logs.event('upstream_rests', rest_s=rest_s)
+
+    def _check_rest(self) -> None:
+        left_s = backpressure.rest_left_s(self._restrictions, time.monotonic())
+        if left_s:
+            raise _NotRunError(
+                f'upstream rests for {left_s:.2f} s', math.ceil(left_s * 1000)
+            )
 
     def _remove(self, request_id: str, ended: gevent.Greenlet) -> None:
         self.finished += 1
--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import re
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
@@ -21,6 +22,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+_DECIMAL = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
+
 
 class NotConnected(Exception):
     """The upstream accepted no connection, so nothing was sent."""
@@ -39,12 +42,17 @@
 
 
 class Reply(NamedTuple):
-    """Status and headers of an answer whose body has not been read yet."""
+    """Status and headers of an answer whose body has not been read yet.
+
+    `rest_s` is the time in seconds for which an upstream that answers 503
+    wants no more calls, None if it does not say.
+    """
 
     status: int
     content_type: str
     response: Any
     close: Callable[[], None]
+    rest_s: float | None = None
 
 
 def send(
@@ -89,9 +97,17 @@
         str(response.get('content-type', '')),
         response,
         close,
+        _rest_s(response),
     )
 
 
+def _rest_s(response: Any) -> float | None:
+    text = str(response.get('retry-after', ''))
+    if response.status_code != 503 or not _DECIMAL.fullmatch(text):
+        return None
+    return float(text)
+
+
 def read_body(reply: Reply, limit: int) -> bytes:
     """Read the body of a plain reply; raises AnswerFailed."""
     try:
--- a/packages/burdockchute/tests/upstreams/test_calls.py
+++ b/packages/burdockchute/tests/upstreams/test_calls.py
@@ -51,6 +51,21 @@
         with self.assertRaises(calls.NotConnected):
             self.send(f'http://127.0.0.1:{port}')
 
+    def test_reads_the_rest_that_an_upstream_asks_for(self):
+        for status, text, rest_s in (
+            (503, '1.5', 1.5),
+            (503, 'soon', None),
+            (503, '-1', None),
+            (200, '2', None),
+        ):
+            with self.subTest(status=status, text=text):
+                head = (
+                    f'HTTP/1.1 {status} X\r\nRetry-After: {text}\r\n'
+                    'Content-Length: 0\r\n\r\n'
+                )
+                reply = self.send(self.serve(head.encode()))
+                self.assertEqual(rest_s, reply.rest_s)
+
     def test_short_body_fails(self):
         # The upstream crashes in the middle of its answer. If the part that
         # arrived were forwarded, the caller would take it for complete.
