Entry: keep what an upstream asked for while the list lacks it

Entries of the list expire while the store is away, and are back after its return. The upstream was then a new target, without the leaving, rest or limit that its process had stated.

Restrictions of an upstream that is listed no more are kept, up to 1024 of them, and apply again if the same start of it is listed; an answer to a request that was sent before goes to the target that is listed now.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -31,6 +31,10 @@
 MAX_LOADING_S = 4.0
 
 
+# Upstreams whose restrictions are kept while the list lacks them.
+MAX_DROPPED = 1024
+
+
 class KnownTargets:
     """All targets, from the upstream list, agents' reports and settings.
 
@@ -54,6 +58,9 @@
         self._regions = regions
         self._known_state = KnownState()
         self._targets: dict[str, Target] = {}
+        # Upstreams that are listed no more. An entry of the list may expire
+        # while the upstream still serves, and come back.
+        self._dropped: dict[str, Target] = {}
         self._ids_by_address: dict[str, list[str]] = {}
 
     # Updates.
@@ -66,7 +73,7 @@
             for upstream in known_state.present_upstreams()
         }
         for name in self._targets.keys() - present.keys():
-            self._targets.pop(name).close_idle()
+            self._drop(name)
         for name, upstream in present.items():
             target = self._targets.get(name)
             if target is not None and _is_same_process(target, upstream):
@@ -74,12 +81,27 @@
                 continue
             if target is not None:
                 target.close_idle()
-            self._targets[name] = Target(upstream, now)
+            self._targets[name] = self._new_target(upstream, now)
         self._ids_by_address = {}
         for name, target in self._targets.items():
             address = str(target.upstream.endpoint)
             self._ids_by_address.setdefault(address, []).append(name)
 
+    def _drop(self, name: str) -> None:
+        target = self._targets.pop(name)
+        target.close_idle()
+        self._dropped[name] = target
+        while len(self._dropped) > MAX_DROPPED:
+            del self._dropped[next(iter(self._dropped))]
+
+    def _new_target(self, upstream: Upstream, now: float) -> Target:
+        target = Target(upstream, now)
+        dropped = self._dropped.pop(upstream.id, None)
+        if dropped is not None and _is_same_process(dropped, upstream):
+            target.restrictions = dropped.restrictions
+            target.share_limit(self._entry_count.value, now)
+        return target
+
     def apply_load_report(
         self, address: str, report: messages.LoadReport, now: float
     ) -> set[str]:
@@ -112,6 +134,10 @@
         now: float,
     ) -> None:
         """Apply what an upstream asked for in an answer to a request."""
+        # It may have been listed again since the request was sent.
+        current = self._targets.get(target.id)
+        if current and _is_same_process(current, target.upstream):
+            target = current
         target.record_backpressure(
             stated,
             request_id,
