Entry: ask again whether an upstream leaves or rests once connected

A new connection takes up to a second over a lossy link. An upstream that began to leave or asked for rest meanwhile got the request all the same. Found by reading the change. The request goes elsewhere now, and takes no retry, as nothing was sent.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/placement_round.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placement_round.py
@@ -39,7 +39,7 @@
         self._open = {
             target.id: (target, view_of(target))
             for target in targets
-            if target.accepts(now)
+            if target.has_capacity(now)
         }
         # Prompt length and time left of requests that could not be placed.
         self._unplaceable: list[tuple[int, float | None]] = []
@@ -73,7 +73,7 @@
 
     def slot_taken(self, target: Target) -> None:
         """Update the view of a target that was assigned a request."""
-        if target.accepts(self._now):
+        if target.has_capacity(self._now):
             self._open[target.id] = (target, self._view_of(target))
         else:
             self._open.pop(target.id, None)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -246,7 +246,7 @@
         eligible = {
             target.id: target
             for target in self._known.eligible(pending, now)
-            if target.accepts(now)
+            if target.has_capacity(now)
         }
         if cost is None or not eligible:
             return None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -184,6 +184,10 @@
         except BaseException:
             self._deps.scheduler.release(self.pending, slot)
             raise
+        if not target.accepts_new(self._deps.now()):
+            conn.close()
+            self._deps.scheduler.release(self.pending, slot)
+            return NotExecuted('the upstream leaves or rests', False)
         start_by = None
         if slot.version is not None:
             start_by = self._deps.scheduler.start_deadline(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -107,11 +107,13 @@
         """Return the seconds for which it wants nothing from this entry."""
         return backpressure.rest_left_s(self.restrictions, now)
 
+    def accepts_new(self, now: float) -> bool:
+        """Whether it neither leaves nor rests."""
+        return not self.is_leaving and not self.rest_left_s(now)
+
     def is_usable(self, now: float) -> bool:
         """Whether it may be sent a request."""
-        if self.is_leaving or self.rest_left_s(now):
-            return False
-        return health.is_usable(self.health, now)
+        return self.accepts_new(now) and health.is_usable(self.health, now)
 
     def share_limit(self, entries: int, now: float) -> None:
         """Share its limit among another number of entries."""
@@ -119,7 +121,7 @@
             limit = backpressure.shared_among(self.limit, entries, now)
             self.restrictions = self.restrictions._replace(limit=limit)
 
-    def accepts(self, now: float) -> bool:
+    def has_capacity(self, now: float) -> bool:
         """Whether it has headroom, and its limit allows a request now."""
         if backpressure.next_turn_at(self.limit, now) > now:
             return False
