--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -7,7 +7,6 @@
 import random
 
 from burdockchute import logs
-from burdockchute.decisions import backpressure
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import placement
 from burdockchute.decisions import versions
@@ -271,17 +270,6 @@
             if not spec.model or spec.model in target.versions
         ]
 
-    def wait_for_turn_s(
-        self, pending: PendingRequest, ahead: int, now: float
-    ) -> float:
-        """Return the seconds until the limits of upstreams allow a request.
-
-        `ahead` is the number of requests that are sent before it. It is 0 if
-        any eligible upstream has no limit.
-        """
-        limits = [target.limit for target in self.eligible(pending, now)]
-        return backpressure.wait_for_turn_s(limits, ahead, now)
-
     def opening(
         self, pending: PendingRequest, now: float
     ) -> wait_limits.Opening:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -17,6 +17,7 @@
 from gevent import Timeout
 
 from burdockchute.decisions import admission
+from burdockchute.decisions import backpressure
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import overload
 from burdockchute.decisions import returning_callers
@@ -166,7 +167,8 @@
             return Plan((Stage(service_queue.resumed, deadline - now),), 0.0)
         opening = self._known.opening(pending, now)
         overdue_s = self._overdue_wait_s(pending, opening, now)
-        if not self._known.eligible(pending, now):
+        eligible = self._known.eligible(pending, now)
+        if not eligible:
             if not opening.slots or not overdue_s:
                 return self._no_upstream(pending, opening, now)
             return Plan((Stage(service_queue.overdue, overdue_s),), overdue_s)
@@ -177,8 +179,10 @@
             service_queue.expected_wait_s(
                 pending, self._known.loads(spec, now), now
             ),
-            self._known.wait_for_turn_s(
-                pending, service_queue.waiting_count, now
+            backpressure.wait_for_turn_s(
+                [target.limit for target in eligible],
+                service_queue.waiting_count,
+                now,
             ),
         )
         if expected_s > max(on_time_s, overdue_s):
