--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,8 @@
 soak: setup
 	cd platform && PYTHONPATH=. ../$(BIN)/python -m soak --failed \
 		--seeds $(SEEDS) --seconds 40
+	cd platform && PYTHONPATH=. ../$(BIN)/python -m soak --backpressure \
+		--seeds $(SEEDS) --seconds 40
 
 wire:
 	thrift --gen py -out $(WIRE)/gen \
