Streams: log what is known of the upstream that a stream continues at

The finding of the listed soak test could not tell whether the entry knew that the second engine was leaving, whether its first events were new to the caller, or whether its reset had arrived before the first run was abandoned. stream_moved and stream_resumed have a field for each. No decision changes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -25,6 +25,7 @@
 from burdockchute_entry.straight.attempts import SentRequest
 from burdockchute_entry.straight.attempts import UpstreamSilent
 from burdockchute_entry.straight.handover import cause_of
+from burdockchute_entry.straight.handover import Continuation
 from burdockchute_entry.straight.handover import EventBatch
 from burdockchute_entry.straight.handover import Handover
 from burdockchute_entry.straight.handover import NoContinuation
@@ -300,7 +301,7 @@
                 self._record_interruption(before, 'closing', reason)
             self._sender.abandon(self._detach_run())
         event = 'stream_moved' if handover.is_move else 'stream_resumed'
-        self._log_switch(event, continuation.run.sent.slot, before)
+        self._log_switch(event, continuation, before)
         self._run = continuation.run
         return continuation.first_batch
 
@@ -355,13 +356,19 @@
             ),
         )
 
-    def _log_switch(self, event: str, slot: Slot, before: str) -> None:
+    def _log_switch(
+        self, event: str, continuation: Continuation, before: str
+    ) -> None:
+        sent, batch = continuation.run.sent, continuation.first_batch
         logs.event(
             event,
             logging.INFO,
             request_id=self._sender.inbound.id,
-            upstream=slot.target.id,
+            upstream=sent.slot.target.id,
             before=before,
             after=self._sender.last_event,
             version=self.head.version,
+            leaving=sent.slot.target.is_leaving,
+            new_events=len(self._unseen(batch.events)),
+            more_arrived=not sent.conn.is_quiet(),
         )
