Streams: keep a run until another one has sent a new event

The entry let the first run go as soon as the second had sent any event. Its first events are mostly old ones, as the first run goes on while the second reads the prompt, so nothing had been gained yet when the sound run was abandoned.

Now the previous run is kept, unread, until the other one has sent an event that the caller lacks. If that one fails first, the stream goes on where it was; its events have been waiting in the socket. stream_moved is logged at that moment, and stream_returned if it comes to that.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -5,13 +5,16 @@
 other weights. It is resumed after the last event that the caller has
 received, on the same version of the weights. An incomplete stream never
 looks complete to the caller. A run that may still produce events is kept
-until the remainder has started elsewhere.
+until another one has sent an event that the caller lacks. The first events
+of a remainder are often old ones, as the previous run has gone on meanwhile,
+and an upstream may end before it gets past them.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 import logging
+from typing import NamedTuple
 
 from burdockchute import logs
 from burdockchute.decisions import stream_moves
@@ -25,7 +28,6 @@
 from burdockchute_entry.straight.attempts import SentRequest
 from burdockchute_entry.straight.attempts import UpstreamSilent
 from burdockchute_entry.straight.handover import cause_of
-from burdockchute_entry.straight.handover import Continuation
 from burdockchute_entry.straight.handover import EventBatch
 from burdockchute_entry.straight.handover import Handover
 from burdockchute_entry.straight.handover import NoContinuation
@@ -42,6 +44,16 @@
 HANDOVER_RETRY_S = 0.5
 
 
+class PreviousRun(NamedTuple):
+    """A run that is kept while the one that replaces it has sent nothing new.
+
+    `is_move` tells whether it was replaced because its engine waits to load.
+    """
+
+    run: StreamRun
+    is_move: bool
+
+
 class Stream:
     """One stream to a caller.
 
@@ -64,6 +76,7 @@
         self._deps = deps
         self._sender = sender
         self._run: StreamRun | None = StreamRun(sender, sent, head)
+        self._previous: PreviousRun | None = None
         self._handover: Handover | None = None
         self._may_move = True
         # When a handover was last tried since the last events of this run.
@@ -104,6 +117,9 @@
             self._cancel_handover()
             if self._run is not None:
                 self._sender.abandon(self._detach_run())
+            if self._previous is not None:
+                self._sender.abandon(self._previous.run.sent)
+                self._previous = None
 
     def _detach_run(self) -> SentRequest:
         """Return the request of the current run, which the caller must end."""
@@ -123,19 +139,27 @@
                     return continuation
             try:
                 batch = self._run.next_batch(self._is_handover_ready)
+                if batch is not None:
+                    self._confirm_switch(batch)
             except NoDataYet:
                 continue
-            except UpstreamSilent as exc:
-                self._start_parallel_handover(exc)
-                continue
             except AnswerFailed as exc:
-                self._replace_broken_run(exc)
+                self._on_run_failed(exc)
                 continue
             if batch is None:
                 raise StreamBroken('deadline exceeded')
             self._on_batch_received()
             return batch
 
+    def _on_run_failed(self, exc: AnswerFailed) -> None:
+        """Find another run; raises StreamBroken."""
+        if self._previous is not None:
+            self._return_to_previous(self._previous.run, exc)
+        elif isinstance(exc, UpstreamSilent):
+            self._start_parallel_handover(exc)
+        else:
+            self._replace_broken_run(exc)
+
     def _unseen(self, events: list[Event]) -> list[Event]:
         # The remainder may repeat events that were already forwarded.
         last = self._sender.last_event
@@ -234,6 +258,8 @@
         """Move the stream if its engine waits to load other weights."""
         if self._run is None or self._handover is not None:
             return
+        if self._previous is not None:
+            return
         now = self._deps.now()
         sender, target = self._sender, self._run.sent.slot.target
         closed_s = target.closed_for_s(now)
@@ -293,18 +319,46 @@
             self._keep_current_run()
             return NoContinuation('the remainder is empty')
         self._handover_tried_at = None
-        before = ''
-        if self._run is not None:
-            before = self._run.upstream
-            if handover.is_move:
-                reason = 'its engine waits to load weights'
-                self._record_interruption(before, 'closing', reason)
-            self._sender.abandon(self._detach_run())
-        event = 'stream_moved' if handover.is_move else 'stream_resumed'
-        self._log_switch(event, continuation, before)
+        if self._run is None:
+            self._log_switch('stream_resumed', continuation.run, '')
+        else:
+            self._previous = PreviousRun(self._run, handover.is_move)
         self._run = continuation.run
+        self._confirm_switch(continuation.first_batch)
         return continuation.first_batch
 
+    def _confirm_switch(self, batch: EventBatch) -> None:
+        """Abandon the previous run once the current one has new events.
+
+        Raises AnswerFailed if the current run ends without any.
+        """
+        if self._previous is None:
+            return
+        if not self._unseen(batch.events):
+            if batch.complete:
+                raise AnswerFailed('the remainder is empty', False)
+            return
+        assert self._run is not None
+        previous, self._previous = self._previous, None
+        before = previous.run.upstream
+        event = 'stream_resumed'
+        if previous.is_move:
+            event, reason = 'stream_moved', 'its engine waits to load weights'
+            self._record_interruption(before, 'closing', reason)
+        self._sender.abandon(previous.run.sent)
+        self._log_switch(event, self._run, before)
+
+    def _return_to_previous(
+        self, previous: StreamRun, exc: AnswerFailed
+    ) -> None:
+        """Continue with the previous run, as the current one has failed."""
+        sent = self._detach_run()
+        self._record_interruption(sent.slot.target.id, cause_of(exc), str(exc))
+        self._sender.mark_broken(sent, exc)
+        self._run, self._previous = previous, None
+        self._keep_current_run()
+        self._log_switch('stream_returned', previous, sent.slot.target.id)
+
     def _is_empty(self, batch: EventBatch) -> bool:
         return batch.complete and not self._unseen(batch.events)
 
@@ -356,19 +410,13 @@
             ),
         )
 
-    def _log_switch(
-        self, event: str, continuation: Continuation, before: str
-    ) -> None:
-        sent, batch = continuation.run.sent, continuation.first_batch
+    def _log_switch(self, event: str, run: StreamRun, before: str) -> None:
         logs.event(
             event,
             logging.INFO,
             request_id=self._sender.inbound.id,
-            upstream=sent.slot.target.id,
+            upstream=run.upstream,
             before=before,
             after=self._sender.last_event,
             version=self.head.version,
-            leaving=sent.slot.target.is_leaving,
-            new_events=len(self._unseen(batch.events)),
-            more_arrived=not sent.conn.is_quiet(),
         )
