Streams: a move does not use up an attempt of the caller

A loss after a move that may have run elsewhere now leaves one attempt more, if one of the upstreams closed the connection. The platform's limit does not count servers that have ended, so the stream still runs on no more servers than its route allows; a silent upstream, which may run on, is not excused.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -74,8 +74,9 @@
     """One request and its attempts; runs in the caller's greenlet.
 
     `runs` counts the upstreams that may have run the request, `sends` the
-    attempts to send it. `last_event` is the id of the last event that the
-    caller has received. Every SentRequest is ended by exactly one of
+    attempts to send it. `uncounted_runs` are those runs that do not use up
+    the attempts of the route. `last_event` is the id of the last event that
+    the caller has received. Every SentRequest is ended by exactly one of
     `finish`, `fail`, `time_out`, `abandon`, `mark_broken` and
     `take_refusal`, which free its slot.
     """
@@ -89,6 +90,7 @@
         spec: RequestSpec,
     ) -> None:
         self.runs = 0
+        self.uncounted_runs = 0
         self.sends = 0
         self.upstream = ''
         self.last_event = inbound.resume_after
@@ -143,7 +145,8 @@
             return not attempt.arrived or self._take_retry(wait_s)
         if isinstance(attempt, Failed) and self.route.kind is Kind.STREAM:
             return False
-        again = self.route.may_repeat and self.runs < self.route.max_attempts
+        counted = self.runs - self.uncounted_runs
+        again = self.route.may_repeat and counted < self.route.max_attempts
         return again and self._take_retry(wait_s)
 
     def _take_retry(self, wait_s: float) -> bool:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -79,6 +79,9 @@
         self._previous: PreviousRun | None = None
         self._handover: Handover | None = None
         self._may_move = True
+        # Whether a move may have run the request, and whether an upstream
+        # that ran it has ended.
+        self._move_ran = self._upstream_ended = False
         # When a handover was last tried since the last events of this run.
         self._handover_tried_at: float | None = None
         self._last_loss: OutcomeUnknown | None = None
@@ -226,6 +229,7 @@
         sent = self._detach_run()
         upstream = sent.slot.target.id
         self._record_interruption(upstream, cause_of(exc), str(exc))
+        self._upstream_ended |= exc.closed_by_upstream
         self._last_loss = self._sender.mark_broken(sent, exc)
         if self._handover is None:
             self._start_handover_or_fail(self._last_loss)
@@ -234,6 +238,10 @@
         """Request the remainder of a lost run; raises StreamBroken."""
         self._pin_version()
         wait_s = wait_limits.MAX_RETRY_WAIT_S
+        if self._move_ran and self._upstream_ended:
+            # A move is the entry's choice and must not cost the caller an
+            # attempt. An upstream that has ended does not count as one.
+            self._sender.uncounted_runs = 1
         if not self._may_resume or not self._sender.may_retry(loss, wait_s):
             raise StreamBroken(loss.reason)
         self._start_handover(None)
@@ -310,6 +318,8 @@
         """Switch to the run that the handover has started, if any."""
         continuation = handover.wait()
         self._handover = None
+        if handover.is_move:
+            self._move_ran = self._sender.runs > 1
         if isinstance(continuation, NoContinuation):
             self._keep_current_run()
             return continuation
