Streams: stay where they run if the engine to move to is leaving

Found while the listed soak test was traced, not its cause: an entry that has had no answer from an engine since it began to leave, and whose list does not show it, moves streams there. The head of the remainder's answer says that the engine leaves, but the sound run was abandoned all the same, and the caller's stream was closed when the engine ended and no other had room.

A move to an upstream that is known to leave by the time it has begun is declined, and the stream goes on where it runs. A stream whose run is lost or silent is still resumed there, as an engine that leaves serves on for seconds.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -28,6 +28,7 @@
 from burdockchute_entry.straight.attempts import SentRequest
 from burdockchute_entry.straight.attempts import UpstreamSilent
 from burdockchute_entry.straight.handover import cause_of
+from burdockchute_entry.straight.handover import Continuation
 from burdockchute_entry.straight.handover import EventBatch
 from burdockchute_entry.straight.handover import Handover
 from burdockchute_entry.straight.handover import NoContinuation
@@ -325,9 +326,13 @@
             return continuation
         if self._run is not None and self._is_empty(continuation.first_batch):
             # The current run goes on and decides where the stream ends.
-            self._sender.abandon(continuation.run.sent)
-            self._keep_current_run()
-            return NoContinuation('the remainder is empty')
+            return self._decline(continuation, 'the remainder is empty')
+        target = continuation.run.sent.slot.target
+        if self._run is not None and handover.is_move and target.is_leaving:
+            # Its answer may be the first word of its leaving.
+            reason = 'the upstream is leaving'
+            self._record_interruption(target.id, 'leaving', reason)
+            return self._decline(continuation, reason)
         self._handover_tried_at = None
         if self._run is None:
             self._log_switch('stream_resumed', continuation.run, '')
@@ -337,6 +342,14 @@
         self._confirm_switch(continuation.first_batch)
         return continuation.first_batch
 
+    def _decline(
+        self, continuation: Continuation, reason: str
+    ) -> NoContinuation:
+        """Abandon a run started elsewhere and keep the current one."""
+        self._sender.abandon(continuation.run.sent)
+        self._keep_current_run()
+        return NoContinuation(reason)
+
     def _confirm_switch(self, batch: EventBatch) -> None:
         """Abandon the previous run once the current one has new events.
 
