Retries: agents that have restarted do not raise the entries' shares

An agent that has restarted reports one at first, and each of the entries takes the whole allowance until another agent reports. Callers saw failing upstreams get several times the load.

Before any report one entry is assumed, as before. Shares of free slots still follow the last report: there a number that is too high leaves slots empty, and rejections correct one that is too low.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -37,9 +37,11 @@
 class KnownTargets:
     """All targets, from the upstream list, agents' reports and settings.
 
-    `entries` is the number of entries that share them, as reported by their
-    agents. `region` is the entry's own, `regions` maps availability zones to
-    their regions.
+    `entries` is the number of entries that share them, as an agent reported
+    last. An agent that has just started is linked to few of them, so it may be
+    too low; `max_entries` is the highest number that was reported lately.
+    `region` is the entry's own, `regions` maps availability zones to their
+    regions.
     """
 
     def __init__(
@@ -62,6 +64,11 @@
         self._dropped: dict[str, Target] = {}
         self._ids_by_address: dict[str, list[str]] = {}
 
+    @property
+    def max_entries(self) -> int:
+        """The highest number of entries that agents reported lately."""
+        return max(1, self._entry_count.reported)
+
     # Updates.
 
     def update(self, known_state: KnownState, now: float) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -105,7 +105,7 @@
         self._waiting: dict[str, PendingRequest] = {}
         self._assignments_due: set[str] = set()
         self.retry_budgets = RetryBudgets(
-            lambda: self._known.bounds, lambda: self._known.entries
+            lambda: self._known.bounds, lambda: self._known.max_entries
         )
 
     # Updates.
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -171,6 +171,47 @@
         self.assertIsInstance(slot, Slot)
 
 
+class RetryShareTest(unittest.TestCase):
+    ENTRIES = 36
+
+    def test_agents_that_have_restarted_do_not_raise_the_retries(self):
+        """Half of the agents restart, and entries link to them one by one.
+
+        Such an agent reports one entry. Each entry then took all retries that
+        operators allow, at the moment when the most requests fail.
+        """
+        now = 0.0
+        bounds = BOUNDS._replace(retry_extra=204.0)
+        entries = [
+            Scheduler(bounds, lambda: now, random.Random(n))
+            for n in range(self.ENTRIES)
+        ]
+        retried_at = []
+        for step in range(2000):
+            now = step / 100
+            restarted = 5.0 <= now < 8.0 and step % 2 == 0
+            report = messages.LoadReport(
+                running=0, entries=1 if restarted else self.ENTRIES
+            )
+            for scheduler in entries:
+                scheduler.apply_load_report('127.0.0.1:1', report)
+                budgets = scheduler.retry_budgets
+                if step % 100 == 0:
+                    budgets.record_first_attempt('drafts', now)
+                if budgets.take('drafts', now):
+                    retried_at.append(now)
+        firsts = self.ENTRIES * bounds.retry_window_s
+        allowed = bounds.retry_ratio * firsts + bounds.retry_extra
+        most = max(
+            sum(
+                at <= other < at + bounds.retry_window_s
+                for other in retried_at
+            )
+            for at in retried_at
+        )
+        self.assertLessEqual(most, allowed)
+
+
 class OverloadTest(unittest.TestCase):
     def test_returning_callers_do_not_count_as_overload(self):
         """Refused callers return after a burst, past their objective.
--- a/packages/burdockchute/burdockchute/decisions/backpressure.py
+++ b/packages/burdockchute/burdockchute/decisions/backpressure.py
@@ -75,7 +75,12 @@
     @property
     def value(self) -> int:
         """The number of entries."""
-        return max(self._earlier_max, self._max) or ASSUMED_ENTRIES
+        return self.reported or ASSUMED_ENTRIES
+
+    @property
+    def reported(self) -> int:
+        """The number that agents have reported; 0 before any report."""
+        return max(self._earlier_max, self._max)
 
     def record(self, entries: int, now: float) -> None:
         """Record an agent's report."""
