Peers: a peer that is wanted again while it is dialled is dialled once

Suspected in the postmortem of lost streams, now shown by a test: when the list lacks a peer for a moment, its dial state is forgotten while the dial goes on, and the peer is dialled again. Of the two links one is closed as a duplicate, with the chunks or requests in flight on it. The state now stays until the dial has ended.

test_a_peer_that_is_wanted_again_while_it_is_dialled failed before with two links opened.

--- a/packages/burdockchute/burdockchute/nodes/peers.py
+++ b/packages/burdockchute/burdockchute/nodes/peers.py
@@ -95,7 +95,9 @@
         """
         self._wanted = dict(wanted)
         for name in set(self._dial_states) - set(wanted):
-            del self._dial_states[name]
+            # A dial in progress is not repeated if the peer is wanted again.
+            if not self._dial_states[name].dialling:
+                del self._dial_states[name]
         self._close_surplus()
 
     def expected(self) -> set[str]:
@@ -107,7 +109,9 @@
         return frozenset(
             name
             for name, dial_state in self._dial_states.items()
-            if dial_state.failures and name not in self.links
+            if dial_state.failures
+            and name in self._wanted
+            and name not in self.links
         )
 
     def reset_backoff(self) -> None:
@@ -151,6 +155,9 @@
         if dial_state is None:
             return
         dial_state.dialling = False
+        if result.name not in self._wanted:
+            del self._dial_states[result.name]
+            return
         if result.link is not None:
             dial_state.failures = 0
             return
--- a/packages/burdockchute/tests/test_peers.py
+++ b/packages/burdockchute/tests/test_peers.py
@@ -27,6 +27,7 @@
 class PeersTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 0.0
+        self.opened = 0
         self.inbox: queue.Queue = queue.Queue()
         own = Member('own', 'agent', '127.0.0.1', 0, PLACE)
         self.peers = Peers(
@@ -56,6 +57,7 @@
             case DialResult():
                 self.peers.on_dialled(event, self.now)
             case links.Opened(link=link):
+                self.opened += 1
                 self.peers.on_opened(link)
             case links.Closed(link=link):
                 self.peers.on_closed(link)
@@ -78,6 +80,21 @@
         self.dial_for(0.2)
         self.assertEqual({'b'}, set(self.peers.links))
 
+    def test_a_peer_that_is_wanted_again_while_it_is_dialled(self):
+        """The list lacks a peer for a moment while a process dials it.
+
+        The peer was dialled a second time, and the first of the two links
+        was closed with the chunks in flight on it.
+        """
+        peer = self.serve('a')
+        self.set_wanted(peer)
+        self.peers.tick(self.now)
+        self.set_wanted()
+        self.set_wanted(peer)
+        self.dial_for(0.3)
+        self.assertEqual({'a'}, set(self.peers.links))
+        self.assertEqual(1, self.opened)
+
     def test_links_that_are_no_longer_wanted_close(self):
         """A row was removed, and its peers are not replaced by others."""
         self.set_wanted(self.serve('a'), self.serve('b'))
