Test of agents: dial loopback addresses, with a hello

Cause, in the test alone: its hello was None, which can't be encoded, and its agents had addresses off the loopback interface, so that a dial got as far as the handshake. The dials are now refused at once; no assertion changes.

--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -29,7 +29,10 @@
 from burdockchute_testing.builders.upstreams import upstream_list
 
 OWN = Member('front-1', 'entry', '127.0.0.1', 0, Place('z', 'r', ''))
-ADDRESS = Endpoint('10.0.0.1', 1)
+ADDRESS = Endpoint('127.0.0.1', 1)
+HELLO = messages.Hello(
+    OWN.name, OWN.role, 'z', 'r', 'first', -1, links.PROTOCOL
+)
 LIMITS = CallerLimits(8192, 1_000_000, 1.0, 5.0)
 
 
@@ -51,7 +54,7 @@
         self.known_state = KnownState()
         self.task = AgentsTask(
             OWN,
-            lambda: None,
+            lambda: HELLO,
             1,
             lambda address, report: None,
             self.crashes.append,
@@ -74,13 +77,13 @@
 
     def test_a_new_link_gets_the_known_versions(self):
         self.update((2, None), (3, 1.0))
-        link = self.opened('10.0.0.1:1')
+        link = self.opened('127.0.0.1:1')
         self.assertEqual(
             [[('story', 3, True), ('story', 2, False)]], named(link)
         )
 
     def test_a_named_version_is_sent_once_per_link(self):
-        first, second = self.opened('10.0.0.1:1'), self.opened('10.0.0.2:1')
+        first, second = self.opened('127.0.0.1:1'), self.opened('127.0.0.2:1')
         self.update((2, 5.0))
         self.update((2, 5.0))
         for link in (first, second):
@@ -88,14 +91,14 @@
 
     def test_a_probe_goes_to_its_agent_and_comes_back(self):
         """A time that is changed in transit would not match the probe."""
-        link, other = self.opened('10.0.0.1:1'), self.opened('10.0.0.2:1')
+        link, other = self.opened('127.0.0.1:1'), self.opened('127.0.0.2:1')
         sent_at = round(12345.678901234, 6)
-        self.task._handle(ProbeRequested('10.0.0.1:1', sent_at))
+        self.task._handle(ProbeRequested('127.0.0.1:1', sent_at))
         probe = link.sent[-1]
         self.assertNotIn(probe, other.sent)
         self.task._handle(links.Received(link, probe))
         self.assertEqual(
-            [ProbeReturned('10.0.0.1:1', sent_at)], self.link_events
+            [ProbeReturned('127.0.0.1:1', sent_at)], self.link_events
         )
 
     def test_no_probe_without_a_link(self):
@@ -105,21 +108,21 @@
 
     def test_a_slow_link_is_not_reported_over_itself(self):
         """The report would be queued behind the data that slows the link."""
-        slow, fast = self.opened('10.0.0.1:1'), self.opened('10.0.0.2:1')
-        self.task._handle(LinkStateReport('10.0.0.1:1', True))
-        news = messages.LinkNews('10.0.0.1:1', True)
+        slow, fast = self.opened('127.0.0.1:1'), self.opened('127.0.0.2:1')
+        self.task._handle(LinkStateReport('127.0.0.1:1', True))
+        news = messages.LinkNews('127.0.0.1:1', True)
         self.assertIn(news, fast.sent)
         self.assertNotIn(news, slow.sent)
         self.task._handle(links.Received(fast, news))
         self.assertEqual(
-            [LinkStateReport('10.0.0.1:1', True)], self.link_events
+            [LinkStateReport('127.0.0.1:1', True)], self.link_events
         )
 
     def test_a_closed_link_is_no_longer_slow(self):
         """Otherwise a killed agent would leave its engine without requests."""
-        link = self.opened('10.0.0.1:1')
+        link = self.opened('127.0.0.1:1')
         self.task._handle(links.Closed(link, 'killed'))
-        self.assertEqual([LinkLost('10.0.0.1:1')], self.link_events)
+        self.assertEqual([LinkLost('127.0.0.1:1')], self.link_events)
 
     def saved(self, version, origin):
         """Apply a saved configuration with one engine of `drafts`."""
