--- a/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
@@ -65,6 +65,13 @@
     """The upstream sent nothing for the silence limit and may be down."""
 
 
+class EmptyRemainder(AnswerFailed):
+    """The remainder of a stream has no event that the caller lacks.
+
+    That is valid if the caller already has the last event.
+    """
+
+
 # Called when an attempt at a stream ends early: upstream, cause, reason.
 OnInterrupted = Callable[[str, str, str], None]
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -24,6 +24,7 @@
 from burdockchute.upstreams.connections import NoDataYet
 from burdockchute.upstreams.connections import POLL_INTERVAL_S
 from burdockchute.upstreams.events import Event
+from burdockchute_entry.straight.attempts import EmptyRemainder
 from burdockchute_entry.straight.attempts import OutcomeUnknown
 from burdockchute_entry.straight.attempts import SentRequest
 from burdockchute_entry.straight.attempts import UpstreamSilent
@@ -80,8 +81,8 @@
         self._previous: PreviousRun | None = None
         self._handover: Handover | None = None
         self._may_move = True
-        # Whether a move may have run the request, and whether an upstream
-        # that ran it has ended.
+        # Whether a move may have run the request elsewhere, and whether an
+        # upstream has ended while it ran the stream.
         self._move_ran = self._upstream_ended = False
         # When a handover was last tried since the last events of this run.
         self._handover_tried_at: float | None = None
@@ -268,6 +269,7 @@
         if self._run is None or self._handover is not None:
             return
         if self._previous is not None:
+            # A switch is not confirmed yet.
             return
         now = self._deps.now()
         sender, target = self._sender, self._run.sent.slot.target
@@ -353,13 +355,13 @@
     def _confirm_switch(self, batch: EventBatch) -> None:
         """Abandon the previous run once the current one has new events.
 
-        Raises AnswerFailed if the current run ends without any.
+        Raises EmptyRemainder if the current run ends without any.
         """
         if self._previous is None:
             return
         if not self._unseen(batch.events):
             if batch.complete:
-                raise AnswerFailed('the remainder is empty', False)
+                raise EmptyRemainder('the remainder is empty', False)
             return
         assert self._run is not None
         previous, self._previous = self._previous, None
@@ -377,7 +379,10 @@
         """Continue with the previous run, as the current one has failed."""
         sent = self._detach_run()
         self._record_interruption(sent.slot.target.id, cause_of(exc), str(exc))
-        self._sender.mark_broken(sent, exc)
+        if isinstance(exc, EmptyRemainder):
+            self._sender.abandon(sent)
+        else:
+            self._sender.mark_broken(sent, exc)
         self._run, self._previous = previous, None
         self._keep_current_run()
         self._log_switch('stream_returned', previous, sent.slot.target.id)
