--- a/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
@@ -2,8 +2,9 @@
 
 A `StreamRun` is the execution of a stream at one upstream. A `Handover`
 requests the remainder from other upstreams in a greenlet of its own, while
-events of the current run are still forwarded. Its owner switches over once
-the new run has delivered an event.
+events of the current run are still forwarded. Once the new run has delivered
+an event, its owner reads on there, and abandons the current run when an event
+arrives that the caller lacks.
 """
 
 from __future__ import annotations
--- a/packages/burdockchute/burdockchute/decisions/stream_moves.py
+++ b/packages/burdockchute/burdockchute/decisions/stream_moves.py
@@ -10,9 +10,9 @@
 on another engine with the same weights, if that one can continue it within the
 pause that the route allows, and if the remainder of the answer is likely to
 take longer than MIN_REMAINDER_S; a shorter one ends sooner where it is. The
-stream continues on the first engine until the remainder has started on the
-second, which may reject it. A stream is moved once, as the second engine may
-be lost as well.
+stream continues on the first engine until the second, which may reject the
+remainder or end, has sent an event that the caller lacks. A stream is moved
+once, as the second engine may be lost as well.
 """
 
 from __future__ import annotations
