Requests: not sent once their time is over or their caller has left

Callers had left, and their requests reached upstreams up to 1.6 s past their deadlines when a suspended process resumed. A process that was suspended assigns slots before its event loop has handled the timers of the waits and the disconnections; a request whose connection took long to open was sent with the shortest time limit, though none was left.

The deadline and the caller's connection are now checked without waiting before a slot is sought, when a slot is assigned, and after the connection was opened. A request that is obsolete frees its slot and is not sent.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/caller_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/caller_watch.py
@@ -31,6 +31,10 @@
         """Start watching."""
         self._io.start(self._check)
 
+    def has_caller_left(self) -> bool:
+        """Whether the caller has disconnected, known before the event."""
+        return closed_by_peer(self._sock)
+
     def stop(self) -> None:
         """Stop watching."""
         self._io.stop()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -194,7 +194,9 @@
             max_time_left_s, inbound.time_left_s
         )
 
-    def exchange(self, admitted: AdmittedRequest) -> Exchange:
+    def exchange(
+        self, admitted: AdmittedRequest, has_caller_left: Callable[[], bool]
+    ) -> Exchange:
         """Create the exchange of an admitted request."""
         return Exchange(
             self._deps,
@@ -203,6 +205,7 @@
             admitted.route,
             admitted.service,
             admitted.elapsed_s,
+            has_caller_left,
         )
 
     def finished(
@@ -296,8 +299,8 @@
         self._app = app
         self._admitted = admitted
         self._start_response = start_response
-        self._exchange = app.exchange(admitted)
         self._watch = CallerWatch(environ[SOCKET_KEY])
+        self._exchange = app.exchange(admitted, self._watch.has_caller_left)
 
     def run(self) -> Iterable[bytes]:
         self._app.open_requests += 1
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -62,12 +62,13 @@
         route: Route,
         service: str,
         elapsed_s: float,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> None:
         self.stream: Stream | None = None
         spec = RequestSpec(
             service, inbound.model, route.objective_s, elapsed_s
         )
-        self.sender = Sender(deps, inbound, ctx, route, spec)
+        self.sender = Sender(deps, inbound, ctx, route, spec, has_caller_left)
         self._deps = deps
         # The attempts in flight, the newest last.
         self._in_flight: list[SentRequest] = []
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -528,6 +528,10 @@
         reserve: float,
         now: float,
     ) -> bool:
+        if now >= pending.ctx.deadline:
+            # A process that was suspended assigns slots before the time
+            # limits of the waiting requests have been processed.
+            return False
         left_s = self._objective_left_s(pending, now)
         if placement_round.is_unplaceable(pending, left_s):
             return False
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -78,7 +78,8 @@
     the attempts of the route. `last_event` is the id of the last event that
     the caller has received. Every SentRequest is ended by exactly one of
     `finish`, `fail`, `time_out`, `abandon`, `mark_broken` and
-    `take_refusal`, which free its slot.
+    `take_refusal`, which free its slot. `has_caller_left` checks the caller's
+    connection without waiting.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         ctx: RequestContext,
         route: Route,
         spec: RequestSpec,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> None:
         self.runs = 0
         self.uncounted_runs = 0
@@ -100,6 +102,7 @@
         work = Work(admission.cost_of(ctx), False, ctx.prompt_tokens, ())
         self.pending = PendingRequest(ctx, work, spec)
         self._deps = deps
+        self._has_caller_left = has_caller_left
         self._started: set[Connection] = set()
         # Rejections of the remainder of an interrupted stream.
         self._rejections = 0
@@ -109,8 +112,8 @@
     def next_slot(self) -> Slot | NotRun:
         """Wait for a slot."""
         now = self._deps.now()
-        if self.ctx.deadline - now < MIN_TIME_LEFT_S:
-            return NotRun('its time is over', 503, 0.0)
+        if reason := self._obsolete_reason(now):
+            return NotRun(reason, 503, 0.0)
         slot = self._deps.scheduler.wait_for_slot(
             self.pending, self.ctx.deadline
         )
@@ -187,16 +190,31 @@
         except BaseException:
             self._deps.scheduler.release(self.pending, slot)
             raise
-        if not target.accepts_new(self._deps.now()):
+        now = self._deps.now()
+        reason = self._obsolete_reason(now)
+        if not reason and not target.accepts_new(now):
+            reason = 'the upstream leaves or rests'
+        if reason:
             conn.close()
             self._deps.scheduler.release(self.pending, slot)
-            return NotExecuted('the upstream leaves or rests', False)
+            return NotExecuted(reason, False)
         start_by = None
         if slot.version is not None:
             start_by = self._deps.scheduler.start_deadline(
                 self.pending.spec.model, slot.version
             )
-        return SentRequest(slot, conn, self._deps.now(), start_by)
+        return SentRequest(slot, conn, now, start_by)
+
+    def _obsolete_reason(self, now: float) -> str:
+        """Return why the answer is no longer needed, empty if it is.
+
+        A process that was suspended, or waited for a connection, continues
+        with requests whose callers have left meanwhile. The event of their
+        disconnection may still be queued in the event loop.
+        """
+        if self.ctx.deadline - now < MIN_TIME_LEFT_S:
+            return 'its time is over'
+        return 'the caller has left' if self._has_caller_left() else ''
 
     def send(self, sent: SentRequest) -> None:
         """Send the request; raises AnswerFailed."""
