Evacuation: send nothing to an evacuated availability zone

Target.accepts_new, and what counts as servable, opening and capacity, exclude their upstreams. Requests that wait and may run nowhere else are refused at once. Streams that are likely to outlast the bound (evacuationMs) move within the retry budget. After a revocation, targets start with a small window.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -174,6 +174,11 @@
             '1',
             lambda: len(self.scheduler.targets()),
         )
+        metrics.register_gauge(
+            'burdockchute.evacuated_zones',
+            '1',
+            lambda: len(self.known_state().evacuated),
+        )
 
     def _configuration(self) -> int | None:
         routes = self.known_state().routes
@@ -191,6 +196,10 @@
                 model: history.newest
                 for model, history in known_state.histories.items()
             },
+            'evacuated': {
+                zone: round(time.monotonic() - at, 2)
+                for zone, at in known_state.evacuated.items()
+            },
             'upstreams': [
                 {
                     'id': target.id,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -8,10 +8,12 @@
 
 from burdockchute import logs
 from burdockchute.decisions import engine_placement
+from burdockchute.decisions import evacuation
 from burdockchute.decisions import placement
 from burdockchute.decisions import versions
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.backpressure import EntryCount
+from burdockchute.decisions.evacuation import Evacuations
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.model.exchanges import Backpressure
 from burdockchute.model.known_state import KnownState
@@ -58,6 +60,8 @@
         self._region = region
         self._regions = regions
         self._known_state = KnownState()
+        # Shared with all targets; the time of reading by availability zone.
+        self._evacuated: dict[str, float] = {}
         self._targets: dict[str, Target] = {}
         # Upstreams that are listed no more. An entry of the list may expire
         # while the upstream still serves, and come back.
@@ -74,6 +78,7 @@
     def update(self, known_state: KnownState, now: float) -> None:
         """Apply new routes, versions and upstreams."""
         self._known_state = known_state
+        self._update_evacuated(known_state.evacuated)
         present = {
             upstream.id: upstream
             for upstream in known_state.present_upstreams()
@@ -93,6 +98,19 @@
             address = str(target.upstream.endpoint)
             self._ids_by_address.setdefault(address, []).append(name)
 
+    def _update_evacuated(self, evacuated: Evacuations) -> None:
+        if evacuated == self._evacuated:
+            return
+        before = set(self._evacuated)
+        self._evacuated.clear()
+        self._evacuated.update(evacuated)
+        for target in self._targets.values():
+            zone = target.upstream.zone
+            if zone in evacuated:
+                target.close_idle()
+            elif zone in before:
+                target.load.restart()
+
     def _drop(self, name: str) -> None:
         target = self._targets.pop(name)
         target.close_idle()
@@ -101,7 +119,7 @@
             del self._dropped[next(iter(self._dropped))]
 
     def _new_target(self, upstream: Upstream, now: float) -> Target:
-        target = Target(upstream, now)
+        target = Target(upstream, now, self._evacuated)
         dropped = self._dropped.pop(upstream.id, None)
         if dropped is not None and _is_same_process(dropped, upstream):
             target.restrictions = dropped.restrictions
@@ -228,7 +246,7 @@
         fits = self._version_rule(pending, now)
         return any(
             target.upstream.service == pending.spec.service
-            and not target.is_leaving
+            and not target.is_withdrawn
             and now + target.rest_left_s(now) < pending.ctx.deadline
             and not pending.avoids(target)
             and fits(target)
@@ -238,17 +256,40 @@
     def rest_left_s(self, service: str, now: float) -> float:
         """Return the seconds until the first upstream of a service has rested.
 
-        It is 0 if any that isn't leaving has not asked for rest.
+        It is 0 if any that isn't withdrawn has not asked for rest.
         """
         return min(
             (
                 target.rest_left_s(now)
                 for target in self._targets.values()
-                if target.upstream.service == service and not target.is_leaving
+                if target.upstream.service == service
+                and not target.is_withdrawn
             ),
             default=0.0,
         )
 
+    def is_restricted(self, pending: PendingRequest) -> bool:
+        """Whether a request may not run on all upstreams of its service.
+
+        That depends on the evacuations in force.
+        """
+        return bool(self._evacuated) and any(
+            target.upstream.service == pending.spec.service
+            and target.evacuated_at is not None
+            for target in self._targets.values()
+        )
+
+    def evacuation_left_s(self, target: Target, now: float) -> float | None:
+        """Return the seconds until streams should have left a target.
+
+        None if its availability zone is not evacuated.
+        """
+        if target.evacuated_at is None:
+            return None
+        return evacuation.left_s(
+            target.evacuated_at, self.bounds.evacuation_s, now
+        )
+
     def explain_ineligible(self, pending: PendingRequest, now: float) -> str:
         """Describe why no target may run a request now, for the log."""
         spec = pending.spec
@@ -263,10 +304,12 @@
             target for target in usable if _may_run(target, spec, min_version)
         ]
         resting = sum(target.rest_left_s(now) > 0 for target in own)
+        evacuated = sum(target.evacuated_at is not None for target in own)
         return (
             f'{len(own)} known, {len(usable)} usable, {len(fit)} with weights '
             f'from version {min_version}'
             + (f', {resting} asked for rest' if resting else '')
+            + (f', {evacuated} evacuated' if evacuated else '')
         )
 
     def loads(self, spec: RequestSpec, now: float) -> list[InstanceLoad]:
@@ -293,7 +336,7 @@
             (opens_at, target.load.slots)
             for target in self._targets.values()
             if target.upstream.service == spec.service
-            and not target.is_leaving
+            and not target.is_withdrawn
             and (opens_at := _opens_at(target, now)) is not None
         ]
         if not opening:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -113,6 +113,8 @@
     def update(self, known_state: KnownState) -> None:
         """Apply new routes, versions and upstreams."""
         self._known.update(known_state, self._now())
+        for service_queue in self._service_queues.values():
+            self._refuse_restricted(service_queue)
         self.assign_free_slots()
 
     def apply_load_report(
@@ -271,6 +273,10 @@
         """Whether any target may run the request, now or later."""
         return self._known.is_servable(pending, self._now())
 
+    def evacuation_left_s(self, target: Target) -> float | None:
+        """Return the seconds until streams should have left a target."""
+        return self._known.evacuation_left_s(target, self._now())
+
     def rest_left_s(self, service: str) -> float:
         """Return the seconds for which all upstreams of a service rest."""
         return self._known.rest_left_s(service, self._now())
@@ -443,6 +449,22 @@
                 self._no_upstream(pending, wait_limits.NO_OPENING, now)
             )
 
+    def _refuse_restricted(self, service_queue: ServiceQueue) -> None:
+        # An availability zone was evacuated, and the requests that wait may
+        # not run anywhere else. The queue of resumed streams is checked in
+        # each round of assignment.
+        now = self._now()
+        for queue in (service_queue.queue, service_queue.overdue):
+            for item in queue.queued_before(now):
+                pending = self._waiting[item.ctx.request_id]
+                if pending.slot.ready() or not self._known.is_restricted(
+                    pending
+                ):
+                    continue
+                opening = self._known.opening(pending, now)
+                if not opening.slots and not self.is_servable(pending):
+                    pending.slot.set(self._no_upstream(pending, opening, now))
+
     def _refuse_during_rest(
         self, service: str, service_queue: ServiceQueue
     ) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -193,7 +193,7 @@
         now = self._deps.now()
         reason = self._obsolete_reason(now)
         if not reason and not target.accepts_new(now):
-            reason = 'the upstream leaves or rests'
+            reason = 'the upstream accepts nothing new'
         if reason:
             conn.close()
             self._deps.scheduler.release(self.pending, slot)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -1,13 +1,13 @@
 """Forwards a stream and resumes it at another upstream if necessary.
 
-A stream is resumed at another upstream if its own one breaks the connection
-or falls silent, or if the engine waits for the stream to end before it loads
-other weights. It is resumed after the last event that the caller has
-received, on the same version of the weights. An incomplete stream never
-looks complete to the caller. A run that may still produce events is kept
-until another one has sent an event that the caller lacks. The first events
-of a remainder are often old ones, as the previous run has gone on meanwhile,
-and an upstream may end before it gets past them.
+A stream is resumed at another upstream if its own one breaks the connection or
+falls silent, if the engine waits for the stream to end before it loads other
+weights, or if its availability zone is evacuated. It is resumed after the last
+event that the caller has received, on the same version of the weights. An
+incomplete stream never looks complete to the caller. A run that may still
+produce events is kept until another one has sent an event that the caller
+lacks. The first events of a remainder are often old ones, as the previous run
+has gone on meanwhile, and an upstream may end before it gets past them.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from burdockchute import logs
+from burdockchute.decisions import evacuation
 from burdockchute.decisions import stream_moves
 from burdockchute.decisions import wait_limits
 from burdockchute.model.exchanges import AnswerHead
@@ -46,14 +47,25 @@
 HANDOVER_RETRY_S = 0.5
 
 
+class MoveCause(NamedTuple):
+    """Why a stream moves; `cause` and `reason` are logged."""
+
+    cause: str
+    reason: str
+
+
+CLOSING = MoveCause('closing', 'its engine waits to load weights')
+EVACUATED = MoveCause('evacuated', 'its availability zone is evacuated')
+
+
 class PreviousRun(NamedTuple):
     """A run that is kept while the one that replaces it has sent nothing new.
 
-    `is_move` tells whether it was replaced because its engine waits to load.
+    `move_cause` is None if it was replaced because it fell silent.
     """
 
     run: StreamRun
-    is_move: bool
+    move_cause: MoveCause | None
 
 
 class Stream:
@@ -81,6 +93,8 @@
         self._previous: PreviousRun | None = None
         self._handover: Handover | None = None
         self._may_move = True
+        # Why the handover under way moves the stream.
+        self._move_cause = CLOSING
         # Whether a move may have run the request elsewhere, and whether an
         # upstream has ended while it ran the stream.
         self._move_ran = self._upstream_ended = False
@@ -265,7 +279,11 @@
             self._start_handover_or_fail(self._last_loss)
 
     def _move_if_better(self) -> None:
-        """Move the stream if its engine waits to load other weights."""
+        """Move the stream if it should not end where it runs.
+
+        Its engine waits to load other weights, or its availability zone is
+        evacuated.
+        """
         if self._run is None or self._handover is not None:
             return
         if self._previous is not None:
@@ -274,20 +292,32 @@
         now = self._deps.now()
         sender, target = self._sender, self._run.sent.slot.target
         closed_s = target.closed_for_s(now)
-        if closed_s is None or not self._may_move or not self._may_overlap:
+        if closed_s is None and target.evacuated_at is None:
+            return
+        if not self._may_move or not self._may_overlap:
             return
-        gap_s = sender.route.gap_s
-        remainder_s = self._remainder_s(now)
         if sender.runs >= sender.route.max_attempts:
             return
-        if not stream_moves.should_move(
+        gap_s = sender.route.gap_s
+        remainder_s = self._remainder_s(now)
+        evacuation_left_s = self._deps.scheduler.evacuation_left_s(target)
+        if evacuation_left_s is not None and evacuation.should_move(
+            evacuation_left_s, remainder_s
+        ):
+            move_cause = EVACUATED
+        elif stream_moves.should_move(
             closed_s, remainder_s, gap_s, sender.runs
         ):
+            move_cause = CLOSING
+        else:
             return
         self._pin_version()
         sender.pending.avoided.add(target.id)
+        within_s = stream_moves.GAP_SHARE * gap_s
         slot = self._deps.scheduler.reserve_slot(
-            sender.pending, stream_moves.GAP_SHARE * gap_s, remainder_s
+            sender.pending,
+            within_s or wait_limits.RESUME_START_LIMIT_S,
+            remainder_s,
         )
         if slot is None:
             return
@@ -296,6 +326,7 @@
             self._deps.scheduler.release(sender.pending, slot)
             return
         self._may_move = False
+        self._move_cause = move_cause
         self._start_handover(slot)
 
     def _remainder_s(self, now: float) -> float:
@@ -339,7 +370,9 @@
         if self._run is None:
             self._log_switch('stream_resumed', continuation.run, '')
         else:
-            self._previous = PreviousRun(self._run, handover.is_move)
+            self._previous = PreviousRun(
+                self._run, self._move_cause if handover.is_move else None
+            )
         self._run = continuation.run
         self._confirm_switch(continuation.first_batch)
         return continuation.first_batch
@@ -367,9 +400,9 @@
         previous, self._previous = self._previous, None
         before = previous.run.upstream
         event = 'stream_resumed'
-        if previous.is_move:
-            event, reason = 'stream_moved', 'its engine waits to load weights'
-            self._record_interruption(before, 'closing', reason)
+        if previous.move_cause is not None:
+            event = 'stream_moved'
+            self._record_interruption(before, *previous.move_cause)
         self._sender.abandon(previous.run.sent)
         self._log_switch(event, self._run, before)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -51,11 +51,19 @@
     `versions` are the versions it last reported as loaded, in the upstream
     list or through its agent. `last_received_at` is when its last byte
     arrived. `unstarted` has the requests of this entry that have produced no
-    event yet, by id.
+    event yet, by id. `evacuated` maps the evacuated availability zones to
+    the time at which this process read of it. All targets share it, so that
+    it also holds for those that are no longer listed.
     """
 
-    def __init__(self, upstream: Upstream, now: float) -> None:
+    def __init__(
+        self,
+        upstream: Upstream,
+        now: float,
+        evacuated: Mapping[str, float] | None = None,
+    ) -> None:
         self.upstream = upstream
+        self._evacuated = {} if evacuated is None else evacuated
         self.load = InstanceLoad(upstream.id, now)
         self.versions: Mapping[str, int] = upstream.versions
         self.health = health.Health()
@@ -103,13 +111,23 @@
         """Whether the list, or one of its answers, says that it leaves."""
         return self.upstream.draining or self.restrictions.leaving
 
+    @property
+    def evacuated_at(self) -> float | None:
+        """When the evacuation of its zone was read, None without one."""
+        return self._evacuated.get(self.upstream.zone)
+
+    @property
+    def is_withdrawn(self) -> bool:
+        """Whether it leaves or its availability zone is evacuated."""
+        return self.is_leaving or self.evacuated_at is not None
+
     def rest_left_s(self, now: float) -> float:
         """Return the seconds for which it wants nothing from this entry."""
         return backpressure.rest_left_s(self.restrictions, now)
 
     def accepts_new(self, now: float) -> bool:
-        """Whether it neither leaves nor rests."""
-        return not self.is_leaving and not self.rest_left_s(now)
+        """Whether it neither is withdrawn nor rests."""
+        return not self.is_withdrawn and not self.rest_left_s(now)
 
     def is_usable(self, now: float) -> bool:
         """Whether it may be sent a request."""
--- a/packages/burdockchute/burdockchute/decisions/placement.py
+++ b/packages/burdockchute/burdockchute/decisions/placement.py
@@ -146,9 +146,7 @@
         """
         self.slots = max(1, slots)
         if not self.has_reported:
-            self.window = max(
-                MIN_INITIAL_WINDOW, self.slots * INITIAL_WINDOW_SHARE
-            )
+            self.window = self._initial_window()
             self.has_reported = True
         self.update_in_flight(in_flight, now)
         self.prefill_tokens_per_s = prefill_tokens_per_s
@@ -164,6 +162,14 @@
         for prefix in prefixes:
             self._reported.pop(prefix, None)
 
+    def restart(self) -> None:
+        """Start with a small window and no measured speed again.
+
+        The instance may have become cold while it got nothing.
+        """
+        self.window = self._initial_window()
+        self.unit_s = 0.0
+
     def update_in_flight(self, in_flight: int, now: float) -> None:
         """Update the number of requests there from all entries."""
         self.others = max(0, in_flight - self.ours)
@@ -256,6 +262,9 @@
         self.unit_s = unit_s
         self.unit_at = now
 
+    def _initial_window(self) -> float:
+        return max(MIN_INITIAL_WINDOW, self.slots * INITIAL_WINDOW_SHARE)
+
     def _max_in_flight(self) -> float:
         return self.slots + int(self.slots * QUEUE_SHARE)
 
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -33,16 +33,35 @@
     version: int
 
 
+class EvacuationRequested(NamedTuple):
+    """Operators want nothing more sent to upstreams in a zone."""
+
+    zone: str
+
+
+class EvacuationRevoked(NamedTuple):
+    """Operators have taken the evacuation of a zone back."""
+
+    zone: str
+
+
 class UnreadableRecord(NamedTuple):
-    """A record without usable content; it changes nothing."""
+    """A record without usable content; it changes nothing.
+
+    `evacuation_zone` is set for a record of an evacuation. A full read that
+    contains it does not revoke that evacuation.
+    """
 
     key: str
     reason: str
+    evacuation_zone: str = ''
 
 
 Change = (
     ConfigurationRead
     | VersionRead
+    | EvacuationRequested
+    | EvacuationRevoked
     | UpstreamListed
     | UpstreamUnlisted
     | UnreadableRecord
--- a/packages/burdockchute/burdockchute/model/known_state.py
+++ b/packages/burdockchute/burdockchute/model/known_state.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from burdockchute.decisions import evacuation
 from burdockchute.decisions import listing
 from burdockchute.decisions import versions
 from burdockchute.decisions.listing import UpstreamList
@@ -21,6 +22,8 @@
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import Change
 from burdockchute.model.feeds import ConfigurationRead
+from burdockchute.model.feeds import EvacuationRequested
+from burdockchute.model.feeds import EvacuationRevoked
 from burdockchute.model.feeds import UnreadableRecord
 from burdockchute.model.feeds import VersionRead
 from burdockchute.model.routes import Configuration
@@ -35,7 +38,9 @@
     `histories` is by model. `upstreams_listed` is true once the list was
     read. `reported_requirements` is what entries report that an agent needs
     of the configuration, where it has not read it. `held_back_configuration`
-    is a configuration that neighbours know to be outdated.
+    is a configuration that neighbours know to be outdated. `evacuated` maps
+    each evacuated availability zone to the monotonic time at which this
+    process read of it.
     """
 
     routes: RouteTable | None = None
@@ -44,6 +49,7 @@
     upstreams_listed: bool = False
     reported_requirements: AgentRequirements | None = None
     held_back_configuration: Configuration | None = None
+    evacuated: evacuation.Evacuations = {}
 
     @property
     def complete(self) -> bool:
@@ -124,7 +130,7 @@
         known_state = _apply_change(
             known_state, change, None if first else now, state_changes
         )
-    return known_state, state_changes
+    return _apply_evacuations(known_state, batch, now, state_changes)
 
 
 def apply_held_back(
@@ -297,6 +303,48 @@
     return known_state
 
 
+def _apply_evacuations(
+    known_state: KnownState,
+    batch: Batch,
+    now: float,
+    state_changes: list[StateChange],
+) -> tuple[KnownState, list[StateChange]]:
+    before = after = known_state.evacuated
+    if batch.complete and before:
+        named = {_evacuation_zone(change) for change in batch.changes}
+        after = evacuation.after_full_read(after, named)
+    for change in batch.changes:
+        if isinstance(change, EvacuationRequested):
+            after = evacuation.after_request(after, change.zone, now)
+        elif isinstance(change, EvacuationRevoked):
+            after = evacuation.after_revocation(after, change.zone)
+    if after is before:
+        return known_state, state_changes
+    for zone in after.keys() - before.keys():
+        # No upstream there is the sign of a misspelt zone.
+        upstreams = known_state.present_upstreams()
+        count = sum(upstream.zone == zone for upstream in upstreams)
+        state_changes.append(
+            StateChange('zone_evacuated', {'zone': zone, 'upstreams': count})
+        )
+    for zone in before.keys() - after.keys():
+        state_changes.append(
+            StateChange(
+                'zone_evacuation_revoked',
+                {'zone': zone, 'lasted_s': round(now - before[zone], 2)},
+            )
+        )
+    return known_state._replace(evacuated=after), state_changes
+
+
+def _evacuation_zone(change: Change) -> str:
+    if isinstance(change, EvacuationRequested):
+        return change.zone
+    if isinstance(change, UnreadableRecord):
+        return change.evacuation_zone
+    return ''
+
+
 def _upstream_changes(
     before: UpstreamList, after: UpstreamList
 ) -> list[StateChange]:
--- a/packages/burdockchute/burdockchute/model/machines.py
+++ b/packages/burdockchute/burdockchute/model/machines.py
@@ -18,7 +18,8 @@
     after `grace_s`. In each `retry_window_s` a service may get retries for
     the fraction `retry_ratio` of its requests and `retry_extra` more, from
     all entries together. A process that was unreachable counts as connected
-    again after `contact_s`.
+    again after `contact_s`. Nothing may be sent to an evacuated availability
+    zone after `evacuation_s`.
     """
 
     config_apply_s: float
@@ -29,6 +30,7 @@
     retry_ratio: float
     retry_window_s: float
     retry_extra: float
+    evacuation_s: float = 5.0
 
 
 class Machine(NamedTuple):
