--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -21,6 +21,7 @@
 from burdockchute.callers.server import TARGET_KEY
 from burdockchute.decisions import returning_callers
 from burdockchute.decisions import routing
+from burdockchute.decisions.homes import Home
 from burdockchute.decisions.routing import RouteTable
 from burdockchute.model import outcomes
 from burdockchute.model.exchanges import InboundRequest
@@ -29,6 +30,7 @@
 from burdockchute.model.outcomes import Unknown
 from burdockchute.model.requests import RequestContext
 from burdockchute.model.routes import Kind
+from burdockchute.model.routes import Regions
 from burdockchute.model.routes import Route
 from burdockchute_entry.straight.caller_watch import CallerWatch
 from burdockchute_entry.straight.exchange import Exchange
@@ -51,13 +53,17 @@
 
 
 class AdmittedRequest(NamedTuple):
-    """An accepted request with its route, service and context."""
+    """An accepted request with its route, service and context.
+
+    `home` tells in which regions it may run.
+    """
 
     inbound: InboundRequest
     route: Route
     service: str
     ctx: RequestContext
     elapsed_s: float
+    home: Home
 
 
 class ShutdownState(NamedTuple):
@@ -78,6 +84,7 @@
     service: str
     customer: str
     priority: int
+    customer_regions: Regions
 
 
 class Refusal(NamedTuple):
@@ -205,6 +212,7 @@
             admitted.route,
             admitted.service,
             admitted.elapsed_s,
+            admitted.home,
             has_caller_left,
         )
 
@@ -375,18 +383,20 @@
     if route is None:
         return Refusal(404, f'no route for {inbound.host!r} {inbound.path!r}')
     customer, priority = '', route.priority
+    customer_regions = None
     if table.keyholders is not None:
         holder = table.keyholders.get(inbound.key)
         if holder is None and not route.anonymous:
             return Refusal(401, 'no valid key')
         if holder is not None:
             customer = holder.name
+            customer_regions = holder.regions
             if holder.priority is not None:
                 priority = holder.priority
     service = routing.choose_service(route.shares, inbound.id)
     if service is None:
         return Refusal(503, f'route {route.name!r} leads nowhere', 1.0)
-    return RouteMatch(route, service, customer, priority)
+    return RouteMatch(route, service, customer, priority, customer_regions)
 
 
 def _make_admitted(
@@ -395,7 +405,7 @@
     arrived: float,
     elapsed_s: float,
 ) -> AdmittedRequest:
-    route, service, customer, priority = route_match
+    route, service, customer, priority, customer_regions = route_match
     left_s = min(inbound.time_left_s or DEFAULT_TIMEOUT_S, route.timeout_s)
     ctx = RequestContext(
         request_id=inbound.id,
@@ -416,7 +426,10 @@
         body=b'',
         fingerprint=_fingerprint(customer, inbound),
     )
-    return AdmittedRequest(inbound, route, service, ctx, elapsed_s)
+    home = Home(
+        route.host, route.prefix, customer, route.regions, customer_regions
+    )
+    return AdmittedRequest(inbound, route, service, ctx, elapsed_s, home)
 
 
 def _fingerprint(customer: str, inbound: InboundRequest) -> str:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -8,6 +8,7 @@
 from burdockchute import logs
 from burdockchute.decisions import admission
 from burdockchute.decisions import retries
+from burdockchute.decisions.homes import Home
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.model.exchanges import InboundRequest
 from burdockchute.model.outcomes import NotRun
@@ -62,11 +63,12 @@
         route: Route,
         service: str,
         elapsed_s: float,
+        home: Home,
         has_caller_left: Callable[[], bool] = lambda: False,
     ) -> None:
         self.stream: Stream | None = None
         spec = RequestSpec(
-            service, inbound.model, route.objective_s, elapsed_s
+            service, inbound.model, route.objective_s, elapsed_s, home=home
         )
         self.sender = Sender(deps, inbound, ctx, route, spec, has_caller_left)
         self._deps = deps
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -9,6 +9,7 @@
 from burdockchute import logs
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import evacuation
+from burdockchute.decisions import homes
 from burdockchute.decisions import placement
 from burdockchute.decisions import versions
 from burdockchute.decisions import wait_limits
@@ -244,8 +245,10 @@
         deadline.
         """
         fits = self._version_rule(pending, now)
+        zones = self._allowed_zones(pending.spec)
         return any(
             target.upstream.service == pending.spec.service
+            and (zones is None or target.upstream.zone in zones)
             and not target.is_withdrawn
             and now + target.rest_left_s(now) < pending.ctx.deadline
             and not pending.avoids(target)
@@ -271,8 +274,10 @@
     def is_restricted(self, pending: PendingRequest) -> bool:
         """Whether a request may not run on all upstreams of its service.
 
-        That depends on the evacuations in force.
+        That depends on the evacuations and allowed regions in force.
         """
+        if self._allowed_zones(pending.spec) is not None:
+            return True
         return bool(self._evacuated) and any(
             target.upstream.service == pending.spec.service
             and target.evacuated_at is not None
@@ -290,6 +295,16 @@
             target.evacuated_at, self.bounds.evacuation_s, now
         )
 
+    def is_allowed(self, pending: PendingRequest, target: Target) -> bool:
+        """Whether a request may run in the region of a target."""
+        zones = self._allowed_zones(pending.spec)
+        return zones is None or target.upstream.zone in zones
+
+    def _allowed_zones(self, spec: RequestSpec) -> frozenset[str] | None:
+        # Looked up for each call, as the configuration may have changed.
+        allowed = homes.allowed_regions(spec.home, self._known_state.routes)
+        return homes.allowed_zones(allowed, self._regions)
+
     def explain_ineligible(self, pending: PendingRequest, now: float) -> str:
         """Describe why no target may run a request now, for the log."""
         spec = pending.spec
@@ -304,20 +319,24 @@
             target for target in usable if _may_run(target, spec, min_version)
         ]
         resting = sum(target.rest_left_s(now) > 0 for target in own)
+        allowed = homes.allowed_regions(spec.home, self._known_state.routes)
         evacuated = sum(target.evacuated_at is not None for target in own)
         return (
             f'{len(own)} known, {len(usable)} usable, {len(fit)} with weights '
             f'from version {min_version}'
             + (f', {resting} asked for rest' if resting else '')
             + (f', {evacuated} evacuated' if evacuated else '')
+            + ('' if allowed is None else f', allowed in {sorted(allowed)}')
         )
 
     def loads(self, spec: RequestSpec, now: float) -> list[InstanceLoad]:
         """Return the loads of the usable targets for a request."""
+        zones = self._allowed_zones(spec)
         return [
             target.load
             for target in self._usable(spec.service, now)
-            if not spec.model or spec.model in target.versions
+            if (not spec.model or spec.model in target.versions)
+            and (zones is None or target.upstream.zone in zones)
         ]
 
     def opening(
@@ -332,10 +351,12 @@
         spec = pending.spec
         if not spec.model or spec.exact_version is not None:
             return wait_limits.NO_OPENING
+        zones = self._allowed_zones(spec)
         opening = [
             (opens_at, target.load.slots)
             for target in self._targets.values()
             if target.upstream.service == spec.service
+            and (zones is None or target.upstream.zone in zones)
             and not target.is_withdrawn
             and (opens_at := _opens_at(target, now)) is not None
         ]
@@ -394,7 +415,10 @@
         # of equally good engines.
         self._rng.shuffle(targets)
         return PlacementRound(
-            targets, lambda target: self.view(target, now), now
+            targets,
+            lambda target: self.view(target, now),
+            now,
+            lambda pending: self._allowed_zones(pending.spec) is not None,
         )
 
     def choose(
@@ -448,8 +472,10 @@
         self, pending: PendingRequest, now: float
     ) -> Callable[[Target], bool]:
         fits = self._version_rule(pending, now)
+        zones = self._allowed_zones(pending.spec)
         return lambda target: (
-            not pending.avoids(target)
+            (zones is None or target.upstream.zone in zones)
+            and not pending.avoids(target)
             and not pending.was_rejected(target, now)
             and fits(target)
         )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placement_round.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placement_round.py
@@ -28,12 +28,18 @@
 class PlacementRound:
     """The targets with headroom, and the requests that could not be placed.
 
-    `view_of` returns the current view of a target.
+    `view_of` returns the current view of a target. `is_bound` tells whether
+    a request may run in some regions only.
     """
 
     def __init__(
-        self, targets: Iterable[Target], view_of: ViewOf, now: float
+        self,
+        targets: Iterable[Target],
+        view_of: ViewOf,
+        now: float,
+        is_bound: Callable[[PendingRequest], bool] = lambda pending: False,
     ) -> None:
+        self._is_bound = is_bound
         self._view_of = view_of
         self._now = now
         self._open = {
@@ -86,7 +92,7 @@
         Requests that may not run on every target are not recorded, as their
         failure says nothing about others.
         """
-        if not _is_restricted(pending):
+        if not (_is_restricted(pending) or self._is_bound(pending)):
             self._unplaceable.append((pending.ctx.prompt_tokens, left_s))
 
     def is_unplaceable(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -273,6 +273,10 @@
         """Whether any target may run the request, now or later."""
         return self._known.is_servable(pending, self._now())
 
+    def is_allowed(self, pending: PendingRequest, target: Target) -> bool:
+        """Whether a request may run in the region of a target."""
+        return self._known.is_allowed(pending, target)
+
     def evacuation_left_s(self, target: Target) -> float | None:
         """Return the seconds until streams should have left a target."""
         return self._known.evacuation_left_s(target, self._now())
@@ -450,9 +454,9 @@
             )
 
     def _refuse_restricted(self, service_queue: ServiceQueue) -> None:
-        # An availability zone was evacuated, and the requests that wait may
-        # not run anywhere else. The queue of resumed streams is checked in
-        # each round of assignment.
+        # An availability zone was evacuated or the allowed regions changed,
+        # and requests that wait may run nowhere else. The queue of resumed
+        # streams is checked in each round of assignment.
         now = self._now()
         for queue in (service_queue.queue, service_queue.overdue):
             for item in queue.queued_before(now):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -194,6 +194,10 @@
         reason = self._obsolete_reason(now)
         if not reason and not target.accepts_new(now):
             reason = 'the upstream accepts nothing new'
+        if not reason and not self._deps.scheduler.is_allowed(
+            self.pending, target
+        ):
+            reason = 'its region is no longer allowed'
         if reason:
             conn.close()
             self._deps.scheduler.release(self.pending, slot)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -9,6 +9,7 @@
 
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.fair_queue import FairQueue
+from burdockchute.decisions.homes import Home
 from burdockchute.decisions.overload import OverloadDetector
 from burdockchute.decisions.placement import Work
 from burdockchute.model.requests import RequestContext
@@ -26,6 +27,7 @@
     `model` is empty for a service without weights. `elapsed_s` is the time
     that the caller spent on earlier attempts. `exact_version` is the version
     that a stream was started on, which must be kept when it is resumed.
+    `home` tells in which regions it may run.
     """
 
     service: str
@@ -33,6 +35,7 @@
     objective_s: float
     elapsed_s: float = 0.0
     exact_version: int | None = None
+    home: Home = Home()
 
 
 class ServiceQueue(Pool):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -119,7 +119,7 @@
     @property
     def is_withdrawn(self) -> bool:
         """Whether it leaves or its availability zone is evacuated."""
-        return self.is_leaving or self.evacuated_at is not None
+        return self.is_leaving or self.upstream.zone in self._evacuated
 
     def rest_left_s(self, now: float) -> float:
         """Return the seconds for which it wants nothing from this entry."""
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -115,6 +115,14 @@
             placement_round.is_unplaceable(pending(2, prompt=1200), 0.1)
         )
 
+    def test_a_request_bound_to_regions_does_not_affect_others(self):
+        """Requests that may run anywhere waited behind it in each round."""
+        placement_round = PlacementRound(
+            targets(), view_of, 0.0, lambda bound: True
+        )
+        placement_round.record_unplaceable(pending(1), 0.2)
+        self.assertFalse(placement_round.is_unplaceable(pending(2), 0.1))
+
 
 class SchedulerTest(unittest.TestCase):
     def test_many_reports_start_one_round(self):
--- a/packages/burdockchute/burdockchute/decisions/routing.py
+++ b/packages/burdockchute/burdockchute/decisions/routing.py
@@ -26,12 +26,16 @@
 
 
 class RouteTable(NamedTuple):
-    """A configuration indexed for look-ups."""
+    """A configuration indexed for look-ups.
+
+    `keyholders` has the customers by key, `customers` by name.
+    """
 
     configuration: Configuration
     routes: Mapping[tuple[str, str], Route]
     services: Mapping[str, Service]
     keyholders: Mapping[str, Keyholder] | None
+    customers: Mapping[str, Keyholder]
 
 
 def route_table(configuration: Configuration) -> RouteTable:
@@ -44,6 +48,7 @@
         None
         if holders is None
         else {key: holder for holder in holders for key in holder.keys},
+        {holder.name: holder for holder in holders or ()},
     )
 
 
--- a/packages/burdockchute/burdockchute/model/routes.py
+++ b/packages/burdockchute/burdockchute/model/routes.py
@@ -10,6 +10,9 @@
 import enum
 from typing import NamedTuple
 
+# Regions in which requests may run; None for anywhere.
+Regions = frozenset[str] | None
+
 
 class Kind(enum.Enum):
     """Whether and how a request of a route may be run a second time."""
@@ -32,7 +35,8 @@
     An answer counts as on time if it is complete, or its first event has
     arrived for a stream, within `objective_s`, and if no interval between
     two events is longer than `gap_s`. `max_attempts` limits the upstreams
-    that may run one request. Priority 0 is the most urgent.
+    that may run one request. Priority 0 is the most urgent. Requests run only
+    on upstreams in `regions`.
     """
 
     name: str
@@ -47,6 +51,7 @@
     max_attempts: int
     anonymous: bool
     resumable: bool
+    regions: Regions = None
 
     @property
     def may_repeat(self) -> bool:
@@ -97,11 +102,15 @@
 
 
 class Keyholder(NamedTuple):
-    """A customer with its keys and its priority, None if it has none."""
+    """A customer with its keys and its priority, None if it has none.
+
+    Its requests run only on upstreams in `regions`.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
+    regions: Regions = None
 
 
 class CallerLimits(NamedTuple):
