Benches: processor time of steps that every process repeats

A sampled profile shows shares only, and they change with the load of the machine. `make bench-processor-time` measures the start of each program, a changed configuration, a load report, a round of slot assignment, a step of an agent, a message over a link and a part of an answer.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 WIRE := packages/burdockchute/burdockchute/wire
 
-.PHONY: demo test lint format bench bench-path bench-straight bench-control \
+.PHONY: demo test lint format bench bench-path bench-straight \
+	bench-processor-time bench-control \
 	bench-claims bench-rollout bench-load bench-table soak wire lock setup \
 	clean
 
@@ -59,6 +60,9 @@
 bench-straight: setup
 	cd platform && PYTHONPATH=. ../$(BIN)/python -m benches.straight_path
 
+bench-processor-time: setup
+	cd platform && PYTHONPATH=. ../$(BIN)/python -m benches.processor_time
+
 SEEDS ?= 1-50
 soak: setup
 	cd platform && PYTHONPATH=. ../$(BIN)/python -m soak --failed \
