Agent: the order of readers is computed once for each set of hosts

Each step of an agent sets the readers of each copy again, and computing their order takes a hash of each host: with 45 hosts more than half of a step in which nothing has changed. The order is kept for each copy until its hosts change.

Tests: a changed set of hosts and a copy that returns are noticed.

--- a/packages/burdockchute-agent/burdockchute_agent/copy_manager.py
+++ b/packages/burdockchute-agent/burdockchute_agent/copy_manager.py
@@ -17,6 +17,7 @@
 from returns.result import Result
 
 from burdockchute.decisions import sources
+from burdockchute.decisions.sources import ReaderGroup
 from burdockchute.logs import event
 from burdockchute.model.members import Member
 from burdockchute.nodes import links
@@ -86,6 +87,13 @@
     parse_manifest: Callable[[bytes, str], Result]
 
 
+class _KnownReaders(NamedTuple):
+    """The readers of a copy, as computed from its hosts."""
+
+    hosts: tuple[str, ...]
+    readers: ReaderGroup
+
+
 class CopyManager:
     """The copies by digest, and their exchange with peers and the origin.
 
@@ -114,6 +122,9 @@
         self._rng = rng
         self._copiers: dict[str, Copier] = {}
         self._hosts: Mapping[str, tuple[str, ...]] = {}
+        # Computing the order of readers takes a hash of each host, and each
+        # step sets the readers of each copy again.
+        self._readers: dict[str, _KnownReaders] = {}
         self._announcements = Announcements(now)
         self._unreachable: frozenset[str] = frozenset()
         self._order: tuple[str, ...] = ()
@@ -390,6 +401,7 @@
     def _drop_copy(self, digest: str) -> None:
         self.origin_reads.stop(digest)
         copier = self._copiers.pop(digest)
+        self._readers.pop(digest, None)
         self._announcements.forget(digest)
         if copier.copy is not None:
             copier.copy.release()
@@ -408,9 +420,12 @@
 
     def _set_readers(self, digest: str) -> None:
         hosts = self._hosts.get(digest, ())
-        readers = self._policy.readers(digest, self._own.name, hosts)
+        known = self._readers.get(digest)
+        if known is None or known.hosts != hosts:
+            readers = self._policy.readers(digest, self._own.name, hosts)
+            known = self._readers[digest] = _KnownReaders(hosts, readers)
         self._copiers[digest].schedule.set_readers(
-            readers._replace(unreachable=self._unreachable)
+            known.readers._replace(unreachable=self._unreachable)
         )
 
     def _expected_peers(self, digest: str) -> set[str]:
--- a/packages/burdockchute-agent/tests/test_copy_manager.py
+++ b/packages/burdockchute-agent/tests/test_copy_manager.py
@@ -4,14 +4,25 @@
 
 import random
 import unittest
+from unittest import mock
+
+from gevent import queue
 
 from burdockchute.decisions import chunks
 from burdockchute.decisions import sources
+from burdockchute.model.members import Member
+from burdockchute.model.members import Place
+from burdockchute.nodes.peers import Peers
 from burdockchute.weights import manifest as manifests
 from burdockchute.wire import messages
+from burdockchute_agent.bandwidth import Bandwidth
 from burdockchute_agent.copier import Copier
 from burdockchute_agent.copy_manager import copies_reading_origin
 from burdockchute_agent.copy_manager import copies_requesting_chunks
+from burdockchute_agent.copy_manager import CopyManager
+from burdockchute_agent.copy_manager import WeightsSource
+from burdockchute_agent.hosting_plan import Target
+from burdockchute_agent.policy import DEFAULT_POLICY
 
 CONTENT = bytes(range(80))
 
@@ -83,5 +94,45 @@
         )
 
 
+class ReadersTest(unittest.TestCase):
+    """The order of readers is computed once for each set of hosts."""
+
+    def setUp(self):
+        self.readers = mock.Mock(side_effect=sources.reader_group)
+        own = Member('a', 'agent', '127.0.0.1', 1, Place('z', 'r', ''))
+        inbox = queue.Queue()
+        rng = random.Random(1)
+        self.copies = CopyManager(
+            own,
+            WeightsSource(mock.Mock(), mock.Mock()),
+            Bandwidth(1e6, 1e6, 0.0),
+            Peers(own, mock.Mock(), inbox, rng),
+            inbox,
+            DEFAULT_POLICY._replace(readers=self.readers),
+            rng,
+            0.0,
+        )
+
+    def set_hosts(self, *hosts):
+        target = Target('model', 'story', '1', 'x', '', False, 1.0, 1.0)
+        self.copies.set_targets([target], {'x': hosts}, 0.0)
+        return self.copies._copiers['x'].schedule._readers.names
+
+    def test_the_same_hosts_are_ordered_once(self):
+        """Each step sets them, and each order takes a hash of each host."""
+        self.assertEqual(self.set_hosts('a', 'b'), self.set_hosts('a', 'b'))
+        self.assertEqual(1, self.readers.call_count)
+
+    def test_changed_hosts_are_noticed(self):
+        """A reader that has left would never read its chunks."""
+        self.set_hosts('a', 'b')
+        self.assertEqual({'a', 'c'}, set(self.set_hosts('a', 'c')))
+
+    def test_a_copy_that_returns_gets_its_current_hosts(self):
+        self.set_hosts('a', 'b')
+        self.copies.set_targets([], {}, 0.0)
+        self.assertEqual(('a',), self.set_hosts('a'))
+
+
 if __name__ == '__main__':
     unittest.main()
