Links: no timer per read, and no task switch per written frame

Each wait for bytes created and cancelled a timer for the timeout of the socket, and each frame woke up the task that writes. An entry with 45 agents receives up to 300 load reports a second, and each agent sends them to each entry. One timer per link now checks for silence, and a frame is written at once where nothing is queued before it; the task writes what did not fit. A write that takes longer than the timeout still closes the link.

Tests: order beyond the socket's buffers, a peer that reads nothing, a message that arrives in small parts.

--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -33,6 +33,7 @@
 
 from burdockchute import wire
 from burdockchute.nodes import fragments
+from burdockchute.sockets import SilenceTimer
 from burdockchute.wire import messages
 
 # Two heartbeats fit into SILENCE_TIMEOUT_S, with a second to spare for a pause
@@ -47,6 +48,8 @@
 # memory of this process.
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 
+NOT_READ = 'timed out'
+
 _LENGTH = struct.Struct('>I')
 _READ_BYTES = 256 * 1024
 
@@ -113,6 +116,10 @@
         self._table_offset: Callable[[], int] = lambda: -1
         self._sequence = 0
         self._written_at = time.monotonic()
+        self._is_writing = False
+        self._silence = SilenceTimer(
+            SILENCE_TIMEOUT_S, lambda: self.close('silent')
+        )
         self._tasks: list[gevent.Greenlet] = []
 
     def start(self, table_offset: Callable[[], int]) -> None:
@@ -159,6 +166,12 @@
         if self._fragment_queue is not None and is_large:
             self._fragment_queue.add(frame[_LENGTH.size :])
             self._outbox.put(_WAKE)
+        elif (
+            self._fragment_queue is None
+            and not self._is_writing
+            and self._outbox.empty()
+        ):
+            self._write_at_once(frame)
         else:
             self._outbox.put(frame)
 
@@ -167,6 +180,7 @@
         if self.closed_reason:
             return
         self.closed_reason = reason
+        self._silence.stop()
         self._outbox.put(None)
         _shut_down(self._sock)
         self._inbox.put(Closed(self, reason))
@@ -189,9 +203,10 @@
 
     def _read(self) -> None:
         try:
-            for message in _read_messages(
-                self._sock, SILENCE_TIMEOUT_S, self._count_received
-            ):
+            # A timeout of the socket would create a timer for each read.
+            self._sock.settimeout(None)
+            self._silence.start()
+            for message in _read_messages(self._sock, self._count_received):
                 self.last_received_at = time.monotonic()
                 self._dispatch(message)
             self.close('closed by peer')
@@ -220,6 +235,24 @@
 
     def _count_received(self, received: int) -> None:
         self.bytes_received += received
+        self._silence.note_activity()
+
+    def _write_at_once(self, frame: bytes) -> None:
+        # Most frames fit into the buffer of the socket, and waking up the
+        # task that writes costs more than writing.
+        try:
+            sent = self._sock.send(frame, timeout=0.0)
+        except BlockingIOError:
+            sent = 0
+        except OSError as exc:
+            self.close(str(exc))
+            return
+        if sent:
+            self._written_at = time.monotonic()
+            self._queued_bytes -= sent
+            self.bytes_sent += sent
+        if sent < len(frame):
+            self._outbox.put(frame[sent:])
 
     def _write(self) -> None:
         while not self.closed_reason:
@@ -228,11 +261,14 @@
                 return
             if not pending.frame:
                 continue
+            self._is_writing = True
             try:
-                self._sock.sendall(pending.frame)
+                with gevent.Timeout(SILENCE_TIMEOUT_S, TimeoutError(NOT_READ)):
+                    self._sock.sendall(pending.frame)
             except OSError as exc:
                 self.close(str(exc))
                 return
+            self._is_writing = False
             self._written_at = time.monotonic()
             self._queued_bytes -= pending.queued
             self.bytes_sent += len(pending.frame)
@@ -353,10 +389,7 @@
     return data
 
 
-def _read_messages(
-    sock: Any, silence_s: float, count: Callable[[int], None]
-) -> Iterator[Any]:
-    sock.settimeout(silence_s)
+def _read_messages(sock: Any, count: Callable[[int], None]) -> Iterator[Any]:
     buffer = bytearray()
     while True:
         while len(buffer) >= _LENGTH.size:
--- a/packages/burdockchute/burdockchute/sockets.py
+++ b/packages/burdockchute/burdockchute/sockets.py
@@ -2,14 +2,21 @@
 
 A check may run in a callback of the loop, where yielding is an error;
 gevent's own select yields to other greenlets even without a timeout.
+
+A timeout of a gevent socket creates a timer for each wait, which takes a
+third of the processor time of a short read. `SilenceTimer` uses one timer for
+all reads of a connection.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import select
 import socket as sockets
+import time
 from typing import Any
 
+from gevent import get_hub
 from gevent import monkey
 
 _poll = monkey.get_original('select', 'poll')
@@ -33,3 +40,49 @@
         return not sock.recv(1, sockets.MSG_PEEK)
     except (OSError, ValueError):
         return True
+
+
+class SilenceTimer:
+    """Calls `on_silence` once nothing was received for `silence_s` seconds.
+
+    The call comes from the event loop and must not block.
+    """
+
+    def __init__(
+        self, silence_s: float, on_silence: Callable[[], None]
+    ) -> None:
+        self._silence_s = silence_s
+        self._on_silence = on_silence
+        self._active_at = 0.0
+        self._timer: Any = None
+        self._stopped = False
+
+    def start(self) -> None:
+        """Start waiting for activity, unless it was stopped before."""
+        if not self._stopped:
+            self._active_at = time.monotonic()
+            self._wait(self._silence_s)
+
+    def note_activity(self) -> None:
+        """Record that something was received."""
+        self._active_at = time.monotonic()
+
+    def stop(self) -> None:
+        """Stop for good."""
+        self._stopped = True
+        timer, self._timer = self._timer, None
+        if timer is not None:
+            timer.close()
+
+    def _wait(self, seconds: float) -> None:
+        self._timer = get_hub().loop.timer(seconds)
+        self._timer.start(self._check)
+
+    def _check(self) -> None:
+        silent_s = time.monotonic() - self._active_at
+        timer, self._timer = self._timer, None
+        timer.close()
+        if silent_s >= self._silence_s:
+            self._on_silence()
+        else:
+            self._wait(self._silence_s - silent_s)
--- a/packages/burdockchute/tests/test_links.py
+++ b/packages/burdockchute/tests/test_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import socket
 import unittest
 from unittest import mock
@@ -134,6 +135,65 @@
             closed = self.server_inbox.get(timeout=2)
         self.assertEqual('silent', closed.reason)
 
+    def connect_raw(self) -> socket.socket:
+        sock = socket.create_connection(('127.0.0.1', self.port))
+        self.addCleanup(sock.close)
+        sock.sendall(links.encode_frame(HELLO))
+        return sock
+
+    def test_bytes_of_an_incomplete_message_keep_the_link_open(self):
+        """A large message over a slow link takes longer than the timeout."""
+        frame = links.encode_frame(messages.Cancel('r'))
+        with mock.patch.object(links, 'SILENCE_TIMEOUT_S', 0.2):
+            sock = self.connect_raw()
+            self.assertIsInstance(
+                self.server_inbox.get(timeout=2), links.Opened
+            )
+            for start in range(0, len(frame), 3):
+                sock.sendall(frame[start : start + 3])
+                gevent.sleep(0.08)
+            received = self.server_inbox.get(timeout=2)
+        self.assertEqual(messages.Cancel('r'), received.message)
+
+    def test_link_whose_peer_reads_nothing_is_closed(self):
+        """The peer still sends, but what it is sent stays in the buffers."""
+        with mock.patch.object(links, 'SILENCE_TIMEOUT_S', 0.3):
+            sock = self.connect_raw()
+            link = self.server_inbox.get(timeout=2).link
+            for _frame in range(20):
+                link.send(messages.Chunk('d', 0, bytes(1_000_000), '', 0))
+            heartbeat = links.encode_frame(messages.Heartbeat(1, 0))
+            for _number in range(20):
+                if not self.server_inbox.empty():
+                    break
+                sock.sendall(heartbeat)
+                gevent.sleep(0.1)
+            self.assertEqual('timed out', self.server_inbox.get().reason)
+
+    def test_messages_beyond_the_buffers_arrive_in_order(self):
+        """The peer pauses; the first messages fill the socket's buffers.
+
+        The rest of a message that was written in part comes before others.
+        """
+        sock = self.connect_raw()
+        link = self.server_inbox.get(timeout=2).link
+        frames = []
+        for number in range(150):
+            part = messages.AnswerPart('r', number, b'x' * 100_000)
+            frames.append(links.encode_frame(part))
+            link.send(part)
+        self.assertGreater(link.queued_bytes, 0, 'buffers took everything')
+        sock.settimeout(2)
+        expected = links.encode_frame(HELLO) + b''.join(frames)
+        received = bytearray()
+        while len(received) < len(expected):
+            received += sock.recv(1_000_000)
+        self.assertEqual(
+            hashlib.sha256(expected).digest(),
+            hashlib.sha256(received).digest(),
+        )
+        self.assertTrue(link.flush(1))
+
     def test_garbage_closes_the_link(self):
         # A process that speaks another protocol connects to the port.
         link = self.dial()
