Upstream connections: waits for parts of an answer share one timer

A gevent socket with a timeout creates and cancels a timer for each read that has to wait, as nearly every read of a stream does. The socket of an upstream connection now keeps one timer and restarts it.

--- a/packages/burdockchute/burdockchute/sockets.py
+++ b/packages/burdockchute/burdockchute/sockets.py
@@ -4,8 +4,8 @@
 gevent's own select yields to other greenlets even without a timeout.
 
 A timeout of a gevent socket creates a timer for each wait, which takes a
-third of the processor time of a short read. `SilenceTimer` uses one timer for
-all reads of a connection.
+third of the processor time of a short read. `SilenceTimer` and `PolledSocket`
+use one timer for all waits of a connection.
 """
 
 from __future__ import annotations
@@ -17,7 +17,9 @@
 from typing import Any
 
 from gevent import get_hub
+from gevent import getcurrent
 from gevent import monkey
+from gevent import socket
 
 _poll = monkey.get_original('select', 'poll')
 
@@ -86,3 +88,36 @@
             self._on_silence()
         else:
             self._wait(self._silence_s - silent_s)
+
+
+class PolledSocket(socket.socket):
+    """A socket whose waits share one timer for its timeout.
+
+    It overrides the private method with which gevent's sockets wait. With a
+    gevent that no longer calls it, timeouts work as in any other socket.
+    """
+
+    _timer: Any = None
+    _timer_s = 0.0
+
+    def _wait(self, watcher: Any, timeout_exc: Any = None) -> None:
+        timeout_s = self.timeout
+        is_in_use = watcher.callback is not None or (
+            self._timer is not None and self._timer.active
+        )
+        if not timeout_s or timeout_exc is not None or is_in_use:
+            super()._wait(watcher, timeout_exc)
+            return
+        if self._timer_s != timeout_s:
+            if self._timer is not None:
+                self._timer.close()
+            # Only a repeating timer starts anew with its full time.
+            self._timer = self.hub.loop.timer(timeout_s, timeout_s)
+            self._timer_s = timeout_s
+        self._timer.again(
+            getcurrent().throw, TimeoutError('timed out'), update=True
+        )
+        try:
+            self.hub.wait(watcher)
+        finally:
+            self._timer.stop()
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -13,11 +13,11 @@
 import socket as sockets
 from typing import Any
 
-from gevent import socket
 from geventhttpclient import response as responses
 
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.sockets import is_readable
+from burdockchute.sockets import PolledSocket
 
 # Upstreams are a few milliseconds away and accept connections at once. One
 # that has not done so by then is unreachable or full, and the request is
@@ -213,7 +213,7 @@
     endpoint: Endpoint, timeout_s: float = CONNECT_TIMEOUT_S
 ) -> Connection:
     """Open a connection; raises NotConnected."""
-    sock = socket.socket(sockets.AF_INET, sockets.SOCK_STREAM)
+    sock = PolledSocket(sockets.AF_INET, sockets.SOCK_STREAM)
     try:
         sock.settimeout(timeout_s)
         sock.connect((endpoint.ip, endpoint.port))
