Restarts: let nothing of an earlier start of a server hold

Three things held on after a server had started again under its id:

- A request with a slot of the earlier start was sent to the later one, past its load and limits.
The earlier target is now marked as replaced, and the check after the connection was opened fails.
- An agent took chunks as staged and an order as under way if the sequence was the same before and after the start, which is 0 in both for an engine without orders.
- An entry of the list that can't be read counted as expired in the first 0.3 s after the store's return, and its upstream was used for 2 s more.
It now names no upstream at once.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -99,6 +99,7 @@
         assert machine.upstream is not None
         self.inbox: queue.Queue = queue.Queue()
         self.report: EngineReport | None = None
+        self._engine_started_ms: int | None = None
         self.bounds = machine.bounds
         self._machine = machine
         self._adapter = adapter
@@ -209,6 +210,9 @@
         report = result.unwrap()
         if previous is not None and report.sequence < previous.sequence:
             self._clear_staged()
+        if report.started_ms != self._engine_started_ms:
+            self._engine_started_ms = report.started_ms
+            self._forget_earlier_start()
         if previous is None or (
             dict(previous.versions),
             previous.loading,
@@ -245,6 +249,13 @@
         for rollout in self._rollouts.values():
             rollout.clear_staged()
 
+    def _forget_earlier_start(self) -> None:
+        # Its orders ended with it. The sequence does not always tell: it is 0
+        # again after a start, and may have been 0 before.
+        self._clear_staged()
+        for rollout in self._rollouts.values():
+            rollout.ordered_at = None
+
     def _load_ended(self, ended: LoadEnded) -> None:
         rollout = self._rollouts[ended.model]
         rollout.load_in_progress = False
--- a/packages/burdockchute-agent/tests/test_staged.py
+++ b/packages/burdockchute-agent/tests/test_staged.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from returns.result import Failure
 from returns.result import Success
@@ -16,6 +17,8 @@
 from burdockchute_agent.staged import loading
 from burdockchute_agent.staged.rollout import EngineLoadState
 from burdockchute_agent.staged.rollout import Rollout
+from burdockchute_agent.staged.staged_task import EnginePolled
+from burdockchute_agent.staged.staged_task import StagedTask
 
 CONTENT = b'abcdefgh'
 
@@ -197,6 +200,20 @@
         self.assertEqual(([], 'no answer'), (staged.chunks, staged.reason))
 
 
+class RestartedEngineTest(unittest.TestCase):
+    def test_another_start_with_the_same_sequence(self):
+        """Its chunks counted as staged, and its order as under way."""
+        task = StagedTask(*[mock.MagicMock() for _argument in range(6)])
+        rollout = task._rollouts['story'] = Rollout('story')
+        for started_ms, ordered_at in ((5, None), (5, 3.0), (6, None)):
+            report = EngineReport({}, False, 0, 0, 0, 0, 0, 1.0, started_ms)
+            task._handle(EnginePolled(0.0, Success(report)))
+            self.assertEqual(ordered_at, rollout.ordered_at)
+            self.assertEqual(ordered_at is not None, bool(rollout._staged))
+            rollout.ordered_at = 3.0
+            rollout.record_staged(2, [0])
+
+
 class ImportsTest(unittest.TestCase):
     def test_each_chunk_is_imported_by_one_agent_of_a_region(self):
         """Three agents of a region find a copy in another region.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -92,6 +92,8 @@
                 target.update_listing(upstream)
                 continue
             if target is not None:
+                # Requests may hold slots of the earlier start.
+                target.is_replaced = True
                 target.close_idle()
             self._targets[name] = self._new_target(upstream, now)
         self._ids_by_address = {}
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -82,6 +82,8 @@
         self.opens_at: float | None = None
         # Since when its engine has been loading and accepting no new requests.
         self.closed_at: float | None = None
+        # The upstream has started again since; another target stands for it.
+        self.is_replaced = False
         # Earlier requests are still queued in the link to it.
         self.is_held = False
         # What its last answer asked for, and what is in force.
@@ -118,8 +120,15 @@
 
     @property
     def is_withdrawn(self) -> bool:
-        """Whether it leaves or its availability zone is evacuated."""
-        return self.is_leaving or self.upstream.zone in self._evacuated
+        """Whether it gets nothing more until further notice.
+
+        It leaves, was started again, or its availability zone is evacuated.
+        """
+        return (
+            self.is_leaving
+            or self.is_replaced
+            or self.upstream.zone in self._evacuated
+        )
 
     def rest_left_s(self, now: float) -> float:
         """Return the seconds for which it wants nothing from this entry."""
@@ -218,7 +227,7 @@
 
     def keep(self, conn: Connection, idle_s: float, now: float) -> None:
         """Keep a connection for reuse, or close it if it can't be reused."""
-        if not conn.is_reusable:
+        if not conn.is_reusable or self.is_replaced:
             conn.close()
             return
         known_s = idle_s if idle_s < float('inf') else DEFAULT_IDLE_S
--- a/packages/burdockchute/burdockchute/decisions/listing.py
+++ b/packages/burdockchute/burdockchute/decisions/listing.py
@@ -10,7 +10,8 @@
 So entries that had expired when the store returned are kept for SETTLE_S,
 and dropped if they are not listed again by then. An upstream whose entry
 expires later than LATE_EXPIRY_S after the return has left since, and is
-dropped at once, as without an outage.
+dropped at once, as without an outage. So is one whose entry can't be read: it
+has not expired, and nothing says where the upstream is now.
 
 An upstream that restarts may keep its id. A late record of an earlier start
 must not restore the state of that start, so records are ordered by the time
@@ -123,7 +124,7 @@
     old = listed.known.get(entry.id)
     if old is None or entry.position < old.position:
         return listed
-    if now < listed.expires_until:
+    if now < listed.expires_until and not entry.is_unreadable:
         expired = old._replace(position=entry.position, expired_at=now)
         return listed._replace(known={**listed.known, entry.id: expired})
     return _without(listed, entry.id, entry.position)
--- a/packages/burdockchute/burdockchute/model/engines.py
+++ b/packages/burdockchute/burdockchute/model/engines.py
@@ -13,7 +13,8 @@
     `versions` has the version of each loaded model. `sequence` counts the
     orders that the engine has started since its last restart. `memory_used`
     and `memory_total` are in tokens. `slowness` is above 1 for an engine
-    that is slower than others of its kind.
+    that is slower than others of its kind. `started_ms` is the Unix time of
+    its start, None if it does not report one.
     """
 
     versions: Mapping[str, int]
@@ -24,6 +25,7 @@
     memory_used: float
     memory_total: float
     slowness: float
+    started_ms: int | None = None
 
 
 class LoadOrder(NamedTuple):
--- a/packages/burdockchute/burdockchute/model/upstreams.py
+++ b/packages/burdockchute/burdockchute/model/upstreams.py
@@ -54,3 +54,4 @@
     position: Position
     id: str
     reason: str
+    is_unreadable: bool = False
--- a/packages/burdockchute/tests/decisions/test_listing.py
+++ b/packages/burdockchute/tests/decisions/test_listing.py
@@ -79,6 +79,12 @@
         )
         self.assertEqual([], names(left))
 
+    def test_unreadable_entry_names_no_upstream_after_a_return(self):
+        """It counted as expired, and the upstream was used for 2 s more."""
+        returned = listing.on_store_return(self.listed, 100.0)
+        torn = UpstreamUnlisted(at(6), 'i-1', 'x', is_unreadable=True)
+        self.assertEqual([], names(listing.on_unlisted(returned, torn, 100.1)))
+
     def test_complete_list_drops_missing_upstreams(self):
         other = upstream('i-2')._replace(endpoint=Endpoint('10.0.0.2', 1))
         both = listing.on_listed(self.listed, UpstreamListed(at(6), other))
