Engines: reported slowness and free memory reach the entries

The agent decoded the engine's own report of its speed and memory, but did not pass it on. Entries took every engine for one of the usual speed, and sent prompts to engines without memory for them.

LoadReport has the optional fields slowness and memory_free, unset by older agents, at the usual speed and while half of the memory is free. Slowness is rounded to a quarter and memory to a twentieth of the total, so that the report changes rarely. The choice multiplies the expected time to the first token by the slowness, and prefers engines with room for the prompt and the likely answer, less what this entry has sent since the report. Where none has room, all are candidates, so nothing is refused because of memory.

Tests: with the preference for engines with room taken out, the tests of memory in test_engine_placement and test_scheduler fail.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from burdockchute.decisions import engine_speed
 from burdockchute.decisions.versions import History
 from burdockchute.model.known_state import KnownState
 from burdockchute.nodes import links
@@ -115,6 +116,14 @@
             evicted=[],
             closes_in_ms=_milliseconds(self._staged.closes_in_s()),
             opens_in_ms=self._opens_in_ms(),
+            slowness=engine_speed.slowness_to_report(report.slowness)
+            if report
+            else None,
+            memory_free=engine_speed.free_memory_to_report(
+                report.memory_used, report.memory_total
+            )
+            if report
+            else None,
         )
 
     def _opens_in_ms(self) -> int | None:
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -7,6 +7,7 @@
 
 from burdockchute.decisions import versions
 from burdockchute.model.agent_requirements import AgentRequirements
+from burdockchute.model.engines import EngineReport
 from burdockchute.model.known_state import KnownState
 from burdockchute.nodes import links
 from burdockchute.wire import messages
@@ -123,6 +124,19 @@
         self.staged.opens = 3.1
         self.assertEqual(3000, self.task.current_report().opens_in_ms)
 
+    def test_speed_and_memory_of_the_engine_are_reported_in_steps(self):
+        """Each changed report goes to every entry over a narrow link."""
+        usual = EngineReport({'story': 1}, False, 1, 0, 3, 900.0, 2e4, 1.0)
+        self.staged.report = usual
+        report = self.task.current_report()
+        self.assertEqual((None, None), (report.slowness, report.memory_free))
+        slow = usual._replace(slowness=2.53, memory_used=17_300.0)
+        self.staged.report = slow
+        report = self.task.current_report()
+        self.assertEqual((2.5, 2000), (report.slowness, report.memory_free))
+        self.staged.report = slow._replace(slowness=2.45, memory_used=17_900.0)
+        self.assertEqual(report, self.task.current_report())
+
     def test_new_version_is_reported_once(self):
         link = FakeLink()
         self.task.opened(link)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -199,6 +199,7 @@
         target.opens_at = None
         if report.opens_in_ms is not None:
             target.opens_at = now + report.opens_in_ms / 1000
+        target.record_engine_report(report.slowness, report.memory_free, now)
         slots = report.slots or target.upstream.slots
         target.load.apply_report(
             report.running, slots, self.entries, 0.0, (), now
@@ -453,7 +454,9 @@
         views = [view for _target, view in found.values()]
         size = size_of(pending)
         started = pending.resuming
-        drawn = engine_placement.sample_engines(views, self._rng)
+        drawn = engine_placement.sample_engines(
+            engine_placement.with_room(views, size), self._rng
+        )
         view = engine_placement.choose_engine(
             drawn, size, cost, left_s, reserve, started
         )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -584,7 +584,7 @@
     def _take_slot(
         self, pending: PendingRequest, target: Target, now: float
     ) -> Slot:
-        target.record_sent(pending.work, now)
+        target.record_sent(pending.work, sum(size_of(pending)), now)
         model = pending.spec.model
         if model:
             target.unstarted[pending.ctx.request_id] = UnstartedRequest(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -8,10 +8,12 @@
 from burdockchute import logs
 from burdockchute.decisions import backpressure
 from burdockchute.decisions import engine_placement
+from burdockchute.decisions import engine_speed
 from burdockchute.decisions import health
 from burdockchute.decisions.backpressure import RateLimit
 from burdockchute.decisions.backpressure import Restrictions
 from burdockchute.decisions.engine_placement import EngineView
+from burdockchute.decisions.engine_speed import Speed
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.decisions.placement import Work
 from burdockchute.model.exchanges import Backpressure
@@ -68,7 +70,10 @@
         self.versions: Mapping[str, int] = upstream.versions
         self.health = health.Health()
         self.last_received_at = now
-        self.slowness = 1.0
+        self.speed = Speed()
+        # Free memory of its engine by its last report, and what this entry's
+        # requests have taken of it since; None while it has plenty.
+        self._free_tokens: float | None = None
         self.unstarted: dict[str, UnstartedRequest] = {}
         # Time to first event of the last request that was sent to it.
         self.last_first_event_s = 0.0
@@ -142,6 +147,25 @@
         """Whether it may be sent a request."""
         return self.accepts_new(now) and health.is_usable(self.health, now)
 
+    def slowness(self, now: float) -> float:
+        """Return how much slower its engine is than the usual one."""
+        return engine_speed.slowness(self.speed, now)
+
+    def record_engine_report(
+        self, slowness: float | None, free_tokens: int | None, now: float
+    ) -> None:
+        """Apply what its engine reports of its speed and free memory."""
+        before = self.speed.reported
+        self.speed = engine_speed.after_report(self.speed, slowness, now)
+        self._free_tokens = free_tokens
+        if self.speed.reported != before:
+            logs.event(
+                'engine_speed_reported',
+                upstream=self.id,
+                slowness=self.speed.reported,
+                before=before,
+            )
+
     def share_limit(self, entries: int, now: float) -> None:
         """Share its limit among another number of entries."""
         if self.limit is not None:
@@ -154,9 +178,14 @@
             return False
         return self.load.headroom(now) > 0
 
-    def record_sent(self, work: Work, now: float) -> None:
-        """Record that a request is sent to it."""
+    def record_sent(self, work: Work, tokens: int, now: float) -> None:
+        """Record that a request is sent to it.
+
+        `tokens` is the length of its prompt and likely answer.
+        """
         self.load.on_sent(work, now)
+        if self._free_tokens is not None:
+            self._free_tokens -= tokens
         self.share -= 1
         if self.limit is not None:
             limit = backpressure.take_turn(self.limit, now)
@@ -191,12 +220,13 @@
             unread_tokens=sum(
                 item.prompt_tokens for item in self.unstarted.values()
             ),
-            slowness=self.slowness,
+            slowness=self.slowness(now),
             closes_in_s=None
             if self.closes_at is None
             else self.closes_at - now,
             is_remote=is_remote,
             share=self.share,
+            free_tokens=self._free_tokens,
         )
 
     def first_event_estimate_s(self, now: float) -> float:
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -179,6 +179,56 @@
         self.assertIsInstance(slot, Slot)
 
 
+class EngineReportTest(unittest.TestCase):
+    """Two engines, one of which reports that it is slow or short."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.scheduler = Scheduler(BOUNDS, lambda: self.now, random.Random(1))
+        known = {
+            u.id: KnownUpstream(u._replace(slots=16), 0)
+            for u in upstreams()[:2]
+        }
+        self.scheduler.update(KnownState(upstreams=UpstreamList(known, {})))
+        patch = cost_is(COST)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def report(self, **fields):
+        for number, target in enumerate(self.scheduler.targets()):
+            report = messages.LoadReport(
+                running=0, entries=1, **(fields if number == 0 else {})
+            )
+            self.scheduler.apply_load_report(
+                str(target.upstream.endpoint), report
+            )
+
+    def place(self, count):
+        chosen = []
+        for number in range(count):
+            slot = self.scheduler.wait_for_slot(pending(number), 6.0)
+            chosen.append(slot.target.id)
+        return chosen
+
+    def test_a_slow_engine_gets_fewer_requests_while_it_reports_so(self):
+        self.report(slowness=2.5)
+        self.assertEqual(['i-1'] * 2, self.place(2))
+        self.report()
+        self.assertIn('i-0', self.place(2))
+
+    def test_requests_sent_since_the_report_take_memory(self):
+        """It has memory for one request, and reports again only later."""
+        self.report(memory_free=1500)
+        self.assertEqual(1, self.place(4).count('i-0'))
+
+    def test_a_report_that_has_ended_no_longer_counts(self):
+        """The agent is cut off while its engine is slow."""
+        self.report(slowness=8.0)
+        target = self.scheduler.targets()[0]
+        self.assertEqual(8.0, target.slowness(self.now))
+        self.assertEqual(1.0, target.slowness(self.now + 6.0))
+
+
 class RetryShareTest(unittest.TestCase):
     ENTRIES = 36
 
--- a/packages/burdockchute/burdockchute/decisions/engine_placement.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_placement.py
@@ -95,6 +95,7 @@
     sent since the last report. `slowness` is 1 for an engine of the usual
     speed. `closes_in_s` is the time until it accepts nothing new, None if it
     does not close. `is_remote` is set for an engine in another region.
+    `free_tokens` is its free memory in tokens, None while it has plenty.
     """
 
     name: str
@@ -108,6 +109,7 @@
     closes_in_s: float | None = None
     is_remote: bool = False
     share: int | None = None
+    free_tokens: float | None = None
 
 
 def first_token_s(
@@ -155,6 +157,25 @@
     return view.share is None or view.share > 0
 
 
+def has_room(view: EngineView, size: RequestSize) -> bool:
+    """Whether a prompt and its answer fit into an engine's free memory."""
+    tokens = size.prompt_tokens + size.answer_tokens
+    return view.free_tokens is None or tokens <= view.free_tokens
+
+
+def with_room(
+    views: Sequence[EngineView], size: RequestSize
+) -> Sequence[EngineView]:
+    """Return the engines with room for a request, or all if none has any.
+
+    A request without room waits in the engine. If all engines are short of
+    memory, that is no worse than waiting in the entry, and nothing is refused
+    because of it.
+    """
+    roomy = [view for view in views if has_room(view, size)]
+    return roomy or views
+
+
 def max_prompts(cost: EngineCost, period_s: float) -> float:
     """Return how many prompts an engine may get in a period, at least one.
 
@@ -218,7 +239,7 @@
     if not open_views:
         return None
     best = min(
-        open_views,
+        with_room(open_views, size),
         key=lambda view: _penalised_s(view, size, cost),
     )
     if left_s is None:
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -146,6 +146,8 @@
   15: list<NamedVersion> named  // on a new link and after a naming, else none
   16: i32 opens_in_ms       // until it is likely to take requests, else unset
   17: i64 configuration     // newest version heard of, on a new link, else unset
+  18: double slowness       // of its engine, unset while that has its usual speed
+  19: i64 memory_free       // tokens, unset while half of the memory is free
 }
 
 struct RowRecord {
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1402,11 +1402,13 @@
      - named
      - opens_in_ms
      - configuration
+     - slowness
+     - memory_free
 
     """
 
 
-    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None, opens_in_ms=None, configuration=None,):
+    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None, opens_in_ms=None, configuration=None, slowness=None, memory_free=None,):
         self.instance = instance
         self.running = running
         self.waiting = waiting
@@ -1424,6 +1426,8 @@
         self.named = named
         self.opens_in_ms = opens_in_ms
         self.configuration = configuration
+        self.slowness = slowness
+        self.memory_free = memory_free
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1546,6 +1550,16 @@
                     self.configuration = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.DOUBLE:
+                    self.slowness = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.memory_free = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1639,6 +1653,14 @@
             oprot.writeFieldBegin('configuration', TType.I64, 17)
             oprot.writeI64(self.configuration)
             oprot.writeFieldEnd()
+        if self.slowness is not None:
+            oprot.writeFieldBegin('slowness', TType.DOUBLE, 18)
+            oprot.writeDouble(self.slowness)
+            oprot.writeFieldEnd()
+        if self.memory_free is not None:
+            oprot.writeFieldBegin('memory_free', TType.I64, 19)
+            oprot.writeI64(self.memory_free)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3629,6 +3651,8 @@
     (15, TType.LIST, 'named', (TType.STRUCT, [NamedVersion, None], False), None, ),  # 15
     (16, TType.I32, 'opens_in_ms', None, None, ),  # 16
     (17, TType.I64, 'configuration', None, None, ),  # 17
+    (18, TType.DOUBLE, 'slowness', None, None, ),  # 18
+    (19, TType.I64, 'memory_free', None, None, ),  # 19
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
--- a/packages/burdockchute/tests/decisions/test_engine_placement.py
+++ b/packages/burdockchute/tests/decisions/test_engine_placement.py
@@ -46,6 +46,18 @@
             sent += 1
         self.assertEqual(1, sent)
 
+    def test_an_engine_without_memory_for_a_request_is_avoided(self):
+        """It is idle by its slots, but the prompt would wait for memory."""
+        short = view('short', free_tokens=1000)
+        busy = view('busy', others=6)
+        self.assertEqual('busy', choose([short, busy]))
+        self.assertEqual('short', choose([short, busy], prompt=400))
+
+    def test_engines_that_are_all_short_of_memory_still_get_requests(self):
+        """Otherwise a shortage of memory would refuse every request."""
+        short = [view(f'e-{n}', free_tokens=0) for n in range(3)]
+        self.assertIsNotNone(choose(short))
+
     def test_entries_share_the_free_slots(self):
         """36 entries see five free slots at the same moment.
 
