Cold upstreams: all entries together keep the limit of each

An upstream that has just started got its full load at once from every entry. The list's coldRemainingMs was read, but nothing used it, and an entry of the list that only became cold again was not passed on at all.

Services have coldStartS and coldPerS, the bounds coldOverage and coldSlack, and answers Cold-Ms. While an upstream is cold, each entry keeps an equal share of the allowance: a hard limit on the sends in any second, or, for a share of less than one per second, turns as for limits that upstreams name. Target.has_capacity is the gate for first attempts, retries and moves alike. A request's expected wait counts the slots of warm upstreams and the sends to cold ones together. Without coldPerS, nothing changes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -179,6 +179,14 @@
             '1',
             lambda: len(self.known_state().evacuated),
         )
+        metrics.register_gauge(
+            'burdockchute.cold_upstreams',
+            '1',
+            lambda: sum(
+                target.is_cold(time.monotonic())
+                for target in self.scheduler.targets()
+            ),
+        )
 
     def _configuration(self) -> int | None:
         routes = self.known_state().routes
@@ -211,6 +219,10 @@
                     'failures': target.health.failures,
                     'limit': target.limit.rate if target.limit else None,
                     'rest_s': target.rest_left_s(time.monotonic()),
+                    'cold_s': max(0.0, target.cold_until - time.monotonic())
+                    if target.is_cold(time.monotonic())
+                    else 0.0,
+                    'slowness': target.slowness(time.monotonic()),
                 }
                 for target in self.scheduler.targets()
             ],
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -7,6 +7,7 @@
 import random
 
 from burdockchute import logs
+from burdockchute.decisions import cold_limits
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import evacuation
 from burdockchute.decisions import homes
@@ -14,6 +15,7 @@
 from burdockchute.decisions import versions
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.backpressure import EntryCount
+from burdockchute.decisions.cold_limits import ColdPolicy
 from burdockchute.decisions.evacuation import Evacuations
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.model.exchanges import Backpressure
@@ -94,8 +96,9 @@
             if target is not None:
                 # Requests may hold slots of the earlier start.
                 target.is_replaced = True
-                target.close_idle()
+                self._drop(name)
             self._targets[name] = self._new_target(upstream, now)
+        self._update_cold(now)
         self._ids_by_address = {}
         for name, target in self._targets.items():
             address = str(target.upstream.endpoint)
@@ -126,9 +129,92 @@
         dropped = self._dropped.pop(upstream.id, None)
         if dropped is not None and _is_same_process(dropped, upstream):
             target.restrictions = dropped.restrictions
-            target.share_limit(self._entry_count.value, now)
+            target.cold_until = dropped.cold_until
+            target.cold_limit = dropped.cold_limit
+            target.has_sent = dropped.has_sent
+            target.share_limit(
+                self._entry_count.value, self._rng.random(), now
+            )
+        else:
+            self._started_cold(target, dropped, now)
         return target
 
+    # Cold upstreams.
+
+    def _started_cold(
+        self, target: Target, previous: Target | None, now: float
+    ) -> None:
+        """Record that an upstream is new, if this entry has sent requests.
+
+        Without requests, all upstreams are new to an entry that has started
+        itself. Those that are cold say so.
+        """
+        service = target.upstream.service
+        known = [*self._targets.values(), previous]
+        policy = self._cold_policy(service)
+        if policy is None or not any(
+            other.has_sent and other.upstream.service == service
+            for other in known
+            if other is not None
+        ):
+            return
+        entries, chance = self._entry_count.value, self._rng.random()
+        target.set_cold_policy(policy, entries, chance, now)
+        target.record_cold(now + policy.start_s, 'start', chance, now)
+
+    def _update_cold(self, now: float) -> None:
+        policies: dict[str, ColdPolicy | None] = {}
+        for name, known in self._known_state.upstreams.known.items():
+            target, service = self._targets[name], known.upstream.service
+            if service not in policies:
+                policies[service] = self._cold_policy(service)
+            policy = policies[service]
+            chance = self._rng.random() if policy else 0.0
+            target.set_cold_policy(
+                policy, self._entry_count.value, chance, now
+            )
+            target.record_cold(known.cold_until, 'list', chance, now)
+
+    def _cold_policy(self, service: str) -> ColdPolicy | None:
+        routes = self._known_state.routes
+        known = routes.services.get(service) if routes else None
+        if known is None or known.cold_rate <= 0:
+            return None
+        return ColdPolicy(
+            known.cold_s,
+            known.cold_rate,
+            self.bounds.cold_overage,
+            self.bounds.cold_slack,
+        )
+
+    def record_cold_answer(
+        self, target: Target, cold_s: float, now: float
+    ) -> None:
+        """Apply what an upstream said of itself in an answer."""
+        current = self._targets.get(target.id)
+        if current and _is_same_process(current, target.upstream):
+            target = current
+        target.record_cold(now + cold_s, 'answer', self._rng.random(), now)
+
+    def wait_with_cold_s(
+        self, eligible: list[Target], wait_s: float, ahead: int, now: float
+    ) -> float:
+        """Estimate the wait for a target, if some of them are cold.
+
+        `wait_s` is the wait without regard to limits of cold targets, and
+        `ahead` the number of requests that are placed before.
+        """
+        paces = [
+            cold_limits.pace(target.cold_limit, target.cold_until, now)
+            for target in eligible
+            if target.cold_limit is not None and target.is_cold(now)
+        ]
+        if not paces:
+            return wait_s
+        if len(paces) < len(eligible):
+            return cold_limits.wait_s(wait_s, paces, ahead, now)
+        return max(wait_s, cold_limits.wait_s(None, paces, ahead, now))
+
     def apply_load_report(
         self, address: str, report: messages.LoadReport, now: float
     ) -> set[str]:
@@ -150,7 +236,7 @@
         if entries == before:
             return
         for target in self._targets.values():
-            target.share_limit(entries, now)
+            target.share_limit(entries, self._rng.random(), now)
 
     def record_backpressure(
         self,
@@ -333,14 +419,19 @@
         )
 
     def loads(self, spec: RequestSpec, now: float) -> list[InstanceLoad]:
-        """Return the loads of the usable targets for a request."""
+        """Return the loads of the usable targets for a request.
+
+        The slots of cold ones do not count while any other is usable.
+        """
         zones = self._allowed_zones(spec)
-        return [
-            target.load
+        usable = [
+            target
             for target in self._usable(spec.service, now)
             if (not spec.model or spec.model in target.versions)
             and (zones is None or target.upstream.zone in zones)
         ]
+        warm = [target for target in usable if not target.is_cold(now)]
+        return [target.load for target in warm or usable]
 
     def opening(
         self, pending: PendingRequest, now: float
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -178,8 +178,13 @@
             spec.objective_s, spec.elapsed_s, deadline - now
         )
         expected_s = max(
-            service_queue.expected_wait_s(
-                pending, self._known.loads(spec, now), now
+            self._known.wait_with_cold_s(
+                eligible,
+                service_queue.expected_wait_s(
+                    pending, self._known.loads(spec, now), now
+                ),
+                service_queue.waiting_count,
+                now,
             ),
             backpressure.wait_for_turn_s(
                 [target.limit for target in eligible],
@@ -306,6 +311,10 @@
             target, stated, request_id, sent_at, self._now()
         )
 
+    def record_cold_answer(self, target: Target, cold_s: float) -> None:
+        """Apply for how long an upstream says that it is still cold."""
+        self._known.record_cold_answer(target, cold_s, self._now())
+
     def mark_started(self, pending: PendingRequest, slot: Slot) -> None:
         """Record that an answer has started: its prompt was processed."""
         target, now = slot.target, self._now()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -265,6 +265,10 @@
                 self.inbound.id,
                 sent.sent_at,
             )
+            if head.cold_s is not None:
+                self._deps.scheduler.record_cold_answer(
+                    sent.slot.target, head.cold_s
+                )
         return head
 
     def read_part(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -7,11 +7,14 @@
 
 from burdockchute import logs
 from burdockchute.decisions import backpressure
+from burdockchute.decisions import cold_limits
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import engine_speed
 from burdockchute.decisions import health
 from burdockchute.decisions.backpressure import RateLimit
 from burdockchute.decisions.backpressure import Restrictions
+from burdockchute.decisions.cold_limits import ColdLimit
+from burdockchute.decisions.cold_limits import ColdPolicy
 from burdockchute.decisions.engine_placement import EngineView
 from burdockchute.decisions.engine_speed import Speed
 from burdockchute.decisions.placement import InstanceLoad
@@ -94,6 +97,11 @@
         # What its last answer asked for, and what is in force.
         self.stated = NO_BACKPRESSURE
         self.restrictions = Restrictions()
+        # Whether this entry has sent it a request.
+        self.has_sent = False
+        self.cold_until = float('-inf')
+        # The limit of sends while it is cold, None if it never is.
+        self.cold_limit: ColdLimit | None = None
         self._idle: list[tuple[Connection, float]] = []
         self.load.apply_report(0, upstream.slots, 1, 0.0, (), now)
 
@@ -166,8 +174,53 @@
                 before=before,
             )
 
-    def share_limit(self, entries: int, now: float) -> None:
-        """Share its limit among another number of entries."""
+    def is_cold(self, now: float) -> bool:
+        """Whether it may only get a limited number of requests."""
+        return self.cold_limit is not None and now < self.cold_until
+
+    def set_cold_policy(
+        self,
+        policy: ColdPolicy | None,
+        entries: int,
+        chance: float,
+        now: float,
+    ) -> None:
+        """Apply what operators allow while it is cold, None for any load."""
+        limit = self.cold_limit
+        if policy is None:
+            self.cold_limit = None
+        elif limit is None or limit.policy != policy:
+            self.cold_limit = cold_limits.entry_limit(
+                policy, entries, chance, now, limit.sent if limit else ()
+            )
+
+    def record_cold(
+        self, until: float, source: str, chance: float, now: float
+    ) -> None:
+        """Record that it is cold until a time, as `source` says."""
+        was_cold = self.is_cold(now)
+        self.cold_until = max(self.cold_until, until)
+        limit = self.cold_limit
+        if limit is None or was_cold or not self.is_cold(now):
+            return
+        self.cold_limit = cold_limits.entry_limit(
+            limit.policy, limit.entries, chance, now, limit.sent
+        )
+        logs.event(
+            'upstream_cold',
+            upstream=self.id,
+            source=source,
+            cold_ms=int((self.cold_until - now) * 1000),
+            allowed=limit.policy.per_second,
+            entries=limit.entries,
+        )
+
+    def share_limit(self, entries: int, chance: float, now: float) -> None:
+        """Share its limits among another number of entries."""
+        if self.cold_limit is not None:
+            self.cold_limit = cold_limits.shared_among(
+                self.cold_limit, entries, chance, now
+            )
         if self.limit is not None:
             limit = backpressure.shared_among(self.limit, entries, now)
             self.restrictions = self.restrictions._replace(limit=limit)
@@ -176,6 +229,9 @@
         """Whether it has headroom, and its limit allows a request now."""
         if backpressure.next_turn_at(self.limit, now) > now:
             return False
+        if self.cold_limit is not None and now < self.cold_until:
+            if cold_limits.next_send_at(self.cold_limit, now) > now:
+                return False
         return self.load.headroom(now) > 0
 
     def record_sent(self, work: Work, tokens: int, now: float) -> None:
@@ -184,6 +240,9 @@
         `tokens` is the length of its prompt and likely answer.
         """
         self.load.on_sent(work, now)
+        self.has_sent = True
+        if self.cold_limit is not None:
+            self.cold_limit = cold_limits.after_send(self.cold_limit, now)
         if self._free_tokens is not None:
             self._free_tokens -= tokens
         self.share -= 1
--- a/packages/burdockchute/burdockchute/decisions/backpressure.py
+++ b/packages/burdockchute/burdockchute/decisions/backpressure.py
@@ -89,6 +89,11 @@
         self._max = max(self._max, entries)
 
 
+def used_share(entries: int) -> float:
+    """Return the share of a limit that the entries together use."""
+    return USED_SHARE if entries <= FEW_ENTRIES else USED_SHARE_OF_MANY
+
+
 class RateLimit(NamedTuple):
     """The limit of an upstream, and this entry's share of it.
 
@@ -105,8 +110,7 @@
     @property
     def interval_s(self) -> float:
         """The seconds between two turns of this entry."""
-        is_few = self.entries <= FEW_ENTRIES
-        share = USED_SHARE if is_few else USED_SHARE_OF_MANY
+        share = used_share(self.entries)
         return self.entries / (share * max(MIN_RATE, self.rate))
 
 
@@ -240,8 +244,22 @@
         if limit is None:
             return 0.0
         turns.append((_unlapsed(limit, now).next_at, limit.interval_s))
+    return nth_turn_in_s(turns, ahead, now)
+
+
+def nth_turn_in_s(
+    turns: list[tuple[float, float]], ahead: int, now: float
+) -> float:
+    """Return the seconds until the turn after `ahead` others.
+
+    `turns` has the next turn of each upstream and the interval of its turns.
+
+    >>> nth_turn_in_s([(2.5, 1.0), (3.0, 1.0)], 2, 2.0)
+    1.5
+    """
     if not turns:
         return 0.0
+    turns = list(turns)
     heapq.heapify(turns)
     for _request in range(ahead):
         at, interval_s = turns[0]
--- a/packages/burdockchute/burdockchute/decisions/listing.py
+++ b/packages/burdockchute/burdockchute/decisions/listing.py
@@ -53,11 +53,20 @@
 
 
 class KnownUpstream(NamedTuple):
-    """A known upstream; `expired_at` is set while the list lacks it."""
+    """A known upstream, as its entry was read at `read_at`.
+
+    `expired_at` is set while the list lacks it.
+    """
 
     upstream: Upstream
     position: Position
     expired_at: float | None = None
+    read_at: float = float('-inf')
+
+    @property
+    def cold_until(self) -> float:
+        """Until when it is cold, by its entry."""
+        return self.read_at + self.upstream.warm_in_s
 
 
 class DroppedUpstream(NamedTuple):
@@ -94,7 +103,9 @@
     )
 
 
-def on_listed(listed: UpstreamList, entry: UpstreamListed) -> UpstreamList:
+def on_listed(
+    listed: UpstreamList, entry: UpstreamListed, now: float = float('-inf')
+) -> UpstreamList:
     """Return the list after an upstream was listed."""
     upstream, position = entry.upstream, entry.position
     old = listed.known.get(upstream.id)
@@ -109,7 +120,10 @@
             return listed
         listed = _without(listed, previous.upstream.id, previous.position)
     return listed._replace(
-        known={**listed.known, upstream.id: KnownUpstream(upstream, position)},
+        known={
+            **listed.known,
+            upstream.id: KnownUpstream(upstream, position, read_at=now),
+        },
         ids_by_endpoint={
             **listed.ids_by_endpoint,
             upstream.endpoint: upstream.id,
@@ -160,11 +174,12 @@
             merged = KnownUpstream(
                 _merge(old.upstream, upstream),
                 max(old.position, entry.position),
+                read_at=old.read_at,
             )
             known = {**listed.known, upstream.id: merged}
             listed = listed._replace(known=known)
         elif _is_newer_than_known(listed, upstream):
-            listed = on_listed(listed, entry)
+            listed = on_listed(listed, entry, now)
     names = {entry.upstream.id for entry in entries}
     return on_complete_list(listed, names, position, now)
 
--- a/packages/burdockchute/burdockchute/model/exchanges.py
+++ b/packages/burdockchute/burdockchute/model/exchanges.py
@@ -82,7 +82,8 @@
     successful answer is signed. `not_run` is whether the upstream states
     that it did not run the request. `version` is the version of the weights,
     None if it is not given. `idle_s` is how long the upstream keeps the
-    connection open, None if it closes it.
+    connection open, None if it closes it. `cold_s` is how long it is still
+    cold, None if it does not say.
     """
 
     status: int
@@ -94,3 +95,4 @@
     idle_s: float | None
     headers: Headers
     backpressure: Backpressure = NO_BACKPRESSURE
+    cold_s: float | None = None
--- a/packages/burdockchute/burdockchute/model/known_state.py
+++ b/packages/burdockchute/burdockchute/model/known_state.py
@@ -235,7 +235,7 @@
     after = before
     for change in batch.changes:
         if isinstance(change, UpstreamListed):
-            after = listing.on_listed(after, change)
+            after = listing.on_listed(after, change, now)
         elif isinstance(change, UpstreamUnlisted):
             after = listing.on_unlisted(after, change, now)
     if batch.complete:
@@ -353,9 +353,7 @@
         state_changes.append(StateChange('upstream_gone', {'upstream': name}))
     for name, known in after.known.items():
         old = before.known.get(name)
-        if old is not None and _without_warmup(
-            old.upstream
-        ) == _without_warmup(known.upstream):
+        if old is not None and _is_unchanged(old.upstream, known.upstream):
             continue
         upstream = known.upstream
         state_changes.append(
@@ -370,6 +368,7 @@
                         f'{m}@{v}' for m, v in upstream.versions.items()
                     ),
                     'started_ms': upstream.started_ms,
+                    'cold_ms': int(upstream.warm_in_s * 1000),
                     'era': known.position.era,
                     'position': known.position.offset,
                 },
@@ -378,7 +377,10 @@
     return state_changes
 
 
-def _without_warmup(upstream: Upstream) -> Upstream:
-    # `warm_in_s`, the time for which an upstream stays slow after its start,
-    # decreases with every record; that is no change to log.
-    return upstream._replace(warm_in_s=0.0)
+def _is_unchanged(before: Upstream, after: Upstream) -> bool:
+    # `warm_in_s`, the time for which an upstream is still cold, decreases with
+    # every record; that is no change to log. It is one if it has become cold
+    # again.
+    if after.warm_in_s > before.warm_in_s:
+        return False
+    return before == after._replace(warm_in_s=before.warm_in_s)
--- a/packages/burdockchute/burdockchute/model/machines.py
+++ b/packages/burdockchute/burdockchute/model/machines.py
@@ -19,7 +19,8 @@
     the fraction `retry_ratio` of its requests and `retry_extra` more, from
     all entries together. A process that was unreachable counts as connected
     again after `contact_s`. Nothing may be sent to an evacuated availability
-    zone after `evacuation_s`.
+    zone after `evacuation_s`. A cold upstream may get `cold_overage` times its
+    rate and `cold_slack` requests more in any second.
     """
 
     config_apply_s: float
@@ -31,6 +32,8 @@
     retry_window_s: float
     retry_extra: float
     evacuation_s: float = 5.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 class Machine(NamedTuple):
--- a/packages/burdockchute/burdockchute/model/routes.py
+++ b/packages/burdockchute/burdockchute/model/routes.py
@@ -90,7 +90,9 @@
 
     `origin` is the address of the service that serves weights, empty for
     other services. `models` is empty and `cost` None for services whose
-    upstreams are not engines.
+    upstreams are not engines. An upstream is cold for `cold_s` after a start
+    and takes `cold_rate` requests per second meanwhile; both are 0 if it is
+    never cold.
     """
 
     name: str
@@ -99,6 +101,8 @@
     models: tuple[Model, ...] = ()
     slots: int = 0
     cost: EngineCost | None = None
+    cold_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 class Keyholder(NamedTuple):
