Entry: the scheduler's plan of a wait and assignment of slots as modules

The plan of a wait (stages, refusals, retry times) is now WaitPlanner in wait_planning.py, the rounds over the queues are SlotAssigner in slot_assignment.py, and Scheduler keeps its public methods: updates, the waits themselves and the lifecycle of slots. The behaviour is the same.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -81,6 +81,14 @@
         return len(self._overdue_served)
 
 
+class ServiceQueues(dict[str, ServiceQueue]):
+    """The queues of an entry by service, created on first use."""
+
+    def __missing__(self, service: str) -> ServiceQueue:
+        service_queue = self[service] = ServiceQueue(service)
+        return service_queue
+
+
 class Slot(NamedTuple):
     """Room for one request on a target, and the weights version there."""
 
@@ -118,3 +126,15 @@
         """Whether a target rejected the request a moment ago."""
         rejected_at = self.rejected.get(target.id, float('-inf'))
         return now - rejected_at < wait_limits.REJECTION_BACKOFF_S
+
+    def objective_left_s(self, now: float) -> float | None:
+        """Return what is left of the objective.
+
+        It is None for a request that can no longer be on time.
+        """
+        if self.resuming:
+            return wait_limits.RESUME_START_LIMIT_S
+        if self.is_overdue:
+            return None
+        spent_s = self.spec.elapsed_s + now - self.ctx.arrived
+        return self.spec.objective_s - spent_s
--- a/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -27,12 +27,12 @@
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.model.upstreams import Upstream
 from burdockchute.wire import messages
-from burdockchute_entry.straight.scheduler import no_slot_in_time
-from burdockchute_entry.straight.scheduler import Plan
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import RequestSpec
 from burdockchute_entry.straight.service_queues import Slot
+from burdockchute_entry.straight.wait_planning import no_slot_in_time
+from burdockchute_entry.straight.wait_planning import Plan
 from burdockchute_testing.builders import requests
 from burdockchute_testing.emulator.clock import Clock
 from burdockchute_testing.emulator.engines import Engine
