--- a/packages/burdockchute/burdockchute/model/machines.py
+++ b/packages/burdockchute/burdockchute/model/machines.py
@@ -42,7 +42,8 @@
     `regions` has the region of each availability zone. `callers` and
     `probes` are set if the process serves callers, `upstream` and `service`
     if it runs next to an upstream. Links use the ports from the first to the
-    second of `link_ports`.
+    second of `link_ports`. `memory_bytes` is the memory that one process may
+    use, None for no limit.
     """
 
     name: str
@@ -57,3 +58,4 @@
     service: str
     link_bytes_per_s: float
     bounds: Bounds
+    memory_bytes: int | None = None
