Entry: refuse new requests before the memory limit is reached

Nothing limited the bytes that an entry holds for callers and upstreams, so many long bodies, or whole answers that are read slowly, could make it exceed the memory of its machine. One account now counts bodies, whole answers until they are written, and events. With limits.memoryMb, half of what the limit leaves beside the resident size at the start is the budget. From 0.7 of it, new requests get 503 with Retry-After before their bodies are read, and after a second the readiness probe says not ready. From 0.8, idle connections to upstreams are closed.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -18,6 +18,7 @@
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
 from burdockchute.callers import server
+from burdockchute.decisions import memory_budget
 from burdockchute.decisions.suspects import Suspects
 from burdockchute.feed_follower import Cadence
 from burdockchute.feed_follower import FeedFollower
@@ -31,10 +32,12 @@
 from burdockchute.nodes.desired_state import decode_versions
 from burdockchute.site_settings import SiteSettings
 from burdockchute.wire import messages
+from burdockchute_entry.straight import memory_account
 from burdockchute_entry.straight.agents_task import AgentsTask
 from burdockchute_entry.straight.callers import CallersApp
 from burdockchute_entry.straight.callers import ShutdownState
 from burdockchute_entry.straight.counters import Counters
+from burdockchute_entry.straight.memory_account import MemoryAccount
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.sending import Dependencies
 
@@ -112,6 +115,7 @@
             self.scheduler.handle_link_event,
         )
         self.counters = Counters()
+        self.memory = MemoryAccount(now, close_idle=self._close_idle)
         self.callers = CallersApp(
             Dependencies(
                 adapter,
@@ -123,6 +127,7 @@
             self.known_state,
             lambda: ShutdownState(self.shutting_down, self.accepting),
             self.counters.finished,
+            self.memory,
         )
 
     def known_state(self) -> KnownState:
@@ -135,6 +140,7 @@
         assert machine.callers is not None and machine.probes is not None
         self.lifecycle.start(self._reload)
         self._watch()
+        self._set_memory_budget()
         callers = server.make_server(
             machine.callers.ip, machine.callers.port, self.callers
         )
@@ -159,8 +165,24 @@
             return tasks.EXIT_TASK_FAILED
         return self._shut_down(callers)
 
+    def _set_memory_budget(self) -> None:
+        limit = self._machine.memory_bytes
+        if limit is None:
+            return
+        resident = memory_account.resident_bytes()
+        budget = memory_budget.budget_bytes(limit, resident)
+        self.memory.budget_bytes = budget
+        logs.event(
+            'memory_budget', limit=limit, resident=resident, budget=budget
+        )
+
+    def _close_idle(self) -> None:
+        for target in self.scheduler.targets():
+            target.close_idle()
+
     def _watch(self) -> None:
         self.follower.register_age_gauges()
+        self.memory.register_gauges()
         metrics.register_gauge(
             'burdockchute.open_requests',
             '1',
@@ -199,6 +221,7 @@
             **self.lifecycle.status(),
             'leaving': self.shutting_down,
             'open_requests': self.callers.open_requests,
+            'memory': self.memory.status(),
             'configuration': self._configuration(),
             'versions': {
                 model: history.newest
@@ -281,6 +304,8 @@
             return http_admin.Readiness(False, 'leaving')
         if not self.known_state().complete:
             return http_admin.Readiness(False, 'no configuration yet')
+        if not self.memory.is_ready():
+            return http_admin.Readiness(False, 'too many bytes are held')
         return http_admin.Readiness(True, '')
 
     def _serve_admin(self) -> pywsgi.WSGIServer:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -19,6 +19,7 @@
 from burdockchute.callers.server import SOCKET_KEY
 from burdockchute.callers.server import status_line
 from burdockchute.callers.server import TARGET_KEY
+from burdockchute.decisions import memory_budget
 from burdockchute.decisions import returning_callers
 from burdockchute.decisions import routing
 from burdockchute.decisions.homes import Home
@@ -34,6 +35,9 @@
 from burdockchute.model.routes import Route
 from burdockchute_entry.straight.caller_watch import CallerWatch
 from burdockchute_entry.straight.exchange import Exchange
+from burdockchute_entry.straight.memory_account import Holding
+from burdockchute_entry.straight.memory_account import MemoryAccount
+from burdockchute_entry.straight.memory_account import Use
 from burdockchute_entry.straight.replies import CallerGone
 from burdockchute_entry.straight.replies import CompleteAnswer
 from burdockchute_entry.straight.replies import Reply
@@ -48,6 +52,9 @@
 # Retry-After of a request refused during shutdown; another entry accepts it.
 SHUTDOWN_RETRY_S = 0.05
 
+# The reason for refusing a request for which there is no memory.
+OUT_OF_MEMORY = 'too many bytes are held for callers'
+
 # Time limit of a request that has none itself; routes set shorter ones.
 DEFAULT_TIMEOUT_S = 30.0
 
@@ -55,7 +62,8 @@
 class AdmittedRequest(NamedTuple):
     """An accepted request with its route, service and context.
 
-    `home` tells in which regions it may run.
+    `home` tells in which regions it may run, `holding` has the bytes that are
+    held for it.
     """
 
     inbound: InboundRequest
@@ -64,6 +72,7 @@
     ctx: RequestContext
     elapsed_s: float
     home: Home
+    holding: Holding
 
 
 class ShutdownState(NamedTuple):
@@ -117,7 +126,8 @@
     """The WSGI application.
 
     `open_requests` counts requests until the last byte of their answer is
-    written.
+    written. `memory` has the bytes held for them; without one, they are
+    counted without a limit.
     """
 
     def __init__(
@@ -126,8 +136,10 @@
         known_state: Callable[[], KnownState],
         shutdown_state: Callable[[], ShutdownState],
         observe: Callable[[FinishedRequest], None],
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.open_requests = 0
+        self.memory = memory or MemoryAccount(deps.now)
         self._max_time_left_s: dict[str, float] = {}
         self._deps = deps
         self._known_state = known_state
@@ -139,14 +151,20 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         arrived = self._deps.now()
-        admitted = self._admit(environ, arrived)
-        if isinstance(admitted, Refusal):
-            return self._send_refusal(environ, start_response, admitted)
-        handler = _RequestHandler(self, admitted, environ, start_response)
-        return handler.run()
+        holding = self.memory.holding()
+        try:
+            admitted = self._admit(environ, arrived, holding)
+            if isinstance(admitted, Refusal):
+                holding.close()
+                return self._send_refusal(environ, start_response, admitted)
+            handler = _RequestHandler(self, admitted, environ, start_response)
+            return handler.run()
+        except BaseException:
+            holding.close()
+            raise
 
     def _admit(
-        self, environ: dict[str, Any], arrived: float
+        self, environ: dict[str, Any], arrived: float, holding: Holding
     ) -> AdmittedRequest | Refusal:
         try:
             inbound = self._deps.adapter.decode_request(
@@ -158,13 +176,17 @@
             return Refusal(400, str(exc))
         if not inbound.id:
             return Refusal(400, 'no request id')
-        admitted = self._admit_decoded(environ, inbound, arrived)
+        admitted = self._admit_decoded(environ, inbound, arrived, holding)
         if isinstance(admitted, Refusal):
             return admitted._replace(request_id=inbound.id)
         return admitted
 
     def _admit_decoded(
-        self, environ: dict[str, Any], inbound: InboundRequest, arrived: float
+        self,
+        environ: dict[str, Any],
+        inbound: InboundRequest,
+        arrived: float,
+        holding: Holding,
     ) -> AdmittedRequest | Refusal:
         if not self._shutdown_state().accepting:
             return Refusal(503, 'this entry is leaving', SHUTDOWN_RETRY_S)
@@ -175,15 +197,38 @@
         if isinstance(route_match, Refusal):
             return route_match
         limits = known_state.routes.configuration.limits
+        body = self._read_body(environ, limits.max_body_bytes, holding)
+        if isinstance(body, Refusal):
+            return body
+        elapsed_s = self._elapsed_s(route_match.route, inbound)
+        return _make_admitted(
+            inbound._replace(body=body),
+            route_match,
+            arrived,
+            elapsed_s,
+            holding,
+        )
+
+    def _read_body(
+        self, environ: dict[str, Any], max_body_bytes: int, holding: Holding
+    ) -> bytes | Refusal:
+        """Read the body if there is memory for it."""
+        reserved = _reserved_bytes(
+            environ, max_body_bytes, self.memory.budget_bytes
+        )
+        if not self.memory.may_admit(reserved):
+            return Refusal(503, OUT_OF_MEMORY, memory_budget.RETRY_S)
+        holding.take(Use.BODIES, reserved)
         body = http.read_body(
-            environ, http.Limits(max_body_bytes=limits.max_body_bytes)
+            environ, http.Limits(max_body_bytes=max_body_bytes)
         )
         if isinstance(body, Rejection):
             return Refusal(body.status, body.findings[0].text)
-        elapsed_s = self._elapsed_s(route_match.route, inbound)
-        return _make_admitted(
-            inbound._replace(body=body), route_match, arrived, elapsed_s
-        )
+        if len(body) < reserved:
+            holding.give_back(Use.BODIES, reserved - len(body))
+        else:
+            holding.take(Use.BODIES, len(body) - reserved)
+        return body
 
     def _elapsed_s(self, route: Route, inbound: InboundRequest) -> float:
         """Estimate the seconds the caller spent on earlier attempts.
@@ -213,6 +258,7 @@
             admitted.service,
             admitted.elapsed_s,
             admitted.home,
+            admitted.holding,
             has_caller_left,
         )
 
@@ -283,7 +329,7 @@
             FinishedRequest('', 'turned_away', refusal.status, 0.0, None)
         )
         headers = self.connection_headers()
-        if refusal.status in (408, 413):
+        if refusal.status in (408, 413) or refusal.reason == OUT_OF_MEMORY:
             headers = [('Connection', 'close')]
         return _error_response(
             start_response,
@@ -320,6 +366,7 @@
 
     def _on_written(self) -> None:
         self._app.open_requests -= 1
+        self._admitted.holding.close()
 
     def _start(self) -> Iterable[bytes]:
         try:
@@ -366,9 +413,7 @@
             outcome = 'caller_gone'
             raise
         finally:
-            close = getattr(reply.events, 'close', None)
-            if close is not None:
-                close()
+            reply.events.close()
             self._finish(reply.head.status, outcome)
 
     def _finish(self, status: int, outcome: str) -> None:
@@ -404,6 +449,7 @@
     route_match: RouteMatch,
     arrived: float,
     elapsed_s: float,
+    holding: Holding,
 ) -> AdmittedRequest:
     route, service, customer, priority, customer_regions = route_match
     left_s = min(inbound.time_left_s or DEFAULT_TIMEOUT_S, route.timeout_s)
@@ -429,7 +475,22 @@
     home = Home(
         route.host, route.prefix, customer, route.regions, customer_regions
     )
-    return AdmittedRequest(inbound, route, service, ctx, elapsed_s, home)
+    return AdmittedRequest(
+        inbound, route, service, ctx, elapsed_s, home, holding
+    )
+
+
+def _reserved_bytes(
+    environ: dict[str, Any], max_body_bytes: int, budget: int | None
+) -> int:
+    if budget is None:
+        return 0
+    if 'HTTP_TRANSFER_ENCODING' in environ:
+        declared = None
+    else:
+        length = environ.get('CONTENT_LENGTH') or '0'
+        declared = int(length) if length.isdigit() else 0
+    return memory_budget.reserved_bytes(declared, max_body_bytes, budget)
 
 
 def _fingerprint(customer: str, inbound: InboundRequest) -> str:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -25,6 +25,8 @@
 from burdockchute_entry.straight.attempts import TimedOut
 from burdockchute_entry.straight.attempts import UpstreamSilent
 from burdockchute_entry.straight.handover import OK
+from burdockchute_entry.straight.memory_account import Holding
+from burdockchute_entry.straight.memory_account import Use
 from burdockchute_entry.straight.replies import CompleteAnswer
 from burdockchute_entry.straight.replies import Reply
 from burdockchute_entry.straight.replies import StreamAnswer
@@ -53,7 +55,10 @@
 
 
 class Exchange:
-    """One caller's request; all methods run in the caller's greenlet."""
+    """One caller's request; all methods run in the caller's greenlet.
+
+    Another one may read the events of a stream if the caller reads slowly.
+    """
 
     def __init__(
         self,
@@ -64,13 +69,16 @@
         service: str,
         elapsed_s: float,
         home: Home,
+        holding: Holding,
         has_caller_left: Callable[[], bool] = lambda: False,
     ) -> None:
         self.stream: Stream | None = None
         spec = RequestSpec(
             service, inbound.model, route.objective_s, elapsed_s, home=home
         )
-        self.sender = Sender(deps, inbound, ctx, route, spec, has_caller_left)
+        self.sender = Sender(
+            deps, inbound, ctx, route, spec, holding, has_caller_left
+        )
         self._deps = deps
         # The attempts in flight, the newest last.
         self._in_flight: list[SentRequest] = []
@@ -102,6 +110,9 @@
                 return Unknown('no answer in time', GATEWAY_TIMEOUT)
             if not sender.may_retry(attempt):
                 return self._final_reply(attempt)
+            if isinstance(attempt, Failed):
+                size = len(attempt.answer.body)
+                sender.holding.give_back(Use.ANSWERS, size)
             self._log_retry(slot, attempt)
 
     def _final_reply(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/replies.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/replies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Generator
 import errno
 from typing import NamedTuple
 
@@ -21,13 +21,13 @@
 
 
 class StreamAnswer(NamedTuple):
-    """The head of a stream and an iterator over its events.
+    """The head of a stream and a generator of its events.
 
     `events` raises StreamBroken if the stream can't be completed.
     """
 
     head: AnswerHead
-    events: Iterator[bytes]
+    events: Generator[bytes, None, None]
 
 
 Reply = CompleteAnswer | StreamAnswer | NotRun | Unknown
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -35,6 +35,8 @@
 from burdockchute_entry.straight.attempts import SentRequest
 from burdockchute_entry.straight.attempts import UpstreamSilent
 from burdockchute_entry.straight.attempts import WeightsReplaced
+from burdockchute_entry.straight.memory_account import Holding
+from burdockchute_entry.straight.memory_account import Use
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import RequestSpec
@@ -89,6 +91,7 @@
         ctx: RequestContext,
         route: Route,
         spec: RequestSpec,
+        holding: Holding,
         has_caller_left: Callable[[], bool] = lambda: False,
     ) -> None:
         self.runs = 0
@@ -99,6 +102,7 @@
         self.inbound = inbound
         self.ctx = ctx
         self.route = route
+        self.holding = holding
         work = Work(admission.cost_of(ctx), False, ctx.prompt_tokens, ())
         self.pending = PendingRequest(ctx, work, spec)
         self._deps = deps
@@ -236,7 +240,11 @@
                 self.pending.spec.service, sent.sent_at
             )
         self.runs += 1
-        sent.conn.send(data, self.inbound.method, self._is_own_answer)
+        self.holding.take(Use.BODIES, len(data))
+        try:
+            sent.conn.send(data, self.inbound.method, self._is_own_answer)
+        finally:
+            self.holding.give_back(Use.BODIES, len(data))
 
     def _is_own_answer(self, status: int, headers: HeaderList) -> bool:
         # A late answer to an earlier request may arrive on a reused
@@ -290,19 +298,27 @@
     ) -> bytes | None:
         """Wait for the complete body.
 
-        `read_next` reads the next part in place of `read_part`.
+        `read_next` reads the next part in place of `read_part`. The body
+        stays in the holding of the request.
         """
         read_next = read_next or (lambda: self.read_part(sent))
         parts: list[bytes] = []
         size = 0
-        while data := read_next():
-            size += len(data)
-            if size > MAX_ANSWER_BYTES:
-                raise AnswerFailed(
-                    f'answer exceeds {MAX_ANSWER_BYTES} bytes', False
-                )
-            parts.append(data)
-        return None if data is None else b''.join(parts)
+        complete = False
+        try:
+            while data := read_next():
+                size += len(data)
+                self.holding.take(Use.ANSWERS, len(data))
+                if size > MAX_ANSWER_BYTES:
+                    raise AnswerFailed(
+                        f'answer exceeds {MAX_ANSWER_BYTES} bytes', False
+                    )
+                parts.append(data)
+            complete = data is not None
+            return b''.join(parts) if complete else None
+        finally:
+            if not complete:
+                self.holding.give_back(Use.ANSWERS, size)
 
     def mark_started(self, sent: SentRequest) -> None:
         """Record that the answer has started: the prompt was processed."""
@@ -412,10 +428,11 @@
         # The head of the answer is sufficient. A fault in its body only costs
         # the connection.
         try:
-            drained = self.read_body(sent) is not None
+            body = self.read_body(sent)
         except AnswerFailed:
-            drained = False
-        if drained:
+            body = None
+        if body is not None:
+            self.holding.give_back(Use.ANSWERS, len(body))
             self._keep_connection(sent, head)
         else:
             sent.conn.close()
@@ -458,7 +475,7 @@
         )
 
     def _keep_connection(self, sent: SentRequest, head: AnswerHead) -> None:
-        if head.idle_s is None:
+        if head.idle_s is None or not self.holding.account.keeps_idle:
             sent.conn.close()
             return
         sent.slot.target.keep(sent.conn, head.idle_s, self._deps.now())
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from collections.abc import Iterator
 import logging
 from typing import NamedTuple
@@ -116,8 +117,11 @@
         self.first_event_at = self._last_event_at = self._deps.now()
         return batch
 
-    def events(self, batch: EventBatch) -> Iterator[bytes]:
-        """Yield the data of events as they arrive; raises StreamBroken."""
+    def events(self, batch: EventBatch) -> Generator[bytes, None, None]:
+        """Yield the data of events as they arrive; raises StreamBroken.
+
+        Another greenlet than the one that started it may go on with it.
+        """
         try:
             yield from self._emit(self._unseen(batch.events))
             while not batch.complete:
