Entry: read a stream on while its caller reads slowly

A stream was read from its upstream only as fast as its caller read, and an upstream aborts an answer that nobody reads for some seconds. With a memory budget, the first write to a caller that blocks now starts a greenlet that reads the rest of the stream into a buffer, as far as the account allows. Events stay in order, an error comes after the events before it, and the upstream's connection is closed when the caller leaves. The time limit of a write now counts from when the caller last read something.

An upstream connection receives 16 kB at a time rather than 64 kB, since each stream may hold that much beyond its buffer.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -19,6 +19,8 @@
 from burdockchute.callers.server import SOCKET_KEY
 from burdockchute.callers.server import status_line
 from burdockchute.callers.server import TARGET_KEY
+from burdockchute.callers.server import WRITE_WATCH_KEY
+from burdockchute.callers.server import WriteWatch
 from burdockchute.decisions import memory_budget
 from burdockchute.decisions import returning_callers
 from burdockchute.decisions import routing
@@ -38,6 +40,7 @@
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import MemoryAccount
 from burdockchute_entry.straight.memory_account import Use
+from burdockchute_entry.straight.read_ahead import ReadAhead
 from burdockchute_entry.straight.replies import CallerGone
 from burdockchute_entry.straight.replies import CompleteAnswer
 from burdockchute_entry.straight.replies import Reply
@@ -303,6 +306,10 @@
             )
         )
 
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self._deps.now()
+
     def connection_headers(self) -> list[tuple[str, str]]:
         """Return the headers about the caller's connection."""
         return (
@@ -355,6 +362,7 @@
         self._start_response = start_response
         self._watch = CallerWatch(environ[SOCKET_KEY])
         self._exchange = app.exchange(admitted, self._watch.has_caller_left)
+        self._environ = environ
 
     def run(self) -> Iterable[bytes]:
         self._app.open_requests += 1
@@ -388,6 +396,7 @@
         if isinstance(reply, CompleteAnswer):
             headers += reply.head.headers
             headers.append(('Content-Length', str(len(reply.body))))
+            self._watch_writes(WriteWatch())
             self._start_response(status_line(reply.head.status), headers)
             return [reply.body]
         assert isinstance(reply, NotRun | Unknown)
@@ -400,8 +409,15 @@
         headers = self._app.connection_headers() + list(reply.head.headers)
         self._start_response(status_line(reply.head.status), headers)
         outcome = 'stream_broken'
+        read_ahead = ReadAhead(
+            reply.events,
+            self._admitted.holding,
+            self._admitted.inbound.id,
+            self._app.now,
+        )
+        self._watch_writes(read_ahead)
         try:
-            yield from reply.events
+            yield from read_ahead.parts()
             outcome = 'answered'
         except CallerGone:
             outcome = 'caller_gone'
@@ -413,9 +429,13 @@
             outcome = 'caller_gone'
             raise
         finally:
-            reply.events.close()
+            read_ahead.close()
             self._finish(reply.head.status, outcome)
 
+    def _watch_writes(self, watch: WriteWatch) -> None:
+        if self._app.memory.budget_bytes is not None:
+            self._environ[WRITE_WATCH_KEY] = watch
+
     def _finish(self, status: int, outcome: str) -> None:
         self._watch.stop()
         self._app.finished(self._admitted, self._exchange, status, outcome)
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -31,6 +31,8 @@
 # them has lost escapes and the case of names.
 TARGET_KEY = 'burdockchute.target'
 HEADERS_KEY = 'burdockchute.headers'
+# A WriteWatch that the application may set.
+WRITE_WATCH_KEY = 'burdockchute.write_watch'
 
 _log = logging.getLogger('burdockchute.callers')
 
@@ -89,6 +91,21 @@
             self._on_written()
 
 
+class WriteWatch:
+    """Is told of writes to a caller that block; subclasses act on it.
+
+    With one of these in the environment of a request, the time limit of a
+    write counts from when the caller last read something, so that an answer
+    that is still being read is not broken off.
+    """
+
+    def on_blocked(self, left: int) -> None:
+        """Take note that `left` bytes can't be written at present."""
+
+    def on_sent(self, count: int) -> None:
+        """Take note that `count` of these bytes have been written."""
+
+
 class CountedApp:
     """A WSGI application that counts the answers not yet fully written."""
 
@@ -115,6 +132,10 @@
 
 class _Handler(pywsgi.WSGIHandler):
     wsgi_input: Any
+    environ: dict[str, Any] | None
+    response_length: int
+    status: Any
+    code: int
 
     def handle(self) -> None:
         # Headers and body, and the tokens of a stream, are small writes.
@@ -152,6 +173,38 @@
             env['wsgi.input'] = self.wsgi_input
         return env
 
+    def _sendall(self, data: Any) -> None:
+        watch = self.environ.get(WRITE_WATCH_KEY) if self.environ else None
+        if watch is None:
+            super()._sendall(data)
+            return
+        try:
+            sent = self._send_at_once(data)
+            if sent < len(data):
+                watch.on_blocked(len(data) - sent)
+                self._send_rest(memoryview(data)[sent:], watch)
+        except OSError as exc:
+            # As in the base class: a negative code marks a failed write.
+            self.status = f'socket error: {exc}'
+            if self.code > 0:
+                self.code = -self.code
+            raise
+        self.response_length += len(data)
+
+    def _send_at_once(self, data: Any) -> int:
+        try:
+            # A time limit of zero makes the call return without waiting.
+            return self.socket.send(data, 0, 0.0)
+        except BlockingIOError:
+            return 0
+
+    def _send_rest(self, data: memoryview, watch: WriteWatch) -> None:
+        while data:
+            sent = self.socket.send(data)
+            if sent:
+                watch.on_sent(sent)
+            data = data[sent:]
+
     def handle_one_response(self) -> None:
         super().handle_one_response()
         if (
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -28,7 +28,9 @@
 # whether the upstream has gone silent or the deadline has passed.
 POLL_INTERVAL_S = 0.25
 
-RECEIVE_BYTES = 64 * 1024
+# A stream whose caller does not read holds up to this much that has been
+# received, in addition to what is read ahead; most events are far shorter.
+RECEIVE_BYTES = 16 * 1024
 
 HeaderList = Iterable[tuple[str, str]]
 
