Engines: measured slowness, and a second engine for late streams

An engine that is slow without saying so got its part of the requests for as long as it seemed less loaded.

The setting engine-speed of entries has three values. With 'reported', the default, nothing changes. With 'measured', the time to first event is compared with the estimate of its placement and with other engines, and the engine counts as slower for two seconds at most. With 'hedged', a request that may be repeated and has no first event after three times the usual time is sent to a second engine as well, by the mechanism for silent upstreams, within the retry budget and the attempts of the route. That engine must have started a later request on time, so a general overload starts no hedges. The first answer is taken and the other request cancelled.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -92,6 +92,7 @@
             machine.place.region,
             machine.regions,
             lambda message: self.agents.inbox.put(message),
+            cfg.engine_speed,
         )
         wait_s = max_open_read_s(machine.bounds.contact_s)
         desired_state_cadence = Cadence(wait_s, DESIRED_STATE_PERIOD_S)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/attempts.py
@@ -65,6 +65,17 @@
     """The upstream sent nothing for the silence limit and may be down."""
 
 
+class UpstreamSlow(AnswerFailed):
+    """The upstream has not started to answer in several times the estimate.
+
+    It keeps the request.
+    """
+
+
+class Overtaken(AnswerFailed):
+    """The upstream that was tried first has started to answer."""
+
+
 class EmptyRemainder(AnswerFailed):
     """The remainder of a stream has no event that the caller lacks.
 
@@ -80,10 +91,14 @@
     """A request in flight at an upstream.
 
     `start_by` is the latest time at which the upstream may start it on the
-    weights it was sent for; None for no such limit.
+    weights it was sent for; None for no such limit. `hedge_at` is when it is
+    sent to a second upstream if it has not started, None for never. `rival` is
+    the connection of a request that it was sent in addition to.
     """
 
     slot: Slot
     conn: Connection
     sent_at: float
     start_by: float | None
+    hedge_at: float | None = None
+    rival: Connection | None = None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -21,9 +21,11 @@
 from burdockchute_entry.straight.attempts import Failed
 from burdockchute_entry.straight.attempts import NotExecuted
 from burdockchute_entry.straight.attempts import OutcomeUnknown
+from burdockchute_entry.straight.attempts import Overtaken
 from burdockchute_entry.straight.attempts import SentRequest
 from burdockchute_entry.straight.attempts import TimedOut
 from burdockchute_entry.straight.attempts import UpstreamSilent
+from burdockchute_entry.straight.attempts import UpstreamSlow
 from burdockchute_entry.straight.handover import OK
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
@@ -47,11 +49,12 @@
 
 
 class _AnsweredByAnother(Exception):
-    """Another upstream answered in place of a silent one."""
+    """Another upstream answered in place of a silent or slow one."""
 
-    def __init__(self, attempt: Answered) -> None:
+    def __init__(self, attempt: Answered, is_hedge: bool) -> None:
         super().__init__('another upstream has answered')
         self.attempt = attempt
+        self.is_hedge = is_hedge
 
 
 class Exchange:
@@ -82,6 +85,7 @@
         self._deps = deps
         # The attempts in flight, the newest last.
         self._in_flight: list[SentRequest] = []
+        self._has_hedged = False
 
     @property
     def first_event_s(self) -> float | None:
@@ -134,8 +138,15 @@
             return Unknown(outcome.reason, BAD_GATEWAY)
         return outcome
 
-    def _try_slot(self, slot: Slot) -> AttemptResult:
-        sent = self.sender.dispatch(slot)
+    def _try_slot(
+        self, slot: Slot, first: SentRequest | None = None
+    ) -> AttemptResult:
+        # `first` is the request that this one is sent in addition to.
+        sent = self.sender.dispatch(
+            slot,
+            may_hedge=not self._has_hedged,
+            rival=first.conn if first else None,
+        )
         if isinstance(sent, NotExecuted):
             return sent
         self._in_flight.append(sent)
@@ -143,8 +154,14 @@
             self.sender.send(sent)
             return self._read_answer(sent)
         except _AnsweredByAnother as exc:
-            self.sender.mark_broken(sent, UpstreamSilent(str(exc), False))
+            if exc.is_hedge:
+                self.sender.abandon(sent)
+            else:
+                self.sender.mark_broken(sent, UpstreamSilent(str(exc), False))
             return exc.attempt
+        except Overtaken as exc:
+            self.sender.abandon(sent)
+            return OutcomeUnknown(str(exc))
         except AnswerFailed as exc:
             return self.sender.mark_broken(sent, exc)
         except BaseException:
@@ -207,6 +224,8 @@
                 return read()
             except UpstreamSilent:
                 self._try_another_upstream(sent)
+            except UpstreamSlow:
+                self._hedge(sent)
 
     def _try_another_upstream(self, sent: SentRequest) -> None:
         """Send the request to other upstreams; returns if none answers.
@@ -233,11 +252,40 @@
             self._log_retry(sent.slot, silent)
             attempt = self._try_slot(slot)
             if isinstance(attempt, Answered):
-                raise _AnsweredByAnother(attempt)
+                raise _AnsweredByAnother(attempt, is_hedge=False)
             if not sent.conn.is_quiet():
                 break
         sender.upstream = target.id
 
+    def _hedge(self, sent: SentRequest) -> None:
+        """Send the request to a second upstream as well.
+
+        Returns if there is none, or if it does not answer first. Raises
+        _AnsweredByAnother if it does.
+        """
+        sender, target = self.sender, sent.slot.target
+        if self._has_hedged or not self._may_try_another():
+            return
+        slot = sender.hedge_slot(sent)
+        if slot is None:
+            return
+        self._has_hedged = True
+        now = self._deps.now()
+        logs.event(
+            'request_hedged',
+            request_id=sender.inbound.id,
+            upstream=target.id,
+            second=slot.target.id,
+            waited_ms=int((now - sent.sent_at) * 1000),
+            slowness=round(target.slowness(now), 2),
+            runs=sender.runs,
+        )
+        attempt = self._try_slot(slot, sent)
+        if isinstance(attempt, Answered):
+            raise _AnsweredByAnother(attempt, is_hedge=True)
+        sender.pending.avoided.discard(target.id)
+        sender.upstream = target.id
+
     def _may_try_another(self) -> bool:
         sender = self.sender
         return (
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -16,6 +16,8 @@
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.backpressure import EntryCount
 from burdockchute.decisions.cold_limits import ColdPolicy
+from burdockchute.decisions.engine_speed import SpeedUse
+from burdockchute.decisions.engine_speed import UsualRatio
 from burdockchute.decisions.evacuation import Evacuations
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.model.exchanges import Backpressure
@@ -55,8 +57,11 @@
         rng: random.Random,
         region: str,
         regions: Mapping[str, str],
+        speed_use: SpeedUse = SpeedUse.REPORTED,
     ) -> None:
         self.bounds = bounds
+        self._speed_use = speed_use
+        self._usual_ratios: dict[str, UsualRatio] = {}
         self.entries = 1
         self._entry_count = EntryCount()
         self._rng = rng
@@ -126,6 +131,10 @@
 
     def _new_target(self, upstream: Upstream, now: float) -> Target:
         target = Target(upstream, now, self._evacuated)
+        if self._speed_use is not SpeedUse.REPORTED:
+            target.usual_ratio = self._usual_ratios.setdefault(
+                upstream.service, UsualRatio()
+            )
         dropped = self._dropped.pop(upstream.id, None)
         if dropped is not None and _is_same_process(dropped, upstream):
             target.restrictions = dropped.restrictions
@@ -491,6 +500,42 @@
         is_remote = region is not None and region != self._region
         return target.view(is_remote, now)
 
+    def estimate_s(
+        self, target: Target, pending: PendingRequest, now: float
+    ) -> float:
+        """Estimate the time to first event on a target of the usual speed.
+
+        It is 0 if first events are not measured.
+        """
+        cost = self.cost(pending.spec.service)
+        if cost is None or target.usual_ratio is None:
+            return 0.0
+        usual = self.view(target, now)._replace(slowness=1.0)
+        return engine_placement.first_token_s(
+            usual, pending.ctx.prompt_tokens, cost
+        )
+
+    def choose_hedge(
+        self, pending: PendingRequest, sent_at: float, now: float
+    ) -> Target | None:
+        """Return a second engine for a request sent at `sent_at`, if any.
+
+        It has started a later request on time.
+        """
+        cost = self.cost(pending.spec.service)
+        if cost is None:
+            return None
+        found = {
+            target.id: target
+            for target in self.eligible(pending, now)
+            if target.on_time_sent_at > sent_at and target.has_capacity(now)
+        }
+        views = [self.view(target, now) for target in found.values()]
+        view = engine_placement.choose_engine(
+            views, size_of(pending), cost, None
+        )
+        return found[view.name] if view else None
+
     def _draw_share(self, target: Target, now: float) -> None:
         cost = self.cost(target.upstream.service)
         max_slots = float('inf')
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -14,6 +14,7 @@
 from gevent import Timeout
 
 from burdockchute.decisions import engine_placement
+from burdockchute.decisions.engine_speed import SpeedUse
 from burdockchute.model.exchanges import Backpressure
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.link_events import LinkEvent
@@ -52,10 +53,14 @@
         region: str = '',
         regions: Mapping[str, str] | None = None,
         send_link_message: SendLinkMessage = lambda message: None,
+        speed_use: SpeedUse = SpeedUse.REPORTED,
     ) -> None:
+        self.hedges = speed_use is SpeedUse.HEDGED
         self._now = now
         self._slow_links = SlowLinks(send_link_message)
-        self._known = KnownTargets(bounds, rng, region, regions or {})
+        self._known = KnownTargets(
+            bounds, rng, region, regions or {}, speed_use
+        )
         self._service_queues = ServiceQueues()
         self._planner = WaitPlanner(self._known, self._service_queues)
         self._assigner = SlotAssigner(
@@ -183,6 +188,16 @@
             else None
         )
 
+    def reserve_hedge_slot(
+        self, pending: PendingRequest, sent_at: float
+    ) -> Slot | None:
+        """Return a slot for a request that waits elsewhere, or None."""
+        now = self._now()
+        target = self._known.choose_hedge(pending, sent_at, now)
+        return (
+            self._assigner.take_slot(pending, target, now) if target else None
+        )
+
     def is_servable(self, pending: PendingRequest) -> bool:
         """Whether any target may run the request, now or later."""
         return self._known.is_servable(pending, self._now())
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -11,6 +11,7 @@
 from burdockchute import logs
 from burdockchute.adapters import Adapter
 from burdockchute.decisions import admission
+from burdockchute.decisions import engine_speed
 from burdockchute.decisions import health
 from burdockchute.decisions import retries
 from burdockchute.decisions import versions
@@ -29,11 +30,14 @@
 from burdockchute.upstreams.connections import HeaderList
 from burdockchute.upstreams.connections import NoDataYet
 from burdockchute.upstreams.connections import NotConnected
+from burdockchute.upstreams.connections import POLL_INTERVAL_S
 from burdockchute_entry.straight.attempts import Failed
 from burdockchute_entry.straight.attempts import NotExecuted
 from burdockchute_entry.straight.attempts import OutcomeUnknown
+from burdockchute_entry.straight.attempts import Overtaken
 from burdockchute_entry.straight.attempts import SentRequest
 from burdockchute_entry.straight.attempts import UpstreamSilent
+from burdockchute_entry.straight.attempts import UpstreamSlow
 from burdockchute_entry.straight.attempts import WeightsReplaced
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
@@ -55,6 +59,9 @@
 
 MISDIRECTED = 421
 
+# Interval between checks which of two upstreams has started to answer.
+HEDGE_POLL_S = 0.05
+
 Read = TypeVar('Read')
 
 
@@ -175,10 +182,17 @@
 
     # Dispatch.
 
-    def dispatch(self, slot: Slot) -> SentRequest | NotExecuted:
+    def dispatch(
+        self,
+        slot: Slot,
+        may_hedge: bool = False,
+        rival: Connection | None = None,
+    ) -> SentRequest | NotExecuted:
         """Connect to the upstream of a slot.
 
-        Frees the slot if that fails.
+        Frees the slot if that fails. With `may_hedge`, reading raises
+        UpstreamSlow once the upstream has not started for too long. `rival`
+        is the connection of a request that this one is sent in addition to.
         """
         target = slot.target
         self.upstream = target.id
@@ -211,7 +225,22 @@
             start_by = self._deps.scheduler.start_deadline(
                 self.pending.spec.model, slot.version
             )
-        return SentRequest(slot, conn, now, start_by)
+        hedge_at = self._hedge_at(slot, now) if may_hedge else None
+        if rival is not None:
+            conn.set_poll_interval(HEDGE_POLL_S)
+        elif hedge_at is not None:
+            conn.set_poll_interval(min(POLL_INTERVAL_S, (hedge_at - now) / 2))
+        return SentRequest(slot, conn, now, start_by, hedge_at, rival)
+
+    def _hedge_at(self, slot: Slot, now: float) -> float | None:
+        if not self._deps.scheduler.hedges or not self.route.may_repeat:
+            return None
+        expected_s = slot.target.usual_first_event_s(
+            self.pending.ctx.request_id
+        )
+        if expected_s is None:
+            return None
+        return now + engine_speed.hedge_delay_s(expected_s)
 
     def _obsolete_reason(self, now: float) -> str:
         """Return why the answer is no longer needed, empty if it is.
@@ -323,6 +352,8 @@
     def mark_started(self, sent: SentRequest) -> None:
         """Record that the answer has started: the prompt was processed."""
         self._started.add(sent.conn)
+        if sent.hedge_at is not None or sent.rival is not None:
+            sent.conn.set_poll_interval(POLL_INTERVAL_S)
         self._deps.scheduler.mark_started(self.pending, sent.slot)
 
     def _read_until_deadline(
@@ -340,6 +371,7 @@
                 if now > self.ctx.deadline + ANSWER_GRACE_S:
                     return None
                 self._check_start_deadline(sent, now)
+                self._check_rival(sent)
                 if should_stop is not None and should_stop():
                     raise
                 silent = health.is_silent(
@@ -349,10 +381,39 @@
                     raise UpstreamSilent(
                         'the upstream is silent', False
                     ) from None
+                self._check_slow(sent, now)
                 continue
             target.last_received_at = self._deps.now()
             return result
 
+    def _check_rival(self, sent: SentRequest) -> None:
+        if sent.rival is None or sent.conn in self._started:
+            return
+        if not sent.rival.is_quiet():
+            raise Overtaken('the first upstream has started to answer', False)
+
+    def _check_slow(self, sent: SentRequest, now: float) -> None:
+        if sent.hedge_at is None or sent.conn in self._started:
+            return
+        if now >= sent.hedge_at:
+            raise UpstreamSlow('the upstream is slow', False)
+
+    def hedge_slot(self, sent: SentRequest) -> Slot | None:
+        """Return a slot at a second upstream, within the retry budget."""
+        target = sent.slot.target
+        self.pending.avoided.add(target.id)
+        slot = self._deps.scheduler.reserve_hedge_slot(
+            self.pending, sent.sent_at
+        )
+        if slot is None:
+            self.pending.avoided.discard(target.id)
+            return None
+        if not self.may_retry(OutcomeUnknown('the upstream is slow')):
+            self._deps.scheduler.release(self.pending, slot)
+            self.pending.avoided.discard(target.id)
+            return None
+        return slot
+
     def release(self, slot: Slot) -> None:
         """Free a slot to which nothing was sent."""
         self._deps.scheduler.release(self.pending, slot)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -139,11 +139,12 @@
         self, pending: PendingRequest, target: Target, now: float
     ) -> Slot:
         """Return a slot on a target, which is taken from then on."""
+        estimate_s = self._known.estimate_s(target, pending, now)
         target.record_sent(pending.work, sum(size_of(pending)), now)
         model = pending.spec.model
         if model:
             target.unstarted[pending.ctx.request_id] = UnstartedRequest(
-                pending.work.prompt_tokens, now
+                pending.work.prompt_tokens, now, estimate_s
             )
         return Slot(target, target.versions.get(model) if model else None)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -16,7 +16,9 @@
 from burdockchute.decisions.cold_limits import ColdLimit
 from burdockchute.decisions.cold_limits import ColdPolicy
 from burdockchute.decisions.engine_placement import EngineView
+from burdockchute.decisions.engine_speed import Sample
 from burdockchute.decisions.engine_speed import Speed
+from burdockchute.decisions.engine_speed import UsualRatio
 from burdockchute.decisions.placement import InstanceLoad
 from burdockchute.decisions.placement import Work
 from burdockchute.model.exchanges import Backpressure
@@ -44,10 +46,15 @@
 
 
 class UnstartedRequest(NamedTuple):
-    """A request of this entry that has produced no event yet."""
+    """A request of this entry that has produced no event yet.
+
+    `estimate_s` is the time to its first event at an engine of the usual
+    speed, 0 if it is not measured.
+    """
 
     prompt_tokens: int
     sent_at: float
+    estimate_s: float = 0.0
 
 
 class Target:
@@ -74,6 +81,10 @@
         self.health = health.Health()
         self.last_received_at = now
         self.speed = Speed()
+        # Compares measured times of its service; None if none are measured.
+        self.usual_ratio: UsualRatio | None = None
+        # When the last request that started on time was sent.
+        self.on_time_sent_at = float('-inf')
         # Free memory of its engine by its last report, and what this entry's
         # requests have taken of it since; None while it has plenty.
         self._free_tokens: float | None = None
@@ -157,7 +168,51 @@
 
     def slowness(self, now: float) -> float:
         """Return how much slower its engine is than the usual one."""
-        return engine_speed.slowness(self.speed, now)
+        if self.usual_ratio is None:
+            return engine_speed.slowness(self.speed, now)
+        waiting = [
+            Sample(shown, item.sent_at, now)
+            for item in self.unstarted.values()
+            if (shown := self._shown_slowness(item, now)) is not None
+        ]
+        return engine_speed.slowness(self.speed, now, waiting)
+
+    def usual_first_event_s(self, request_id: str) -> float | None:
+        """Return the expected time to first event at the usual speed.
+
+        It is as of the placement of a request, None if it is not known.
+        """
+        item = self.unstarted.get(request_id)
+        if item is None or not item.estimate_s or self.usual_ratio is None:
+            return None
+        usual = self.usual_ratio.value
+        if usual is None:
+            return None
+        return item.estimate_s * usual
+
+    def _shown_slowness(
+        self, item: UnstartedRequest, now: float
+    ) -> float | None:
+        usual = self.usual_ratio.value if self.usual_ratio else None
+        if not item.estimate_s or not usual:
+            return None
+        return (now - item.sent_at) / (item.estimate_s * usual)
+
+    def _measure(
+        self, item: UnstartedRequest, started: bool, now: float
+    ) -> None:
+        if self.usual_ratio is None or not item.estimate_s:
+            return
+        shown = self._shown_slowness(item, now)
+        if started:
+            self.usual_ratio.record((now - item.sent_at) / item.estimate_s)
+        if shown is None:
+            return
+        if started and shown < engine_speed.NOTABLE:
+            self.on_time_sent_at = max(self.on_time_sent_at, item.sent_at)
+        if started or shown >= engine_speed.NOTABLE:
+            sample = Sample(shown, item.sent_at, now)
+            self.speed = engine_speed.after_sample(self.speed, sample)
 
     def record_engine_report(
         self, slowness: float | None, free_tokens: int | None, now: float
@@ -336,6 +391,7 @@
             return False
         if started:
             self.last_first_event_s = now - item.sent_at
+        self._measure(item, started, now)
         before = self.is_behind
         self.is_behind = health.is_behind(before, item.sent_at, started, now)
         if self.is_behind != before:
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 import gevent
 
 from burdockchute.decisions.engine_placement import EngineView
+from burdockchute.decisions.engine_speed import SpeedUse
 from burdockchute.decisions.listing import KnownUpstream
 from burdockchute.decisions.listing import UpstreamList
 from burdockchute.decisions.overload import OverloadDetector
@@ -179,12 +180,17 @@
         self.assertIsInstance(slot, Slot)
 
 
-class EngineReportTest(unittest.TestCase):
-    """Two engines, one of which reports that it is slow or short."""
+class TwoEnginesTestCase(unittest.TestCase):
+    SPEED_USE = SpeedUse.REPORTED
 
     def setUp(self):
         self.now = 0.0
-        self.scheduler = Scheduler(BOUNDS, lambda: self.now, random.Random(1))
+        self.scheduler = Scheduler(
+            BOUNDS,
+            lambda: self.now,
+            random.Random(1),
+            speed_use=self.SPEED_USE,
+        )
         known = {
             u.id: KnownUpstream(u._replace(slots=16), 0)
             for u in upstreams()[:2]
@@ -194,6 +200,19 @@
         patch.start()
         self.addCleanup(patch.stop)
 
+    def place(self, count):
+        chosen = []
+        for number in range(count):
+            slot = self.scheduler.wait_for_slot(
+                pending(number), self.now + 6.0
+            )
+            chosen.append(slot.target.id)
+        return chosen
+
+
+class EngineReportTest(TwoEnginesTestCase):
+    """One of them reports that it is slow or short of memory."""
+
     def report(self, **fields):
         for number, target in enumerate(self.scheduler.targets()):
             report = messages.LoadReport(
@@ -203,13 +222,6 @@
                 str(target.upstream.endpoint), report
             )
 
-    def place(self, count):
-        chosen = []
-        for number in range(count):
-            slot = self.scheduler.wait_for_slot(pending(number), 6.0)
-            chosen.append(slot.target.id)
-        return chosen
-
     def test_a_slow_engine_gets_fewer_requests_while_it_reports_so(self):
         self.report(slowness=2.5)
         self.assertEqual(['i-1'] * 2, self.place(2))
@@ -229,6 +241,54 @@
         self.assertEqual(1.0, target.slowness(self.now + 6.0))
 
 
+class MeasuredSpeedTest(TwoEnginesTestCase):
+    """They report nothing of their speed."""
+
+    SPEED_USE = SpeedUse.MEASURED
+
+    def start_two_at_each(self, first_s, second_s):
+        """Send two requests to each engine and let them start."""
+        sent = []
+        for number, target in enumerate(self.scheduler.targets() * 2):
+            item = pending(number)
+            item.ctx = item.ctx._replace(
+                arrived=self.now, deadline=self.now + 6.0
+            )
+            item.spec = item.spec._replace(model='story')
+            item.avoided = {'i-0', 'i-1'} - {target.id}
+            target.versions = {'story': 1}
+            slot = self.scheduler.wait_for_slot(item, self.now + 6.0)
+            took_s = first_s if target.id == 'i-0' else second_s
+            sent.append((self.now + took_s, number, item, slot))
+        for at, _number, item, slot in sorted(sent):
+            self.now = at
+            self.scheduler.mark_started(item, slot)
+            self.scheduler.release(item, slot)
+
+    def slowness(self):
+        return [t.slowness(self.now) for t in self.scheduler.targets()]
+
+    def test_an_engine_that_starts_late_is_avoided_for_a_while(self):
+        for _round in range(3):
+            self.start_two_at_each(0.1, 0.1)
+            self.now += 1.0
+        self.assertEqual([1.0, 1.0], self.slowness())
+        self.start_two_at_each(0.4, 0.1)
+        first, second = self.slowness()
+        self.assertGreater(first, 2.0)
+        self.assertEqual(1.0, second)
+        self.assertEqual(['i-1'], self.place(1))
+        self.now += 2.1
+        self.assertEqual([1.0, 1.0], self.slowness())
+
+    def test_engines_that_are_all_slow_soon_count_as_usual(self):
+        """All would seem to miss the objective, and requests would wait."""
+        for took_s in [0.1] * 12 + [0.4] * 12:
+            self.start_two_at_each(took_s, took_s)
+            self.now += 0.5
+        self.assertEqual([1.0, 1.0], self.slowness())
+
+
 class RetryShareTest(unittest.TestCase):
     ENTRIES = 36
 
--- a/packages/burdockchute/burdockchute/site_settings.py
+++ b/packages/burdockchute/burdockchute/site_settings.py
@@ -14,6 +14,7 @@
 from burdockchute import logs
 from burdockchute import settings as base
 from burdockchute.adapters import Adapter
+from burdockchute.decisions.engine_speed import SpeedUse
 from burdockchute.model.findings import render_all
 from burdockchute.model.machines import Machine
 from burdockchute.settings import Setting
@@ -43,6 +44,7 @@
     admin_port: int
     otlp_endpoint: str
     log_level: str
+    engine_speed: SpeedUse = SpeedUse.REPORTED
 
     def identity(self, machine: Machine) -> Identity:
         """Return the identity of a process on a machine."""
@@ -54,6 +56,14 @@
         )
 
 
+def _parse_speed_use(text: str) -> SpeedUse:
+    try:
+        return SpeedUse(text)
+    except ValueError:
+        names = ', '.join(item.value for item in SpeedUse)
+        raise ValueError(f'{text!r:.40} is none of {names}') from None
+
+
 SETTINGS = (
     PLATFORM,
     Setting('settings', "path of the machine's settings", base.parse_text),
@@ -65,6 +75,12 @@
         '',
     ),
     Setting('log-level', 'lowest level to log', base.parse_level, 'info'),
+    Setting(
+        'engine-speed',
+        "what an entry uses of engines' speed: reported, measured or hedged",
+        _parse_speed_use,
+        SpeedUse.REPORTED.value,
+    ),
 )
 
 
