Entry: count a caller that kept up as having read

A stream recorded when its caller last read only once its writes had blocked before. A caller that had kept up for seconds therefore counted as the one that had read nothing for the longest time, and its stream was the first that was no longer read ahead. The first write that blocks now records it.

test_a_caller_that_kept_up_counts_as_having_read fails before the change.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/read_ahead.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/read_ahead.py
@@ -85,6 +85,8 @@
         """Read ahead from now on."""
         self._holding.take(Use.EVENTS, left)
         if self._greenlet is None and not self._finished:
+            # Until now the caller has read everything.
+            self.read_at = self._now()
             self._holding.account.readers.add(self)
             self._greenlet = gevent.spawn(self._read)
             logs.event(
