Cold upstreams: a start after all upstreams have left the list

An upstream that started when no other of its service was listed was not taken as cold, although this entry had sent requests to those before it. They are known among the dropped ones.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -159,7 +159,7 @@
         itself. Those that are cold say so.
         """
         service = target.upstream.service
-        known = [*self._targets.values(), previous]
+        known = [*self._targets.values(), *self._dropped.values(), previous]
         policy = self._cold_policy(service)
         if policy is None or not any(
             other.has_sent and other.upstream.service == service
