Engines: a gauge of requests sent twice, and less work per placement

The slowness is looked up for each target in each round. It is returned at once for an engine that reports and shows nothing.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -204,6 +204,11 @@
             '1',
             lambda: len(self.known_state().evacuated),
         )
+        metrics.register_gauge(
+            'burdockchute.hedged_requests',
+            '1',
+            lambda: self.scheduler.hedged_count,
+        )
         metrics.register_gauge(
             'burdockchute.cold_upstreams',
             '1',
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -270,6 +270,7 @@
         if slot is None:
             return
         self._has_hedged = True
+        self._deps.scheduler.hedged_count += 1
         now = self._deps.now()
         logs.event(
             'request_hedged',
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -56,6 +56,7 @@
         speed_use: SpeedUse = SpeedUse.REPORTED,
     ) -> None:
         self.hedges = speed_use is SpeedUse.HEDGED
+        self.hedged_count = 0
         self._now = now
         self._slow_links = SlowLinks(send_link_message)
         self._known = KnownTargets(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -169,6 +169,9 @@
     def slowness(self, now: float) -> float:
         """Return how much slower its engine is than the usual one."""
         if self.usual_ratio is None:
+            # Called for each target in each round of placement.
+            if self.speed.reported == engine_speed.USUAL:
+                return engine_speed.USUAL
             return engine_speed.slowness(self.speed, now)
         waiting = [
             Sample(shown, item.sent_at, now)
