--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -182,7 +182,8 @@
             target.set_cold_policy(
                 policy, self._entry_count.value, chance, now
             )
-            target.record_cold(known.cold_until, 'list', chance, now)
+            if known.cold_until > now:
+                target.record_cold(known.cold_until, 'list', chance, now)
 
     def _cold_policy(self, service: str) -> ColdPolicy | None:
         routes = self._known_state.routes
