Requests: a cancelled request resets its connection

Instances beside engines were suspended for four seconds.

A request that is cancelled, for whatever reason, now resets its connection.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -455,14 +455,14 @@
 
     def time_out(self, sent: SentRequest) -> None:
         """End the attempt because the deadline passed."""
-        sent.conn.close()
+        sent.conn.abort()
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
         )
 
     def abandon(self, sent: SentRequest) -> None:
         """End the attempt for a reason that is not the upstream's fault."""
-        sent.conn.close()
+        sent.conn.abort()
         self._deps.scheduler.release(self.pending, sent.slot)
 
     def take_refusal(self, sent: SentRequest, head: AnswerHead) -> NotExecuted:
@@ -507,7 +507,7 @@
         if isinstance(exc, WeightsReplaced):
             self.abandon(sent)
             return OutcomeUnknown(str(exc))
-        sent.conn.close()
+        sent.conn.abort()
         if exc.closed_by_upstream and not self.inbound.resume_after:
             self._report_suspect(sent)
         target.record_failure(self._deps.now())
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import socket as sockets
+import struct
 from typing import Any
 
 from geventhttpclient import response as responses
@@ -32,6 +33,9 @@
 # received, in addition to what is read ahead; most events are far shorter.
 RECEIVE_BYTES = 16 * 1024
 
+# SO_LINGER with a time of zero: close() resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 HeaderList = Iterable[tuple[str, str]]
 
 
@@ -188,6 +192,21 @@
         """Close the connection, which also cancels its request."""
         self._sock.close()
 
+    def abort(self) -> None:
+        """Close the connection with a reset, which cancels its request.
+
+        An upstream that does not read while it works notices a reset with
+        its next write. One that was suspended may drop what it has not read.
+        """
+        try:
+            self._sock.setsockopt(
+                sockets.SOL_SOCKET, sockets.SO_LINGER, _RESET_ON_CLOSE
+            )
+        except OSError:
+            # The upstream has closed it before.
+            pass
+        self._sock.close()
+
     def _current_parser(self) -> _Parser:
         assert self._parser is not None, 'nothing was sent'
         return self._parser
