Emulator: requests with priorities, and a site with bursts of them

The emulator's engines admitted waiting requests in FIFO order and all requests had one priority, so it could not show how urgent work fares behind other work. Kinds of requests have a priority now, engines admit the most urgent first, and results can be taken for one priority. With one priority, runs are the same as before.

--- a/packages/burdockchute-testing/burdockchute_testing/emulator/deployments.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/deployments.py
@@ -58,3 +58,37 @@
             Shape(647.0, 70.0, 0.5, 0.24),
         ),
     )
+
+
+def prioritized(entries: int = 13, engines: int = 23) -> Deployment:
+    """Return a site with requests of three priorities, 0 the most urgent.
+
+    Its engines carry about 7.8 of the requests per second each.
+    """
+    return Deployment(
+        entries,
+        engines,
+        12,
+        EngineCost(0.00927, 0.00004, 20_700.0, 5, 950.0, 95.0),
+        (
+            Shape(827.0, 105.0, 0.405, 0.43, 0),
+            Shape(647.0, 70.0, 0.405, 0.23, 1),
+            Shape(1330.0, 105.0, 1.006, 0.34, 2),
+        ),
+        queue=24,
+    )
+
+
+def in_bursts(deployment: Deployment, now: float) -> list[Shape]:
+    """Return the kinds of a prioritized deployment, with bursts.
+
+    Of eight seconds, two have 2.3 times the requests of the least urgent
+    kind, and the next two 1.75 times those of the most urgent.
+    """
+    second = now % 8.0
+    urgent, middle, least = deployment.shapes
+    if 2.0 <= second < 4.0:
+        least = least._replace(share=2.3 * least.share)
+    elif 4.0 <= second < 6.0:
+        urgent = urgent._replace(share=1.75 * urgent.share)
+    return [urgent, middle, least]
--- a/packages/burdockchute-testing/burdockchute_testing/emulator/engines.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/engines.py
@@ -2,14 +2,16 @@
 
 A pass generates `steps_per_pass` tokens for each request of the batch and
 processes up to `PASS_TOKENS` prompt tokens; the prompts prolong it. Requests
-without a slot wait in FIFO order. As on the platform, the engine reports the
-number of its requests with a delay.
+without a slot wait, the most urgent first and in FIFO order among equally
+urgent ones. As on the platform, the engine reports the number of its requests
+with a delay.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
+import heapq
+import itertools
 
 from burdockchute.decisions import engine_placement
 from burdockchute.model.routes import EngineCost
@@ -25,7 +27,10 @@
 
 
 class Job:
-    """A request at an engine, with callbacks for its first and last token."""
+    """A request at an engine, with callbacks for its first and last token.
+
+    The lower `urgency` is admitted first.
+    """
 
     def __init__(
         self,
@@ -33,7 +38,9 @@
         answer_tokens: int,
         on_started: Callable[[], None],
         on_finished: Callable[[], None],
+        urgency: int = 0,
     ) -> None:
+        self.urgency = urgency
         self.prompt_left = prompt_tokens
         self.answer_left = answer_tokens
         self.on_started = on_started
@@ -66,7 +73,8 @@
         self._max_waiting = queue
         self._on_report = on_report
         self._running: list[Job] = []
-        self._waiting: deque[Job] = deque()
+        self._waiting: list[tuple[int, int, Job]] = []
+        self._order = itertools.count()
         self._is_working = False
         self._counted = 0
         clock.after(offset_s, self._count)
@@ -87,7 +95,7 @@
         full = self.request_count >= self._slots + self._max_waiting
         if full or not self.is_open:
             return False
-        self._waiting.append(job)
+        heapq.heappush(self._waiting, (job.urgency, next(self._order), job))
         if not self._is_working:
             self._is_working = True
             self._start_pass()
@@ -95,7 +103,7 @@
 
     def _start_pass(self) -> None:
         while self._waiting and len(self._running) < self._slots:
-            self._running.append(self._waiting.popleft())
+            self._running.append(heapq.heappop(self._waiting)[2])
         if not self._running:
             self._is_working = False
             return
--- a/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -51,13 +51,15 @@
 class Shape(NamedTuple):
     """A kind of request: mean token counts, objective and relative frequency.
 
-    `objective_s` is the time in which the first event has to come.
+    `objective_s` is the time in which the first event has to come. The lower
+    `priority` is the more urgent, as in configurations.
     """
 
     prompt_tokens: float
     answer_tokens: float
     objective_s: float
     share: float
+    priority: int = 0
 
 
 class Deployment(NamedTuple):
@@ -151,9 +153,19 @@
         """Run the simulation up to a time."""
         self.clock.run_until(until_s)
 
-    def result(self, first_s: float, last_s: float) -> Result:
-        """Count the outcomes of the requests that started in an interval."""
-        calls = [c for c in self.calls if first_s <= c.started_at < last_s]
+    def result(
+        self, first_s: float, last_s: float, priority: int | None = None
+    ) -> Result:
+        """Count the outcomes of the requests that started in an interval.
+
+        Only those of a priority count, unless it is None.
+        """
+        calls = [
+            call
+            for call in self.calls
+            if first_s <= call.started_at < last_s
+            and priority in (None, call.shape.priority)
+        ]
         counts = [
             sum(call.outcome == name for call in calls)
             for name in ('on time', 'late', 'refused', 'again')
@@ -213,6 +225,7 @@
             deadline=deadline,
             prompt_tokens=call.prompt_tokens,
             max_tokens=int(call.shape.answer_tokens),
+            priority=-call.shape.priority,
         )
         work = Work(admission.cost_of(ctx), False, ctx.prompt_tokens, ())
         elapsed_s = returning_callers.elapsed_s(DEADLINE_S, deadline - now)
@@ -288,7 +301,15 @@
 
         def arrive() -> None:
             job = Job(
-                call.prompt_tokens, call.answer_tokens, started, finished
+                call.prompt_tokens,
+                call.answer_tokens,
+                started,
+                finished,
+                -(
+                    pending.ctx.priority
+                    if pending.lent_priority is None
+                    else pending.lent_priority
+                ),
             )
             if not self._site.engines[number].accept(job):
                 self.scheduler.mark_failed(
