--- a/packages/burdockchute-testing/tests/test_urgent_load.py
+++ b/packages/burdockchute-testing/tests/test_urgent_load.py
@@ -16,6 +16,9 @@
 ENTRIES = 13
 ENGINES = 6
 
+# All answers on time differ by up to a tenth between replays of one load.
+SEEDS = (1, 2, 3, 4)
+
 
 class UrgentLoadTest(unittest.TestCase):
     def test_urgent_work_is_on_time_in_bursts_of_other_work(self):
@@ -25,20 +28,32 @@
         kind was on time less often than the least urgent one.
         """
         for load in (0.8, 1.2, 2.5):
-            before, after = [
-                replay(load, by_urgency, ENTRIES, ENGINES, 8.0)
-                for by_urgency in (False, True)
+            pairs = [self.replay_both(load, seed) for seed in SEEDS]
+            gains = [
+                after.on_time_share(0) - before.on_time_share(0)
+                for before, after in pairs
+            ]
+            sums = [
+                sum(replays[number].on_time_per_s for replays in pairs)
+                for number in (0, 1)
+            ]
+            # The least urgent kind is not starved.
+            least = [
+                after.by_priority[2].on_time / after.total.on_time
+                for _before, after in pairs
             ]
-            print('\n' + '\n'.join([*before.lines(), *after.lines()]))
             with self.subTest(load=load):
-                gain = after.on_time_share(0) - before.on_time_share(0)
-                self.assertGreater(gain, 0.03)
-                self.assertGreater(
-                    after.on_time_per_s, 0.95 * before.on_time_per_s
-                )
-                # The least urgent kind is not starved.
-                least = after.by_priority[2].on_time / after.total.on_time
-                self.assertGreater(least, 0.08)
+                self.assertGreater(min(gains), 0.03)
+                self.assertGreaterEqual(sums[1], sums[0])
+                self.assertGreater(min(least), 0.08)
+
+    def replay_both(self, load, seed):
+        before, after = [
+            replay(load, by_urgency, ENTRIES, ENGINES, 8.0, seed)
+            for by_urgency in (False, True)
+        ]
+        print('\n' + '\n'.join([*before.lines(), *after.lines()]))
+        return before, after
 
     def test_one_priority_is_served_as_without_priorities(self):
         """The result is that of the code without any rule for priorities.
@@ -54,7 +69,7 @@
                 site.run(9.0)
             with self.subTest(priority=priority):
                 self.assertEqual(
-                    Result(209, 121, 32, 0, 56), site.result(2.0, 5.0)
+                    Result(213, 124, 32, 0, 57), site.result(2.0, 5.0)
                 )
 
 
