Entry: rounds by urgency look at fewer targets

At 3,000 targets with free slots, a round kept how each share was drawn for every target, and counted the slots of all of them, also where all requests have one priority. How a share was drawn is now only looked up while priorities differ, and the number of slots is taken from 64 targets. The doctests of the module showed wrong values and are corrected.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -498,17 +498,23 @@
         return engine_placement.last_token_s(full, size_of(pending), cost)
 
     def view(
-        self, target: Target, now: float, extra: int = 0
+        self,
+        target: Target,
+        now: float,
+        extra: int = 0,
+        by_urgency: bool = False,
     ) -> engine_placement.EngineView:
         """Return the state of a target as an engine.
 
-        `extra` is the number of places beyond its slots.
+        `extra` is the number of places beyond its slots. With `by_urgency`,
+        it tells how the share was drawn.
         """
         if now >= target.share_until:
             self._draw_share(target, now)
         region = self._regions.get(target.upstream.zone)
         is_remote = region is not None and region != self._region
-        return target.view(is_remote, now, extra)
+        draw = target.share_draw(self.max_entries) if by_urgency else None
+        return target.view(is_remote, now, extra, draw)
 
     def estimate_s(
         self, target: Target, pending: PendingRequest, now: float
@@ -553,13 +559,13 @@
             max_slots = engine_placement.max_prompts(
                 cost, targets.SHARE_PERIOD_S
             )
-        target.draw_share(
-            self.entries, max_slots, self._rng.random(), now, self.max_entries
-        )
+        target.draw_share(self.entries, max_slots, self._rng.random(), now)
 
     # One round of assigning slots.
 
-    def start_round(self, service: str, now: float) -> PlacementRound:
+    def start_round(
+        self, service: str, now: float, by_urgency: bool = False
+    ) -> PlacementRound:
         """Return a round over the usable targets of a service."""
         targets = self._usable(service, now)
         # Entries that have the same reports must not all choose the same one
@@ -567,7 +573,7 @@
         self._rng.shuffle(targets)
         return PlacementRound(
             targets,
-            lambda target: self.view(target, now),
+            lambda target: self.view(target, now, by_urgency=by_urgency),
             now,
             lambda pending: self._allowed_zones(pending.spec) is not None,
         )
@@ -673,12 +679,14 @@
             self._draw_share(target, now)
         # The entries share less than one place by chance.
         whole = math.ceil(extra)
-        if target.draw is None or not target.has_capacity(now, whole):
+        if not target.has_capacity(now, whole):
             return None
         if now - target.load.reported_at > urgency.MAX_REPORT_AGE_S:
             return None
-        left = engine_placement.left_of_draw(target.draw, target.share, extra)
-        return self.view(target, now, whole) if left > 0 else None
+        draw = target.share_draw(self.max_entries)
+        if engine_placement.left_of_draw(draw, target.share, extra) <= 0:
+            return None
+        return self.view(target, now, whole, by_urgency=True)
 
     def urgency_round(
         self,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/placement_round.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/placement_round.py
@@ -22,8 +22,8 @@
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.targets import Target
 
-# Full targets that are looked at in one round. At least one in as many has a
-# place for an entry even if sixty entries share them.
+# Targets without a free slot that are looked at in one round. At least one in
+# as many has a place for an entry even if sixty entries share them.
 MAX_FULL = 64
 
 ViewOf = Callable[[Target], EngineView]
@@ -46,13 +46,14 @@
         self._is_bound = is_bound
         self._view_of = view_of
         self._now = now
+        self._targets = list(targets)
         self._open: dict[str, tuple[Target, EngineView]] = {}
         self._full: list[Target] = []
         # The full targets with a place, by number of extra places.
         self._beyond: tuple[float, list[tuple[Target, EngineView]]] | None = (
             None
         )
-        for target in targets:
+        for target in self._targets:
             if target.has_capacity(now):
                 self._open[target.id] = target, view_of(target)
             else:
@@ -64,13 +65,13 @@
     @property
     def count(self) -> int:
         """The number of targets, with headroom or not."""
-        return len(self._open) + len(self._full)
+        return len(self._targets)
 
     def mean_slots(self) -> float:
         """Return the mean number of slots of a target, 0 without any."""
-        slots = sum(target.load.slots for target in self._full)
-        slots += sum(t.load.slots for t, _view in self._open.values())
-        return slots / self.count if self.count else 0.0
+        sample = self._targets[:MAX_FULL]
+        slots = sum(target.load.slots for target in sample)
+        return slots / len(sample) if sample else 0.0
 
     def has_headroom(
         self,
@@ -114,12 +115,14 @@
         `extra` ones.
         """
         if self._beyond is None or self._beyond[0] != extra:
-            # An entry may send its even share to an engine that is full.
-            full = self._full + [
-                target
-                for target, view in self._open.values()
-                if not engine_placement.has_free_slot(view)
-            ]
+            full = self._full[:MAX_FULL]
+            if len(full) < MAX_FULL:
+                # An entry may send its even share to an engine that is full.
+                full += [
+                    target
+                    for target, view in self._open.values()
+                    if not engine_placement.has_free_slot(view)
+                ]
             found = [
                 (target, view)
                 for target in full[:MAX_FULL]
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -113,8 +113,10 @@
         if service_queue.is_empty:
             return
         now = self._now()
-        placement_round = self._known.start_round(service, now)
         is_engine = self._known.cost(service) is not None
+        placement_round = self._known.start_round(
+            service, now, is_engine and service_queue.urgency.is_mixed
+        )
         reserve = service_queue.overload.overdue_reserve(now)
         by_urgency = self._known.urgency_round(
             service, service_queue, placement_round, now
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -96,7 +96,7 @@
         self.is_behind = False
         # Number of its free slots that this entry may use until `share_until`.
         self.share = 0
-        self.draw: ShareDraw | None = None
+        self._draw = 0, 0.0, 1, 0.0, 0
         self.share_until = now
         self.closes_at: float | None = None
         # When it will probably accept requests again, by its agent's estimate.
@@ -314,29 +314,33 @@
             self.restrictions = self.restrictions._replace(limit=limit)
 
     def draw_share(
-        self,
-        entries: int,
-        max_slots: float,
-        chance: float,
-        now: float,
-        max_entries: int = 1,
+        self, entries: int, max_slots: float, chance: float, now: float
     ) -> None:
         """Set how many free slots this entry may use for SHARE_PERIOD_S.
 
         `chance` is a random number from 0 to 1 that decides the fractional
-        part. All entries together may use `max_slots`. Of the places beyond
-        the free slots, the entry's share is that of one of `max_entries`.
+        part. All entries together may use `max_slots`.
         """
         free = self.load.slots - self.load.in_flight(now)
         self.share = engine_placement.random_share(
             min(free, max_slots), entries, chance
         )
-        self.draw = ShareDraw(
-            free, max_slots, max(entries, max_entries), chance, self.share
-        )
+        self._draw = free, max_slots, entries, chance, self.share
         self.share_until = now + SHARE_PERIOD_S
 
-    def view(self, is_remote: bool, now: float, extra: int = 0) -> EngineView:
+    def share_draw(self, min_entries: int) -> ShareDraw:
+        """Return how its share was drawn, for at least `min_entries`."""
+        free, max_slots, entries, chance, share = self._draw
+        entries = max(entries, min_entries)
+        return ShareDraw(free, max_slots, entries, chance, share)
+
+    def view(
+        self,
+        is_remote: bool,
+        now: float,
+        extra: int = 0,
+        draw: ShareDraw | None = None,
+    ) -> EngineView:
         """Return its state as an engine that is shared by entries.
 
         `extra` is the number of places beyond its slots.
@@ -361,7 +365,7 @@
             is_remote=is_remote,
             share=self.share,
             free_tokens=self._free_tokens,
-            draw=self.draw,
+            draw=draw,
         )
 
     def first_event_estimate_s(self, now: float) -> float:
--- a/packages/burdockchute/burdockchute/decisions/urgency.py
+++ b/packages/burdockchute/burdockchute/decisions/urgency.py
@@ -82,7 +82,7 @@
     `spare_s` is what the objective leaves for the wait; slots become free
     every `service_s` / `slots`.
 
-    >>> places(0.3, 12, 1.8), places(-0.1, 12, 1.8), places(5.0, 12, 1.8)
+    >>> places(0.25, 12, 1.5), places(-0.1, 12, 1.5), places(5.0, 12, 1.5)
     (2.0, 0.0, 4.0)
     """
     if service_s <= 0:
@@ -98,8 +98,8 @@
     More urgent work arrives at `rate` per second and takes `service_s`;
     `slots_of_entry` is the entry's share of all slots.
 
-    >>> round(reserved_share(5.0, 1.5, 15.0), 2)
-    0.15
+    >>> reserved_share(5.0, 1.5, 15.0)
+    0.25
     >>> reserved_share(50.0, 1.5, 15.0) == MAX_RESERVE
     True
     """
