Entry: the choice of a target is a module of its own

What is known of upstreams and which of them may run a request stays there; views, rounds and the choice are TargetChooser in target_choice.py.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -30,6 +30,7 @@
 from burdockchute_entry.straight.slot_assignment import SlotAssigner
 from burdockchute_entry.straight.slow_links import SendLinkMessage
 from burdockchute_entry.straight.slow_links import SlowLinks
+from burdockchute_entry.straight.target_choice import TargetChooser
 from burdockchute_entry.straight.targets import Target
 from burdockchute_entry.straight.wait_planning import no_slot_in_time
 from burdockchute_entry.straight.wait_planning import Plan
@@ -59,13 +60,16 @@
         self.hedged_count = 0
         self._now = now
         self._slow_links = SlowLinks(send_link_message)
-        self._known = KnownTargets(
-            bounds, rng, region, regions or {}, speed_use
-        )
+        self._known = KnownTargets(bounds, rng, regions or {}, speed_use)
+        self._chooser = TargetChooser(self._known, rng, region, regions or {})
         self._service_queues = ServiceQueues()
         self._planner = WaitPlanner(self._known, self._service_queues)
         self._assigner = SlotAssigner(
-            self._known, self._service_queues, self._planner, now
+            self._known,
+            self._chooser,
+            self._service_queues,
+            self._planner,
+            now,
         )
         self._waiting = self._assigner.waiting
         self.retry_budgets = RetryBudgets(
@@ -179,7 +183,9 @@
         }
         if cost is None or not eligible:
             return None
-        views = [self._known.view(target, now) for target in eligible.values()]
+        views = [
+            self._chooser.view(target, now) for target in eligible.values()
+        ]
         staying = [
             v for v in views if engine_placement.stays_open(v, remainder_s)
         ]
@@ -197,7 +203,7 @@
     ) -> Slot | None:
         """Return a slot for a request that waits elsewhere, or None."""
         now = self._now()
-        target = self._known.choose_hedge(pending, sent_at, now)
+        target = self._chooser.choose_hedge(pending, sent_at, now)
         return (
             self._assigner.take_slot(pending, target, now) if target else None
         )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -22,6 +22,7 @@
 from burdockchute_entry.straight.service_queues import ServiceQueue
 from burdockchute_entry.straight.service_queues import ServiceQueues
 from burdockchute_entry.straight.service_queues import Slot
+from burdockchute_entry.straight.target_choice import TargetChooser
 from burdockchute_entry.straight.targets import Target
 from burdockchute_entry.straight.targets import UnstartedRequest
 from burdockchute_entry.straight.urgency_round import UrgencyRound
@@ -45,12 +46,14 @@
     def __init__(
         self,
         known: KnownTargets,
+        chooser: TargetChooser,
         service_queues: ServiceQueues,
         planner: WaitPlanner,
         now: Callable[[], float],
     ) -> None:
         self.waiting: dict[str, PendingRequest] = {}
         self._known = known
+        self._chooser = chooser
         self._service_queues = service_queues
         self._planner = planner
         self._now = now
@@ -114,11 +117,11 @@
             return
         now = self._now()
         is_engine = self._known.cost(service) is not None
-        placement_round = self._known.start_round(
+        placement_round = self._chooser.start_round(
             service, now, is_engine and service_queue.urgency.is_mixed
         )
         reserve = service_queue.overload.overdue_reserve(now)
-        by_urgency = self._known.urgency_round(
+        by_urgency = self._chooser.urgency_round(
             service, service_queue, placement_round, now
         )
         for queue in service_queue.queues:
@@ -158,7 +161,7 @@
         self, pending: PendingRequest, target: Target, now: float
     ) -> Slot:
         """Return a slot on a target, which is taken from then on."""
-        estimate_s = self._known.estimate_s(target, pending, now)
+        estimate_s = self._chooser.estimate_s(target, pending, now)
         target.record_sent(pending.work, sum(size_of(pending)), now)
         model = pending.spec.model
         if model:
@@ -220,7 +223,7 @@
         left_s = pending.objective_left_s(now)
         if placement_round.is_unplaceable(pending, left_s, extra):
             return None
-        target = self._known.choose(
+        target = self._chooser.choose(
             pending,
             placement_round,
             left_s,
@@ -255,7 +258,7 @@
         is_beyond = target is None
         left_s = pending.objective_left_s(now)
         if target is None and extra > 0 and left_s is not None:
-            target = self._known.choose_beyond(
+            target = self._chooser.choose_beyond(
                 pending,
                 placement_round,
                 left_s,
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -27,6 +27,7 @@
 from burdockchute_entry.straight.service_queues import RequestSpec
 from burdockchute_entry.straight.service_queues import Slot
 from burdockchute_entry.straight.slot_assignment import ASSIGN_DELAY_S
+from burdockchute_entry.straight.target_choice import TargetChooser
 from burdockchute_entry.straight.targets import Target
 from burdockchute_testing.builders import requests
 from burdockchute_testing.builders.upstreams import upstream
@@ -144,9 +145,9 @@
             for number in range(8)
         ]
         gevent.sleep(0)
-        start_round = KnownTargets.start_round
+        start_round = TargetChooser.start_round
         with mock.patch.object(
-            KnownTargets, 'start_round', autospec=True
+            TargetChooser, 'start_round', autospec=True
         ) as start_round_mock:
             start_round_mock.side_effect = start_round
             for target in scheduler.targets():
--- a/packages/burdockchute-testing/burdockchute_testing/builders/cold_fleets.py
+++ b/packages/burdockchute-testing/burdockchute_testing/builders/cold_fleets.py
@@ -91,7 +91,7 @@
     ) -> None:
         self._in_flight = in_flight
         self.rng = random.Random(seed)
-        self.known = KnownTargets(BOUNDS, self.rng, '', {})
+        self.known = KnownTargets(BOUNDS, self.rng, {})
         self.known.update(state, 0.0)
         self.waiting: deque[float] = deque()
         self.running: list[tuple[float, int, Target]] = []
