Entry: no list of all targets for each new one without cold limits

The list of targets was built before the check whether the service has a limit for cold upstreams, so a start with n upstreams copied n lists. The check comes first now; what is decided is the same.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -153,9 +153,11 @@
         itself. Those that are cold say so.
         """
         service = target.upstream.service
-        known = [*self._targets.values(), *self._dropped.values(), previous]
         policy = self._cold_policy(service)
-        if policy is None or not any(
+        if policy is None:
+            return
+        known = [*self._targets.values(), *self._dropped.values(), previous]
+        if not any(
             other.has_sent and other.upstream.service == service
             for other in known
             if other is not None
