--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -7,6 +7,7 @@
 
 from gevent import event as events
 
+from burdockchute import metrics
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.fair_queue import FairQueue
 from burdockchute.decisions.homes import Home
@@ -54,6 +55,10 @@
         self.overdue = FairQueue(MAX_WAITING)
         self.overload = OverloadDetector()
         self.urgency = UrgencyState()
+        self.urgent_slots = metrics.meter().create_counter(
+            'burdockchute.urgent_slots',
+            description='slots assigned beyond free ones, or lent',
+        )
         # Whether less urgent work leaves slots free, as was logged last.
         self.is_pressed = False
         # Mean time from sending a request to its end.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/urgency_round.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/urgency_round.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from burdockchute import logs
-from burdockchute import metrics
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import urgency
 from burdockchute.model.routes import EngineCost
@@ -30,6 +29,7 @@
         self.service_s = service_queue.service_s
         self._service = service
         self._state = service_queue.urgency
+        self._slots_counter = service_queue.urgent_slots
         self._slots = slots
         self._slots_of_entry = slots_of_entry
         self._now = now
@@ -122,10 +122,7 @@
         return reserve
 
     def _count(self, kind: str) -> None:
-        metrics.meter().create_counter(
-            'burdockchute.urgent_slots',
-            description='slots assigned beyond free ones, or lent',
-        ).add(1, {'service': self._service, 'kind': kind})
+        self._slots_counter.add(1, {'service': self._service, 'kind': kind})
 
     def _log_pressure(self, service_queue: ServiceQueue) -> None:
         is_pressed = self._state.is_pressed(self._now)
