Logs: what marked the end of an answer, and the bytes after the last event

request_finished says whether an answer had a length or chunks or ended with its connection, and how many bytes followed the last event of a stream.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -275,7 +275,7 @@
         """Log and count a request that has its final outcome."""
         total_s = self._deps.now() - admitted.ctx.arrived
         first_s = exchange.first_event_s
-        stream = exchange.stream
+        stream, framing = exchange.stream, exchange.sender.framing
         logs.event(
             'request_finished',
             request_id=admitted.inbound.id,
@@ -289,6 +289,8 @@
             first_ms=None if first_s is None else int(first_s * 1000),
             gap_ms=int(stream.longest_gap_s * 1000) if stream else None,
             events=stream.event_count if stream else None,
+            framing=framing.value if framing else None,
+            partial=stream.partial_bytes if stream else None,
             tokens=f'{admitted.inbound.prompt_tokens},'
             f'{admitted.inbound.max_tokens},{admitted.inbound.likely_tokens}',
             left_ms=int((admitted.ctx.deadline - admitted.ctx.arrived) * 1e3),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -15,6 +15,7 @@
 from burdockchute.decisions import health
 from burdockchute.decisions import retries
 from burdockchute.decisions import versions
+from burdockchute.decisions.answer_ends import Framing
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.suspects import Suspects
 from burdockchute.model.crash_reports import CrashReport
@@ -84,7 +85,8 @@
 
     `runs` counts the upstreams that may have run the request, `sends` the
     attempts to send it. `uncounted_runs` are those runs that do not use up
-    the attempts of the route. `last_event` is the id of the last event that
+    the attempts of the route. `framing` is what marked the end of a complete
+    answer, None without one. `last_event` is the id of the last event that
     the caller has received. Every SentRequest is ended by exactly one of
     `finish`, `fail`, `time_out`, `abandon`, `mark_broken` and
     `take_refusal`, which free its slot. `has_caller_left` checks the caller's
@@ -105,6 +107,7 @@
         self.uncounted_runs = 0
         self.sends = 0
         self.upstream = ''
+        self.framing: Framing | None = None
         self.last_event = inbound.resume_after
         self.inbound = inbound
         self.ctx = ctx
@@ -443,6 +446,7 @@
 
     def finish(self, sent: SentRequest, head: AnswerHead) -> None:
         """End the attempt with a complete answer."""
+        self.framing = sent.conn.framing
         self._keep_connection(sent, head)
         self._deps.suspects.answered(self.ctx.fingerprint)
         self._deps.scheduler.mark_answered(
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -16,6 +16,7 @@
 
 from geventhttpclient import response as responses
 
+from burdockchute.decisions.answer_ends import Framing
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.sockets import is_readable
 from burdockchute.sockets import PolledSocket
@@ -72,6 +73,8 @@
         super().__init__(method=method)
         self.skipping = False
         self.has_extra_bytes = False
+        # Whether the answer ended with its connection.
+        self.ended_by_close = False
         self._is_expected = is_expected
 
     @property
@@ -165,6 +168,15 @@
             if not self._receive(parser) and not parser.is_complete:
                 raise AnswerFailed('ended within the answer', True)
 
+    @property
+    def framing(self) -> Framing:
+        """What marked the end of the answer that was read."""
+        return (
+            Framing.CONNECTION
+            if self._current_parser().ended_by_close
+            else Framing.LENGTH_OR_CHUNKS
+        )
+
     @property
     def is_reusable(self) -> bool:
         """Whether the answer is complete and another request may follow."""
@@ -218,6 +230,7 @@
             raise NoDataYet from None
         except OSError as exc:
             raise AnswerFailed(f'reset: {exc}', True) from exc
+        was_complete = parser.is_complete
         try:
             # Empty data tells the parser that the connection was closed,
             # which is the end of an answer without a length.
@@ -227,6 +240,9 @@
                 reason = f'no answer in the protocol: {exc}'
                 raise AnswerFailed(reason, not data) from exc
             parser.has_extra_bytes = True
+        parser.ended_by_close |= (
+            not data and parser.is_complete and not was_complete
+        )
         return bool(data)
 
 
