Streams: an answer that ends inside an event is broken off

Cause: the end of a connection was taken as the end of an answer that has neither a length nor chunks, and what followed the last event was forwarded before the last chunk. Whether an answer is complete was decided nowhere: the parser said that the bytes had ended, and the stream forwarded them.

Change: decisions/answer_ends judges the end of each answer, whole ones, streams and remainders alike, by its framing and by what follows the last event. A stream that ends inside an event, also in chunks, or with its connection before any event, has been broken off: it continues at another server, or its caller's connection is closed without the last chunk.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -290,7 +290,6 @@
             gap_ms=int(stream.longest_gap_s * 1000) if stream else None,
             events=stream.event_count if stream else None,
             framing=framing.value if framing else None,
-            partial=stream.partial_bytes if stream else None,
             tokens=f'{admitted.inbound.prompt_tokens},'
             f'{admitted.inbound.max_tokens},{admitted.inbound.likely_tokens}',
             left_ms=int((admitted.ctx.deadline - admitted.ctx.arrived) * 1e3),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
@@ -48,17 +48,13 @@
         self.head = head
         self._sender = sender
         self._splitter = EventSplitter()
+        self._has_events = False
 
     @property
     def upstream(self) -> str:
         """The id of the upstream."""
         return self.sent.slot.target.id
 
-    @property
-    def partial_event(self) -> bytes:
-        """The bytes after the last complete event."""
-        return self._splitter.partial_event
-
     def next_batch(
         self, should_stop: Callable[[], bool] | None = None
     ) -> EventBatch | None:
@@ -72,9 +68,13 @@
             if data is None:
                 return None
             if not data:
+                self._sender.check_stream_complete(
+                    self.sent, self._splitter.partial_event, self._has_events
+                )
                 return EventBatch([], True)
             events = self._splitter.feed(data)
             if events:
+                self._has_events = True
                 self._sender.mark_started(self.sent)
                 return EventBatch(events, False)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -11,10 +11,12 @@
 from burdockchute import logs
 from burdockchute.adapters import Adapter
 from burdockchute.decisions import admission
+from burdockchute.decisions import answer_ends
 from burdockchute.decisions import engine_speed
 from burdockchute.decisions import health
 from burdockchute.decisions import retries
 from burdockchute.decisions import versions
+from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.answer_ends import Framing
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.suspects import Suspects
@@ -350,12 +352,39 @@
                         f'answer exceeds {MAX_ANSWER_BYTES} bytes', False
                     )
                 parts.append(data)
-            complete = data is not None
-            return b''.join(parts) if complete else None
+            if data is None:
+                return None
+            self._check_complete(sent)
+            complete = True
+            return b''.join(parts)
         finally:
             if not complete:
                 self.holding.give_back(Use.ANSWERS, size)
 
+    def check_stream_complete(
+        self, sent: SentRequest, partial_event: bytes, has_events: bool
+    ) -> None:
+        """Raise AnswerFailed unless the stream whose end came is complete.
+
+        `partial_event` has the bytes after its last event. A remainder may
+        have no events, as its caller may have the last one.
+        """
+        is_remainder = bool(self.last_event)
+        self._check_complete(
+            sent, partial_event, not has_events and not is_remainder
+        )
+
+    def _check_complete(
+        self,
+        sent: SentRequest,
+        partial_event: bytes = b'',
+        lacks_events: bool = False,
+    ) -> None:
+        framing = sent.conn.framing
+        end = answer_ends.judge(framing, partial_event, lacks_events)
+        if isinstance(end, BrokenOff):
+            raise AnswerFailed(end.reason, end.crashed)
+
     def mark_started(self, sent: SentRequest) -> None:
         """Record that the answer has started: the prompt was processed."""
         self._started.add(sent.conn)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -72,8 +72,7 @@
 class Stream:
     """One stream to a caller.
 
-    `longest_gap_s` is the longest pause between two batches of new events,
-    `partial_bytes` the length of what follows the last one.
+    `longest_gap_s` is the longest pause between two batches of new events.
     `interruptions` are the causes why attempts ended early, in order.
     """
 
@@ -85,7 +84,6 @@
         head: AnswerHead,
     ) -> None:
         self.event_count = 0
-        self.partial_bytes = 0
         self.longest_gap_s = 0.0
         self.first_event_at = 0.0
         self.head = head
@@ -134,9 +132,6 @@
                 yield from self._emit(events)
             self._cancel_handover()
             assert self._run is not None
-            if self._run.partial_event:
-                self.partial_bytes = len(self._run.partial_event)
-                yield self._run.partial_event
             head = self._run.head
             self._sender.finish(self._detach_run(), head)
         finally:
--- a/packages/burdockchute/burdockchute/decisions/answer_ends.py
+++ b/packages/burdockchute/burdockchute/decisions/answer_ends.py
@@ -1,8 +1,15 @@
-"""How the end of an answer is marked."""
+"""Judges whether an answer is complete, by how it ended.
+
+An upstream frames an answer by a length or by chunks, and then its end shows
+that it is complete. With neither, the answer ends with its connection, and an
+upstream that crashes may close its connections in the same way as one that is
+done. A stream is complete only between two events, whatever its framing.
+"""
 
 from __future__ import annotations
 
 import enum
+from typing import NamedTuple
 
 
 class Framing(enum.Enum):
@@ -10,3 +17,42 @@
 
     LENGTH_OR_CHUNKS = 'length_or_chunks'
     CONNECTION = 'connection'
+
+
+class Complete(NamedTuple):
+    """All of the answer was received."""
+
+
+class BrokenOff(NamedTuple):
+    """The answer ended early.
+
+    `crashed` is whether its upstream has closed the connection or is gone.
+    """
+
+    reason: str
+    crashed: bool
+
+
+AnswerEnd = Complete | BrokenOff
+
+
+def judge(
+    framing: Framing, partial_event: bytes = b'', lacks_events: bool = False
+) -> AnswerEnd:
+    r"""Judge an answer whose end was received.
+
+    `partial_event` has the bytes after the last event of a stream;
+    `lacks_events` is whether it has no events and should have some.
+
+    >>> judge(Framing.LENGTH_OR_CHUNKS)
+    Complete()
+    >>> judge(Framing.CONNECTION, b'id: 3\nda').reason
+    'ended inside an event'
+    """
+    closed = framing is Framing.CONNECTION
+    # An empty line after the last event begins no other one.
+    if partial_event.strip(b'\r\n'):
+        return BrokenOff('ended inside an event', closed)
+    if closed and lacks_events:
+        return BrokenOff('ended with its connection before an event', True)
+    return Complete()
