Calls: an event that its upstream cut is no event

An agent reads the events of its engine with a library that also yields what follows the last complete event. An engine that crashed within an event left a partial one to be forwarded as an event, or to be taken for an answer that is no JSON object, which does not count as a crash.

Only complete events reach the library now, and the end of a call's answer is judged by decisions/answer_ends, as for streams of entries. Without the change the test fails for each of its three cuts: a line of data without the empty line was yielded as an event, and after a line without its end the stream ended as if it were complete.

--- a/packages/burdockchute/burdockchute/decisions/answer_ends.py
+++ b/packages/burdockchute/burdockchute/decisions/answer_ends.py
@@ -50,8 +50,8 @@
     'ended inside an event'
     """
     closed = framing is Framing.CONNECTION
-    # An empty line after the last event begins no other one.
-    if partial_event.strip(b'\r\n'):
+    # White space after the last event begins no other one.
+    if partial_event.strip():
         return BrokenOff('ended inside an event', closed)
     if closed and lacks_events:
         return BrokenOff('ended with its connection before an event', True)
--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -20,6 +20,11 @@
 from geventhttpclient import response as responses
 import sseclient
 
+from burdockchute.decisions import answer_ends
+from burdockchute.decisions.answer_ends import BrokenOff
+from burdockchute.decisions.answer_ends import Framing
+from burdockchute.upstreams.events import EventSplitter
+
 CONNECT_TIMEOUT_S = 1.0
 
 _DECIMAL = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
@@ -112,17 +117,18 @@
     """Read the body of a plain reply; raises AnswerFailed."""
     try:
         data = reply.response.read(limit + 1)
-        if len(data) > limit:
-            raise AnswerFailed(f'an answer over {limit} bytes')
-        return bytes(data)
     except _NETWORK_ERRORS as exc:
         raise _to_answer_failed(exc) from exc
+    if len(data) > limit:
+        raise AnswerFailed(f'an answer over {limit} bytes')
+    _check_complete(reply)
+    return bytes(data)
 
 
 def events(reply: Reply) -> Iterator[str]:
     """Yield the data of each server-sent event; raises AnswerFailed."""
     try:
-        for event in sseclient.SSEClient(_chunks(reply)).events():
+        for event in sseclient.SSEClient(_complete_events(reply)).events():
             yield event.data
     except _NETWORK_ERRORS as exc:
         raise _to_answer_failed(exc) from exc
@@ -152,11 +158,30 @@
         return sock
 
 
-def _chunks(reply: Reply) -> Iterator[bytes]:
+def _complete_events(reply: Reply) -> Iterator[bytes]:
+    # The library would also yield what follows the last complete event.
+    splitter = EventSplitter()
+    for line in _lines(reply):
+        for event in splitter.feed(line):
+            yield event.data
+    _check_complete(reply, splitter.partial_event)
+
+
+def _lines(reply: Reply) -> Iterator[bytes]:
     # An event ends with an empty line. readline returns each line as soon as
     # it has arrived; a read of a fixed size would delay tokens.
-    while True:
-        line = reply.response.readline(b'\n')
-        if not line:
-            return
+    while line := reply.response.readline(b'\n'):
         yield bytes(line)
+    # At the end of the answer, readline leaves a line without its end.
+    yield bytes(reply.response.read())
+
+
+def _check_complete(reply: Reply, partial_event: bytes = b'') -> None:
+    has_framing = (
+        'content-length' in reply.response
+        or 'transfer-encoding' in reply.response
+    )
+    framing = Framing.LENGTH_OR_CHUNKS if has_framing else Framing.CONNECTION
+    end = answer_ends.judge(framing, partial_event)
+    if isinstance(end, BrokenOff):
+        raise AnswerFailed(end.reason, end.crashed)
--- a/packages/burdockchute/tests/upstreams/test_calls.py
+++ b/packages/burdockchute/tests/upstreams/test_calls.py
@@ -75,6 +75,19 @@
         with self.assertRaises(calls.AnswerFailed):
             calls.read_body(reply, 100)
 
+    def test_stream_that_ends_inside_an_event_fails(self):
+        # The upstream crashes before the end of its second event. The library
+        # returns what has arrived of it as an event.
+        head = b'HTTP/1.1 200 OK\r\n\r\n'
+        for partial in (b'data: b\n', b'data: b', b'id'):
+            with self.subTest(partial=partial):
+                reply = self.send(self.serve(head + b'data: a\n\n' + partial))
+                found = calls.events(reply)
+                self.assertEqual('a', next(found))
+                with self.assertRaises(calls.AnswerFailed) as caught:
+                    next(found)
+                self.assertTrue(caught.exception.crashed)
+
     def test_silence_fails_without_a_crash(self):
         # The upstream stops sending and keeps the connection open.
         held: list[socket.socket] = []
