Entry: the end of a relayed answer is judged where all others are

Answers that agents relay had their own outcome, Complete or Incomplete, beside that of decisions/answer_ends. They share it now; no change of behaviour.

--- a/packages/burdockchute-entry/burdockchute_entry/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/attempts.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from typing import Any
-from typing import NamedTuple
 
 from burdockchute.decisions import admission
+from burdockchute.decisions import answer_ends
 from burdockchute.decisions import placement
+from burdockchute.decisions.answer_ends import AnswerEnd
+from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.fair_queue import QueuedRequest
 from burdockchute.decisions.placement import Work
 from burdockchute.model.requests import RequestContext
@@ -20,17 +22,6 @@
 MAX_EARLY_PARTS = 1024
 
 
-class Complete(NamedTuple):
-    """All parts of the answer were received, from the pinned weights."""
-
-
-class Incomplete(NamedTuple):
-    """The request was sent to an instance and its answer is not complete."""
-
-    reason: str
-    crashed: bool
-
-
 class Attempt:
     """One attempt to run a request on an instance."""
 
@@ -62,18 +53,18 @@
             self.next_sequence += 1
         return ready
 
-    def check_end(self, end: messages.AnswerEnd) -> Complete | Incomplete:
+    def check_end(self, end: messages.AnswerEnd) -> AnswerEnd:
         """Check whether the received parts are the complete answer."""
-        if end.error:
-            return Incomplete(end.error, bool(end.crashed))
-        if end.parts != self.next_sequence:
-            reason = f'{self.next_sequence!r} of {end.parts!r} parts received'
-            return Incomplete(reason, False)
+        judged = answer_ends.judge_relayed(
+            end.parts, self.next_sequence, end.error, bool(end.crashed)
+        )
+        if isinstance(judged, BrokenOff):
+            return judged
         # The agent compares the digests too; that no answer mixes two
         # versions must not depend on a single check.
         if (end.digest, end.adapter_digest) != self.pinned:
-            return Incomplete(f'answer is from weights {end.digest!r}', False)
-        return Complete()
+            return BrokenOff(f'answer is from weights {end.digest!r}', False)
+        return judged
 
 
 class Request:
--- a/packages/burdockchute-entry/burdockchute_entry/router.py
+++ b/packages/burdockchute-entry/burdockchute_entry/router.py
@@ -17,6 +17,7 @@
 from burdockchute import logs
 from burdockchute.decisions import admission
 from burdockchute.decisions import retries
+from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.suspects import Suspects
 from burdockchute.model import claims
 from burdockchute.model import table as tables
@@ -38,7 +39,6 @@
 from burdockchute_entry import completion
 from burdockchute_entry import fleet as fleets
 from burdockchute_entry.attempts import Attempt
-from burdockchute_entry.attempts import Incomplete
 from burdockchute_entry.attempts import Request
 from burdockchute_entry.dispatcher import Dispatcher
 from burdockchute_entry.limits_task import DemandMeasured
@@ -230,7 +230,7 @@
         attempt = request.attempt
         assert attempt is not None
         verdict = attempt.check_end(end)
-        if isinstance(verdict, Incomplete):
+        if isinstance(verdict, BrokenOff):
             self._attempt_lost(request, verdict)
             return
         now = self._now()
@@ -276,12 +276,12 @@
         messages.NotRun: _on_not_run,
     }
 
-    def _attempt_lost(self, request: Request, incomplete: Incomplete) -> None:
+    def _attempt_lost(self, request: Request, broken: BrokenOff) -> None:
         """Retry or end a request whose attempt got no complete answer."""
         attempt = request.attempt
         assert attempt is not None
         self._count_failure(request, attempt)
-        if incomplete.crashed:
+        if broken.crashed:
             self._count_crash(request, attempt)
         self._dispatcher.release_instance(request)
         request.attempt = None
@@ -290,11 +290,11 @@
         )
         may_retry = not refused and request.may_run_again()
         if not may_retry or not self._dispatcher.may_retry(request):
-            self._finish(request, Unknown(incomplete.reason, 502))
+            self._finish(request, Unknown(broken.reason, 502))
             return
         request.parts.clear()
         request.avoid(attempt.instance)
-        request.is_suspect = incomplete.crashed
+        request.is_suspect = broken.crashed
         self._dispatcher.requeue(request)
 
     def _count_failure(self, request: Request, attempt: Attempt) -> None:
@@ -386,7 +386,7 @@
         reason = f'link closed: {event.reason}'
         for request in list(self._requests.values()):
             if request.attempt and request.attempt.link is event.link:
-                self._attempt_lost(request, Incomplete(reason, False))
+                self._attempt_lost(request, BrokenOff(reason, False))
 
     def _table_changed(self, event: TableChanged) -> None:
         self._table = event.table
--- a/packages/burdockchute/burdockchute/decisions/answer_ends.py
+++ b/packages/burdockchute/burdockchute/decisions/answer_ends.py
@@ -56,3 +56,20 @@
     if closed and lacks_events:
         return BrokenOff('ended with its connection before an event', True)
     return Complete()
+
+
+def judge_relayed(
+    sent_parts: int, received_parts: int, error: str, crashed: bool
+) -> AnswerEnd:
+    """Judge an answer that another process of this system has relayed.
+
+    It relays an answer in numbered parts, and states at the end how many they
+    are, or by `error` and `crashed` why there are no more.
+    """
+    if error:
+        return BrokenOff(error, crashed)
+    if sent_parts != received_parts:
+        return BrokenOff(
+            f'{received_parts!r} of {sent_parts!r} parts received', False
+        )
+    return Complete()
