Callers: a broken stream to an HTTP/1.0 caller is reset

Such a caller gets streams without chunks, which end with their connection. A stream that broke off was closed like a complete one. Its connection is reset now. The same fault as towards upstreams, in the other direction; found by looking for it.

--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -14,6 +14,7 @@
 from gevent import pywsgi
 
 from burdockchute.sockets import closed_by_peer
+from burdockchute.sockets import reset_on_close
 
 # Limits for receiving the request line and headers once the first byte has
 # arrived, for a connection without a request, and for one write to a caller.
@@ -150,6 +151,8 @@
     wsgi_input: Any
     environ: dict[str, Any] | None
     response_length: int
+    response_use_chunked: bool
+    headers_sent: bool
     status: Any
     code: int
 
@@ -189,6 +192,17 @@
             env['wsgi.input'] = self.wsgi_input
         return env
 
+    def run_application(self) -> None:
+        """Run the application; a broken answer without framing is reset."""
+        try:
+            super().run_application()
+        except OSError:
+            # Callers of HTTP/1.0 get answers that end with the connection,
+            # and only a reset shows them that an answer has been broken off.
+            if self.headers_sent and not self.response_use_chunked:
+                reset_on_close(self.socket)
+            raise
+
     def _sendall(self, data: Any) -> None:
         watch = self.environ.get(WRITE_WATCH_KEY) if self.environ else None
         if watch is None:
--- a/packages/burdockchute/burdockchute/sockets.py
+++ b/packages/burdockchute/burdockchute/sockets.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 import select
 import socket as sockets
+import struct
 import time
 from typing import Any
 
@@ -21,6 +22,9 @@
 from gevent import monkey
 from gevent import socket
 
+# SO_LINGER with a time of zero: close() resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 _poll = monkey.get_original('select', 'poll')
 
 
@@ -44,6 +48,15 @@
         return True
 
 
+def reset_on_close(sock: Any) -> None:
+    """Make the close of a socket reset its connection."""
+    try:
+        sock.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _RESET_ON_CLOSE)
+    except OSError:
+        # The other side has closed it before.
+        pass
+
+
 class SilenceTimer:
     """Calls `on_silence` once nothing was received for `silence_s` seconds.
 
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import socket as sockets
-import struct
 from typing import Any
 
 from geventhttpclient import response as responses
@@ -20,6 +19,7 @@
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.sockets import is_readable
 from burdockchute.sockets import PolledSocket
+from burdockchute.sockets import reset_on_close
 
 # Upstreams are a few milliseconds away and accept connections at once. One
 # that has not done so by then is unreachable or full, and the request is
@@ -34,9 +34,6 @@
 # received, in addition to what is read ahead; most events are far shorter.
 RECEIVE_BYTES = 16 * 1024
 
-# SO_LINGER with a time of zero: close() resets the connection.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
 HeaderList = Iterable[tuple[str, str]]
 
 
@@ -210,13 +207,7 @@
         An upstream that does not read while it works notices a reset with
         its next write. One that was suspended may drop what it has not read.
         """
-        try:
-            self._sock.setsockopt(
-                sockets.SOL_SOCKET, sockets.SO_LINGER, _RESET_ON_CLOSE
-            )
-        except OSError:
-            # The upstream has closed it before.
-            pass
+        reset_on_close(self._sock)
         self._sock.close()
 
     def _current_parser(self) -> _Parser:
