Answers: one that ends with its connection and its upstream is broken off

An upstream that crashes between two events, or within a whole answer, closes its connection in the same way as one that is done, and an answer with neither a length nor chunks then looked complete. No byte of it tells the difference, but a crashed upstream refuses connections. So at such an end a connection is opened, which later requests use: the one of the answer is gone anyway. An answer whose upstream refuses it is broken off. Agents do the same for calls.

An upstream that is cut off rather than gone (no answer to the connection) does not close connections, so such an end still counts as complete.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -380,8 +380,12 @@
         partial_event: bytes = b'',
         lacks_events: bool = False,
     ) -> None:
-        framing = sent.conn.framing
-        end = answer_ends.judge(framing, partial_event, lacks_events)
+        end = answer_ends.judge(
+            sent.conn.framing,
+            partial_event,
+            lacks_events,
+            lambda: sent.slot.target.is_gone(self._deps.now()),
+        )
         if isinstance(end, BrokenOff):
             raise AnswerFailed(end.reason, end.crashed)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -27,6 +27,7 @@
 from burdockchute.model.upstreams import Upstream
 from burdockchute.upstreams import connections
 from burdockchute.upstreams.connections import Connection
+from burdockchute.upstreams.connections import NotConnected
 
 # An idle connection is closed this long before its upstream would close it,
 # so that no request is sent while the close is on its way.
@@ -394,6 +395,18 @@
             conn.close()
         return connections.connect(self.upstream.endpoint)
 
+    def is_gone(self, now: float) -> bool:
+        """Whether it refuses connections; keeps the one that it accepts."""
+        try:
+            conn = connections.connect(self.upstream.endpoint)
+        except NotConnected as exc:
+            return exc.refused
+        if self.is_replaced:
+            conn.close()
+        else:
+            self._keep_until(conn, DEFAULT_IDLE_S, now)
+        return False
+
     def keep(self, conn: Connection, idle_s: float, now: float) -> None:
         """Keep a connection for reuse, or close it if it can't be reused."""
         if not conn.is_reusable or self.is_replaced:
@@ -401,7 +414,10 @@
             return
         known_s = idle_s if idle_s < float('inf') else DEFAULT_IDLE_S
         conn.set_poll_interval(connections.POLL_INTERVAL_S)
-        conn.idle_until = now + known_s - IDLE_MARGIN_S
+        self._keep_until(conn, known_s, now)
+
+    def _keep_until(self, conn: Connection, idle_s: float, now: float) -> None:
+        conn.idle_until = now + idle_s - IDLE_MARGIN_S
         self._idle.append((conn, now))
 
     def remove_unstarted(
--- a/packages/burdockchute/burdockchute/decisions/answer_ends.py
+++ b/packages/burdockchute/burdockchute/decisions/answer_ends.py
@@ -2,12 +2,14 @@
 
 An upstream frames an answer by a length or by chunks, and then its end shows
 that it is complete. With neither, the answer ends with its connection, and an
-upstream that crashes may close its connections in the same way as one that is
-done. A stream is complete only between two events, whatever its framing.
+upstream that crashes closes it in the same way as one that is done. Such an
+answer is complete only if its upstream still accepts connections. A stream is
+complete only between two events, whatever its framing.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import enum
 from typing import NamedTuple
 
@@ -37,12 +39,17 @@
 
 
 def judge(
-    framing: Framing, partial_event: bytes = b'', lacks_events: bool = False
+    framing: Framing,
+    partial_event: bytes = b'',
+    lacks_events: bool = False,
+    is_upstream_gone: Callable[[], bool] = lambda: False,
 ) -> AnswerEnd:
     r"""Judge an answer whose end was received.
 
     `partial_event` has the bytes after the last event of a stream;
     `lacks_events` is whether it has no events and should have some.
+    `is_upstream_gone` tells whether the upstream refuses connections by now;
+    it is only called for an answer that nothing else shows to be broken off.
 
     >>> judge(Framing.LENGTH_OR_CHUNKS)
     Complete()
@@ -55,6 +62,8 @@
         return BrokenOff('ended inside an event', closed)
     if closed and lacks_events:
         return BrokenOff('ended with its connection before an event', True)
+    if closed and is_upstream_gone():
+        return BrokenOff('ended with its connection and its upstream', True)
     return Complete()
 
 
--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 from urllib import parse
 
+from gevent import socket
 import geventhttpclient
 from geventhttpclient import response as responses
 import sseclient
@@ -49,6 +50,7 @@
 class Reply(NamedTuple):
     """Status and headers of an answer whose body has not been read yet.
 
+    `is_upstream_gone` checks whether the upstream refuses connections.
     `rest_s` is the time in seconds for which an upstream that answers 503
     wants no more calls, None if it does not say.
     """
@@ -57,6 +59,7 @@
     content_type: str
     response: Any
     close: Callable[[], None]
+    is_upstream_gone: Callable[[], bool]
     rest_s: float | None = None
 
 
@@ -102,10 +105,21 @@
         str(response.get('content-type', '')),
         response,
         close,
+        lambda: _refuses_connections(parts.hostname, parts.port),
         _rest_s(response),
     )
 
 
+def _refuses_connections(host: str | None, port: int | None) -> bool:
+    try:
+        socket.create_connection((host, port), CONNECT_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _rest_s(response: Any) -> float | None:
     text = str(response.get('retry-after', ''))
     if response.status_code != 503 or not _DECIMAL.fullmatch(text):
@@ -182,6 +196,8 @@
         or 'transfer-encoding' in reply.response
     )
     framing = Framing.LENGTH_OR_CHUNKS if has_framing else Framing.CONNECTION
-    end = answer_ends.judge(framing, partial_event)
+    end = answer_ends.judge(
+        framing, partial_event, is_upstream_gone=reply.is_upstream_gone
+    )
     if isinstance(end, BrokenOff):
         raise AnswerFailed(end.reason, end.crashed)
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -38,7 +38,15 @@
 
 
 class NotConnected(Exception):
-    """No connection could be made, so nothing was sent."""
+    """No connection could be made, so nothing was sent.
+
+    `refused` is whether the upstream's machine answered that nothing listens
+    there.
+    """
+
+    def __init__(self, reason: str, refused: bool) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class AnswerFailed(Exception):
@@ -249,7 +257,8 @@
         sock.settimeout(POLL_INTERVAL_S)
     except OSError as exc:
         sock.close()
-        raise NotConnected(f'{endpoint}: {exc}') from exc
+        refused = isinstance(exc, ConnectionRefusedError)
+        raise NotConnected(f'{endpoint}: {exc}', refused) from exc
     except BaseException:
         sock.close()
         raise
--- a/packages/burdockchute/tests/upstreams/test_calls.py
+++ b/packages/burdockchute/tests/upstreams/test_calls.py
@@ -88,6 +88,20 @@
                     next(found)
                 self.assertTrue(caught.exception.crashed)
 
+    def test_body_without_length_of_an_upstream_that_is_gone_fails(self):
+        # The upstream crashes within an answer that ends with its connection.
+        def crash(sock: socket.socket, _address: object) -> None:
+            sock.recv(65536)
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\nhalf')
+            listening.close()
+
+        listening = server.StreamServer(('127.0.0.1', 0), crash)
+        listening.start()
+        reply = self.send(f'http://127.0.0.1:{listening.server_port}')
+        with self.assertRaises(calls.AnswerFailed) as caught:
+            calls.read_body(reply, 100)
+        self.assertTrue(caught.exception.crashed)
+
     def test_silence_fails_without_a_crash(self):
         # The upstream stops sending and keeps the connection open.
         held: list[socket.socket] = []
