--- a/packages/burdockchute-testing/burdockchute_testing/forwarder.py
+++ b/packages/burdockchute-testing/burdockchute_testing/forwarder.py
@@ -64,11 +64,14 @@
         self._sockets: list[Any] = []
         self._server = server.StreamServer(listen_address, self._handle)
         self._server.start()
+        self._address = Address(
+            self._server.server_host, self._server.server_port
+        )
 
     @property
     def address(self) -> Address:
         """The address to connect to."""
-        return Address(self._server.server_host, self._server.server_port)
+        return self._address
 
     @property
     def port(self) -> int:
@@ -100,6 +103,16 @@
         for sock in faulty_sockets:
             _reset(sock)
 
+    def refuse(self) -> None:
+        """Refuse new connections until `accept`; others are not affected."""
+        self._server.close()
+
+    def accept(self) -> None:
+        """Accept connections again."""
+        if self._server.closed:
+            self._server = server.StreamServer(self._address, self._handle)
+            self._server.start()
+
     def close(self) -> None:
         """Stop forwarding."""
         self.heal()
@@ -175,8 +188,12 @@
                 gate.wait()
                 target.sendall(data)
                 data = source.recv(_READ_BYTES)
+        except ConnectionResetError:
+            # A close would look like the end of an answer without a length.
+            for sock in (source, target):
+                _reset(sock)
         except OSError:
-            # One end was reset or closed; closing both tells the other end.
+            # One end was closed; closing both tells the other end.
             pass
         for sock in (source, target):
             sock.close()
