Logs: the parts of a prompt whose upstream broke off

The first and third hypotheses of docs/incidents/crashing-parts.md leave different lines now: by the first, one part is in each crash, and by the third the crashes share none.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -119,7 +119,8 @@
         self.pending = PendingRequest(ctx, work, spec)
         self._deps = deps
         self._has_caller_left = has_caller_left
-        self._started: set[Connection] = set()
+        # When the answer on each connection has started.
+        self._started: dict[Connection, float] = {}
         # Rejections of the remainder of an interrupted stream.
         self._rejections = 0
 
@@ -391,7 +392,7 @@
 
     def mark_started(self, sent: SentRequest) -> None:
         """Record that the answer has started: the prompt was processed."""
-        self._started.add(sent.conn)
+        self._started.setdefault(sent.conn, self._deps.now())
         if sent.hedge_at is not None or sent.rival is not None:
             sent.conn.set_poll_interval(POLL_INTERVAL_S)
         self._deps.scheduler.mark_started(self.pending, sent.slot)
@@ -574,8 +575,15 @@
             fingerprint=fingerprint,
             alone=alone,
             convicted=convicted,
+            parts=','.join(self.inbound.prompt_parts),
+            answering_ms=int(self._answering_s(sent) * 1000),
         )
 
+    def _answering_s(self, sent: SentRequest) -> float:
+        """Return for how long its answer has been arriving, or 0."""
+        now = self._deps.now()
+        return now - self._started.get(sent.conn, now)
+
     def _keep_connection(self, sent: SentRequest, head: AnswerHead) -> None:
         if head.idle_s is None or not self.holding.account.keeps_idle:
             sent.conn.close()
--- a/packages/burdockchute/burdockchute/model/exchanges.py
+++ b/packages/burdockchute/burdockchute/model/exchanges.py
@@ -19,6 +19,8 @@
     the last event that the caller has, empty for a complete answer.
     `prompt_tokens`, `max_tokens` and `likely_tokens` are 0 if they are not
     given. `headers` are those that are forwarded to the upstream unchanged.
+    `prompt_parts` are the ids of the parts of the prompt in order, without
+    the last, which is the request's own.
     """
 
     id: str
@@ -34,6 +36,7 @@
     resume_after: str
     headers: Headers
     body: bytes = b''
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
