Prompts: a part that crashes engines is refused everywhere

Cause: the evidence of a crash was kept for each whole request (customer, target and body), and no two of these requests were alike. Nothing read the parts of a prompt, which are what sound and crashing requests have in common.

The evidence are the parts that a crashed engine had just begun to answer on, over all entries; a complete answer rules a part out. The part that explains most crashes, three at least, is refused for ten minutes, and these crashes count against no other part, so sound requests with the other parts are served. Lost answers only count if the engine refuses connections, so resets of links are no evidence. Agents relay the evidence between entries; what is refused is kept in the platform's store, where entries that were cut off, join or start again read it.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -19,7 +19,9 @@
 from burdockchute.decisions.versions import History
 from burdockchute.model.agent_requirements import AgentRequirements
 from burdockchute.model.crash_reports import CrashReport
+from burdockchute.model.crash_reports import PartsReport
 from burdockchute.model.crash_reports import PeerCrashReport
+from burdockchute.model.crash_reports import PromptPart
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.link_events import LinkEvent
 from burdockchute.model.link_events import LinkLost
@@ -83,7 +85,7 @@
 
     Entries have no links to each other, so agents relay which requests were
     in flight when an upstream crashed. `on_crash` gets those of other
-    entries.
+    entries, `on_parts_report` what they report of parts of prompts.
 
     Agents are sent the desired state, and whether the store answers this
     entry (`in_contact`); without contact, the entry can't learn of changes.
@@ -99,6 +101,7 @@
         in_contact: Callable[[], bool],
         rng: random.Random,
         on_link_event: Callable[[LinkEvent], None] = lambda event: None,
+        on_parts_report: Callable[[PartsReport], None] = lambda report: None,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._link_port = link_port
@@ -107,6 +110,7 @@
         self._on_crash = on_crash
         self._in_contact = in_contact
         self._on_link_event = on_link_event
+        self._on_parts_report = on_parts_report
         self._rng = rng
         self._known_state = KnownState()
         self._services: dict[str, str] = {}
@@ -155,6 +159,8 @@
                     )
             case CrashReport():
                 self._relay(messages.CrashNews(*message))
+            case PartsReport():
+                self._relay(_parts_news(message))
             case ProbeRequested():
                 self._probe(message)
             case LinkStateReport():
@@ -166,13 +172,18 @@
                 news = message.message
                 self._on_link_event(LinkStateReport(news.agent, news.is_slow))
             case links.Received(message=messages.CrashNews()):
-                self._on_crash(
-                    PeerCrashReport(_crash_report(message.message), age_s=0.0)
-                )
+                self._on_crash_news(message.message)
             case links.Received(link=link, message=messages.LoadReport()):
                 if self._peers.find_by_link(link) is not None:
                     self._on_load_report(link.peer.name, message.message)
 
+    def _on_crash_news(self, news: messages.CrashNews) -> None:
+        if news.parts:
+            parts = tuple(PromptPart(p.name, p.position) for p in news.parts)
+            self._on_parts_report(PartsReport(news.upstream, parts))
+        else:
+            self._on_crash(PeerCrashReport(_crash_report(news), age_s=0.0))
+
     def _probe(self, request: ProbeRequested) -> None:
         peer = self._peers.links.get(request.agent)
         if peer is not None:
@@ -245,6 +256,11 @@
         self._peers.tick(time.monotonic())
 
 
+def _parts_news(report: PartsReport) -> messages.CrashNews:
+    parts = [messages.PromptPart(*part) for part in report.parts]
+    return messages.CrashNews('', report.upstream, False, False, parts)
+
+
 def _crash_report(news: messages.CrashNews) -> CrashReport:
     return CrashReport(
         news.fingerprint, news.upstream, news.alone, news.convicted
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -37,7 +37,9 @@
 from burdockchute_entry.straight.callers import CallersApp
 from burdockchute_entry.straight.callers import ShutdownState
 from burdockchute_entry.straight.counters import Counters
+from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.memory_account import MemoryAccount
+from burdockchute_entry.straight.refused_parts_task import RefusedPartsTask
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.sending import Dependencies
 
@@ -105,6 +107,19 @@
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
         )
         self._suspects = Suspects()
+        self.crash_watch = CrashWatch(
+            now,
+            lambda report: self.agents.inbox.put(report),
+            lambda: self.refused_parts.expect_changes(),
+            lambda name, refused: self.refused_parts.save(name, refused),
+        )
+        self.refused_parts = RefusedPartsTask(
+            adapter.open_refused_parts(machine.store),
+            self.crash_watch.parts,
+            max_open_read_s(machine.bounds.contact_s),
+            now,
+            time.time,
+        )
         self.agents = AgentsTask(
             Member(machine.name, 'entry', machine.address, 0, machine.place),
             self.lifecycle.hello,
@@ -114,6 +129,7 @@
             lambda: not self.follower.desired_state_contact.lost,
             rng,
             self.scheduler.handle_link_event,
+            self.crash_watch.peer_reported,
         )
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
@@ -122,6 +138,7 @@
                 adapter,
                 self.scheduler,
                 self._suspects,
+                self.crash_watch,
                 now,
                 self.agents.inbox.put,
             ),
@@ -235,6 +252,7 @@
                 model: history.newest
                 for model, history in known_state.histories.items()
             },
+            'refused_parts': self.crash_watch.parts.refused(time.monotonic()),
             'evacuated': {
                 zone: round(time.monotonic() - at, 2)
                 for zone, at in known_state.evacuated.items()
@@ -264,6 +282,8 @@
             self.follower.follow_desired_state,
             self.follower.follow_upstreams,
             self.agents.run,
+            self.refused_parts.read_forever,
+            self.refused_parts.save_forever,
             self._keep_assigning,
         ]
 
@@ -294,8 +314,13 @@
         self._suspects.peer_reported(report, time.monotonic())
 
     def _keep_assigning(self) -> None:
+        was_lost = False
         while True:
             gevent.sleep(ASSIGN_INTERVAL_S)
+            is_lost = self.follower.desired_state_contact.lost
+            if was_lost and not is_lost:
+                self.refused_parts.expect_changes()
+            was_lost = is_lost
             self.scheduler.check_links()
             self.scheduler.assign_free_slots()
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -27,6 +27,7 @@
 from burdockchute.decisions.homes import Home
 from burdockchute.decisions.routing import RouteTable
 from burdockchute.model import outcomes
+from burdockchute.model.crash_reports import PromptPart
 from burdockchute.model.exchanges import InboundRequest
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.outcomes import NotRun
@@ -492,6 +493,10 @@
         content_type='',
         body=b'',
         fingerprint=_fingerprint(customer, inbound),
+        prompt_parts=tuple(
+            PromptPart(f'{inbound.model:.64}/{part}', position)
+            for position, part in enumerate(inbound.prompt_parts)
+        ),
     )
     home = Home(
         route.host, route.prefix, customer, route.regions, customer_regions
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
@@ -0,0 +1,123 @@
+"""Shares refused parts of prompts through the platform's store.
+
+Reports of crashes reach the entries that are linked at the time. What they
+lead to also has to hold for an entry that was cut off, joins or starts again,
+so the parts that an entry refuses are kept in the store, where all read them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import event
+from gevent import queue
+from returns.result import Failure
+
+from burdockchute import logs
+from burdockchute.decisions.crashing_parts import CrashingParts
+from burdockchute.decisions.crashing_parts import REFUSE_S
+from burdockchute.feed_follower import Cursor
+from burdockchute.model.feeds import Change
+from burdockchute.model.feeds import PartAllowed
+from burdockchute.model.feeds import PartRefused
+from burdockchute.model.feeds import RefusedParts
+
+# Changes are rare. They are read by long polls for this long after a crash or
+# an outage of the store, and otherwise at this interval.
+EXPECTING_S = 30.0
+IDLE_INTERVAL_S = 20.0
+
+RETRY_S = 0.5
+
+# How long to retry the save of a change. Most callers of refused requests
+# have given up by then.
+SAVE_TIMEOUT_S = 120.0
+
+
+class RefusedPartsTask:
+    """Reads the refused parts into `parts`, and saves changes of this entry.
+
+    A read stays open at the store for up to `wait_s`.
+    """
+
+    def __init__(
+        self,
+        refused_parts: RefusedParts,
+        parts: CrashingParts,
+        wait_s: float,
+        now: Callable[[], float],
+        now_unix: Callable[[], float],
+    ) -> None:
+        self._refused_parts = refused_parts
+        self._parts = parts
+        self._wait_s = wait_s
+        self._now = now
+        self._now_unix = now_unix
+        self._inbox: queue.Queue = queue.Queue()
+        self._expecting_until = float('-inf')
+        self._woken = event.Event()
+
+    def expect_changes(self) -> None:
+        """Read at once, and by long polls for a while."""
+        self._expecting_until = self._now() + EXPECTING_S
+        self._woken.set()
+
+    def save(self, name: str, refused: bool) -> None:
+        """Save that this entry begins or ceases to refuse a part."""
+        self._inbox.put(
+            PartRefused(name, self._now_unix())
+            if refused
+            else PartAllowed(name)
+        )
+
+    def save_forever(self) -> None:
+        """Save the changes of this entry in their order, forever."""
+        while True:
+            change = self._inbox.get()
+            until = self._now() + SAVE_TIMEOUT_S
+            while not self._refused_parts.save(change):
+                if self._now() > until:
+                    logs.warn('prompt_part_not_saved', part=change.name)
+                    break
+                gevent.sleep(RETRY_S)
+
+    def read_forever(self) -> None:
+        """Apply the changes of all entries, forever."""
+        cursor = Cursor()
+        was_read = True
+        while True:
+            self._woken.clear()
+            is_expecting = self._now() < self._expecting_until
+            wait_s = self._wait_s if is_expecting else 0.0
+            result = self._refused_parts.read(cursor.position, wait_s)
+            if isinstance(result, Failure):
+                error = result.failure()
+                if error.expired:
+                    cursor.expire()
+                if was_read:
+                    logs.event('refused_parts_unread', reason=error.reason)
+                was_read = False
+                gevent.sleep(RETRY_S)
+            else:
+                batch = result.unwrap()
+                was_read = True
+                cursor.advance(batch.position)
+                for change in batch.changes:
+                    self._apply(change)
+            if self._now() >= self._expecting_until:
+                self._woken.wait(IDLE_INTERVAL_S)
+
+    def _apply(self, change: Change) -> None:
+        now = self._now()
+        if isinstance(change, PartAllowed):
+            self._parts.clear(change.name)
+        elif isinstance(change, PartRefused):
+            age_s = max(0.0, self._now_unix() - change.at_unix)
+            if age_s < REFUSE_S and not self._parts.is_refused(
+                change.name, now
+            ):
+                logs.warn(
+                    'prompt_part_refused', part=change.name, source='store'
+                )
+                self._parts.refuse(change.name, REFUSE_S - age_s, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -42,6 +42,7 @@
 from burdockchute_entry.straight.attempts import UpstreamSilent
 from burdockchute_entry.straight.attempts import UpstreamSlow
 from burdockchute_entry.straight.attempts import WeightsReplaced
+from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
 from burdockchute_entry.straight.scheduler import Scheduler
@@ -78,6 +79,7 @@
     adapter: Adapter
     scheduler: Scheduler
     suspects: Suspects
+    crash_watch: CrashWatch
     now: Callable[[], float]
     report_crash: Callable[[CrashReport], None] = lambda crash: None
 
@@ -131,9 +133,16 @@
         now = self._deps.now()
         if reason := self._obsolete_reason(now):
             return NotRun(reason, 503, 0.0)
+        if refusal := self._part_refusal():
+            return refusal
         slot = self._deps.scheduler.wait_for_slot(
             self.pending, self.ctx.deadline
         )
+        # A part may have been convicted while the request waited.
+        refusal = self._part_refusal()
+        if refusal and isinstance(slot, Slot):
+            self.release(slot)
+            return refusal
         if isinstance(slot, Slot):
             load = slot.target.load
             logs.event(
@@ -148,6 +157,13 @@
             )
         return slot
 
+    def _part_refusal(self) -> NotRun | None:
+        refused_s = self._deps.crash_watch.refused_for_s(self.ctx.prompt_parts)
+        if not refused_s:
+            return None
+        reason = 'a part of its prompt crashed the upstreams that ran it'
+        return NotRun(reason, 503, refused_s)
+
     def may_retry(
         self,
         attempt: NotExecuted | OutcomeUnknown | Failed,
@@ -216,6 +232,8 @@
             raise
         now = self._deps.now()
         reason = self._obsolete_reason(now)
+        if not reason and (refusal := self._part_refusal()):
+            reason = refusal.reason
         if not reason and not target.accepts_new(now):
             reason = 'the upstream accepts nothing new'
         if not reason and not self._deps.scheduler.is_allowed(
@@ -483,6 +501,8 @@
         self.framing = sent.conn.framing
         self._keep_connection(sent, head)
         self._deps.suspects.answered(self.ctx.fingerprint)
+        if head.status < 400 and sent.conn in self._started:
+            self._deps.crash_watch.answer_complete(self.ctx.prompt_parts)
         self._deps.scheduler.mark_answered(
             self.pending, sent.slot, self._elapsed_s(sent)
         )
@@ -550,8 +570,12 @@
             self.abandon(sent)
             return OutcomeUnknown(str(exc))
         sent.conn.abort()
-        if exc.closed_by_upstream and not self.inbound.resume_after:
-            self._report_suspect(sent)
+        if exc.closed_by_upstream:
+            self._deps.crash_watch.answer_lost(
+                target, self.ctx.prompt_parts, self._answering_s(sent)
+            )
+            if not self.inbound.resume_after:
+                self._report_suspect(sent)
         target.record_failure(self._deps.now())
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
@@ -575,7 +599,7 @@
             fingerprint=fingerprint,
             alone=alone,
             convicted=convicted,
-            parts=','.join(self.inbound.prompt_parts),
+            parts=','.join(part.name for part in self.ctx.prompt_parts),
             answering_ms=int(self._answering_s(sent) * 1000),
         )
 
--- a/packages/burdockchute/burdockchute/model/crash_reports.py
+++ b/packages/burdockchute/burdockchute/model/crash_reports.py
@@ -1,4 +1,4 @@
-"""Messages about requests that were in flight when an upstream crashed."""
+"""Messages about what was in flight when an upstream crashed."""
 
 from __future__ import annotations
 
@@ -23,3 +23,24 @@
 
     crash: CrashReport
     age_s: float
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt; `position` is its place in it, from 0.
+
+    Its `name` contains the model: another model's engines may bear it.
+    """
+
+    name: str
+    position: int
+
+
+class PartsReport(NamedTuple):
+    """What one entry tells the others of parts of prompts.
+
+    With `upstream`, that one has crashed as it began to answer on the parts.
+    Without it, an answer on each of them is complete.
+    """
+
+    upstream: str
+    parts: tuple[PromptPart, ...]
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -57,6 +57,19 @@
     evacuation_zone: str = ''
 
 
+class PartRefused(NamedTuple):
+    """An entry refuses prompts with a part, since a Unix time in seconds."""
+
+    name: str
+    at_unix: float
+
+
+class PartAllowed(NamedTuple):
+    """A part of prompts is refused no longer."""
+
+    name: str
+
+
 Change = (
     ConfigurationRead
     | VersionRead
@@ -64,6 +77,8 @@
     | EvacuationRevoked
     | UpstreamListed
     | UpstreamUnlisted
+    | PartRefused
+    | PartAllowed
     | UnreadableRecord
 )
 
@@ -95,3 +110,13 @@
 
     desired_state: ReadFeed
     upstreams: ReadFeed
+
+
+class RefusedParts(NamedTuple):
+    """The parts of prompts that entries refuse, kept by the platform.
+
+    `save` stores a change and returns whether the platform has confirmed it.
+    """
+
+    read: ReadFeed
+    save: Callable[[PartRefused | PartAllowed], bool]
--- a/packages/burdockchute/burdockchute/model/requests.py
+++ b/packages/burdockchute/burdockchute/model/requests.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from burdockchute.model.crash_reports import PromptPart
+
 
 class RequestContext(NamedTuple):
     """A request that was validated and whose target was resolved.
@@ -13,7 +15,8 @@
     request is placed and do not change afterwards; they are empty before
     that, and for services. `fingerprint` is a digest over customer, target
     and body. `prefixes` are digests of the prompt's first 1, 2, 3... blocks,
-    longest last.
+    longest last. `prompt_parts` are the named parts of the prompt that other
+    requests may share.
     """
 
     request_id: str
@@ -36,3 +39,4 @@
     prefixes: tuple[str, ...] = ()
     digest: str = ''
     adapter_digest: str = ''
+    prompt_parts: tuple[PromptPart, ...] = ()
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -107,12 +107,21 @@
 }
 
 // entry -> agent, which hands it on to its other entries: an upstream went
-// away with this request in flight.
+// away with this request in flight. With `parts` it went away as it began to
+// answer on these parts of prompts, and the fingerprint is ""; with the upstream
+// "" as well, an answer on each part is complete.
 struct CrashNews {
   1: string fingerprint
   2: string upstream
   3: bool alone             // it ran there by itself
   4: bool convicted         // it is refused from now on
+  5: optional list<PromptPart> parts
+}
+
+// A part of prompts, and where it stood in one, counted from 0.
+struct PromptPart {
+  1: string name
+  2: i32 position
 }
 
 // entry -> agent and back unchanged: what stands in the link before it.
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1174,15 +1174,17 @@
      - upstream
      - alone
      - convicted
+     - parts
 
     """
 
 
-    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None,):
+    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None, parts=None,):
         self.fingerprint = fingerprint
         self.upstream = upstream
         self.alone = alone
         self.convicted = convicted
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1213,6 +1215,17 @@
                     self.convicted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = PromptPart()
+                        _elem19.read(iprot)
+                        self.parts.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1239,6 +1252,81 @@
             oprot.writeFieldBegin('convicted', TType.BOOL, 4)
             oprot.writeBool(self.convicted)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter20 in self.parts:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PromptPart(object):
+    """
+    Attributes:
+     - name
+     - position
+
+    """
+
+
+    def __init__(self, name=None, position=None,):
+        self.name = name
+        self.position = position
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.position = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PromptPart')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I32, 2)
+            oprot.writeI32(self.position)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1471,31 +1559,31 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = WeightsState()
-                        _elem19.read(iprot)
-                        self.weights.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = WeightsState()
+                        _elem26.read(iprot)
+                        self.weights.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.services.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.prefixes.append(_elem31)
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prefixes.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1517,10 +1605,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.evicted = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evicted.append(_elem37)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evicted.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1532,11 +1620,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.named = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = NamedVersion()
-                        _elem43.read(iprot)
-                        self.named.append(_elem43)
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = NamedVersion()
+                        _elem50.read(iprot)
+                        self.named.append(_elem50)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1597,22 +1685,22 @@
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter44 in self.weights:
-                iter44.write(oprot)
+            for iter51 in self.weights:
+                iter51.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter45 in self.services:
-                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
+            for iter52 in self.services:
+                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.prefixes))
-            for iter46 in self.prefixes:
-                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
+            for iter53 in self.prefixes:
+                oprot.writeString(iter53.encode('utf-8') if sys.version_info[0] == 2 else iter53)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_offset is not None:
@@ -1630,8 +1718,8 @@
         if self.evicted is not None:
             oprot.writeFieldBegin('evicted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.evicted))
-            for iter47 in self.evicted:
-                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            for iter54 in self.evicted:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.closes_in_ms is not None:
@@ -1641,8 +1729,8 @@
         if self.named is not None:
             oprot.writeFieldBegin('named', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.named))
-            for iter48 in self.named:
-                iter48.write(oprot)
+            for iter55 in self.named:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.opens_in_ms is not None:
@@ -1880,22 +1968,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = RowRecord()
-                        _elem54.read(iprot)
-                        self.rows.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RowRecord()
+                        _elem61.read(iprot)
+                        self.rows.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.seen = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = SeenRecord()
-                        _elem60.read(iprot)
-                        self.seen.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = SeenRecord()
+                        _elem67.read(iprot)
+                        self.seen.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1930,15 +2018,15 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter61 in self.rows:
-                iter61.write(oprot)
+            for iter68 in self.rows:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seen is not None:
             oprot.writeFieldBegin('seen', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.seen))
-            for iter62 in self.seen:
-                iter62.write(oprot)
+            for iter69 in self.seen:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten is not None:
@@ -2119,11 +2207,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Member()
-                        _elem68.read(iprot)
-                        self.members.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Member()
+                        _elem75.read(iprot)
+                        self.members.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2140,10 +2228,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2160,8 +2248,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter75 in self.members:
-                iter75.write(oprot)
+            for iter82 in self.members:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
@@ -2175,8 +2263,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter76 in self.gone:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.gone:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2580,11 +2668,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Demand()
-                        _elem82.read(iprot)
-                        self.demands.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Demand()
+                        _elem89.read(iprot)
+                        self.demands.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2601,8 +2689,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter83 in self.demands:
-                iter83.write(oprot)
+            for iter90 in self.demands:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2725,11 +2813,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Share()
-                        _elem89.read(iprot)
-                        self.shares.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Share()
+                        _elem96.read(iprot)
+                        self.shares.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2746,8 +2834,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter90 in self.shares:
-                iter90.write(oprot)
+            for iter97 in self.shares:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3619,6 +3707,13 @@
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'alone', None, None, ),  # 3
     (4, TType.BOOL, 'convicted', None, None, ),  # 4
+    (5, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 5
+)
+all_structs.append(PromptPart)
+PromptPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'position', None, None, ),  # 2
 )
 all_structs.append(LinkProbe)
 LinkProbe.thrift_spec = (
--- /dev/null
+++ b/packages/burdockchute/tests/decisions/test_crashing_parts.py
@@ -0,0 +1,137 @@
+"""Tests of how the part that crashes engines is found."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from burdockchute.decisions import crashing_parts
+from burdockchute.decisions.crashing_parts import CrashingParts
+from burdockchute.model.crash_reports import PromptPart
+
+BAD = PromptPart('m/bad', 1)
+
+
+def shared(number: int) -> PromptPart:
+    return PromptPart(f'm/{number}', 0)
+
+
+class CrashingPartsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.parts = CrashingParts()
+
+    def crash(self, number: int, *parts: PromptPart, at: float) -> str | None:
+        self.parts.crashed(f'i-{number}', parts, at)
+        return self.parts.convict_next(at)
+
+    def test_part_in_three_crashes_is_convicted(self):
+        self.assertIsNone(self.crash(1, BAD, shared(1), at=0.0))
+        self.assertIsNone(self.crash(2, BAD, shared(2), at=1.0))
+        self.assertEqual('m/bad', self.crash(3, BAD, shared(3), at=2.0))
+        self.assertEqual(
+            crashing_parts.REFUSE_S,
+            self.parts.refused_for_s(['m/1', 'm/bad'], 2.0),
+        )
+        self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 2.0))
+
+    def test_reports_of_one_crash_count_once(self):
+        for at in (0.0, 0.2, 0.4):
+            self.assertIsNone(self.crash(1, BAD, at=at))
+
+    def test_engines_that_go_down_together_convict_no_part(self):
+        # A power cut ends all engines that run a widely shared part.
+        for number in range(6):
+            self.assertIsNone(self.crash(number, shared(1), at=0.01 * number))
+
+    def test_part_with_a_complete_answer_is_spared(self):
+        self.crash(1, BAD, shared(1), at=0.0)
+        self.crash(2, BAD, shared(1), at=1.0)
+        self.assertEqual(['m/1'], self.parts.answered(['m/1', 'm/2'], 1.5))
+        self.assertEqual('m/bad', self.crash(3, BAD, shared(1), at=2.0))
+        self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 2.0))
+
+    def test_part_that_comes_with_the_crashing_one_is_spared(self):
+        # Only the latter is left as an explanation of the crashes.
+        for number in range(3):
+            self.crash(number, BAD, shared(1), at=float(number))
+        self.assertIsNone(self.parts.convict_next(2.0))
+        self.assertIsNone(self.crash(4, BAD, shared(1), at=3.0))
+        self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 3.0))
+
+    def test_crashes_go_on_without_the_part_that_was_convicted(self):
+        # Both were in the first crashes, and the wrong one was taken.
+        for number in range(3):
+            self.crash(number, shared(1), BAD, at=float(number))
+        for number in range(3, 5):
+            self.assertIsNone(self.crash(number, shared(1), at=float(number)))
+        self.assertEqual('m/1', self.crash(5, shared(1), at=5.0))
+
+    def test_answer_clears_a_convicted_part(self):
+        # It was still running at an engine that did not crash.
+        for number in range(3):
+            self.crash(number, shared(1), at=float(number))
+        self.assertTrue(self.parts.is_refused('m/1', 2.0))
+        self.assertEqual(['m/1'], self.parts.answered(['m/1'], 2.1))
+        self.assertFalse(self.parts.is_refused('m/1', 2.1))
+
+    def test_old_crashes_and_convictions_are_forgotten(self):
+        later = crashing_parts.CRASH_TTL_S + 1.0
+        self.crash(1, BAD, at=0.0)
+        self.crash(2, BAD, at=1.0)
+        self.assertIsNone(self.crash(3, BAD, at=later + 1.0))
+        self.parts.refuse('m/1', 60.0, 0.0)
+        self.assertEqual(10.0, self.parts.refused_for_s(['m/1'], 50.0))
+        self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 61.0))
+
+    def test_sound_parts_stay_allowed_while_engines_crash(self):
+        """A crash leaves parts of sound requests as evidence, too.
+
+        Requests draw one of 60 shared parts; a tenth of them also has the
+        crashing one, each of which ends its engine after 0.1 s. Refused sound
+        parts would keep most requests out.
+        """
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                refused = _simulate(random.Random(seed))
+                self.assertEqual({'m/bad'}, refused)
+
+
+def _simulate(rng: random.Random, engines: int = 12) -> set[str]:
+    """Play 20 s of requests; return all parts that were ever refused."""
+    parts = CrashingParts()
+    running: list[tuple[float, int, tuple[PromptPart, ...], float]] = []
+    down_until = [0.0] * engines
+    refused: set[str] = set()
+    starts = 0
+    for step in range(2000):
+        now = step * 0.01
+        if rng.random() < 0.5:
+            prompt = [shared(min(rng.randrange(60), rng.randrange(60)))]
+            if rng.random() < 0.1:
+                prompt.append(BAD)
+            up = [n for n in range(engines) if down_until[n] <= now]
+            names = [part.name for part in prompt]
+            if up and not parts.refused_for_s(names, now):
+                ends_at = now + (0.1 if BAD in prompt else rng.uniform(0.3, 2))
+                running.append((ends_at, rng.choice(up), tuple(prompt), now))
+        for ends_at, engine, prompt_parts, _since in list(running):
+            if ends_at > now or down_until[engine] > now:
+                continue
+            if BAD not in prompt_parts:
+                parts.answered([part.name for part in prompt_parts], now)
+                continue
+            starts += 1
+            down_until[engine] = now + 4.0
+            evidence = [
+                part
+                for _ends, at, lost, since in running
+                if at == engine and now - since < crashing_parts.JUST_BEGUN_S
+                for part in lost
+            ]
+            parts.crashed(f'i-{engine}-{starts}', evidence, now)
+            while name := parts.convict_next(now):
+                refused.add(name)
+        running = [
+            item for item in running if item[0] > now >= down_until[item[1]]
+        ]
+    return refused
