Prompts: requests without parts are served while a part is refused

refused_for_s raised TypeError for a request that names no parts as soon as any part was refused, so all requests for plain services failed.

--- a/packages/burdockchute/burdockchute/decisions/crashing_parts.py
+++ b/packages/burdockchute/burdockchute/decisions/crashing_parts.py
@@ -131,8 +131,8 @@
         """Return the seconds for which one of the parts is refused, or 0."""
         if not self._refused_until:
             return 0.0
-        left = (self._refused_until.get(name, now) - now for name in names)
-        return max(0.0, *left)
+        left = [self._refused_until.get(name, now) - now for name in names]
+        return max([0.0, *left])
 
     def refused(self, now: float) -> dict[str, float]:
         """Return the refused parts, and for how many seconds they are."""
--- a/packages/burdockchute/tests/decisions/test_crashing_parts.py
+++ b/packages/burdockchute/tests/decisions/test_crashing_parts.py
@@ -33,6 +33,8 @@
             self.parts.refused_for_s(['m/1', 'm/bad'], 2.0),
         )
         self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 2.0))
+        # As for requests that name no parts.
+        self.assertEqual(0.0, self.parts.refused_for_s([], 2.0))
 
     def test_reports_of_one_crash_count_once(self):
         for at in (0.0, 0.2, 0.4):
