--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -5,10 +5,13 @@
 import random
 import unittest
 
+from burdockchute import wire
 from burdockchute.decisions import versions
 from burdockchute.decisions.routing import route_table
 from burdockchute.model.crash_reports import CrashReport
+from burdockchute.model.crash_reports import PartsReport
 from burdockchute.model.crash_reports import PeerCrashReport
+from burdockchute.model.crash_reports import PromptPart
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.link_events import LinkLost
 from burdockchute.model.link_events import LinkStateReport
@@ -50,6 +53,7 @@
     def setUp(self):
         self.in_contact = True
         self.crashes = []
+        self.parts_reports = []
         self.link_events = []
         self.known_state = KnownState()
         self.task = AgentsTask(
@@ -61,6 +65,7 @@
             lambda: self.in_contact,
             random.Random(1),
             self.link_events.append,
+            self.parts_reports.append,
         )
 
     def update(self, *named):
@@ -167,6 +172,23 @@
         self.saved(1, '10.0.0.8:80')
         self.assertEqual([None], [news.needs for news in link.sent])
 
+    def test_parts_of_prompts_are_relayed(self):
+        """Each entry sees only its own requests in a crash.
+
+        Counted apart, a part could crash engines for each entry anew. Entries
+        of an earlier release read the news as a crash of no request.
+        """
+        link = self.opened('127.0.0.1:1')
+        parts = (PromptPart('story/a1', 0), PromptPart('story/bad0', 1))
+        for report in (PartsReport('i-1', parts), PartsReport('', parts)):
+            with self.subTest(report=report):
+                self.task._handle(report)
+                news = wire.decode(wire.encode(link.sent[-1]))
+                self.assertEqual('', news.fingerprint)
+                self.task._handle(links.Received(link, news))
+                self.assertEqual(report, self.parts_reports[-1])
+        self.assertEqual([], self.crashes)
+
     def test_a_crash_is_relayed_by_few_agents(self):
         """A request that crashes engines is retried at any entry.
 
