Prompts: a whole answer clears a part as well

Only streams with events counted as complete answers on their parts. On a route with whole answers nothing would have cleared a sound part that was in three crashes. Found on reading; the test fails without the change.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -87,10 +87,8 @@
 
     def _check(self, target: Target) -> None:
         gevent.sleep(COLLECT_S)
-        parts = tuple(dict.fromkeys(self._lost[target.id]))
-        is_gone = target.is_gone(self._now())
-        del self._lost[target.id]
-        if is_gone:
+        parts = tuple(dict.fromkeys(self._lost.pop(target.id)))
+        if target.is_gone(self._now()):
             report = PartsReport(target.id, parts)
             self._record_crash(report, 'own')
             self._publish(report)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -501,7 +501,9 @@
         self.framing = sent.conn.framing
         self._keep_connection(sent, head)
         self._deps.suspects.answered(self.ctx.fingerprint)
-        if head.status < 400 and sent.conn in self._started:
+        # An empty remainder shows nothing of the prompt.
+        has_content = not head.is_stream or sent.conn in self._started
+        if head.status < 400 and has_content:
             self._deps.crash_watch.answer_complete(self.ctx.prompt_parts)
         self._deps.scheduler.mark_answered(
             self.pending, sent.slot, self._elapsed_s(sent)
