Prompts: refused parts outlive a store restored from a copy

The copy may lack the newest records, so an entry that starts after the store's return would let a refused part through. Entries that refuse it write it again. The test waits for the record for ever without the change.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
@@ -18,6 +18,7 @@
 from burdockchute.decisions.crashing_parts import CrashingParts
 from burdockchute.decisions.crashing_parts import REFUSE_S
 from burdockchute.feed_follower import Cursor
+from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import Change
 from burdockchute.model.feeds import PartAllowed
 from burdockchute.model.feeds import PartRefused
@@ -102,12 +103,28 @@
             else:
                 batch = result.unwrap()
                 was_read = True
-                cursor.advance(batch.position)
+                restored = cursor.advance(batch.position)
                 for change in batch.changes:
                     self._apply(change)
+                if restored:
+                    self._save_missing(batch)
             if self._now() >= self._expecting_until:
                 self._woken.wait(IDLE_INTERVAL_S)
 
+    def _save_missing(self, batch: Batch) -> None:
+        """Save again what a store that was restored from a copy lacks."""
+        stored = {
+            change.name
+            for change in batch.changes
+            if isinstance(change, PartRefused)
+        }
+        now_unix = self._now_unix()
+        for name, left_s in self._parts.refused(self._now()).items():
+            if name not in stored:
+                self._inbox.put(
+                    PartRefused(name, now_unix + left_s - REFUSE_S)
+                )
+
     def _apply(self, change: Change) -> None:
         now = self._now()
         if isinstance(change, PartAllowed):
