--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -94,14 +94,15 @@
             self._publish(report)
 
     def _record_crash(self, report: PartsReport, source: str) -> None:
-        names = [part.name for part in report.parts]
+        # Several agents relay each report.
+        if not self.parts.crashed(report.upstream, report.parts, self._now()):
+            return
         logs.event(
             'upstream_crash_seen',
             upstream=report.upstream,
             source=source,
-            parts=','.join(names),
+            parts=','.join(part.name for part in report.parts),
         )
-        self.parts.crashed(report.upstream, report.parts, self._now())
         self._on_suspicion()
         if not self._is_deciding:
             self._is_deciding = True
--- a/packages/burdockchute/burdockchute/decisions/crashing_parts.py
+++ b/packages/burdockchute/burdockchute/decisions/crashing_parts.py
@@ -58,19 +58,22 @@
 
     def crashed(
         self, upstream: str, parts: Iterable[PromptPart], now: float
-    ) -> None:
+    ) -> bool:
         """Record what an upstream had just begun to answer when it crashed.
 
         Reports of several entries on one upstream are one crash: each start
-        of an upstream has an id of its own.
+        of an upstream has an id of its own. Returns whether this one has a
+        part that the others lack.
         """
         self._drop_old(now)
         crash = self._crashes.setdefault(upstream, _Crash(now, {}))
+        known_count = len(crash.positions)
         for part in parts:
             known = crash.positions.get(part.name, 0)
             crash.positions[part.name] = max(known, part.position)
         while len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
+        return len(crash.positions) > known_count
 
     def answered(self, names: Iterable[str], now: float) -> list[str]:
         """Record a complete answer on parts; return those under suspicion."""
--- a/packages/burdockchute/tests/decisions/test_crashing_parts.py
+++ b/packages/burdockchute/tests/decisions/test_crashing_parts.py
@@ -39,6 +39,8 @@
     def test_reports_of_one_crash_count_once(self):
         for at in (0.0, 0.2, 0.4):
             self.assertIsNone(self.crash(1, BAD, at=at))
+        self.assertFalse(self.parts.crashed('i-1', [BAD], 0.6))
+        self.assertTrue(self.parts.crashed('i-1', [shared(1)], 0.6))
 
     def test_engines_that_go_down_together_convict_no_part(self):
         # A power cut ends all engines that run a widely shared part.
