Prompts: a failed read of the refused parts is repeated at once

An entry that started while the store was away read the refused parts 20 s later, as after any idle read, and let a refused part through meanwhile.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
@@ -29,6 +29,8 @@
 EXPECTING_S = 30.0
 IDLE_INTERVAL_S = 20.0
 
+# A failed read is repeated until one succeeds: an entry that starts while the
+# store is away knows nothing of the refused parts.
 RETRY_S = 0.5
 
 # How long to retry the save of a change. Most callers of refused requests
@@ -100,14 +102,14 @@
                     logs.event('refused_parts_unread', reason=error.reason)
                 was_read = False
                 gevent.sleep(RETRY_S)
-            else:
-                batch = result.unwrap()
-                was_read = True
-                restored = cursor.advance(batch.position)
-                for change in batch.changes:
-                    self._apply(change)
-                if restored:
-                    self._save_missing(batch)
+                continue
+            batch = result.unwrap()
+            was_read = True
+            restored = cursor.advance(batch.position)
+            for change in batch.changes:
+                self._apply(change)
+            if restored:
+                self._save_missing(batch)
             if self._now() >= self._expecting_until:
                 self._woken.wait(IDLE_INTERVAL_S)
 
