Entry: one place for requests and parts that crash upstreams

CrashWatch keeps the suspects of single requests as well, which senders and exchanges handled themselves, and tells why a request must not be sent. The dependencies of exchanges lose two members, and sending.py what it did for crashes. A request that is convicted by its own second crash is refused before a repeat too, not only when it comes again.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -19,13 +19,11 @@
 from burdockchute.adapters import Adapter
 from burdockchute.callers import server
 from burdockchute.decisions import memory_budget
-from burdockchute.decisions.suspects import Suspects
 from burdockchute.feed_follower import Cadence
 from burdockchute.feed_follower import FeedFollower
 from burdockchute.feed_follower import max_open_read_s
 from burdockchute.feed_follower import SETTLING_S
 from burdockchute.lifecycle import ProcessLifecycle
-from burdockchute.model.crash_reports import PeerCrashReport
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
@@ -106,7 +104,6 @@
             lambda: desired_state_cadence,
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
         )
-        self._suspects = Suspects()
         self.crash_watch = CrashWatch(
             now,
             lambda report: self.agents.inbox.put(report),
@@ -125,11 +122,11 @@
             self.lifecycle.hello,
             machine.link_ports[0],
             self._on_load_report,
-            self._on_peer_crash_report,
+            self.crash_watch.peer_reported_request,
             lambda: not self.follower.desired_state_contact.lost,
             rng,
             self.scheduler.handle_link_event,
-            self.crash_watch.peer_reported,
+            self.crash_watch.peer_reported_parts,
         )
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
@@ -137,10 +134,8 @@
             Dependencies(
                 adapter,
                 self.scheduler,
-                self._suspects,
                 self.crash_watch,
                 now,
-                self.agents.inbox.put,
             ),
             self.known_state,
             lambda: ShutdownState(self.shutting_down, self.accepting),
@@ -308,11 +303,6 @@
             self.follower.receive_configuration_version(report.configuration)
         self.scheduler.apply_load_report(address, report)
 
-    def _on_peer_crash_report(self, report: PeerCrashReport) -> None:
-        crash = report.crash
-        logs.event('crash_learned', **crash._asdict())
-        self._suspects.peer_reported(report, time.monotonic())
-
     def _keep_assigning(self) -> None:
         was_lost = False
         while True:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -1,7 +1,10 @@
-"""Finds out whether lost answers mean a crash, and which part caused it.
+"""Finds out which requests and parts of prompts crash upstreams.
 
-A lost answer is no crash: links are reset, and some upstreams break off single
-answers. An upstream that has crashed refuses connections.
+A request may crash upstreams each time that it is sent, or all requests with
+one part in their prompts may. Both are refused once crashes show it. A lost
+answer is no crash: links are reset, and some upstreams break off single
+answers. An upstream that has crashed refuses connections, which is what counts
+against parts.
 """
 
 from __future__ import annotations
@@ -14,8 +17,13 @@
 from burdockchute import logs
 from burdockchute.decisions.crashing_parts import CrashingParts
 from burdockchute.decisions.crashing_parts import JUST_BEGUN_S
+from burdockchute.decisions.suspects import Suspects
+from burdockchute.model.crash_reports import CrashReport
 from burdockchute.model.crash_reports import PartsReport
+from burdockchute.model.crash_reports import PeerCrashReport
 from burdockchute.model.crash_reports import PromptPart
+from burdockchute.model.outcomes import NotRun
+from burdockchute.model.requests import RequestContext
 from burdockchute_entry.straight.targets import Target
 
 # A crash breaks off all answers of an upstream within this time.
@@ -24,9 +32,13 @@
 # Other entries' reports of the same crash arrive within this time.
 DECISION_DELAY_S = 0.1
 
+# Retry-After of a request that crashed its upstreams. It is refused again
+# until its refusal period is over.
+SUSPECT_RETRY_S = 1.0
+
 
 class CrashWatch:
-    """The parts of prompts that this entry refuses, and why.
+    """The requests and parts of prompts that this entry refuses, and why.
 
     `publish` sends a report to the other entries. `on_suspicion` is called
     with each crash that is learned of, `on_changed` with each part that this
@@ -36,11 +48,14 @@
     def __init__(
         self,
         now: Callable[[], float],
-        publish: Callable[[PartsReport], None] = lambda report: None,
+        publish: Callable[[CrashReport | PartsReport], None] = lambda report: (
+            None
+        ),
         on_suspicion: Callable[[], None] = lambda: None,
         on_changed: Callable[[str, bool], None] = lambda name, refused: None,
     ) -> None:
         self.parts = CrashingParts()
+        self._suspects = Suspects()
         self._now = now
         self._publish = publish
         self._on_suspicion = on_suspicion
@@ -49,19 +64,49 @@
         self._lost: dict[str, list[PromptPart]] = {}
         self._is_deciding = False
 
-    def refused_for_s(self, parts: Sequence[PromptPart]) -> float:
-        """Return for how long a prompt with these parts is refused, or 0."""
-        return self.parts.refused_for_s(
-            [part.name for part in parts], self._now()
-        )
+    def refusal(self, ctx: RequestContext) -> NotRun | None:
+        """Return why a request must not be sent, None if it may be."""
+        now = self._now()
+        if self._suspects.refused_for_s(ctx.fingerprint, now):
+            reason = 'it crashed the upstreams that ran it'
+            return NotRun(reason, 503, SUSPECT_RETRY_S)
+        names = [part.name for part in ctx.prompt_parts]
+        refused_s = self.parts.refused_for_s(names, now)
+        if not refused_s:
+            return None
+        reason = 'a part of its prompt crashed the upstreams that ran it'
+        return NotRun(reason, 503, refused_s)
 
     def answer_lost(
-        self, target: Target, parts: Sequence[PromptPart], answering_s: float
+        self, ctx: RequestContext, target: Target, answering_s: float
     ) -> None:
-        """Check whether an upstream that closed a connection has crashed.
+        """Record that an upstream closed the connection of a request.
 
         `answering_s` is for how long the lost answer had been arriving.
         """
+        alone = target.load.ours == 1
+        convicted = self._suspects.crashed(
+            ctx.fingerprint, target.id, alone, self._now()
+        )
+        self._publish(
+            CrashReport(ctx.fingerprint, target.id, alone, convicted)
+        )
+        logs.warn(
+            'upstream_broke_off',
+            request_id=ctx.request_id,
+            upstream=target.id,
+            fingerprint=ctx.fingerprint,
+            alone=alone,
+            convicted=convicted,
+            parts=','.join(part.name for part in ctx.prompt_parts),
+            answering_ms=int(answering_s * 1000),
+        )
+
+    def prompt_lost(
+        self, ctx: RequestContext, target: Target, answering_s: float
+    ) -> None:
+        """Check whether the upstream that lost an answer has crashed."""
+        parts = ctx.prompt_parts
         if not parts or answering_s > JUST_BEGUN_S:
             return
         if target.id in self._lost:
@@ -70,16 +115,25 @@
         self._lost[target.id] = list(parts)
         gevent.spawn(self._check, target)
 
-    def answer_complete(self, parts: Sequence[PromptPart]) -> None:
-        """Record a complete answer to a prompt with these parts."""
-        if not parts:
+    def answer_complete(self, ctx: RequestContext, has_content: bool) -> None:
+        """Record a complete answer to a request.
+
+        Only one with content shows that its prompt crashes no upstream.
+        """
+        self._suspects.answered(ctx.fingerprint)
+        if not has_content or not ctx.prompt_parts:
             return
-        suspected = self._record_answered(parts)
+        suspected = self._record_answered(ctx.prompt_parts)
         if suspected:
             self._publish(PartsReport('', suspected))
 
-    def peer_reported(self, report: PartsReport) -> None:
-        """Apply the report of another entry."""
+    def peer_reported_request(self, report: PeerCrashReport) -> None:
+        """Apply another entry's report of a request."""
+        logs.event('crash_learned', **report.crash._asdict())
+        self._suspects.peer_reported(report, self._now())
+
+    def peer_reported_parts(self, report: PartsReport) -> None:
+        """Apply another entry's report of parts of prompts."""
         if report.upstream:
             self._record_crash(report, 'peer')
         else:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -41,10 +41,6 @@
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
 
-# Retry-After of a request that crashed its upstreams. It is refused again
-# until its refusal period is over.
-SUSPECT_RETRY_S = 1.0
-
 Read = TypeVar('Read')
 
 
@@ -97,12 +93,6 @@
     def answer(self) -> Reply:
         """Return the reply; a stream continues in its events."""
         sender = self.sender
-        refused_s = self._deps.suspects.refused_for_s(
-            sender.ctx.fingerprint, self._deps.now()
-        )
-        if refused_s:
-            reason = 'it crashed the upstreams that ran it'
-            return NotRun(reason, 503, SUSPECT_RETRY_S)
         while True:
             slot = sender.next_slot()
             if not isinstance(slot, Slot):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -19,8 +19,6 @@
 from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.answer_ends import Framing
 from burdockchute.decisions.placement import Work
-from burdockchute.decisions.suspects import Suspects
-from burdockchute.model.crash_reports import CrashReport
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.model.exchanges import ForwardedRequest
 from burdockchute.model.exchanges import InboundRequest
@@ -70,18 +68,12 @@
 
 
 class Dependencies(NamedTuple):
-    """Objects that all exchanges of an entry share.
-
-    `report_crash` informs the other entries of a request that was in flight
-    at an upstream that crashed.
-    """
+    """Objects that all exchanges of an entry share."""
 
     adapter: Adapter
     scheduler: Scheduler
-    suspects: Suspects
     crash_watch: CrashWatch
     now: Callable[[], float]
-    report_crash: Callable[[CrashReport], None] = lambda crash: None
 
 
 class Sender:
@@ -133,13 +125,13 @@
         now = self._deps.now()
         if reason := self._obsolete_reason(now):
             return NotRun(reason, 503, 0.0)
-        if refusal := self._part_refusal():
+        if refusal := self._deps.crash_watch.refusal(self.ctx):
             return refusal
         slot = self._deps.scheduler.wait_for_slot(
             self.pending, self.ctx.deadline
         )
-        # A part may have been convicted while the request waited.
-        refusal = self._part_refusal()
+        # It may have been convicted while it waited.
+        refusal = self._deps.crash_watch.refusal(self.ctx)
         if refusal and isinstance(slot, Slot):
             self.release(slot)
             return refusal
@@ -157,13 +149,6 @@
             )
         return slot
 
-    def _part_refusal(self) -> NotRun | None:
-        refused_s = self._deps.crash_watch.refused_for_s(self.ctx.prompt_parts)
-        if not refused_s:
-            return None
-        reason = 'a part of its prompt crashed the upstreams that ran it'
-        return NotRun(reason, 503, refused_s)
-
     def may_retry(
         self,
         attempt: NotExecuted | OutcomeUnknown | Failed,
@@ -232,7 +217,8 @@
             raise
         now = self._deps.now()
         reason = self._obsolete_reason(now)
-        if not reason and (refusal := self._part_refusal()):
+        refusal = self._deps.crash_watch.refusal(self.ctx)
+        if not reason and refusal:
             reason = refusal.reason
         if not reason and not target.accepts_new(now):
             reason = 'the upstream accepts nothing new'
@@ -500,11 +486,11 @@
         """End the attempt with a complete answer."""
         self.framing = sent.conn.framing
         self._keep_connection(sent, head)
-        self._deps.suspects.answered(self.ctx.fingerprint)
         # An empty remainder shows nothing of the prompt.
-        has_content = not head.is_stream or sent.conn in self._started
-        if head.status < 400 and has_content:
-            self._deps.crash_watch.answer_complete(self.ctx.prompt_parts)
+        has_events = not head.is_stream or sent.conn in self._started
+        self._deps.crash_watch.answer_complete(
+            self.ctx, head.status < 400 and has_events
+        )
         self._deps.scheduler.mark_answered(
             self.pending, sent.slot, self._elapsed_s(sent)
         )
@@ -573,43 +559,18 @@
             return OutcomeUnknown(str(exc))
         sent.conn.abort()
         if exc.closed_by_upstream:
-            self._deps.crash_watch.answer_lost(
-                target, self.ctx.prompt_parts, self._answering_s(sent)
-            )
+            now = self._deps.now()
+            answering_s = now - self._started.get(sent.conn, now)
+            crash_watch = self._deps.crash_watch
+            crash_watch.prompt_lost(self.ctx, target, answering_s)
             if not self.inbound.resume_after:
-                self._report_suspect(sent)
+                crash_watch.answer_lost(self.ctx, target, answering_s)
         target.record_failure(self._deps.now())
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
         )
         return OutcomeUnknown(str(exc))
 
-    def _report_suspect(self, sent: SentRequest) -> None:
-        target = sent.slot.target
-        alone = target.load.ours == 1
-        fingerprint = self.ctx.fingerprint
-        convicted = self._deps.suspects.crashed(
-            fingerprint, target.id, alone, self._deps.now()
-        )
-        self._deps.report_crash(
-            CrashReport(fingerprint, target.id, alone, convicted)
-        )
-        logs.warn(
-            'upstream_broke_off',
-            request_id=self.inbound.id,
-            upstream=target.id,
-            fingerprint=fingerprint,
-            alone=alone,
-            convicted=convicted,
-            parts=','.join(part.name for part in self.ctx.prompt_parts),
-            answering_ms=int(self._answering_s(sent) * 1000),
-        )
-
-    def _answering_s(self, sent: SentRequest) -> float:
-        """Return for how long its answer has been arriving, or 0."""
-        now = self._deps.now()
-        return now - self._started.get(sent.conn, now)
-
     def _keep_connection(self, sent: SentRequest, head: AnswerHead) -> None:
         if head.idle_s is None or not self.holding.account.keeps_idle:
             sent.conn.close()
