Calls: an answer without a body has its end in its headers

An answer with 204 has neither a length nor chunks and does not end with its connection, so nothing has to be asked of its upstream. The test fails without the change.

--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -28,6 +28,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+# Answers with these end with their headers.
+STATUSES_WITHOUT_BODY = (204, 304)
+
 _DECIMAL = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 
 
@@ -192,7 +195,8 @@
 
 def _check_complete(reply: Reply, partial_event: bytes = b'') -> None:
     has_framing = (
-        'content-length' in reply.response
+        reply.status in STATUSES_WITHOUT_BODY
+        or 'content-length' in reply.response
         or 'transfer-encoding' in reply.response
     )
     framing = Framing.LENGTH_OR_CHUNKS if has_framing else Framing.CONNECTION
--- a/packages/burdockchute/tests/upstreams/test_calls.py
+++ b/packages/burdockchute/tests/upstreams/test_calls.py
@@ -102,6 +102,12 @@
             calls.read_body(reply, 100)
         self.assertTrue(caught.exception.crashed)
 
+    def test_answer_without_a_body_ends_with_its_headers(self):
+        # Its upstream need not accept another connection.
+        reply = self.send(self.serve(b'HTTP/1.1 204 No Content\r\n\r\n'))
+        gone = reply._replace(is_upstream_gone=lambda: True)
+        self.assertEqual(b'', calls.read_body(gone, 100))
+
     def test_silence_fails_without_a_crash(self):
         # The upstream stops sending and keeps the connection open.
         held: list[socket.socket] = []
