Prompts: crashes of many engines at once count each, once one came later

Crashes within 0.1 s of each other counted as one, so a part that reached all entries at once and ended all engines was convicted only by two more, when its callers had long come again at several entries. Each engine counts now, if the crashes spread over 0.3 s; those of one power cut still convict nothing. The new unit test fails before (the part is not convicted by the seventh crash).

--- a/packages/burdockchute/burdockchute/decisions/crashing_parts.py
+++ b/packages/burdockchute/burdockchute/decisions/crashing_parts.py
@@ -12,8 +12,8 @@
 are no evidence against any other part. So a part that is always sent together
 with sound ones is found in a few more crashes, and the sound ones are spared.
 
-Engines that go down together are no evidence of their own each: crashes that
-come less than MOMENT_S after another one count as one.
+Engines that go down together may have another cause, such as a power cut. So
+some of the crashes have to come MIN_SPREAD_S after others.
 """
 
 from __future__ import annotations
@@ -26,9 +26,9 @@
 # Two crashes are often survived by no answer on a rarely used part.
 MIN_CRASHES = 3
 
-# Engines on one power supply go down within milliseconds. An engine needs
-# longer than this to read a prompt that is sent to it after another's crash.
-MOMENT_S = 0.1
+# Engines on one power supply go down within milliseconds, which entries under
+# load notice and report some 100 ms apart.
+MIN_SPREAD_S = 0.3
 
 # An engine crashes as it begins to write, so older answers are sound.
 JUST_BEGUN_S = 0.5
@@ -95,29 +95,29 @@
         else the one furthest into its prompt, which fewest requests share.
         """
         self._drop_old(now)
-        counts: dict[str, int] = {}
-        last_at: dict[str, float] = {}
+        crashed_at: dict[str, list[float]] = {}
         positions: dict[str, int] = {}
         for crash in sorted(self._unexplained(), key=lambda c: c.at):
             for name, position in crash.positions.items():
                 if crash.at <= self._answered_at.get(name, float('-inf')):
                     continue
                 positions[name] = max(positions.get(name, 0), position)
-                if crash.at - last_at.get(name, float('-inf')) >= MOMENT_S:
-                    counts[name] = counts.get(name, 0) + 1
-                    last_at[name] = crash.at
-        if not counts:
+                crashed_at.setdefault(name, []).append(crash.at)
+        candidates = [
+            name
+            for name, at in crashed_at.items()
+            if len(at) >= MIN_CRASHES and at[-1] - at[0] >= MIN_SPREAD_S
+        ]
+        if not candidates:
             return None
         worst = max(
-            counts,
+            candidates,
             key=lambda name: (
-                counts[name],
+                len(crashed_at[name]),
                 name not in self._answered_at,
                 positions[name],
             ),
         )
-        if counts[worst] < MIN_CRASHES:
-            return None
         self.refuse(worst, REFUSE_S, now)
         return worst
 
--- a/packages/burdockchute/tests/decisions/test_crashing_parts.py
+++ b/packages/burdockchute/tests/decisions/test_crashing_parts.py
@@ -47,6 +47,12 @@
         for number in range(6):
             self.assertIsNone(self.crash(number, shared(1), at=0.01 * number))
 
+    def test_one_more_crash_after_a_series_at_once_convicts(self):
+        # All entries get the part at the same time, and all engines end.
+        for number in range(6):
+            self.assertIsNone(self.crash(number, BAD, at=0.01 * number))
+        self.assertEqual('m/bad', self.crash(7, BAD, at=4.5))
+
     def test_part_with_a_complete_answer_is_spared(self):
         self.crash(1, BAD, shared(1), at=0.0)
         self.crash(2, BAD, shared(1), at=1.0)
