--- a/packages/burdockchute/burdockchute/decisions/crashing_parts.py
+++ b/packages/burdockchute/burdockchute/decisions/crashing_parts.py
@@ -23,14 +23,15 @@
 
 from burdockchute.model.crash_reports import PromptPart
 
-# Two crashes are often survived by no answer on a rarely used part.
+# A rarely used sound part may be in two crashes without an answer between.
 MIN_CRASHES = 3
 
 # Engines on one power supply go down within milliseconds, which entries under
 # load notice and report some 100 ms apart.
 MIN_SPREAD_S = 0.3
 
-# An engine crashes as it begins to write, so older answers are sound.
+# An engine crashes as it begins to write, so answers that have been arriving
+# for longer are sound.
 JUST_BEGUN_S = 0.5
 
 # As for single requests: longer than jobs with backoff keep resending.
