Entry: a convicted request's started stream goes on

Since a request that its own crashes convict was refused before each send, not only on arrival. The remainder of a stream that had started was refused as well, while accepted work goes first, and other callers' copies of a request could convict it. Requests are refused on arrival only, as before; parts of prompts are still checked before each send.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -64,14 +64,20 @@
         self._lost: dict[str, list[PromptPart]] = {}
         self._is_deciding = False
 
-    def refusal(self, ctx: RequestContext) -> NotRun | None:
-        """Return why a request must not be sent, None if it may be."""
-        now = self._now()
-        if self._suspects.refused_for_s(ctx.fingerprint, now):
-            reason = 'it crashed the upstreams that ran it'
-            return NotRun(reason, 503, SUSPECT_RETRY_S)
+    def request_refusal(self, ctx: RequestContext) -> NotRun | None:
+        """Return why a new request is refused, None if it is not.
+
+        Repeats and the remainders of started streams are not refused for it.
+        """
+        if not self._suspects.refused_for_s(ctx.fingerprint, self._now()):
+            return None
+        reason = 'it crashed the upstreams that ran it'
+        return NotRun(reason, 503, SUSPECT_RETRY_S)
+
+    def prompt_refusal(self, ctx: RequestContext) -> NotRun | None:
+        """Return why a prompt must not be sent, None if it may be."""
         names = [part.name for part in ctx.prompt_parts]
-        refused_s = self.parts.refused_for_s(names, now)
+        refused_s = self.parts.refused_for_s(names, self._now())
         if not refused_s:
             return None
         reason = 'a part of its prompt crashed the upstreams that ran it'
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -125,13 +125,13 @@
         now = self._deps.now()
         if reason := self._obsolete_reason(now):
             return NotRun(reason, 503, 0.0)
-        if refusal := self._deps.crash_watch.refusal(self.ctx):
+        if refusal := self._deps.crash_watch.prompt_refusal(self.ctx):
             return refusal
         slot = self._deps.scheduler.wait_for_slot(
             self.pending, self.ctx.deadline
         )
-        # It may have been convicted while it waited.
-        refusal = self._deps.crash_watch.refusal(self.ctx)
+        # A part may have been convicted while the request waited.
+        refusal = self._deps.crash_watch.prompt_refusal(self.ctx)
         if refusal and isinstance(slot, Slot):
             self.release(slot)
             return refusal
@@ -217,7 +217,7 @@
             raise
         now = self._deps.now()
         reason = self._obsolete_reason(now)
-        refusal = self._deps.crash_watch.refusal(self.ctx)
+        refusal = self._deps.crash_watch.prompt_refusal(self.ctx)
         if not reason and refusal:
             reason = refusal.reason
         if not reason and not target.accepts_new(now):
