Logs: what is known of a request that crashed upstreams

upstream_broke_off says in how many crashes the request was and how many upstreams crashed within 10 s, which decides against a conviction; request_placed says whether the request is convicted, and lost_answer_not_counted that nothing was recorded. No logic has changed.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -104,10 +104,16 @@
             fingerprint=ctx.fingerprint,
             alone=alone,
             convicted=convicted,
+            crashes=self._suspects.crash_count(ctx.fingerprint),
+            upstreams_crashed=self._suspects.crashed_recently(self._now()),
             parts=','.join(part.name for part in ctx.prompt_parts),
             answering_ms=int(answering_s * 1000),
         )
 
+    def is_convicted(self, ctx: RequestContext) -> bool:
+        """Whether a request is refused as it arrives."""
+        return self._suspects.refused_for_s(ctx.fingerprint, self._now()) > 0
+
     def prompt_lost(
         self, ctx: RequestContext, target: Target, answering_s: float
     ) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -146,6 +146,7 @@
                 ours=load.ours,
                 others=load.others,
                 report_age_ms=int((now - load.reported_at) * 1000),
+                convicted=self._deps.crash_watch.is_convicted(self.ctx),
             )
         return slot
 
@@ -565,6 +566,13 @@
             crash_watch.prompt_lost(self.ctx, target, answering_s)
             if not self.inbound.resume_after:
                 crash_watch.answer_lost(self.ctx, target, answering_s)
+            else:
+                logs.event(
+                    'lost_answer_not_counted',
+                    request_id=self.inbound.id,
+                    upstream=target.id,
+                    resume_after=self.inbound.resume_after,
+                )
         target.record_failure(self._deps.now())
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
--- a/packages/burdockchute/burdockchute/decisions/suspects.py
+++ b/packages/burdockchute/burdockchute/decisions/suspects.py
@@ -125,6 +125,15 @@
         record = self._records.get(fingerprint)
         return max(0.0, record.refused_until - now) if record else 0.0
 
+    def crash_count(self, fingerprint: str) -> int:
+        """Return in how many crashes a request was in flight."""
+        record = self._records.get(fingerprint)
+        return record.crashes if record else 0
+
+    def crashed_recently(self, now: float) -> int:
+        """Return how many upstreams crashed within OUTAGE_S."""
+        return sum(now - at <= OUTAGE_S for at in self._crashed_at.values())
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Whether a request has to run alone."""
         return fingerprint in self._records
