--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -18,9 +18,8 @@
 from burdockchute import tasks
 from burdockchute.decisions.versions import History
 from burdockchute.model.agent_requirements import AgentRequirements
-from burdockchute.model.crash_reports import CrashReport
-from burdockchute.model.crash_reports import PartsReport
-from burdockchute.model.crash_reports import PeerCrashReport
+from burdockchute.model.crash_reports import AnsweredRequest
+from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.crash_reports import PromptPart
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.link_events import LinkEvent
@@ -83,9 +82,10 @@
 
     `on_load_report` gets their load reports.
 
-    Entries have no links to each other, so agents relay which requests were
-    in flight when an upstream crashed. `on_crash` gets those of other
-    entries, `on_parts_report` what they report of parts of prompts.
+    Entries have no links to each other, so agents relay which requests an
+    upstream had just begun when it crashed. `on_lost_request` gets those of
+    other entries, `on_answered_request` the suspected ones that they see
+    answered.
 
     Agents are sent the desired state, and whether the store answers this
     entry (`in_contact`); without contact, the entry can't learn of changes.
@@ -97,20 +97,22 @@
         hello: Callable[[], messages.Hello],
         link_port: int,
         on_load_report: OnLoadReport,
-        on_crash: Callable[[PeerCrashReport], None],
+        on_lost_request: Callable[[LostRequest], None],
         in_contact: Callable[[], bool],
         rng: random.Random,
         on_link_event: Callable[[LinkEvent], None] = lambda event: None,
-        on_parts_report: Callable[[PartsReport], None] = lambda report: None,
+        on_answered_request: Callable[
+            [AnsweredRequest], None
+        ] = lambda report: None,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._link_port = link_port
         self._on_load_report = on_load_report
         self._peers = Peers(own, hello, self.inbox, rng)
-        self._on_crash = on_crash
+        self._on_lost_request = on_lost_request
         self._in_contact = in_contact
         self._on_link_event = on_link_event
-        self._on_parts_report = on_parts_report
+        self._on_answered_request = on_answered_request
         self._rng = rng
         self._known_state = KnownState()
         self._services: dict[str, str] = {}
@@ -157,10 +159,8 @@
                     logs.warn(
                         'agent_lost', agent=link.peer.name, reason=reason
                     )
-            case CrashReport():
-                self._relay(messages.CrashNews(*message))
-            case PartsReport():
-                self._relay(_parts_news(message))
+            case LostRequest() | AnsweredRequest():
+                self._relay(_crash_news(message))
             case ProbeRequested():
                 self._probe(message)
             case LinkStateReport():
@@ -178,11 +178,17 @@
                     self._on_load_report(link.peer.name, message.message)
 
     def _on_crash_news(self, news: messages.CrashNews) -> None:
-        if news.parts:
-            parts = tuple(PromptPart(p.name, p.position) for p in news.parts)
-            self._on_parts_report(PartsReport(news.upstream, parts))
+        if news.parts is None:
+            # An entry of an earlier release, which did not check for a crash.
+            return
+        parts = tuple(PromptPart(p.name, p.position) for p in news.parts)
+        if news.upstream:
+            ran_s = (news.ran_ms or 0) / 1000
+            self._on_lost_request(
+                LostRequest(news.fingerprint, news.upstream, parts, ran_s)
+            )
         else:
-            self._on_crash(PeerCrashReport(_crash_report(news), age_s=0.0))
+            self._on_answered_request(AnsweredRequest(news.fingerprint, parts))
 
     def _probe(self, request: ProbeRequested) -> None:
         peer = self._peers.links.get(request.agent)
@@ -256,12 +262,15 @@
         self._peers.tick(time.monotonic())
 
 
-def _parts_news(report: PartsReport) -> messages.CrashNews:
+def _crash_news(report: LostRequest | AnsweredRequest) -> messages.CrashNews:
     parts = [messages.PromptPart(*part) for part in report.parts]
-    return messages.CrashNews('', report.upstream, False, False, parts)
-
-
-def _crash_report(news: messages.CrashNews) -> CrashReport:
-    return CrashReport(
-        news.fingerprint, news.upstream, news.alone, news.convicted
+    if isinstance(report, AnsweredRequest):
+        return messages.CrashNews(report.fingerprint, '', False, False, parts)
+    return messages.CrashNews(
+        report.fingerprint,
+        report.upstream,
+        False,
+        False,
+        parts,
+        int(report.ran_s * 1000),
     )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -19,6 +19,7 @@
 from burdockchute.adapters import Adapter
 from burdockchute.callers import server
 from burdockchute.decisions import memory_budget
+from burdockchute.decisions.crash_causes import fingerprint_of
 from burdockchute.feed_follower import Cadence
 from burdockchute.feed_follower import FeedFollower
 from burdockchute.feed_follower import max_open_read_s
@@ -108,11 +109,12 @@
             now,
             lambda report: self.agents.inbox.put(report),
             lambda: self.refused_parts.expect_changes(),
-            lambda name, refused: self.refused_parts.save(name, refused),
+            lambda name, for_s: self.refused_parts.save(name, for_s),
+            lambda: len(self.scheduler.targets()),
         )
         self.refused_parts = RefusedPartsTask(
             adapter.open_refused_parts(machine.store),
-            self.crash_watch.parts,
+            self.crash_watch.causes,
             max_open_read_s(machine.bounds.contact_s),
             now,
             time.time,
@@ -122,11 +124,11 @@
             self.lifecycle.hello,
             machine.link_ports[0],
             self._on_load_report,
-            self.crash_watch.peer_reported_request,
+            self.crash_watch.peer_lost,
             lambda: not self.follower.desired_state_contact.lost,
             rng,
             self.scheduler.handle_link_event,
-            self.crash_watch.peer_reported_parts,
+            self.crash_watch.peer_answered,
         )
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
@@ -247,7 +249,7 @@
                 model: history.newest
                 for model, history in known_state.histories.items()
             },
-            'refused_parts': self.crash_watch.parts.refused(time.monotonic()),
+            **self._refused_causes(),
             'evacuated': {
                 zone: round(time.monotonic() - at, 2)
                 for zone, at in known_state.evacuated.items()
@@ -272,6 +274,22 @@
             ],
         }
 
+    def _refused_causes(self) -> dict[str, dict[str, float]]:
+        refused = self.crash_watch.causes.refused(time.monotonic())
+        fingerprints = {name: fingerprint_of(name) for name in refused}
+        return {
+            'refused_parts': {
+                name: left_s
+                for name, left_s in refused.items()
+                if fingerprints[name] is None
+            },
+            'refused_requests': {
+                fingerprint: refused[name]
+                for name, fingerprint in fingerprints.items()
+                if fingerprint is not None
+            },
+        }
+
     def _loops(self) -> list[Callable[[], None]]:
         return [
             self.follower.follow_desired_state,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -1,27 +1,28 @@
 """Finds out which requests and parts of prompts crash upstreams.
 
-A request may crash upstreams each time that it is sent, or all requests with
-one part in their prompts may. Both are refused once crashes show it. A lost
-answer is no crash: links are reset, and some upstreams break off single
-answers. An upstream that has crashed refuses connections, which is what counts
-against parts.
+A request may crash each upstream that runs it, or all requests with one part
+in their prompts may. Both are refused once crashes show it. A lost answer is
+no crash: links are reset, and some upstreams break off single answers. An
+upstream that has crashed refuses connections.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Sequence
 
 import gevent
+from gevent import event
 
 from burdockchute import logs
-from burdockchute.decisions.crashing_parts import CrashingParts
-from burdockchute.decisions.crashing_parts import JUST_BEGUN_S
-from burdockchute.decisions.suspects import Suspects
-from burdockchute.model.crash_reports import CrashReport
-from burdockchute.model.crash_reports import PartsReport
-from burdockchute.model.crash_reports import PeerCrashReport
-from burdockchute.model.crash_reports import PromptPart
+from burdockchute.decisions import crash_causes
+from burdockchute.decisions.crash_causes import CrashCauses
+from burdockchute.decisions.crash_causes import request_cause
+from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
+from burdockchute.decisions.crash_evidence import MIN_CRASHES
+from burdockchute.model.crash_reports import AnsweredRequest
+from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.outcomes import NotRun
 from burdockchute.model.requests import RequestContext
 from burdockchute_entry.straight.targets import Target
@@ -32,99 +33,144 @@
 # Other entries' reports of the same crash arrive within this time.
 DECISION_DELAY_S = 0.1
 
-# Retry-After of a request that crashed its upstreams. It is refused again
-# until its refusal period is over.
-SUSPECT_RETRY_S = 1.0
+# A request that was in a crash before waits for the judgement of the next one
+# before it is repeated.
+MAX_JUDGEMENT_WAIT_S = 0.25
+
+
+# An upstream crashes, and the crash is judged, within this time.
+TRIAL_S = 1.0
 
 
 class CrashWatch:
     """The requests and parts of prompts that this entry refuses, and why.
 
     `publish` sends a report to the other entries. `on_suspicion` is called
-    with each crash that is learned of, `on_changed` with each part that this
-    entry begins or ceases to refuse on its own evidence.
+    with each crash that is learned of, `on_changed` with each cause that this
+    entry begins or ceases to refuse on its own evidence, and for how many
+    seconds. `count_upstreams` returns how many upstreams are known.
     """
 
     def __init__(
         self,
         now: Callable[[], float],
-        publish: Callable[[CrashReport | PartsReport], None] = lambda report: (
-            None
-        ),
+        publish: Callable[
+            [LostRequest | AnsweredRequest], None
+        ] = lambda report: None,
         on_suspicion: Callable[[], None] = lambda: None,
-        on_changed: Callable[[str, bool], None] = lambda name, refused: None,
+        on_changed: Callable[[str, float], None] = lambda name, for_s: None,
+        count_upstreams: Callable[[], int] = lambda: 1,
     ) -> None:
-        self.parts = CrashingParts()
-        self._suspects = Suspects()
+        self.causes = CrashCauses()
         self._now = now
         self._publish = publish
         self._on_suspicion = on_suspicion
         self._on_changed = on_changed
-        # The parts of the answers lost at an upstream, while it is checked.
-        self._lost: dict[str, list[PromptPart]] = {}
+        self._count_upstreams = count_upstreams
+        # Until when a request with an unproven part is on trial.
+        self._trials: dict[str, float] = {}
+        # The requests lost at an upstream, and when the first one was, while
+        # it is checked.
+        self._lost: dict[str, list[LostRequest]] = {}
+        self._lost_at: dict[str, float] = {}
         self._is_deciding = False
+        # Set while no crash is being checked or judged.
+        self._is_settled = event.Event()
+        self._is_settled.set()
 
-    def request_refusal(self, ctx: RequestContext) -> NotRun | None:
-        """Return why a new request is refused, None if it is not.
+    # Refusals.
 
-        Repeats and the remainders of started streams are not refused for it.
-        """
-        if not self._suspects.refused_for_s(ctx.fingerprint, self._now()):
-            return None
-        reason = 'it crashed the upstreams that ran it'
-        return NotRun(reason, 503, SUSPECT_RETRY_S)
+    def refusal(
+        self,
+        ctx: RequestContext,
+        started: bool = False,
+        failed_at: Collection[str] = (),
+    ) -> NotRun | None:
+        """Return why a request must not be sent, None if it may be.
 
-    def prompt_refusal(self, ctx: RequestContext) -> NotRun | None:
-        """Return why a prompt must not be sent, None if it may be."""
+        The remainder of a stream that has `started` is only refused if one of
+        the upstreams that it `failed_at` has crashed with it.
+        """
+        now = self._now()
+        request = request_cause(ctx.fingerprint)
+        if refused_s := self.causes.refused_for_s([request], now):
+            if not started or self.causes.was_in_crash(
+                ctx.fingerprint, failed_at
+            ):
+                reason = 'it crashed the upstreams that ran it'
+                return NotRun(reason, 503, refused_s)
         names = [part.name for part in ctx.prompt_parts]
-        refused_s = self.parts.refused_for_s(names, self._now())
-        if not refused_s:
-            return None
-        reason = 'a part of its prompt crashed the upstreams that ran it'
-        return NotRun(reason, 503, refused_s)
+        if refused_s := self.causes.refused_for_s(names, now):
+            reason = 'a part of its prompt crashed the upstreams that ran it'
+            return NotRun(reason, 503, refused_s)
+        trial_s = max(
+            (self._trials.get(name, now) - now for name in names), default=0
+        )
+        if trial_s > 0:
+            reason = 'a part of its prompt may crash upstreams and is on trial'
+            return NotRun(reason, 503, trial_s)
+        return None
+
+    def begin(self, ctx: RequestContext) -> None:
+        """Record that a request is sent.
+
+        Others with an unproven part of its prompt are refused meanwhile.
+        """
+        now = self._now()
+        self._trials = {
+            name: until for name, until in self._trials.items() if until > now
+        }
+        for part in ctx.prompt_parts:
+            if self.causes.is_unproven(part.name):
+                self._trials[part.name] = now + TRIAL_S
+
+    def may_repeat(self, ctx: RequestContext) -> bool:
+        """Whether a request may be repeated without its caller's asking."""
+        count = self.causes.crash_count(ctx.fingerprint)
+        return count < MIN_CRASHES
+
+    def must_be_isolated(self, ctx: RequestContext) -> bool:
+        """Whether a request has to run where no other one begins."""
+        return self.causes.must_be_isolated(ctx.fingerprint)
+
+    def wait_until_judged(self, ctx: RequestContext) -> None:
+        """Wait until crashes are judged if a request was in one before."""
+        if self.causes.crash_count(ctx.fingerprint):
+            self._is_settled.wait(MAX_JUDGEMENT_WAIT_S)
+
+    # Evidence of this entry.
 
     def answer_lost(
-        self, ctx: RequestContext, target: Target, answering_s: float
+        self,
+        ctx: RequestContext,
+        target: Target,
+        ran_s: float,
+        answering_s: float,
     ) -> None:
-        """Record that an upstream closed the connection of a request.
+        """Check whether an upstream that closed a connection has crashed.
 
-        `answering_s` is for how long the lost answer had been arriving.
+        `ran_s` is for how long the request had been there, `answering_s` for
+        how long its answer had been arriving.
         """
-        alone = target.load.ours == 1
-        convicted = self._suspects.crashed(
-            ctx.fingerprint, target.id, alone, self._now()
-        )
-        self._publish(
-            CrashReport(ctx.fingerprint, target.id, alone, convicted)
-        )
         logs.warn(
             'upstream_broke_off',
             request_id=ctx.request_id,
             upstream=target.id,
             fingerprint=ctx.fingerprint,
-            alone=alone,
-            convicted=convicted,
-            crashes=self._suspects.crash_count(ctx.fingerprint),
-            upstreams_crashed=self._suspects.crashed_recently(self._now()),
             parts=','.join(part.name for part in ctx.prompt_parts),
+            ran_ms=int(ran_s * 1000),
             answering_ms=int(answering_s * 1000),
+            crashes=self.causes.crash_count(ctx.fingerprint),
         )
-
-    def is_convicted(self, ctx: RequestContext) -> bool:
-        """Whether a request is refused as it arrives."""
-        return self._suspects.refused_for_s(ctx.fingerprint, self._now()) > 0
-
-    def prompt_lost(
-        self, ctx: RequestContext, target: Target, answering_s: float
-    ) -> None:
-        """Check whether the upstream that lost an answer has crashed."""
-        parts = ctx.prompt_parts
-        if not parts or answering_s > JUST_BEGUN_S:
+        if answering_s > JUST_BEGUN_S:
             return
+        lost = LostRequest(ctx.fingerprint, target.id, ctx.prompt_parts, ran_s)
         if target.id in self._lost:
-            self._lost[target.id].extend(parts)
+            self._lost[target.id].append(lost)
             return
-        self._lost[target.id] = list(parts)
+        self._lost[target.id] = [lost]
+        self._lost_at[target.id] = self._now()
+        self._is_settled.clear()
         gevent.spawn(self._check, target)
 
     def answer_complete(self, ctx: RequestContext, has_content: bool) -> None:
@@ -132,63 +178,127 @@
 
         Only one with content shows that its prompt crashes no upstream.
         """
-        self._suspects.answered(ctx.fingerprint)
-        if not has_content or not ctx.prompt_parts:
+        if not has_content:
             return
-        suspected = self._record_answered(ctx.prompt_parts)
+        report = AnsweredRequest(ctx.fingerprint, ctx.prompt_parts)
+        suspected = self._record_answered(report)
         if suspected:
-            self._publish(PartsReport('', suspected))
+            parts = tuple(
+                part for part in ctx.prompt_parts if part.name in suspected
+            )
+            self._publish(AnsweredRequest(ctx.fingerprint, parts))
+
+    # Reports of other entries.
 
-    def peer_reported_request(self, report: PeerCrashReport) -> None:
-        """Apply another entry's report of a request."""
-        logs.event('crash_learned', **report.crash._asdict())
-        self._suspects.peer_reported(report, self._now())
+    def peer_lost(self, lost: LostRequest) -> None:
+        """Apply another entry's report of a request in a crash."""
+        self._record_crash([lost], self._now(), 'peer')
 
-    def peer_reported_parts(self, report: PartsReport) -> None:
-        """Apply another entry's report of parts of prompts."""
-        if report.upstream:
-            self._record_crash(report, 'peer')
-        else:
-            self._record_answered(report.parts)
+    def peer_answered(self, report: AnsweredRequest) -> None:
+        """Apply another entry's report of a complete answer."""
+        self._record_answered(report)
 
     def _check(self, target: Target) -> None:
         gevent.sleep(COLLECT_S)
-        parts = tuple(dict.fromkeys(self._lost.pop(target.id)))
-        if target.is_gone(self._now()):
-            report = PartsReport(target.id, parts)
-            self._record_crash(report, 'own')
-            self._publish(report)
+        has_crashed = target.is_gone(self._now())
+        lost = self._lost.pop(target.id)
+        lost_at = self._lost_at.pop(target.id)
+        if has_crashed:
+            self._record_crash(lost, lost_at, 'own')
+            for item in lost:
+                self._publish(item)
+        self._settle()
 
-    def _record_crash(self, report: PartsReport, source: str) -> None:
+    def _record_crash(
+        self, lost: Sequence[LostRequest], at: float, source: str
+    ) -> None:
         # Several agents relay each report.
-        if not self.parts.crashed(report.upstream, report.parts, self._now()):
+        news = [item for item in lost if self.causes.crashed(item, at)]
+        if not news:
             return
-        logs.event(
-            'upstream_crash_seen',
-            upstream=report.upstream,
-            source=source,
-            parts=','.join(part.name for part in report.parts),
-        )
+        for item in news:
+            logs.event(
+                'upstream_crash_seen',
+                upstream=item.upstream,
+                source=source,
+                fingerprint=item.fingerprint,
+                parts=','.join(part.name for part in item.parts),
+                ran_ms=int(item.ran_s * 1000),
+                crashes=self.causes.crash_count(item.fingerprint),
+            )
         self._on_suspicion()
+        self._decide_soon()
+
+    def _decide_soon(self) -> None:
         if not self._is_deciding:
             self._is_deciding = True
+            self._is_settled.clear()
             gevent.spawn_later(DECISION_DELAY_S, self._decide)
 
     def _decide(self) -> None:
         self._is_deciding = False
-        while name := self.parts.convict_next(self._now()):
-            logs.warn('prompt_part_refused', part=name, source='crashes')
-            self._on_changed(name, True)
-
-    def _record_answered(
-        self, parts: Sequence[PromptPart]
-    ) -> tuple[PromptPart, ...]:
-        """Record an answer on parts; return those that were suspected."""
+        self._trials.clear()
+        self.causes.upstreams = self._count_upstreams()
+        refusals = self.causes.judge(self._now())
+        if len(refusals) == crash_causes.MAX_REFUSALS:
+            self._decide_soon()
+        for refusal in refusals:
+            log_refused(
+                refusal.name,
+                'crashes',
+                refusal.for_s,
+                crashes=refusal.crashes,
+            )
+            self._on_changed(refusal.name, refusal.for_s)
+        self._settle()
+
+    def _settle(self) -> None:
+        if not self._lost and not self._is_deciding:
+            self._is_settled.set()
+
+    def _record_answered(self, report: AnsweredRequest) -> list[str]:
+        """Record a complete answer; return the causes that were suspected."""
         now = self._now()
-        names = [part.name for part in parts]
-        refused = [name for name in names if self.parts.is_refused(name, now)]
-        suspected = self.parts.answered(names, now)
+        names = [part.name for part in report.parts]
+        request = request_cause(report.fingerprint)
+        refused = [
+            name
+            for name in (request, *names)
+            if self.causes.is_refused(name, now)
+        ]
+        suspected = self.causes.answered(report.fingerprint, names, now)
+        for name in names:
+            self._trials.pop(name, None)
         for name in refused:
-            logs.event('prompt_part_allowed', part=name)
-            self._on_changed(name, False)
-        return tuple(part for part in parts if part.name in suspected)
+            if (fingerprint := crash_causes.fingerprint_of(name)) is None:
+                logs.event('prompt_part_allowed', part=name)
+            else:
+                logs.event('request_allowed', fingerprint=fingerprint)
+            self._on_changed(name, 0.0)
+        if suspected:
+            # Fewer candidates are left for the crashes that it was in.
+            self._decide_soon()
+        return suspected
+
+
+def log_refused(
+    name: str, source: str, for_s: float, crashes: int | None = None
+) -> None:
+    """Log that a cause is refused from now on, and how this is known."""
+    for_s = round(for_s, 1)
+    if (fingerprint := crash_causes.fingerprint_of(name)) is None:
+        logs.warn(
+            'prompt_part_refused',
+            part=name,
+            source=source,
+            for_s=for_s,
+            crashes=crashes,
+        )
+    else:
+        logs.warn(
+            'request_refused',
+            fingerprint=fingerprint,
+            source=source,
+            for_s=for_s,
+            crashes=crashes,
+        )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -93,8 +93,6 @@
     def answer(self) -> Reply:
         """Return the reply; a stream continues in its events."""
         sender = self.sender
-        if refusal := self._deps.crash_watch.request_refusal(sender.ctx):
-            return refusal
         while True:
             slot = sender.next_slot()
             if not isinstance(slot, Slot):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
@@ -15,14 +15,15 @@
 from returns.result import Failure
 
 from burdockchute import logs
-from burdockchute.decisions.crashing_parts import CrashingParts
-from burdockchute.decisions.crashing_parts import REFUSE_S
+from burdockchute.decisions.crash_causes import CrashCauses
+from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.feed_follower import Cursor
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import Change
 from burdockchute.model.feeds import PartAllowed
 from burdockchute.model.feeds import PartRefused
 from burdockchute.model.feeds import RefusedParts
+from burdockchute_entry.straight.crash_watch import log_refused
 
 # Changes are rare. They are read by long polls for this long after a crash or
 # an outage of the store, and otherwise at this interval.
@@ -47,13 +48,13 @@
     def __init__(
         self,
         refused_parts: RefusedParts,
-        parts: CrashingParts,
+        causes: CrashCauses,
         wait_s: float,
         now: Callable[[], float],
         now_unix: Callable[[], float],
     ) -> None:
         self._refused_parts = refused_parts
-        self._parts = parts
+        self._causes = causes
         self._wait_s = wait_s
         self._now = now
         self._now_unix = now_unix
@@ -66,14 +67,16 @@
         self._expecting_until = self._now() + EXPECTING_S
         self._woken.set()
 
-    def save(self, name: str, refused: bool) -> None:
-        """Save that this entry begins or ceases to refuse a part."""
+    def save(self, name: str, for_s: float) -> None:
+        """Save that this entry refuses a cause, or no longer with 0."""
         self._inbox.put(
-            PartRefused(name, self._now_unix())
-            if refused
-            else PartAllowed(name)
+            self._refused(name, for_s) if for_s else PartAllowed(name)
         )
 
+    def _refused(self, name: str, for_s: float) -> PartRefused:
+        # A record holds for REFUSE_S; one for less is dated back.
+        return PartRefused(name, self._now_unix() + for_s - REFUSE_S)
+
     def save_forever(self) -> None:
         """Save the changes of this entry in their order, forever."""
         while True:
@@ -120,23 +123,18 @@
             for change in batch.changes
             if isinstance(change, PartRefused)
         }
-        now_unix = self._now_unix()
-        for name, left_s in self._parts.refused(self._now()).items():
+        for name, left_s in self._causes.refused(self._now()).items():
             if name not in stored:
-                self._inbox.put(
-                    PartRefused(name, now_unix + left_s - REFUSE_S)
-                )
+                self._inbox.put(self._refused(name, left_s))
 
     def _apply(self, change: Change) -> None:
         now = self._now()
         if isinstance(change, PartAllowed):
-            self._parts.clear(change.name)
+            self._causes.clear(change.name)
         elif isinstance(change, PartRefused):
             age_s = max(0.0, self._now_unix() - change.at_unix)
-            if age_s < REFUSE_S and not self._parts.is_refused(
-                change.name, now
-            ):
-                logs.warn(
-                    'prompt_part_refused', part=change.name, source='store'
-                )
-                self._parts.refuse(change.name, REFUSE_S - age_s, now)
+            if age_s >= REFUSE_S:
+                return
+            if not self._causes.is_refused(change.name, now):
+                log_refused(change.name, 'store', REFUSE_S - age_s)
+            self._causes.refuse(change.name, REFUSE_S - age_s, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -70,6 +70,7 @@
             self._service_queues,
             self._planner,
             now,
+            rng,
         )
         self._waiting = self._assigner.waiting
         self.retry_budgets = RetryBudgets(
@@ -118,6 +119,10 @@
         self, pending: PendingRequest, deadline: float
     ) -> Slot | NotRun:
         """Wait for a slot; returns NotRun if there is none in time."""
+        if pending.is_isolated:
+            slot = self._assigner.take_isolated_slot(pending, self._now())
+            if slot is not None:
+                return slot
         plan = self.plan(pending, deadline)
         return (
             self._wait_in_stages(pending, plan)
@@ -275,6 +280,7 @@
             pending.ctx.request_id, False, self._now()
         )
         slot.target.load.on_returned(pending.work)
+        self._assigner.end_isolation(pending, slot.target)
         self._assigner.assign(pending.spec.service)
 
     def mark_answered(
@@ -289,6 +295,7 @@
             pending.work, service_s, service_queue.unit_s, now
         )
         target.record_success(now)
+        self._assigner.end_isolation(pending, target)
         service_queue.record_unit_time(service_s / pending.work.cost)
         service_queue.record_service_time(service_s)
         self._assigner.assign(pending.spec.service)
@@ -304,6 +311,7 @@
         target.load.on_failed(
             pending.work, service_s, service_queue.unit_s, now
         )
+        self._assigner.end_isolation(pending, target)
         self._assigner.assign(pending.spec.service)
 
     def assign_free_slots(self) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -125,13 +125,15 @@
         now = self._deps.now()
         if reason := self._obsolete_reason(now):
             return NotRun(reason, 503, 0.0)
-        if refusal := self._deps.crash_watch.prompt_refusal(self.ctx):
+        if refusal := self._crash_refusal():
             return refusal
+        crash_watch = self._deps.crash_watch
+        self.pending.is_isolated = crash_watch.must_be_isolated(self.ctx)
         slot = self._deps.scheduler.wait_for_slot(
             self.pending, self.ctx.deadline
         )
-        # A part may have been convicted while the request waited.
-        refusal = self._deps.crash_watch.prompt_refusal(self.ctx)
+        # It may be refused by what happened while it waited.
+        refusal = self._crash_refusal()
         if refusal and isinstance(slot, Slot):
             self.release(slot)
             return refusal
@@ -146,7 +148,7 @@
                 ours=load.ours,
                 others=load.others,
                 report_age_ms=int((now - load.reported_at) * 1000),
-                convicted=self._deps.crash_watch.is_convicted(self.ctx),
+                isolated=self.pending.is_isolated,
             )
         return slot
 
@@ -161,6 +163,9 @@
         """
         if self.sends >= retries.MAX_PLACEMENTS:
             return False
+        self._deps.crash_watch.wait_until_judged(self.ctx)
+        if not self._deps.crash_watch.may_repeat(self.ctx):
+            return False
         if self._rejections >= retries.MAX_REJECTIONS:
             return False
         if isinstance(attempt, NotExecuted):
@@ -218,7 +223,7 @@
             raise
         now = self._deps.now()
         reason = self._obsolete_reason(now)
-        refusal = self._deps.crash_watch.prompt_refusal(self.ctx)
+        refusal = self._crash_refusal()
         if not reason and refusal:
             reason = refusal.reason
         if not reason and not target.accepts_new(now):
@@ -236,6 +241,7 @@
             start_by = self._deps.scheduler.start_deadline(
                 self.pending.spec.model, slot.version
             )
+        may_hedge = may_hedge and not self.pending.is_isolated
         hedge_at = self._hedge_at(slot, now) if may_hedge else None
         if rival is not None:
             conn.set_poll_interval(HEDGE_POLL_S)
@@ -253,6 +259,11 @@
             return None
         return now + engine_speed.hedge_delay_s(expected_s)
 
+    def _crash_refusal(self) -> NotRun | None:
+        return self._deps.crash_watch.refusal(
+            self.ctx, self.pending.resuming, self.pending.avoided
+        )
+
     def _obsolete_reason(self, now: float) -> str:
         """Return why the answer is no longer needed, empty if it is.
 
@@ -284,6 +295,7 @@
                 self.pending.spec.service, sent.sent_at
             )
         self.runs += 1
+        self._deps.crash_watch.begin(self.ctx)
         self.holding.take(Use.BODIES, len(data))
         try:
             sent.conn.send(data, self.inbound.method, self._is_own_answer)
@@ -562,17 +574,9 @@
         if exc.closed_by_upstream:
             now = self._deps.now()
             answering_s = now - self._started.get(sent.conn, now)
-            crash_watch = self._deps.crash_watch
-            crash_watch.prompt_lost(self.ctx, target, answering_s)
-            if not self.inbound.resume_after:
-                crash_watch.answer_lost(self.ctx, target, answering_s)
-            else:
-                logs.event(
-                    'lost_answer_not_counted',
-                    request_id=self.inbound.id,
-                    upstream=target.id,
-                    resume_after=self.inbound.resume_after,
-                )
+            self._deps.crash_watch.answer_lost(
+                self.ctx, target, now - sent.sent_at, answering_s
+            )
         target.record_failure(self._deps.now())
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import random
 
 import gevent
 
@@ -32,6 +33,10 @@
 # is a fiftieth of the usual objective.
 ASSIGN_DELAY_S = 0.01
 
+# An upstream crashes within this time of being sent a request that crashes it,
+# unless it queues the request.
+ISOLATION_S = 1.0
+
 # A request whose target has no headroom does not block those behind it. At
 # most this many requests of a queue are skipped in one round.
 MAX_SKIPPED = 16
@@ -50,6 +55,7 @@
         service_queues: ServiceQueues,
         planner: WaitPlanner,
         now: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self.waiting: dict[str, PendingRequest] = {}
         self._known = known
@@ -57,6 +63,7 @@
         self._service_queues = service_queues
         self._planner = planner
         self._now = now
+        self._rng = rng
         self._assignments_due: set[str] = set()
 
     def enqueue(
@@ -170,6 +177,39 @@
             )
         return Slot(target, target.versions.get(model) if model else None)
 
+    def take_isolated_slot(
+        self, pending: PendingRequest, now: float
+    ) -> Slot | None:
+        """Return a slot on the emptiest target, where no other begins.
+
+        Returns None if no target has headroom.
+        """
+        free = [
+            target
+            for target in self._known.eligible(pending, now)
+            if target.has_capacity(now)
+        ]
+        if not free:
+            return None
+        # Upstreams that have failed may be gone, and keep the request waiting.
+        target = min(
+            free,
+            key=lambda target: (
+                target.health.failures > 0,
+                target.load.in_flight(now),
+                self._rng.random(),
+            ),
+        )
+        slot = self.take_slot(pending, target, now)
+        target.load.reserved_for = pending.ctx.request_id
+        gevent.spawn_later(ISOLATION_S, self.end_isolation, pending, target)
+        return slot
+
+    def end_isolation(self, pending: PendingRequest, target: Target) -> None:
+        """Let others begin again where an isolated request does."""
+        if target.load.reserved_for == pending.ctx.request_id:
+            target.load.reserved_for = ''
+
     def _assign_due(self, service: str) -> None:
         self._assignments_due.discard(service)
         self.assign(service)
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -8,9 +8,8 @@
 from burdockchute import wire
 from burdockchute.decisions import versions
 from burdockchute.decisions.routing import route_table
-from burdockchute.model.crash_reports import CrashReport
-from burdockchute.model.crash_reports import PartsReport
-from burdockchute.model.crash_reports import PeerCrashReport
+from burdockchute.model.crash_reports import AnsweredRequest
+from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.crash_reports import PromptPart
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.link_events import LinkLost
@@ -53,7 +52,7 @@
     def setUp(self):
         self.in_contact = True
         self.crashes = []
-        self.parts_reports = []
+        self.answered = []
         self.link_events = []
         self.known_state = KnownState()
         self.task = AgentsTask(
@@ -65,7 +64,7 @@
             lambda: self.in_contact,
             random.Random(1),
             self.link_events.append,
-            self.parts_reports.append,
+            self.answered.append,
         )
 
     def update(self, *named):
@@ -172,22 +171,38 @@
         self.saved(1, '10.0.0.8:80')
         self.assertEqual([None], [news.needs for news in link.sent])
 
-    def test_parts_of_prompts_are_relayed(self):
+    def test_reports_of_crashes_and_answers_are_relayed(self):
         """Each entry sees only its own requests in a crash.
 
-        Counted apart, a part could crash engines for each entry anew. Entries
-        of an earlier release read the news as a crash of no request.
+        Counted apart, a request or a part could crash engines for each entry
+        anew.
         """
         link = self.opened('127.0.0.1:1')
         parts = (PromptPart('story/a1', 0), PromptPart('story/bad0', 1))
-        for report in (PartsReport('i-1', parts), PartsReport('', parts)):
-            with self.subTest(report=report):
-                self.task._handle(report)
-                news = wire.decode(wire.encode(link.sent[-1]))
-                self.assertEqual('', news.fingerprint)
-                self.task._handle(links.Received(link, news))
-                self.assertEqual(report, self.parts_reports[-1])
-        self.assertEqual([], self.crashes)
+        lost = LostRequest('f-1', 'i-1', parts, 0.25)
+        without_parts = LostRequest('f-2', 'i-1', ())
+        answered = AnsweredRequest('f-1', parts)
+        for report in (lost, without_parts, answered):
+            self.task._handle(report)
+            news = wire.decode(wire.encode(link.sent[-1]))
+            self.task._handle(links.Received(link, news))
+        self.assertEqual([lost, without_parts], self.crashes)
+        self.assertEqual([answered], self.answered)
+
+    def test_reports_of_an_earlier_release(self):
+        """It reports all parts in a crash at once, and unchecked crashes.
+
+        The latter are also sent for links that were reset.
+        """
+        link = self.opened('127.0.0.1:1')
+        parts = [messages.PromptPart('story/bad0', 1)]
+        for news in (
+            messages.CrashNews('f-1', 'i-1', True, True),
+            messages.CrashNews('', 'i-2', False, False, parts),
+        ):
+            self.task._handle(links.Received(link, news))
+        lost = LostRequest('', 'i-2', (PromptPart('story/bad0', 1),))
+        self.assertEqual([lost], self.crashes)
 
     def test_a_crash_is_relayed_by_few_agents(self):
         """A request that crashes engines is retried at any entry.
@@ -196,13 +211,13 @@
         engines per entry, and other callers would lose their answers.
         """
         opened = [self.opened(f'10.0.0.{n}:1') for n in range(1, 9)]
-        crash = CrashReport('f-1', 'i-1', True, False)
+        crash = LostRequest('f-1', 'i-1', ())
         self.task._handle(crash)
         receivers = [link for link in opened if len(link.sent) > 1]
         self.assertEqual(3, len(receivers))
         news = receivers[0].sent[-1]
         self.task._handle(links.Received(opened[0], news))
-        self.assertEqual([PeerCrashReport(crash, 0.0)], self.crashes)
+        self.assertEqual([crash], self.crashes)
 
     def test_an_entry_without_contact_reports_it(self):
         """The store refuses one entry and serves the agents.
--- /dev/null
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -0,0 +1,300 @@
+"""Judges what crashes upstreams: a request, a part of prompts, or neither.
+
+A request may crash each upstream that begins to run it, and so may all
+requests with one part in their prompts. The evidence of a crash are the
+requests that the upstream had just begun to run. Most of them, and of their
+parts, are sound. A complete answer rules a request and its parts out for all
+crashes before; `crash_evidence` weighs what remains. Requests go before parts,
+and each crash is explained by one cause at most.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from burdockchute.decisions import crash_evidence
+from burdockchute.decisions.crash_evidence import Candidate
+from burdockchute.decisions.crash_evidence import CrashEvidence
+from burdockchute.decisions.crash_evidence import Evidence
+from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
+from burdockchute.model.crash_reports import LostRequest
+
+# A request that was in this many crashes is run where no other begins, so that
+# the next crash affects no other request and has one candidate. Requests with
+# an unknown part that was in as many are run one after another.
+CRASHES_TO_ISOLATE = 2
+
+# Crashes further apart than this hardly have the same cause.
+CRASH_TTL_S = 600.0
+
+MAX_CRASHES = 200
+MAX_REQUESTS_PER_CRASH = 50
+MAX_ANSWERED = 5000
+# A judgement of many crashes takes some 10 ms for each refusal.
+MAX_REFUSALS = 4
+
+_REQUEST_PREFIX = 'request:'
+
+
+def request_cause(fingerprint: str) -> str:
+    """Return the name of a request as a cause; parts have a slash in theirs.
+
+    >>> request_cause('5f3a')
+    'request:5f3a'
+    """
+    return _REQUEST_PREFIX + fingerprint
+
+
+def fingerprint_of(cause: str) -> str | None:
+    """Return the fingerprint of a request as a cause, None for a part.
+
+    >>> fingerprint_of('request:5f3a'), fingerprint_of('story/bad0')
+    ('5f3a', None)
+    """
+    if '/' in cause or not cause.startswith(_REQUEST_PREFIX):
+        return None
+    return cause.removeprefix(_REQUEST_PREFIX)
+
+
+class Refusal(NamedTuple):
+    """A cause that is refused from now on, for `for_s` seconds.
+
+    `crashes` is the number of crashes that count against it.
+    """
+
+    name: str
+    for_s: float
+    crashes: int
+
+
+class _Crash(NamedTuple):
+    at: float
+    # The requests that had just begun, by their names as causes.
+    requests: dict[str, Candidate]
+
+
+class CrashCauses:
+    """The evidence against requests and parts, and those that are refused.
+
+    `upstreams` is the number of upstreams that may crash.
+    """
+
+    def __init__(self) -> None:
+        self.upstreams = 1
+        self._crashes: dict[str, _Crash] = {}
+        # The newest crash of each request and part.
+        self._crashed_at: dict[str, float] = {}
+        self._answered_at: dict[str, float] = {}
+        self._refused_until: dict[str, float] = {}
+
+    # Evidence.
+
+    def crashed(self, lost: LostRequest, at: float) -> bool:
+        """Record a request that an upstream had just begun when it crashed.
+
+        Reports of several entries on one upstream are one crash: each start
+        of an upstream has an id of its own. Returns whether this one is news.
+        """
+        self._drop_old(at)
+        crash = self._crashes.setdefault(lost.upstream, _Crash(at, {}))
+        while len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+        name = request_cause(lost.fingerprint or lost.upstream)
+        if name in crash.requests:
+            return False
+        if len(crash.requests) >= MAX_REQUESTS_PER_CRASH:
+            return False
+        positions: dict[str, int] = {}
+        for part in lost.parts:
+            position = positions.get(part.name, 0)
+            positions[part.name] = max(position, part.position)
+        crash.requests[name] = Candidate(at - lost.ran_s, positions)
+        for suspect in (name, *positions):
+            newest_at = self._crashed_at.get(suspect, crash.at)
+            self._crashed_at[suspect] = max(newest_at, crash.at)
+        return True
+
+    def answered(
+        self, fingerprint: str, parts: Iterable[str], now: float
+    ) -> list[str]:
+        """Record a complete answer; return the causes under suspicion.
+
+        Those are refused no longer.
+        """
+        suspected = []
+        request = request_cause(fingerprint)
+        for name in (request, *parts):
+            is_suspected = self._is_suspected(name)
+            if is_suspected:
+                suspected.append(name)
+            elif name == request:
+                # Only parts are shared by requests that come later.
+                continue
+            self._answered_at.pop(name, None)
+            self._answered_at[name] = now
+            self._refused_until.pop(name, None)
+        while len(self._answered_at) > MAX_ANSWERED:
+            del self._answered_at[next(iter(self._answered_at))]
+        return suspected
+
+    def crash_count(self, fingerprint: str) -> int:
+        """Return in how many crashes a request was since its last answer."""
+        name = request_cause(fingerprint)
+        if name not in self._crashed_at:
+            return 0
+        return sum(
+            name in crash.requests and self._is_candidate(name, crash)
+            for crash in self._crashes.values()
+        )
+
+    def must_be_isolated(self, fingerprint: str) -> bool:
+        """Whether a request has to run where no other one begins."""
+        return self.crash_count(fingerprint) >= CRASHES_TO_ISOLATE
+
+    def is_unproven(self, part: str) -> bool:
+        """Whether a part was in crashes and no answer was ever complete.
+
+        Its requests have to begin one after another.
+        """
+        if part not in self._crashed_at or part in self._answered_at:
+            return False
+        crashes = sum(
+            any(part in c.positions for c in crash.requests.values())
+            for crash in self._crashes.values()
+        )
+        return crashes >= CRASHES_TO_ISOLATE
+
+    def was_in_crash(
+        self, fingerprint: str, upstreams: Collection[str]
+    ) -> bool:
+        """Whether one of the upstreams crashed as it began on a request."""
+        name = request_cause(fingerprint)
+        return any(
+            upstream in self._crashes
+            and name in self._crashes[upstream].requests
+            for upstream in upstreams
+        )
+
+    # Judgement.
+
+    def judge(self, now: float) -> list[Refusal]:
+        """Refuse what explains the crashes; return what is newly refused.
+
+        After MAX_REFUSALS the rest is left to the next judgement.
+        """
+        self._drop_old(now)
+        refusals: list[Refusal] = []
+        while len(refusals) < MAX_REFUSALS:
+            found = self._find_cause(now)
+            if found is None:
+                break
+            self._refused_until[found.name] = found.refuse_until
+            for_s = found.refuse_until - now
+            refusals.append(Refusal(found.name, for_s, found.crashes))
+        return refusals
+
+    def _find_cause(self, now: float) -> Evidence | None:
+        """Return the evidence against what explains most crashes."""
+        evidence = CrashEvidence(
+            map(self._remaining, self._crashes.values()),
+            frozenset(self._refused_until),
+            self._answered_at.keys(),
+            self.upstreams,
+        )
+        requests = [
+            found
+            for found in evidence.against_requests()
+            if self._is_news(found, now)
+        ]
+        if requests:
+            return max(requests, key=lambda found: found[1:3][::-1])
+        parts = [
+            (rank, found)
+            for rank, found in evidence.against_parts()
+            if self._is_news(found, now)
+        ]
+        return max(parts)[1] if parts else None
+
+    def _is_news(self, evidence: Evidence, now: float) -> bool:
+        refused_until = self._refused_until.get(evidence.name)
+        if refused_until is None:
+            return evidence.refuse_until > now
+        # Otherwise only if it was refused on weak evidence.
+        return evidence.refuse_until > refused_until + WEAK_REFUSE_S
+
+    def _remaining(self, crash: _Crash) -> crash_evidence.Crash:
+        """Return what may have caused a crash by what is known now."""
+        return crash_evidence.Crash(
+            crash.at,
+            {
+                name: candidate
+                for name, candidate in crash.requests.items()
+                if self._is_candidate(name, crash)
+            },
+            frozenset(
+                part
+                for candidate in crash.requests.values()
+                for part in candidate.positions
+                if self._is_candidate(part, crash)
+            ),
+        )
+
+    def _is_candidate(self, name: str, crash: _Crash) -> bool:
+        return crash.at > self._answered_at.get(name, float('-inf'))
+
+    # Refusals.
+
+    def refuse(self, name: str, for_s: float, now: float) -> None:
+        """Refuse a cause for `for_s` seconds from `now`."""
+        until = max(self._refused_until.get(name, now), now + for_s)
+        self._refused_until[name] = until
+
+    def clear(self, name: str) -> None:
+        """Refuse a cause no longer."""
+        self._refused_until.pop(name, None)
+
+    def refused_for_s(self, names: Iterable[str], now: float) -> float:
+        """Return the seconds for which one of the causes is refused, or 0."""
+        if not self._refused_until:
+            return 0.0
+        left = [self._refused_until.get(name, now) - now for name in names]
+        return max([0.0, *left])
+
+    def refused(self, now: float) -> dict[str, float]:
+        """Return the refused causes, and for how many seconds they are."""
+        return {
+            name: round(until - now, 1)
+            for name, until in self._refused_until.items()
+            if until > now
+        }
+
+    def is_refused(self, name: str, now: float) -> bool:
+        """Whether requests with a cause are refused."""
+        return self.refused_for_s((name,), now) > 0
+
+    def _is_suspected(self, name: str) -> bool:
+        if name in self._refused_until:
+            return True
+        crashed_at = self._crashed_at.get(name)
+        if crashed_at is None:
+            return False
+        return crashed_at > self._answered_at.get(name, float('-inf'))
+
+    def _drop_old(self, now: float) -> None:
+        self._crashes = {
+            upstream: crash
+            for upstream, crash in self._crashes.items()
+            if now - crash.at <= CRASH_TTL_S
+        }
+        self._crashed_at = {
+            name: at
+            for name, at in self._crashed_at.items()
+            if now - at <= CRASH_TTL_S
+        }
+        self._refused_until = {
+            name: until
+            for name, until in self._refused_until.items()
+            if until > now
+        }
--- /dev/null
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -0,0 +1,315 @@
+"""Weighs what crashes of upstreams say against a request or a part of prompts.
+
+- A crash that a refused request or part explains counts against no other.
+- A crash with several candidates is weaker evidence than one with a single
+  one.
+- Runs of a request count only if each began after the crash before, and those
+  among crashes of many upstreams count once in OUTAGE_S: upstreams that crash
+  together may have another cause, such as a power cut, and what they lose is
+  retried at once and may be in the next crash, too.
+- The more upstreams crash for no reason that is known, the more crashes
+  convict a request.
+- The crashes of a request that comes again count once against its parts. So a
+  part is refused only if different requests crash upstreams.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import NamedTuple
+
+# A rarely used sound part, or a request that is retried at once, may be in two
+# crashes by chance.
+MIN_CRASHES = 3
+# A crash with several candidates weighs SHARED_WEIGHT, with a single one 1.
+# The weight of all must be MIN_WEIGHT, and CERTAIN_WEIGHT for a long refusal.
+MIN_WEIGHT = 2.0
+SHARED_WEIGHT = 0.5
+CERTAIN_WEIGHT = 3.0
+
+# As many runs in turn that all ended in crashes are no chance in any outage.
+# Operators allow three crashes and three more.
+MAX_CRASHES_IN_TURN = 5
+
+# Crashes of this many other upstreams within OUTAGE_S may be an outage.
+OUTAGE_UPSTREAMS = 2
+OUTAGE_S = 1.0
+
+# Another crash is needed for each limit that the chance of a sound request to
+# be in a crash exceeds.
+CHANCE_LIMITS = 0.01, 0.04
+
+# An upstream crashes as it begins to run a request, so answers that have been
+# arriving for longer are sound.
+JUST_BEGUN_S = 0.5
+
+# Reports of two entries on successive crashes may be delayed differently.
+REPORT_JITTER_S = 0.05
+
+# Engines on one power supply go down within milliseconds, which entries under
+# load notice and report some 100 ms apart.
+MIN_SPREAD_S = 0.3
+
+# A part on which answers were complete before is sound, unless none is for
+# this many crashes, some of them OUTAGE_S apart. One that many requests share
+# is in some crashes by chance; one that crashes engines is in most of them.
+MIN_CRASHES_IF_ANSWERED = 6
+MIN_SHARE = 0.75
+
+# Longer than jobs with backoff keep resending, and on weak evidence long
+# enough for the candidates of the same crashes to be answered.
+REFUSE_S = 600.0
+WEAK_REFUSE_S = 10.0
+
+
+# How many crashes a part explains, whether no answer on it was ever complete,
+# and its position.
+Rank = tuple[int, bool, int]
+
+
+class Candidate(NamedTuple):
+    """A request that an upstream had just begun; positions of its parts."""
+
+    sent_at: float
+    positions: Mapping[str, int]
+
+
+class Crash(NamedTuple):
+    """What may have caused a crash: requests, and the parts of their prompts.
+
+    Those that were answered since are left out.
+    """
+
+    at: float
+    requests: Mapping[str, Candidate]
+    parts: frozenset[str]
+
+
+class Evidence(NamedTuple):
+    """What counts against a cause; `newest_at` is its last crash."""
+
+    name: str
+    crashes: int
+    weight: float
+    newest_at: float
+
+    @property
+    def refuse_until(self) -> float:
+        """Until when the cause should be refused."""
+        is_certain = self.weight >= CERTAIN_WEIGHT
+        return self.newest_at + (REFUSE_S if is_certain else WEAK_REFUSE_S)
+
+
+class CrashEvidence:
+    """The evidence at one moment.
+
+    `refused` and `answered` are the causes that are refused, and on which an
+    answer was ever complete. `upstreams` is how many may crash.
+    """
+
+    def __init__(
+        self,
+        crashes: Iterable[Crash],
+        refused: frozenset[str],
+        answered: Iterable[str],
+        upstreams: int,
+    ) -> None:
+        self._crashes = sorted(crashes, key=lambda crash: crash.at)
+        self._refused = refused
+        self._answered = answered
+        self._upstreams = max(1, upstreams)
+        self._counts = collections.Counter(
+            name for crash in self._crashes for name in crash.requests
+        )
+        # Crashes that no suspected request explains.
+        self._unexplained = [
+            crash
+            for crash in self._crashes
+            if not any(
+                name in refused or self._counts[name] >= MIN_CRASHES
+                for name in crash.requests
+            )
+        ]
+
+    # Requests.
+
+    def against_requests(self) -> Iterator[Evidence]:
+        """Yield the evidence against each request that should be refused."""
+        for name, count in self._counts.items():
+            if count >= MIN_CRASHES:
+                evidence = self._against_request(name)
+                if evidence is not None:
+                    yield evidence
+
+    def _against_request(self, request: str) -> Evidence | None:
+        in_turn = self._in_turn(request)
+        if not in_turn:
+            return None
+        first_at, newest_at = in_turn[0].at, in_turn[-1].at
+        if len(in_turn) >= MAX_CRASHES_IN_TURN:
+            return Evidence(request, len(in_turn), CERTAIN_WEIGHT, newest_at)
+        weights = self._weights(request, in_turn)
+        needed = self._crashes_needed(request, first_at, newest_at)
+        if len(weights) < needed or sum(weights) < MIN_WEIGHT:
+            return None
+        weight = sum(weights) - (needed - MIN_CRASHES)
+        return Evidence(request, len(weights), weight, newest_at)
+
+    def _in_turn(self, request: str) -> list[Crash]:
+        """Return the crashes of runs that began after the crash before."""
+        in_turn: list[Crash] = []
+        for crash in self._crashes:
+            candidate = crash.requests.get(request)
+            if candidate is None:
+                continue
+            sent_at = candidate.sent_at + REPORT_JITTER_S
+            if not in_turn or sent_at >= in_turn[-1].at:
+                in_turn.append(crash)
+        return in_turn
+
+    def _weights(self, request: str, crashes: Sequence[Crash]) -> list[float]:
+        weights: list[float] = []
+        counted_at = float('-inf')
+        for crash in crashes:
+            weight = self._weight(request, crash)
+            if not weight:
+                continue
+            if crash.at - counted_at < OUTAGE_S and self._is_outage(
+                request, crash.at
+            ):
+                weights[-1] = max(weights[-1], weight)
+            else:
+                weights.append(weight)
+                counted_at = crash.at
+        return weights
+
+    def _weight(self, request: str, crash: Crash) -> float:
+        own_parts = crash.requests[request].positions
+        if any(name in self._refused for name in crash.parts - {*own_parts}):
+            return 0.0
+        others = [name for name in crash.requests if name != request]
+        if any(name in self._refused for name in others):
+            return 0.0
+        return SHARED_WEIGHT if others else 1.0
+
+    def _is_outage(self, request: str, at: float) -> bool:
+        others = self._count_unexplained(request, at, at)
+        return others >= OUTAGE_UPSTREAMS
+
+    def _crashes_needed(self, request: str, begin: float, end: float) -> int:
+        others = self._count_unexplained(request, begin, end)
+        lasts_s = end - begin + 2 * OUTAGE_S
+        chance = others * JUST_BEGUN_S / (lasts_s * self._upstreams)
+        return MIN_CRASHES + sum(chance > limit for limit in CHANCE_LIMITS)
+
+    def _count_unexplained(
+        self, request: str, begin: float, end: float
+    ) -> int:
+        """Count the unexplained crashes of other requests near a time span."""
+        return sum(
+            begin - OUTAGE_S < crash.at < end + OUTAGE_S
+            and request not in crash.requests
+            for crash in self._unexplained
+        )
+
+    # Parts.
+
+    def against_parts(self) -> Iterator[tuple[Rank, Evidence]]:
+        """Yield the evidence against each part that should be refused.
+
+        It comes with its rank: of several parts, the one that explains most
+        crashes, then one on which no answer was ever complete, then the one
+        furthest into its prompt, which fewest requests share.
+        """
+        counts = collections.Counter(
+            part for crash in self._crashes for part in crash.parts
+        )
+        for part, count in counts.items():
+            if count < MIN_CRASHES:
+                continue
+            # Another part may be refused already, and explain the crash.
+            others = self._refused - {part}
+            crashes = [c for c in self._crashes if not others & c.parts]
+            evidence = self._against_part(part, crashes)
+            if evidence is not None:
+                position = max(
+                    candidate.positions.get(part, 0)
+                    for crash in crashes
+                    for candidate in crash.requests.values()
+                )
+                is_new = part not in self._answered
+                yield (evidence.crashes, is_new, position), evidence
+
+    def _against_part(
+        self, part: str, crashes: Sequence[Crash]
+    ) -> Evidence | None:
+        count = sum(part in crash.parts for crash in crashes)
+        unexplained = [
+            crash
+            for crash in crashes
+            if not self._is_explained(part, crash, count)
+        ]
+        own = [crash for crash in unexplained if part in crash.parts]
+        senders = {self._sender_of(part, crash) for crash in own}
+        if len(senders) < MIN_CRASHES:
+            return None
+        lasts_s = own[-1].at - own[0].at
+        if lasts_s < MIN_SPREAD_S:
+            return None
+        if part in self._answered:
+            others = sum(
+                own[0].at <= crash.at <= own[-1].at for crash in unexplained
+            )
+            if (
+                len(senders) < MIN_CRASHES_IF_ANSWERED
+                or _count_apart(own, OUTAGE_S) < MIN_CRASHES
+                or len(own) < MIN_SHARE * others
+            ):
+                return None
+        # A few requests that come again and again may be the cause as well.
+        is_repeated = len(senders) < len(own)
+        is_certain = lasts_s >= OUTAGE_S and (
+            len(senders) > MIN_CRASHES or not is_repeated
+        )
+        weight = CERTAIN_WEIGHT if is_certain else MIN_WEIGHT
+        return Evidence(part, len(senders), weight, own[-1].at)
+
+    def _is_explained(self, part: str, crash: Crash, count: int) -> bool:
+        """Whether a request without a part explains a crash as well.
+
+        It is refused, or was in as many crashes as the part, `count`.
+        """
+        return any(
+            part not in candidate.positions
+            and (name in self._refused or self._counts[name] >= count)
+            for name, candidate in crash.requests.items()
+        )
+
+    def _sender_of(self, part: str, crash: Crash) -> str:
+        """Return the request that brought a part to a crashed upstream.
+
+        Of several requests it is the one that was in most crashes. One that
+        was in no other crash counts by the crash.
+        """
+        count, name = max(
+            (
+                (self._counts[name], name)
+                for name, candidate in crash.requests.items()
+                if part in candidate.positions
+            ),
+            default=(0, ''),
+        )
+        return name if count > 1 else f'at {crash.at}'
+
+
+def _count_apart(crashes: Iterable[Crash], apart_s: float) -> int:
+    """Count crashes that are apart from the last one counted."""
+    count, last_at = 0, float('-inf')
+    for crash in crashes:
+        if crash.at - last_at >= apart_s:
+            count, last_at = count + 1, crash.at
+    return count
--- a/packages/burdockchute/burdockchute/model/crash_reports.py
+++ b/packages/burdockchute/burdockchute/model/crash_reports.py
@@ -35,12 +35,22 @@
     position: int
 
 
-class PartsReport(NamedTuple):
-    """What one entry tells the others of parts of prompts.
+class LostRequest(NamedTuple):
+    """An upstream crashed as it began to run a request.
 
-    With `upstream`, that one has crashed as it began to answer on the parts.
-    Without it, an answer on each of them is complete.
+    It ran there for `ran_s` seconds, counted from when it was sent. The
+    fingerprint is empty if an entry of an earlier release reports the parts
+    of all requests at once.
     """
 
+    fingerprint: str
     upstream: str
     parts: tuple[PromptPart, ...]
+    ran_s: float = 0.0
+
+
+class AnsweredRequest(NamedTuple):
+    """An answer to a request with these parts in its prompt is complete."""
+
+    fingerprint: str
+    parts: tuple[PromptPart, ...]
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -107,15 +107,17 @@
 }
 
 // entry -> agent, which hands it on to its other entries: an upstream went
-// away with this request in flight. With `parts` it went away as it began to
-// answer on these parts of prompts, and the fingerprint is ""; with the upstream
-// "" as well, an answer on each part is complete.
+// away with this request in flight. With `parts` (which may be empty) it has
+// crashed as it began to run the request; with the upstream "", an answer to the
+// request is complete. Entries of an earlier release leave out the fingerprint,
+// and the parts are those of all requests.
 struct CrashNews {
   1: string fingerprint
   2: string upstream
   3: bool alone             // it ran there by itself
   4: bool convicted         // it is refused from now on
   5: optional list<PromptPart> parts
+  6: optional i32 ran_ms    // how long ago it had been sent
 }
 
 // A part of prompts, and where it stood in one, counted from 0.
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1175,16 +1175,18 @@
      - alone
      - convicted
      - parts
+     - ran_ms
 
     """
 
 
-    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None, parts=None,):
+    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None, parts=None, ran_ms=None,):
         self.fingerprint = fingerprint
         self.upstream = upstream
         self.alone = alone
         self.convicted = convicted
         self.parts = parts
+        self.ran_ms = ran_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1226,6 +1228,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.ran_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1259,6 +1266,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.ran_ms is not None:
+            oprot.writeFieldBegin('ran_ms', TType.I32, 6)
+            oprot.writeI32(self.ran_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3708,6 +3719,7 @@
     (3, TType.BOOL, 'alone', None, None, ),  # 3
     (4, TType.BOOL, 'convicted', None, None, ),  # 4
     (5, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 5
+    (6, TType.I32, 'ran_ms', None, None, ),  # 6
 )
 all_structs.append(PromptPart)
 PromptPart.thrift_spec = (
--- a/packages/burdockchute/tests/decisions/test_crashing_parts.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -5,8 +5,10 @@
 import random
 import unittest
 
-from burdockchute.decisions import crashing_parts
-from burdockchute.decisions.crashing_parts import CrashingParts
+from burdockchute.decisions import crash_causes
+from burdockchute.decisions import crash_evidence
+from burdockchute.decisions.crash_causes import CrashCauses
+from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.crash_reports import PromptPart
 
 BAD = PromptPart('m/bad', 1)
@@ -18,18 +20,21 @@
 
 class CrashingPartsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.parts = CrashingParts()
+        self.parts = CrashCauses()
 
     def crash(self, number: int, *parts: PromptPart, at: float) -> str | None:
-        self.parts.crashed(f'i-{number}', parts, at)
-        return self.parts.convict_next(at)
+        """Record a crash of a request that comes once."""
+        upstream = f'i-{number}'
+        self.parts.crashed(LostRequest(f'f-{number}', upstream, parts), at)
+        refused = [refusal.name for refusal in self.parts.judge(at)]
+        return refused[0] if refused else None
 
     def test_part_in_three_crashes_is_convicted(self):
         self.assertIsNone(self.crash(1, BAD, shared(1), at=0.0))
         self.assertIsNone(self.crash(2, BAD, shared(2), at=1.0))
         self.assertEqual('m/bad', self.crash(3, BAD, shared(3), at=2.0))
         self.assertEqual(
-            crashing_parts.REFUSE_S,
+            crash_evidence.REFUSE_S,
             self.parts.refused_for_s(['m/1', 'm/bad'], 2.0),
         )
         self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 2.0))
@@ -39,8 +44,10 @@
     def test_reports_of_one_crash_count_once(self):
         for at in (0.0, 0.2, 0.4):
             self.assertIsNone(self.crash(1, BAD, at=at))
-        self.assertFalse(self.parts.crashed('i-1', [BAD], 0.6))
-        self.assertTrue(self.parts.crashed('i-1', [shared(1)], 0.6))
+        again = LostRequest('f-1', 'i-1', (BAD,))
+        self.assertFalse(self.parts.crashed(again, 0.6))
+        other = LostRequest('f-2', 'i-1', (shared(1),))
+        self.assertTrue(self.parts.crashed(other, 0.6))
 
     def test_engines_that_go_down_together_convict_no_part(self):
         # A power cut ends all engines that run a widely shared part.
@@ -56,7 +63,8 @@
     def test_part_with_a_complete_answer_is_spared(self):
         self.crash(1, BAD, shared(1), at=0.0)
         self.crash(2, BAD, shared(1), at=1.0)
-        self.assertEqual(['m/1'], self.parts.answered(['m/1', 'm/2'], 1.5))
+        names = ['m/1', 'm/2']
+        self.assertEqual(['m/1'], self.parts.answered('f-9', names, 1.5))
         self.assertEqual('m/bad', self.crash(3, BAD, shared(1), at=2.0))
         self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 2.0))
 
@@ -64,7 +72,7 @@
         # Only the latter is left as an explanation of the crashes.
         for number in range(3):
             self.crash(number, BAD, shared(1), at=float(number))
-        self.assertIsNone(self.parts.convict_next(2.0))
+        self.assertEqual([], self.parts.judge(2.0))
         self.assertIsNone(self.crash(4, BAD, shared(1), at=3.0))
         self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 3.0))
 
@@ -81,11 +89,11 @@
         for number in range(3):
             self.crash(number, shared(1), at=float(number))
         self.assertTrue(self.parts.is_refused('m/1', 2.0))
-        self.assertEqual(['m/1'], self.parts.answered(['m/1'], 2.1))
+        self.assertEqual(['m/1'], self.parts.answered('f-9', ['m/1'], 2.1))
         self.assertFalse(self.parts.is_refused('m/1', 2.1))
 
     def test_old_crashes_and_convictions_are_forgotten(self):
-        later = crashing_parts.CRASH_TTL_S + 1.0
+        later = crash_causes.CRASH_TTL_S + 1.0
         self.crash(1, BAD, at=0.0)
         self.crash(2, BAD, at=1.0)
         self.assertIsNone(self.crash(3, BAD, at=later + 1.0))
@@ -107,9 +115,9 @@
 
 
 def _simulate(rng: random.Random, engines: int = 12) -> set[str]:
-    """Play 20 s of requests; return all parts that were ever refused."""
-    parts = CrashingParts()
-    running: list[tuple[float, int, tuple[PromptPart, ...], float]] = []
+    """Play 20 s of requests; return all causes that were ever refused."""
+    causes = CrashCauses()
+    running: list[tuple[float, int, LostRequest, float]] = []
     down_until = [0.0] * engines
     refused: set[str] = set()
     starts = 0
@@ -121,26 +129,26 @@
                 prompt.append(BAD)
             up = [n for n in range(engines) if down_until[n] <= now]
             names = [part.name for part in prompt]
-            if up and not parts.refused_for_s(names, now):
+            if up and not causes.refused_for_s(names, now):
                 ends_at = now + (0.1 if BAD in prompt else rng.uniform(0.3, 2))
-                running.append((ends_at, rng.choice(up), tuple(prompt), now))
-        for ends_at, engine, prompt_parts, _since in list(running):
+                request = LostRequest(f'f-{step}', '', tuple(prompt))
+                running.append((ends_at, rng.choice(up), request, now))
+        for ends_at, engine, request, _since in list(running):
             if ends_at > now or down_until[engine] > now:
                 continue
-            if BAD not in prompt_parts:
-                parts.answered([part.name for part in prompt_parts], now)
+            if BAD not in request.parts:
+                names = [part.name for part in request.parts]
+                causes.answered(request.fingerprint, names, now)
                 continue
             starts += 1
             down_until[engine] = now + 4.0
-            evidence = [
-                part
-                for _ends, at, lost, since in running
-                if at == engine and now - since < crashing_parts.JUST_BEGUN_S
-                for part in lost
-            ]
-            parts.crashed(f'i-{engine}-{starts}', evidence, now)
-            while name := parts.convict_next(now):
-                refused.add(name)
+            for _ends, at, lost, since in running:
+                if at == engine and now - since < crash_evidence.JUST_BEGUN_S:
+                    upstream = f'i-{engine}-{starts}'
+                    ran_s = now - since
+                    item = lost._replace(upstream=upstream, ran_s=ran_s)
+                    causes.crashed(item, now)
+            refused |= {refusal.name for refusal in causes.judge(now)}
         running = [
             item for item in running if item[0] > now >= down_until[item[1]]
         ]
