--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -54,11 +54,14 @@
 # load notice and report some 100 ms apart.
 MIN_SPREAD_S = 0.3
 
+# A part that many requests share is in some crashes by chance; one that
+# crashes engines is in most of them.
+MIN_SHARE = 0.5
+
 # A part on which answers were complete before is sound, unless none is for
-# this many crashes, some of them OUTAGE_S apart. One that many requests share
-# is in some crashes by chance; one that crashes engines is in most of them.
+# this many crashes, some of them OUTAGE_S apart.
 MIN_CRASHES_IF_ANSWERED = 6
-MIN_SHARE = 0.75
+MIN_SHARE_IF_ANSWERED = 0.75
 
 # Longer than jobs with backoff keep resending, and on weak evidence long
 # enough for the candidates of the same crashes to be answered.
@@ -260,21 +263,22 @@
         lasts_s = own[-1].at - own[0].at
         if lasts_s < MIN_SPREAD_S:
             return None
-        if part in self._answered:
-            others = sum(
-                own[0].at <= crash.at <= own[-1].at for crash in unexplained
-            )
-            if (
-                len(senders) < MIN_CRASHES_IF_ANSWERED
-                or _count_apart(own, OUTAGE_S) < MIN_CRASHES
-                or len(own) < MIN_SHARE * others
-            ):
-                return None
-        # A few requests that come again and again may be the cause as well.
-        is_repeated = len(senders) < len(own)
-        is_certain = lasts_s >= OUTAGE_S and (
-            len(senders) > MIN_CRASHES or not is_repeated
+        others = sum(
+            own[0].at <= crash.at <= own[-1].at for crash in unexplained
         )
+        if len(own) < MIN_SHARE * others:
+            return None
+        if part in self._answered and (
+            len(senders) < MIN_CRASHES_IF_ANSWERED
+            or _count_apart(own, OUTAGE_S) < MIN_CRASHES
+            or len(own) < MIN_SHARE_IF_ANSWERED * others
+        ):
+            return None
+        # A few requests that come again and again may be the cause as well.
+        needed = MIN_CRASHES + (len(senders) < len(own))
+        if part in self._answered:
+            needed = MIN_CRASHES_IF_ANSWERED + 1
+        is_certain = len(senders) >= needed and lasts_s >= OUTAGE_S
         weight = CERTAIN_WEIGHT if is_certain else MIN_WEIGHT
         return Evidence(part, len(senders), weight, own[-1].at)
 
