--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -250,11 +250,8 @@
     def _against_part(
         self, part: str, crashes: Sequence[Crash]
     ) -> Evidence | None:
-        count = sum(part in crash.parts for crash in crashes)
         unexplained = [
-            crash
-            for crash in crashes
-            if not self._is_explained(part, crash, count)
+            crash for crash in crashes if not self._is_explained(part, crash)
         ]
         own = [crash for crash in unexplained if part in crash.parts]
         senders = {self._sender_of(part, crash) for crash in own}
@@ -282,14 +279,11 @@
         weight = CERTAIN_WEIGHT if is_certain else MIN_WEIGHT
         return Evidence(part, len(senders), weight, own[-1].at)
 
-    def _is_explained(self, part: str, crash: Crash, count: int) -> bool:
-        """Whether a request without a part explains a crash as well.
-
-        It is refused, or was in as many crashes as the part, `count`.
-        """
+    def _is_explained(self, part: str, crash: Crash) -> bool:
+        """Whether a suspected request without a part explains a crash."""
         return any(
             part not in candidate.positions
-            and (name in self._refused or self._counts[name] >= count)
+            and (name in self._refused or self._counts[name] >= MIN_CRASHES)
             for name, candidate in crash.requests.items()
         )
 
