--- a/packages/burdockchute/burdockchute/decisions/suspects.py
+++ b/packages/burdockchute/burdockchute/decisions/suspects.py
@@ -30,11 +30,10 @@
 # upstream takes longer to restart.
 ONE_CRASH_S = 1.0
 
-# A request is convicted once it has crashed OUTAGE_UPSTREAMS. If more
-# upstreams than that crash within OUTAGE_S, there is another cause, and a
-# request that was retried meanwhile is not to blame.
+# If nearly as many other upstreams crash within OUTAGE_S, for no known reason,
+# as have crashed with a request, there is another cause, and a request that
+# was retried meanwhile is not to blame.
 OUTAGE_S = 10.0
-OUTAGE_UPSTREAMS = 2
 
 # Longer than a person or a job with backoff keeps resending, and short enough
 # for an upgraded engine to get the request later in the same hour.
@@ -56,12 +55,18 @@
     upstream: str
 
 
+class _Crash(NamedTuple):
+    at: float
+    fingerprints: set[str]
+
+
 class Suspects:
     """The suspects, by the fingerprint of the request."""
 
     def __init__(self) -> None:
         self._records: dict[str, CrashRecord] = {}
-        self._crashed_at: dict[str, float] = {}
+        # The requests in flight in the last crash of each upstream.
+        self._crashes: dict[str, _Crash] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -83,12 +88,15 @@
         self._records[fingerprint] = CrashRecord(
             crashes, now, old.refused_until, upstream
         )
-        self._crashed_at[upstream] = now
+        last = self._crashes.get(upstream)
+        if last is None or now - last.at >= ONE_CRASH_S:
+            last = self._crashes[upstream] = _Crash(now, set())
+        last.fingerprints.add(fingerprint)
         if crashes < (
             CRASHES_TO_CONVICT if alone else SHARED_CRASHES_TO_CONVICT
         ):
             return False
-        if self._is_outage(now):
+        if self._is_outage(fingerprint, now):
             return False
         self.refuse(fingerprint, REFUSE_S, now)
         return True
@@ -125,26 +133,27 @@
         record = self._records.get(fingerprint)
         return max(0.0, record.refused_until - now) if record else 0.0
 
-    def crash_count(self, fingerprint: str) -> int:
-        """Return in how many crashes a request was in flight."""
-        record = self._records.get(fingerprint)
-        return record.crashes if record else 0
-
-    def crashed_recently(self, now: float) -> int:
-        """Return how many upstreams crashed within OUTAGE_S."""
-        return sum(now - at <= OUTAGE_S for at in self._crashed_at.values())
-
     def is_suspect(self, fingerprint: str) -> bool:
         """Whether a request has to run alone."""
         return fingerprint in self._records
 
-    def _is_outage(self, now: float) -> bool:
-        self._crashed_at = {
-            upstream: at
-            for upstream, at in self._crashed_at.items()
-            if now - at <= OUTAGE_S
+    def _is_outage(self, fingerprint: str, now: float) -> bool:
+        """Whether other upstreams crash, and no suspect explains it."""
+        self._crashes = {
+            upstream: crash
+            for upstream, crash in self._crashes.items()
+            if now - crash.at <= OUTAGE_S
         }
-        return len(self._crashed_at) > OUTAGE_UPSTREAMS
+        others = sum(
+            fingerprint not in crash.fingerprints
+            and not any(map(self._explains_crashes, crash.fingerprints))
+            for crash in self._crashes.values()
+        )
+        return others >= self._records[fingerprint].crashes - 1
+
+    def _explains_crashes(self, fingerprint: str) -> bool:
+        record = self._records.get(fingerprint)
+        return record is not None and record.crashes >= CRASHES_TO_CONVICT
 
     def _drop_old_records(self, now: float) -> None:
         self._records = {
--- a/packages/burdockchute/tests/decisions/test_suspects.py
+++ b/packages/burdockchute/tests/decisions/test_suspects.py
@@ -48,6 +48,17 @@
         self.assertFalse(self.suspects.crashed('p', 'b', True, 2.0))
         self.assertEqual(0.0, self.suspects.refused_for_s('p', 2.0))
 
+    def test_requests_that_crash_upstreams_in_turn_are_convicted(self):
+        """Each was taken for an outage because of the crashes of the other.
+
+        Both crashed instance after instance.
+        """
+        self.suspects.crashed('p', 'a', False, 0.0)
+        self.suspects.crashed('q', 'b', False, 0.5)
+        self.suspects.crashed('p', 'c', True, 2.0)
+        self.assertTrue(self.suspects.crashed('q', 'd', True, 2.5))
+        self.assertTrue(self.suspects.crashed('p', 'e', True, 4.0))
+
     def test_answer_clears(self):
         self.suspects.crashed('p', 'a', False, 0.0)
         self.suspects.answered('p')
