Entry: refused causes are read again once a lost agent is linked again

Reports of crashes are relayed by agents. An entry whose links to them were cut, while the store answered, read what the others refuse up to 20 s later, more than contact_s. It now reads once a link is back, at most twice a second. The new test fails before (nothing is called).

--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -85,7 +85,8 @@
     Entries have no links to each other, so agents relay which requests an
     upstream had just begun when it crashed. `on_lost_request` gets those of
     other entries, `on_answered_request` the suspected ones that they see
-    answered.
+    answered. `on_relinked` is called once a lost agent is linked again, as
+    reports may have been missed.
 
     Agents are sent the desired state, and whether the store answers this
     entry (`in_contact`); without contact, the entry can't learn of changes.
@@ -104,6 +105,7 @@
         on_answered_request: Callable[
             [AnsweredRequest], None
         ] = lambda report: None,
+        on_relinked: Callable[[], None] = lambda: None,
     ) -> None:
         self.inbox: queue.Queue = queue.Queue()
         self._link_port = link_port
@@ -113,6 +115,8 @@
         self._in_contact = in_contact
         self._on_link_event = on_link_event
         self._on_answered_request = on_answered_request
+        self._on_relinked = on_relinked
+        self._lost_agents: set[str] = set()
         self._rng = rng
         self._known_state = KnownState()
         self._services: dict[str, str] = {}
@@ -139,9 +143,9 @@
                     str(upstream.endpoint): upstream.service
                     for upstream in message.present_upstreams()
                 }
-                self._peers.set_wanted(
-                    agents_by_address(message, self._link_port)
-                )
+                agents = agents_by_address(message, self._link_port)
+                self._lost_agents &= agents.keys()
+                self._peers.set_wanted(agents)
                 self._send_to_all()
                 self._tick()
             case DialResult():
@@ -152,9 +156,13 @@
                     self._last_sent.pop(peer.name, None)
                     self._send_desired_state(peer)
                 logs.event('agent_linked', agent=link.peer.name)
+                if link.peer.name in self._lost_agents:
+                    self._lost_agents.discard(link.peer.name)
+                    self._on_relinked()
             case links.Closed(link=link, reason=reason):
                 if self._peers.on_closed(link) is not None:
                     self._last_sent.pop(link.peer.name, None)
+                    self._lost_agents.add(link.peer.name)
                     self._on_link_event(LinkLost(link.peer.name))
                     logs.warn(
                         'agent_lost', agent=link.peer.name, reason=reason
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -129,6 +129,7 @@
             rng,
             self.scheduler.handle_link_event,
             self.crash_watch.peer_answered,
+            lambda: self.refused_parts.read_soon(),
         )
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
@@ -29,6 +29,7 @@
 # an outage of the store, and otherwise at this interval.
 EXPECTING_S = 30.0
 IDLE_INTERVAL_S = 20.0
+MIN_INTERVAL_S = 0.5
 
 # A failed read is repeated until one succeeds: an entry that starts while the
 # store is away knows nothing of the refused parts.
@@ -67,6 +68,10 @@
         self._expecting_until = self._now() + EXPECTING_S
         self._woken.set()
 
+    def read_soon(self) -> None:
+        """Read once, as changes may have been missed."""
+        self._woken.set()
+
     def save(self, name: str, for_s: float) -> None:
         """Save that this entry refuses a cause, or no longer with 0."""
         self._inbox.put(
@@ -114,7 +119,9 @@
             if restored:
                 self._save_missing(batch)
             if self._now() >= self._expecting_until:
-                self._woken.wait(IDLE_INTERVAL_S)
+                # Many agents may be linked again at the same time.
+                gevent.sleep(MIN_INTERVAL_S)
+                self._woken.wait(IDLE_INTERVAL_S - MIN_INTERVAL_S)
 
     def _save_missing(self, batch: Batch) -> None:
         """Save again what a store that was restored from a copy lacks."""
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -53,6 +53,7 @@
         self.in_contact = True
         self.crashes = []
         self.answered = []
+        self.relinked = []
         self.link_events = []
         self.known_state = KnownState()
         self.task = AgentsTask(
@@ -65,6 +66,7 @@
             random.Random(1),
             self.link_events.append,
             self.answered.append,
+            lambda: self.relinked.append(True),
         )
 
     def update(self, *named):
@@ -204,6 +206,17 @@
         lost = LostRequest('', 'i-2', (PromptPart('story/bad0', 1),))
         self.assertEqual([lost], self.crashes)
 
+    def test_an_entry_that_is_linked_again_has_missed_reports(self):
+        """Its links to agents were cut while requests crashed engines.
+
+        It read what the other entries refuse up to 20 s later.
+        """
+        link = self.opened(str(ADDRESS))
+        self.assertEqual([], self.relinked)
+        self.task._handle(links.Closed(link, 'silent'))
+        self.opened(str(ADDRESS))
+        self.assertEqual([True], self.relinked)
+
     def test_a_crash_is_relayed_by_few_agents(self):
         """A request that crashes engines is retried at any entry.
 
