Crashes: three requests that share a part refuse it for 10 s only

The fourth request that crashes with a part convicts it now, and the third refuses it for 10 s, so that the next answer on it can clear it.

--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -60,7 +60,7 @@
 
 # A part on which answers were complete before is sound, unless none is for
 # this many crashes, some of them OUTAGE_S apart.
-MIN_CRASHES_IF_ANSWERED = 6
+MIN_SENDERS_IF_ANSWERED = 6
 MIN_SHARE_IF_ANSWERED = 0.75
 
 # Longer than jobs with backoff keep resending, and on weak evidence long
@@ -266,15 +266,15 @@
         if len(own) < MIN_SHARE * others:
             return None
         if part in self._answered and (
-            len(senders) < MIN_CRASHES_IF_ANSWERED
+            len(senders) < MIN_SENDERS_IF_ANSWERED
             or _count_apart(own, OUTAGE_S) < MIN_CRASHES
             or len(own) < MIN_SHARE_IF_ANSWERED * others
         ):
             return None
-        # A few requests that come again and again may be the cause as well.
-        needed = MIN_CRASHES + (len(senders) < len(own))
+        # Three requests may crash engines by themselves and share a part.
+        needed = MIN_CRASHES + 1
         if part in self._answered:
-            needed = MIN_CRASHES_IF_ANSWERED + 1
+            needed = MIN_SENDERS_IF_ANSWERED + 1
         is_certain = len(senders) >= needed and lasts_s >= OUTAGE_S
         weight = CERTAIN_WEIGHT if is_certain else MIN_WEIGHT
         return Evidence(part, len(senders), weight, own[-1].at)
