--- a/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
@@ -17,6 +17,7 @@
 from burdockchute import logs
 from burdockchute.decisions.crash_causes import CrashCauses
 from burdockchute.decisions.crash_evidence import REFUSE_S
+from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.feed_follower import Cursor
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import Change
@@ -140,8 +141,14 @@
             self._causes.clear(change.name)
         elif isinstance(change, PartRefused):
             age_s = max(0.0, self._now_unix() - change.at_unix)
-            if age_s >= REFUSE_S:
+            left_s = REFUSE_S - age_s
+            if left_s <= 0:
+                return
+            if left_s <= WEAK_REFUSE_S and self._causes.was_answered(
+                change.name
+            ):
+                # The other entry has weak evidence, and no answer on it.
                 return
             if not self._causes.is_refused(change.name, now):
-                log_refused(change.name, 'store', REFUSE_S - age_s)
-            self._causes.refuse(change.name, REFUSE_S - age_s, now)
+                log_refused(change.name, 'store', left_s)
+            self._causes.refuse(change.name, left_s, now)
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -166,6 +166,10 @@
         )
         return crashes >= CRASHES_TO_ISOLATE
 
+    def was_answered(self, name: str) -> bool:
+        """Whether a complete answer to a request or on a part was seen."""
+        return name in self._answered_at
+
     def was_in_crash(
         self, fingerprint: str, upstreams: Collection[str]
     ) -> bool:
