Entry: idle connections are closed before the process exits

The process no longer read, but its sockets stayed open until it had exited. Idle connections are now closed once the last request is answered; what has arrived before is still read and refused.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -356,7 +356,7 @@
             self._machine.address, self._cfg.admin_port, app
         )
 
-    def _shut_down(self, callers: Any) -> int:
+    def _shut_down(self, callers: server.CallersServer) -> int:
         started = time.monotonic()
         deadline = started + self._machine.bounds.grace_s - SHUTDOWN_RESERVE_S
         logs.event('leaving', open_requests=self.callers.open_requests)
@@ -365,8 +365,12 @@
         self.accepting = False
         while self.callers.open_requests and time.monotonic() < deadline:
             gevent.sleep(POLL_S)
-        callers.close()
         unfinished = self.callers.open_requests
+        callers.close()
+        # A request that arrives while the process exits would get no answer
+        # until its connection is closed at the very end.
+        callers.close_idle()
+        gevent.sleep(POLL_S)
         self.agents.close()
         logs.event(
             'stopped',
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -42,11 +42,30 @@
 _log = logging.getLogger('burdockchute.callers')
 
 
+class CallersServer(pywsgi.WSGIServer):
+    """A server that can end the connections on which no request is open."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # The sockets of connections that wait for their next request.
+        self.idle: set[Any] = set()
+
+    def close_idle(self) -> None:
+        """Close idle connections; a request that has arrived is answered."""
+        for sock in list(self.idle):
+            try:
+                # gevent's method would also discard what has arrived.
+                sock._sock.shutdown(sockets.SHUT_RD)
+            except OSError:
+                # Its caller has closed it.
+                pass
+
+
 def make_server(
     address: str, port: int, app: Callable[..., Any]
-) -> pywsgi.WSGIServer:
+) -> CallersServer:
     """Return a server that is not started; port 0 selects a free port."""
-    return pywsgi.WSGIServer(
+    return CallersServer(
         (address, port),
         app,
         handler_class=_Handler,
@@ -148,6 +167,7 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
+    server: CallersServer
     wsgi_input: Any
     environ: dict[str, Any] | None
     response_length: int
@@ -165,11 +185,14 @@
 
     def read_requestline(self) -> str:
         self.socket.settimeout(WRITE_TIMEOUT_S)
+        self.server.idle.add(self.socket)
         try:
             with gevent.Timeout(IDLE_TIMEOUT_S):
                 return super().read_requestline()
         except (gevent.Timeout, TimeoutError):
             return ''
+        finally:
+            self.server.idle.discard(self.socket)
 
     def read_request(self, raw_requestline: str) -> Any:
         # A caller that sends its headers one by one, slowly, could otherwise
