Crashes: a stream that goes on proves its request and parts

A request that crashes engines does so as they begin to answer, so an answer that has been arriving for over 0.5 s counts like a complete one, as it is no candidate of a crash either.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -174,7 +174,7 @@
         gevent.spawn(self._check, target)
 
     def answer_complete(self, ctx: RequestContext, has_content: bool) -> None:
-        """Record a complete answer to a request.
+        """Record a complete answer, or one that has been arriving for long.
 
         Only one with content shows that its prompt crashes no upstream.
         """
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -18,6 +18,7 @@
 from burdockchute.decisions import versions
 from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.answer_ends import Framing
+from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
 from burdockchute.decisions.placement import Work
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.model.exchanges import ForwardedRequest
@@ -115,6 +116,9 @@
         self._has_caller_left = has_caller_left
         # When the answer on each connection has started.
         self._started: dict[Connection, float] = {}
+        # Whether an answer has been arriving for longer than a request that
+        # crashes its upstream takes.
+        self._has_outlasted = False
         # Rejections of the remainder of an interrupted stream.
         self._rejections = 0
 
@@ -408,8 +412,12 @@
             raise AnswerFailed(end.reason, end.crashed)
 
     def mark_started(self, sent: SentRequest) -> None:
-        """Record that the answer has started: the prompt was processed."""
-        self._started.setdefault(sent.conn, self._deps.now())
+        """Record events of the answer: the prompt was processed."""
+        now = self._deps.now()
+        started_at = self._started.setdefault(sent.conn, now)
+        if now - started_at > JUST_BEGUN_S and not self._has_outlasted:
+            self._has_outlasted = True
+            self._deps.crash_watch.answer_complete(self.ctx, True)
         if sent.hedge_at is not None or sent.rival is not None:
             sent.conn.set_poll_interval(POLL_INTERVAL_S)
         self._deps.scheduler.mark_started(self.pending, sent.slot)
