--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -152,7 +152,7 @@
                 ours=load.ours,
                 others=load.others,
                 report_age_ms=int((now - load.reported_at) * 1000),
-                isolated=self.pending.is_isolated,
+                isolated=load.reserved_for == self.inbound.id,
             )
         return slot
 
