--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -33,6 +33,9 @@
 # Other entries' reports of the same crash arrive within this time.
 DECISION_DELAY_S = 0.1
 
+# After an outage, hundreds of requests that were in crashes are answered.
+ANSWERS_DELAY_S = 0.5
+
 # A request that was in a crash before waits for the judgement of the next one
 # before it is repeated.
 MAX_JUDGEMENT_WAIT_S = 0.25
@@ -73,7 +76,8 @@
         # it is checked.
         self._lost: dict[str, list[LostRequest]] = {}
         self._lost_at: dict[str, float] = {}
-        self._is_deciding = False
+        # When the next judgement is due.
+        self._decide_at = float('inf')
         # Set while no crash is being checked or judged.
         self._is_settled = event.Event()
         self._is_settled.set()
@@ -229,14 +233,20 @@
         self._on_suspicion()
         self._decide_soon()
 
-    def _decide_soon(self) -> None:
-        if not self._is_deciding:
-            self._is_deciding = True
+    def _decide_soon(self, delay_s: float = DECISION_DELAY_S) -> None:
+        decide_at = self._now() + delay_s
+        if decide_at >= self._decide_at:
+            return
+        self._decide_at = decide_at
+        if delay_s <= DECISION_DELAY_S:
             self._is_settled.clear()
-            gevent.spawn_later(DECISION_DELAY_S, self._decide)
+        gevent.spawn_later(delay_s, self._decide, decide_at)
 
-    def _decide(self) -> None:
-        self._is_deciding = False
+    def _decide(self, decide_at: float) -> None:
+        if decide_at != self._decide_at:
+            # A crash has been judged sooner.
+            return
+        self._decide_at = float('inf')
         self._trials.clear()
         self.causes.upstreams = self._count_upstreams()
         refusals = self.causes.judge(self._now())
@@ -253,7 +263,8 @@
         self._settle()
 
     def _settle(self) -> None:
-        if not self._lost and not self._is_deciding:
+        is_due = self._decide_at - self._now() <= DECISION_DELAY_S
+        if not self._lost and not is_due:
             self._is_settled.set()
 
     def _record_answered(self, report: AnsweredRequest) -> list[str]:
@@ -277,7 +288,7 @@
             self._on_changed(name, 0.0)
         if suspected:
             # Fewer candidates are left for the crashes that it was in.
-            self._decide_soon()
+            self._decide_soon(ANSWERS_DELAY_S)
         return suspected
 
 
--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -128,14 +129,32 @@
         self._counts = collections.Counter(
             name for crash in self._crashes for name in crash.requests
         )
-        # Crashes that no suspected request explains.
+        # The parts of the suspected requests in each crash, by its time. A
+        # judgement of hundreds of crashes has to take milliseconds.
+        suspected = {
+            name
+            for name, count in self._counts.items()
+            if name in refused or count >= MIN_CRASHES
+        }
+        self._suspected = [
+            [
+                crash.requests[name].positions
+                for name in suspected.intersection(crash.requests)
+            ]
+            for crash in self._crashes
+        ]
         self._unexplained = [
             crash
-            for crash in self._crashes
-            if not any(
-                name in refused or self._counts[name] >= MIN_CRASHES
-                for name in crash.requests
+            for crash, parts in zip(
+                self._crashes, self._suspected, strict=True
             )
+            if not parts
+        ]
+
+        self._unexplained_at = [
+            crash.at
+            for crash in self._unexplained
+            if refused.isdisjoint(crash.parts)
         ]
 
     # Requests.
@@ -228,34 +247,46 @@
         crashes, then one on which no answer was ever complete, then the one
         furthest into its prompt, which fewest requests share.
         """
-        counts = collections.Counter(
-            part for crash in self._crashes for part in crash.parts
-        )
-        for part, count in counts.items():
-            if count < MIN_CRASHES:
+        crashed_at: dict[str, list[float]] = {}
+        for crash in self._crashes:
+            for part in crash.parts:
+                crashed_at.setdefault(part, []).append(crash.at)
+        for part, at in crashed_at.items():
+            if len(at) < MIN_CRASHES or not self._may_explain(at):
                 continue
-            # Another part may be refused already, and explain the crash.
+            # Another part may be refused already, and explain the crash, or
+            # a suspected request without the part may.
             others = self._refused - {part}
-            crashes = [c for c in self._crashes if not others & c.parts]
-            evidence = self._against_part(part, crashes)
+            unexplained = [
+                crash
+                for crash, suspected in zip(
+                    self._crashes, self._suspected, strict=True
+                )
+                if all(part in positions for positions in suspected)
+                and others.isdisjoint(crash.parts)
+            ]
+            evidence = self._against_part(part, unexplained)
             if evidence is not None:
                 position = max(
                     candidate.positions.get(part, 0)
-                    for crash in crashes
+                    for crash in unexplained
                     for candidate in crash.requests.values()
                 )
                 is_new = part not in self._answered
                 yield (evidence.crashes, is_new, position), evidence
 
+    def _may_explain(self, at: Sequence[float]) -> bool:
+        """Whether crashes at these times may be MIN_SHARE of all meanwhile."""
+        least = bisect.bisect_right(
+            self._unexplained_at, at[-1]
+        ) - bisect.bisect_left(self._unexplained_at, at[0])
+        return len(at) >= MIN_SHARE * least
+
     def _against_part(
-        self, part: str, crashes: Sequence[Crash]
+        self, part: str, unexplained: Sequence[Crash]
     ) -> Evidence | None:
-        unexplained = [
-            crash for crash in crashes if not self._is_explained(part, crash)
-        ]
         own = [crash for crash in unexplained if part in crash.parts]
-        senders = {self._sender_of(part, crash) for crash in own}
-        if len(senders) < MIN_CRASHES:
+        if len(own) < MIN_CRASHES:
             return None
         lasts_s = own[-1].at - own[0].at
         if lasts_s < MIN_SPREAD_S:
@@ -265,6 +296,9 @@
         )
         if len(own) < MIN_SHARE * others:
             return None
+        senders = {self._sender_of(part, crash) for crash in own}
+        if len(senders) < MIN_CRASHES:
+            return None
         if part in self._answered and (
             len(senders) < MIN_SENDERS_IF_ANSWERED
             or _count_apart(own, OUTAGE_S) < MIN_CRASHES
@@ -279,14 +313,6 @@
         weight = CERTAIN_WEIGHT if is_certain else MIN_WEIGHT
         return Evidence(part, len(senders), weight, own[-1].at)
 
-    def _is_explained(self, part: str, crash: Crash) -> bool:
-        """Whether a suspected request without a part explains a crash."""
-        return any(
-            part not in candidate.positions
-            and (name in self._refused or self._counts[name] >= MIN_CRASHES)
-            for name, candidate in crash.requests.items()
-        )
-
     def _sender_of(self, part: str, crash: Crash) -> str:
         """Return the request that brought a part to a crashed upstream.
 
