Crash records: named after what they hold

RefusedPartsTask and its topic hold refused requests, too, and are to hold evidence of crashes. Only names change: CrashRecordsTask, CauseRefused, CauseAllowed, CrashRecords; the events crash_records_unread and crash_record_not_saved (before: refused_parts_unread, prompt_part_not_saved). The topic keeps its name, which entries of earlier releases read.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -36,9 +36,9 @@
 from burdockchute_entry.straight.callers import CallersApp
 from burdockchute_entry.straight.callers import ShutdownState
 from burdockchute_entry.straight.counters import Counters
+from burdockchute_entry.straight.crash_records_task import CrashRecordsTask
 from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.memory_account import MemoryAccount
-from burdockchute_entry.straight.refused_parts_task import RefusedPartsTask
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.sending import Dependencies
 
@@ -108,12 +108,12 @@
         self.crash_watch = CrashWatch(
             now,
             lambda report: self.agents.inbox.put(report),
-            lambda: self.refused_parts.expect_changes(),
-            lambda name, for_s: self.refused_parts.save(name, for_s),
+            lambda: self.crash_records.expect_changes(),
+            lambda name, for_s: self.crash_records.save(name, for_s),
             lambda: len(self.scheduler.targets()),
         )
-        self.refused_parts = RefusedPartsTask(
-            adapter.open_refused_parts(machine.store),
+        self.crash_records = CrashRecordsTask(
+            adapter.open_crash_records(machine.store),
             self.crash_watch.causes,
             max_open_read_s(machine.bounds.contact_s),
             now,
@@ -129,7 +129,7 @@
             rng,
             self.scheduler.handle_link_event,
             self.crash_watch.peer_answered,
-            lambda: self.refused_parts.read_soon(),
+            lambda: self.crash_records.read_soon(),
         )
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
@@ -296,8 +296,8 @@
             self.follower.follow_desired_state,
             self.follower.follow_upstreams,
             self.agents.run,
-            self.refused_parts.read_forever,
-            self.refused_parts.save_forever,
+            self.crash_records.read_forever,
+            self.crash_records.save_forever,
             self._keep_assigning,
         ]
 
@@ -328,7 +328,7 @@
             gevent.sleep(ASSIGN_INTERVAL_S)
             is_lost = self.follower.desired_state_contact.lost
             if was_lost and not is_lost:
-                self.refused_parts.expect_changes()
+                self.crash_records.expect_changes()
             was_lost = is_lost
             self.scheduler.check_links()
             self.scheduler.assign_free_slots()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/refused_parts_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -1,8 +1,9 @@
-"""Shares refused parts of prompts through the platform's store.
+"""Shares what entries refuse because of crashes through the store.
 
 Reports of crashes reach the entries that are linked at the time. What they
 lead to also has to hold for an entry that was cut off, joins or starts again,
-so the parts that an entry refuses are kept in the store, where all read them.
+so the requests and parts of prompts that an entry refuses are kept in the
+platform's store, where all read them.
 """
 
 from __future__ import annotations
@@ -20,10 +21,10 @@
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.feed_follower import Cursor
 from burdockchute.model.feeds import Batch
+from burdockchute.model.feeds import CauseAllowed
+from burdockchute.model.feeds import CauseRefused
 from burdockchute.model.feeds import Change
-from burdockchute.model.feeds import PartAllowed
-from burdockchute.model.feeds import PartRefused
-from burdockchute.model.feeds import RefusedParts
+from burdockchute.model.feeds import CrashRecords
 from burdockchute_entry.straight.crash_watch import log_refused
 
 # Changes are rare. They are read by long polls for this long after a crash or
@@ -33,7 +34,7 @@
 MIN_INTERVAL_S = 0.5
 
 # A failed read is repeated until one succeeds: an entry that starts while the
-# store is away knows nothing of the refused parts.
+# store is away knows nothing of the refused causes.
 RETRY_S = 0.5
 
 # How long to retry the save of a change. Most callers of refused requests
@@ -41,21 +42,21 @@
 SAVE_TIMEOUT_S = 120.0
 
 
-class RefusedPartsTask:
-    """Reads the refused parts into `parts`, and saves changes of this entry.
+class CrashRecordsTask:
+    """Reads the refused causes into `causes`, and saves changes of this entry.
 
     A read stays open at the store for up to `wait_s`.
     """
 
     def __init__(
         self,
-        refused_parts: RefusedParts,
+        crash_records: CrashRecords,
         causes: CrashCauses,
         wait_s: float,
         now: Callable[[], float],
         now_unix: Callable[[], float],
     ) -> None:
-        self._refused_parts = refused_parts
+        self._crash_records = crash_records
         self._causes = causes
         self._wait_s = wait_s
         self._now = now
@@ -76,21 +77,21 @@
     def save(self, name: str, for_s: float) -> None:
         """Save that this entry refuses a cause, or no longer with 0."""
         self._inbox.put(
-            self._refused(name, for_s) if for_s else PartAllowed(name)
+            self._refused(name, for_s) if for_s else CauseAllowed(name)
         )
 
-    def _refused(self, name: str, for_s: float) -> PartRefused:
+    def _refused(self, name: str, for_s: float) -> CauseRefused:
         # A record holds for REFUSE_S; one for less is dated back.
-        return PartRefused(name, self._now_unix() + for_s - REFUSE_S)
+        return CauseRefused(name, self._now_unix() + for_s - REFUSE_S)
 
     def save_forever(self) -> None:
         """Save the changes of this entry in their order, forever."""
         while True:
             change = self._inbox.get()
             until = self._now() + SAVE_TIMEOUT_S
-            while not self._refused_parts.save(change):
+            while not self._crash_records.save(change):
                 if self._now() > until:
-                    logs.warn('prompt_part_not_saved', part=change.name)
+                    logs.warn('crash_record_not_saved', cause=change.name)
                     break
                 gevent.sleep(RETRY_S)
 
@@ -102,13 +103,13 @@
             self._woken.clear()
             is_expecting = self._now() < self._expecting_until
             wait_s = self._wait_s if is_expecting else 0.0
-            result = self._refused_parts.read(cursor.position, wait_s)
+            result = self._crash_records.read(cursor.position, wait_s)
             if isinstance(result, Failure):
                 error = result.failure()
                 if error.expired:
                     cursor.expire()
                 if was_read:
-                    logs.event('refused_parts_unread', reason=error.reason)
+                    logs.event('crash_records_unread', reason=error.reason)
                 was_read = False
                 gevent.sleep(RETRY_S)
                 continue
@@ -129,7 +130,7 @@
         stored = {
             change.name
             for change in batch.changes
-            if isinstance(change, PartRefused)
+            if isinstance(change, CauseRefused)
         }
         for name, left_s in self._causes.refused(self._now()).items():
             if name not in stored:
@@ -137,9 +138,9 @@
 
     def _apply(self, change: Change) -> None:
         now = self._now()
-        if isinstance(change, PartAllowed):
+        if isinstance(change, CauseAllowed):
             self._causes.clear(change.name)
-        elif isinstance(change, PartRefused):
+        elif isinstance(change, CauseRefused):
             age_s = max(0.0, self._now_unix() - change.at_unix)
             left_s = REFUSE_S - age_s
             if left_s <= 0:
--- a/packages/burdockchute/burdockchute/adapters.py
+++ b/packages/burdockchute/burdockchute/adapters.py
@@ -24,8 +24,8 @@
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.model.exchanges import ForwardedRequest
 from burdockchute.model.exchanges import InboundRequest
+from burdockchute.model.feeds import CrashRecords
 from burdockchute.model.feeds import Feeds
-from burdockchute.model.feeds import RefusedParts
 from burdockchute.model.findings import Finding
 from burdockchute.model.findings import not_one_of
 from burdockchute.model.machines import Machine
@@ -82,7 +82,7 @@
 
     read_machine: Callable[[str], Result[Machine, list[Finding]]]
     open_feeds: Callable[[Endpoint], Feeds]
-    open_refused_parts: Callable[[Endpoint], RefusedParts]
+    open_crash_records: Callable[[Endpoint], CrashRecords]
     decode_request: Callable[[str, str, HeaderList], InboundRequest]
     encode_request: Callable[[InboundRequest, ForwardedRequest], bytes]
     decode_answer: Callable[[int, HeaderList], AnswerHead]
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -57,15 +57,18 @@
     evacuation_zone: str = ''
 
 
-class PartRefused(NamedTuple):
-    """An entry refuses prompts with a part, since a Unix time in seconds."""
+class CauseRefused(NamedTuple):
+    """An entry refuses a cause of crashes, since a Unix time in seconds.
+
+    `name` is that of a request or of a part of prompts.
+    """
 
     name: str
     at_unix: float
 
 
-class PartAllowed(NamedTuple):
-    """A part of prompts is refused no longer."""
+class CauseAllowed(NamedTuple):
+    """A cause of crashes is refused no longer."""
 
     name: str
 
@@ -77,8 +80,8 @@
     | EvacuationRevoked
     | UpstreamListed
     | UpstreamUnlisted
-    | PartRefused
-    | PartAllowed
+    | CauseRefused
+    | CauseAllowed
     | UnreadableRecord
 )
 
@@ -112,11 +115,11 @@
     upstreams: ReadFeed
 
 
-class RefusedParts(NamedTuple):
-    """The parts of prompts that entries refuse, kept by the platform.
+class CrashRecords(NamedTuple):
+    """What entries refuse because of crashes, kept by the platform.
 
     `save` stores a change and returns whether the platform has confirmed it.
     """
 
     read: ReadFeed
-    save: Callable[[PartRefused | PartAllowed], bool]
+    save: Callable[[CauseRefused | CauseAllowed], bool]
