Crash evidence: kept in the store, so it outlives the entries

Cause: crashes were known to the processes that saw them or were linked at the time, and the store had refusals only.

Each entry now saves the requests that it loses in a crash, and that a request or part in two crashes has been answered since; all read both. A request waits until the first read is done, and one in two crashes until that is judged. What has expired is removed by the next save; a store that was restored from a copy gets its records again.

Weighed: agents (they live on, and cost no calls; but services without models have none, and each relays to the entries linked at the time), one record for each request with all its crashes (two entries would overwrite each other's), answers to everything that was in a crash (ten records for each crash, where only those in two change what entries do).

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -25,6 +25,8 @@
 from burdockchute.feed_follower import max_open_read_s
 from burdockchute.feed_follower import SETTLING_S
 from burdockchute.lifecycle import ProcessLifecycle
+from burdockchute.model.crash_reports import AnsweredRequest
+from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.machines import Machine
 from burdockchute.model.members import Member
@@ -107,14 +109,15 @@
         )
         self.crash_watch = CrashWatch(
             now,
-            lambda report: self.agents.inbox.put(report),
+            self._publish_crash_report,
             lambda: self.crash_records.expect_changes(),
-            lambda name, for_s: self.crash_records.save(name, for_s),
+            lambda name, for_s: self.crash_records.save_refused(name, for_s),
             lambda: len(self.scheduler.targets()),
+            lambda name: self.crash_records.save_answered(name),
         )
         self.crash_records = CrashRecordsTask(
             adapter.open_crash_records(machine.store),
-            self.crash_watch.causes,
+            self.crash_watch,
             max_open_read_s(machine.bounds.contact_s),
             now,
             time.time,
@@ -311,6 +314,13 @@
         self.scheduler.update(known_state)
         self.agents.inbox.put(known_state)
 
+    def _publish_crash_report(
+        self, report: LostRequest | AnsweredRequest
+    ) -> None:
+        self.agents.inbox.put(report)
+        if isinstance(report, LostRequest):
+            self.crash_records.save_crash(report)
+
     def _on_load_report(
         self, address: str, report: messages.LoadReport
     ) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -1,14 +1,15 @@
-"""Shares what entries refuse because of crashes through the store.
+"""Shares what entries know of crashes through the platform's store.
 
-Reports of crashes reach the entries that are linked at the time. What they
-lead to also has to hold for an entry that was cut off, joins or starts again,
-so the requests and parts of prompts that an entry refuses are kept in the
-platform's store, where all read them.
+Reports of crashes reach the entries that are linked at the time. What is known
+also has to reach an entry that was cut off, joins or starts again, even if no
+other entry runs: the requests that crashes lost, which of them were answered
+since, and the requests and parts of prompts that entries refuse.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 import gevent
 from gevent import event
@@ -16,15 +17,20 @@
 from returns.result import Failure
 
 from burdockchute import logs
-from burdockchute.decisions.crash_causes import CrashCauses
+from burdockchute.decisions.crash_causes import CRASH_TTL_S
 from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.feed_follower import Cursor
+from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.feeds import Batch
-from burdockchute.model.feeds import CauseAllowed
+from burdockchute.model.feeds import CauseAnswered
 from burdockchute.model.feeds import CauseRefused
 from burdockchute.model.feeds import Change
+from burdockchute.model.feeds import CrashRecord
+from burdockchute.model.feeds import CrashRecorded
 from burdockchute.model.feeds import CrashRecords
+from burdockchute.model.feeds import RecordRemoved
+from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.crash_watch import log_refused
 
 # Changes are rare. They are read by long polls for this long after a crash or
@@ -34,16 +40,27 @@
 MIN_INTERVAL_S = 0.5
 
 # A failed read is repeated until one succeeds: an entry that starts while the
-# store is away knows nothing of the refused causes.
+# store is away knows nothing of earlier crashes.
 RETRY_S = 0.5
 
-# How long to retry the save of a change. Most callers of refused requests
-# have given up by then.
+# How long to retry a save. Most callers of refused requests have given up by
+# then.
 SAVE_TIMEOUT_S = 120.0
+MAX_SAVE_RETRY_S = 4.0
+# Each call of the store costs the operators, so what becomes known within an
+# interval is saved together. It doubles while more and more is: an outage of
+# many upstreams must not become one of the store.
+SAVE_INTERVAL_S = 0.05
+MAX_SAVE_INTERVAL_S = 0.8
+MAX_SAVED_TOGETHER = 200
+
+# Expired records are removed by the next save. More than MAX_RECORDS are not
+# kept; a page of the store has 500.
+MAX_RECORDS = 1000
 
 
 class CrashRecordsTask:
-    """Reads the refused causes into `causes`, and saves changes of this entry.
+    """Reads the records into `crash_watch`, and saves those of this entry.
 
     A read stays open at the store for up to `wait_s`.
     """
@@ -51,19 +68,25 @@
     def __init__(
         self,
         crash_records: CrashRecords,
-        causes: CrashCauses,
+        crash_watch: CrashWatch,
         wait_s: float,
         now: Callable[[], float],
         now_unix: Callable[[], float],
     ) -> None:
         self._crash_records = crash_records
-        self._causes = causes
+        self._crash_watch = crash_watch
+        self._causes = crash_watch.causes
         self._wait_s = wait_s
         self._now = now
         self._now_unix = now_unix
-        self._inbox: queue.Queue = queue.Queue()
+        self._inbox: queue.Queue[CrashRecord] = queue.Queue()
         self._expecting_until = float('-inf')
         self._woken = event.Event()
+        # The evidence that this entry has saved, by key.
+        self._own: dict[str, CrashRecorded | CauseAnswered] = {}
+        # The keys of all evidence in the store, and its Unix times.
+        self._stored_at: dict[str, float] = {}
+        crash_watch.is_informed.clear()
 
     def expect_changes(self) -> None:
         """Read at once, and by long polls for a while."""
@@ -74,26 +97,77 @@
         """Read once, as changes may have been missed."""
         self._woken.set()
 
-    def save(self, name: str, for_s: float) -> None:
+    # Saves.
+
+    def save_refused(self, name: str, for_s: float) -> None:
         """Save that this entry refuses a cause, or no longer with 0."""
         self._inbox.put(
-            self._refused(name, for_s) if for_s else CauseAllowed(name)
+            self._refused(name, for_s) if for_s else RecordRemoved(name)
         )
 
+    def save_crash(self, lost: LostRequest) -> None:
+        """Save that this entry lost a request in a crash just now."""
+        self._inbox.put(CrashRecorded(lost, self._now_unix()))
+
+    def save_answered(self, name: str) -> None:
+        """Save that what was in crashes has been answered."""
+        self._inbox.put(CauseAnswered(name, self._now_unix()))
+
     def _refused(self, name: str, for_s: float) -> CauseRefused:
         # A record holds for REFUSE_S; one for less is dated back.
         return CauseRefused(name, self._now_unix() + for_s - REFUSE_S)
 
     def save_forever(self) -> None:
         """Save the changes of this entry in their order, forever."""
+        interval_s = SAVE_INTERVAL_S
         while True:
-            change = self._inbox.get()
-            until = self._now() + SAVE_TIMEOUT_S
-            while not self._crash_records.save(change):
-                if self._now() > until:
-                    logs.warn('crash_record_not_saved', cause=change.name)
+            changes = [self._inbox.get()]
+            while not self._inbox.empty():
+                if len(changes) == MAX_SAVED_TOGETHER:
                     break
-                gevent.sleep(RETRY_S)
+                changes.append(self._inbox.get())
+            self._save(changes)
+            gevent.sleep(interval_s)
+            interval_s = (
+                SAVE_INTERVAL_S
+                if self._inbox.empty()
+                else min(2 * interval_s, MAX_SAVE_INTERVAL_S)
+            )
+
+    def _save(self, changes: Sequence[CrashRecord]) -> None:
+        for change in changes:
+            if isinstance(change, CrashRecorded | CauseAnswered):
+                self._own[change.key] = change
+                self._stored_at[change.key] = change.at_unix
+        changes = [*changes, *self._remove_expired()]
+        until = self._now() + SAVE_TIMEOUT_S
+        retry_s = RETRY_S
+        while not self._crash_records.save(changes):
+            if self._now() > until:
+                for change in changes:
+                    logs.warn('crash_record_not_saved', key=change.key)
+                break
+            gevent.sleep(retry_s)
+            # The store may reject writes because there are too many.
+            retry_s = min(2 * retry_s, MAX_SAVE_RETRY_S)
+
+    def _remove_expired(self) -> list[RecordRemoved]:
+        """Forget expired evidence; return what removes it from the store."""
+        now_unix = self._now_unix()
+        by_age = sorted(self._stored_at, key=self._stored_at.__getitem__)
+        surplus = max(0, len(by_age) - MAX_RECORDS)
+        expired = [
+            key
+            for number, key in enumerate(by_age)
+            if number < surplus
+            or now_unix - self._stored_at[key] > CRASH_TTL_S
+        ]
+        for key in expired:
+            self._stored_at.pop(key)
+            self._own.pop(key, None)
+        return [RecordRemoved(key) for key in expired[:MAX_SAVED_TOGETHER]]
+
+    # Reads.
 
     def read_forever(self) -> None:
         """Apply the changes of all entries, forever."""
@@ -111,6 +185,7 @@
                 if was_read:
                     logs.event('crash_records_unread', reason=error.reason)
                 was_read = False
+                self._crash_watch.is_informed.set()
                 gevent.sleep(RETRY_S)
                 continue
             batch = result.unwrap()
@@ -118,6 +193,7 @@
             restored = cursor.advance(batch.position)
             for change in batch.changes:
                 self._apply(change)
+            self._crash_watch.is_informed.set()
             if restored:
                 self._save_missing(batch)
             if self._now() >= self._expecting_until:
@@ -128,28 +204,49 @@
     def _save_missing(self, batch: Batch) -> None:
         """Save again what a store that was restored from a copy lacks."""
         stored = {
-            change.name
+            change.key
             for change in batch.changes
-            if isinstance(change, CauseRefused)
+            if isinstance(change, CauseRefused | CrashRecorded | CauseAnswered)
         }
         for name, left_s in self._causes.refused(self._now()).items():
             if name not in stored:
                 self._inbox.put(self._refused(name, left_s))
+        for key, record in self._own.items():
+            if key not in stored:
+                self._inbox.put(record)
 
     def _apply(self, change: Change) -> None:
+        match change:
+            case RecordRemoved():
+                self._stored_at.pop(change.key, None)
+                self._causes.clear(change.key)
+            case CauseRefused():
+                self._apply_refused(change)
+            case CrashRecorded() | CauseAnswered():
+                self._stored_at[change.key] = change.at_unix
+                age_s = max(0.0, self._now_unix() - change.at_unix)
+                if age_s <= CRASH_TTL_S:
+                    self._apply_evidence(change, self._now() - age_s)
+
+    def _apply_evidence(
+        self, record: CrashRecorded | CauseAnswered, at: float
+    ) -> None:
+        if isinstance(record, CauseAnswered):
+            self._causes.answered_at(record.name, at)
+            return
+        self._crash_watch.stored_crash(record.lost, at)
+        # More may follow, from entries that are not linked.
+        self._expecting_until = max(self._expecting_until, at + EXPECTING_S)
+
+    def _apply_refused(self, change: CauseRefused) -> None:
         now = self._now()
-        if isinstance(change, CauseAllowed):
-            self._causes.clear(change.name)
-        elif isinstance(change, CauseRefused):
-            age_s = max(0.0, self._now_unix() - change.at_unix)
-            left_s = REFUSE_S - age_s
-            if left_s <= 0:
-                return
-            if left_s <= WEAK_REFUSE_S and self._causes.was_answered(
-                change.name
-            ):
-                # The other entry has weak evidence, and no answer on it.
-                return
-            if not self._causes.is_refused(change.name, now):
-                log_refused(change.name, 'store', left_s)
-            self._causes.refuse(change.name, left_s, now)
+        age_s = max(0.0, self._now_unix() - change.at_unix)
+        left_s = REFUSE_S - age_s
+        if left_s <= 0:
+            return
+        if left_s <= WEAK_REFUSE_S and self._causes.was_answered(change.name):
+            # The other entry has weak evidence, and no answer on it.
+            return
+        if not self._causes.is_refused(change.name, now):
+            log_refused(change.name, 'store', left_s)
+        self._causes.refuse(change.name, left_s, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -18,6 +18,7 @@
 from burdockchute import logs
 from burdockchute.decisions import crash_causes
 from burdockchute.decisions.crash_causes import CrashCauses
+from burdockchute.decisions.crash_causes import CRASHES_TO_ISOLATE
 from burdockchute.decisions.crash_causes import request_cause
 from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
 from burdockchute.decisions.crash_evidence import MIN_CRASHES
@@ -40,6 +41,8 @@
 # before it is repeated.
 MAX_JUDGEMENT_WAIT_S = 0.25
 
+# The store answers within this time, or is away.
+MAX_READ_WAIT_S = 0.7
 
 # An upstream crashes, and the crash is judged, within this time.
 TRIAL_S = 1.0
@@ -52,6 +55,9 @@
     with each crash that is learned of, `on_changed` with each cause that this
     entry begins or ceases to refuse on its own evidence, and for how many
     seconds. `count_upstreams` returns how many upstreams are known.
+    `on_cleared` is called with each cause in several crashes that this entry
+    sees answered. `is_informed` is set but for an entry that has just started
+    and does not know yet what others know of earlier crashes.
     """
 
     def __init__(
@@ -63,13 +69,17 @@
         on_suspicion: Callable[[], None] = lambda: None,
         on_changed: Callable[[str, float], None] = lambda name, for_s: None,
         count_upstreams: Callable[[], int] = lambda: 1,
+        on_cleared: Callable[[str], None] = lambda name: None,
     ) -> None:
+        self.is_informed = event.Event()
+        self.is_informed.set()
         self.causes = CrashCauses()
         self._now = now
         self._publish = publish
         self._on_suspicion = on_suspicion
         self._on_changed = on_changed
         self._count_upstreams = count_upstreams
+        self._on_cleared = on_cleared
         # Until when a request with an unproven part is on trial.
         self._trials: dict[str, float] = {}
         # The requests lost at an upstream, and when the first one was, while
@@ -142,6 +152,13 @@
         if self.causes.crash_count(ctx.fingerprint):
             self._is_settled.wait(MAX_JUDGEMENT_WAIT_S)
 
+    def wait_until_informed(self, ctx: RequestContext) -> None:
+        """Wait until this entry knows of earlier crashes, and judged them."""
+        if not self.is_informed.is_set():
+            self.is_informed.wait(MAX_READ_WAIT_S)
+        if self.must_be_isolated(ctx):
+            self.wait_until_judged(ctx)
+
     # Evidence of this entry.
 
     def answer_lost(
@@ -191,12 +208,20 @@
                 part for part in ctx.prompt_parts if part.name in suspected
             )
             self._publish(AnsweredRequest(ctx.fingerprint, parts))
+        for name in suspected:
+            if self.causes.crashes_with(name) >= CRASHES_TO_ISOLATE:
+                self._on_cleared(name)
 
     # Reports of other entries.
 
     def peer_lost(self, lost: LostRequest) -> None:
         """Apply another entry's report of a request in a crash."""
         self._record_crash([lost], self._now(), 'peer')
+        self._on_suspicion()
+
+    def stored_crash(self, lost: LostRequest, at: float) -> None:
+        """Apply the record of a request in a crash at a time."""
+        self._record_crash([lost], at, 'store')
 
     def peer_answered(self, report: AnsweredRequest) -> None:
         """Apply another entry's report of a complete answer."""
@@ -209,6 +234,7 @@
         lost_at = self._lost_at.pop(target.id)
         if has_crashed:
             self._record_crash(lost, lost_at, 'own')
+            self._on_suspicion()
             for item in lost:
                 self._publish(item)
         self._settle()
@@ -230,7 +256,6 @@
                 ran_ms=int(item.ran_s * 1000),
                 crashes=self.causes.crash_count(item.fingerprint),
             )
-        self._on_suspicion()
         self._decide_soon()
 
     def _decide_soon(self, delay_s: float = DECISION_DELAY_S) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -129,9 +129,10 @@
         now = self._deps.now()
         if reason := self._obsolete_reason(now):
             return NotRun(reason, 503, 0.0)
+        crash_watch = self._deps.crash_watch
+        crash_watch.wait_until_informed(self.ctx)
         if refusal := self._crash_refusal():
             return refusal
-        crash_watch = self._deps.crash_watch
         self.pending.is_isolated = crash_watch.must_be_isolated(self.ctx)
         slot = self._deps.scheduler.wait_for_slot(
             self.pending, self.ctx.deadline
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -138,6 +138,25 @@
             del self._answered_at[next(iter(self._answered_at))]
         return suspected
 
+    def answered_at(self, name: str, at: float) -> None:
+        """Record when a request or part was last answered elsewhere."""
+        if at > self._answered_at.get(name, float('-inf')):
+            self._answered_at.pop(name, None)
+            self._answered_at[name] = at
+
+    def crashes_with(self, name: str) -> int:
+        """Return in how many crashes a request or part was.
+
+        Those before its last answer count, too.
+        """
+        if name not in self._crashed_at:
+            return 0
+        return sum(
+            name in crash.requests
+            or any(name in c.positions for c in crash.requests.values())
+            for crash in self._crashes.values()
+        )
+
     def crash_count(self, fingerprint: str) -> int:
         """Return in how many crashes a request was since its last answer."""
         name = request_cause(fingerprint)
@@ -159,11 +178,7 @@
         """
         if part not in self._crashed_at or part in self._answered_at:
             return False
-        crashes = sum(
-            any(part in c.positions for c in crash.requests.values())
-            for crash in self._crashes.values()
-        )
-        return crashes >= CRASHES_TO_ISOLATE
+        return self.crashes_with(part) >= CRASHES_TO_ISOLATE
 
     def was_answered(self, name: str) -> bool:
         """Whether a complete answer to a request or on a part was seen."""
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -10,10 +10,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from returns.result import Result
 
+from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.positions import Position
 from burdockchute.model.routes import Configuration
 from burdockchute.model.upstreams import UpstreamListed
@@ -66,11 +68,46 @@
     name: str
     at_unix: float
 
+    @property
+    def key(self) -> str:
+        """The key of its record."""
+        return self.name
 
-class CauseAllowed(NamedTuple):
-    """A cause of crashes is refused no longer."""
+
+class CrashRecorded(NamedTuple):
+    """An entry lost a request in a crash, at a Unix time in seconds."""
+
+    lost: LostRequest
+    at_unix: float
+
+    @property
+    def key(self) -> str:
+        """The key of its record; repeated reports have the same."""
+        return f'crash:{self.lost.upstream}:{self.lost.fingerprint}'
+
+
+class CauseAnswered(NamedTuple):
+    """What was in crashes was answered, at a Unix time in seconds.
+
+    `name` is that of a request or of a part of prompts.
+    """
 
     name: str
+    at_unix: float
+
+    @property
+    def key(self) -> str:
+        """The key of its record."""
+        return f'answered:{self.name}'
+
+
+class RecordRemoved(NamedTuple):
+    """A record is removed; if it is of a cause, that is refused no longer."""
+
+    key: str
+
+
+CrashRecord = CauseRefused | CrashRecorded | CauseAnswered | RecordRemoved
 
 
 Change = (
@@ -80,8 +117,7 @@
     | EvacuationRevoked
     | UpstreamListed
     | UpstreamUnlisted
-    | CauseRefused
-    | CauseAllowed
+    | CrashRecord
     | UnreadableRecord
 )
 
@@ -116,10 +152,11 @@
 
 
 class CrashRecords(NamedTuple):
-    """What entries refuse because of crashes, kept by the platform.
+    """What entries know of crashes, kept by the platform.
 
-    `save` stores a change and returns whether the platform has confirmed it.
+    `save` stores records, all or none, and returns whether the platform has
+    confirmed them.
     """
 
     read: ReadFeed
-    save: Callable[[CauseRefused | CauseAllowed], bool]
+    save: Callable[[Sequence[CrashRecord]], bool]
