End of upstreams: their start is asked, not their address

Cause: an entry that was suspended, or is late for another reason, looks at the address once the server has started again; Target.is_gone asked whether something accepts connections. CrashWatch asked the same and took the crash for a lost link.

EndCheck sends a health check with Expect-Instance on the connection that is opened anyway: another start answers 421, or with another Instance-Id. It takes the place of Target.is_gone, for answers and for crashes. An upstream that does not answer within 0.25 s is full or silent and not taken as ended, as before. One health check for each answer that ends with its connection and each connection that an upstream breaks off; without a health path in the configuration only the address is asked.

Weighed: the list of upstreams (lags by seconds, also for a suspended entry), /-/report (names no start, and only engines have it), resuming each such stream elsewhere (a retry for each sound one).

Open: agents on the project's own path ask the address, as engines there name no start (upstreams/calls.py).

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -40,6 +40,7 @@
 from burdockchute_entry.straight.counters import Counters
 from burdockchute_entry.straight.crash_records_task import CrashRecordsTask
 from burdockchute_entry.straight.crash_watch import CrashWatch
+from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import MemoryAccount
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.sending import Dependencies
@@ -107,8 +108,10 @@
             lambda: desired_state_cadence,
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
         )
+        self.end_check = EndCheck(adapter, self._health_path, now)
         self.crash_watch = CrashWatch(
             now,
+            self.end_check.has_ended,
             self._publish_crash_report,
             lambda: self.crash_records.expect_changes(),
             lambda name, for_s: self.crash_records.save_refused(name, for_s),
@@ -141,6 +144,7 @@
                 adapter,
                 self.scheduler,
                 self.crash_watch,
+                self.end_check,
                 now,
             ),
             self.known_state,
@@ -236,6 +240,9 @@
             ),
         )
 
+    def _health_path(self, service: str) -> str:
+        return self.known_state().health_path(service)
+
     def _configuration(self) -> int | None:
         routes = self.known_state().routes
         return routes.configuration.version if routes else None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -3,7 +3,7 @@
 A request may crash each upstream that runs it, or all requests with one part
 in their prompts may. Both are refused once crashes show it. A lost answer is
 no crash: links are reset, and some upstreams break off single answers. An
-upstream that has crashed refuses connections.
+upstream that has crashed refuses connections, or has started again.
 """
 
 from __future__ import annotations
@@ -51,10 +51,11 @@
 class CrashWatch:
     """The requests and parts of prompts that this entry refuses, and why.
 
-    `publish` sends a report to the other entries. `on_suspicion` is called
-    with each crash that is learned of, `on_changed` with each cause that this
-    entry begins or ceases to refuse on its own evidence, and for how many
-    seconds. `count_upstreams` returns how many upstreams are known.
+    `has_ended` tells whether an upstream has ended. `publish` sends a report
+    to the other entries. `on_suspicion` is called with each crash that is
+    learned of, `on_changed` with each cause that this entry begins or ceases
+    to refuse on its own evidence, and for how many seconds. `count_upstreams`
+    returns how many upstreams are known.
     `on_cleared` is called with each cause in several crashes that this entry
     sees answered. `is_informed` is set but for an entry that has just started
     and does not know yet what others know of earlier crashes.
@@ -63,6 +64,7 @@
     def __init__(
         self,
         now: Callable[[], float],
+        has_ended: Callable[[Target], bool],
         publish: Callable[
             [LostRequest | AnsweredRequest], None
         ] = lambda report: None,
@@ -75,6 +77,7 @@
         self.is_informed.set()
         self.causes = CrashCauses()
         self._now = now
+        self._has_ended = has_ended
         self._publish = publish
         self._on_suspicion = on_suspicion
         self._on_changed = on_changed
@@ -229,7 +232,7 @@
 
     def _check(self, target: Target) -> None:
         gevent.sleep(COLLECT_S)
-        has_crashed = target.is_gone(self._now())
+        has_crashed = self._has_ended(target)
         lost = self._lost.pop(target.id)
         lost_at = self._lost_at.pop(target.id)
         if has_crashed:
--- /dev/null
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
@@ -0,0 +1,75 @@
+"""Checks whether the start of an upstream that ran a request has ended.
+
+An upstream that has crashed refuses connections, and accepts them again once
+it is back. That is another start, with another id, which refuses what is
+meant for the one before. So the check holds however late it is made: this
+process may have been suspended, or the end of the connection delayed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from burdockchute.adapters import Adapter
+from burdockchute.upstreams import connections
+from burdockchute.upstreams.connections import AnswerFailed
+from burdockchute.upstreams.connections import NoDataYet
+from burdockchute.upstreams.connections import NotConnected
+from burdockchute_entry.straight.targets import Target
+
+# Another start answers at once. A full upstream answers late, as its health
+# check waits for a slot; callers must not wait for that.
+ANSWER_TIMEOUT_S = 0.25
+
+
+class EndCheck:
+    """Asks upstreams whether they have ended.
+
+    `health_path` returns the path of the health checks of a service, empty if
+    it has none.
+    """
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        health_path: Callable[[str], str],
+        now: Callable[[], float],
+    ) -> None:
+        self._adapter = adapter
+        self._health_path = health_path
+        self._now = now
+
+    def has_ended(self, target: Target) -> bool:
+        """Whether an upstream refuses connections, or has started again.
+
+        One that does not respond is not taken as ended.
+        """
+        if target.is_replaced:
+            return True
+        try:
+            conn = connections.connect(target.upstream.endpoint)
+        except NotConnected as exc:
+            return exc.refused
+        path = self._health_path(target.upstream.service)
+        if not path:
+            target.keep_new(conn, self._now())
+            return False
+        data = self._adapter.encode_health_check(path, target.id)
+        conn.set_poll_interval(ANSWER_TIMEOUT_S)
+        try:
+            conn.send(data, 'GET', lambda status, headers: True)
+            status, headers = conn.read_head()
+            while conn.read_body_part():
+                pass
+        except (AnswerFailed, NoDataYet):
+            conn.close()
+            return False
+        if self._adapter.is_other_instance(status, headers, target.id):
+            conn.close()
+            return True
+        head = self._adapter.decode_answer(status, headers)
+        if head.idle_s is None:
+            conn.close()
+        else:
+            target.keep(conn, head.idle_s, self._now())
+        return False
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -42,6 +42,7 @@
 from burdockchute_entry.straight.attempts import UpstreamSlow
 from burdockchute_entry.straight.attempts import WeightsReplaced
 from burdockchute_entry.straight.crash_watch import CrashWatch
+from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
 from burdockchute_entry.straight.scheduler import Scheduler
@@ -74,6 +75,7 @@
     adapter: Adapter
     scheduler: Scheduler
     crash_watch: CrashWatch
+    end_check: EndCheck
     now: Callable[[], float]
 
 
@@ -407,7 +409,7 @@
             sent.conn.framing,
             partial_event,
             lacks_events,
-            lambda: sent.slot.target.is_gone(self._deps.now()),
+            lambda: self._deps.end_check.has_ended(sent.slot.target),
         )
         if isinstance(end, BrokenOff):
             raise AnswerFailed(end.reason, end.crashed)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -27,7 +27,6 @@
 from burdockchute.model.upstreams import Upstream
 from burdockchute.upstreams import connections
 from burdockchute.upstreams.connections import Connection
-from burdockchute.upstreams.connections import NotConnected
 
 # An idle connection is closed this long before its upstream would close it,
 # so that no request is sent while the close is on its way.
@@ -395,17 +394,9 @@
             conn.close()
         return connections.connect(self.upstream.endpoint)
 
-    def is_gone(self, now: float) -> bool:
-        """Whether it refuses connections; keeps the one that it accepts."""
-        try:
-            conn = connections.connect(self.upstream.endpoint)
-        except NotConnected as exc:
-            return exc.refused
-        if self.is_replaced:
-            conn.close()
-        else:
-            self._keep_until(conn, DEFAULT_IDLE_S, now)
-        return False
+    def keep_new(self, conn: Connection, now: float) -> None:
+        """Keep a connection on which nothing was sent."""
+        self._keep_until(conn, DEFAULT_IDLE_S, now)
 
     def keep(self, conn: Connection, idle_s: float, now: float) -> None:
         """Keep a connection for reuse, or close it if it can't be reused."""
--- a/packages/burdockchute/burdockchute/adapters.py
+++ b/packages/burdockchute/burdockchute/adapters.py
@@ -76,8 +76,11 @@
     """The adapter of one platform.
 
     `read_machine` reads the settings file at a path. `decode_request` raises
-    ValueError for a malformed header. `event_version` returns the version of
-    weights to which a stream changes with an event, None if it doesn't.
+    ValueError for a malformed header. `encode_health_check` returns a health
+    check at a path, which is meant for one instance; `is_other_instance` tells
+    by the answer whether another one has its address. `event_version` returns
+    the version of weights to which a stream changes with an event, None if it
+    doesn't.
     """
 
     read_machine: Callable[[str], Result[Machine, list[Finding]]]
@@ -85,6 +88,8 @@
     open_crash_records: Callable[[Endpoint], CrashRecords]
     decode_request: Callable[[str, str, HeaderList], InboundRequest]
     encode_request: Callable[[InboundRequest, ForwardedRequest], bytes]
+    encode_health_check: Callable[[str, str], bytes]
+    is_other_instance: Callable[[int, HeaderList, str], bool]
     decode_answer: Callable[[int, HeaderList], AnswerHead]
     event_version: Callable[[bytes], int | None]
     engine: Callable[[Endpoint], Engine]
--- a/packages/burdockchute/burdockchute/decisions/answer_ends.py
+++ b/packages/burdockchute/burdockchute/decisions/answer_ends.py
@@ -3,7 +3,7 @@
 An upstream frames an answer by a length or by chunks, and then its end shows
 that it is complete. With neither, the answer ends with its connection, and an
 upstream that crashes closes it in the same way as one that is done. Such an
-answer is complete only if its upstream still accepts connections. A stream is
+answer is complete only if its upstream has not ended since. A stream is
 complete only between two events, whatever its framing.
 """
 
@@ -48,7 +48,7 @@
 
     `partial_event` has the bytes after the last event of a stream;
     `lacks_events` is whether it has no events and should have some.
-    `is_upstream_gone` tells whether the upstream refuses connections by now;
+    `is_upstream_gone` tells whether the upstream has ended by now;
     it is only called for an answer that nothing else shows to be broken off.
 
     >>> judge(Framing.LENGTH_OR_CHUNKS)
--- a/packages/burdockchute/burdockchute/model/known_state.py
+++ b/packages/burdockchute/burdockchute/model/known_state.py
@@ -60,6 +60,11 @@
         """Return the listed upstreams, including those that drain."""
         return [known.upstream for known in self.upstreams.known.values()]
 
+    def health_path(self, service: str) -> str:
+        """Return the path of a service's health checks, empty if unknown."""
+        known = self.routes.services.get(service) if self.routes else None
+        return known.health_path if known else ''
+
     def agent_requirements(self, service: str) -> AgentRequirements | None:
         """Return the newest known requirements of an agent of a service."""
         if self.routes is None:
--- a/packages/burdockchute/burdockchute/model/routes.py
+++ b/packages/burdockchute/burdockchute/model/routes.py
@@ -90,9 +90,10 @@
 
     `origin` is the address of the service that serves weights, empty for
     other services. `models` is empty and `cost` None for services whose
-    upstreams are not engines. An upstream is cold for `cold_s` after a start
-    and takes `cold_rate` requests per second meanwhile; both are 0 if it is
-    never cold.
+    upstreams are not engines. `health_path` is the path of the upstreams'
+    health checks, empty if they have none. An upstream is cold for `cold_s`
+    after a start and takes `cold_rate` requests per second meanwhile; both are
+    0 if it is never cold.
     """
 
     name: str
@@ -103,6 +104,7 @@
     cost: EngineCost | None = None
     cold_s: float = 0.0
     cold_rate: float = 0.0
+    health_path: str = ''
 
 
 class Keyholder(NamedTuple):
