Crashes: requests wait for the trial of a part of their prompts

Callers: sound requests got 503 because another request with the same part was on trial. Cause: a part in two crashes without an answer is sent one request at a time, and all others were refused for up to a second, also repeats of the one on trial. They wait now, at most as long, until the trial is answered or judged, and are refused only then. A request is never kept out by its own trial; it is not hedged either.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -10,7 +10,9 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import gevent
 from gevent import event
@@ -48,6 +50,13 @@
 TRIAL_S = 1.0
 
 
+class _Trial(NamedTuple):
+    """A request that shows whether a part of its prompt is sound."""
+
+    request_id: str
+    until: float
+
+
 class CrashWatch:
     """The requests and parts of prompts that this entry refuses, and why.
 
@@ -83,8 +92,10 @@
         self._on_changed = on_changed
         self._count_upstreams = count_upstreams
         self._on_cleared = on_cleared
-        # Until when a request with an unproven part is on trial.
-        self._trials: dict[str, float] = {}
+        # The trial of each unproven part that a request was sent with.
+        self._trials: dict[str, _Trial] = {}
+        # Set, and replaced, with each trial that ends before its time.
+        self._trial_ended = event.Event()
         # The requests lost at an upstream, and when the first one was, while
         # it is checked.
         self._lost: dict[str, list[LostRequest]] = {}
@@ -120,9 +131,7 @@
         if refused_s := self.causes.refused_for_s(names, now):
             reason = 'a part of its prompt crashed the upstreams that ran it'
             return NotRun(reason, 503, refused_s)
-        trial_s = max(
-            (self._trials.get(name, now) - now for name in names), default=0
-        )
+        trial_s = self._trial_left_s(ctx)
         if trial_s > 0:
             reason = 'a part of its prompt may crash upstreams and is on trial'
             return NotRun(reason, 503, trial_s)
@@ -131,15 +140,50 @@
     def begin(self, ctx: RequestContext) -> None:
         """Record that a request is sent.
 
-        Others with an unproven part of its prompt are refused meanwhile.
+        Others with an unproven part of its prompt wait meanwhile.
         """
         now = self._now()
         self._trials = {
-            name: until for name, until in self._trials.items() if until > now
+            name: trial
+            for name, trial in self._trials.items()
+            if trial.until > now
         }
         for part in ctx.prompt_parts:
             if self.causes.is_unproven(part.name):
-                self._trials[part.name] = now + TRIAL_S
+                self._trials[part.name] = _Trial(ctx.request_id, now + TRIAL_S)
+
+    def wait_for_trial(self, ctx: RequestContext) -> None:
+        """Wait while another request with a part of its prompt is on trial."""
+        until = min(self._now() + TRIAL_S, ctx.deadline)
+        while (trial_s := self._trial_left_s(ctx)) > 0:
+            left_s = until - self._now()
+            if left_s <= 0:
+                return
+            self._trial_ended.wait(min(trial_s, left_s))
+
+    def is_on_trial(self, ctx: RequestContext) -> bool:
+        """Whether a request has a part that it must prove by itself."""
+        return any(
+            self.causes.is_unproven(part.name) for part in ctx.prompt_parts
+        )
+
+    def _trial_left_s(self, ctx: RequestContext) -> float:
+        now = self._now()
+        trials = [self._trials.get(part.name) for part in ctx.prompt_parts]
+        return max(
+            (
+                trial.until - now
+                for trial in trials
+                if trial and trial.request_id != ctx.request_id
+            ),
+            default=0.0,
+        )
+
+    def _end_trials(self, names: Iterable[str]) -> None:
+        for name in list(names):
+            self._trials.pop(name, None)
+        ended, self._trial_ended = self._trial_ended, event.Event()
+        ended.set()
 
     def may_repeat(self, ctx: RequestContext) -> bool:
         """Whether a request may be repeated without its caller's asking."""
@@ -275,7 +319,7 @@
             # A crash has been judged sooner.
             return
         self._decide_at = float('inf')
-        self._trials.clear()
+        self._end_trials(self._trials)
         self.causes.upstreams = self._count_upstreams()
         refusals = self.causes.judge(self._now())
         if len(refusals) == crash_causes.MAX_REFUSALS:
@@ -306,8 +350,8 @@
             if self.causes.is_refused(name, now)
         ]
         suspected = self.causes.answered(report.fingerprint, names, now)
-        for name in names:
-            self._trials.pop(name, None)
+        if not self._trials.keys().isdisjoint(names):
+            self._end_trials(names)
         for name in refused:
             if (fingerprint := crash_causes.fingerprint_of(name)) is None:
                 logs.event('prompt_part_allowed', part=name)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -133,6 +133,7 @@
             return NotRun(reason, 503, 0.0)
         crash_watch = self._deps.crash_watch
         crash_watch.wait_until_informed(self.ctx)
+        crash_watch.wait_for_trial(self.ctx)
         if refusal := self._crash_refusal():
             return refusal
         self.pending.is_isolated = crash_watch.must_be_isolated(self.ctx)
@@ -248,7 +249,10 @@
             start_by = self._deps.scheduler.start_deadline(
                 self.pending.spec.model, slot.version
             )
-        may_hedge = may_hedge and not self.pending.is_isolated
+        if self.pending.is_isolated or self._deps.crash_watch.is_on_trial(
+            self.ctx
+        ):
+            may_hedge = False
         hedge_at = self._hedge_at(slot, now) if may_hedge else None
         if rival is not None:
             conn.set_poll_interval(HEDGE_POLL_S)
