Crash reports: whether a part was answered before

Callers: sound requests with a part that three crashing requests shared were refused for 10 s at an entry that had just started, as it had seen no answer on it. Reports of crashes, on the wire and in the store, now say of each part whether their entry has; a part that any has is spared as at that one. Entries of earlier releases leave the field out and ignore it.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -189,7 +189,10 @@
         if news.parts is None:
             # An entry of an earlier release, which did not check for a crash.
             return
-        parts = tuple(PromptPart(p.name, p.position) for p in news.parts)
+        parts = tuple(
+            PromptPart(part.name, part.position, bool(part.answered))
+            for part in news.parts
+        )
         if news.upstream:
             ran_s = (news.ran_ms or 0) / 1000
             self._on_lost_request(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -232,7 +232,11 @@
         )
         if answering_s > JUST_BEGUN_S:
             return
-        lost = LostRequest(ctx.fingerprint, target.id, ctx.prompt_parts, ran_s)
+        parts = tuple(
+            part._replace(is_answered=self.causes.was_answered(part.name))
+            for part in ctx.prompt_parts
+        )
+        lost = LostRequest(ctx.fingerprint, target.id, parts, ran_s)
         if target.id in self._lost:
             self._lost[target.id].append(lost)
             return
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -109,6 +109,9 @@
         for part in lost.parts:
             position = positions.get(part.name, 0)
             positions[part.name] = max(position, part.position)
+            if part.is_answered:
+                # At a time before all crashes that are known.
+                self._answered_at.setdefault(part.name, float('-inf'))
         crash.requests[name] = Candidate(at - lost.ran_s, positions)
         for suspect in (name, *positions):
             newest_at = self._crashed_at.get(suspect, crash.at)
--- a/packages/burdockchute/burdockchute/model/crash_reports.py
+++ b/packages/burdockchute/burdockchute/model/crash_reports.py
@@ -29,10 +29,13 @@
     """A part of a prompt; `position` is its place in it, from 0.
 
     Its `name` contains the model: another model's engines may bear it.
+    `is_answered` is whether the entry that reports it in a crash has seen a
+    complete answer on it before.
     """
 
     name: str
     position: int
+    is_answered: bool = False
 
 
 class LostRequest(NamedTuple):
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -124,6 +124,7 @@
 struct PromptPart {
   1: string name
   2: i32 position
+  3: optional bool answered // an answer on it was complete before the crash
 }
 
 // entry -> agent and back unchanged: what stands in the link before it.
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1293,13 +1293,15 @@
     Attributes:
      - name
      - position
+     - answered
 
     """
 
 
-    def __init__(self, name=None, position=None,):
+    def __init__(self, name=None, position=None, answered=None,):
         self.name = name
         self.position = position
+        self.answered = answered
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1320,6 +1322,11 @@
                     self.position = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.answered = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1338,6 +1345,10 @@
             oprot.writeFieldBegin('position', TType.I32, 2)
             oprot.writeI32(self.position)
             oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.BOOL, 3)
+            oprot.writeBool(self.answered)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3726,6 +3737,7 @@
     None,  # 0
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I32, 'position', None, None, ),  # 2
+    (3, TType.BOOL, 'answered', None, None, ),  # 3
 )
 all_structs.append(LinkProbe)
 LinkProbe.thrift_spec = (
