Crashes: an entry that saw answers on a part lifts its weak refusal

Cause: of three entries two had answered nothing on it when it was in three crashes by chance, and refused it for 10 s, and after the fourth crash for ten minutes; the third ignored the weak refusal and told nobody. It saves now when it saw the part answered. The others lift a weak refusal with that, and judge the part as one on which answers were complete.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -18,6 +18,7 @@
 
 from burdockchute import logs
 from burdockchute.decisions.crash_causes import CRASH_TTL_S
+from burdockchute.decisions.crash_causes import fingerprint_of
 from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.feed_follower import Cursor
@@ -232,12 +233,25 @@
         self, record: CrashRecorded | CauseAnswered, at: float
     ) -> None:
         if isinstance(record, CauseAnswered):
-            self._causes.answered_at(record.name, at)
+            self._causes.answered_elsewhere(record.name, at, self._now())
             return
         self._crash_watch.stored_crash(record.lost, at)
         # More may follow, from entries that are not linked.
         self._expecting_until = max(self._expecting_until, at + EXPECTING_S)
 
+    def _contest(self, name: str) -> None:
+        """Save that a part was answered which another entry refuses.
+
+        That entry has weak evidence, and has seen no answer on it. Answers to
+        a request say nothing of crashes after them.
+        """
+        answered_at = self._causes.answered_at(name)
+        if answered_at is not None and fingerprint_of(name) is None:
+            age_s = self._now() - answered_at
+            record = CauseAnswered(name, self._now_unix() - age_s)
+            if self._stored_at.get(record.key, 0.0) < record.at_unix - 1.0:
+                self._inbox.put(record)
+
     def _apply_refused(self, change: CauseRefused) -> None:
         now = self._now()
         age_s = max(0.0, self._now_unix() - change.at_unix)
@@ -245,7 +259,7 @@
         if left_s <= 0:
             return
         if left_s <= WEAK_REFUSE_S and self._causes.was_answered(change.name):
-            # The other entry has weak evidence, and no answer on it.
+            self._contest(change.name)
             return
         if not self._causes.is_refused(change.name, now):
             log_refused(change.name, 'store', left_s)
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -141,11 +141,27 @@
             del self._answered_at[next(iter(self._answered_at))]
         return suspected
 
-    def answered_at(self, name: str, at: float) -> None:
-        """Record when a request or part was last answered elsewhere."""
+    def answered_elsewhere(self, name: str, at: float, now: float) -> None:
+        """Record when another entry last saw a request or part answered.
+
+        It is refused no longer if it was on weak evidence; a request only if
+        it was not in a crash since.
+        """
         if at > self._answered_at.get(name, float('-inf')):
             self._answered_at.pop(name, None)
             self._answered_at[name] = at
+        if fingerprint_of(name) and at < self._crashed_at.get(name, at):
+            return
+        if self._refused_until.get(name, now) <= now + WEAK_REFUSE_S:
+            self._refused_until.pop(name, None)
+
+    def answered_at(self, name: str) -> float | None:
+        """Return when a request or part was last answered.
+
+        None if it was not, or at an unknown time.
+        """
+        at = self._answered_at.get(name, float('-inf'))
+        return None if at == float('-inf') else at
 
     def crashes_with(self, name: str) -> int:
         """Return in how many crashes a request or part was.
