Crash evidence: a suspension is no time of an answer

An entry that was suspended while a request crashed its server read one event before and one after, took the time between them for that of the answer, and over 0.5 s of it as proof that the request is sound: its crashes counted for nothing. Answers are looked at every 0.25 s at least; a longer time between two looks counts as 0.3 s. CrashWatch is asked with that time, both for proof and for evidence.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -12,12 +12,14 @@
 from burdockchute.adapters import Adapter
 from burdockchute.decisions import admission
 from burdockchute.decisions import answer_ends
+from burdockchute.decisions import crash_evidence
 from burdockchute.decisions import engine_speed
 from burdockchute.decisions import health
 from burdockchute.decisions import retries
 from burdockchute.decisions import versions
 from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.answer_ends import Framing
+from burdockchute.decisions.crash_evidence import AnswerTime
 from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
 from burdockchute.decisions.placement import Work
 from burdockchute.model.exchanges import AnswerHead
@@ -116,8 +118,8 @@
         self.pending = PendingRequest(ctx, work, spec)
         self._deps = deps
         self._has_caller_left = has_caller_left
-        # When the answer on each connection has started.
-        self._started: dict[Connection, float] = {}
+        # For how long the answer on each connection has been arriving.
+        self._answering: dict[Connection, AnswerTime] = {}
         # Whether an answer has been arriving for longer than a request that
         # crashes its upstream takes.
         self._has_outlasted = False
@@ -420,15 +422,21 @@
 
     def mark_started(self, sent: SentRequest) -> None:
         """Record events of the answer: the prompt was processed."""
-        now = self._deps.now()
-        started_at = self._started.setdefault(sent.conn, now)
-        if now - started_at > JUST_BEGUN_S and not self._has_outlasted:
+        lasted_s = self._record_answering(sent.conn)
+        if lasted_s > JUST_BEGUN_S and not self._has_outlasted:
             self._has_outlasted = True
             self._deps.crash_watch.answer_complete(self.ctx, True)
         if sent.hedge_at is not None or sent.rival is not None:
             sent.conn.set_poll_interval(POLL_INTERVAL_S)
         self._deps.scheduler.mark_started(self.pending, sent.slot)
 
+    def _record_answering(self, conn: Connection) -> float:
+        """Return for how many seconds an answer has been arriving."""
+        now = self._deps.now()
+        time = self._answering.get(conn, AnswerTime(now))
+        self._answering[conn] = time = crash_evidence.lasted(time, now)
+        return time.lasted_s
+
     def _read_until_deadline(
         self,
         sent: SentRequest,
@@ -441,6 +449,8 @@
                 result = read()
             except NoDataYet:
                 now = self._deps.now()
+                if sent.conn in self._answering:
+                    self._record_answering(sent.conn)
                 if now > self.ctx.deadline + ANSWER_GRACE_S:
                     return None
                 self._check_start_deadline(sent, now)
@@ -460,13 +470,13 @@
             return result
 
     def _check_rival(self, sent: SentRequest) -> None:
-        if sent.rival is None or sent.conn in self._started:
+        if sent.rival is None or sent.conn in self._answering:
             return
         if not sent.rival.is_quiet():
             raise Overtaken('the first upstream has started to answer', False)
 
     def _check_slow(self, sent: SentRequest, now: float) -> None:
-        if sent.hedge_at is None or sent.conn in self._started:
+        if sent.hedge_at is None or sent.conn in self._answering:
             return
         if now >= sent.hedge_at:
             raise UpstreamSlow('the upstream is slow', False)
@@ -501,7 +511,7 @@
         # A request still queued in the engine would start on weights that
         # may no longer start any request. Nothing would detect that, and the
         # caller would get an answer of an outdated version.
-        if sent.conn in self._started:
+        if sent.conn in self._answering:
             return
         if versions.must_cancel(sent.start_by, sent.sent_at, now):
             raise WeightsReplaced(
@@ -515,7 +525,7 @@
         self.framing = sent.conn.framing
         self._keep_connection(sent, head)
         # An empty remainder shows nothing of the prompt.
-        has_events = not head.is_stream or sent.conn in self._started
+        has_events = not head.is_stream or sent.conn in self._answering
         self._deps.crash_watch.answer_complete(
             self.ctx, head.status < 400 and has_events
         )
@@ -587,10 +597,16 @@
             return OutcomeUnknown(str(exc))
         sent.conn.abort()
         if exc.closed_by_upstream:
-            now = self._deps.now()
-            answering_s = now - self._started.get(sent.conn, now)
+            answering_s = (
+                self._record_answering(sent.conn)
+                if sent.conn in self._answering
+                else 0.0
+            )
             self._deps.crash_watch.answer_lost(
-                self.ctx, target, now - sent.sent_at, answering_s
+                self.ctx,
+                target,
+                self._deps.now() - sent.sent_at,
+                answering_s,
             )
         target.record_failure(self._deps.now())
         self._deps.scheduler.mark_failed(
--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -48,6 +48,9 @@
 # arriving for longer are sound.
 JUST_BEGUN_S = 0.5
 
+# Answers are read at shorter intervals by a process that is not suspended.
+MAX_READ_INTERVAL_S = 0.3
+
 # Reports of two entries on successive crashes may be delayed differently.
 REPORT_JITTER_S = 0.05
 
@@ -75,6 +78,28 @@
 Rank = tuple[int, bool, int]
 
 
+class AnswerTime(NamedTuple):
+    """For how long an answer has been arriving, up to a last look at it."""
+
+    seen_at: float
+    lasted_s: float = 0.0
+
+
+def lasted(time: AnswerTime, now: float) -> AnswerTime:
+    """Extend the time of an answer that is still arriving.
+
+    What this process was suspended for does not count: the answer may have
+    ended in the meantime.
+
+    >>> lasted(AnswerTime(1.0, 0.0), 1.25).lasted_s
+    0.25
+    >>> lasted(AnswerTime(1.0, 0.0), 9.0).lasted_s
+    0.3
+    """
+    step_s = min(now - time.seen_at, MAX_READ_INTERVAL_S)
+    return AnswerTime(now, time.lasted_s + step_s)
+
+
 class Candidate(NamedTuple):
     """A request that an upstream had just begun; positions of its parts."""
 
