Crashes: five late ones in turn convict a request

So such a crash says nothing against parts, is no candidate for others' crashes, isolates nothing and is not relayed. Five in turn that no refused request or part explains, and no whole answer between them, convict, as they do for early ones. They are kept in the store, so an entry that lost such a request knows what others lost before. CrashEvidence and late evidence share in_turn.

Open: entries that don't expect crashes read the store every 20 s, so with many entries more than three sends may follow.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -324,9 +324,14 @@
     def _publish_crash_report(
         self, report: LostRequest | AnsweredRequest
     ) -> None:
-        self.agents.inbox.put(report)
-        if isinstance(report, LostRequest):
-            self.crash_records.save_crash(report)
+        if isinstance(report, AnsweredRequest):
+            self.agents.inbox.put(report)
+            return
+        self.crash_records.save_crash(report)
+        if not report.is_late:
+            # Sound requests that run for long are in many crashes. Five of
+            # them convict, and the store is read soon enough for that.
+            self.agents.inbox.put(report)
 
     def _on_load_report(
         self, address: str, report: messages.LoadReport
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -230,13 +230,12 @@
             answering_ms=int(answering_s * 1000),
             crashes=self.causes.crash_count(ctx.fingerprint),
         )
-        if answering_s > JUST_BEGUN_S:
-            return
+        is_late = answering_s > JUST_BEGUN_S
         parts = tuple(
             part._replace(is_answered=self.causes.was_answered(part.name))
             for part in ctx.prompt_parts
         )
-        lost = LostRequest(ctx.fingerprint, target.id, parts, ran_s)
+        lost = LostRequest(ctx.fingerprint, target.id, parts, ran_s, is_late)
         if target.id in self._lost:
             self._lost[target.id].append(lost)
             return
@@ -245,7 +244,9 @@
         self._is_settled.clear()
         gevent.spawn(self._check, target)
 
-    def answer_complete(self, ctx: RequestContext, has_content: bool) -> None:
+    def answer_complete(
+        self, ctx: RequestContext, has_content: bool, is_whole: bool = True
+    ) -> None:
         """Record a complete answer, or one that has been arriving for long.
 
         Only one with content shows that its prompt crashes no upstream.
@@ -253,7 +254,10 @@
         if not has_content:
             return
         report = AnsweredRequest(ctx.fingerprint, ctx.prompt_parts)
-        suspected = self._record_answered(report)
+        late_crashes = self.causes.late_crash_count(ctx.fingerprint)
+        suspected = self._record_answered(report, is_whole)
+        if is_whole and late_crashes >= CRASHES_TO_ISOLATE:
+            self._on_cleared(request_cause(ctx.fingerprint))
         if suspected:
             parts = tuple(
                 part for part in ctx.prompt_parts if part.name in suspected
@@ -276,7 +280,7 @@
 
     def peer_answered(self, report: AnsweredRequest) -> None:
         """Apply another entry's report of a complete answer."""
-        self._record_answered(report)
+        self._record_answered(report, is_whole=False)
 
     def _check(self, target: Target) -> None:
         gevent.sleep(COLLECT_S)
@@ -305,6 +309,7 @@
                 fingerprint=item.fingerprint,
                 parts=','.join(part.name for part in item.parts),
                 ran_ms=int(item.ran_s * 1000),
+                late=item.is_late,
                 crashes=self.causes.crash_count(item.fingerprint),
             )
         self._decide_soon()
@@ -343,7 +348,9 @@
         if not self._lost and not is_due:
             self._is_settled.set()
 
-    def _record_answered(self, report: AnsweredRequest) -> list[str]:
+    def _record_answered(
+        self, report: AnsweredRequest, is_whole: bool
+    ) -> list[str]:
         """Record a complete answer; return the causes that were suspected."""
         now = self._now()
         names = [part.name for part in report.parts]
@@ -353,7 +360,9 @@
             for name in (request, *names)
             if self.causes.is_refused(name, now)
         ]
-        suspected = self.causes.answered(report.fingerprint, names, now)
+        suspected = self.causes.answered(
+            report.fingerprint, names, now, is_whole
+        )
         if not self._trials.keys().isdisjoint(names):
             self._end_trials(names)
         for name in refused:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -425,7 +425,9 @@
         lasted_s = self._record_answering(sent.conn)
         if lasted_s > JUST_BEGUN_S and not self._has_outlasted:
             self._has_outlasted = True
-            self._deps.crash_watch.answer_complete(self.ctx, True)
+            self._deps.crash_watch.answer_complete(
+                self.ctx, True, is_whole=False
+            )
         if sent.hedge_at is not None or sent.rival is not None:
             sent.conn.set_poll_interval(POLL_INTERVAL_S)
         self._deps.scheduler.mark_started(self.pending, sent.slot)
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -12,12 +12,14 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from burdockchute.decisions import crash_evidence
 from burdockchute.decisions.crash_evidence import Candidate
 from burdockchute.decisions.crash_evidence import CrashEvidence
 from burdockchute.decisions.crash_evidence import Evidence
+from burdockchute.decisions.crash_evidence import Run
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.model.crash_reports import LostRequest
 
@@ -32,6 +34,7 @@
 MAX_CRASHES = 200
 MAX_REQUESTS_PER_CRASH = 50
 MAX_ANSWERED = 5000
+MAX_LATE_REQUESTS = 1000
 # A judgement of many crashes takes some 10 ms for each refusal.
 MAX_REFUSALS = 4
 
@@ -87,6 +90,9 @@
         # The newest crash of each request and part.
         self._crashed_at: dict[str, float] = {}
         self._answered_at: dict[str, float] = {}
+        # Runs that ended with their upstream long after they had begun, by
+        # request and upstream; a whole answer removes those of its request.
+        self._late_runs: dict[str, dict[str, Run]] = {}
         self._refused_until: dict[str, float] = {}
 
     # Evidence.
@@ -97,6 +103,8 @@
         Reports of several entries on one upstream are one crash: each start
         of an upstream has an id of its own. Returns whether this one is news.
         """
+        if lost.is_late:
+            return self._crashed_late(lost, at)
         crash = self._crashes.setdefault(lost.upstream, _Crash(at, {}))
         while len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
@@ -118,16 +126,36 @@
             self._crashed_at[suspect] = max(newest_at, crash.at)
         return True
 
+    def _crashed_late(self, lost: LostRequest, at: float) -> bool:
+        name = request_cause(lost.fingerprint)
+        runs = self._late_runs.setdefault(name, {})
+        if lost.upstream in runs:
+            return False
+        runs[lost.upstream] = Run(at, at - lost.ran_s)
+        while len(self._late_runs) > MAX_LATE_REQUESTS:
+            del self._late_runs[next(iter(self._late_runs))]
+        return True
+
     def answered(
-        self, fingerprint: str, parts: Iterable[str], now: float
+        self,
+        fingerprint: str,
+        parts: Iterable[str],
+        now: float,
+        is_whole: bool = True,
     ) -> list[str]:
         """Record a complete answer; return the causes under suspicion.
 
-        Those are refused no longer.
+        Those are refused no longer. One that is not whole yet has been
+        arriving for long; it is no proof for a request in late crashes.
         """
         suspected = []
         request = request_cause(fingerprint)
-        for name in (request, *parts):
+        if is_whole:
+            self._late_runs.pop(request, None)
+        names = [*parts]
+        if request not in self._late_runs:
+            names.insert(0, request)
+        for name in names:
             is_suspected = self._is_suspected(name)
             if is_suspected:
                 suspected.append(name)
@@ -150,8 +178,12 @@
         if at > self._answered_at.get(name, float('-inf')):
             self._answered_at.pop(name, None)
             self._answered_at[name] = at
-        if fingerprint_of(name) and at < self._crashed_at.get(name, at):
-            return
+        if fingerprint_of(name):
+            runs = self._late_runs.get(name, {}).values()
+            newest_at = max((run.at for run in runs), default=at)
+            if at < max(newest_at, self._crashed_at.get(name, at)):
+                return
+            self._late_runs.pop(name, None)
         if self._refused_until.get(name, now) <= now + WEAK_REFUSE_S:
             self._refused_until.pop(name, None)
 
@@ -186,6 +218,10 @@
             for crash in self._crashes.values()
         )
 
+    def late_crash_count(self, fingerprint: str) -> int:
+        """Return how many late crashes a request was in since its answer."""
+        return len(self._late_runs.get(request_cause(fingerprint), ()))
+
     def must_be_isolated(self, fingerprint: str) -> bool:
         """Whether a request has to run where no other one begins."""
         return self.crash_count(fingerprint) >= CRASHES_TO_ISOLATE
@@ -206,16 +242,39 @@
     def was_in_crash(
         self, fingerprint: str, upstreams: Collection[str]
     ) -> bool:
-        """Whether one of the upstreams crashed as it began on a request."""
+        """Whether one of the upstreams crashed while it ran a request."""
         name = request_cause(fingerprint)
+        late_runs = self._late_runs.get(name, {})
         return any(
-            upstream in self._crashes
+            upstream in late_runs
+            or upstream in self._crashes
             and name in self._crashes[upstream].requests
             for upstream in upstreams
         )
 
     # Judgement.
 
+    def _late_evidence(self) -> Iterator[Evidence]:
+        for name, runs in self._late_runs.items():
+            unexplained = [
+                run
+                for upstream, run in runs.items()
+                if not self._is_explained(upstream)
+            ]
+            evidence = crash_evidence.against_late(name, unexplained)
+            if evidence is not None:
+                yield evidence
+
+    def _is_explained(self, upstream: str) -> bool:
+        """Whether a refused request or part was in a crash."""
+        crash = self._crashes.get(upstream)
+        return crash is not None and any(
+            not self._refused_until.keys().isdisjoint(
+                (name, *candidate.positions)
+            )
+            for name, candidate in crash.requests.items()
+        )
+
     def judge(self, now: float) -> list[Refusal]:
         """Refuse what explains the crashes; return what is newly refused.
 
@@ -242,7 +301,10 @@
         )
         requests = [
             found
-            for found in evidence.against_requests()
+            for found in (
+                *evidence.against_requests(),
+                *self._late_evidence(),
+            )
             if self._is_news(found, now)
         ]
         if requests:
@@ -335,3 +397,8 @@
             for name, until in self._refused_until.items()
             if until > now
         }
+        self._late_runs = {
+            name: runs
+            for name, runs in self._late_runs.items()
+            if any(now - run.at <= CRASH_TTL_S for run in runs.values())
+        }
--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -100,6 +100,35 @@
     return AnswerTime(now, time.lasted_s + step_s)
 
 
+class Run(NamedTuple):
+    """A run of a request that ended with its upstream."""
+
+    at: float
+    sent_at: float
+
+
+def in_turn(runs: Iterable[Run]) -> list[Run]:
+    """Return the runs that began after the end of the one before."""
+    found: list[Run] = []
+    for run in sorted(runs):
+        if not found or run.sent_at + REPORT_JITTER_S >= found[-1].at:
+            found.append(run)
+    return found
+
+
+def against_late(request: str, runs: Iterable[Run]) -> Evidence | None:
+    """Return the evidence of runs that ended long after they had begun.
+
+    Sound requests that run for long are in many crashes. Only as many in turn
+    as are no chance in any outage convict.
+    """
+    crashes = in_turn(runs)
+    if len(crashes) < MAX_CRASHES_IN_TURN:
+        return None
+    newest_at = crashes[-1].at
+    return Evidence(request, len(crashes), CERTAIN_WEIGHT, newest_at)
+
+
 class Candidate(NamedTuple):
     """A request that an upstream had just begun; positions of its parts."""
 
@@ -193,13 +222,13 @@
                     yield evidence
 
     def _against_request(self, request: str) -> Evidence | None:
-        in_turn = self._in_turn(request)
-        if not in_turn:
+        crashes = self._in_turn(request)
+        if not crashes:
             return None
-        first_at, newest_at = in_turn[0].at, in_turn[-1].at
-        if len(in_turn) >= MAX_CRASHES_IN_TURN:
-            return Evidence(request, len(in_turn), CERTAIN_WEIGHT, newest_at)
-        weights = self._weights(request, in_turn)
+        first_at, newest_at = crashes[0].at, crashes[-1].at
+        if len(crashes) >= MAX_CRASHES_IN_TURN:
+            return Evidence(request, len(crashes), CERTAIN_WEIGHT, newest_at)
+        weights = self._weights(request, crashes)
         needed = self._crashes_needed(request, first_at, newest_at)
         if len(weights) < needed or sum(weights) < MIN_WEIGHT:
             return None
@@ -208,15 +237,12 @@
 
     def _in_turn(self, request: str) -> list[Crash]:
         """Return the crashes of runs that began after the crash before."""
-        in_turn: list[Crash] = []
-        for crash in self._crashes:
-            candidate = crash.requests.get(request)
-            if candidate is None:
-                continue
-            sent_at = candidate.sent_at + REPORT_JITTER_S
-            if not in_turn or sent_at >= in_turn[-1].at:
-                in_turn.append(crash)
-        return in_turn
+        crashes = {
+            Run(crash.at, crash.requests[request].sent_at): crash
+            for crash in self._crashes
+            if request in crash.requests
+        }
+        return [crashes[run] for run in in_turn(crashes)]
 
     def _weights(self, request: str, crashes: Sequence[Crash]) -> list[float]:
         weights: list[float] = []
--- a/packages/burdockchute/burdockchute/model/crash_reports.py
+++ b/packages/burdockchute/burdockchute/model/crash_reports.py
@@ -39,9 +39,11 @@
 
 
 class LostRequest(NamedTuple):
-    """An upstream crashed as it began to run a request.
+    """An upstream crashed while it ran a request, or began to.
 
-    It ran there for `ran_s` seconds, counted from when it was sent. The
+    It ran there for `ran_s` seconds, counted from when it was sent. With
+    `is_late` its answer had been arriving for a while, so the crash says
+    nothing against its parts, and little against the request. The
     fingerprint is empty if an entry of an earlier release reports the parts
     of all requests at once.
     """
@@ -50,6 +52,7 @@
     upstream: str
     parts: tuple[PromptPart, ...]
     ran_s: float = 0.0
+    is_late: bool = False
 
 
 class AnsweredRequest(NamedTuple):
--- a/packages/burdockchute/tests/decisions/test_crash_causes.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -94,6 +94,25 @@
         self.assertEqual(['m/1'], self.parts.answered('f-9', ['m/1'], 2.1))
         self.assertFalse(self.parts.is_refused('m/1', 2.1))
 
+    def test_only_late_crashes_in_turn_that_nothing_explains_convict(self):
+        # A sound request that runs for long is in the crashes of others.
+        for number in range(9):
+            upstream, at = f'i-{number}', 10.0 * number
+            if number < 3:
+                self.parts.crashed(LostRequest('bad', upstream, ()), at)
+            late = LostRequest('f-1', upstream, (), 5.0, is_late=True)
+            self.parts.crashed(late, at)
+            self.parts.judge(at)
+            is_refused = self.parts.is_refused('request:f-1', at)
+            self.assertEqual(number >= 7, is_refused)
+            if number == 2:
+                self.assertTrue(self.parts.is_refused('request:bad', at))
+        self.parts.answered('f-1', [], 90.0, is_whole=False)
+        self.assertTrue(self.parts.is_refused('request:f-1', 90.0))
+        self.parts.answered('f-1', [], 91.0)
+        self.assertEqual(0, self.parts.late_crash_count('f-1'))
+        self.assertFalse(self.parts.is_refused('request:f-1', 91.0))
+
     def test_old_crashes_and_convictions_are_forgotten(self):
         later = crash_causes.CRASH_TTL_S + 1.0
         self.crash(1, BAD, at=0.0)
