Crash records: each entry bounds its own evidence

With a bound of all records, each of 360 entries would remove the surplus of an outage of many upstreams that the others had just saved. Each now keeps the newest 200 of its own; at most 72,000 of about 300 bytes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import itertools
 
 import gevent
 from gevent import event
@@ -55,9 +56,9 @@
 MAX_SAVE_INTERVAL_S = 0.8
 MAX_SAVED_TOGETHER = 200
 
-# Expired records are removed by the next save. More than MAX_RECORDS are not
-# kept; a page of the store has 500.
-MAX_RECORDS = 1000
+# An entry keeps the newest of its evidence in the store. What has expired, of
+# any entry, is removed by the next save.
+MAX_OWN_RECORDS = 200
 
 
 class CrashRecordsTask:
@@ -155,18 +156,19 @@
     def _remove_expired(self) -> list[RecordRemoved]:
         """Forget expired evidence; return what removes it from the store."""
         now_unix = self._now_unix()
-        by_age = sorted(self._stored_at, key=self._stored_at.__getitem__)
-        surplus = max(0, len(by_age) - MAX_RECORDS)
-        expired = [
-            key
-            for number, key in enumerate(by_age)
-            if number < surplus
-            or now_unix - self._stored_at[key] > CRASH_TTL_S
-        ]
-        for key in expired:
-            self._stored_at.pop(key)
+        surplus = max(0, len(self._own) - MAX_OWN_RECORDS)
+        removed = [
+            *itertools.islice(self._own, surplus),
+            *(
+                key
+                for key, at_unix in self._stored_at.items()
+                if now_unix - at_unix > CRASH_TTL_S
+            ),
+        ][:MAX_SAVED_TOGETHER]
+        for key in removed:
+            self._stored_at.pop(key, None)
             self._own.pop(key, None)
-        return [RecordRemoved(key) for key in expired[:MAX_SAVED_TOGETHER]]
+        return [RecordRemoved(key) for key in removed]
 
     # Reads.
 
