Crash records: what operators allow stays allowed

With its evidence in the store, a request whose record an operator removes would be refused again by each entry that starts later. Entries that refused it take the removal as an answer and save that. The new test failed before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -55,6 +55,9 @@
 SAVE_INTERVAL_S = 0.05
 MAX_SAVE_INTERVAL_S = 0.8
 MAX_SAVED_TOGETHER = 200
+# Records of one answer are no further apart than this, clocks of machines
+# included.
+ANSWERED_TOGETHER_S = 30.0
 
 # An entry keeps the newest of its evidence in the store. What has expired, of
 # any entry, is removed by the next save.
@@ -194,8 +197,7 @@
             batch = result.unwrap()
             was_read = True
             restored = cursor.advance(batch.position)
-            for change in batch.changes:
-                self._apply(change)
+            self._apply_batch(batch)
             self._crash_watch.is_informed.set()
             if restored:
                 self._save_missing(batch)
@@ -218,6 +220,27 @@
             if key not in stored:
                 self._inbox.put(record)
 
+    def _apply_batch(self, batch: Batch) -> None:
+        refused = self._causes.refused(self._now())
+        for change in batch.changes:
+            self._apply(change)
+        for change in batch.changes:
+            if isinstance(change, RecordRemoved) and change.key in refused:
+                self._forget_evidence(change.key)
+
+    def _forget_evidence(self, name: str) -> None:
+        """Take evidence of the past against an allowed cause as refuted.
+
+        An operator who removes the record of a cause allows it for good. Each
+        entry that starts later would read the evidence and refuse it again.
+        """
+        self._causes.answered_elsewhere(name, self._now(), self._now())
+        answered = CauseAnswered(name, self._now_unix())
+        stored_at = self._stored_at.get(answered.key, 0.0)
+        # The entry that removes it because of an answer saves both.
+        if answered.at_unix - stored_at > ANSWERED_TOGETHER_S:
+            self._inbox.put(answered)
+
     def _apply(self, change: Change) -> None:
         match change:
             case RecordRemoved():
