Crashes: an old answer lifts no refusal by entries that knew of it

A part on which answers were complete may begin to crash engines, for example with a new release. Its weak refusal, after six senders, would be lifted by an entry that read it before its own judgement and saved the last answer. It is lifted only at entries that knew of none. The new test failed before. With it: has_unproven_part, a clearer name than is_on_trial.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -64,10 +64,11 @@
     to the other entries. `on_suspicion` is called with each crash that is
     learned of, `on_changed` with each cause that this entry begins or ceases
     to refuse on its own evidence, and for how many seconds. `count_upstreams`
-    returns how many upstreams are known.
-    `on_cleared` is called with each cause in several crashes that this entry
-    sees answered. `is_informed` is set but for an entry that has just started
-    and does not know yet what others know of earlier crashes.
+    returns how many upstreams are known. `on_cleared` is called with each
+    cause in several crashes that this entry sees answered.
+
+    `is_informed` is not set while an entry that has just started does not know
+    yet what others know of earlier crashes.
     """
 
     def __init__(
@@ -161,8 +162,8 @@
                 return
             self._trial_ended.wait(min(trial_s, left_s))
 
-    def is_on_trial(self, ctx: RequestContext) -> bool:
-        """Whether a request has a part that it must prove by itself."""
+    def has_unproven_part(self, ctx: RequestContext) -> bool:
+        """Whether a request shows whether a part of its prompt is sound."""
         return any(
             self.causes.is_unproven(part.name) for part in ctx.prompt_parts
         )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -251,10 +251,11 @@
             start_by = self._deps.scheduler.start_deadline(
                 self.pending.spec.model, slot.version
             )
-        if self.pending.is_isolated or self._deps.crash_watch.is_on_trial(
-            self.ctx
-        ):
-            may_hedge = False
+        is_suspected = (
+            self.pending.is_isolated
+            or self._deps.crash_watch.has_unproven_part(self.ctx)
+        )
+        may_hedge = may_hedge and not is_suspected
         hedge_at = self._hedge_at(slot, now) if may_hedge else None
         if rival is not None:
             conn.set_poll_interval(HEDGE_POLL_S)
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -172,9 +172,10 @@
     def answered_elsewhere(self, name: str, at: float, now: float) -> None:
         """Record when another entry last saw a request or part answered.
 
-        It is refused no longer if it was on weak evidence; a request only if
-        it was not in a crash since.
+        It is refused no longer if it was on weak evidence: a request if it
+        was in no crash since, a part if no answer on it was known.
         """
+        was_known = self.was_answered(name)
         if at > self._answered_at.get(name, float('-inf')):
             self._answered_at.pop(name, None)
             self._answered_at[name] = at
@@ -184,6 +185,8 @@
             if at < max(newest_at, self._crashed_at.get(name, at)):
                 return
             self._late_runs.pop(name, None)
+        elif was_known:
+            return
         if self._refused_until.get(name, now) <= now + WEAK_REFUSE_S:
             self._refused_until.pop(name, None)
 
--- a/packages/burdockchute/tests/decisions/test_crash_causes.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -113,6 +113,15 @@
         self.assertEqual(0, self.parts.late_crash_count('f-1'))
         self.assertFalse(self.parts.is_refused('request:f-1', 91.0))
 
+    def test_known_answer_of_another_entry_lifts_no_refusal(self):
+        # It was answered until engines got a release that crashes on it.
+        self.parts.answered('f-0', ['m/bad'], 0.0)
+        for number in range(1, 7):
+            self.crash(number, BAD, at=float(number))
+        self.assertTrue(self.parts.is_refused('m/bad', 6.0))
+        self.parts.answered_elsewhere('m/bad', 0.5, 6.0)
+        self.assertTrue(self.parts.is_refused('m/bad', 6.0))
+
     def test_old_crashes_and_convictions_are_forgotten(self):
         later = crash_causes.CRASH_TTL_S + 1.0
         self.crash(1, BAD, at=0.0)
