Crashes: a trial that begins while a request waits for a slot

Cause: they waited for a trial before they waited for a slot, and were refused once they had one if another trial had begun meanwhile. They give the slot back now and wait again, two seconds in all, in which a trial without an answer and one more can end.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -48,6 +48,8 @@
 
 # An upstream crashes, and the crash is judged, within this time.
 TRIAL_S = 1.0
+# A trial may end without an answer, and another one begin.
+MAX_TRIAL_WAIT_S = 2 * TRIAL_S
 
 
 class _Trial(NamedTuple):
@@ -153,14 +155,19 @@
             if self.causes.is_unproven(part.name):
                 self._trials[part.name] = _Trial(ctx.request_id, now + TRIAL_S)
 
-    def wait_for_trial(self, ctx: RequestContext) -> None:
-        """Wait while another request with a part of its prompt is on trial."""
-        until = min(self._now() + TRIAL_S, ctx.deadline)
+    def wait_for_trial(self, ctx: RequestContext, until: float) -> bool:
+        """Wait while another request with a part of its prompt is on trial.
+
+        Returns whether there was a trial, and it ended before `until`.
+        """
+        was_on_trial = False
         while (trial_s := self._trial_left_s(ctx)) > 0:
+            was_on_trial = True
             left_s = until - self._now()
             if left_s <= 0:
-                return
+                return False
             self._trial_ended.wait(min(trial_s, left_s))
+        return was_on_trial
 
     def has_unproven_part(self, ctx: RequestContext) -> bool:
         """Whether a request shows whether a part of its prompt is sound."""
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -44,6 +44,7 @@
 from burdockchute_entry.straight.attempts import UpstreamSlow
 from burdockchute_entry.straight.attempts import WeightsReplaced
 from burdockchute_entry.straight.crash_watch import CrashWatch
+from burdockchute_entry.straight.crash_watch import MAX_TRIAL_WAIT_S
 from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
@@ -135,18 +136,22 @@
             return NotRun(reason, 503, 0.0)
         crash_watch = self._deps.crash_watch
         crash_watch.wait_until_informed(self.ctx)
-        crash_watch.wait_for_trial(self.ctx)
-        if refusal := self._crash_refusal():
-            return refusal
-        self.pending.is_isolated = crash_watch.must_be_isolated(self.ctx)
-        slot = self._deps.scheduler.wait_for_slot(
-            self.pending, self.ctx.deadline
-        )
-        # It may be refused by what happened while it waited.
-        refusal = self._crash_refusal()
-        if refusal and isinstance(slot, Slot):
+        until = min(now + MAX_TRIAL_WAIT_S, self.ctx.deadline)
+        crash_watch.wait_for_trial(self.ctx, until)
+        while True:
+            if refusal := self._crash_refusal():
+                return refusal
+            self.pending.is_isolated = crash_watch.must_be_isolated(self.ctx)
+            slot = self._deps.scheduler.wait_for_slot(
+                self.pending, self.ctx.deadline
+            )
+            # It may be refused by what happened while it waited.
+            refusal = self._crash_refusal()
+            if not refusal or not isinstance(slot, Slot):
+                break
             self.release(slot)
-            return refusal
+            if not crash_watch.wait_for_trial(self.ctx, until):
+                return refusal
         if isinstance(slot, Slot):
             load = slot.target.load
             logs.event(
