--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -19,6 +19,7 @@
 from burdockchute.decisions.crash_evidence import Candidate
 from burdockchute.decisions.crash_evidence import CrashEvidence
 from burdockchute.decisions.crash_evidence import Evidence
+from burdockchute.decisions.crash_evidence import MAX_CRASHES_IN_TURN
 from burdockchute.decisions.crash_evidence import Run
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.model.crash_reports import LostRequest
@@ -259,6 +260,8 @@
 
     def _late_evidence(self) -> Iterator[Evidence]:
         for name, runs in self._late_runs.items():
+            if len(runs) < MAX_CRASHES_IN_TURN:
+                continue
             unexplained = [
                 run
                 for upstream, run in runs.items()
