--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -442,7 +442,7 @@
         """Return for how many seconds an answer has been arriving."""
         now = self._deps.now()
         time = self._answering.get(conn, AnswerTime(now))
-        self._answering[conn] = time = crash_evidence.lasted(time, now)
+        self._answering[conn] = time = crash_evidence.after_read(time, now)
         return time.lasted_s
 
     def _read_until_deadline(
--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -79,24 +79,24 @@
 
 
 class AnswerTime(NamedTuple):
-    """For how long an answer has been arriving, up to a last look at it."""
+    """For how long an answer has been arriving when it was last read."""
 
-    seen_at: float
+    read_at: float
     lasted_s: float = 0.0
 
 
-def lasted(time: AnswerTime, now: float) -> AnswerTime:
-    """Extend the time of an answer that is still arriving.
+def after_read(time: AnswerTime, now: float) -> AnswerTime:
+    """Return the time of an answer that is read again.
 
-    What this process was suspended for does not count: the answer may have
-    ended in the meantime.
+    A suspension of this process does not count: the answer may have ended in
+    the meantime.
 
-    >>> lasted(AnswerTime(1.0, 0.0), 1.25).lasted_s
+    >>> after_read(AnswerTime(1.0, 0.0), 1.25).lasted_s
     0.25
-    >>> lasted(AnswerTime(1.0, 0.0), 9.0).lasted_s
+    >>> after_read(AnswerTime(1.0, 0.0), 9.0).lasted_s
     0.3
     """
-    step_s = min(now - time.seen_at, MAX_READ_INTERVAL_S)
+    step_s = min(now - time.read_at, MAX_READ_INTERVAL_S)
     return AnswerTime(now, time.lasted_s + step_s)
 
 
