--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -136,7 +136,9 @@
             return NotRun(reason, 503, 0.0)
         crash_watch = self._deps.crash_watch
         crash_watch.wait_until_informed(self.ctx)
-        until = min(now + MAX_TRIAL_WAIT_S, self.ctx.deadline)
+        # A caller that is refused needs time to come again.
+        left_s = self.ctx.deadline - now
+        until = now + min(MAX_TRIAL_WAIT_S, left_s / 2)
         crash_watch.wait_for_trial(self.ctx, until)
         while True:
             if refusal := self._crash_refusal():
