Crash records: parts that were answered outlive all entries

An entry that saves a crash now saves with it when parts were answered that the store does not have yet, 20 at most, without a call more.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -55,6 +55,7 @@
 SAVE_INTERVAL_S = 0.05
 MAX_SAVE_INTERVAL_S = 0.8
 MAX_SAVED_TOGETHER = 200
+MAX_ANSWERS_PER_SAVE = 20
 # Records of one answer are no further apart than this, clocks of machines
 # included.
 ANSWERED_TOGETHER_S = 30.0
@@ -144,6 +145,8 @@
             if isinstance(change, CrashRecorded | CauseAnswered):
                 self._own[change.key] = change
                 self._stored_at[change.key] = change.at_unix
+        if any(isinstance(change, CrashRecorded) for change in changes):
+            changes = [*changes, *self._unsaved_answers()]
         changes = [*changes, *self._remove_expired()]
         until = self._now() + SAVE_TIMEOUT_S
         retry_s = RETRY_S
@@ -156,6 +159,24 @@
             # The store may reject writes because there are too many.
             retry_s = min(2 * retry_s, MAX_SAVE_RETRY_S)
 
+    def _unsaved_answers(self) -> list[CauseAnswered]:
+        """Return answers on parts that the store does not have yet.
+
+        An entry that starts later judges crashes with such a part as this one
+        does. They are saved with crashes, so they cost no call.
+        """
+        now, now_unix = self._now(), self._now_unix()
+        answered = (
+            CauseAnswered(part, now_unix - (now - at))
+            for part, at in self._causes.answered_parts()
+        )
+        unsaved = (
+            record for record in answered if record.key not in self._stored_at
+        )
+        records = list(itertools.islice(unsaved, MAX_ANSWERS_PER_SAVE))
+        self._stored_at |= {r.key: r.at_unix for r in records}
+        return records
+
     def _remove_expired(self) -> list[RecordRemoved]:
         """Forget expired evidence; return what removes it from the store."""
         now_unix = self._now_unix()
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -199,6 +199,12 @@
         at = self._answered_at.get(name, float('-inf'))
         return None if at == float('-inf') else at
 
+    def answered_parts(self) -> Iterator[tuple[str, float]]:
+        """Yield each part and when it was last answered, newest first."""
+        for name, at in reversed(self._answered_at.items()):
+            if fingerprint_of(name) is None and at > float('-inf'):
+                yield name, at
+
     def crashes_with(self, name: str) -> int:
         """Return in how many crashes a request or part was.
 
