Crashes: a trial that ends while a slot is given back refuses nothing

Cause: the trial ended between the check that found it and the wait for its end, which then had nothing to wait for and was taken as over time.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -158,16 +158,14 @@
     def wait_for_trial(self, ctx: RequestContext, until: float) -> bool:
         """Wait while another request with a part of its prompt is on trial.
 
-        Returns whether there was a trial, and it ended before `until`.
+        Returns false if one still is at `until`.
         """
-        was_on_trial = False
         while (trial_s := self._trial_left_s(ctx)) > 0:
-            was_on_trial = True
             left_s = until - self._now()
             if left_s <= 0:
                 return False
             self._trial_ended.wait(min(trial_s, left_s))
-        return was_on_trial
+        return True
 
     def has_unproven_part(self, ctx: RequestContext) -> bool:
         """Whether a request shows whether a part of its prompt is sound."""
