Crashes: a request on trial is repeated once its crash is judged

Cause: since requests wait for trials, one is no longer kept out by its own trial, so its repeat was sent 1 ms after its crash, before that was judged. Repeats of requests with an unproven part now wait for the judgement, up to 0.25 s, as those of requests in crashes do.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -201,8 +201,13 @@
         return self.causes.must_be_isolated(ctx.fingerprint)
 
     def wait_until_judged(self, ctx: RequestContext) -> None:
-        """Wait until crashes are judged if a request was in one before."""
-        if self.causes.crash_count(ctx.fingerprint):
+        """Wait until crashes are judged that say something of a request.
+
+        It was in one before, or has an unproven part.
+        """
+        if self.causes.crash_count(ctx.fingerprint) or self.has_unproven_part(
+            ctx
+        ):
             self._is_settled.wait(MAX_JUDGEMENT_WAIT_S)
 
     def wait_until_informed(self, ctx: RequestContext) -> None:
