Crash evidence: runs in turn are found by one plain loop

Crashes were turned into runs, looked up in a dict by equal values and turned back. _in_turn takes the crashes or late runs themselves and how to tell when they were sent, as before the late ones came.

--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -17,11 +17,13 @@
 
 import bisect
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
+from typing import TypeVar
 
 # A rarely used sound part, or a request that is retried at once, may be in two
 # crashes by chance.
@@ -107,22 +109,13 @@
     sent_at: float
 
 
-def in_turn(runs: Iterable[Run]) -> list[Run]:
-    """Return the runs that began after the end of the one before."""
-    found: list[Run] = []
-    for run in sorted(runs):
-        if not found or run.sent_at + REPORT_JITTER_S >= found[-1].at:
-            found.append(run)
-    return found
-
-
 def against_late(request: str, runs: Iterable[Run]) -> Evidence | None:
     """Return the evidence of runs that ended long after they had begun.
 
     Sound requests that run for long are in many crashes. Only as many in turn
     as are no chance in any outage convict.
     """
-    crashes = in_turn(runs)
+    crashes = _in_turn(runs, lambda run: run.sent_at)
     if len(crashes) < MAX_CRASHES_IN_TURN:
         return None
     newest_at = crashes[-1].at
@@ -162,6 +155,10 @@
         return self.newest_at + (REFUSE_S if is_certain else WEAK_REFUSE_S)
 
 
+# The end of an upstream while it ran a request.
+End = TypeVar('End', Run, Crash)
+
+
 class CrashEvidence:
     """The evidence at one moment.
 
@@ -222,7 +219,10 @@
                     yield evidence
 
     def _against_request(self, request: str) -> Evidence | None:
-        crashes = self._in_turn(request)
+        crashes = _in_turn(
+            (crash for crash in self._crashes if request in crash.requests),
+            lambda crash: crash.requests[request].sent_at,
+        )
         if not crashes:
             return None
         first_at, newest_at = crashes[0].at, crashes[-1].at
@@ -235,15 +235,6 @@
         weight = sum(weights) - (needed - MIN_CRASHES)
         return Evidence(request, len(weights), weight, newest_at)
 
-    def _in_turn(self, request: str) -> list[Crash]:
-        """Return the crashes of runs that began after the crash before."""
-        crashes = {
-            Run(crash.at, crash.requests[request].sent_at): crash
-            for crash in self._crashes
-            if request in crash.requests
-        }
-        return [crashes[run] for run in in_turn(crashes)]
-
     def _weights(self, request: str, crashes: Sequence[Crash]) -> list[float]:
         weights: list[float] = []
         counted_at = float('-inf')
@@ -381,6 +372,17 @@
         return name if count > 1 else f'at {crash.at}'
 
 
+def _in_turn(
+    ends: Iterable[End], sent_at: Callable[[End], float]
+) -> list[End]:
+    """Return the crashes of runs that began after the crash before."""
+    found: list[End] = []
+    for end in sorted(ends, key=lambda end: end.at):
+        if not found or sent_at(end) + REPORT_JITTER_S >= found[-1].at:
+            found.append(end)
+    return found
+
+
 def _count_apart(crashes: Iterable[Crash], apart_s: float) -> int:
     """Count crashes that are apart from the last one counted."""
     count, last_at = 0, float('-inf')
