End check: decodes an answer once

The status 421 and the id of the instance were decoded beside decode_answer, by a member of the adapter of its own and a second constant. AnswerHead has the id, and one MISDIRECTED serves the entry and the platform. An empty id counts as none given; nothing else changes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from burdockchute.adapters import Adapter
+from burdockchute.model.exchanges import MISDIRECTED
 from burdockchute.upstreams import connections
 from burdockchute.upstreams.connections import AnswerFailed
 from burdockchute.upstreams.connections import NoDataYet
@@ -58,18 +59,16 @@
         conn.set_poll_interval(ANSWER_TIMEOUT_S)
         try:
             conn.send(data, 'GET', lambda status, headers: True)
-            status, headers = conn.read_head()
+            head = self._adapter.decode_answer(*conn.read_head())
             while conn.read_body_part():
                 pass
         except (AnswerFailed, NoDataYet):
             conn.close()
             return False
-        if self._adapter.is_other_instance(status, headers, target.id):
-            conn.close()
-            return True
-        head = self._adapter.decode_answer(status, headers)
-        if head.idle_s is None:
+        is_other = head.instance not in ('', target.id)
+        has_ended = is_other or head.status == MISDIRECTED
+        if has_ended or head.idle_s is None:
             conn.close()
         else:
             target.keep(conn, head.idle_s, self._now())
-        return False
+        return has_ended
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -25,6 +25,7 @@
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.model.exchanges import ForwardedRequest
 from burdockchute.model.exchanges import InboundRequest
+from burdockchute.model.exchanges import MISDIRECTED
 from burdockchute.model.outcomes import NotRun
 from burdockchute.model.requests import RequestContext
 from burdockchute.model.routes import Kind
@@ -64,8 +65,6 @@
 # answer it, and it would only occupy a slot.
 MIN_TIME_LEFT_S = 0.02
 
-MISDIRECTED = 421
-
 # Interval between checks which of two upstreams has started to answer.
 HEDGE_POLL_S = 0.05
 
--- a/packages/burdockchute/burdockchute/adapters.py
+++ b/packages/burdockchute/burdockchute/adapters.py
@@ -77,8 +77,7 @@
 
     `read_machine` reads the settings file at a path. `decode_request` raises
     ValueError for a malformed header. `encode_health_check` returns a health
-    check at a path, which is meant for one instance; `is_other_instance` tells
-    by the answer whether another one has its address. `event_version` returns
+    check at a path, which is meant for one instance. `event_version` returns
     the version of weights to which a stream changes with an event, None if it
     doesn't.
     """
@@ -89,7 +88,6 @@
     decode_request: Callable[[str, str, HeaderList], InboundRequest]
     encode_request: Callable[[InboundRequest, ForwardedRequest], bytes]
     encode_health_check: Callable[[str, str], bytes]
-    is_other_instance: Callable[[int, HeaderList, str], bool]
     decode_answer: Callable[[int, HeaderList], AnswerHead]
     event_version: Callable[[bytes], int | None]
     engine: Callable[[Endpoint], Engine]
--- a/packages/burdockchute/burdockchute/model/exchanges.py
+++ b/packages/burdockchute/burdockchute/model/exchanges.py
@@ -78,6 +78,10 @@
 NO_BACKPRESSURE = Backpressure()
 
 
+# The status of an upstream that is not the expected instance.
+MISDIRECTED = 421
+
+
 class AnswerHead(NamedTuple):
     """Status and headers of an upstream's answer.
 
@@ -86,7 +90,8 @@
     that it did not run the request. `version` is the version of the weights,
     None if it is not given. `idle_s` is how long the upstream keeps the
     connection open, None if it closes it. `cold_s` is how long it is still
-    cold, None if it does not say.
+    cold, None if it does not say. `instance` is the id of the upstream, empty
+    if it does not say.
     """
 
     status: int
@@ -99,3 +104,4 @@
     headers: Headers
     backpressure: Backpressure = NO_BACKPRESSURE
     cold_s: float | None = None
+    instance: str = ''
