--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -59,6 +59,13 @@
     until: float
 
 
+class _Loss(NamedTuple):
+    """The requests that an upstream lost, and when the first one was."""
+
+    at: float
+    requests: list[LostRequest]
+
+
 class CrashWatch:
     """The requests and parts of prompts that this entry refuses, and why.
 
@@ -99,10 +106,8 @@
         self._trials: dict[str, _Trial] = {}
         # Set, and replaced, with each trial that ends before its time.
         self._trial_ended = event.Event()
-        # The requests lost at an upstream, and when the first one was, while
-        # it is checked.
-        self._lost: dict[str, list[LostRequest]] = {}
-        self._lost_at: dict[str, float] = {}
+        # What upstreams have lost while they are checked, by their ids.
+        self._losses: dict[str, _Loss] = {}
         # When the next judgement is due.
         self._decide_at = float('inf')
         # Set while no crash is being checked or judged.
@@ -247,11 +252,10 @@
             for part in ctx.prompt_parts
         )
         lost = LostRequest(ctx.fingerprint, target.id, parts, ran_s, is_late)
-        if target.id in self._lost:
-            self._lost[target.id].append(lost)
+        if target.id in self._losses:
+            self._losses[target.id].requests.append(lost)
             return
-        self._lost[target.id] = [lost]
-        self._lost_at[target.id] = self._now()
+        self._losses[target.id] = _Loss(self._now(), [lost])
         self._is_settled.clear()
         gevent.spawn(self._check, target)
 
@@ -296,12 +300,11 @@
     def _check(self, target: Target) -> None:
         gevent.sleep(COLLECT_S)
         has_crashed = self._has_ended(target)
-        lost = self._lost.pop(target.id)
-        lost_at = self._lost_at.pop(target.id)
+        loss = self._losses.pop(target.id)
         if has_crashed:
-            self._record_crash(lost, lost_at, 'own')
+            self._record_crash(loss.requests, loss.at, 'own')
             self._on_suspicion()
-            for item in lost:
+            for item in loss.requests:
                 self._publish(item)
         self._settle()
 
@@ -356,7 +359,7 @@
 
     def _settle(self) -> None:
         is_due = self._decide_at - self._now() <= DECISION_DELAY_S
-        if not self._lost and not is_due:
+        if not self._losses and not is_due:
             self._is_settled.set()
 
     def _record_answered(
