Crash watch: no look for unproven parts where nothing is hedged

Each send searched the parts of its prompt for unproven ones, also where the deployment hedges nothing, and asked four times for trials though there are rarely any. No behaviour changes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -179,6 +179,8 @@
         )
 
     def _trial_left_s(self, ctx: RequestContext) -> float:
+        if not self._trials:
+            return 0.0
         now = self._now()
         trials = [self._trials.get(part.name) for part in ctx.prompt_parts]
         return max(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -257,11 +257,6 @@
             start_by = self._deps.scheduler.start_deadline(
                 self.pending.spec.model, slot.version
             )
-        is_suspected = (
-            self.pending.is_isolated
-            or self._deps.crash_watch.has_unproven_part(self.ctx)
-        )
-        may_hedge = may_hedge and not is_suspected
         hedge_at = self._hedge_at(slot, now) if may_hedge else None
         if rival is not None:
             conn.set_poll_interval(HEDGE_POLL_S)
@@ -272,6 +267,11 @@
     def _hedge_at(self, slot: Slot, now: float) -> float | None:
         if not self._deps.scheduler.hedges or not self.route.may_repeat:
             return None
+        if (
+            self.pending.is_isolated
+            or self._deps.crash_watch.has_unproven_part(self.ctx)
+        ):
+            return None
         expected_s = slot.target.usual_first_event_s(
             self.pending.ctx.request_id
         )
