Settings: a file that is half written is read again for a second

An invalid file is now read again every 0.05 s for a second before the process ends or a reload is given up.

--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -141,7 +141,7 @@
     adapter = adapters.load_adapter(cfg.platform)
     if isinstance(adapter, Failure):
         _exit_with([adapter.failure()])
-    machine = adapter.unwrap().read_machine(cfg.settings)
+    machine = site_settings.read_machine(cfg, adapter.unwrap())
     if isinstance(machine, Failure):
         _exit_with(machine.failure())
     return Site(cfg, machine.unwrap(), adapter.unwrap())
--- a/packages/burdockchute/burdockchute/site_settings.py
+++ b/packages/burdockchute/burdockchute/site_settings.py
@@ -6,15 +6,19 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 from typing import NamedTuple
 
+import gevent
 from returns.result import Failure
+from returns.result import Result
 
 from burdockchute import logs
 from burdockchute import settings as base
 from burdockchute.adapters import Adapter
 from burdockchute.decisions.engine_speed import SpeedUse
+from burdockchute.model.findings import Finding
 from burdockchute.model.findings import render_all
 from burdockchute.model.machines import Machine
 from burdockchute.settings import Setting
@@ -26,6 +30,11 @@
     '',
 )
 
+# A platform may write the file in place, so it can be empty or incomplete for
+# a moment. A process that took that for its settings would end at its start.
+REWRITE_TIMEOUT_S = 1.0
+REWRITE_POLL_S = 0.05
+
 
 class Identity(NamedTuple):
     """The name, the location and the metrics endpoint of a process."""
@@ -89,13 +98,25 @@
     return SiteSettings(**values)
 
 
+def read_machine(
+    cfg: SiteSettings, adapter: Adapter
+) -> Result[Machine, list[Finding]]:
+    """Read the machine's file; one that is invalid is read again for 1 s."""
+    deadline = time.monotonic() + REWRITE_TIMEOUT_S
+    while True:
+        result = adapter.read_machine(cfg.settings)
+        if not isinstance(result, Failure) or time.monotonic() > deadline:
+            return result
+        gevent.sleep(REWRITE_POLL_S)
+
+
 def reload(cfg: SiteSettings, adapter: Adapter, current: Machine) -> Machine:
     """Read the machine's file again; keep the old state if it is invalid.
 
     The name and the addresses of the machine stay as at the start; only its
     bounds may change in a running process.
     """
-    result = adapter.read_machine(cfg.settings)
+    result = read_machine(cfg, adapter)
     if isinstance(result, Failure):
         logs.warn('reload_failed', reason=render_all(result.failure()))
         return current
--- a/packages/burdockchute/tests/test_site_settings.py
+++ b/packages/burdockchute/tests/test_site_settings.py
@@ -39,6 +39,20 @@
     return site_settings.reload(CFG, adapter, MACHINE)
 
 
+class RewrittenFileTest(unittest.TestCase):
+    """A process that started while its file was written ended by itself."""
+
+    def test_a_half_written_file_is_read_again(self):
+        results = [
+            Failure([Finding('/etc/x', 'is not JSON')]),
+            Failure([Finding('/etc/x', 'is not JSON')]),
+            Success(MACHINE),
+        ]
+        adapter = SimpleNamespace(read_machine=lambda path: results.pop(0))
+        machine = site_settings.read_machine(CFG, adapter)
+        self.assertEqual(Success(MACHINE), machine)
+
+
 class ReloadTest(unittest.TestCase):
     def test_new_bounds_are_applied(self):
         changed = BOUNDS._replace(version_s=4.0)
