Regions: restricted requests need a confirmed configuration

Their entries had not been able to read it and served on by the one before, without a limit in time.

Now an entry has to have had the store's word, at most configApplyMs less 0.25 s ago, that its configuration is the newest one; a later one is not in force by then. Checked for each dispatch (first attempts, retries, moves, resumptions, hedges), and waited for before a slot is sought, for a second at most; then 503 with Retry-After 0.5. The store is asked (a short answer) only while restricted requests come and the confirmation is half over, so a hiccup of over a second refuses nothing. A read that stays open and has gone silent is overtaken. A newer version that agents name outdates the own one, until operators have had the time to save again what a restored store lacks.

Unrestricted requests are served as before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -37,6 +37,7 @@
 from burdockchute_entry.straight.agents_task import AgentsTask
 from burdockchute_entry.straight.callers import CallersApp
 from burdockchute_entry.straight.callers import ShutdownState
+from burdockchute_entry.straight.confirmation_task import ConfirmationTask
 from burdockchute_entry.straight.counters import Counters
 from burdockchute_entry.straight.crash_records_task import CrashRecordsTask
 from burdockchute_entry.straight.crash_watch import CrashWatch
@@ -89,6 +90,12 @@
         self.lifecycle = ProcessLifecycle(
             cfg.identity(machine), 'entry', lambda: 0
         )
+        self.confirmation = ConfirmationTask(
+            lambda: self.follower.confirm_desired_state(),
+            lambda: self._configuration() or 0,
+            lambda: self._machine.bounds.config_apply_s,
+            now,
+        )
         self.scheduler = Scheduler(
             machine.bounds,
             now,
@@ -97,6 +104,7 @@
             machine.regions,
             lambda message: self.agents.inbox.put(message),
             cfg.engine_speed,
+            self.confirmation,
         )
         wait_s = max_open_read_s(machine.bounds.contact_s)
         desired_state_cadence = Cadence(wait_s, DESIRED_STATE_PERIOD_S)
@@ -107,6 +115,7 @@
             rng,
             lambda: desired_state_cadence,
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
+            self.confirmation.record_confirmed,
         )
         self.end_check = EndCheck(adapter, self._health_path, now)
         self.crash_watch = CrashWatch(
@@ -305,6 +314,7 @@
         return [
             self.follower.follow_desired_state,
             self.follower.follow_upstreams,
+            self.confirmation.run,
             self.agents.run,
             self.crash_records.read_forever,
             self.crash_records.save_forever,
@@ -342,6 +352,7 @@
             )
         if report.configuration is not None:
             self.follower.receive_configuration_version(report.configuration)
+            self.confirmation.record_version(report.configuration)
         self.scheduler.apply_load_report(address, report)
 
     def _keep_assigning(self) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -13,6 +13,8 @@
 from gevent import event as events
 from gevent import Timeout
 
+from burdockchute import logs
+from burdockchute.decisions import confirmation
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions.engine_speed import SpeedUse
 from burdockchute.model.exchanges import Backpressure
@@ -21,6 +23,7 @@
 from burdockchute.model.machines import Bounds
 from burdockchute.model.outcomes import NotRun
 from burdockchute.wire import messages
+from burdockchute_entry.straight.confirmation_task import ConfirmationTask
 from burdockchute_entry.straight.known_targets import KnownTargets
 from burdockchute_entry.straight.known_targets import size_of
 from burdockchute_entry.straight.retry_budgets import RetryBudgets
@@ -43,7 +46,8 @@
 
     `region` is the entry's own, `regions` maps availability zones to their
     regions. `send_link_message` sends probes to agents and reports slow
-    links to other entries.
+    links to other entries. Requests that are restricted to some regions run
+    only while `confirmation` holds; without one, it always does.
     """
 
     def __init__(
@@ -55,7 +59,9 @@
         regions: Mapping[str, str] | None = None,
         send_link_message: SendLinkMessage = lambda message: None,
         speed_use: SpeedUse = SpeedUse.REPORTED,
+        confirmation_task: ConfirmationTask | None = None,
     ) -> None:
+        self._confirmation = confirmation_task
         self.hedges = speed_use is SpeedUse.HEDGED
         self.hedged_count = 0
         self._now = now
@@ -119,6 +125,12 @@
         self, pending: PendingRequest, deadline: float
     ) -> Slot | NotRun:
         """Wait for a slot; returns NotRun if there is none in time."""
+        if not self._wait_until_confirmed(pending, deadline):
+            return NotRun(
+                "its allowed regions can't be confirmed",
+                503,
+                confirmation.RETRY_S,
+            )
         if pending.is_isolated:
             slot = self._assigner.take_isolated_slot(pending, self._now())
             if slot is not None:
@@ -218,8 +230,25 @@
         return self._known.is_servable(pending, self._now())
 
     def is_allowed(self, pending: PendingRequest, target: Target) -> bool:
-        """Whether a request may run in the region of a target."""
-        return self._known.is_allowed(pending, target)
+        """Whether a request may run in the region of a target.
+
+        One that is restricted needs a confirmed configuration.
+        """
+        is_allowed = self._known.is_allowed(pending, target)
+        if self._confirmation is None or not self._known.has_regions(pending):
+            return is_allowed
+        is_confirmed = self._confirmation.is_confirmed()
+        logs.event(
+            'allowed_regions_checked',
+            request_id=pending.ctx.request_id,
+            upstream=target.id,
+            zone=target.upstream.zone,
+            configuration=self._confirmation.version(),
+            confirmed_ms=int(self._confirmation.age_s() * 1000),
+            allowed=is_allowed,
+            confirmed=is_confirmed,
+        )
+        return is_allowed and is_confirmed
 
     def evacuation_left_s(self, target: Target) -> float | None:
         """Return the seconds until streams should have left a target."""
@@ -320,6 +349,15 @@
 
     # Waiting times.
 
+    def _wait_until_confirmed(
+        self, pending: PendingRequest, deadline: float
+    ) -> bool:
+        if self._confirmation is None or not self._known.has_regions(pending):
+            return True
+        # A caller that is refused needs time to come again.
+        left_s = deadline - self._now()
+        return self._confirmation.wait_until_confirmed(deadline - left_s / 2)
+
     def _wait_in_stages(
         self, pending: PendingRequest, plan: Plan
     ) -> Slot | NotRun:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -247,7 +247,7 @@
         if not reason and not self._deps.scheduler.is_allowed(
             self.pending, target
         ):
-            reason = 'its region is no longer allowed'
+            reason = 'its region is not known to be allowed'
         if reason:
             conn.close()
             self._deps.scheduler.release(self.pending, slot)
--- a/packages/burdockchute/burdockchute/feed_follower.py
+++ b/packages/burdockchute/burdockchute/feed_follower.py
@@ -70,6 +70,11 @@
 NEIGHBOURS_POLL_S = 0.01
 
 
+# Once the store has something new, the read that stays open gets this long to
+# return it before another one is sent.
+OPEN_READ_GRACE_S = 0.7
+
+
 def max_open_read_s(contact_s: float) -> float:
     """Return the seconds for which a read may stay open at the store.
 
@@ -179,11 +184,62 @@
             )
 
 
+class _Feed:
+    """One feed, and how far it has been read.
+
+    `confirmed_at` is the time until which all that the store had is known.
+    Several reads may be open at once; the position is that of the newest.
+    """
+
+    def __init__(
+        self,
+        read: ReadFeed,
+        contact: Contact,
+        apply: Callable[[Batch, StoreReturn, float], None],
+    ) -> None:
+        self.read = read
+        self.contact = contact
+        self.apply = apply
+        self.cursor = Cursor()
+        self.confirmed_at = float('-inf')
+        self.full_read_at = float('inf')
+        self.failures = 0
+
+    def on_answer(
+        self,
+        batch: Batch,
+        read_from: Position | None,
+        confirmed_at: float,
+        now: float,
+    ) -> StoreReturn:
+        """Apply what a read from a position returned."""
+        self.failures = 0
+        regained = self.contact.on_answered(now)
+        restored = False
+        if not self._is_overtaken(batch, read_from):
+            restored = self.cursor.advance(batch.position)
+            if restored:
+                self.contact.on_restored(batch.position)
+                self.full_read_at = now + listing.SETTLE_S
+            self.apply(batch, StoreReturn(regained, restored), now)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        return StoreReturn(regained, restored)
+
+    def _is_overtaken(self, batch: Batch, read_from: Position | None) -> bool:
+        """Whether another read has returned as much since this one began."""
+        position = self.cursor.position
+        if read_from is None or position is None or position == read_from:
+            return False
+        return batch.position <= position
+
+
 class FeedFollower:
     """Keeps `known_state` and calls `changed` with each new value.
 
     `desired_state_cadence` returns None while other processes report the
-    desired state, so that it need not be read.
+    desired state, so that it need not be read. `on_confirmed` is called after
+    each answer of the store, with the time until which the desired state is
+    known.
     """
 
     def __init__(
@@ -194,9 +250,9 @@
         rng: random.Random,
         desired_state_cadence: Callable[[], Cadence | None],
         upstreams_cadence: Cadence,
+        on_confirmed: Callable[[float], None] = lambda at: None,
     ) -> None:
         self.known_state = KnownState()
-        self._feeds = feeds
         self._changed = changed
         self._now = now
         self._rng = rng
@@ -208,6 +264,16 @@
         self._upstreams_cadence = upstreams_cadence
         self.desired_state_contact = Contact('wishes', now())
         self.upstreams_contact = Contact('upstream_list', now())
+        self._on_confirmed = on_confirmed
+        self._read_end = feeds.desired_state_end
+        self._desired_state = _Feed(
+            feeds.desired_state,
+            self.desired_state_contact,
+            self._apply_desired_state,
+        )
+        self._upstreams = _Feed(
+            feeds.upstreams, self.upstreams_contact, self._apply_upstreams
+        )
 
     def register_age_gauges(self) -> None:
         """Register gauges of the seconds since each feed last answered."""
@@ -224,21 +290,56 @@
 
     def follow_desired_state(self) -> None:
         """Follow the desired state for ever."""
-        self._follow(
-            self._feeds.desired_state,
-            self._desired_state_cadence,
-            self.desired_state_contact,
-            self._apply_desired_state,
-        )
+        self._follow(self._desired_state, self._desired_state_cadence)
 
     def follow_upstreams(self) -> None:
         """Follow the list of upstreams for ever."""
-        self._follow(
-            self._feeds.upstreams,
-            lambda: self._upstreams_cadence,
-            self.upstreams_contact,
-            self._apply_upstreams,
-        )
+        self._follow(self._upstreams, lambda: self._upstreams_cadence)
+
+    def confirm_desired_state(self) -> bool:
+        """Ask the store for news at once; whether it has answered.
+
+        The read that stays open may have gone silent, and is noticed only
+        when its wait is over. If the last one has failed, the next ones ask
+        for an answer at once themselves.
+        """
+        feed = self._desired_state
+        read_from = feed.cursor.position
+        if feed.failures or read_from is None:
+            return False
+        sent_at = self._now()
+        end = self._read_end()
+        if isinstance(end, Failure):
+            feed.contact.on_failed(end.failure(), self._now())
+            return False
+        batch = Batch(read_from, False, ())
+        if end.unwrap() != read_from:
+            if self._is_read_meanwhile(feed, end.unwrap()):
+                return True
+            if feed.failures:
+                return False
+            read_from, sent_at = feed.cursor.position, self._now()
+            result = feed.read(read_from, 0.0)
+            if isinstance(result, Failure):
+                # The open read starts over if the position has expired.
+                return False
+            batch = result.unwrap()
+        feed.on_answer(batch, read_from, sent_at, self._now())
+        self._report_confirmed(feed)
+        return True
+
+    def _is_read_meanwhile(self, feed: _Feed, end: Position) -> bool:
+        """Whether the open read returns what is new.
+
+        It would be slowed by another read of a long configuration.
+        """
+        until = self._now() + OPEN_READ_GRACE_S
+        while self._now() < until:
+            gevent.sleep(NEIGHBOURS_POLL_S)
+            position = feed.cursor.position
+            if position is not None and position >= end:
+                return True
+        return False
 
     def receive_peer_reports(self, reported: Sequence[PeerReport]) -> None:
         """Apply other processes' reports of when versions were named."""
@@ -263,54 +364,51 @@
         )
 
     def _follow(
-        self,
-        read: ReadFeed,
-        current_cadence: Callable[[], Cadence | None],
-        contact: Contact,
-        apply: Callable[[Batch, StoreReturn, float], None],
+        self, feed: _Feed, current_cadence: Callable[[], Cadence | None]
     ) -> None:
-        cursor = Cursor()
-        full_read_at = float('inf')
-        failures = 0
         settled_at = float('-inf')
         while True:
             cadence = current_cadence()
             sent_at = self._now()
             if cadence is None:
-                contact.skip(sent_at)
+                feed.contact.skip(sent_at)
                 gevent.sleep(REPORTED_FEED_POLL_S)
                 continue
-            if sent_at >= full_read_at:
+            if sent_at >= feed.full_read_at:
                 # Writers have had time to write again, so an upstream that is
                 # listed now is in force, even if it was seen to leave.
-                full_read_at = float('inf')
-                cursor.expire()
-            is_urgent = failures > 0 or sent_at < settled_at
+                feed.full_read_at = float('inf')
+                feed.cursor.expire()
+            is_urgent = feed.failures > 0 or sent_at < settled_at
             wait_s = 0.0 if is_urgent else cadence.wait_s
-            result = read(cursor.position, wait_s)
+            read_from = feed.cursor.position
+            result = feed.read(read_from, wait_s)
             now = self._now()
             if isinstance(result, Failure):
                 error = result.failure()
                 if error.expired:
-                    cursor.expire()
+                    feed.cursor.expire()
                     continue
-                contact.on_failed(error, now)
-                failures += 1
-                gevent.sleep(self._retry_delay_s(failures, now - sent_at))
+                feed.contact.on_failed(error, now)
+                feed.failures += 1
+                gevent.sleep(self._retry_delay_s(feed.failures, now - sent_at))
                 continue
-            failures = 0
             batch = result.unwrap()
-            restored = cursor.advance(batch.position)
-            regained = contact.on_answered(now)
-            if restored:
-                contact.on_restored(batch.position)
-                full_read_at = now + listing.SETTLE_S
-            if regained or restored:
+            confirmed_at = sent_at
+            if not batch.changes and now - sent_at >= wait_s:
+                # The store answers without changes only after the wait.
+                confirmed_at += wait_s
+            store_return = feed.on_answer(batch, read_from, confirmed_at, now)
+            if store_return.regained or store_return.restored:
                 settled_at = now + cadence.settling_s
-            apply(batch, StoreReturn(regained, restored), now)
+            self._report_confirmed(feed)
             if batch.changes or not wait_s:
                 gevent.sleep(cadence.period_s)
 
+    def _report_confirmed(self, feed: _Feed) -> None:
+        if feed is self._desired_state:
+            self._on_confirmed(feed.confirmed_at)
+
     def _apply_desired_state(
         self, batch: Batch, _store_return: StoreReturn, now: float
     ) -> None:
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -142,13 +142,19 @@
 
 
 ReadFeed = Callable[[Position | None, float], Result[Batch, FeedError]]
+ReadEnd = Callable[[], Result[Position, FeedError]]
 
 
 class Feeds(NamedTuple):
-    """The two feeds; a read waits up to the given seconds for a change."""
+    """The two feeds; a read waits up to the given seconds for a change.
+
+    `desired_state_end` reads the position after the last record. The answer
+    is short, where that of a read may be long.
+    """
 
     desired_state: ReadFeed
     upstreams: ReadFeed
+    desired_state_end: ReadEnd
 
 
 class CrashRecords(NamedTuple):
--- a/packages/burdockchute/tests/test_feed_follower.py
+++ b/packages/burdockchute/tests/test_feed_follower.py
@@ -89,7 +89,7 @@
     def follower(self, store, updates):
         """Return a follower; `updates` gets each known state and its time."""
         return feed_follower.FeedFollower(
-            Feeds(store.read, store.read),
+            Feeds(store.read, store.read, mock.Mock()),
             lambda known_state: updates.append((store.time, known_state)),
             store.now,
             random.Random(1),
@@ -269,7 +269,7 @@
         """An upstream that was seen to leave may be in force in the copy."""
         store = ReturningStore()
         follower = feed_follower.FeedFollower(
-            Feeds(store.read, store.read),
+            Feeds(store.read, store.read, mock.Mock()),
             lambda known_state: None,
             store.now,
             random.Random(1),
@@ -298,7 +298,7 @@
                 updates.append((round(store.time, 1), version))
 
         store.follower = feed_follower.FeedFollower(
-            Feeds(store.read, store.read),
+            Feeds(store.read, store.read, mock.Mock()),
             changed,
             store.now,
             random.Random(1),
