--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -49,6 +49,7 @@
         self._slots = slots
         self._known_state = known_state
         self._reported_histories: Mapping[str, History] = {}
+        self._reported_configuration = 0
         self._name = name
         self._reported: messages.LoadReport | None = None
         self._reported_at = 0.0
@@ -134,22 +135,30 @@
     def report_changes(self, now: float) -> None:
         """Send all entries a report if it changed or the last one is old."""
         current = self.current_report()
-        histories = self._known_state().histories
+        known_state = self._known_state()
+        histories = known_state.histories
+        configuration = known_state.newest_configuration_version()
         has_new_versions = histories != self._reported_histories
+        has_new_configuration = configuration > self._reported_configuration
         is_due = (
             current != self._reported
             or now - self._reported_at >= IDLE_REPORT_INTERVAL_S
         )
-        if not has_new_versions and not is_due:
+        if not (has_new_versions or has_new_configuration or is_due):
             return
         self._reported = current
         self._reported_at = now
         self._reported_histories = histories
-        if has_new_versions:
-            # The stored report has no version ages: they grow constantly and
-            # must not count as changes.
+        self._reported_configuration = configuration
+        if has_new_versions or has_new_configuration:
+            # The stored report has neither, or it would count as changed.
             current = copy.copy(current)
+        if has_new_versions:
             current.named = encode_versions(histories, now)
+        if has_new_configuration:
+            # An entry that the store doesn't answer learns that its own
+            # configuration is outdated.
+            current.configuration = configuration
         frame = links.encode_frame(current)
         for link in list(self.entries):
             self._send_frame(link, frame)
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -77,6 +77,18 @@
         self.task.opened(second)
         self.assertEqual(7, second.frames[-1].configuration)
 
+    def test_all_entries_hear_of_a_new_configuration_once(self):
+        """One that the store doesn't answer would act on an outdated one."""
+        link = FakeLink()
+        self.task.opened(link)
+        for version in (7, 8):
+            self.requirements = AgentRequirements(version, (), 4, '')
+            for _time in range(4):
+                self.now += 0.2
+                self.task.report_changes(self.now)
+        heard = [frame.configuration for frame in link.frames]
+        self.assertEqual([7, 8], [version for version in heard if version])
+
     def test_crash_is_forwarded_to_the_other_entries(self):
         first, second = FakeLink(), FakeLink()
         self.task.opened(first)
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -157,7 +157,7 @@
   14: i32 closes_in_ms      // until it takes nothing new for a load, -1: none
   15: list<NamedVersion> named  // on a new link and after a naming, else none
   16: i32 opens_in_ms       // until it is likely to take requests, else unset
-  17: i64 configuration     // newest version heard of, on a new link, else unset
+  17: i64 configuration     // newest version heard of, when new and on a new link
   18: double slowness       // of its engine, unset while that has its usual speed
   19: i64 memory_free       // tokens, unset while half of the memory is free
 }
