Regions: the newest configuration also decides which route a request has

If a nested route with other regions was added meanwhile, /x/y/ under /x/, the regions of /x/ still let it run where the new route forbids it. It now has to meet both; a route that was removed still restricts as before. The new cases of the test failed before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -499,7 +499,12 @@
         ),
     )
     home = Home(
-        route.host, route.prefix, customer, route.regions, customer_regions
+        route.host,
+        inbound.path,
+        route.prefix,
+        customer,
+        route.regions,
+        customer_regions,
     )
     return AdmittedRequest(
         inbound, route, service, ctx, elapsed_s, home, holding
--- a/packages/burdockchute/burdockchute/decisions/homes.py
+++ b/packages/burdockchute/burdockchute/decisions/homes.py
@@ -5,7 +5,8 @@
 force decides whenever an upstream is sought, so that a change reaches requests
 that wait, are retried, move or are resumed. If the route or the customer was
 removed meanwhile, its restriction on arrival holds: a removal does not allow
-what was forbidden before.
+what was forbidden before. If another route has the path now, such as a nested
+one that was added, the request has to meet the restrictions of both.
 
 An availability zone whose region is unknown is in none of the regions.
 """
@@ -15,6 +16,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from burdockchute.decisions.routing import find_route
 from burdockchute.decisions.routing import RouteTable
 from burdockchute.model.routes import Regions
 
@@ -22,10 +24,12 @@
 class Home(NamedTuple):
     """The route and customer of a request, and their regions on arrival.
 
-    The default is a request that may run anywhere.
+    `prefix` is that of the route. The default is a request that may run
+    anywhere.
     """
 
     host: str = ''
+    path: str = ''
     prefix: str = ''
     customer: str = ''
     route_regions: Regions = None
@@ -36,24 +40,31 @@
     """Return the regions in which a request may run; None for anywhere.
 
     >>> north, both = frozenset({'n'}), frozenset({'n', 's'})
-    >>> allowed_regions(Home('a', '/', 'c', north, both), None)
+    >>> allowed_regions(Home('a', '/x', '/', 'c', north, both), None)
     frozenset({'n'})
     >>> allowed_regions(Home(), None) is None
     True
     """
     route_regions, customer_regions = home.route_regions, home.customer_regions
     if table is not None:
-        route = table.routes.get((home.host, home.prefix))
+        route = find_route(table, home.host, home.path)
         if route is not None:
-            route_regions = route.regions
+            is_same = route.prefix == home.prefix
+            route_regions = (
+                route.regions
+                if is_same
+                else _in_both(route_regions, route.regions)
+            )
         customer = table.customers.get(home.customer)
         if customer is not None:
             customer_regions = customer.regions
-    if route_regions is None:
-        return customer_regions
-    if customer_regions is None:
-        return route_regions
-    return route_regions & customer_regions
+    return _in_both(route_regions, customer_regions)
+
+
+def _in_both(first: Regions, second: Regions) -> Regions:
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
 
 
 def allowed_zones(
--- a/packages/burdockchute/tests/decisions/test_zones.py
+++ b/packages/burdockchute/tests/decisions/test_zones.py
@@ -10,7 +10,10 @@
 from burdockchute.decisions.homes import Home
 from burdockchute.decisions.routing import RouteTable
 from burdockchute.model.routes import Keyholder
+from burdockchute.model.routes import Kind
+from burdockchute.model.routes import Route
 
+SOUTH = frozenset('s')
 NORTH, BOTH, NONE = frozenset('n'), frozenset('ns'), frozenset()
 
 
@@ -33,9 +36,45 @@
         for home, expected in (
             (Home(), None),
             (Home(customer='c'), NORTH),
-            (Home('a', '/', 'c', BOTH), NORTH),
-            (Home('a', '/', 'c', frozenset('s')), NONE),
-            (Home('a', '/', 'removed', None, BOTH), BOTH),
+            (Home('a', '/', '/', 'c', BOTH), NORTH),
+            (Home('a', '/', '/', 'c', frozenset('s')), NONE),
+            (Home('a', '/', '/', 'removed', None, BOTH), BOTH),
         ):
             self.assertEqual(expected, allowed_regions(home, table))
         self.assertEqual({'z'}, allowed_zones(NORTH, {'z': 'n', 'y': 's'}))
+
+    def test_regions_of_a_route_that_now_has_the_path(self):
+        """A nested route was added, or removed, while the request waits."""
+        outer, nested = _route('/x/', NORTH), _route('/x/y/', SOUTH)
+        free = _route('/x/', None)
+        for arrived, now, expected in (
+            (outer, (outer,), NORTH),
+            (outer, (outer._replace(regions=SOUTH),), SOUTH),
+            (outer, (outer, nested), NONE),
+            (free, (free, nested), SOUTH),
+            (nested, (outer,), NONE),
+            (nested, (free,), SOUTH),
+            (nested, (), SOUTH),
+        ):
+            home = Home('a', '/x/y/z', arrived.prefix, '', arrived.regions)
+            routes = {(route.host, route.prefix): route for route in now}
+            table = RouteTable(None, routes, {}, None, {})
+            self.assertEqual(expected, allowed_regions(home, table))
+
+
+def _route(prefix, regions):
+    return Route(
+        prefix,
+        'a',
+        prefix,
+        Kind.IDEMPOTENT,
+        (),
+        1.0,
+        1.0,
+        0.0,
+        0,
+        1,
+        False,
+        False,
+        regions,
+    )
