Regions: agents tell what the store has, where it does not answer an entry

An entry without a confirmation refuses restricted requests. It may be cut off from the store alone, or the store away for all: then the requests are sound, and were refused for as long as that lasted.

After a failed read it asks two agents a zone, at most once in 1.5 s, where the log of the desired state ends. One that the store answers confirms the configuration, or shows that there is a newer one. If at least five agents with one in each zone have asked and all say that the store does not answer them, it is away for all, and operators can't save anything either: the last configuration stays in force. One that does not respond, or a zone without a link, is no such evidence. Each agent reads once for all entries. Agents of earlier releases are not asked (Hello).

--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -30,6 +30,7 @@
 from burdockchute_agent.staged.reports_task import ReportsTask
 from burdockchute_agent.staged.staged_task import StagedTask
 from burdockchute_agent.staged.state_sources import DesiredStateSources
+from burdockchute_agent.staged.store_queries import StoreQueries
 
 # An agent reads the list only to find its peers, and copies take seconds, so
 # more frequent reads would cost calls without any gain. A lost read is noticed
@@ -83,6 +84,11 @@
             lambda: self.follower.known_state,
             self._name,
         )
+        self.store_queries = StoreQueries(
+            self.follower.read_log_end,
+            self.reports.report_store,
+            time.monotonic,
+        )
         self.inbox: queue.Queue = queue.Queue()
 
     def serve(self) -> int:
@@ -93,7 +99,7 @@
         link_server = links.listen(
             machine.address,
             machine.link_ports[0],
-            self.lifecycle.hello,
+            self._hello,
             self.inbox,
             lambda: 0,
         )
@@ -114,6 +120,11 @@
         logs.event('stopped', left=0)
         return 0
 
+    def _hello(self) -> messages.Hello:
+        hello = self.lifecycle.hello()
+        hello.store_queries = True
+        return hello
+
     def _watch(self) -> None:
         metrics.register_gauge(
             'burdockchute.engine_running', '1', self._running
@@ -158,6 +169,8 @@
                 self._desired_state_sources.closed(
                     event.link, time.monotonic()
                 )
+            elif isinstance(event.message, messages.StoreQuery):
+                self.store_queries.on_query(event.link, event.message)
             elif isinstance(event.message, messages.LinkProbe):
                 self.reports.return_probe(event.link, event.message)
             elif isinstance(
--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -79,6 +79,12 @@
         """Send an entry's probe of its link back unchanged."""
         self._send_frame(link, links.encode_frame(probe))
 
+    def report_store(
+        self, link: links.Link, report: messages.StoreReport
+    ) -> None:
+        """Send what the store has answered for an entry."""
+        self._send_frame(link, links.encode_frame(report))
+
     def forward(
         self, link: links.Link, event: messages.CrashNews | messages.LinkNews
     ) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -16,6 +16,7 @@
 
 from burdockchute import logs
 from burdockchute import tasks
+from burdockchute.decisions import store_probes
 from burdockchute.decisions.versions import History
 from burdockchute.model.agent_requirements import AgentRequirements
 from burdockchute.model.crash_reports import AnsweredRequest
@@ -28,6 +29,11 @@
 from burdockchute.model.link_events import ProbeRequested
 from burdockchute.model.link_events import ProbeReturned
 from burdockchute.model.members import Member
+from burdockchute.model.store_probes import LogEnd
+from burdockchute.model.store_probes import StoreProbeAnswered
+from burdockchute.model.store_probes import StoreProbeEvent
+from burdockchute.model.store_probes import StoreProbeRequested
+from burdockchute.model.store_probes import StoreProbeSent
 from burdockchute.nodes import links
 from burdockchute.nodes.agents import colocated_agent
 from burdockchute.nodes.desired_state import encode_requirements
@@ -86,7 +92,8 @@
     upstream had just begun when it crashed. `on_lost_request` gets those of
     other entries, `on_answered_request` the suspected ones that they see
     answered. `on_relinked` is called once a lost agent is linked again, as
-    reports may have been missed.
+    reports may have been missed. `on_store_probe` gets what agents say of the
+    store, on request.
 
     Agents are sent the desired state, and whether the store answers this
     entry (`in_contact`); without contact, the entry can't learn of changes.
@@ -106,7 +113,10 @@
             [AnsweredRequest], None
         ] = lambda report: None,
         on_relinked: Callable[[], None] = lambda: None,
+        on_store_probe: Callable[[StoreProbeEvent], None] = lambda event: None,
     ) -> None:
+        self._on_store_probe = on_store_probe
+        self._agent_zones: frozenset[str] = frozenset()
         self.inbox: queue.Queue = queue.Queue()
         self._link_port = link_port
         self._on_load_report = on_load_report
@@ -144,6 +154,9 @@
                     for upstream in message.present_upstreams()
                 }
                 agents = agents_by_address(message, self._link_port)
+                self._agent_zones = frozenset(
+                    agent.place.zone for agent in agents.values()
+                )
                 self._lost_agents &= agents.keys()
                 self._peers.set_wanted(agents)
                 self._send_to_all()
@@ -171,11 +184,15 @@
                 self._relay(_crash_news(message))
             case ProbeRequested():
                 self._probe(message)
+            case StoreProbeRequested():
+                self._probe_store(message)
             case LinkStateReport():
                 self._relay(messages.LinkNews(*message), message.agent)
             case links.Received(link=link, message=messages.LinkProbe()):
                 sent_at = message.message.sent_us / 1e6
                 self._on_link_event(ProbeReturned(link.peer.name, sent_at))
+            case links.Received(link=link, message=messages.StoreReport()):
+                self._on_store_report(link.peer.name, message.message)
             case links.Received(message=messages.LinkNews()):
                 news = message.message
                 self._on_link_event(LinkStateReport(news.agent, news.is_slow))
@@ -206,6 +223,29 @@
         if peer is not None:
             peer.send(messages.LinkProbe(round(request.sent_at * 1e6)))
 
+    def _probe_store(self, request: StoreProbeRequested) -> None:
+        asked = store_probes.choose_agents(
+            (name, peer.link.peer.zone)
+            for name, peer in self._peers.links.items()
+            if peer.link.peer.store_queries
+        )
+        self._on_store_probe(
+            StoreProbeSent(request.sent_at, asked, self._agent_zones)
+        )
+        query = messages.StoreQuery(round(request.sent_at * 1e6))
+        for name in asked:
+            self._peers.links[name].send(query)
+
+    def _on_store_report(
+        self, agent: str, report: messages.StoreReport
+    ) -> None:
+        end = LogEnd(report.era, report.end) if report.end >= 0 else None
+        self._on_store_probe(
+            StoreProbeAnswered(
+                report.sent_us / 1e6, agent, end, report.age_ms / 1000
+            )
+        )
+
     def _relay(
         self, news: messages.CrashNews | messages.LinkNews, about: str = ''
     ) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -45,6 +45,7 @@
 from burdockchute_entry.straight.memory_account import MemoryAccount
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.sending import Dependencies
+from burdockchute_entry.straight.store_probes import StoreProbes
 
 # Pause between a read of the upstream list that returned changes and the next
 # read. An upstream that shuts down must get no new requests after two seconds,
@@ -95,6 +96,13 @@
             lambda: self._configuration() or 0,
             lambda: self._machine.bounds.config_apply_s,
             now,
+            lambda: self.store_probes.start(),
+        )
+        self.store_probes = StoreProbes(
+            lambda message: self.agents.inbox.put(message),
+            lambda: self.follower.known_end,
+            self.confirmation.record_confirmed,
+            now,
         )
         self.scheduler = Scheduler(
             machine.bounds,
@@ -145,6 +153,7 @@
             self.scheduler.handle_link_event,
             self.crash_watch.peer_answered,
             lambda: self.crash_records.read_soon(),
+            self.store_probes.handle_event,
         )
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/confirmation_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/confirmation_task.py
@@ -29,6 +29,7 @@
     `read_store` reads the desired state at once and returns whether the store
     has answered. `version` returns the version of the configuration in force
     here, `config_apply_s` the time after which a saved one is in force.
+    `probe` asks agents what the store has, if it does not answer here.
     """
 
     def __init__(
@@ -37,7 +38,9 @@
         version: Callable[[], int],
         config_apply_s: Callable[[], float],
         now: Callable[[], float],
+        probe: Callable[[], None] = lambda: None,
     ) -> None:
+        self._probe = probe
         self._read_store = read_store
         self.version = version
         self._config_apply_s = config_apply_s
@@ -122,6 +125,7 @@
                 return
             if self._unconfirmed_since is None:
                 self._unconfirmed_since = self._now()
+            self._probe()
             gevent.sleep(interval_s)
             interval_s = min(2 * interval_s, MAX_RETRY_INTERVAL_S)
 
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -22,6 +22,10 @@
 from burdockchute.model.routes import Configuration
 from burdockchute.model.routes import Model
 from burdockchute.model.routes import Service
+from burdockchute.model.store_probes import LogEnd
+from burdockchute.model.store_probes import StoreProbeAnswered
+from burdockchute.model.store_probes import StoreProbeRequested
+from burdockchute.model.store_probes import StoreProbeSent
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.nodes import links
 from burdockchute.wire import messages
@@ -55,6 +59,7 @@
         self.answered = []
         self.relinked = []
         self.link_events = []
+        self.store_probes = []
         self.known_state = KnownState()
         self.task = AgentsTask(
             OWN,
@@ -67,6 +72,7 @@
             self.link_events.append,
             self.answered.append,
             lambda: self.relinked.append(True),
+            self.store_probes.append,
         )
 
     def update(self, *named):
@@ -107,6 +113,26 @@
             [ProbeReturned('127.0.0.1:1', sent_at)], self.link_events
         )
 
+    def test_agents_are_asked_for_the_store_and_answer(self):
+        """An agent of an earlier release would close the link."""
+        link, earlier = self.opened('127.0.0.1:1'), self.opened('127.0.0.2:1')
+        link.peer.store_queries = True
+        self.task._handle(StoreProbeRequested(12.5))
+        query = messages.StoreQuery(12_500_000)
+        self.assertIn(query, link.sent)
+        self.assertNotIn(query, earlier.sent)
+        for end in (40, -1):
+            report = messages.StoreReport(12_500_000, 2, end, 250)
+            self.task._handle(links.Received(link, report))
+        self.assertEqual(
+            [
+                StoreProbeSent(12.5, {'127.0.0.1:1': 'z'}, frozenset()),
+                StoreProbeAnswered(12.5, '127.0.0.1:1', LogEnd(2, 40), 0.25),
+                StoreProbeAnswered(12.5, '127.0.0.1:1', None, 0.25),
+            ],
+            self.store_probes,
+        )
+
     def test_no_probe_without_a_link(self):
         """A restarting agent has no link for a moment."""
         self.task._handle(ProbeRequested('10.0.0.9:1', 1.0))
--- a/packages/burdockchute/burdockchute/feed_follower.py
+++ b/packages/burdockchute/burdockchute/feed_follower.py
@@ -41,6 +41,7 @@
 from burdockchute.model.known_state import PeerReport
 from burdockchute.model.known_state import StateChange
 from burdockchute.model.positions import Position
+from burdockchute.model.store_probes import LogEnd
 
 # A silent connection is detected only when a long poll is over and its answer
 # overdue, and the read after that takes a moment. All of it has to fit into
@@ -286,7 +287,10 @@
         self.desired_state_contact = Contact('wishes', now())
         self.upstreams_contact = Contact('upstream_list', now())
         self._on_confirmed = on_confirmed
+        # Up to where the desired state has been read.
+        self.known_end: LogEnd | None = None
         self._read_end = feeds.desired_state_end
+        self._store_era = feeds.store_era
         self._desired_state = _Feed(
             feeds.desired_state,
             self.desired_state_contact,
@@ -350,6 +354,13 @@
         self._report_confirmed(feed)
         return True
 
+    def read_log_end(self) -> LogEnd | None:
+        """Ask the store where the desired state ends; None if it is away."""
+        end = self._read_end()
+        if isinstance(end, Failure):
+            return None
+        return LogEnd(self._store_era(), end.unwrap().offset)
+
     def _is_read_meanwhile(self, feed: _Feed, end: Position) -> bool:
         """Whether the open read returns what is new.
 
@@ -432,7 +443,9 @@
                 gevent.sleep(cadence.period_s)
 
     def _report_confirmed(self, feed: _Feed) -> None:
-        if feed is self._desired_state:
+        position = feed.cursor.position
+        if feed is self._desired_state and position is not None:
+            self.known_end = LogEnd(self._store_era(), position.offset)
             self._on_confirmed(feed.confirmed_at)
 
     def _apply_desired_state(
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -149,12 +149,14 @@
     """The two feeds; a read waits up to the given seconds for a change.
 
     `desired_state_end` reads the position after the last record. The answer
-    is short, where that of a read may be long.
+    is short, where that of a read may be long. `store_era` returns the era
+    that the store named last, 0 for none.
     """
 
     desired_state: ReadFeed
     upstreams: ReadFeed
     desired_state_end: ReadEnd
+    store_era: Callable[[], int] = lambda: 0
 
 
 class CrashRecords(NamedTuple):
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -14,6 +14,7 @@
   6: i64 table_offset       // highest offset applied, -1 for none
   7: i32 protocol
   8: bool fragments         // takes large messages in fragments
+  9: optional bool store_queries  // answers StoreQuery
 }
 
 // Sent when nothing else has been sent for a while, by both sides.
@@ -132,6 +133,20 @@
   1: i64 sent_us            // by the clock of the entry
 }
 
+// entry -> agent: asks where the store's log of the desired state ends, as the
+// store does not answer this entry.
+struct StoreQuery {
+  1: i64 sent_us            // by the clock of the entry
+}
+
+// agent -> entry: the answer to each StoreQuery.
+struct StoreReport {
+  1: i64 sent_us            // of the query
+  2: i64 era                // by the store's count, 0 if it names none
+  3: i64 end                // offset after the last record, -1 without an answer
+  4: i32 age_ms             // from the read to the query, 0 if it came later
+}
+
 // entry -> agent -> its other entries: the link to an agent has become slow,
 // or is no longer.
 struct LinkNews {
@@ -313,4 +328,6 @@
   22: LinkNews link_news
   23: Fragment fragment
   24: FragmentTaken fragment_taken
+  25: StoreQuery store_query
+  26: StoreReport store_report
 }
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -27,11 +27,12 @@
      - table_offset
      - protocol
      - fragments
+     - store_queries
 
     """
 
 
-    def __init__(self, name=None, role=None, zone=None, region=None, incarnation=None, table_offset=None, protocol=None, fragments=None,):
+    def __init__(self, name=None, role=None, zone=None, region=None, incarnation=None, table_offset=None, protocol=None, fragments=None, store_queries=None,):
         self.name = name
         self.role = role
         self.zone = zone
@@ -40,6 +41,7 @@
         self.table_offset = table_offset
         self.protocol = protocol
         self.fragments = fragments
+        self.store_queries = store_queries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -90,6 +92,11 @@
                     self.fragments = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.store_queries = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -132,6 +139,10 @@
             oprot.writeFieldBegin('fragments', TType.BOOL, 8)
             oprot.writeBool(self.fragments)
             oprot.writeFieldEnd()
+        if self.store_queries is not None:
+            oprot.writeFieldBegin('store_queries', TType.BOOL, 9)
+            oprot.writeBool(self.store_queries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1424,6 +1435,153 @@
         return not (self == other)
 
 
+class StoreQuery(object):
+    """
+    Attributes:
+     - sent_us
+
+    """
+
+
+    def __init__(self, sent_us=None,):
+        self.sent_us = sent_us
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sent_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreQuery')
+        if self.sent_us is not None:
+            oprot.writeFieldBegin('sent_us', TType.I64, 1)
+            oprot.writeI64(self.sent_us)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreReport(object):
+    """
+    Attributes:
+     - sent_us
+     - era
+     - end
+     - age_ms
+
+    """
+
+
+    def __init__(self, sent_us=None, era=None, end=None, age_ms=None,):
+        self.sent_us = sent_us
+        self.era = era
+        self.end = end
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sent_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreReport')
+        if self.sent_us is not None:
+            oprot.writeFieldBegin('sent_us', TType.I64, 1)
+            oprot.writeI64(self.sent_us)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.end is not None:
+            oprot.writeFieldBegin('end', TType.I64, 3)
+            oprot.writeI64(self.end)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LinkNews(object):
     """
     Attributes:
@@ -3316,11 +3474,13 @@
      - link_news
      - fragment
      - fragment_taken
+     - store_query
+     - store_report
 
     """
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None, crash_news=None, link_probe=None, link_news=None, fragment=None, fragment_taken=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, cancel=None, answer_part=None, answer_end=None, not_run=None, load_report=None, table_delta=None, members=None, have=None, chunk_request=None, chunk=None, demand_report=None, share_report=None, claim_request=None, claim_reply=None, table_request=None, wishes_news=None, crash_news=None, link_probe=None, link_news=None, fragment=None, fragment_taken=None, store_query=None, store_report=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -3345,6 +3505,8 @@
         self.link_news = link_news
         self.fragment = fragment
         self.fragment_taken = fragment_taken
+        self.store_query = store_query
+        self.store_report = store_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3499,6 +3661,18 @@
                     self.fragment_taken.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.store_query = StoreQuery()
+                    self.store_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.store_report = StoreReport()
+                    self.store_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3605,6 +3779,14 @@
             oprot.writeFieldBegin('fragment_taken', TType.STRUCT, 24)
             self.fragment_taken.write(oprot)
             oprot.writeFieldEnd()
+        if self.store_query is not None:
+            oprot.writeFieldBegin('store_query', TType.STRUCT, 25)
+            self.store_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.store_report is not None:
+            oprot.writeFieldBegin('store_report', TType.STRUCT, 26)
+            self.store_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3632,6 +3814,7 @@
     (6, TType.I64, 'table_offset', None, None, ),  # 6
     (7, TType.I32, 'protocol', None, None, ),  # 7
     (8, TType.BOOL, 'fragments', None, None, ),  # 8
+    (9, TType.BOOL, 'store_queries', None, None, ),  # 9
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -3744,6 +3927,19 @@
     None,  # 0
     (1, TType.I64, 'sent_us', None, None, ),  # 1
 )
+all_structs.append(StoreQuery)
+StoreQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sent_us', None, None, ),  # 1
+)
+all_structs.append(StoreReport)
+StoreReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sent_us', None, None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'end', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(LinkNews)
 LinkNews.thrift_spec = (
     None,  # 0
@@ -3928,6 +4124,8 @@
     (22, TType.STRUCT, 'link_news', [LinkNews, None], None, ),  # 22
     (23, TType.STRUCT, 'fragment', [Fragment, None], None, ),  # 23
     (24, TType.STRUCT, 'fragment_taken', [FragmentTaken, None], None, ),  # 24
+    (25, TType.STRUCT, 'store_query', [StoreQuery, None], None, ),  # 25
+    (26, TType.STRUCT, 'store_report', [StoreReport, None], None, ),  # 26
 )
 fix_spec(all_structs)
 del all_structs
