Store: only an answer without any record shows that the wait is over

An answer with records that change nothing here may have been long under way; it was taken to show the state at the end of the read's wait. Found by reading.

--- a/packages/burdockchute/burdockchute/feed_follower.py
+++ b/packages/burdockchute/burdockchute/feed_follower.py
@@ -432,8 +432,8 @@
                 continue
             batch = result.unwrap()
             confirmed_at = sent_at
-            if not batch.changes and now - sent_at >= wait_s:
-                # The store answers without changes only after the wait.
+            if batch.position == read_from and now - sent_at >= wait_s:
+                # The store answers without records only after the wait.
                 confirmed_at += wait_s
             store_return = feed.on_answer(batch, read_from, confirmed_at, now)
             if store_return.regained or store_return.restored:
--- a/packages/burdockchute/tests/test_feed_follower.py
+++ b/packages/burdockchute/tests/test_feed_follower.py
@@ -295,6 +295,43 @@
         self.assertLess(again, 5.0 + listing.SETTLE_S + 1.0)
 
 
+class ConfirmationTest(unittest.TestCase):
+    """Until when all that the store has is known, by the reads it answers."""
+
+    def confirmed(self, *answers):
+        """Return the times confirmed by answers: seconds taken, and end."""
+        store, pending = ReturningStore(), list(answers)
+        confirmed = []
+
+        def read(position, wait_s):
+            if not pending:
+                raise Stop
+            took_s, end = pending.pop(0)
+            store.time += took_s
+            return Success(Batch(Position(0, end), position is None, ()))
+
+        follower = feed_follower.FeedFollower(
+            Feeds(read, read, mock.Mock()),
+            lambda known_state: None,
+            store.now,
+            random.Random(1),
+            lambda: feed_follower.Cadence(2.0, 0.0),
+            feed_follower.Cadence(2.0, 0.0),
+            confirmed.append,
+        )
+        with mock.patch.object(feed_follower.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                follower.follow_desired_state()
+        return confirmed
+
+    def test_an_answer_without_records_confirms_until_the_wait_ended(self):
+        self.assertEqual([0.0, 2.5], self.confirmed((0.5, 1), (2.1, 1)))
+
+    def test_an_answer_that_was_long_under_way(self):
+        """Its records show when the store made it at the earliest only."""
+        self.assertEqual([0.0, 0.5], self.confirmed((0.5, 1), (2.9, 2)))
+
+
 class FreshStartTest(unittest.TestCase):
     """The store was restored from a copy that misses a key's revocation."""
 
