--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -23,9 +23,10 @@
 from burdockchute.model.machines import Bounds
 from burdockchute.model.outcomes import NotRun
 from burdockchute.wire import messages
+from burdockchute_entry.straight import eligibility
+from burdockchute_entry.straight import openings
 from burdockchute_entry.straight.confirmation_task import ConfirmationTask
 from burdockchute_entry.straight.known_targets import KnownTargets
-from burdockchute_entry.straight.known_targets import size_of
 from burdockchute_entry.straight.retry_budgets import RetryBudgets
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import ServiceQueues
@@ -195,7 +196,9 @@
         cost = self._known.cost(pending.spec.service)
         eligible = {
             target.id: target
-            for target in self._known.eligible(pending, now)
+            for target in eligibility.eligible_targets(
+                self._known, pending, now
+            )
             if target.has_capacity(now)
         }
         if cost is None or not eligible:
@@ -207,7 +210,7 @@
             v for v in views if engine_placement.stays_open(v, remainder_s)
         ]
         view = engine_placement.choose_engine(
-            staying, size_of(pending), cost, within_s, started=True
+            staying, pending.size, cost, within_s, started=True
         )
         return (
             self._assigner.take_slot(pending, eligible[view.name], now)
@@ -227,15 +230,17 @@
 
     def is_servable(self, pending: PendingRequest) -> bool:
         """Whether any target may run the request, now or later."""
-        return self._known.is_servable(pending, self._now())
+        return eligibility.is_servable(self._known, pending, self._now())
 
     def is_allowed(self, pending: PendingRequest, target: Target) -> bool:
         """Whether a request may run in the region of a target.
 
         One that is restricted needs a confirmed configuration.
         """
-        is_allowed = self._known.is_allowed(pending, target)
-        if self._confirmation is None or not self._known.has_regions(pending):
+        is_allowed = eligibility.is_allowed(self._known, pending, target)
+        if self._confirmation is None or not eligibility.has_regions(
+            self._known, pending
+        ):
             return is_allowed
         is_confirmed = self._confirmation.is_confirmed()
         logs.event(
@@ -252,11 +257,11 @@
 
     def evacuation_left_s(self, target: Target) -> float | None:
         """Return the seconds until streams should have left a target."""
-        return self._known.evacuation_left_s(target, self._now())
+        return eligibility.evacuation_left_s(self._known, target, self._now())
 
     def rest_left_s(self, service: str) -> float:
         """Return the seconds for which all upstreams of a service rest."""
-        return self._known.rest_left_s(service, self._now())
+        return openings.rest_left_s(self._known, service, self._now())
 
     def tokens_per_event(self, service: str) -> int:
         """Return the number of tokens in an event of a service's streams."""
@@ -265,7 +270,7 @@
 
     def start_deadline(self, model: str, version: int) -> float | None:
         """Return until when a version may start requests, None for ever."""
-        return self._known.start_deadline(model, version)
+        return eligibility.start_deadline(self._known, model, version)
 
     def record_backpressure(
         self,
@@ -352,7 +357,9 @@
     def _wait_until_confirmed(
         self, pending: PendingRequest, deadline: float
     ) -> bool:
-        if self._confirmation is None or not self._known.has_regions(pending):
+        if self._confirmation is None or not eligibility.has_regions(
+            self._known, pending
+        ):
             return True
         # A caller that is refused needs time to come again.
         left_s = deadline - self._now()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -8,6 +8,7 @@
 from gevent import event as events
 
 from burdockchute import metrics
+from burdockchute.decisions import engine_placement
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.fair_queue import FairQueue
 from burdockchute.decisions.homes import Home
@@ -142,6 +143,13 @@
         self.lent_priority: int | None = None
         self.slot: events.AsyncResult = events.AsyncResult()
 
+    @property
+    def size(self) -> engine_placement.RequestSize:
+        """The lengths of its prompt and answer."""
+        return engine_placement.RequestSize(
+            self.ctx.prompt_tokens, self.ctx.max_tokens
+        )
+
     def avoids(self, target: Target) -> bool:
         """Whether the request already failed on a target."""
         return target.id in self.avoided
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -16,8 +16,9 @@
 from burdockchute.decisions.fair_queue import FairQueue
 from burdockchute.decisions.fair_queue import QueuedRequest
 from burdockchute.model.outcomes import NotRun
+from burdockchute_entry.straight import eligibility
+from burdockchute_entry.straight import openings
 from burdockchute_entry.straight.known_targets import KnownTargets
-from burdockchute_entry.straight.known_targets import size_of
 from burdockchute_entry.straight.placement_round import PlacementRound
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import ServiceQueue
@@ -169,7 +170,7 @@
     ) -> Slot:
         """Return a slot on a target, which is taken from then on."""
         estimate_s = self._chooser.estimate_s(target, pending, now)
-        target.record_sent(pending.work, sum(size_of(pending)), now)
+        target.record_sent(pending.work, sum(pending.size), now)
         model = pending.spec.model
         if model:
             target.unstarted[pending.ctx.request_id] = UnstartedRequest(
@@ -186,7 +187,9 @@
         """
         free = [
             target
-            for target in self._known.eligible(pending, now)
+            for target in eligibility.eligible_targets(
+                self._known, pending, now
+            )
             if target.has_capacity(now)
         ]
         if not free:
@@ -332,7 +335,9 @@
         now = self._now()
         for item in service_queue.resumed.queued_before(now):
             pending = self.waiting[item.ctx.request_id]
-            if pending.slot.ready() or self._known.is_servable(pending, now):
+            if pending.slot.ready() or eligibility.is_servable(
+                self._known, pending, now
+            ):
                 continue
             pending.slot.set(
                 self._planner.no_upstream(pending, wait_limits.NO_OPENING, now)
@@ -341,10 +346,14 @@
     def _refuse_if_restricted(
         self, pending: PendingRequest, now: float
     ) -> None:
-        if pending.slot.ready() or not self._known.is_restricted(pending):
+        if pending.slot.ready() or not eligibility.is_restricted(
+            self._known, pending
+        ):
             return
-        opening = self._known.opening(pending, now)
-        if not opening.slots and not self._known.is_servable(pending, now):
+        opening = openings.next_opening(self._known, pending, now)
+        if not opening.slots and not eligibility.is_servable(
+            self._known, pending, now
+        ):
             pending.slot.set(self._planner.no_upstream(pending, opening, now))
 
     def _refuse_during_rest(
@@ -352,12 +361,14 @@
     ) -> None:
         # Requests may wait when the last upstream of a service asks for rest.
         now = self._now()
-        if service_queue.is_empty or not self._known.rest_left_s(service, now):
+        if service_queue.is_empty or not openings.rest_left_s(
+            self._known, service, now
+        ):
             return
         for queue in (service_queue.queue, service_queue.overdue):
             for item in queue.queued_before(now):
                 pending = self.waiting[item.ctx.request_id]
-                opening = self._known.opening(pending, now)
+                opening = openings.next_opening(self._known, pending, now)
                 if not pending.slot.ready() and not opening.slots:
                     pending.slot.set(
                         self._planner.no_upstream(pending, opening, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/target_choice.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/target_choice.py
@@ -1,6 +1,6 @@
 """The choice of a target for a request, and its state as a request sees it.
 
-The rules are in `burdockchute.decisions`. `KnownTargets` tells which targets
+The rules are in `burdockchute.decisions`. `eligibility` tells which targets
 may run a request.
 """
 
@@ -13,9 +13,9 @@
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions import placement
 from burdockchute.decisions import urgency
+from burdockchute_entry.straight import eligibility
 from burdockchute_entry.straight import targets
 from burdockchute_entry.straight.known_targets import KnownTargets
-from burdockchute_entry.straight.known_targets import size_of
 from burdockchute_entry.straight.placement_round import PlacementRound
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import ServiceQueue
@@ -90,13 +90,13 @@
             return None
         found = {
             target.id: target
-            for target in self._known.eligible(pending, now)
+            for target in eligibility.eligible_targets(
+                self._known, pending, now
+            )
             if target.on_time_sent_at > sent_at and target.has_capacity(now)
         }
         views = [self.view(target, now) for target in found.values()]
-        view = engine_placement.choose_engine(
-            views, size_of(pending), cost, None
-        )
+        view = engine_placement.choose_engine(views, pending.size, cost, None)
         return found[view.name] if view else None
 
     def _draw_share(self, target: Target, now: float) -> None:
@@ -116,7 +116,7 @@
         self, service: str, now: float, by_urgency: bool = False
     ) -> PlacementRound:
         """Return a round over the usable targets of a service."""
-        targets = self._known.usable(service, now)
+        targets = eligibility.usable_targets(self._known, service, now)
         # Entries that have the same reports must not all choose the same one
         # of equally good engines.
         self._rng.shuffle(targets)
@@ -124,7 +124,7 @@
             targets,
             lambda target: self.view(target, now, by_urgency=by_urgency),
             now,
-            self._known.has_regions,
+            lambda pending: eligibility.has_regions(self._known, pending),
         )
 
     def choose(
@@ -146,7 +146,7 @@
         beyond the free ones, or leave free where it is negative.
         """
         found = placement_round.candidates(
-            self._known.eligibility(pending, now)
+            eligibility.rule(self._known, pending, now)
         )
         cost = self._known.cost(pending.spec.service)
         if cost is None:
@@ -159,7 +159,7 @@
             )
             return found[load.name][0] if load else None
         views = [view for _target, view in found.values()]
-        size = size_of(pending)
+        size = pending.size
         started = pending.resuming
         local_sample = engine_placement.LOCAL_SAMPLE
         if extra > 0:
@@ -200,7 +200,7 @@
         cost = self._known.cost(pending.spec.service)
         if cost is None:
             return None
-        may_run = self._known.eligibility(pending, now)
+        may_run = eligibility.rule(self._known, pending, now)
         found = {
             target.id: (target, view)
             for target, view in placement_round.beyond(
@@ -217,7 +217,7 @@
             for _target, view in found.values()
         ]
         chosen = engine_placement.choose_engine(
-            views, size_of(pending), cost, left_s, extra=extra
+            views, pending.size, cost, left_s, extra=extra
         )
         return found[chosen.name][0] if chosen else None
 
