Connections: a limit on bytes that are no answer

An upstream may send header lines, informational answers, late answers or chunk extensions without end. All of it was read and much of it kept, and as bytes kept arriving, the waits were never interrupted, so that neither the silence limit nor the deadline was checked. Now 64 KiB without a byte of a body, 8 MiB before the head or more than 16 late answers fail the attempt, and a wait is interrupted after its poll interval whatever arrives.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -33,6 +33,7 @@
 from burdockchute.upstreams.connections import AnswerFailed
 from burdockchute.upstreams.connections import Connection
 from burdockchute.upstreams.connections import HeaderList
+from burdockchute.upstreams.connections import MAX_ANSWER_BYTES
 from burdockchute.upstreams.connections import NoDataYet
 from burdockchute.upstreams.connections import NotConnected
 from burdockchute.upstreams.connections import POLL_INTERVAL_S
@@ -54,9 +55,6 @@
 from burdockchute_entry.straight.service_queues import RequestSpec
 from burdockchute_entry.straight.service_queues import Slot
 
-# Longest body of a plain answer, which is buffered until it is complete.
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-
 # An upstream answers by itself when the time limit sent to it is over. Its
 # answer is more specific than ours, so it gets this much extra time.
 ANSWER_GRACE_S = 0.1
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import socket as sockets
+import time
 from typing import Any
 
 from geventhttpclient import response as responses
@@ -34,6 +35,18 @@
 # received, in addition to what is read ahead; most events are far shorter.
 RECEIVE_BYTES = 16 * 1024
 
+# Longest body of an answer that is buffered until it is complete. Answers to
+# earlier requests, which are skipped, are no longer in total.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+# A connection is reused only while it is quiet, so that more than one answer
+# to an earlier request is rare.
+MAX_SKIPPED_ANSWERS = 16
+
+# Most bytes that may arrive in succession without one of a body: a head,
+# informational answers, chunk extensions and trailers.
+MAX_OVERHEAD_BYTES = 64 * 1024
+
 HeaderList = Iterable[tuple[str, str]]
 
 
@@ -62,7 +75,10 @@
 
 
 class NoDataYet(Exception):
-    """Nothing arrived within the poll interval; the call may be repeated."""
+    """Nothing was read within the poll interval; the call may be repeated.
+
+    Bytes may have arrived that are no head or body of the answer.
+    """
 
 
 class _Parser(responses.HTTPResponse):
@@ -77,7 +93,10 @@
     ) -> None:
         super().__init__(method=method)
         self.skipping = False
+        self.skipped_answers = 0
         self.has_extra_bytes = False
+        # Bytes of all bodies so far, including those that were skipped.
+        self.body_bytes = 0
         # Whether the answer ended with its connection.
         self.ended_by_close = False
         self._is_expected = is_expected
@@ -113,9 +132,11 @@
         self.skipping = code >= 200 and not self._is_expected(
             code, self.items()
         )
+        self.skipped_answers += self.skipping
         return skip_body
 
     def _on_body(self, buf: bytearray) -> None:
+        self.body_bytes += len(buf)
         if not self.skipping:
             super()._on_body(buf)
 
@@ -128,6 +149,10 @@
         self.used = False
         self._sock = sock
         self._parser: _Parser | None = None
+        self._poll_interval_s = POLL_INTERVAL_S
+        # Bytes received since the last one of a body, and before the head.
+        self._overhead_bytes = 0
+        self._skipped_bytes = 0
 
     def send(
         self,
@@ -142,6 +167,7 @@
         """
         self._parser = _Parser(method, is_expected)
         self.used = True
+        self._overhead_bytes = self._skipped_bytes = 0
         try:
             self._sock.sendall(data)
         except TimeoutError as exc:
@@ -152,11 +178,12 @@
     def read_head(self) -> tuple[int, list[tuple[str, str]]]:
         """Wait for the status and headers of the answer.
 
-        Raises AnswerFailed, or NoDataYet after a poll interval without data.
+        Raises AnswerFailed, or NoDataYet after a poll interval without it.
         """
         parser = self._current_parser()
+        until = time.monotonic() + self._poll_interval_s
         while not parser.has_head:
-            if not self._receive(parser):
+            if not self._receive(parser, until):
                 raise AnswerFailed('ended before the answer began', True)
         return parser.get_code(), list(parser.items())
 
@@ -166,11 +193,12 @@
         Raises AnswerFailed, or NoDataYet after a poll interval without data.
         """
         parser = self._current_parser()
+        until = time.monotonic() + self._poll_interval_s
         while True:
             data = parser.pop_body()
             if data or parser.is_complete:
                 return data
-            if not self._receive(parser) and not parser.is_complete:
+            if not self._receive(parser, until) and not parser.is_complete:
                 raise AnswerFailed('ended within the answer', True)
 
     @property
@@ -203,6 +231,7 @@
 
     def set_poll_interval(self, seconds: float) -> None:
         """Set how often waits are interrupted, by default POLL_INTERVAL_S."""
+        self._poll_interval_s = seconds
         self._sock.settimeout(seconds)
 
     def close(self) -> None:
@@ -222,7 +251,9 @@
         assert self._parser is not None, 'nothing was sent'
         return self._parser
 
-    def _receive(self, parser: _Parser) -> bool:
+    def _receive(self, parser: _Parser, until: float) -> bool:
+        if time.monotonic() > until:
+            raise NoDataYet
         try:
             data = self._sock.recv(RECEIVE_BYTES)
         except TimeoutError:
@@ -230,6 +261,7 @@
         except OSError as exc:
             raise AnswerFailed(f'reset: {exc}', True) from exc
         was_complete = parser.is_complete
+        body_bytes = parser.body_bytes
         try:
             # Empty data tells the parser that the connection was closed,
             # which is the end of an answer without a length.
@@ -242,8 +274,23 @@
         parser.ended_by_close |= (
             not data and parser.is_complete and not was_complete
         )
+        if not parser.is_complete:
+            if parser.body_bytes > body_bytes:
+                self._overhead_bytes = 0
+            self._count(parser, len(data))
         return bool(data)
 
+    def _count(self, parser: _Parser, received: int) -> None:
+        self._overhead_bytes += received
+        if not parser.has_head:
+            self._skipped_bytes += received
+        if (
+            self._overhead_bytes > MAX_OVERHEAD_BYTES
+            or self._skipped_bytes > MAX_ANSWER_BYTES
+            or parser.skipped_answers > MAX_SKIPPED_ANSWERS
+        ):
+            raise AnswerFailed('too many bytes that are no answer', False)
+
 
 def connect(
     endpoint: Endpoint, timeout_s: float = CONNECT_TIMEOUT_S
