Entries: requests are admitted in a module of their own

No behaviour changes: apart from the new class and its fields, the lines of both modules are those of the old one.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -1,4 +1,4 @@
-"""WSGI application of an entry that sends requests to upstreams."""
+"""WSGI application of an entry: answers the requests of callers."""
 
 from __future__ import annotations
 
@@ -9,75 +9,32 @@
 from typing import Any
 from typing import NamedTuple
 
-import blake3
-
 from burdockchute import logs
-from burdockchute.callers import http
-from burdockchute.callers.parse import Rejection
-from burdockchute.callers.server import HEADERS_KEY
 from burdockchute.callers.server import ResponseBody
 from burdockchute.callers.server import SOCKET_KEY
 from burdockchute.callers.server import status_line
 from burdockchute.callers.server import TARGET_KEY
 from burdockchute.callers.server import WRITE_WATCH_KEY
 from burdockchute.callers.server import WriteWatch
-from burdockchute.decisions import memory_budget
-from burdockchute.decisions import returning_callers
-from burdockchute.decisions import routing
-from burdockchute.decisions.homes import Home
-from burdockchute.decisions.routing import RouteTable
 from burdockchute.model import outcomes
-from burdockchute.model.crash_reports import PromptPart
-from burdockchute.model.exchanges import InboundRequest
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.outcomes import NotRun
 from burdockchute.model.outcomes import Unknown
-from burdockchute.model.requests import RequestContext
-from burdockchute.model.routes import Kind
-from burdockchute.model.routes import Regions
-from burdockchute.model.routes import Route
 from burdockchute_entry.straight.caller_watch import CallerWatch
 from burdockchute_entry.straight.exchange import Exchange
-from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import MemoryAccount
-from burdockchute_entry.straight.memory_account import Use
 from burdockchute_entry.straight.read_ahead import ReadAhead
 from burdockchute_entry.straight.replies import CallerGone
 from burdockchute_entry.straight.replies import CompleteAnswer
 from burdockchute_entry.straight.replies import Reply
 from burdockchute_entry.straight.replies import StreamAnswer
 from burdockchute_entry.straight.replies import StreamBroken
+from burdockchute_entry.straight.request_admission import AdmittedRequest
+from burdockchute_entry.straight.request_admission import OUT_OF_MEMORY
+from burdockchute_entry.straight.request_admission import Refusal
+from burdockchute_entry.straight.request_admission import RequestAdmission
 from burdockchute_entry.straight.sending import Dependencies
 
-# Retry-After before the first configuration has been read; there usually is
-# one after this time.
-NOT_READY_RETRY_S = 1.0
-
-# Retry-After of a request refused during shutdown; another entry accepts it.
-SHUTDOWN_RETRY_S = 0.05
-
-# The reason for refusing a request for which there is no memory.
-OUT_OF_MEMORY = 'too many bytes are held for callers'
-
-# Time limit of a request that has none itself; routes set shorter ones.
-DEFAULT_TIMEOUT_S = 30.0
-
-
-class AdmittedRequest(NamedTuple):
-    """An accepted request with its route, service and context.
-
-    `home` tells in which regions it may run, `holding` has the bytes that are
-    held for it.
-    """
-
-    inbound: InboundRequest
-    route: Route
-    service: str
-    ctx: RequestContext
-    elapsed_s: float
-    home: Home
-    holding: Holding
-
 
 class ShutdownState(NamedTuple):
     """Whether this entry shuts down, and whether it still accepts requests.
@@ -90,28 +47,6 @@
     accepting: bool
 
 
-class RouteMatch(NamedTuple):
-    """The route, service and customer of a request; priority 0 is highest."""
-
-    route: Route
-    service: str
-    customer: str
-    priority: int
-    customer_regions: Regions
-
-
-class Refusal(NamedTuple):
-    """A request that is refused before it is scheduled.
-
-    `request_id` is empty if none could be read.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float = 0.0
-    request_id: str = ''
-
-
 class FinishedRequest(NamedTuple):
     """How a request ended, for metrics; times are in seconds.
 
@@ -144,11 +79,15 @@
     ) -> None:
         self.open_requests = 0
         self.memory = memory or MemoryAccount(deps.now)
-        self._max_time_left_s: dict[str, float] = {}
         self._deps = deps
-        self._known_state = known_state
         self._shutdown_state = shutdown_state
         self._observe = observe
+        self._admission = RequestAdmission(
+            deps.adapter,
+            known_state,
+            lambda: shutdown_state().accepting,
+            self.memory,
+        )
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable
@@ -157,7 +96,7 @@
         arrived = self._deps.now()
         holding = self.memory.holding()
         try:
-            admitted = self._admit(environ, arrived, holding)
+            admitted = self._admission.admit(environ, arrived, holding)
             if isinstance(admitted, Refusal):
                 holding.close()
                 return self._send_refusal(environ, start_response, admitted)
@@ -167,89 +106,6 @@
             holding.close()
             raise
 
-    def _admit(
-        self, environ: dict[str, Any], arrived: float, holding: Holding
-    ) -> AdmittedRequest | Refusal:
-        try:
-            inbound = self._deps.adapter.decode_request(
-                environ['REQUEST_METHOD'],
-                environ[TARGET_KEY],
-                environ[HEADERS_KEY],
-            )
-        except ValueError as exc:
-            return Refusal(400, str(exc))
-        if not inbound.id:
-            return Refusal(400, 'no request id')
-        admitted = self._admit_decoded(environ, inbound, arrived, holding)
-        if isinstance(admitted, Refusal):
-            return admitted._replace(request_id=inbound.id)
-        return admitted
-
-    def _admit_decoded(
-        self,
-        environ: dict[str, Any],
-        inbound: InboundRequest,
-        arrived: float,
-        holding: Holding,
-    ) -> AdmittedRequest | Refusal:
-        if not self._shutdown_state().accepting:
-            return Refusal(503, 'this entry is leaving', SHUTDOWN_RETRY_S)
-        known_state = self._known_state()
-        if known_state.routes is None or not known_state.complete:
-            return Refusal(503, 'no configuration yet', NOT_READY_RETRY_S)
-        route_match = _match_route(known_state.routes, inbound)
-        if isinstance(route_match, Refusal):
-            return route_match
-        limits = known_state.routes.configuration.limits
-        body = self._read_body(environ, limits.max_body_bytes, holding)
-        if isinstance(body, Refusal):
-            return body
-        elapsed_s = self._elapsed_s(route_match.route, inbound)
-        return _make_admitted(
-            inbound._replace(body=body),
-            route_match,
-            arrived,
-            elapsed_s,
-            holding,
-        )
-
-    def _read_body(
-        self, environ: dict[str, Any], max_body_bytes: int, holding: Holding
-    ) -> bytes | Refusal:
-        """Read the body if there is memory for it."""
-        reserved = _reserved_bytes(
-            environ, max_body_bytes, self.memory.budget_bytes
-        )
-        if not self.memory.may_admit(reserved):
-            return Refusal(503, OUT_OF_MEMORY, memory_budget.RETRY_S)
-        holding.take(Use.BODIES, reserved)
-        body = http.read_body(
-            environ, http.Limits(max_body_bytes=max_body_bytes)
-        )
-        if isinstance(body, Rejection):
-            return Refusal(body.status, body.findings[0].text)
-        if len(body) < reserved:
-            holding.give_back(Use.BODIES, reserved - len(body))
-        else:
-            holding.take(Use.BODIES, len(body) - reserved)
-        return body
-
-    def _elapsed_s(self, route: Route, inbound: InboundRequest) -> float:
-        """Estimate the seconds the caller spent on earlier attempts.
-
-        Callers send the time that they have left. One that sends much less
-        than others on its route has tried before.
-        """
-        if inbound.time_left_s is None:
-            return 0.0
-        max_time_left_s = max(
-            self._max_time_left_s.get(route.name, 0.0), inbound.time_left_s
-        )
-        self._max_time_left_s[route.name] = max_time_left_s
-        return returning_callers.elapsed_s(
-            max_time_left_s, inbound.time_left_s
-        )
-
     def exchange(
         self, admitted: AdmittedRequest, has_caller_left: Callable[[], bool]
     ) -> Exchange:
@@ -443,94 +299,6 @@
         self._app.finished(self._admitted, self._exchange, status, outcome)
 
 
-def _match_route(
-    table: RouteTable, inbound: InboundRequest
-) -> RouteMatch | Refusal:
-    route = routing.find_route(table, inbound.host, inbound.path)
-    if route is None:
-        return Refusal(404, f'no route for {inbound.host!r} {inbound.path!r}')
-    customer, priority = '', route.priority
-    customer_regions = None
-    if table.keyholders is not None:
-        holder = table.keyholders.get(inbound.key)
-        if holder is None and not route.anonymous:
-            return Refusal(401, 'no valid key')
-        if holder is not None:
-            customer = holder.name
-            customer_regions = holder.regions
-            if holder.priority is not None:
-                priority = holder.priority
-    service = routing.choose_service(route.shares, inbound.id)
-    if service is None:
-        return Refusal(503, f'route {route.name!r} leads nowhere', 1.0)
-    return RouteMatch(route, service, customer, priority, customer_regions)
-
-
-def _make_admitted(
-    inbound: InboundRequest,
-    route_match: RouteMatch,
-    arrived: float,
-    elapsed_s: float,
-    holding: Holding,
-) -> AdmittedRequest:
-    route, service, customer, priority, customer_regions = route_match
-    left_s = min(inbound.time_left_s or DEFAULT_TIMEOUT_S, route.timeout_s)
-    ctx = RequestContext(
-        request_id=inbound.id,
-        customer=customer,
-        target=service,
-        kind='model' if inbound.model else 'service',
-        idempotent=route.may_repeat,
-        idempotency_key='',
-        arrived=arrived,
-        deadline=arrived + left_s,
-        priority=-priority,
-        prompt_tokens=inbound.prompt_tokens,
-        max_tokens=inbound.likely_tokens or inbound.max_tokens,
-        stream=route.kind is Kind.STREAM,
-        method=inbound.method,
-        path=inbound.target,
-        content_type='',
-        body=b'',
-        fingerprint=_fingerprint(customer, inbound),
-        prompt_parts=tuple(
-            PromptPart(f'{inbound.model:.64}/{part}', position)
-            for position, part in enumerate(inbound.prompt_parts)
-        ),
-    )
-    home = Home(
-        route.host,
-        inbound.path,
-        route.prefix,
-        customer,
-        route.regions,
-        customer_regions,
-    )
-    return AdmittedRequest(
-        inbound, route, service, ctx, elapsed_s, home, holding
-    )
-
-
-def _reserved_bytes(
-    environ: dict[str, Any], max_body_bytes: int, budget: int | None
-) -> int:
-    if budget is None:
-        return 0
-    if 'HTTP_TRANSFER_ENCODING' in environ:
-        declared = None
-    else:
-        length = environ.get('CONTENT_LENGTH') or '0'
-        declared = int(length) if length.isdigit() else 0
-    return memory_budget.reserved_bytes(declared, max_body_bytes, budget)
-
-
-def _fingerprint(customer: str, inbound: InboundRequest) -> str:
-    named = '\0'.join((customer, inbound.method, inbound.host, inbound.target))
-    hasher = blake3.blake3(named.encode())
-    hasher.update(b'\0' + inbound.body)
-    return hasher.hexdigest()
-
-
 def _error_response(
     start_response: Callable,
     status: int,
