--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -122,7 +122,7 @@
         self._answering: dict[Connection, AnswerTime] = {}
         # Whether an answer has been arriving for longer than a request that
         # crashes its upstream takes.
-        self._has_outlasted = False
+        self.has_outlasted = False
         # Rejections of the remainder of an interrupted stream.
         self._rejections = 0
 
@@ -430,8 +430,8 @@
     def mark_started(self, sent: SentRequest) -> None:
         """Record events of the answer: the prompt was processed."""
         lasted_s = self._record_answering(sent.conn)
-        if lasted_s > JUST_BEGUN_S and not self._has_outlasted:
-            self._has_outlasted = True
+        if lasted_s > JUST_BEGUN_S and not self.has_outlasted:
+            self.has_outlasted = True
             self._deps.crash_watch.answer_complete(
                 self.ctx, True, is_whole=False
             )
