End check: a silent server that others saw end has ended

Its server had crashed and was back under another id, but did not answer the health check within 0.25 s, so it was taken as alive. The entry had been told of the crash by another entry 0.8 s before.

Where an upstream does not respond, a reported end of this start of it decides now. An answer of the upstream itself still goes before reports.

test_stream_of_a_silent_server_that_others_saw_end failed before; with it test_answer_ends, test_crashing_requests and test_crash_causes pass, 51 of 51.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -108,7 +108,12 @@
             lambda: desired_state_cadence,
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
         )
-        self.end_check = EndCheck(adapter, self._health_path, now)
+        self.end_check = EndCheck(
+            adapter,
+            self._health_path,
+            now,
+            lambda upstream: self.crash_watch.causes.has_crashed(upstream),
+        )
         self.crash_watch = CrashWatch(
             now,
             self.end_check.has_ended,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
@@ -27,7 +27,8 @@
     """Asks upstreams whether they have ended.
 
     `health_path` returns the path of the health checks of a service, empty if
-    it has none.
+    it has none. `has_crashed` tells whether the end of an upstream has been
+    reported by its id; it decides where the upstream does not respond.
     """
 
     def __init__(
@@ -35,22 +36,35 @@
         adapter: Adapter,
         health_path: Callable[[str], str],
         now: Callable[[], float],
+        has_crashed: Callable[[str], bool] = lambda upstream: False,
     ) -> None:
         self._adapter = adapter
         self._health_path = health_path
         self._now = now
+        self._has_crashed = has_crashed
 
     def has_ended(self, target: Target) -> bool:
         """Whether an upstream refuses connections, or has started again.
 
-        One that does not respond is not taken as ended.
+        One that does not respond is not taken as ended, unless others have
+        seen it end.
         """
         if target.is_replaced:
             return True
+        has_ended = self._ask(target)
+        if has_ended is None:
+            return self._has_crashed(target.id)
+        return has_ended
+
+    def _ask(self, target: Target) -> bool | None:
+        """Return whether an upstream has ended, None if it does not respond.
+
+        Without a health path, only the address can be asked.
+        """
         try:
             conn = connections.connect(target.upstream.endpoint)
         except NotConnected as exc:
-            return exc.refused
+            return True if exc.refused else None
         path = self._health_path(target.upstream.service)
         if not path:
             target.keep_new(conn, self._now())
@@ -64,7 +78,7 @@
                 pass
         except (AnswerFailed, NoDataYet):
             conn.close()
-            return False
+            return None
         is_other = head.instance not in ('', target.id)
         has_ended = is_other or head.status == MISDIRECTED
         if has_ended or head.idle_s is None:
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -218,6 +218,12 @@
             for crash in self._crashes.values()
         )
 
+    def has_crashed(self, upstream: str) -> bool:
+        """Whether the start of an upstream with this id has ended."""
+        return upstream in self._crashes or any(
+            upstream in runs for runs in self._late_runs.values()
+        )
+
     def crash_count(self, fingerprint: str) -> int:
         """Return in how many crashes a request was since its last answer."""
         name = request_cause(fingerprint)
