--- a/packages/burdockchute/tests/test_feed_follower.py
+++ b/packages/burdockchute/tests/test_feed_follower.py
@@ -51,17 +51,27 @@
     def sleep(self, seconds):
         self.time += seconds
 
-    def read(self, position, wait_s):
+    def _fails(self, wait_s):
         if self.time > self._until:
             raise Stop
         self.reads.append((self.time, wait_s))
         start, end = self._silent
-        if start <= self.time + wait_s and self.time < end:
+        fails = start <= self.time + wait_s and self.time < end
+        if fails:
             self.time += 0.0 if self._rejects else wait_s + ANSWER_S
+        return fails
+
+    def read_end(self):
+        if self._fails(0.0):
+            return Failure(FeedError('no answer in time'))
+        return Success(Position(0, int(self.time >= self._silent[1])))
+
+    def read(self, position, wait_s):
+        if self._fails(wait_s):
             return Failure(FeedError('no answer in time'))
         if position is None:
             return Success(Batch(Position(0, 0), True, ()))
-        if position.offset == 0 and self.time >= end:
+        if position.offset == 0 and self.time >= self._silent[1]:
             named = VersionRead('story', 2)
             return Success(Batch(Position(0, 1), False, (named,)))
         self.time += wait_s
@@ -89,7 +99,7 @@
     def follower(self, store, updates):
         """Return a follower; `updates` gets each known state and its time."""
         return feed_follower.FeedFollower(
-            Feeds(store.read, store.read),
+            Feeds(store.read, store.read, store.read_end),
             lambda known_state: updates.append((store.time, known_state)),
             store.now,
             random.Random(1),
@@ -269,7 +279,7 @@
         """An upstream that was seen to leave may be in force in the copy."""
         store = ReturningStore()
         follower = feed_follower.FeedFollower(
-            Feeds(store.read, store.read),
+            Feeds(store.read, store.read, mock.Mock()),
             lambda known_state: None,
             store.now,
             random.Random(1),
@@ -285,6 +295,43 @@
         self.assertLess(again, 5.0 + listing.SETTLE_S + 1.0)
 
 
+class ConfirmationTest(unittest.TestCase):
+    """Until when all that the store has is known, by the reads it answers."""
+
+    def confirmed(self, *answers):
+        """Return the times confirmed by answers: seconds taken, and end."""
+        store, pending = ReturningStore(), list(answers)
+        confirmed = []
+
+        def read(position, wait_s):
+            if not pending:
+                raise Stop
+            took_s, end = pending.pop(0)
+            store.time += took_s
+            return Success(Batch(Position(0, end), position is None, ()))
+
+        follower = feed_follower.FeedFollower(
+            Feeds(read, read, mock.Mock()),
+            lambda known_state: None,
+            store.now,
+            random.Random(1),
+            lambda: feed_follower.Cadence(2.0, 0.0),
+            feed_follower.Cadence(2.0, 0.0),
+            confirmed.append,
+        )
+        with mock.patch.object(feed_follower.gevent, 'sleep', store.sleep):
+            with self.assertRaises(Stop):
+                follower.follow_desired_state()
+        return confirmed
+
+    def test_an_answer_without_records_confirms_until_the_wait_ended(self):
+        self.assertEqual([0.0, 2.5], self.confirmed((0.5, 1), (2.1, 1)))
+
+    def test_an_answer_that_was_long_under_way(self):
+        """Its records show when the store made it at the earliest only."""
+        self.assertEqual([0.0, 0.5], self.confirmed((0.5, 1), (2.9, 2)))
+
+
 class FreshStartTest(unittest.TestCase):
     """The store was restored from a copy that misses a key's revocation."""
 
@@ -298,7 +345,7 @@
                 updates.append((round(store.time, 1), version))
 
         store.follower = feed_follower.FeedFollower(
-            Feeds(store.read, store.read),
+            Feeds(store.read, store.read, mock.Mock()),
             changed,
             store.now,
             random.Random(1),
