Streams: a remainder waits for an engine that loads its version

Engines load the newest version. So the remainder of a stream on it waits, up to its caller's deadline, while the agent of an engine expects to open before that. Without such an estimate, or once a newer version is named, it is refused at once as before. Openings at upstreams that a request avoids count for no request.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/openings.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/openings.py
@@ -24,10 +24,13 @@
 
     Agents report when the weights of their engines will probably be loaded.
     Only slots that open early enough for a complete answer before the
-    deadline are counted.
+    deadline are counted. The remainder of a stream may be short, and counts
+    all that open before the deadline.
     """
     spec = pending.spec
-    if not spec.model or spec.exact_version is not None:
+    newest = known.state.history(spec.model).newest
+    if not spec.model or spec.exact_version not in (None, newest):
+        # Engines load the newest version.
         return wait_limits.NO_OPENING
     zones = eligibility.allowed_zones(known, spec)
     opening = [
@@ -35,11 +38,14 @@
         for target in known.targets_of(spec.service)
         if (zones is None or target.upstream.zone in zones)
         and not target.is_withdrawn
-        and (opens_at := _opens_at(target, now)) is not None
+        and not pending.avoids(target)
+        and (opens_at := _opens_at(target, pending.resuming, now)) is not None
     ]
     if not opening:
         return wait_limits.NO_OPENING
-    latest = pending.ctx.deadline - answer_estimate_s(known, pending)
+    latest = pending.ctx.deadline
+    if not pending.resuming:
+        latest -= answer_estimate_s(known, pending)
     slots = sum(slots for opens_at, slots in opening if opens_at <= latest)
     first_at = min(opens_at for opens_at, _slots in opening)
     return wait_limits.Opening(max(0.0, first_at - now), slots / known.entries)
@@ -75,10 +81,16 @@
     )
 
 
-def _opens_at(target: Target, now: float) -> float | None:
+def _opens_at(target: Target, is_resuming: bool, now: float) -> float | None:
     rested_at = now + target.rest_left_s(now)
-    if target.opens_at is not None:
-        return max(target.opens_at, rested_at)
+    estimate = target.opens_at
+    if is_resuming:
+        # Only an estimate of its agent shows that an engine loads what it is
+        # to load next, and not a version that is not known here yet.
+        if estimate is None or estimate + wait_limits.OPENING_GRACE_S < now:
+            return None
+    if estimate is not None:
+        return max(estimate, rested_at)
     # Without an estimate of its agent, a target that accepts no requests is
     # loading, unless that lasts too long.
     closed_s = target.closed_for_s(now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -335,9 +335,7 @@
         now = self._now()
         for item in service_queue.resumed.queued_before(now):
             pending = self.waiting[item.ctx.request_id]
-            if pending.slot.ready() or eligibility.is_servable(
-                self._known, pending, now
-            ):
+            if pending.slot.ready() or self._planner.may_resume(pending, now):
                 continue
             pending.slot.set(
                 self._planner.no_upstream(pending, wait_limits.NO_OPENING, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/wait_planning.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/wait_planning.py
@@ -73,7 +73,7 @@
         service_queue = self._service_queues[pending.spec.service]
         spec = pending.spec
         if pending.resuming:
-            if not eligibility.is_servable(self._known, pending, now):
+            if not self.may_resume(pending, now):
                 return self.no_upstream(pending, wait_limits.NO_OPENING, now)
             return Plan((Stage(service_queue.resumed, deadline - now),), 0.0)
         service_queue.urgency.record_arrival(pending.ctx.priority, now)
@@ -103,6 +103,12 @@
             retry_s,
         )
 
+    def may_resume(self, pending: PendingRequest, now: float) -> bool:
+        """Whether the remainder of a stream may start anywhere in time."""
+        if eligibility.is_servable(self._known, pending, now):
+            return True
+        return openings.next_opening(self._known, pending, now).slots > 0
+
     def may_wait_overdue(self, pending: PendingRequest, now: float) -> bool:
         """Whether one more request may wait among the overdue ones."""
         service_queue = self._service_queues[pending.spec.service]
