--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -125,7 +125,12 @@
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
             self.confirmation.record_confirmed,
         )
-        self.end_check = EndCheck(adapter, self._health_path, now)
+        self.end_check = EndCheck(
+            adapter,
+            self._health_path,
+            now,
+            lambda upstream: self.crash_watch.causes.has_crashed(upstream),
+        )
         self.crash_watch = CrashWatch(
             now,
             self.end_check.has_ended,
