--- /dev/null
+++ b/packages/burdockchute/tests/test_feed_follower_review.py
@@ -0,0 +1,56 @@
+"""Two reads of the desired state at once, over a slow link."""
+
+from __future__ import annotations
+
+import random
+import time
+import unittest
+
+import gevent
+from returns.result import Success
+
+from burdockchute import feed_follower
+from burdockchute.model.feeds import Batch
+from burdockchute.model.feeds import Feeds
+from burdockchute.model.positions import Position
+
+TRANSFER_S = 1.5
+
+
+class LongRecordTest(unittest.TestCase):
+    def setUp(self):
+        self.end = 0
+        self.transfers = 0
+        self.follower = feed_follower.FeedFollower(
+            Feeds(
+                self.read,
+                lambda position, wait_s: Success(Batch(position, False, ())),
+                lambda: Success(Position(0, self.end)),
+            ),
+            lambda known_state: None,
+            time.monotonic,
+            random.Random(1),
+            lambda: feed_follower.Cadence(wait_s=3.0, period_s=0.0),
+            feed_follower.Cadence(wait_s=3.0, period_s=0.0),
+        )
+        greenlet = gevent.spawn(self.follower.follow_desired_state)
+        self.addCleanup(greenlet.kill)
+
+    def read(self, position, wait_s):
+        if position is None:
+            return Success(Batch(Position(0, self.end), True, ()))
+        until = time.monotonic() + wait_s
+        while position.offset == self.end and time.monotonic() < until:
+            gevent.sleep(0.01)
+        if position.offset != self.end:
+            self.transfers += 1
+            gevent.sleep(TRANSFER_S)
+        return Success(Batch(Position(0, self.end), False, ()))
+
+    def test_a_record_that_is_being_received_is_not_read_twice(self):
+        """Each entry put a second megabyte into the link that was full."""
+        gevent.sleep(0.1)
+        self.end = 1
+        gevent.sleep(0.1)
+        self.follower.confirm_desired_state()
+        self.assertEqual(1, self.transfers)
