Routes: the search of a long path begins at the longest prefix

find_route tries each slash of a path and copies what is before it. It now begins at the length of the longest prefix of any route.

--- a/packages/burdockchute/burdockchute/decisions/routing.py
+++ b/packages/burdockchute/burdockchute/decisions/routing.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import sys
 from typing import NamedTuple
 import zlib
 
@@ -28,7 +29,8 @@
 class RouteTable(NamedTuple):
     """A configuration indexed for look-ups.
 
-    `keyholders` has the customers by key, `customers` by name.
+    `keyholders` has the customers by key, `customers` by name. No prefix of a
+    route is longer than `max_prefix_length`.
     """
 
     configuration: Configuration
@@ -36,6 +38,7 @@
     services: Mapping[str, Service]
     keyholders: Mapping[str, Keyholder] | None
     customers: Mapping[str, Keyholder]
+    max_prefix_length: int = sys.maxsize
 
 
 def route_table(configuration: Configuration) -> RouteTable:
@@ -49,6 +52,7 @@
         if holders is None
         else {key: holder for holder in holders for key in holder.keys},
         {holder.name: holder for holder in holders or ()},
+        max((len(route.prefix) for route in configuration.routes), default=0),
     )
 
 
@@ -57,7 +61,9 @@
 
     `path` has no query string; every prefix starts and ends with a slash.
     """
-    end = len(path)
+    # A path may have thousands of slashes, and is looked up at each check of
+    # the regions of a request that waits.
+    end = min(len(path), table.max_prefix_length)
     while True:
         end = path.rfind('/', 0, end)
         if end < 0:
