Regions: a store that is away confirms nothing that is known to be outdated

Answers of agents over full links count by the time of their own probe; before, those that took over 1.5 s were dropped, and the test of late answers expected that. The way to the upstream has 0.5 s. A version that agents name causes no read by itself.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -102,6 +102,7 @@
             lambda message: self.agents.inbox.put(message),
             lambda: self.follower.known_end,
             self.confirmation.record_confirmed,
+            self.confirmation.record_store_away,
             now,
         )
         self.scheduler = Scheduler(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/confirmation_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/confirmation_task.py
@@ -49,6 +49,7 @@
         # When the first read failed since the last confirmation.
         self._unconfirmed_since: float | None = None
         self._was_confirmed = True
+        self._waiting = 0
         self._needed = event.Event()
         self._updated = event.Event()
 
@@ -58,12 +59,19 @@
         self._unconfirmed_since = None
         self._updated.set()
 
+    def record_store_away(self, at: float) -> None:
+        """Record that the store answered nobody at a time."""
+        before = self._state
+        self._state = confirmation.store_away(before, self.version(), at)
+        if self._state is not before:
+            self._unconfirmed_since = None
+            self._updated.set()
+
     def record_version(self, version: int) -> None:
         """Record the version of the configuration that a neighbour knows."""
-        now = self._now()
-        self._state = confirmation.version_reported(self._state, version, now)
-        if confirmation.is_outdated(self._state, self.version(), now):
-            self._needed.set()
+        self._state = confirmation.version_reported(
+            self._state, version, self._now()
+        )
 
     def age_s(self) -> float:
         """Return the seconds since the last confirmation."""
@@ -89,17 +97,23 @@
         Waits until the given time at the most, and not at all if reads have
         failed for a while.
         """
-        while not self.is_confirmed():
-            now = self._now()
-            left_s = min(until, self._waits_until(now)) - now
-            if left_s <= 0:
-                return False
-            self._updated.clear()
-            self._updated.wait(left_s)
-        return True
+        self._waiting += 1
+        try:
+            while not self.is_confirmed():
+                now = self._now()
+                left_s = min(until, self._waits_until(now)) - now
+                if left_s <= 0:
+                    return False
+                self._updated.clear()
+                self._updated.wait(left_s)
+            return True
+        finally:
+            self._waiting -= 1
 
     def _waits_until(self, now: float) -> float:
         """Return until when requests wait for the store to answer."""
+        if confirmation.is_outdated(self._state, self.version(), now):
+            return self._state.reported_at + confirmation.MAX_WAIT_S
         since = self._unconfirmed_since
         max_age_s = confirmation.max_age_s(self._config_apply_s())
         missing_since = max(
@@ -114,18 +128,25 @@
             self._needed.wait()
             self._confirm()
             # What is read may not be as new as others have reported.
-            gevent.sleep(RETRY_INTERVAL_S)
+            is_outdated = confirmation.is_outdated(
+                self._state, self.version(), self._now()
+            )
+            gevent.sleep(
+                MAX_RETRY_INTERVAL_S if is_outdated else RETRY_INTERVAL_S
+            )
 
     def _confirm(self) -> None:
         """Read the store until it answers, or no request needs it."""
         interval_s = RETRY_INTERVAL_S
-        while self._needed.is_set():
+        while self._needed.is_set() or self._waiting:
             self._needed.clear()
             if self._read_store():
                 return
             if self._unconfirmed_since is None:
                 self._unconfirmed_since = self._now()
             self._probe()
+            if self._waiting:
+                interval_s = RETRY_INTERVAL_S
             gevent.sleep(interval_s)
             interval_s = min(2 * interval_s, MAX_RETRY_INTERVAL_S)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/store_probes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/store_probes.py
@@ -17,6 +17,8 @@
 # An agent takes up to 1.4 s to notice that the store does not answer.
 MIN_INTERVAL_S = 1.5
 
+MAX_PROBES = 3
+
 
 class StoreProbes:
     """One probe after the other.
@@ -31,14 +33,18 @@
         send: Callable[[StoreProbeRequested], None],
         known_end: Callable[[], LogEnd | None],
         on_confirmed: Callable[[float], None],
+        on_store_away: Callable[[float], None],
         now: Callable[[], float],
     ) -> None:
         self._send = send
         self._known_end = known_end
         self._on_confirmed = on_confirmed
+        self._on_store_away = on_store_away
+        self._newest_end: LogEnd | None = None
         self._now = now
         self._sent_at = float('-inf')
-        self._probe: Probe | None = None
+        # By the time of sending; answers over full links take seconds.
+        self._probes: dict[float, Probe] = {}
         self._outcome = Outcome.UNKNOWN
 
     def start(self) -> None:
@@ -47,23 +53,32 @@
         now = round(self._now(), 6)
         if now - self._sent_at >= MIN_INTERVAL_S:
             self._sent_at = now
-            self._probe = None
             self._send(StoreProbeRequested(now))
 
     def handle_event(self, event: StoreProbeEvent) -> None:
         """Process that agents were asked, or an agent's answer."""
         known = self._known_end()
         if isinstance(event, StoreProbeSent):
-            if event.sent_at == self._sent_at:
-                self._probe = Probe(event)
-        elif self._probe is not None and known is not None:
-            self._probe = store_probes.on_answer(self._probe, event)
-            self._judge(self._probe, event, known)
+            self._probes[event.sent_at] = Probe(event)
+            while len(self._probes) > MAX_PROBES:
+                del self._probes[next(iter(self._probes))]
+        elif event.sent_at in self._probes and known is not None:
+            probe = store_probes.on_answer(self._probes[event.sent_at], event)
+            self._probes[event.sent_at] = probe
+            self._judge(probe, event, known)
 
     def _judge(
         self, probe: Probe, event: StoreProbeAnswered, known: LogEnd
     ) -> None:
+        if event.end is not None:
+            self._newest_end = max(self._newest_end or event.end, event.end)
         outcome = store_probes.outcome(probe, known)
+        if (
+            outcome is Outcome.STORE_AWAY
+            and self._newest_end is not None
+            and self._newest_end > known
+        ):
+            outcome = Outcome.OUTDATED
         if outcome is not self._outcome:
             self._outcome = outcome
             logs.event(
@@ -76,7 +91,7 @@
                 answers=len(probe.answers),
             )
         if outcome is Outcome.STORE_AWAY:
-            self._on_confirmed(probe.sent.sent_at)
+            self._on_store_away(store_probes.silent_since(probe))
         elif outcome is Outcome.CONFIRMED:
             at = store_probes.confirmed_at(probe, known)
             if at is not None:
--- a/packages/burdockchute-entry/tests/test_confirmation_task.py
+++ b/packages/burdockchute-entry/tests/test_confirmation_task.py
@@ -77,6 +77,7 @@
             self.sent.append,
             lambda: KNOWN,
             self.task.record_confirmed,
+            self.task.record_store_away,
             lambda: self.now,
         )
 
--- a/packages/burdockchute/burdockchute/decisions/confirmation.py
+++ b/packages/burdockchute/burdockchute/decisions/confirmation.py
@@ -17,8 +17,9 @@
 
 from burdockchute.decisions import startup
 
-# From the check of a request to its arrival at the upstream.
-TRANSIT_S = 0.25
+# From the check of a request to its arrival at the upstream, over links that
+# are busy.
+TRANSIT_S = 0.5
 
 # A confirmation is renewed at this part of its age, before it expires: the
 # read may fail, and its repetition takes a second.
@@ -55,6 +56,21 @@
     return before._replace(confirmed_at=max(at, before.confirmed_at))
 
 
+def store_away(before: Confirmation, version: int, at: float) -> Confirmation:
+    """Return the state after the store was found to answer nobody.
+
+    No configuration is saved then, but one may have been saved before that
+    this process has not read.
+
+    >>> state = Confirmation(reported=8)
+    >>> [store_away(state, version, 3.0).confirmed_at for version in (7, 8)]
+    [-inf, 3.0]
+    """
+    if before.reported > version:
+        return before
+    return confirmed(before, at)
+
+
 def version_reported(
     before: Confirmation, version: int, now: float
 ) -> Confirmation:
@@ -89,7 +105,7 @@
     `config_apply_s` is the time after which a saved configuration is in force.
 
     >>> max_age_s(3.0)
-    2.75
+    2.5
     """
     return max(config_apply_s - TRANSIT_S, config_apply_s / 2)
 
@@ -100,7 +116,7 @@
     """Whether no newer configuration than `version` can be in force.
 
     >>> state = Confirmation(confirmed_at=1.0)
-    >>> [is_confirmed(state, 7, 2.0, now) for now in (2.7, 2.8)]
+    >>> [is_confirmed(state, 7, 2.0, now) for now in (2.4, 2.6)]
     [True, False]
     """
     return not is_outdated(state, version, now) and (
--- a/packages/burdockchute/burdockchute/decisions/store_probes.py
+++ b/packages/burdockchute/burdockchute/decisions/store_probes.py
@@ -78,6 +78,13 @@
     )
 
 
+def silent_since(probe: Probe) -> float:
+    """Return when the first of the reads that failed may have begun."""
+    return probe.sent.sent_at - max(
+        (answer.age_s for answer in probe.answers.values()), default=0.0
+    )
+
+
 def outcome(probe: Probe, known: LogEnd) -> Outcome:
     """Return what the answers show of a log that is known to end somewhere."""
     ends = {answer.end for answer in probe.answers.values()}
