Callers' server: connections that wait to be accepted are answered at the end

Two windows were left since idle connections are closed: the system has set up a connection that a busy process has not accepted, and resets it when the process stops to listen; and a request comes on a new connection after the process has closed the idle ones, so only the exit ends it, 0.25 s later.

The server now accepts all connections that are set up before it stops to listen, and waits for up to 0.3 s until its connections have ended. New ones without a request are closed after that, kept ones at once, as before.

The tests of both windows failed with the sequence of before (close, close_idle, a pause of 0.02 s), with a reset of the connection.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -413,11 +413,9 @@
         while self.callers.open_requests and time.monotonic() < deadline:
             gevent.sleep(POLL_S)
         unfinished = self.callers.open_requests
-        callers.close()
         # A request that arrives while the process exits would get no answer
         # until its connection is closed at the very end.
-        callers.close_idle()
-        gevent.sleep(POLL_S)
+        callers.finish()
         self.agents.close()
         logs.event(
             'stopped',
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -8,6 +8,7 @@
 from http import client
 import logging
 import socket as sockets
+import time
 from typing import Any
 
 import gevent
@@ -31,6 +32,11 @@
 MAX_DISCARD_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 1.0
 
+# How long a process that ends waits for its connections to end. A request on
+# a new connection arrives within this time.
+FINISH_S = 0.3
+FINISH_POLL_S = 0.02
+
 SOCKET_KEY = 'burdockchute.socket'
 # The request target and the headers as received; the server's own form of
 # them has lost escapes and the case of names.
@@ -47,12 +53,51 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        # The sockets of connections that wait for their next request.
+        # The sockets of all connections, of those that wait for a request, and
+        # of those on which none has come yet.
+        self.connections: set[Any] = set()
         self.idle: set[Any] = set()
+        self.unused: set[Any] = set()
+
+    def do_handle(self, client_socket: Any, address: Any) -> None:
+        """Handle a connection in a greenlet of its own."""
+        self.connections.add(client_socket)
+        self.unused.add(client_socket)
+        super().do_handle(client_socket, address)
+
+    def do_close(self, client_socket: Any, *args: Any) -> None:
+        """Close a connection that has been handled."""
+        self.connections.discard(client_socket)
+        self.unused.discard(client_socket)
+        super().do_close(client_socket, *args)
+
+    def finish(self) -> None:
+        """Stop accepting, answer what has arrived and close connections.
+
+        Connections that the system has set up are accepted first. A request
+        may be on its way on those that have had none yet. What is still open
+        after FINISH_S is left as it is.
+        """
+        self.stop_accepting()
+        try:
+            while accepted := self.do_read():
+                self.do_handle(*accepted)
+        except OSError as exc:
+            _log.warning('a connection was not accepted: %s', exc)
+        self.close()
+        until = time.monotonic() + FINISH_S
+        while self.connections and time.monotonic() < until:
+            self._close_connections(self.idle - self.unused)
+            gevent.sleep(FINISH_POLL_S)
+        self.close_idle()
+        gevent.sleep(FINISH_POLL_S)
 
     def close_idle(self) -> None:
         """Close idle connections; a request that has arrived is answered."""
-        for sock in list(self.idle):
+        self._close_connections(self.idle)
+
+    def _close_connections(self, socks: set[Any]) -> None:
+        for sock in list(socks):
             try:
                 # gevent's method would also discard what has arrived.
                 sock._sock.shutdown(sockets.SHUT_RD)
@@ -193,6 +238,7 @@
             return ''
         finally:
             self.server.idle.discard(self.socket)
+            self.server.unused.discard(self.socket)
 
     def read_request(self, raw_requestline: str) -> Any:
         # A caller that sends its headers one by one, slowly, could otherwise
