Bodies and streams: a limit on bytes that come without end

The deadline was only checked in pauses, so that a body that trickled, or a stream that repeated events, was read until its server stopped. An event had no limit, and anything between two blank lines counted as one and was forwarded. The body of a refusal was read to its end while a caller waited.

An answer that goes on 0.25 s after its deadline now ends its attempt as a failure. Events with a new id are forwarded however long a stream is.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
@@ -14,7 +14,6 @@
 from burdockchute.model.exchanges import MISDIRECTED
 from burdockchute.upstreams import connections
 from burdockchute.upstreams.connections import AnswerFailed
-from burdockchute.upstreams.connections import Connection
 from burdockchute.upstreams.connections import NoDataYet
 from burdockchute.upstreams.connections import NotConnected
 from burdockchute_entry.straight.targets import Target
@@ -23,9 +22,6 @@
 # check waits for a slot; callers must not wait for that.
 ANSWER_TIMEOUT_S = 0.25
 
-# Health checks are answered with a few bytes.
-MAX_BODY_BYTES = 64 * 1024
-
 
 class EndCheck:
     """Asks upstreams whether they have ended.
@@ -64,7 +60,7 @@
         try:
             conn.send(data, 'GET', lambda status, headers: True)
             head = self._adapter.decode_answer(*conn.read_head())
-            self._skip_body(conn)
+            conn.discard_body(ANSWER_TIMEOUT_S)
         except (AnswerFailed, NoDataYet) as exc:
             conn.close()
             if isinstance(exc, AnswerFailed) and not exc.closed_by_upstream:
@@ -77,11 +73,3 @@
         else:
             target.keep(conn, head.idle_s, self._now())
         return has_ended
-
-    def _skip_body(self, conn: Connection) -> None:
-        until = self._now() + ANSWER_TIMEOUT_S
-        size = 0
-        while part := conn.read_body_part():
-            size += len(part)
-            if size > MAX_BODY_BYTES or self._now() > until:
-                raise AnswerFailed('the health check does not end', False)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/handover.py
@@ -14,11 +14,13 @@
 
 import gevent
 
+from burdockchute.decisions import health
 from burdockchute.decisions import wait_limits
 from burdockchute.model.exchanges import AnswerHead
 from burdockchute.upstreams.connections import AnswerFailed
 from burdockchute.upstreams.events import Event
 from burdockchute.upstreams.events import EventSplitter
+from burdockchute.upstreams.events import InvalidEvent
 from burdockchute_entry.straight.attempts import NotExecuted
 from burdockchute_entry.straight.attempts import OnInterrupted
 from burdockchute_entry.straight.attempts import OutcomeUnknown
@@ -49,6 +51,8 @@
         self._sender = sender
         self._splitter = EventSplitter()
         self._has_events = False
+        # When the event began to arrive that is not complete.
+        self._partial_since = 0.0
 
     @property
     def upstream(self) -> str:
@@ -72,11 +76,26 @@
                     self.sent, self._splitter.partial_event, self._has_events
                 )
                 return EventBatch([], True)
-            events = self._splitter.feed(data)
+            events = self._read_events(data)
             if events:
                 self._has_events = True
                 self._sender.mark_started(self.sent)
                 return EventBatch(events, False)
+            if self._sender.has_exceeded_deadline(self.sent):
+                return None
+
+    def _read_events(self, data: bytes) -> list[Event]:
+        now = self.sent.slot.target.last_received_at
+        had_partial_event = bool(self._splitter.partial_event)
+        try:
+            events = self._splitter.feed(data)
+        except InvalidEvent as exc:
+            raise AnswerFailed(str(exc), False) from exc
+        if events or not had_partial_event:
+            self._partial_since = now
+        elif now - self._partial_since > health.SILENT_S:
+            raise AnswerFailed('an event does not end', False)
+        return events
 
 
 class Continuation(NamedTuple):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -18,6 +18,7 @@
 from burdockchute.decisions import retries
 from burdockchute.decisions import versions
 from burdockchute.decisions.answer_ends import BrokenOff
+from burdockchute.decisions.answer_ends import DeadlineCheck
 from burdockchute.decisions.answer_ends import Framing
 from burdockchute.decisions.crash_evidence import AnswerTime
 from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
@@ -116,6 +117,7 @@
         self.pending = PendingRequest(ctx, work, spec)
         self._deps = deps
         self._has_caller_left = has_caller_left
+        self._deadline_check = DeadlineCheck(ctx.deadline + ANSWER_GRACE_S)
         # For how long the answer on each connection has been arriving.
         self._answering: dict[Connection, AnswerTime] = {}
         # Whether an answer has been arriving for longer than a request that
@@ -301,11 +303,7 @@
             time_left_s=max(MIN_TIME_LEFT_S, self.ctx.deadline - sent.sent_at),
             version=sent.slot.version,
             resume_after=self.last_event,
-            urgency=_urgency(
-                self.ctx.priority
-                if self.pending.lent_priority is None
-                else self.pending.lent_priority
-            ),
+            urgency=self.pending.urgency,
         )
         data = self._deps.adapter.encode_request(self.inbound, forwarded)
         if self.sends == 1:
@@ -388,6 +386,8 @@
                         f'answer exceeds {MAX_ANSWER_BYTES} bytes', False
                     )
                 parts.append(data)
+                if self.has_exceeded_deadline(sent):
+                    return None
             if data is None:
                 return None
             self._check_complete(sent)
@@ -397,6 +397,14 @@
             if not complete:
                 self.holding.give_back(Use.ANSWERS, size)
 
+    def has_exceeded_deadline(self, sent: SentRequest) -> bool:
+        """Whether an answer goes on after its deadline, which is a failure."""
+        target = sent.slot.target
+        exceeded = self._deadline_check.is_exceeded(target.last_received_at)
+        if exceeded:
+            target.record_failure(target.last_received_at)
+        return exceeded
+
     def check_stream_complete(
         self, sent: SentRequest, partial_event: bytes, has_events: bool
     ) -> None:
@@ -584,14 +592,12 @@
         # The head of the answer is sufficient. A fault in its body only costs
         # the connection.
         try:
-            body = self.read_body(sent)
-        except AnswerFailed:
-            body = None
-        if body is not None:
-            self.holding.give_back(Use.ANSWERS, len(body))
+            sent.conn.discard_body(POLL_INTERVAL_S)
             self._keep_connection(sent, head)
-        else:
+        except (AnswerFailed, NoDataYet) as exc:
             sent.conn.close()
+            if isinstance(exc, AnswerFailed) and not exc.closed_by_upstream:
+                sent.slot.target.record_failure(self._deps.now())
 
     def mark_broken(
         self, sent: SentRequest, exc: AnswerFailed
@@ -629,9 +635,3 @@
 
     def _elapsed_s(self, sent: SentRequest) -> float:
         return self._deps.now() - sent.sent_at
-
-
-def _urgency(priority: int) -> int:
-    # The priority of a context rises with urgency; in configurations, 0 is
-    # the most urgent.
-    return min(9, max(0, -priority))
--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -142,6 +142,15 @@
         self.lent_priority: int | None = None
         self.slot: events.AsyncResult = events.AsyncResult()
 
+    @property
+    def urgency(self) -> int:
+        """The urgency by which the engine admits it, 0 is the most urgent."""
+        priority = self.lent_priority
+        if priority is None:
+            priority = self.ctx.priority
+        # The priority of a context rises with urgency.
+        return min(9, max(0, -priority))
+
     def avoids(self, target: Target) -> bool:
         """Whether the request already failed on a target."""
         return target.id in self.avoided
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -44,6 +44,10 @@
 # Interval between checks whether the remainder has started elsewhere.
 HANDOVER_POLL_S = 0.05
 
+# The remainder of a stream repeats a few events; an upstream that ignores
+# where it is resumed repeats all that the caller has.
+MAX_REPEATED_BYTES = 256 * 1024
+
 # Interval between handover attempts while the upstream stays silent.
 HANDOVER_RETRY_S = 0.5
 
@@ -103,6 +107,8 @@
         self._handover_tried_at: float | None = None
         self._last_loss: OutcomeUnknown | None = None
         self._last_event_at = 0.0
+        # Size of the events since the last new one.
+        self._repeated_bytes = 0
         self._tokens_per_event = deps.scheduler.tokens_per_event(
             sender.pending.spec.service
         )
@@ -129,6 +135,9 @@
                 events = self._unseen(batch.events)
                 if events:
                     self._record_gap()
+                    self._repeated_bytes = 0
+                elif not batch.complete:
+                    self._count_repeated(batch.events)
                 yield from self._emit(events)
             self._cancel_handover()
             assert self._run is not None
@@ -192,6 +201,18 @@
             if not event.id.isdigit() or int(event.id) > int(last)
         ]
 
+    def _count_repeated(self, events: list[Event]) -> None:
+        """Fail a run that only repeats events; raises StreamBroken."""
+        self._repeated_bytes += sum(len(event.data) for event in events)
+        if self._run is None:
+            return
+        if self._sender.has_exceeded_deadline(self._run.sent):
+            raise StreamBroken('deadline exceeded')
+        if self._repeated_bytes > MAX_REPEATED_BYTES:
+            self._repeated_bytes = 0
+            reason = f'{MAX_REPEATED_BYTES} bytes of repeated events'
+            self._on_run_failed(AnswerFailed(reason, False))
+
     def _emit(self, events: list[Event]) -> Iterator[bytes]:
         if not events:
             return
--- a/packages/burdockchute/burdockchute/decisions/answer_ends.py
+++ b/packages/burdockchute/burdockchute/decisions/answer_ends.py
@@ -13,6 +13,8 @@
 import enum
 from typing import NamedTuple
 
+LATE_PARTS_S = 0.25
+
 
 class Framing(enum.Enum):
     """What marks the end of an answer."""
@@ -38,6 +40,31 @@
 AnswerEnd = Complete | BrokenOff
 
 
+class DeadlineCheck:
+    """Detects an answer whose parts go on after its deadline.
+
+    A process that was suspended first reads what has arrived meanwhile, so an
+    answer goes on only once parts have been late for LATE_PARTS_S.
+    """
+
+    def __init__(self, deadline: float) -> None:
+        self._deadline = deadline
+        self._late_since: float | None = None
+
+    def is_exceeded(self, received_at: float) -> bool:
+        """Whether it is exceeded, given when a part was received.
+
+        >>> check = DeadlineCheck(8.0)
+        >>> [check.is_exceeded(at) for at in (7.9, 9.0, 9.2, 9.3)]
+        [False, False, False, True]
+        """
+        if received_at <= self._deadline:
+            return False
+        if self._late_since is None:
+            self._late_since = received_at
+        return received_at - self._late_since > LATE_PARTS_S
+
+
 def judge(
     framing: Framing,
     partial_event: bytes = b'',
--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -25,6 +25,7 @@
 from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.answer_ends import Framing
 from burdockchute.upstreams.events import EventSplitter
+from burdockchute.upstreams.events import InvalidEvent
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -149,6 +150,8 @@
             yield event.data
     except _NETWORK_ERRORS as exc:
         raise _to_answer_failed(exc) from exc
+    except InvalidEvent as exc:
+        raise AnswerFailed(str(exc)) from exc
 
 
 _NETWORK_ERRORS = (OSError, TimeoutError, responses.HTTPParseError)
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -43,6 +43,9 @@
 # to an earlier request is rare.
 MAX_SKIPPED_ANSWERS = 16
 
+# Longest body that is read only to reuse the connection.
+MAX_DISCARDED_BYTES = 64 * 1024
+
 # Most bytes that may arrive in succession without one of a body: a head,
 # informational answers, chunk extensions and trailers.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -201,6 +204,20 @@
             if not self._receive(parser, until) and not parser.is_complete:
                 raise AnswerFailed('ended within the answer', True)
 
+    def discard_body(self, timeout_s: float) -> None:
+        """Read the body to its end.
+
+        Raises AnswerFailed, also if it is too long or its parts arrive for
+        longer than `timeout_s`, or NoDataYet after a poll interval without
+        data.
+        """
+        until = time.monotonic() + timeout_s
+        size = 0
+        while data := self.read_body_part():
+            size += len(data)
+            if size > MAX_DISCARDED_BYTES or time.monotonic() > until:
+                raise AnswerFailed('the body does not end', False)
+
     @property
     def framing(self) -> Framing:
         """What marked the end of the answer that was read."""
