HTTP clients: a limit on the bytes of a reply

The library reads a head to its end, however long it is, and a body was read without a limit on its size; in parts also without one on its time. A reply of the store, the engine or the origin of weights now has 64 KiB for its head and 16 MiB for its body, and a body that is read in parts 60 s.

--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -21,6 +21,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import reply_limits
+
 CONNECT_TIMEOUT_S = 2.0
 
 # The library makes one attempt more than the size of its pool says.
@@ -29,6 +31,9 @@
 # At 1 Mbit/s, the rate to which the slowest links drop, this takes 0.13 s.
 PART_BYTES = 16 * 1024
 
+# A body of 2 MB takes 16 s over such a link.
+MAX_BODY_S = 60.0
+
 
 class RawReply(NamedTuple):
     """Status, body and headers of a response; header names in lower case."""
@@ -78,6 +83,7 @@
         connection_timeout=connect_s,
         network_timeout=None,
     )
+    reply_limits.limit_replies(client)
     if not with_retries:
         # The library retries once for each connection of its pool and once
         # more. It has no setting for that.
@@ -109,16 +115,19 @@
     """Make one request; retries only as `make_client` describes.
 
     With `part_timeout_s`, `timeout_s` limits the time to the head of the
-    response and `part_timeout_s` the time for each PART_BYTES of its body.
+    response and `part_timeout_s` the time for each PART_BYTES of its body,
+    which also has MAX_BODY_S in total.
     """
     response = None
     try:
         with gevent.Timeout(timeout_s):
             response = client.request(method, path, body)
+            reply_limits.allow_body(response)
             if part_timeout_s is None:
                 data = bytes(response.read())
         if part_timeout_s is not None:
-            data = _read_in_parts(response, part_timeout_s)
+            with gevent.Timeout(MAX_BODY_S):
+                data = _read_in_parts(response, part_timeout_s)
         return Success(
             RawReply(
                 response.status_code,
