Calls, orders, origin and links: a limit on bytes that come without end

The older clients of engines and of the store of weights read heads, lines of a stream, states and chunks without a limit on their size. The Hello of a link had a time limit for each of its bytes only; it now has 64 KiB and the silence timeout in total.

The tests pass; they were not run on the code before.

--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -50,6 +50,9 @@
 
 NOT_READ = 'timed out'
 
+# A Hello has a few hundred bytes.
+MAX_HELLO_BYTES = 64 * 1024
+
 _LENGTH = struct.Struct('>I')
 _READ_BYTES = 256 * 1024
 
@@ -356,8 +359,10 @@
 ) -> Link:
     sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
     sock.settimeout(DIAL_TIMEOUT_S)
-    sock.sendall(encode_frame(hello))
-    peer = _read_message(sock)
+    # The timeout of the socket starts anew with each byte.
+    with gevent.Timeout(SILENCE_TIMEOUT_S, TimeoutError('no hello in time')):
+        sock.sendall(encode_frame(hello))
+        peer = _read_message(sock, MAX_HELLO_BYTES)
     if not isinstance(peer, messages.Hello):
         raise wire.WireError(f'got {type(peer).__name__} in place of Hello')
     if peer.protocol != PROTOCOL:
@@ -373,10 +378,10 @@
     return _LENGTH.pack(len(data)) + data
 
 
-def _read_message(sock: Any) -> Any:
+def _read_message(sock: Any, max_bytes: int) -> Any:
     # Bytes after the first frame are left for the task that reads the link.
     header = _read_exactly(sock, _LENGTH.size)
-    return wire.decode(_read_exactly(sock, _parse_length(header)))
+    return wire.decode(_read_exactly(sock, _parse_length(header, max_bytes)))
 
 
 def _read_exactly(sock: Any, size: int) -> bytes:
@@ -405,9 +410,11 @@
         buffer += data
 
 
-def _parse_length(header: bytes | bytearray) -> int:
+def _parse_length(
+    header: bytes | bytearray, max_bytes: int = wire.MAX_FRAME_BYTES
+) -> int:
     (length,) = _LENGTH.unpack(header)
-    if length > wire.MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise wire.WireError(f'frame of {length!r} bytes is too long')
     return length
 
--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -21,14 +21,19 @@
 from geventhttpclient import response as responses
 import sseclient
 
+from burdockchute import reply_limits
 from burdockchute.decisions import answer_ends
 from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.answer_ends import Framing
 from burdockchute.upstreams.events import EventSplitter
 from burdockchute.upstreams.events import InvalidEvent
+from burdockchute.upstreams.events import MAX_EVENT_BYTES
 
 CONNECT_TIMEOUT_S = 1.0
 
+# What the chunks of a body take beside it.
+MAX_FRAMING_BYTES = 64 * 1024
+
 # Answers with these end with their headers.
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -133,6 +138,7 @@
 
 def read_body(reply: Reply, limit: int) -> bytes:
     """Read the body of a plain reply; raises AnswerFailed."""
+    reply_limits.allow_body(reply.response, limit + MAX_FRAMING_BYTES)
     try:
         data = reply.response.read(limit + 1)
     except _NETWORK_ERRORS as exc:
@@ -159,13 +165,15 @@
 
 def _to_answer_failed(exc: BaseException) -> AnswerFailed:
     reason = str(exc) or type(exc).__name__
-    return AnswerFailed(reason, crashed=not isinstance(exc, TimeoutError))
+    stopped = (TimeoutError, reply_limits.ReplyTooLong)
+    return AnswerFailed(reason, crashed=not isinstance(exc, stopped))
 
 
 class _SingleUseClient(geventhttpclient.HTTPClient):
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.connected = False
+        reply_limits.limit_replies(self)
         self._open_socket = self._connection_pool.get_socket
         pool: Any = self._connection_pool
         pool.get_socket = self._get_socket_once
@@ -190,7 +198,10 @@
 def _lines(reply: Reply) -> Iterator[bytes]:
     # An event ends with an empty line. readline returns each line as soon as
     # it has arrived; a read of a fixed size would delay tokens.
-    while line := reply.response.readline(b'\n'):
+    while True:
+        reply_limits.allow_body(reply.response, MAX_EVENT_BYTES)
+        if not (line := reply.response.readline(b'\n')):
+            break
         yield bytes(line)
     # At the end of the answer, readline leaves a line without its end.
     yield bytes(reply.response.read())
--- a/packages/burdockchute/burdockchute/upstreams/orders.py
+++ b/packages/burdockchute/burdockchute/upstreams/orders.py
@@ -19,6 +19,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import reply_limits
+
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
 
@@ -85,6 +87,7 @@
             connection_timeout=CONNECT_TIMEOUT_S,
             network_timeout=READ_TIMEOUT_S,
         )
+        reply_limits.limit_replies(self._client)
 
     def state(self) -> Result[EngineState, EngineError]:
         """Read the weights that are loaded and being loaded."""
@@ -119,6 +122,7 @@
             resp = self._client.request(
                 method, self._prefix + path, body or None, headers
             )
+            reply_limits.allow_body(resp)
             data = bytes(resp.read())
         except Exception as exc:
             # The client raises errors of several unrelated types when a
--- a/packages/burdockchute/burdockchute/weights/origin.py
+++ b/packages/burdockchute/burdockchute/weights/origin.py
@@ -14,6 +14,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import reply_limits
 from burdockchute.model.findings import Finding
 from burdockchute.model.findings import render_all
 from burdockchute.weights import manifest as manifests
@@ -24,6 +25,8 @@
 # read that receives no byte for this long has failed. By then the next reader
 # in order has taken over the chunk, so nothing waits for this timeout.
 READ_TIMEOUT_S = 20.0
+# What the chunks of a body take beside it, or the text of an error.
+MAX_FRAMING_BYTES = 64 * 1024
 
 
 class OriginError(NamedTuple):
@@ -47,10 +50,13 @@
             connection_timeout=CONNECT_TIMEOUT_S,
             network_timeout=READ_TIMEOUT_S,
         )
+        reply_limits.limit_replies(self._client)
 
     def manifest(self, digest: str) -> Result[Manifest, OriginError]:
         """Read a manifest and verify it against its digest."""
-        reply = self._get(f'/manifests/{digest}', {}, 200)
+        reply = self._get(
+            f'/manifests/{digest}', {}, 200, reply_limits.MAX_BODY_BYTES
+        )
         if isinstance(reply, Failure):
             return reply
         parsed = manifests.parse(reply.unwrap(), digest)
@@ -62,7 +68,9 @@
         """Read one chunk; its length is checked, its digest is not."""
         start, end = manifests.chunk_range(manifest, index)
         headers = {'Range': f'bytes={start}-{end - 1}'}
-        reply = self._get(f'/blobs/{manifest.digest}', headers, 206)
+        path = f'/blobs/{manifest.digest}'
+        max_bytes = end - start + MAX_FRAMING_BYTES
+        reply = self._get(path, headers, 206, max_bytes)
         if isinstance(reply, Failure):
             return reply
         data = reply.unwrap()
@@ -76,10 +84,15 @@
         self._client.close()
 
     def _get(
-        self, path: str, headers: dict[str, str], expected_status: int
+        self,
+        path: str,
+        headers: dict[str, str],
+        expected_status: int,
+        max_bytes: int,
     ) -> Result[bytes, OriginError]:
         try:
             resp = self._client.get(self._prefix + path, headers=headers)
+            reply_limits.allow_body(resp, max_bytes)
             data = bytes(resp.read())
         except Exception as exc:
             # The client raises errors of several unrelated types when a
--- a/packages/burdockchute/tests/test_links.py
+++ b/packages/burdockchute/tests/test_links.py
@@ -9,6 +9,7 @@
 
 import gevent
 from gevent import queue
+from gevent import server
 
 from burdockchute.decisions import flow_control
 from burdockchute.nodes import fragments
@@ -49,6 +50,26 @@
         link.pace(pace)
         return link
 
+    def test_hello_that_trickles_is_not_waited_for(self):
+        """Each byte began the time limit anew, and no link was opened."""
+
+        def trickle(sock, _address):
+            sock.sendall(links.encode_frame(HELLO)[:3])
+            try:
+                while True:
+                    sock.sendall(b'\0')
+                    gevent.sleep(0.1)
+            except OSError:
+                sock.close()
+
+        listener = server.StreamServer(('127.0.0.1', 0), trickle)
+        listener.start()
+        self.addCleanup(listener.stop, 0.1)
+        self.port = listener.server_port
+        with mock.patch.object(links, 'SILENCE_TIMEOUT_S', 0.5):
+            with gevent.Timeout(2.0):
+                self.assertRaises(links.LinkError, self.dial)
+
     def test_messages_arrive_in_order(self):
         link = self.dial()
         for number in range(50):
--- a/packages/burdockchute/tests/upstreams/test_calls.py
+++ b/packages/burdockchute/tests/upstreams/test_calls.py
@@ -5,11 +5,17 @@
 import socket
 import unittest
 
+import gevent
 from gevent import server
+from returns.result import Failure
 
 from burdockchute.upstreams import calls
+from burdockchute.upstreams.orders import EngineClient
+from burdockchute.weights.manifest import Manifest
+from burdockchute.weights.origin import Origin
 
 STALL_S = 0.3
+LIMIT_S = 2.0
 
 
 class CallsTest(unittest.TestCase):
@@ -66,6 +72,69 @@
                 reply = self.send(self.serve(head.encode()))
                 self.assertEqual(rest_s, reply.rest_s)
 
+    def serve_without_end(self, head: bytes, piece: bytes) -> str:
+        def handle(sock: socket.socket, _address: object) -> None:
+            sock.recv(65536)
+            sock.sendall(head)
+            try:
+                while True:
+                    sock.sendall(piece)
+            except OSError:
+                sock.close()
+
+        listening = server.StreamServer(('127.0.0.1', 0), handle)
+        listening.start()
+        self.addCleanup(listening.stop, 0.1)
+        return f'http://127.0.0.1:{listening.server_port}'
+
+    def test_head_without_end_fails(self):
+        """Its lines filled the memory of the agent."""
+        url = self.serve_without_end(
+            b'HTTP/1.1 200 OK\r\n', b'More: of it\r\n' * 1000
+        )
+        with gevent.Timeout(LIMIT_S):
+            with self.assertRaises(calls.AnswerFailed) as caught:
+                self.send(url)
+        self.assertFalse(caught.exception.crashed)
+
+    def test_event_without_end_fails(self):
+        """It filled the memory of the agent."""
+        url = self.serve_without_end(
+            b'HTTP/1.1 200 OK\r\n\r\ndata: a\n\n', b'x' * 65536
+        )
+        with gevent.Timeout(LIMIT_S):
+            found = calls.events(self.send(url))
+            self.assertEqual('a', next(found))
+            with self.assertRaises(calls.AnswerFailed) as caught:
+                next(found)
+        self.assertFalse(caught.exception.crashed)
+
+    def test_lines_of_an_event_without_end_fail(self):
+        """They filled the memory of the agent."""
+        url = self.serve_without_end(
+            b'HTTP/1.1 200 OK\r\n\r\n', b'data: more of it\n' * 1000
+        )
+        with gevent.Timeout(LIMIT_S):
+            with self.assertRaises(calls.AnswerFailed):
+                next(calls.events(self.send(url)))
+
+    def test_state_of_an_engine_without_end_fails(self):
+        """It filled the memory of the agent."""
+        url = self.serve_without_end(b'HTTP/1.1 200 OK\r\n\r\n', b' ' * 65536)
+        client = EngineClient(url)
+        self.addCleanup(client.close)
+        with gevent.Timeout(LIMIT_S):
+            self.assertIsInstance(client.state(), Failure)
+
+    def test_chunk_of_weights_without_end_fails(self):
+        """It filled the memory of the agent."""
+        url = self.serve_without_end(b'HTTP/1.1 206 X\r\n\r\n', b'x' * 65536)
+        origin = Origin(url)
+        self.addCleanup(origin.close)
+        manifest = Manifest('d', 'm', 100, 100, ('c',), 'sha256')
+        with gevent.Timeout(LIMIT_S):
+            self.assertIsInstance(origin.chunk(manifest, 0), Failure)
+
     def test_short_body_fails(self):
         # The upstream crashes in the middle of its answer. If the part that
         # arrived were forwarded, the caller would take it for complete.
