Crash watch: a request on trial begins where no other does

A request that shows whether a part is sound began beside others, and was in the crash of one of them.

Such a request now begins where no other begins for 0.5 s, as requests in two crashes do for 1 s. Later requests are no candidates of its crash.

One entry isolates only its own requests; those of other entries may still begin there.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -46,6 +46,14 @@
 # The store answers within this time, or is away.
 MAX_READ_WAIT_S = 0.7
 
+# An upstream crashes within this time of being sent a request that crashes it,
+# unless it queues the request.
+ISOLATION_S = 1.0
+
+# Requests that begin this much later are no candidates of its crash. Requests
+# with unproven parts are many where entries have just started.
+TRIAL_ISOLATION_S = JUST_BEGUN_S
+
 # An upstream crashes, and the crash is judged, within this time.
 TRIAL_S = 1.0
 # A trial may end without an answer, and another one begin.
@@ -203,9 +211,15 @@
         count = self.causes.crash_count(ctx.fingerprint)
         return count < MIN_CRASHES
 
-    def must_be_isolated(self, ctx: RequestContext) -> bool:
-        """Whether a request has to run where no other one begins."""
-        return self.causes.must_be_isolated(ctx.fingerprint)
+    def isolated_s(self, ctx: RequestContext) -> float:
+        """Return for how long no other request may begin where one does.
+
+        It is 0 for most requests. One that shows whether a part is sound must
+        not be in a crash that another request causes.
+        """
+        if self.causes.must_be_isolated(ctx.fingerprint):
+            return ISOLATION_S
+        return TRIAL_ISOLATION_S if self.has_unproven_part(ctx) else 0.0
 
     def wait_until_judged(self, ctx: RequestContext) -> None:
         """Wait until crashes are judged that say something of a request.
@@ -221,7 +235,7 @@
         """Wait until this entry knows of earlier crashes, and judged them."""
         if not self.is_informed.is_set():
             self.is_informed.wait(MAX_READ_WAIT_S)
-        if self.must_be_isolated(ctx):
+        if self.causes.must_be_isolated(ctx.fingerprint):
             self.wait_until_judged(ctx)
 
     # Evidence of this entry.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -132,7 +132,7 @@
                 503,
                 confirmation.RETRY_S,
             )
-        if pending.is_isolated:
+        if pending.isolated_s:
             slot = self._assigner.take_isolated_slot(pending, self._now())
             if slot is not None:
                 return slot
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -140,7 +140,7 @@
         while True:
             if refusal := self._crash_refusal():
                 return refusal
-            self.pending.is_isolated = crash_watch.must_be_isolated(self.ctx)
+            self.pending.isolated_s = crash_watch.isolated_s(self.ctx)
             slot = self._deps.scheduler.wait_for_slot(
                 self.pending, self.ctx.deadline
             )
@@ -265,9 +265,8 @@
     def _hedge_at(self, slot: Slot, now: float) -> float | None:
         if not self._deps.scheduler.hedges or not self.route.may_repeat:
             return None
-        if (
-            self.pending.is_isolated
-            or self._deps.crash_watch.has_unproven_part(self.ctx)
+        if self.pending.isolated_s or self._deps.crash_watch.has_unproven_part(
+            self.ctx
         ):
             return None
         expected_s = slot.target.usual_first_event_s(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -123,8 +123,8 @@
     `avoided` are the targets that failed the request. `rejected` gives, by
     target, when one had no capacity for it. `is_new` is set while the
     request may be on time, `is_overdue` while it waits in the overdue queue,
-    `resuming` once its caller has received a part of the answer. With
-    `is_isolated` no other request may begin where it does.
+    `resuming` once its caller has received a part of the answer. No
+    other request may begin where it does for `isolated_s`.
     """
 
     def __init__(
@@ -138,7 +138,7 @@
         self.is_new = False
         self.is_overdue = False
         self.resuming = False
-        self.is_isolated = False
+        self.isolated_s = 0.0
         # Priority by which the engine admits it, if not its own.
         self.lent_priority: int | None = None
         self.slot: events.AsyncResult = events.AsyncResult()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -34,10 +34,6 @@
 # is a fiftieth of the usual objective.
 ASSIGN_DELAY_S = 0.01
 
-# An upstream crashes within this time of being sent a request that crashes it,
-# unless it queues the request.
-ISOLATION_S = 1.0
-
 # A request whose target has no headroom does not block those behind it. At
 # most this many requests of a queue are skipped in one round.
 MAX_SKIPPED = 16
@@ -205,7 +201,9 @@
         )
         slot = self.take_slot(pending, target, now)
         target.load.reserved_for = pending.ctx.request_id
-        gevent.spawn_later(ISOLATION_S, self.end_isolation, pending, target)
+        gevent.spawn_later(
+            pending.isolated_s, self.end_isolation, pending, target
+        )
         return slot
 
     def end_isolation(self, pending: PendingRequest, target: Target) -> None:
--- a/packages/burdockchute/tests/decisions/crash_simulation.py
+++ b/packages/burdockchute/tests/decisions/crash_simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 import random
 from typing import NamedTuple
@@ -33,10 +34,10 @@
 class Scenario(NamedTuple):
     """What happens besides sound requests, `rate` of them in a second.
 
-    `crashing` requests come again and again. Engines end by themselves at
-    random, `faults` in a second, and at the times in `ends` by engine. Of
-    the requests with a part that crashes engines, `part_rate` come in a
-    second, no two alike.
+    `crashing` requests come again and again from `begin_s` on. Of those with
+    a part that crashes engines, `part_rate` come in a second from then on, no
+    two alike. Engines end by themselves at random, `faults` in a second, and
+    at the times in `ends` by engine.
     """
 
     crashing: int = 0
@@ -45,6 +46,7 @@
     faults: float = 0.0
     ends: tuple[tuple[int, float], ...] = ()
     part_rate: float = 0.0
+    begin_s: float = 5.0
 
 
 class Outcome(NamedTuple):
@@ -103,7 +105,8 @@
     def play(self) -> Outcome:
         for number in range(self._scenario.crashing):
             request = self._request(f'bad{number}')
-            self._waiting.append(_Waiting(5.0 + 0.1 * number, request, 0, 0))
+            begin_s = self._scenario.begin_s + 0.1 * number
+            self._waiting.append(_Waiting(begin_s, request, 0, 0))
         ends = sorted(self._scenario.ends, key=lambda end: end[1])
         for step in range(round(RUN_S / STEP_S)):
             now = step * STEP_S
@@ -111,7 +114,7 @@
                 self._count += 1
                 request = self._request(f'good{self._count}')
                 self._waiting.append(_Waiting(now, request, 0, 0))
-            if now > 5 and self._rng.random() < (
+            if now > self._scenario.begin_s and self._rng.random() < (
                 self._scenario.part_rate * STEP_S
             ):
                 self._count += 1
@@ -160,10 +163,11 @@
             self._come_again(item, now)
             return
         engine = self._rng.choice(up)
-        if self._causes.must_be_isolated(name):
+        isolated_s = self._isolated_s(name, causes)
+        if isolated_s:
             loads = collections.Counter(run.engine for run in self._running)
             engine = min(up, key=lambda n: loads[n])
-            self._isolated_until[engine] = now + 1.0
+            self._isolated_until[engine] = now + isolated_s
         for cause in causes:
             if self._causes.is_unproven(cause):
                 self._trials[cause] = now + 1.0
@@ -184,6 +188,12 @@
             )
         )
 
+    def _isolated_s(self, name: str, causes: Iterable[str]) -> float:
+        if self._causes.must_be_isolated(name):
+            return 1.0
+        is_trial = any(map(self._causes.is_unproven, causes))
+        return crash_evidence.JUST_BEGUN_S if is_trial else 0.0
+
     def _come_again(self, item: _Waiting, now: float) -> None:
         is_crashing = item.request.fingerprint.startswith('bad')
         if is_crashing or item.attempts + 1 < CALLER_ATTEMPTS:
--- a/packages/burdockchute/tests/decisions/test_crashing_requests.py
+++ b/packages/burdockchute/tests/decisions/test_crashing_requests.py
@@ -172,6 +172,25 @@
     def test_requests_beside_a_part(self):
         self.assert_limits(Scenario(2, part_rate=2.0))
 
+    def test_part_at_entries_that_have_just_started(self):
+        """Nobody has seen an answer on any part yet."""
+        self.assert_limits(Scenario(engines=6, part_rate=3.0, begin_s=0.3))
+
+    def test_sound_parts_at_entries_that_have_just_started(self):
+        """They are in three crashes by chance, and were refused mostly.
+
+        Requests on trial began beside others.
+        """
+        scenario = Scenario(
+            3, engines=6, rate=20.0, faults=0.5, part_rate=3.0, begin_s=0.3
+        )
+        seeds = range(20)
+        refused = sum(
+            bool(crash_simulation.play(scenario, seed).refused)
+            for seed in seeds
+        )
+        self.assertLess(refused, len(seeds) / 2)
+
     def test_part_beside_crashes_of_other_causes(self):
         self.assert_limits(Scenario(engines=12, faults=0.3, part_rate=2.0))
 
