--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -102,6 +102,7 @@
             lambda message: self.agents.inbox.put(message),
             lambda: self.follower.known_end,
             self.confirmation.record_confirmed,
+            self.confirmation.record_store_away,
             now,
         )
         self.scheduler = Scheduler(
@@ -125,7 +126,12 @@
             Cadence(wait_s, UPSTREAMS_PERIOD_S, SETTLING_S),
             self.confirmation.record_confirmed,
         )
-        self.end_check = EndCheck(adapter, self._health_path, now)
+        self.end_check = EndCheck(
+            adapter,
+            self._health_path,
+            now,
+            lambda upstream: self.crash_watch.causes.has_crashed(upstream),
+        )
         self.crash_watch = CrashWatch(
             now,
             self.end_check.has_ended,
@@ -408,11 +414,9 @@
         while self.callers.open_requests and time.monotonic() < deadline:
             gevent.sleep(POLL_S)
         unfinished = self.callers.open_requests
-        callers.close()
         # A request that arrives while the process exits would get no answer
         # until its connection is closed at the very end.
-        callers.close_idle()
-        gevent.sleep(POLL_S)
+        callers.finish()
         self.agents.close()
         logs.event(
             'stopped',
