--- a/packages/burdockchute-entry/burdockchute_entry/straight/confirmation_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/confirmation_task.py
@@ -54,7 +54,7 @@
         self._updated = event.Event()
 
     def record_confirmed(self, at: float) -> None:
-        """Record until when all that the store has is known."""
+        """Record that all that was stored before a time has been read."""
         self._state = confirmation.confirmed(self._state, at)
         self._unconfirmed_since = None
         self._updated.set()
@@ -78,7 +78,10 @@
         return self._state.age_s(self._now())
 
     def is_confirmed(self) -> bool:
-        """Whether no newer configuration can be in force; renews it."""
+        """Whether no newer configuration can be in force.
+
+        Has the store asked again if the confirmation is half over.
+        """
         now, version = self._now(), self.version()
         bound_s = self._config_apply_s()
         if confirmation.needs_renewal(self._state, version, bound_s, now):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/eligibility.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/eligibility.py
@@ -117,7 +117,7 @@
     return zones is None or target.upstream.zone in zones
 
 
-def has_regions(known: KnownTargets, pending: PendingRequest) -> bool:
+def is_region_restricted(known: KnownTargets, pending: PendingRequest) -> bool:
     """Whether a request may run in some regions only."""
     return allowed_zones(known, pending.spec) is not None
 
@@ -127,7 +127,7 @@
 
     That depends on the evacuations and allowed regions in force.
     """
-    if has_regions(known, pending):
+    if is_region_restricted(known, pending):
         return True
     return bool(known.state.evacuated) and any(
         target.evacuated_at is not None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -238,7 +238,7 @@
         One that is restricted needs a confirmed configuration.
         """
         is_allowed = eligibility.is_allowed(self._known, pending, target)
-        if self._confirmation is None or not eligibility.has_regions(
+        if self._confirmation is None or not eligibility.is_region_restricted(
             self._known, pending
         ):
             return is_allowed
@@ -357,7 +357,7 @@
     def _wait_until_confirmed(
         self, pending: PendingRequest, deadline: float
     ) -> bool:
-        if self._confirmation is None or not eligibility.has_regions(
+        if self._confirmation is None or not eligibility.is_region_restricted(
             self._known, pending
         ):
             return True
--- a/packages/burdockchute-entry/burdockchute_entry/straight/store_probes.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/store_probes.py
@@ -21,11 +21,12 @@
 
 
 class StoreProbes:
-    """One probe after the other.
+    """Sends one probe after another and judges the answers.
 
     `send` asks the agents. `known_end` returns the end of the log up to which
-    the entry has read it, and `on_confirmed` is called with the time until
-    which that is known to be the newest.
+    the entry has read it. `on_confirmed` is called with a time at which that
+    was still the end, `on_store_away` with one at which the store answered
+    nobody.
     """
 
     def __init__(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/target_choice.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/target_choice.py
@@ -124,7 +124,9 @@
             targets,
             lambda target: self.view(target, now, by_urgency=by_urgency),
             now,
-            lambda pending: eligibility.has_regions(self._known, pending),
+            lambda pending: eligibility.is_region_restricted(
+                self._known, pending
+            ),
         )
 
     def choose(
--- a/packages/burdockchute/burdockchute/feed_follower.py
+++ b/packages/burdockchute/burdockchute/feed_follower.py
@@ -81,6 +81,7 @@
 # Once the store has something new, the read that stays open gets this long to
 # return it before another one is sent.
 OPEN_READ_GRACE_S = 0.7
+OPEN_READ_POLL_S = 0.01
 
 
 def max_open_read_s(contact_s: float) -> float:
@@ -195,8 +196,8 @@
 class _Feed:
     """One feed, and how far it has been read.
 
-    `confirmed_at` is the time until which all that the store had is known.
-    Several reads may be open at once; the position is that of the newest.
+    All that was stored before `confirmed_at` has been read. Several reads may
+    be open at once; the position is that of the newest.
     `read_end` is set for a feed with long records.
     """
 
@@ -264,8 +265,8 @@
 
     `desired_state_cadence` returns None while other processes report the
     desired state, so that it need not be read. `on_confirmed` is called after
-    each answer of the store, with the time until which the desired state is
-    known.
+    each answer of the store: all of the desired state that was stored before
+    the given time has been read.
     """
 
     def __init__(
@@ -330,9 +331,9 @@
     def confirm_desired_state(self) -> bool:
         """Ask the store for news at once; whether it has answered.
 
-        The read that stays open may have gone silent, and is noticed only
-        when its wait is over. If the last one has failed, the next ones read
-        what is new themselves.
+        The read that stays open may have gone silent, which is noticed only
+        when its wait is over. After a failed read, the reads that follow it
+        return what is new, and this one adds nothing.
         """
         feed = self._desired_state
         read_from = feed.cursor.position
@@ -368,12 +369,12 @@
     def _is_read_meanwhile(self, feed: _Feed, end: Position) -> bool:
         """Whether the open read returns what is new.
 
-        Another read of a long configuration would slow the open one, so that
-        is waited for while its answer arrives.
+        Another read of a long configuration would slow the open one. So it is
+        waited for while its answer arrives.
         """
         until = self._now() + OPEN_READ_GRACE_S
         while self._now() < until or self._is_receiving():
-            gevent.sleep(NEIGHBOURS_POLL_S)
+            gevent.sleep(OPEN_READ_POLL_S)
             position = feed.cursor.position
             if position is not None and position >= end:
                 return True
