--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -22,7 +22,7 @@
 from burdockchute.decisions.crash_causes import fingerprint_of
 from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
-from burdockchute.feed_follower import Cursor
+from burdockchute.feed_state import Cursor
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import CauseAnswered
--- a/packages/burdockchute/burdockchute/feed_follower.py
+++ b/packages/burdockchute/burdockchute/feed_follower.py
@@ -23,20 +23,18 @@
 
 import gevent
 from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
 
 from burdockchute import logs
 from burdockchute import metrics
 from burdockchute.decisions import listing
 from burdockchute.decisions import startup
+from burdockchute.feed_state import Contact
+from burdockchute.feed_state import Feed
+from burdockchute.feed_state import StoreReturn
 from burdockchute.model import known_state as state_updates
 from burdockchute.model.agent_requirements import AgentRequirements
 from burdockchute.model.feeds import Batch
-from burdockchute.model.feeds import FeedError
 from burdockchute.model.feeds import Feeds
-from burdockchute.model.feeds import ReadEnd
-from burdockchute.model.feeds import ReadFeed
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.known_state import PeerReport
 from burdockchute.model.known_state import StateChange
@@ -56,10 +54,6 @@
 MAX_RETRY_INTERVAL_S = 0.8
 MIN_RETRY_DELAY_S = 0.05
 
-# Contact counts as lost after this time without an answer.
-CONTACT_TIMEOUT_S = 1.5
-
-
 # For this long after the store's return, reads of the list are answered at
 # once: expired upstreams are listed again, or dropped by the read after that.
 SETTLING_S = listing.SETTLE_S + 0.7
@@ -111,155 +105,6 @@
     settling_s: float = 0.0
 
 
-class Cursor:
-    """The position from which to read a feed; None for a complete read."""
-
-    def __init__(self) -> None:
-        self.position: Position | None = None
-        self._era: int | None = None
-
-    def expire(self) -> None:
-        """Start over, as the store no longer has the position."""
-        self.position = None
-
-    def advance(self, position: Position) -> bool:
-        """Set the position; true if the store was restored from a copy."""
-        restored = self._era is not None and position.era != self._era
-        self.position = position
-        self._era = position.era
-        return restored
-
-
-class StoreReturn(NamedTuple):
-    """Whether a batch is the first one after the store's return.
-
-    `regained` marks the first answer after an outage, `restored` the first
-    one of a store that was restored from a copy.
-    """
-
-    regained: bool
-    restored: bool
-
-
-class Contact:
-    """Whether one feed answers, and when it last did."""
-
-    def __init__(self, name: str, now: float) -> None:
-        self.lost = False
-        self._name = name
-        self._answered_at = now
-
-    def age_s(self, now: float) -> float:
-        """Return the seconds since the feed last answered."""
-        return now - self._answered_at
-
-    def on_answered(self, now: float) -> bool:
-        """Record an answer; true if contact had been lost."""
-        regained = self.lost
-        if regained:
-            logs.event(
-                'dependency_regained',
-                dependency=self._name,
-                away_s=round(self.age_s(now), 2),
-            )
-        self._answered_at = now
-        self.lost = False
-        return regained
-
-    def on_restored(self, position: Position) -> None:
-        """Log that the store was restored from a copy."""
-        logs.warn(
-            'dependency_restored',
-            dependency=self._name,
-            era=position.era,
-            position=position.offset,
-            kept_s=listing.SETTLE_S,
-        )
-
-    def skip(self, now: float) -> None:
-        """Record that the feed isn't read, so that its age doesn't grow."""
-        self._answered_at = now
-
-    def on_failed(self, error: FeedError, now: float) -> None:
-        """Record a failed read."""
-        silent_s = self.age_s(now)
-        if not self.lost and silent_s > CONTACT_TIMEOUT_S:
-            self.lost = True
-            logs.warn(
-                'dependency_lost',
-                dependency=self._name,
-                reason=error.reason,
-                age_s=round(silent_s, 2),
-            )
-
-
-class _Feed:
-    """One feed, and how far it has been read.
-
-    All that was stored before `confirmed_at` has been read. Several reads may
-    be open at once; the position is that of the newest.
-    `read_end` is set for a feed with long records.
-    """
-
-    def __init__(
-        self,
-        read: ReadFeed,
-        contact: Contact,
-        apply: Callable[[Batch, StoreReturn, float], None],
-        read_end: ReadEnd | None = None,
-    ) -> None:
-        self.read = read
-        self._read_end = read_end
-        self.contact = contact
-        self.apply = apply
-        self.cursor = Cursor()
-        self.confirmed_at = float('-inf')
-        self.full_read_at = float('inf')
-        self.failures = 0
-
-    def read_urgently(self) -> Result[Batch, FeedError]:
-        """Read without waiting for a change, from a store that may be away.
-
-        The changes may be long, and read for longer than it takes to notice
-        that the store does not answer. So they are only read if it does.
-        """
-        position = self.cursor.position
-        if self._read_end is not None and position is not None:
-            end = self._read_end()
-            if isinstance(end, Failure):
-                return end
-            if end.unwrap() == position:
-                return Success(Batch(position, False, ()))
-        return self.read(position, 0.0)
-
-    def on_answer(
-        self,
-        batch: Batch,
-        read_from: Position | None,
-        confirmed_at: float,
-        now: float,
-    ) -> StoreReturn:
-        """Apply what a read from a position returned."""
-        self.failures = 0
-        regained = self.contact.on_answered(now)
-        restored = False
-        if not self._is_overtaken(batch, read_from):
-            restored = self.cursor.advance(batch.position)
-            if restored:
-                self.contact.on_restored(batch.position)
-                self.full_read_at = now + listing.SETTLE_S
-            self.apply(batch, StoreReturn(regained, restored), now)
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        return StoreReturn(regained, restored)
-
-    def _is_overtaken(self, batch: Batch, read_from: Position | None) -> bool:
-        """Whether another read has returned as much since this one began."""
-        position = self.cursor.position
-        if read_from is None or position is None or position == read_from:
-            return False
-        return batch.position <= position
-
-
 class FeedFollower:
     """Keeps `known_state` and calls `changed` with each new value.
 
@@ -297,13 +142,13 @@
         self._read_end = feeds.desired_state_end
         self._store_era = feeds.store_era
         self._is_receiving = feeds.is_receiving
-        self._desired_state = _Feed(
+        self._desired_state = Feed(
             feeds.desired_state,
             self.desired_state_contact,
             self._apply_desired_state,
             feeds.desired_state_end,
         )
-        self._upstreams = _Feed(
+        self._upstreams = Feed(
             feeds.upstreams, self.upstreams_contact, self._apply_upstreams
         )
 
@@ -366,7 +211,7 @@
             return None
         return LogEnd(self._store_era(), end.unwrap().offset)
 
-    def _is_read_meanwhile(self, feed: _Feed, end: Position) -> bool:
+    def _is_read_meanwhile(self, feed: Feed, end: Position) -> bool:
         """Whether the open read returns what is new.
 
         Another read of a long configuration would slow the open one. So it is
@@ -403,7 +248,7 @@
         )
 
     def _follow(
-        self, feed: _Feed, current_cadence: Callable[[], Cadence | None]
+        self, feed: Feed, current_cadence: Callable[[], Cadence | None]
     ) -> None:
         settled_at = float('-inf')
         while True:
@@ -448,7 +293,7 @@
             if batch.changes or not wait_s:
                 gevent.sleep(cadence.period_s)
 
-    def _report_confirmed(self, feed: _Feed) -> None:
+    def _report_confirmed(self, feed: Feed) -> None:
         position = feed.cursor.position
         if feed is self._desired_state and position is not None:
             self.known_end = LogEnd(self._store_era(), position.offset)
--- a/packages/burdockchute/tests/test_open_reads.py
+++ b/packages/burdockchute/tests/test_open_reads.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from burdockchute import feed_follower
+from burdockchute import feed_state
 from burdockchute.model.feeds import Batch
 from burdockchute.model.feeds import FeedError
 from burdockchute.model.feeds import Feeds
@@ -91,6 +92,6 @@
     def test_one_rejected_read_does_not_lose_contact(self):
         """Agents of entries without contact read all from the store."""
         gevent.sleep(0.05)
-        self.now = feed_follower.CONTACT_TIMEOUT_S + 0.1
+        self.now = feed_state.CONTACT_TIMEOUT_S + 0.1
         self.follower.confirm_desired_state()
         self.assertFalse(self.follower.desired_state_contact.lost)
