--- a/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
@@ -14,6 +14,7 @@
 from burdockchute.model.exchanges import MISDIRECTED
 from burdockchute.upstreams import connections
 from burdockchute.upstreams.connections import AnswerFailed
+from burdockchute.upstreams.connections import Connection
 from burdockchute.upstreams.connections import NoDataYet
 from burdockchute.upstreams.connections import NotConnected
 from burdockchute_entry.straight.targets import Target
@@ -22,12 +23,16 @@
 # check waits for a slot; callers must not wait for that.
 ANSWER_TIMEOUT_S = 0.25
 
+# Health checks are answered with a few bytes.
+MAX_BODY_BYTES = 64 * 1024
+
 
 class EndCheck:
     """Asks upstreams whether they have ended.
 
     `health_path` returns the path of the health checks of a service, empty if
-    it has none.
+    it has none. `has_crashed` tells whether the end of an upstream has been
+    reported by its id; it decides where the upstream does not respond.
     """
 
     def __init__(
@@ -35,22 +40,35 @@
         adapter: Adapter,
         health_path: Callable[[str], str],
         now: Callable[[], float],
+        has_crashed: Callable[[str], bool] = lambda upstream: False,
     ) -> None:
         self._adapter = adapter
         self._health_path = health_path
         self._now = now
+        self._has_crashed = has_crashed
 
     def has_ended(self, target: Target) -> bool:
         """Whether an upstream refuses connections, or has started again.
 
-        One that does not respond is not taken as ended.
+        One that does not respond is not taken as ended, unless others have
+        seen it end.
         """
         if target.is_replaced:
             return True
+        has_ended = self._ask(target)
+        if has_ended is None:
+            return self._has_crashed(target.id)
+        return has_ended
+
+    def _ask(self, target: Target) -> bool | None:
+        """Return whether an upstream has ended, None if it does not respond.
+
+        Without a health path, only the address can be asked.
+        """
         try:
             conn = connections.connect(target.upstream.endpoint)
         except NotConnected as exc:
-            return exc.refused
+            return True if exc.refused else None
         path = self._health_path(target.upstream.service)
         if not path:
             target.keep_new(conn, self._now())
@@ -60,11 +78,12 @@
         try:
             conn.send(data, 'GET', lambda status, headers: True)
             head = self._adapter.decode_answer(*conn.read_head())
-            while conn.read_body_part():
-                pass
-        except (AnswerFailed, NoDataYet):
+            self._skip_body(conn)
+        except (AnswerFailed, NoDataYet) as exc:
             conn.close()
-            return False
+            if isinstance(exc, AnswerFailed) and not exc.closed_by_upstream:
+                target.record_failure(self._now())
+            return None
         is_other = head.instance not in ('', target.id)
         has_ended = is_other or head.status == MISDIRECTED
         if has_ended or head.idle_s is None:
@@ -72,3 +91,11 @@
         else:
             target.keep(conn, head.idle_s, self._now())
         return has_ended
+
+    def _skip_body(self, conn: Connection) -> None:
+        until = self._now() + ANSWER_TIMEOUT_S
+        size = 0
+        while part := conn.read_body_part():
+            size += len(part)
+            if size > MAX_BODY_BYTES or self._now() > until:
+                raise AnswerFailed('the health check does not end', False)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -33,6 +33,7 @@
 from burdockchute.upstreams.connections import AnswerFailed
 from burdockchute.upstreams.connections import Connection
 from burdockchute.upstreams.connections import HeaderList
+from burdockchute.upstreams.connections import MAX_ANSWER_BYTES
 from burdockchute.upstreams.connections import NoDataYet
 from burdockchute.upstreams.connections import NotConnected
 from burdockchute.upstreams.connections import POLL_INTERVAL_S
@@ -54,9 +55,6 @@
 from burdockchute_entry.straight.service_queues import RequestSpec
 from burdockchute_entry.straight.service_queues import Slot
 
-# Longest body of a plain answer, which is buffered until it is complete.
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-
 # An upstream answers by itself when the time limit sent to it is over. Its
 # answer is more specific than ours, so it gets this much extra time.
 ANSWER_GRACE_S = 0.1
@@ -122,7 +120,7 @@
         self._answering: dict[Connection, AnswerTime] = {}
         # Whether an answer has been arriving for longer than a request that
         # crashes its upstream takes.
-        self._has_outlasted = False
+        self.has_outlasted = False
         # Rejections of the remainder of an interrupted stream.
         self._rejections = 0
 
@@ -430,8 +428,8 @@
     def mark_started(self, sent: SentRequest) -> None:
         """Record events of the answer: the prompt was processed."""
         lasted_s = self._record_answering(sent.conn)
-        if lasted_s > JUST_BEGUN_S and not self._has_outlasted:
-            self._has_outlasted = True
+        if lasted_s > JUST_BEGUN_S and not self.has_outlasted:
+            self.has_outlasted = True
             self._deps.crash_watch.answer_complete(
                 self.ctx, True, is_whole=False
             )
