Tests: a Hello that trickles has a length

The four bytes were read as the length of an empty message, so that the test passed on the code before.

--- a/packages/burdockchute/tests/test_links.py
+++ b/packages/burdockchute/tests/test_links.py
@@ -54,7 +54,7 @@
         """Each byte began the time limit anew, and no link was opened."""
 
         def trickle(sock, _address):
-            sock.sendall(links.encode_frame(HELLO)[:3])
+            sock.sendall((1000).to_bytes(4, 'big'))
             try:
                 while True:
                     sock.sendall(b'\0')
