--- a/packages/burdockchute/burdockchute/feed_follower.py
+++ b/packages/burdockchute/burdockchute/feed_follower.py
@@ -178,7 +178,7 @@
 
         The read that stays open may have gone silent, which is noticed only
         when its wait is over. After a failed read, the reads that follow it
-        return what is new, and this one adds nothing.
+        return what is new; this one only confirms that there is nothing.
         """
         feed = self._desired_state
         read_from = feed.cursor.position
