--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -248,7 +248,7 @@
 def run_case(main: Callable[[], int]) -> None:
     """Run a case and exit with its status; 2 if it could not run."""
     # The processes that it has started end with it.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    signal.signal(signal.SIGTERM, _stop)
     try:
         status = main()
     except Exception as exc:
@@ -257,6 +257,12 @@
     sys.exit(status)
 
 
+def _stop(number: int, _frame: object) -> None:
+    # A second signal must not interrupt the end of the processes.
+    signal.signal(number, signal.SIG_IGN)
+    sys.exit(2)
+
+
 def is_ready(entry: Program) -> bool:
     """Whether an entry answers the platform's question with 200."""
     try:
