Logs: sends of suspected requests, and crashes that are taken for known ones

Neither left a line, so what was sent between the end of a refusal and the next judgement was found by arithmetic, and a crash of a server that kept its id could not be told from one that was not noticed.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -159,6 +159,13 @@
         Others with an unproven part of its prompt wait meanwhile.
         """
         now = self._now()
+        if crashes := self.causes.crash_count(ctx.fingerprint):
+            logs.event(
+                'suspect_sent',
+                request_id=ctx.request_id,
+                fingerprint=ctx.fingerprint,
+                crashes=crashes,
+            )
         self._trials = {
             name: trial
             for name, trial in self._trials.items()
@@ -329,6 +336,15 @@
     ) -> None:
         # Several agents relay each report.
         news = [item for item in lost if self.causes.crashed(item, at)]
+        if source == 'own':
+            for item in lost:
+                if item not in news:
+                    logs.event(
+                        'upstream_crash_known',
+                        upstream=item.upstream,
+                        fingerprint=item.fingerprint,
+                        late=item.is_late,
+                    )
         if not news:
             return
         for item in news:
