Crashes: servers that start again under their ids are told apart

Cause: crashes were kept by the id of the server, so a further crash was taken for the known one, which the first request explained. Servers may keep their ids; the list names the time of each start.

Ends of starts have names of their own now (ended_starts): they differ by the time of start, where it is known, and by the time at which a request was sent, as an entry may still know the start before. Reports to other entries name the start; earlier releases ignore it.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -211,9 +211,14 @@
             for part in news.parts
         )
         if news.upstream:
-            ran_s = (news.ran_ms or 0) / 1000
             self._on_lost_request(
-                LostRequest(news.fingerprint, news.upstream, parts, ran_s)
+                LostRequest(
+                    news.fingerprint,
+                    news.upstream,
+                    parts,
+                    (news.ran_ms or 0) / 1000,
+                    started_ms=news.started_ms,
+                )
             )
         else:
             self._on_answered_request(AnsweredRequest(news.fingerprint, parts))
@@ -324,4 +329,5 @@
         False,
         parts,
         int(report.ran_s * 1000),
+        report.started_ms,
     )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -130,7 +130,7 @@
             adapter,
             self._health_path,
             now,
-            lambda upstream: self.crash_watch.causes.has_crashed(upstream),
+            lambda *start: self.crash_watch.causes.has_crashed(*start),
         )
         self.crash_watch = CrashWatch(
             now,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -71,18 +71,20 @@
     """The requests that an upstream lost, and when the first one was."""
 
     at: float
+    sent_at: float
     requests: list[LostRequest]
 
 
 class CrashWatch:
     """The requests and parts of prompts that this entry refuses, and why.
 
-    `has_ended` tells whether an upstream has ended. `publish` sends a report
-    to the other entries. `on_suspicion` is called with each crash that is
-    learned of, `on_changed` with each cause that this entry begins or ceases
-    to refuse on its own evidence, and for how many seconds. `count_upstreams`
-    returns how many upstreams are known. `on_cleared` is called with each
-    cause in several crashes that this entry sees answered.
+    `has_ended` tells whether an upstream that a request was sent to at a time
+    has ended. `publish` sends a report to the other entries. `on_suspicion` is
+    called with each crash that is learned of, `on_changed` with each cause
+    that this entry begins or ceases to refuse on its own evidence, and for how
+    many seconds. `count_upstreams` returns how many upstreams are known.
+    `on_cleared` is called with each cause in several crashes that this entry
+    sees answered.
 
     `is_informed` is not set while an entry that has just started does not know
     yet what others know of earlier crashes.
@@ -91,7 +93,7 @@
     def __init__(
         self,
         now: Callable[[], float],
-        has_ended: Callable[[Target], bool],
+        has_ended: Callable[[Target, float], bool],
         publish: Callable[
             [LostRequest | AnsweredRequest], None
         ] = lambda report: None,
@@ -114,8 +116,9 @@
         self._trials: dict[str, _Trial] = {}
         # Set, and replaced, with each trial that ends before its time.
         self._trial_ended = event.Event()
-        # What upstreams have lost while they are checked, by their ids.
-        self._losses: dict[str, _Loss] = {}
+        # What upstreams have lost while they are checked. Two starts of one
+        # may have the same id.
+        self._losses: dict[Target, _Loss] = {}
         # When the next judgement is due.
         self._decide_at = float('inf')
         # Set while no crash is being checked or judged.
@@ -274,11 +277,19 @@
             part._replace(is_answered=self.causes.was_answered(part.name))
             for part in ctx.prompt_parts
         )
-        lost = LostRequest(ctx.fingerprint, target.id, parts, ran_s, is_late)
-        if target.id in self._losses:
-            self._losses[target.id].requests.append(lost)
+        lost = LostRequest(
+            ctx.fingerprint,
+            target.id,
+            parts,
+            ran_s,
+            is_late,
+            target.upstream.started_ms,
+        )
+        if target in self._losses:
+            self._losses[target].requests.append(lost)
             return
-        self._losses[target.id] = _Loss(self._now(), [lost])
+        now = self._now()
+        self._losses[target] = _Loss(now, now - ran_s, [lost])
         self._is_settled.clear()
         gevent.spawn(self._check, target)
 
@@ -322,8 +333,8 @@
 
     def _check(self, target: Target) -> None:
         gevent.sleep(COLLECT_S)
-        has_crashed = self._has_ended(target)
-        loss = self._losses.pop(target.id)
+        has_crashed = self._has_ended(target, self._losses[target].sent_at)
+        loss = self._losses.pop(target)
         if has_crashed:
             self._record_crash(loss.requests, loss.at, 'own')
             self._on_suspicion()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
@@ -23,12 +23,16 @@
 ANSWER_TIMEOUT_S = 0.25
 
 
+HasCrashed = Callable[[str, int | None, float], bool]
+
+
 class EndCheck:
     """Asks upstreams whether they have ended.
 
     `health_path` returns the path of the health checks of a service, empty if
     it has none. `has_crashed` tells whether the end of an upstream has been
-    reported by its id; it decides where the upstream does not respond.
+    reported, by its id, its time of start and when a request was sent to it;
+    it decides where the upstream does not respond.
     """
 
     def __init__(
@@ -36,24 +40,25 @@
         adapter: Adapter,
         health_path: Callable[[str], str],
         now: Callable[[], float],
-        has_crashed: Callable[[str], bool] = lambda upstream: False,
+        has_crashed: HasCrashed = lambda upstream, started_ms, sent_at: False,
     ) -> None:
         self._adapter = adapter
         self._health_path = health_path
         self._now = now
         self._has_crashed = has_crashed
 
-    def has_ended(self, target: Target) -> bool:
+    def has_ended(self, target: Target, sent_at: float) -> bool:
         """Whether an upstream refuses connections, or has started again.
 
         One that does not respond is not taken as ended, unless others have
-        seen it end.
+        seen it end after a request was sent to it at `sent_at`.
         """
         if target.is_replaced:
             return True
         has_ended = self._ask(target)
         if has_ended is None:
-            return self._has_crashed(target.id)
+            started_ms = target.upstream.started_ms
+            return self._has_crashed(target.id, started_ms, sent_at)
         return has_ended
 
     def _ask(self, target: Target) -> bool | None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -427,7 +427,9 @@
             sent.conn.framing,
             partial_event,
             lacks_events,
-            lambda: self._deps.end_check.has_ended(sent.slot.target),
+            lambda: self._deps.end_check.has_ended(
+                sent.slot.target, sent.sent_at
+            ),
         )
         if isinstance(end, BrokenOff):
             raise AnswerFailed(end.reason, end.crashed)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -40,7 +40,6 @@
 from burdockchute_entry.straight.sending import Dependencies
 from burdockchute_entry.straight.sending import Sender
 from burdockchute_entry.straight.service_queues import Slot
-from burdockchute_entry.straight.targets import Target
 
 # Interval between checks whether the remainder has started elsewhere.
 HANDOVER_POLL_S = 0.05
@@ -272,11 +271,11 @@
         self._last_loss = self._sender.mark_broken(sent, exc)
         if exc.closed_by_upstream:
             self._upstream_ended = True
-            self._excuse_run(sent.slot.target)
+            self._excuse_run(sent)
         if self._handover is None:
             self._start_handover_or_fail(self._last_loss)
 
-    def _excuse_run(self, target: Target) -> None:
+    def _excuse_run(self, sent: SentRequest) -> None:
         """Leave one attempt more if the upstream of the last one has ended.
 
         The platform's limit of attempts does not count such upstreams. A
@@ -286,7 +285,9 @@
         is_last = 1 < sender.route.max_attempts <= sender.runs
         if not is_last or sender.uncounted_runs or not self._may_resume:
             return
-        if sender.has_outlasted and self._deps.end_check.has_ended(target):
+        if sender.has_outlasted and self._deps.end_check.has_ended(
+            sent.slot.target, sent.sent_at
+        ):
             sender.uncounted_runs = 1
 
     def _start_handover_or_fail(self, loss: OutcomeUnknown) -> None:
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -22,6 +22,7 @@
 from burdockchute.decisions.crash_evidence import MAX_CRASHES_IN_TURN
 from burdockchute.decisions.crash_evidence import Run
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
+from burdockchute.decisions.ended_starts import EndedStarts
 from burdockchute.model.crash_reports import LostRequest
 
 # A request that was in this many crashes is run where no other begins, so that
@@ -87,12 +88,14 @@
 
     def __init__(self) -> None:
         self.upstreams = 1
+        self._ended_starts = EndedStarts()
+        # By the names of ended starts, as the late runs below.
         self._crashes: dict[str, _Crash] = {}
         # The newest crash of each request and part.
         self._crashed_at: dict[str, float] = {}
         self._answered_at: dict[str, float] = {}
         # Runs that ended with their upstream long after they had begun, by
-        # request and upstream; a whole answer removes those of its request.
+        # request and ended start; a whole answer removes those of its request.
         self._late_runs: dict[str, dict[str, Run]] = {}
         self._refused_until: dict[str, float] = {}
 
@@ -101,12 +104,13 @@
     def crashed(self, lost: LostRequest, at: float) -> bool:
         """Record a request that an upstream had just begun when it crashed.
 
-        Reports of several entries on one upstream are one crash: each start
-        of an upstream has an id of its own. Returns whether this one is news.
+        Reports of several entries on one start of an upstream are one crash.
+        Returns whether this one is news.
         """
+        start = self._ended_starts.record(lost, at)
         if lost.is_late:
-            return self._crashed_late(lost, at)
-        crash = self._crashes.setdefault(lost.upstream, _Crash(at, {}))
+            return self._crashed_late(lost, start, at)
+        crash = self._crashes.setdefault(start, _Crash(at, {}))
         while len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         name = request_cause(lost.fingerprint or lost.upstream)
@@ -127,12 +131,12 @@
             self._crashed_at[suspect] = max(newest_at, crash.at)
         return True
 
-    def _crashed_late(self, lost: LostRequest, at: float) -> bool:
+    def _crashed_late(self, lost: LostRequest, start: str, at: float) -> bool:
         name = request_cause(lost.fingerprint)
         runs = self._late_runs.setdefault(name, {})
-        if lost.upstream in runs:
+        if start in runs:
             return False
-        runs[lost.upstream] = Run(at, at - lost.ran_s)
+        runs[start] = Run(at, at - lost.ran_s)
         while len(self._late_runs) > MAX_LATE_REQUESTS:
             del self._late_runs[next(iter(self._late_runs))]
         return True
@@ -218,11 +222,11 @@
             for crash in self._crashes.values()
         )
 
-    def has_crashed(self, upstream: str) -> bool:
-        """Whether the start of an upstream with this id has ended."""
-        return upstream in self._crashes or any(
-            upstream in runs for runs in self._late_runs.values()
-        )
+    def has_crashed(
+        self, upstream: str, started_ms: int | None, sent_at: float
+    ) -> bool:
+        """Whether the start that a request was sent to has ended."""
+        return self._ended_starts.has_ended(upstream, started_ms, sent_at)
 
     def crash_count(self, fingerprint: str) -> int:
         """Return in how many crashes a request was since its last answer."""
@@ -262,10 +266,11 @@
         name = request_cause(fingerprint)
         late_runs = self._late_runs.get(name, {})
         return any(
-            upstream in late_runs
-            or upstream in self._crashes
-            and name in self._crashes[upstream].requests
+            start in late_runs
+            or start in self._crashes
+            and name in self._crashes[start].requests
             for upstream in upstreams
+            for start in self._ended_starts.names(upstream)
         )
 
     # Judgement.
@@ -276,16 +281,16 @@
                 continue
             unexplained = [
                 run
-                for upstream, run in runs.items()
-                if not self._is_explained(upstream)
+                for start, run in runs.items()
+                if not self._is_explained(start)
             ]
             evidence = crash_evidence.against_late(name, unexplained)
             if evidence is not None:
                 yield evidence
 
-    def _is_explained(self, upstream: str) -> bool:
+    def _is_explained(self, start: str) -> bool:
         """Whether a refused request or part was in a crash."""
-        crash = self._crashes.get(upstream)
+        crash = self._crashes.get(start)
         return crash is not None and any(
             not self._refused_until.keys().isdisjoint(
                 (name, *candidate.positions)
@@ -400,9 +405,10 @@
         return crashed_at > self._answered_at.get(name, float('-inf'))
 
     def _drop_old(self, now: float) -> None:
+        self._ended_starts.drop_before(now - CRASH_TTL_S)
         self._crashes = {
-            upstream: crash
-            for upstream, crash in self._crashes.items()
+            start: crash
+            for start, crash in self._crashes.items()
             if now - crash.at <= CRASH_TTL_S
         }
         self._crashed_at = {
--- a/packages/burdockchute/burdockchute/model/crash_reports.py
+++ b/packages/burdockchute/burdockchute/model/crash_reports.py
@@ -45,7 +45,8 @@
     `is_late` its answer had been arriving for a while, so the crash says
     nothing against its parts, and little against the request. The
     fingerprint is empty if an entry of an earlier release reports the parts
-    of all requests at once.
+    of all requests at once. `started_ms` is the Unix time of the upstream's
+    start, as its entry in the list has it: it may start again under its id.
     """
 
     fingerprint: str
@@ -53,6 +54,7 @@
     parts: tuple[PromptPart, ...]
     ran_s: float = 0.0
     is_late: bool = False
+    started_ms: int | None = None
 
 
 class AnsweredRequest(NamedTuple):
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -82,8 +82,12 @@
 
     @property
     def key(self) -> str:
-        """The key of its record; repeated reports have the same."""
-        return f'crash:{self.lost.upstream}:{self.lost.fingerprint}'
+        """The key of its record; a saved record has the same again.
+
+        An upstream may start, and crash, under its id more than once.
+        """
+        at_ms = int(self.at_unix * 1000)
+        return f'crash:{self.lost.upstream}:{at_ms}:{self.lost.fingerprint}'
 
 
 class CauseAnswered(NamedTuple):
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -119,6 +119,7 @@
   4: bool convicted         // it is refused from now on
   5: optional list<PromptPart> parts
   6: optional i32 ran_ms    // how long ago it had been sent
+  7: optional i64 started_ms // Unix time of the upstream's start
 }
 
 // A part of prompts, and where it stood in one, counted from 0.
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1187,17 +1187,19 @@
      - convicted
      - parts
      - ran_ms
+     - started_ms
 
     """
 
 
-    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None, parts=None, ran_ms=None,):
+    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None, parts=None, ran_ms=None, started_ms=None,):
         self.fingerprint = fingerprint
         self.upstream = upstream
         self.alone = alone
         self.convicted = convicted
         self.parts = parts
         self.ran_ms = ran_ms
+        self.started_ms = started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1244,6 +1246,11 @@
                     self.ran_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1281,6 +1288,10 @@
             oprot.writeFieldBegin('ran_ms', TType.I32, 6)
             oprot.writeI32(self.ran_ms)
             oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 7)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3914,6 +3925,7 @@
     (4, TType.BOOL, 'convicted', None, None, ),  # 4
     (5, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 5
     (6, TType.I32, 'ran_ms', None, None, ),  # 6
+    (7, TType.I64, 'started_ms', None, None, ),  # 7
 )
 all_structs.append(PromptPart)
 PromptPart.thrift_spec = (
