Crashes: what ended three servers is tried three times in all, one at a time

Cause: a refusal on weak evidence ended at all entries at the same moment, its callers came back then, and nothing limited how many copies of one request were sent at once, by an entry or by all, until the next crash was judged. The class: a limit that rests on a judgement alone, and ends everywhere at the same time. The same held between the third crash and the judgement, where crashes of others raise what it needs, and when the evidence was forgotten after ten minutes.

From the third crash on a request may only be tried until it is answered, and so may what was refused, parts as well. An entry claims each try in the store, by an append that is made only if it knows all that the store has: one try at a time, three in all. So two entries can't believe that it is their turn. Without the store nothing is tried, and callers are refused at once. The others wait for the try, as for a trial of a part, and are served once it is answered. What was tried three times is refused for as long as it comes. A request that did not reach an upstream is placed again also after three crashes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -14,12 +14,14 @@
 
 import gevent
 from gevent import event
+from gevent import lock
 from gevent import queue
 from returns.result import Failure
 
 from burdockchute import logs
 from burdockchute.decisions.crash_causes import CRASH_TTL_S
 from burdockchute.decisions.crash_causes import fingerprint_of
+from burdockchute.decisions.crash_causes import LIMITED_TTL_S
 from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.feed_state import Cursor
@@ -28,12 +30,20 @@
 from burdockchute.model.feeds import CauseAnswered
 from burdockchute.model.feeds import CauseRefused
 from burdockchute.model.feeds import Change
+from burdockchute.model.feeds import ClaimResult
 from burdockchute.model.feeds import CrashRecord
 from burdockchute.model.feeds import CrashRecorded
 from burdockchute.model.feeds import CrashRecords
 from burdockchute.model.feeds import RecordRemoved
+from burdockchute.model.feeds import TRY_PREFIX
+from burdockchute.model.feeds import TryClaimed
 from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.crash_watch import log_refused
+from burdockchute_entry.straight.crash_watch import TryResult
+
+# Callers wait for a claim, and may come again soon.
+MAX_CLAIM_S = 1.0
+CLAIM_RETRY_S = 0.05
 
 # Changes are rare. They are read by long polls for this long after a crash or
 # an outage of the store, and otherwise at this interval.
@@ -65,6 +75,9 @@
 MAX_OWN_RECORDS = 200
 
 
+_Evidence = CrashRecorded | CauseAnswered | TryClaimed
+
+
 class CrashRecordsTask:
     """Reads the records into `crash_watch`, and saves those of this entry.
 
@@ -89,9 +102,13 @@
         self._expecting_until = float('-inf')
         self._woken = event.Event()
         # The evidence that this entry has saved, by key.
-        self._own: dict[str, CrashRecorded | CauseAnswered] = {}
+        self._own: dict[str, _Evidence] = {}
         # The keys of all evidence in the store, and its Unix times.
         self._stored_at: dict[str, float] = {}
+        self._cursor = Cursor()
+        self._was_read = True
+        # One claim after another, as each needs to know those before.
+        self._claiming = lock.BoundedSemaphore(1)
         crash_watch.is_informed.clear()
 
     def expect_changes(self) -> None:
@@ -116,8 +133,14 @@
         self._inbox.put(CrashRecorded(lost, self._now_unix()))
 
     def save_answered(self, name: str) -> None:
-        """Save that what was in crashes has been answered."""
+        """Save that what was in crashes has been answered.
+
+        Its tries, and that it was refused, outlast the record of the answer.
+        """
         self._inbox.put(CauseAnswered(name, self._now_unix()))
+        obsolete = [key for key in self._stored_at if _is_try_of(name, key)]
+        for key in [*obsolete, name]:
+            self._inbox.put(RecordRemoved(key))
 
     def _refused(self, name: str, for_s: float) -> CauseRefused:
         # A record holds for REFUSE_S; one for less is dated back.
@@ -142,7 +165,7 @@
 
     def _save(self, changes: Sequence[CrashRecord]) -> None:
         for change in changes:
-            if isinstance(change, CrashRecorded | CauseAnswered):
+            if isinstance(change, _Evidence):
                 self._own[change.key] = change
                 self._stored_at[change.key] = change.at_unix
         if any(isinstance(change, CrashRecorded) for change in changes):
@@ -159,6 +182,61 @@
             # The store may reject writes because there are too many.
             retry_s = min(2 * retry_s, MAX_SAVE_RETRY_S)
 
+    # Tries.
+
+    def claim_tries(self, names: Sequence[str]) -> TryResult:
+        """Claim a try of each of some causes, one of MAX_TRIES.
+
+        All entries claim in the order of the store, and only if they know all
+        claims before. Without the store, nothing is tried.
+        """
+        until = self._now() + MAX_CLAIM_S
+        if not self._claiming.acquire(timeout=MAX_CLAIM_S):
+            return TryResult.TAKEN
+        try:
+            while self._now() < until:
+                if not self._crash_watch.may_try(names):
+                    return TryResult.TAKEN
+                if not self._was_read:
+                    # Its outage is known.
+                    return TryResult.STORE_AWAY
+                result = self._claim(names)
+                if result is not None:
+                    return result
+            return TryResult.STORE_AWAY
+        finally:
+            self._claiming.release()
+
+    def _claim(self, names: Sequence[str]) -> TryResult | None:
+        """Claim a try by what the store has now; None to do it again."""
+        read = self._crash_records.read(self._cursor.position, 0.0)
+        if isinstance(read, Failure):
+            if read.failure().expired:
+                self._cursor.expire()
+            gevent.sleep(CLAIM_RETRY_S)
+            return None
+        batch = read.unwrap()
+        self._apply_batch(batch)
+        if not self._crash_watch.may_try(names):
+            return TryResult.TAKEN
+        at_unix, tries = self._now_unix(), self._causes.tries
+        claims = [
+            TryClaimed(name, tries.count(name) + 1, at_unix) for name in names
+        ]
+        result = self._crash_records.claim(claims, batch.position)
+        if result is ClaimResult.OUTDATED:
+            return None
+        if result is ClaimResult.REFUSED:
+            return TryResult.STORE_AWAY
+        # One without an answer may be saved yet.
+        for claim in claims:
+            self._own[claim.key] = claim
+            self._stored_at[claim.key] = at_unix
+            tries.record(claim.name, claim.number, self._now())
+        if result is ClaimResult.UNKNOWN:
+            return TryResult.STORE_AWAY
+        return TryResult.CLAIMED
+
     def _unsaved_answers(self) -> list[CauseAnswered]:
         """Return answers on parts that the store does not have yet.
 
@@ -186,7 +264,7 @@
             *(
                 key
                 for key, at_unix in self._stored_at.items()
-                if now_unix - at_unix > CRASH_TTL_S
+                if now_unix - at_unix > _ttl_s(key)
             ),
         ][:MAX_SAVED_TOGETHER]
         for key in removed:
@@ -198,8 +276,7 @@
 
     def read_forever(self) -> None:
         """Apply the changes of all entries, forever."""
-        cursor = Cursor()
-        was_read = True
+        cursor = self._cursor
         while True:
             self._woken.clear()
             is_expecting = self._now() < self._expecting_until
@@ -209,14 +286,14 @@
                 error = result.failure()
                 if error.expired:
                     cursor.expire()
-                if was_read:
+                if self._was_read:
                     logs.event('crash_records_unread', reason=error.reason)
-                was_read = False
+                self._was_read = False
                 self._crash_watch.is_informed.set()
                 gevent.sleep(RETRY_S)
                 continue
             batch = result.unwrap()
-            was_read = True
+            self._was_read = True
             restored = cursor.advance(batch.position)
             self._apply_batch(batch)
             self._crash_watch.is_informed.set()
@@ -232,7 +309,7 @@
         stored = {
             change.key
             for change in batch.changes
-            if isinstance(change, CauseRefused | CrashRecorded | CauseAnswered)
+            if isinstance(change, CauseRefused | _Evidence)
         }
         for name, left_s in self._causes.refused(self._now()).items():
             if name not in stored:
@@ -266,20 +343,23 @@
         match change:
             case RecordRemoved():
                 self._stored_at.pop(change.key, None)
-                self._causes.clear(change.key)
+                self._causes.clear(change.key, self._now())
             case CauseRefused():
                 self._apply_refused(change)
-            case CrashRecorded() | CauseAnswered():
+            case CrashRecorded() | CauseAnswered() | TryClaimed():
                 self._stored_at[change.key] = change.at_unix
                 age_s = max(0.0, self._now_unix() - change.at_unix)
-                if age_s <= CRASH_TTL_S:
+                if age_s <= _ttl_s(change.key):
                     self._apply_evidence(change, self._now() - age_s)
 
-    def _apply_evidence(
-        self, record: CrashRecorded | CauseAnswered, at: float
-    ) -> None:
+    def _apply_evidence(self, record: _Evidence, at: float) -> None:
+        if isinstance(record, TryClaimed):
+            answered_at = self._causes.answered_at(record.name)
+            if answered_at is None or at > answered_at:
+                self._causes.tries.record(record.name, record.number, at)
+            return
         if isinstance(record, CauseAnswered):
-            self._causes.answered_elsewhere(record.name, at, self._now())
+            self._crash_watch.stored_answer(record.name, at)
             return
         self._crash_watch.stored_crash(record.lost, at)
         # More may follow, from entries that are not linked.
@@ -303,6 +383,7 @@
         age_s = max(0.0, self._now_unix() - change.at_unix)
         left_s = REFUSE_S - age_s
         if left_s <= 0:
+            self._causes.was_refused(change.name, now + left_s)
             return
         if left_s <= WEAK_REFUSE_S and self._causes.was_answered(change.name):
             self._contest(change.name)
@@ -310,3 +391,11 @@
         if not self._causes.is_refused(change.name, now):
             log_refused(change.name, 'store', left_s)
         self._causes.refuse(change.name, left_s, now)
+
+
+def _ttl_s(key: str) -> float:
+    return LIMITED_TTL_S if key.startswith(TRY_PREFIX) else CRASH_TTL_S
+
+
+def _is_try_of(name: str, key: str) -> bool:
+    return key.startswith(TRY_PREFIX) and key.endswith(f':{name}')
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
+import enum
 from typing import NamedTuple
 
 import gevent
@@ -24,6 +25,7 @@
 from burdockchute.decisions.crash_causes import request_cause
 from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
 from burdockchute.decisions.crash_evidence import MIN_CRASHES
+from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.model.crash_reports import AnsweredRequest
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.outcomes import NotRun
@@ -59,6 +61,17 @@
 # A trial may end without an answer, and another one begin.
 MAX_TRIAL_WAIT_S = 2 * TRIAL_S
 
+# An outage of the store lasts for seconds, and its tries can't be counted.
+STORE_AWAY_RETRY_S = 2.0
+
+
+class TryResult(enum.Enum):
+    """Whether an entry may try what has crashed upstreams."""
+
+    CLAIMED = enum.auto()
+    TAKEN = enum.auto()
+    STORE_AWAY = enum.auto()
+
 
 class _Trial(NamedTuple):
     """A request that shows whether a part of its prompt is sound."""
@@ -84,7 +97,8 @@
     that this entry begins or ceases to refuse on its own evidence, and for how
     many seconds. `count_upstreams` returns how many upstreams are known.
     `on_cleared` is called with each cause in several crashes that this entry
-    sees answered.
+    sees answered. `claim_tries` claims a try of each of some causes over all
+    entries; without it, this entry is alone.
 
     `is_informed` is not set while an entry that has just started does not know
     yet what others know of earlier crashes.
@@ -101,6 +115,7 @@
         on_changed: Callable[[str, float], None] = lambda name, for_s: None,
         count_upstreams: Callable[[], int] = lambda: 1,
         on_cleared: Callable[[str], None] = lambda name: None,
+        claim_tries: Callable[[Sequence[str]], TryResult] | None = None,
     ) -> None:
         self.is_informed = event.Event()
         self.is_informed.set()
@@ -112,6 +127,9 @@
         self._on_changed = on_changed
         self._count_upstreams = count_upstreams
         self._on_cleared = on_cleared
+        self._claim_tries = claim_tries or self._claim_alone
+        # Until when no try can be claimed.
+        self._uncounted_until = float('-inf')
         # The trial of each unproven part that a request was sent with.
         self._trials: dict[str, _Trial] = {}
         # Set, and replaced, with each trial that ends before its time.
@@ -150,6 +168,17 @@
         if refused_s := self.causes.refused_for_s(names, now):
             reason = 'a part of its prompt crashed the upstreams that ran it'
             return NotRun(reason, 503, refused_s)
+        limited = self._limited_causes(ctx, started, failed_at)
+        if any(self.causes.tries.are_used_up(name) for name in limited):
+            self._refuse_again(limited)
+            reason = 'it crashed the upstreams that ran it, and was tried'
+            return NotRun(reason, 503, REFUSE_S)
+        if try_s := self._try_left_s(limited):
+            reason = 'it may crash upstreams and is on trial'
+            return NotRun(reason, 503, try_s)
+        if limited and now < self._uncounted_until:
+            reason = 'it may crash upstreams, and tries are not counted'
+            return NotRun(reason, 503, self._uncounted_until - now)
         trial_s = self._trial_left_s(ctx)
         if trial_s > 0:
             reason = 'a part of its prompt may crash upstreams and is on trial'
@@ -181,9 +210,10 @@
     def wait_for_trial(self, ctx: RequestContext, until: float) -> bool:
         """Wait while another request with a part of its prompt is on trial.
 
-        Returns false if one still is at `until`.
+        So does one with the same content that is tried. Returns false if one
+        still is at `until`.
         """
-        while (trial_s := self._trial_left_s(ctx)) > 0:
+        while (trial_s := self._trial_or_try_left_s(ctx)) > 0:
             left_s = until - self._now()
             if left_s <= 0:
                 return False
@@ -210,6 +240,92 @@
             default=0.0,
         )
 
+    def _trial_or_try_left_s(self, ctx: RequestContext) -> float:
+        limited = self._limited_causes(ctx)
+        if any(self.causes.tries.are_used_up(name) for name in limited):
+            # It is refused at once.
+            return 0.0
+        return max(self._trial_left_s(ctx), self._try_left_s(limited))
+
+    # Tries.
+
+    def _limited_causes(
+        self,
+        ctx: RequestContext,
+        started: bool = False,
+        failed_at: Collection[str] = (),
+    ) -> list[str]:
+        """Return the causes of a request that may only be tried."""
+        if not self.causes.has_limited:
+            return []
+        names = [part.name for part in ctx.prompt_parts]
+        if not started or self.causes.was_in_crash(ctx.fingerprint, failed_at):
+            names.insert(0, request_cause(ctx.fingerprint))
+        return [name for name in names if self.causes.may_only_be_tried(name)]
+
+    def _try_left_s(self, limited: Iterable[str]) -> float:
+        now = self._now()
+        left = [self.causes.tries.open_for_s(name, now) for name in limited]
+        return max(left, default=0.0)
+
+    def _refuse_again(self, limited: Iterable[str]) -> None:
+        """Refuse what was tried often enough, for as long as it comes."""
+        for name in limited:
+            if self.causes.tries.are_used_up(name):
+                self.causes.refuse(name, REFUSE_S, self._now())
+                log_refused(name, 'tries', REFUSE_S)
+                self._on_changed(name, REFUSE_S)
+
+    def may_only_be_tried(
+        self,
+        ctx: RequestContext,
+        started: bool = False,
+        failed_at: Collection[str] = (),
+    ) -> bool:
+        """Whether a try has to be claimed before a request is sent."""
+        return bool(self._limited_causes(ctx, started, failed_at))
+
+    def claim_try(
+        self,
+        ctx: RequestContext,
+        started: bool = False,
+        failed_at: Collection[str] = (),
+    ) -> bool:
+        """Claim a try of a request that may only be tried.
+
+        If none is left for it, `refusal` says why.
+        """
+        limited = self._limited_causes(ctx, started, failed_at)
+        result = self._claim_tries(limited)
+        if result is TryResult.STORE_AWAY:
+            self._uncounted_until = self._now() + STORE_AWAY_RETRY_S
+        logs.event(
+            'request_tried',
+            request_id=ctx.request_id,
+            causes=','.join(limited),
+            number=max(map(self.causes.tries.count, limited), default=0),
+            result=result.name.lower(),
+        )
+        return result is TryResult.CLAIMED
+
+    def may_try(self, names: Iterable[str]) -> bool:
+        """Whether a try of each cause may be claimed, by what is known."""
+        now, tries = self._now(), self.causes.tries
+        return not any(
+            tries.are_used_up(name)
+            or tries.open_for_s(name, now)
+            or self.causes.is_refused(name, now)
+            for name in names
+        )
+
+    def _claim_alone(self, names: Sequence[str]) -> TryResult:
+        if not self.may_try(names):
+            return TryResult.TAKEN
+        for name in names:
+            number = self.causes.tries.count(name) + 1
+            self.causes.tries.record(name, number, self._now())
+        return TryResult.CLAIMED
+
     def _end_trials(self, names: Iterable[str]) -> None:
         for name in list(names):
             self._trials.pop(name, None)
@@ -227,10 +343,16 @@
         It is 0 for most requests. One that shows whether a part is sound must
         not be in a crash that another request causes.
         """
-        if self.causes.must_be_isolated(ctx.fingerprint):
+        if self.must_be_isolated(ctx):
             return ISOLATION_S
         return TRIAL_ISOLATION_S if self.has_unproven_part(ctx) else 0.0
 
+    def must_be_isolated(self, ctx: RequestContext) -> bool:
+        """Whether no other request may begin where one does."""
+        return self.causes.must_be_isolated(ctx.fingerprint) or bool(
+            self._limited_causes(ctx)
+        )
+
     def wait_until_judged(self, ctx: RequestContext) -> None:
         """Wait until crashes are judged that say something of a request.
 
@@ -304,6 +426,7 @@
             return
         report = AnsweredRequest(ctx.fingerprint, ctx.prompt_parts)
         late_crashes = self.causes.late_crash_count(ctx.fingerprint)
+        limited = self._limited_causes(ctx)
         suspected = self._record_answered(report, is_whole)
         if is_whole and late_crashes >= CRASHES_TO_ISOLATE:
             self._on_cleared(request_cause(ctx.fingerprint))
@@ -313,7 +436,10 @@
             )
             self._publish(AnsweredRequest(ctx.fingerprint, parts))
         for name in suspected:
-            if self.causes.crashes_with(name) >= CRASHES_TO_ISOLATE:
+            if (
+                name in limited
+                or self.causes.crashes_with(name) >= CRASHES_TO_ISOLATE
+            ):
                 self._on_cleared(name)
 
     # Reports of other entries.
@@ -327,6 +453,11 @@
         """Apply the record of a request in a crash at a time."""
         self._record_crash([lost], at, 'store')
 
+    def stored_answer(self, name: str, at: float) -> None:
+        """Apply the record of an answer to a request or on a part."""
+        self.causes.answered_elsewhere(name, at, self._now())
+        self._end_trials([name])
+
     def peer_answered(self, report: AnsweredRequest) -> None:
         """Apply another entry's report of a complete answer."""
         self._record_answered(report, is_whole=False)
@@ -420,7 +551,7 @@
         suspected = self.causes.answered(
             report.fingerprint, names, now, is_whole
         )
-        if not self._trials.keys().isdisjoint(names):
+        if suspected or not self._trials.keys().isdisjoint(names):
             self._end_trials(names)
         for name in refused:
             if (fingerprint := crash_causes.fingerprint_of(name)) is None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -55,6 +55,7 @@
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import RequestSpec
 from burdockchute_entry.straight.service_queues import Slot
+from burdockchute_entry.straight.targets import Target
 
 # An upstream answers by itself when the time limit sent to it is over. Its
 # answer is more specific than ours, so it gets this much extra time.
@@ -180,12 +181,13 @@
         if self.sends >= retries.MAX_PLACEMENTS:
             return False
         self._deps.crash_watch.wait_until_judged(self.ctx)
-        if not self._deps.crash_watch.may_repeat(self.ctx):
+        has_arrived = not isinstance(attempt, NotExecuted) or attempt.arrived
+        if has_arrived and not self._deps.crash_watch.may_repeat(self.ctx):
             return False
         if self._rejections >= retries.MAX_REJECTIONS:
             return False
         if isinstance(attempt, NotExecuted):
-            return not attempt.arrived or self._take_retry(wait_s)
+            return not has_arrived or self._take_retry(wait_s)
         if isinstance(attempt, Failed) and self.route.kind is Kind.STREAM:
             return False
         counted = self.runs - self.uncounted_runs
@@ -238,16 +240,14 @@
             self._deps.scheduler.release(self.pending, slot)
             raise
         now = self._deps.now()
-        reason = self._obsolete_reason(now)
-        refusal = self._crash_refusal()
-        if not reason and refusal:
-            reason = refusal.reason
-        if not reason and not target.accepts_new(now):
-            reason = 'the upstream accepts nothing new'
-        if not reason and not self._deps.scheduler.is_allowed(
-            self.pending, target
-        ):
-            reason = 'its region is not known to be allowed'
+        reason = self._reason_not_to_send(target, now)
+        if not reason and self._may_only_be_tried():
+            # A claim takes time.
+            is_claimed = self._deps.crash_watch.claim_try(
+                self.ctx, self.pending.resuming, self.pending.avoided
+            )
+            now = self._deps.now()
+            reason = self._reason_not_to_send(target, now, is_claimed)
         if reason:
             conn.close()
             self._deps.scheduler.release(self.pending, slot)
@@ -264,12 +264,33 @@
             conn.set_poll_interval(min(POLL_INTERVAL_S, (hedge_at - now) / 2))
         return SentRequest(slot, conn, now, start_by, hedge_at, rival)
 
+    def _may_only_be_tried(self) -> bool:
+        return self._deps.crash_watch.may_only_be_tried(
+            self.ctx, self.pending.resuming, self.pending.avoided
+        )
+
+    def _reason_not_to_send(
+        self, target: Target, now: float, is_claimed: bool = False
+    ) -> str:
+        """Return why a request must not be sent now, empty if it may be.
+
+        With `is_claimed`, it is tried although it may crash its upstream.
+        """
+        if reason := self._obsolete_reason(now):
+            return reason
+        if not is_claimed and (refusal := self._crash_refusal()):
+            return refusal.reason
+        if not target.accepts_new(now):
+            return 'the upstream accepts nothing new'
+        if not self._deps.scheduler.is_allowed(self.pending, target):
+            return 'its region is not known to be allowed'
+        return ''
+
     def _hedge_at(self, slot: Slot, now: float) -> float | None:
         if not self._deps.scheduler.hedges or not self.route.may_repeat:
             return None
-        if self.pending.isolated_s or self._deps.crash_watch.has_unproven_part(
-            self.ctx
-        ):
+        crash_watch = self._deps.crash_watch
+        if self.pending.isolated_s or crash_watch.isolated_s(self.ctx):
             return None
         expected_s = slot.target.usual_first_event_s(
             self.pending.ctx.request_id
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -20,9 +20,11 @@
 from burdockchute.decisions.crash_evidence import CrashEvidence
 from burdockchute.decisions.crash_evidence import Evidence
 from burdockchute.decisions.crash_evidence import MAX_CRASHES_IN_TURN
+from burdockchute.decisions.crash_evidence import MIN_CRASHES
 from burdockchute.decisions.crash_evidence import Run
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.decisions.ended_starts import EndedStarts
+from burdockchute.decisions.tries import Tries
 from burdockchute.model.crash_reports import LostRequest
 
 # A request that was in this many crashes is run where no other begins, so that
@@ -33,6 +35,11 @@
 # Crashes further apart than this hardly have the same cause.
 CRASH_TTL_S = 600.0
 
+# Causes that may only be tried outlast the crashes: otherwise all entries
+# would send what comes when these are forgotten. An answer ends it at once.
+LIMITED_TTL_S = 86_400.0
+MAX_LIMITED = 5000
+
 MAX_CRASHES = 200
 MAX_REQUESTS_PER_CRASH = 50
 MAX_ANSWERED = 5000
@@ -98,6 +105,9 @@
         # request and ended start; a whole answer removes those of its request.
         self._late_runs: dict[str, dict[str, Run]] = {}
         self._refused_until: dict[str, float] = {}
+        # When causes that may only be tried last were in a crash or refused.
+        self._limited_at: dict[str, float] = {}
+        self.tries = Tries()
 
     # Evidence.
 
@@ -129,6 +139,10 @@
         for suspect in (name, *positions):
             newest_at = self._crashed_at.get(suspect, crash.at)
             self._crashed_at[suspect] = max(newest_at, crash.at)
+            self.tries.crashed(suspect, crash.at)
+        if self.crash_count(lost.fingerprint) >= MIN_CRASHES:
+            # Whatever the judgement of the crashes says.
+            self._limit_tries(name, at)
         return True
 
     def _crashed_late(self, lost: LostRequest, start: str, at: float) -> bool:
@@ -169,7 +183,7 @@
                 continue
             self._answered_at.pop(name, None)
             self._answered_at[name] = now
-            self._refused_until.pop(name, None)
+            self._allow(name, now)
         while len(self._answered_at) > MAX_ANSWERED:
             del self._answered_at[next(iter(self._answered_at))]
         return suspected
@@ -190,10 +204,13 @@
             if at < max(newest_at, self._crashed_at.get(name, at)):
                 return
             self._late_runs.pop(name, None)
-        elif was_known:
-            return
+        else:
+            if at > self._crashed_at.get(name, float('-inf')):
+                self._end_tries(name, at)
+            if was_known:
+                return
         if self._refused_until.get(name, now) <= now + WEAK_REFUSE_S:
-            self._refused_until.pop(name, None)
+            self._allow(name, at)
 
     def answered_at(self, name: str) -> float | None:
         """Return when a request or part was last answered.
@@ -310,6 +327,7 @@
             if found is None:
                 break
             self._refused_until[found.name] = found.refuse_until
+            self._limit_tries(found.name, found.refuse_until)
             for_s = found.refuse_until - now
             refusals.append(Refusal(found.name, for_s, found.crashes))
         return refusals
@@ -372,10 +390,42 @@
         """Refuse a cause for `for_s` seconds from `now`."""
         until = max(self._refused_until.get(name, now), now + for_s)
         self._refused_until[name] = until
+        self._limit_tries(name, until)
+
+    def was_refused(self, name: str, until: float) -> None:
+        """Record that a cause was refused until a time in the past."""
+        if self._answered_at.get(name, float('-inf')) < until:
+            self._limit_tries(name, until)
+
+    def clear(self, name: str, now: float) -> None:
+        """Refuse a cause no longer, as operators allow it."""
+        self._allow(name, now)
+
+    def _limit_tries(self, name: str, at: float) -> None:
+        self._limited_at[name] = max(at, self._limited_at.pop(name, at))
+        while len(self._limited_at) > MAX_LIMITED:
+            del self._limited_at[next(iter(self._limited_at))]
+
+    def _end_tries(self, name: str, at: float) -> None:
+        self._limited_at.pop(name, None)
+        self.tries.forget(name, at)
 
-    def clear(self, name: str) -> None:
-        """Refuse a cause no longer."""
+    def _allow(self, name: str, at: float) -> None:
         self._refused_until.pop(name, None)
+        self._end_tries(name, at)
+
+    @property
+    def has_limited(self) -> bool:
+        """Whether any cause may only be tried."""
+        return bool(self._limited_at or self.tries.names)
+
+    def may_only_be_tried(self, name: str) -> bool:
+        """Whether requests with a cause need a try to be claimed.
+
+        Those are requests from the third crash on, and what was refused,
+        until they are answered.
+        """
+        return name in self._limited_at or self.tries.count(name) > 0
 
     def refused_for_s(self, names: Iterable[str], now: float) -> float:
         """Return the seconds for which one of the causes is refused, or 0."""
@@ -397,7 +447,7 @@
         return self.refused_for_s((name,), now) > 0
 
     def _is_suspected(self, name: str) -> bool:
-        if name in self._refused_until:
+        if name in self._refused_until or self.may_only_be_tried(name):
             return True
         crashed_at = self._crashed_at.get(name)
         if crashed_at is None:
@@ -421,6 +471,12 @@
             for name, until in self._refused_until.items()
             if until > now
         }
+        self._limited_at = {
+            name: at
+            for name, at in self._limited_at.items()
+            if now - at <= LIMITED_TTL_S
+        }
+        self.tries.drop_before(now - LIMITED_TTL_S)
         self._late_runs = {
             name: runs
             for name, runs in self._late_runs.items()
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import enum
 from typing import NamedTuple
 
 from returns.result import Result
@@ -21,6 +22,8 @@
 from burdockchute.model.upstreams import UpstreamListed
 from burdockchute.model.upstreams import UpstreamUnlisted
 
+TRY_PREFIX = 'try:'
+
 
 class ConfigurationRead(NamedTuple):
     """A configuration that operators have saved."""
@@ -105,13 +108,32 @@
         return f'answered:{self.name}'
 
 
+class TryClaimed(NamedTuple):
+    """An entry tries what has crashed upstreams, at a Unix time in seconds.
+
+    `name` is that of a request or of a part of prompts, `number` counts its
+    tries from 1.
+    """
+
+    name: str
+    number: int
+    at_unix: float
+
+    @property
+    def key(self) -> str:
+        """The key of its record."""
+        return f'{TRY_PREFIX}{self.number}:{self.name}'
+
+
 class RecordRemoved(NamedTuple):
     """A record is removed; if it is of a cause, that is refused no longer."""
 
     key: str
 
 
-CrashRecord = CauseRefused | CrashRecorded | CauseAnswered | RecordRemoved
+CrashRecord = (
+    CauseRefused | CrashRecorded | CauseAnswered | TryClaimed | RecordRemoved
+)
 
 
 Change = (
@@ -165,12 +187,26 @@
     is_receiving: Callable[[], bool] = lambda: False
 
 
+class ClaimResult(enum.Enum):
+    """Whether records were saved that need all earlier ones to be known.
+
+    With UNKNOWN the platform did not answer, and may save them yet.
+    """
+
+    SAVED = enum.auto()
+    OUTDATED = enum.auto()
+    REFUSED = enum.auto()
+    UNKNOWN = enum.auto()
+
+
 class CrashRecords(NamedTuple):
     """What entries know of crashes, kept by the platform.
 
     `save` stores records, all or none, and returns whether the platform has
-    confirmed them.
+    confirmed them. `claim` stores them only if nothing was stored since the
+    position of a read.
     """
 
     read: ReadFeed
     save: Callable[[Sequence[CrashRecord]], bool]
+    claim: Callable[[Sequence[CrashRecord], Position], ClaimResult]
