Crashes: what is suspected on weak evidence is tried, not refused for 10 s

With tries limited to three, one at a time, weak evidence needs no refusal: the first answer shows that a request or part is sound, and crashes show the opposite. So a weak judgement only limits tries, and still explains crashes. What saves and contests weak refusals between entries goes; records of earlier releases limit tries.

A request with several suspects, or one that was in a crash itself, may only be the first try of each: its crash would not show the cause, and requests that crash servers used up the tries of their sound parts. Parts are refused from five different requests on, not four, as they are tried until then.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -140,7 +140,7 @@
             lambda name, for_s: self.crash_records.save_refused(name, for_s),
             lambda: len(self.scheduler.targets()),
             lambda name: self.crash_records.save_answered(name),
-            claim_tries=lambda names: self.crash_records.claim_tries(names),
+            claim_tries=lambda *claim: self.crash_records.claim_tries(*claim),
         )
         self.crash_records = CrashRecordsTask(
             adapter.open_crash_records(machine.store),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -20,7 +20,6 @@
 
 from burdockchute import logs
 from burdockchute.decisions.crash_causes import CRASH_TTL_S
-from burdockchute.decisions.crash_causes import fingerprint_of
 from burdockchute.decisions.crash_causes import LIMITED_TTL_S
 from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
@@ -184,8 +183,8 @@
 
     # Tries.
 
-    def claim_tries(self, names: Sequence[str]) -> TryResult:
-        """Claim a try of each of some causes, one of MAX_TRIES.
+    def claim_tries(self, fingerprint: str, names: Sequence[str]) -> TryResult:
+        """Claim a try of each of some causes by a request, one of MAX_TRIES.
 
         All entries claim in the order of the store, and only if they know all
         claims before. Without the store, nothing is tried.
@@ -195,19 +194,24 @@
             return TryResult.TAKEN
         try:
             while self._now() < until:
-                if not self._crash_watch.may_try(names):
-                    return TryResult.TAKEN
                 if not self._was_read:
                     # Its outage is known.
                     return TryResult.STORE_AWAY
-                result = self._claim(names)
+                if not self._may_be_tried(fingerprint, names):
+                    return TryResult.TAKEN
+                result = self._claim(fingerprint, names)
                 if result is not None:
                     return result
             return TryResult.STORE_AWAY
         finally:
             self._claiming.release()
 
-    def _claim(self, names: Sequence[str]) -> TryResult | None:
+    def _may_be_tried(self, fingerprint: str, names: Sequence[str]) -> bool:
+        return self._causes.may_be_tried(fingerprint, names, self._now())
+
+    def _claim(
+        self, fingerprint: str, names: Sequence[str]
+    ) -> TryResult | None:
         """Claim a try by what the store has now; None to do it again."""
         read = self._crash_records.read(self._cursor.position, 0.0)
         if isinstance(read, Failure):
@@ -217,7 +221,7 @@
             return None
         batch = read.unwrap()
         self._apply_batch(batch)
-        if not self._crash_watch.may_try(names):
+        if not self._may_be_tried(fingerprint, names):
             return TryResult.TAKEN
         at_unix, tries = self._now_unix(), self._causes.tries
         claims = [
@@ -365,28 +369,15 @@
         # More may follow, from entries that are not linked.
         self._expecting_until = max(self._expecting_until, at + EXPECTING_S)
 
-    def _contest(self, name: str) -> None:
-        """Save that a part was answered which another entry refuses.
-
-        That entry has weak evidence, and has seen no answer on it. Answers to
-        a request say nothing of crashes after them.
-        """
-        answered_at = self._causes.answered_at(name)
-        if answered_at is not None and fingerprint_of(name) is None:
-            age_s = self._now() - answered_at
-            record = CauseAnswered(name, self._now_unix() - age_s)
-            if self._stored_at.get(record.key, 0.0) < record.at_unix - 1.0:
-                self._inbox.put(record)
-
     def _apply_refused(self, change: CauseRefused) -> None:
         now = self._now()
         age_s = max(0.0, self._now_unix() - change.at_unix)
         left_s = REFUSE_S - age_s
-        if left_s <= 0:
-            self._causes.was_refused(change.name, now + left_s)
-            return
-        if left_s <= WEAK_REFUSE_S and self._causes.was_answered(change.name):
-            self._contest(change.name)
+        if left_s <= WEAK_REFUSE_S:
+            # Entries of earlier releases refuse on weak evidence, too, and
+            # may not have seen the answers that this one has.
+            if left_s <= 0 or not self._causes.was_answered(change.name):
+                self._causes.was_refused(change.name, now + min(0.0, left_s))
             return
         if not self._causes.is_refused(change.name, now):
             log_refused(change.name, 'store', left_s)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -26,6 +26,7 @@
 from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
 from burdockchute.decisions.crash_evidence import MIN_CRASHES
 from burdockchute.decisions.crash_evidence import REFUSE_S
+from burdockchute.decisions.tries import TRY_S
 from burdockchute.model.crash_reports import AnsweredRequest
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.outcomes import NotRun
@@ -73,6 +74,9 @@
     STORE_AWAY = enum.auto()
 
 
+ClaimTries = Callable[[str, Sequence[str]], TryResult]
+
+
 class _Trial(NamedTuple):
     """A request that shows whether a part of its prompt is sound."""
 
@@ -98,7 +102,7 @@
     many seconds. `count_upstreams` returns how many upstreams are known.
     `on_cleared` is called with each cause in several crashes that this entry
     sees answered. `claim_tries` claims a try of each of some causes over all
-    entries; without it, this entry is alone.
+    entries, by a request with a fingerprint; without it, this entry is alone.
 
     `is_informed` is not set while an entry that has just started does not know
     yet what others know of earlier crashes.
@@ -115,7 +119,7 @@
         on_changed: Callable[[str, float], None] = lambda name, for_s: None,
         count_upstreams: Callable[[], int] = lambda: 1,
         on_cleared: Callable[[str], None] = lambda name: None,
-        claim_tries: Callable[[Sequence[str]], TryResult] | None = None,
+        claim_tries: ClaimTries | None = None,
     ) -> None:
         self.is_informed = event.Event()
         self.is_informed.set()
@@ -173,9 +177,11 @@
             self._refuse_again(limited)
             reason = 'it crashed the upstreams that ran it, and was tried'
             return NotRun(reason, 503, REFUSE_S)
-        if try_s := self._try_left_s(limited):
+        if limited and not self.causes.may_be_tried(
+            ctx.fingerprint, limited, now
+        ):
             reason = 'it may crash upstreams and is on trial'
-            return NotRun(reason, 503, try_s)
+            return NotRun(reason, 503, self._try_left_s(limited) or TRY_S)
         if limited and now < self._uncounted_until:
             reason = 'it may crash upstreams, and tries are not counted'
             return NotRun(reason, 503, self._uncounted_until - now)
@@ -296,7 +302,7 @@
         If none is left for it, `refusal` says why.
         """
         limited = self._limited_causes(ctx, started, failed_at)
-        result = self._claim_tries(limited)
+        result = self._claim_tries(ctx.fingerprint, limited)
         if result is TryResult.STORE_AWAY:
             self._uncounted_until = self._now() + STORE_AWAY_RETRY_S
         logs.event(
@@ -308,18 +314,10 @@
         )
         return result is TryResult.CLAIMED
 
-    def may_try(self, names: Iterable[str]) -> bool:
-        """Whether a try of each cause may be claimed, by what is known."""
-        now, tries = self._now(), self.causes.tries
-        return not any(
-            tries.are_used_up(name)
-            or tries.open_for_s(name, now)
-            or self.causes.is_refused(name, now)
-            for name in names
-        )
-
-    def _claim_alone(self, names: Sequence[str]) -> TryResult:
-        if not self.may_try(names):
+    def _claim_alone(
+        self, fingerprint: str, names: Sequence[str]
+    ) -> TryResult:
+        if not self.causes.may_be_tried(fingerprint, names, self._now()):
             return TryResult.TAKEN
         for name in names:
             number = self.causes.tries.count(name) + 1
@@ -522,6 +520,13 @@
         if len(refusals) == crash_causes.MAX_REFUSALS:
             self._decide_soon()
         for refusal in refusals:
+            if not refusal.for_s:
+                logs.event(
+                    'tries_limited',
+                    cause=refusal.name,
+                    crashes=refusal.crashes,
+                )
+                continue
             log_refused(
                 refusal.name,
                 'crashes',
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -24,6 +24,7 @@
 from burdockchute.decisions.crash_evidence import Run
 from burdockchute.decisions.crash_evidence import WEAK_REFUSE_S
 from burdockchute.decisions.ended_starts import EndedStarts
+from burdockchute.decisions.tries import MAX_AMBIGUOUS_TRIES
 from burdockchute.decisions.tries import Tries
 from burdockchute.model.crash_reports import LostRequest
 
@@ -73,7 +74,8 @@
 class Refusal(NamedTuple):
     """A cause that is refused from now on, for `for_s` seconds.
 
-    `crashes` is the number of crashes that count against it.
+    On weak evidence it may only be tried, and `for_s` is 0. `crashes` is the
+    number of crashes that count against it.
     """
 
     name: str
@@ -105,6 +107,8 @@
         # request and ended start; a whole answer removes those of its request.
         self._late_runs: dict[str, dict[str, Run]] = {}
         self._refused_until: dict[str, float] = {}
+        # Those that explain crashes, on weak evidence, and may be tried.
+        self._weak: set[str] = set()
         # When causes that may only be tried last were in a crash or refused.
         self._limited_at: dict[str, float] = {}
         self.tries = Tries()
@@ -209,7 +213,7 @@
                 self._end_tries(name, at)
             if was_known:
                 return
-        if self._refused_until.get(name, now) <= now + WEAK_REFUSE_S:
+        if not self.is_refused(name, now):
             self._allow(name, at)
 
     def answered_at(self, name: str) -> float | None:
@@ -327,8 +331,13 @@
             if found is None:
                 break
             self._refused_until[found.name] = found.refuse_until
-            self._limit_tries(found.name, found.refuse_until)
-            for_s = found.refuse_until - now
+            self._limit_tries(found.name, now)
+            for_s = 0.0
+            if found.is_certain:
+                self._weak.discard(found.name)
+                for_s = found.refuse_until - now
+            else:
+                self._weak.add(found.name)
             refusals.append(Refusal(found.name, for_s, found.crashes))
         return refusals
 
@@ -390,6 +399,7 @@
         """Refuse a cause for `for_s` seconds from `now`."""
         until = max(self._refused_until.get(name, now), now + for_s)
         self._refused_until[name] = until
+        self._weak.discard(name)
         self._limit_tries(name, until)
 
     def was_refused(self, name: str, until: float) -> None:
@@ -412,6 +422,7 @@
 
     def _allow(self, name: str, at: float) -> None:
         self._refused_until.pop(name, None)
+        self._weak.discard(name)
         self._end_tries(name, at)
 
     @property
@@ -427,11 +438,39 @@
         """
         return name in self._limited_at or self.tries.count(name) > 0
 
+    def may_be_tried(
+        self, fingerprint: str, limited: Collection[str], now: float
+    ) -> bool:
+        """Whether a request may be the next try of some limited causes.
+
+        If it has several, or was in a crash itself, a crash would not show
+        which of them is the cause. The last try of a cause is left to others.
+        """
+        tries = self.tries
+        if any(
+            tries.are_used_up(name)
+            or tries.open_for_s(name, now)
+            or self.is_refused(name, now)
+            for name in limited
+        ):
+            return False
+        request = request_cause(fingerprint)
+        suspects = {*limited}
+        if self.crash_count(fingerprint):
+            suspects.add(request)
+        return len(suspects) == 1 or all(
+            tries.count(name) < MAX_AMBIGUOUS_TRIES for name in limited
+        )
+
     def refused_for_s(self, names: Iterable[str], now: float) -> float:
         """Return the seconds for which one of the causes is refused, or 0."""
         if not self._refused_until:
             return 0.0
-        left = [self._refused_until.get(name, now) - now for name in names]
+        left = [
+            self._refused_until.get(name, now) - now
+            for name in names
+            if name not in self._weak
+        ]
         return max([0.0, *left])
 
     def refused(self, now: float) -> dict[str, float]:
@@ -439,7 +478,7 @@
         return {
             name: round(until - now, 1)
             for name, until in self._refused_until.items()
-            if until > now
+            if until > now and name not in self._weak
         }
 
     def is_refused(self, name: str, now: float) -> bool:
@@ -471,6 +510,7 @@
             for name, until in self._refused_until.items()
             if until > now
         }
+        self._weak &= self._refused_until.keys()
         self._limited_at = {
             name: at
             for name, at in self._limited_at.items()
--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -148,11 +148,16 @@
     weight: float
     newest_at: float
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether the cause should be refused, and not only tried."""
+        return self.weight >= CERTAIN_WEIGHT
+
     @property
     def refuse_until(self) -> float:
-        """Until when the cause should be refused."""
-        is_certain = self.weight >= CERTAIN_WEIGHT
-        return self.newest_at + (REFUSE_S if is_certain else WEAK_REFUSE_S)
+        """Until when the cause explains crashes."""
+        lasts_s = REFUSE_S if self.is_certain else WEAK_REFUSE_S
+        return self.newest_at + lasts_s
 
 
 # The end of an upstream while it ran a request.
@@ -347,8 +352,9 @@
             or len(own) < MIN_SHARE_IF_ANSWERED * others
         ):
             return None
-        # Three requests may crash engines by themselves and share a part.
-        needed = MIN_CRASHES + 1
+        # Some requests may crash engines by themselves and share a part.
+        # Until it is refused, it is only tried.
+        needed = MIN_CRASHES + 2
         if part in self._answered:
             needed = MIN_SENDERS_IF_ANSWERED + 1
         is_certain = len(senders) >= needed and lasts_s >= OUTAGE_S
--- a/packages/burdockchute/burdockchute/decisions/tries.py
+++ b/packages/burdockchute/burdockchute/decisions/tries.py
@@ -12,6 +12,8 @@
 from typing import NamedTuple
 
 MAX_TRIES = 3
+# Those by requests that may crash upstreams for another cause, too.
+MAX_AMBIGUOUS_TRIES = 1
 
 # An upstream may queue a request before it runs it. A try that has shown
 # nothing by then is over, but counts.
