Crashes: a server that is back at once under its id has ended, too

What callers saw: a request that crashes servers which start again at once, and keep their ids, is never refused (20 of 20 sends in the test). Cause: after a lost answer, the address and a health check with the id tell whether the server has ended; this start answers both. Only the list shows it, by a later time of start, a second or so later. So a server that seemed to be there is looked up in the list for two seconds, and the loss counts once it is listed anew.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -36,6 +36,10 @@
 # A crash breaks off all answers of an upstream within this time.
 COLLECT_S = 0.02
 
+# An upstream that starts again is listed by then.
+RELIST_S = 2.0
+RELIST_POLL_S = 0.2
+
 # Other entries' reports of the same crash arrive within this time.
 DECISION_DELAY_S = 0.1
 
@@ -465,11 +469,29 @@
         has_crashed = self._has_ended(target, self._losses[target].sent_at)
         loss = self._losses.pop(target)
         if has_crashed:
-            self._record_crash(loss.requests, loss.at, 'own')
-            self._on_suspicion()
-            for item in loss.requests:
-                self._publish(item)
+            self._record_loss(loss)
         self._settle()
+        if not has_crashed and self._is_listed_anew(target):
+            self._record_loss(loss)
+
+    def _is_listed_anew(self, target: Target) -> bool:
+        """Wait until the list shows another start of an upstream, if it does.
+
+        One that has started again under its id, at once, accepts connections
+        and answers health checks as if it had not ended.
+        """
+        until = self._now() + RELIST_S
+        while self._now() < until:
+            gevent.sleep(RELIST_POLL_S)
+            if target.is_replaced:
+                return True
+        return False
+
+    def _record_loss(self, loss: _Loss) -> None:
+        self._record_crash(loss.requests, loss.at, 'own')
+        self._on_suspicion()
+        for item in loss.requests:
+            self._publish(item)
 
     def _record_crash(
         self, lost: Sequence[LostRequest], at: float, source: str
