Crashes: entries that no agent tells of them learn at once from the store

What callers saw, by the design: an entry without links to agents, as they are cut or none exist, read what others know of crashes every 20 s until it saw one itself. Each entry could send a request that had ended three servers. One read stays open while nothing is expected. It takes as few calls as before; where an entry is woken, it reads at once beside it, as its connection may have gone silent. test_crashes_that_no_agent_tells_of failed before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -17,6 +17,7 @@
 from gevent import lock
 from gevent import queue
 from returns.result import Failure
+from returns.result import Result
 
 from burdockchute import logs
 from burdockchute.decisions.crash_causes import CRASH_TTL_S
@@ -33,9 +34,11 @@
 from burdockchute.model.feeds import CrashRecord
 from burdockchute.model.feeds import CrashRecorded
 from burdockchute.model.feeds import CrashRecords
+from burdockchute.model.feeds import FeedError
 from burdockchute.model.feeds import RecordRemoved
 from burdockchute.model.feeds import TRY_PREFIX
 from burdockchute.model.feeds import TryClaimed
+from burdockchute.model.positions import Position
 from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.crash_watch import log_refused
 from burdockchute_entry.straight.crash_watch import TryResult
@@ -44,10 +47,11 @@
 MAX_CLAIM_S = 1.0
 CLAIM_RETRY_S = 0.05
 
-# Changes are rare. They are read by long polls for this long after a crash or
-# an outage of the store, and otherwise at this interval.
+# Changes are rare. For this long after a crash or an outage of the store, they
+# are read by short polls, whose silence is noticed; otherwise by long ones, as
+# each call costs operators.
 EXPECTING_S = 30.0
-IDLE_INTERVAL_S = 20.0
+IDLE_POLL_S = 20.0
 MIN_INTERVAL_S = 0.5
 
 # A failed read is repeated until one succeeds: an entry that starts while the
@@ -106,6 +110,9 @@
         self._stored_at: dict[str, float] = {}
         self._cursor = Cursor()
         self._was_read = True
+        # The read that is open while no changes are expected.
+        self._idle_read: gevent.Greenlet | None = None
+        self._idle_position: Position | None = None
         # One claim after another, as each needs to know those before.
         self._claiming = lock.BoundedSemaphore(1)
         crash_watch.is_informed.clear()
@@ -282,10 +289,7 @@
         """Apply the changes of all entries, forever."""
         cursor = self._cursor
         while True:
-            self._woken.clear()
-            is_expecting = self._now() < self._expecting_until
-            wait_s = self._wait_s if is_expecting else 0.0
-            result = self._crash_records.read(cursor.position, wait_s)
+            result = self._read_changes()
             if isinstance(result, Failure):
                 error = result.failure()
                 if error.expired:
@@ -306,7 +310,28 @@
             if self._now() >= self._expecting_until:
                 # Many agents may be linked again at the same time.
                 gevent.sleep(MIN_INTERVAL_S)
-                self._woken.wait(IDLE_INTERVAL_S - MIN_INTERVAL_S)
+
+    def _read_changes(self) -> Result[Batch, FeedError]:
+        """Wait for changes and read them, at once if some are expected.
+
+        While none are, one read stays open, so that an entry learns of crashes
+        that no agent tells it of. It is not relied on once it is woken: its
+        connection may have gone silent.
+        """
+        position = self._cursor.position
+        if position is None or self._now() < self._expecting_until:
+            self._woken.clear()
+            return self._crash_records.read(position, self._wait_s)
+        if self._idle_read is None or self._idle_read.ready():
+            self._idle_read = gevent.spawn(
+                self._crash_records.read, position, IDLE_POLL_S
+            )
+            self._idle_position = position
+        gevent.wait([self._idle_read, self._woken], count=1)
+        if self._idle_read.ready() and self._idle_position == position:
+            return self._idle_read.get()
+        self._woken.clear()
+        return self._crash_records.read(position, 0.0)
 
     def _save_missing(self, batch: Batch) -> None:
         """Save again what a store that was restored from a copy lacks."""
