Crashes: a request is not sent where its try was denied

Found by reading the diff: after a denied claim the refusal was asked for again, and there is none once the open try has ended meanwhile, so the request was sent without a try. test_nothing_is_sent_without_a_claim failed before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -242,12 +242,16 @@
         now = self._deps.now()
         reason = self._reason_not_to_send(target, now)
         if not reason and self._may_only_be_tried():
-            # A claim takes time.
             is_claimed = self._deps.crash_watch.claim_try(
                 self.ctx, self.pending.resuming, self.pending.avoided
             )
+            # A claim takes time.
             now = self._deps.now()
-            reason = self._reason_not_to_send(target, now, is_claimed)
+            reason = (
+                self._reason_not_to_send(target, now, is_claimed)
+                if is_claimed
+                else 'it may crash upstreams, and no try was claimed'
+            )
         if reason:
             conn.close()
             self._deps.scheduler.release(self.pending, slot)
