--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -139,14 +139,13 @@
         self._inbox.put(CrashRecorded(lost, self._now_unix()))
 
     def save_answered(self, name: str) -> None:
-        """Save that what was in crashes has been answered.
-
-        Its tries, and that it was refused, outlast the record of the answer.
-        """
+        """Save that what was in crashes has been answered."""
         self._inbox.put(CauseAnswered(name, self._now_unix()))
-        obsolete = [key for key in self._stored_at if _is_try_of(name, key)]
-        for key in [*obsolete, name]:
-            self._inbox.put(RecordRemoved(key))
+        tries = [key for key in self._stored_at if _is_try_of(name, key)]
+        if tries:
+            # They, and that it was refused, outlast the record of the answer.
+            for key in (*tries, name):
+                self._inbox.put(RecordRemoved(key))
 
     def _refused(self, name: str, for_s: float) -> CauseRefused:
         # A record holds for REFUSE_S; one for less is dated back.
