--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -41,7 +41,7 @@
 from burdockchute.model.positions import Position
 from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.crash_watch import log_refused
-from burdockchute_entry.straight.crash_watch import TryResult
+from burdockchute_entry.straight.try_limits import TryResult
 
 # Callers wait for a claim, and may come again soon.
 MAX_CLAIM_S = 1.0
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -12,7 +12,6 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
-import enum
 from typing import NamedTuple
 
 import gevent
@@ -26,12 +25,13 @@
 from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
 from burdockchute.decisions.crash_evidence import MIN_CRASHES
 from burdockchute.decisions.crash_evidence import REFUSE_S
-from burdockchute.decisions.tries import TRY_S
 from burdockchute.model.crash_reports import AnsweredRequest
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.outcomes import NotRun
 from burdockchute.model.requests import RequestContext
 from burdockchute_entry.straight.targets import Target
+from burdockchute_entry.straight.try_limits import ClaimTries
+from burdockchute_entry.straight.try_limits import TryLimits
 
 # A crash breaks off all answers of an upstream within this time.
 COLLECT_S = 0.02
@@ -66,20 +66,6 @@
 # A trial may end without an answer, and another one begin.
 MAX_TRIAL_WAIT_S = 2 * TRIAL_S
 
-# An outage of the store lasts for seconds, and its tries can't be counted.
-STORE_AWAY_RETRY_S = 2.0
-
-
-class TryResult(enum.Enum):
-    """Whether an entry may try what has crashed upstreams."""
-
-    CLAIMED = enum.auto()
-    TAKEN = enum.auto()
-    STORE_AWAY = enum.auto()
-
-
-ClaimTries = Callable[[str, Sequence[str]], TryResult]
-
 
 class _Trial(NamedTuple):
     """A request that shows whether a part of its prompt is sound."""
@@ -135,9 +121,9 @@
         self._on_changed = on_changed
         self._count_upstreams = count_upstreams
         self._on_cleared = on_cleared
-        self._claim_tries = claim_tries or self._claim_alone
-        # Until when no try can be claimed.
-        self._uncounted_until = float('-inf')
+        self.try_limits = TryLimits(
+            self.causes, now, claim_tries, self._on_tries_used_up
+        )
         # The trial of each unproven part that a request was sent with.
         self._trials: dict[str, _Trial] = {}
         # Set, and replaced, with each trial that ends before its time.
@@ -176,19 +162,9 @@
         if refused_s := self.causes.refused_for_s(names, now):
             reason = 'a part of its prompt crashed the upstreams that ran it'
             return NotRun(reason, 503, refused_s)
-        limited = self._limited_causes(ctx, started, failed_at)
-        if any(self.causes.tries.are_used_up(name) for name in limited):
-            self._refuse_again(limited)
-            reason = 'it crashed the upstreams that ran it, and was tried'
-            return NotRun(reason, 503, REFUSE_S)
-        if limited and not self.causes.may_be_tried(
-            ctx.fingerprint, limited, now
-        ):
-            reason = 'it may crash upstreams and is on trial'
-            return NotRun(reason, 503, self._try_left_s(limited) or TRY_S)
-        if limited and now < self._uncounted_until:
-            reason = 'it may crash upstreams, and tries are not counted'
-            return NotRun(reason, 503, self._uncounted_until - now)
+        limited = self.try_limits.limited_causes(ctx, started, failed_at)
+        if refusal := self.try_limits.refusal(ctx, limited):
+            return refusal
         trial_s = self._trial_left_s(ctx)
         if trial_s > 0:
             reason = 'a part of its prompt may crash upstreams and is on trial'
@@ -251,82 +227,12 @@
         )
 
     def _trial_or_try_left_s(self, ctx: RequestContext) -> float:
-        limited = self._limited_causes(ctx)
-        if any(self.causes.tries.are_used_up(name) for name in limited):
+        limited = self.try_limits.limited_causes(ctx)
+        if self.try_limits.are_used_up(limited):
             # It is refused at once.
             return 0.0
-        return max(self._trial_left_s(ctx), self._try_left_s(limited))
-
-    # Tries.
-
-    def _limited_causes(
-        self,
-        ctx: RequestContext,
-        started: bool = False,
-        failed_at: Collection[str] = (),
-    ) -> list[str]:
-        """Return the causes of a request that may only be tried."""
-        if not self.causes.has_limited:
-            return []
-        names = [part.name for part in ctx.prompt_parts]
-        if not started or self.causes.was_in_crash(ctx.fingerprint, failed_at):
-            names.insert(0, request_cause(ctx.fingerprint))
-        return [name for name in names if self.causes.may_only_be_tried(name)]
-
-    def _try_left_s(self, limited: Iterable[str]) -> float:
-        now = self._now()
-        left = [self.causes.tries.open_for_s(name, now) for name in limited]
-        return max(left, default=0.0)
-
-    def _refuse_again(self, limited: Iterable[str]) -> None:
-        """Refuse what was tried often enough, for as long as it comes."""
-        for name in limited:
-            if self.causes.tries.are_used_up(name):
-                self.causes.refuse(name, REFUSE_S, self._now())
-                log_refused(name, 'tries', REFUSE_S)
-                self._on_changed(name, REFUSE_S)
-
-    def may_only_be_tried(
-        self,
-        ctx: RequestContext,
-        started: bool = False,
-        failed_at: Collection[str] = (),
-    ) -> bool:
-        """Whether a try has to be claimed before a request is sent."""
-        return bool(self._limited_causes(ctx, started, failed_at))
-
-    def claim_try(
-        self,
-        ctx: RequestContext,
-        started: bool = False,
-        failed_at: Collection[str] = (),
-    ) -> bool:
-        """Claim a try of a request that may only be tried.
-
-        If none is left for it, `refusal` says why.
-        """
-        limited = self._limited_causes(ctx, started, failed_at)
-        result = self._claim_tries(ctx.fingerprint, limited)
-        if result is TryResult.STORE_AWAY:
-            self._uncounted_until = self._now() + STORE_AWAY_RETRY_S
-        logs.event(
-            'request_tried',
-            request_id=ctx.request_id,
-            causes=','.join(limited),
-            number=max(map(self.causes.tries.count, limited), default=0),
-            result=result.name.lower(),
-        )
-        return result is TryResult.CLAIMED
-
-    def _claim_alone(
-        self, fingerprint: str, names: Sequence[str]
-    ) -> TryResult:
-        if not self.causes.may_be_tried(fingerprint, names, self._now()):
-            return TryResult.TAKEN
-        for name in names:
-            number = self.causes.tries.count(name) + 1
-            self.causes.tries.record(name, number, self._now())
-        return TryResult.CLAIMED
+        try_s = self.try_limits.open_for_s(limited)
+        return max(self._trial_left_s(ctx), try_s)
 
     def _end_trials(self, names: Iterable[str]) -> None:
         for name in list(names):
@@ -352,7 +258,7 @@
     def must_be_isolated(self, ctx: RequestContext) -> bool:
         """Whether no other request may begin where one does."""
         return self.causes.must_be_isolated(ctx.fingerprint) or bool(
-            self._limited_causes(ctx)
+            self.try_limits.limited_causes(ctx)
         )
 
     def wait_until_judged(self, ctx: RequestContext) -> None:
@@ -428,7 +334,7 @@
             return
         report = AnsweredRequest(ctx.fingerprint, ctx.prompt_parts)
         late_crashes = self.causes.late_crash_count(ctx.fingerprint)
-        limited = self._limited_causes(ctx)
+        limited = self.try_limits.limited_causes(ctx)
         suspected = self._record_answered(report, is_whole)
         if is_whole and late_crashes >= CRASHES_TO_ISOLATE:
             self._on_cleared(request_cause(ctx.fingerprint))
@@ -522,6 +428,10 @@
             )
         self._decide_soon()
 
+    def _on_tries_used_up(self, name: str) -> None:
+        log_refused(name, 'tries', REFUSE_S)
+        self._on_changed(name, REFUSE_S)
+
     def _decide_soon(self, delay_s: float = DECISION_DELAY_S) -> None:
         decide_at = self._now() + delay_s
         if decide_at >= self._decide_at:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -241,17 +241,17 @@
             raise
         now = self._deps.now()
         reason = self._reason_not_to_send(target, now)
-        if not reason and self._may_only_be_tried():
-            is_claimed = self._deps.crash_watch.claim_try(
-                self.ctx, self.pending.resuming, self.pending.avoided
-            )
-            # A claim takes time.
-            now = self._deps.now()
-            reason = (
-                self._reason_not_to_send(target, now, is_claimed)
-                if is_claimed
-                else 'it may crash upstreams, and no try was claimed'
-            )
+        try_limits = self._deps.crash_watch.try_limits
+        limited = try_limits.limited_causes(
+            self.ctx, self.pending.resuming, self.pending.avoided
+        )
+        if not reason and limited:
+            if try_limits.claim(self.ctx, limited):
+                # A claim takes time.
+                now = self._deps.now()
+                reason = self._reason_not_to_send(target, now, is_claimed=True)
+            else:
+                reason = 'it may crash upstreams, and no try was claimed'
         if reason:
             conn.close()
             self._deps.scheduler.release(self.pending, slot)
@@ -268,11 +268,6 @@
             conn.set_poll_interval(min(POLL_INTERVAL_S, (hedge_at - now) / 2))
         return SentRequest(slot, conn, now, start_by, hedge_at, rival)
 
-    def _may_only_be_tried(self) -> bool:
-        return self._deps.crash_watch.may_only_be_tried(
-            self.ctx, self.pending.resuming, self.pending.avoided
-        )
-
     def _reason_not_to_send(
         self, target: Target, now: float, is_claimed: bool = False
     ) -> str:
