--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -397,6 +397,8 @@
         now = self._now()
         age_s = max(0.0, self._now_unix() - change.at_unix)
         left_s = REFUSE_S - age_s
+        if left_s <= -LIMITED_TTL_S:
+            return
         if left_s <= WEAK_REFUSE_S:
             # Entries of earlier releases refuse on weak evidence, too, and
             # may not have seen the answers that this one has.
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -444,7 +444,7 @@
         """Whether a request may be the next try of some limited causes.
 
         If it has several, or was in a crash itself, a crash would not show
-        which of them is the cause. The last try of a cause is left to others.
+        which of them is the cause, so it may only be the first try of each.
         """
         tries = self.tries
         if any(
