Crashes: a part that is only suspected is tried while the store is away

They shared the part story/4, which was in three crashes by chance, and the store had been away since 2 s before, so no try of it could be claimed. Cause: what is only suspected was held to the same rule as what is known to have ended three servers. Parts are shared by many requests. While they are only suspected, each entry tries them for itself where the store is away: a sound one is answered at the first try, and five requests convict the others. Requests in three crashes and what was refused are still not sent. test_suspected_part_is_tried_while_the_store_is_away failed before.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -402,8 +402,10 @@
         if left_s <= WEAK_REFUSE_S:
             # Entries of earlier releases refuse on weak evidence, too, and
             # may not have seen the answers that this one has.
-            if left_s <= 0 or not self._causes.was_answered(change.name):
-                self._causes.was_refused(change.name, now + min(0.0, left_s))
+            if left_s <= 0:
+                self._causes.was_refused(change.name, now + left_s)
+            elif not self._causes.was_answered(change.name):
+                self._causes.suspect(change.name, now)
             return
         if not self._causes.is_refused(change.name, now):
             log_refused(change.name, 'store', left_s)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
@@ -92,16 +92,22 @@
         if not self._causes.may_be_tried(ctx.fingerprint, limited, now):
             reason = 'it may crash upstreams and is on trial'
             return NotRun(reason, 503, self.open_for_s(limited) or TRY_S)
-        if now < self._uncounted_until:
+        if now < self._uncounted_until and self._are_known(limited):
             reason = 'it may crash upstreams, and tries are not counted'
             return NotRun(reason, 503, self._uncounted_until - now)
         return None
 
     def claim(self, ctx: RequestContext, limited: Sequence[str]) -> bool:
-        """Claim a try of a request with limited causes; false if denied."""
+        """Claim a try of a request with limited causes; false if denied.
+
+        Without the store, parts that are only suspected are tried by each
+        entry for itself: all requests with a sound one would be refused.
+        """
         result = self._claim_tries(ctx.fingerprint, limited)
         if result is TryResult.STORE_AWAY:
             self._uncounted_until = self._now() + STORE_AWAY_RETRY_S
+            if not self._are_known(limited):
+                result = self._claim_alone(ctx.fingerprint, limited)
         logs.event(
             'request_tried',
             request_id=ctx.request_id,
@@ -115,6 +121,9 @@
         """Whether one of the causes was tried as often as allowed."""
         return any(self._causes.tries.are_used_up(name) for name in limited)
 
+    def _are_known(self, limited: Iterable[str]) -> bool:
+        return any(map(self._causes.is_known, limited))
+
     def open_for_s(self, limited: Iterable[str]) -> float:
         """Return for how long a try of one of the causes may be open."""
         now, tries = self._now(), self._causes.tries
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -111,6 +111,8 @@
         self._weak: set[str] = set()
         # When causes that may only be tried last were in a crash or refused.
         self._limited_at: dict[str, float] = {}
+        # Those that are known to crash upstreams.
+        self._convicted: set[str] = set()
         self.tries = Tries()
 
     # Evidence.
@@ -335,6 +337,7 @@
             for_s = 0.0
             if found.is_certain:
                 self._weak.discard(found.name)
+                self._convicted.add(found.name)
                 for_s = found.refuse_until - now
             else:
                 self._weak.add(found.name)
@@ -400,13 +403,19 @@
         until = max(self._refused_until.get(name, now), now + for_s)
         self._refused_until[name] = until
         self._weak.discard(name)
+        self._convicted.add(name)
         self._limit_tries(name, until)
 
     def was_refused(self, name: str, until: float) -> None:
         """Record that a cause was refused until a time in the past."""
         if self._answered_at.get(name, float('-inf')) < until:
+            self._convicted.add(name)
             self._limit_tries(name, until)
 
+    def suspect(self, name: str, now: float) -> None:
+        """Record that a cause is suspected by another entry."""
+        self._limit_tries(name, now)
+
     def clear(self, name: str, now: float) -> None:
         """Refuse a cause no longer, as operators allow it."""
         self._allow(name, now)
@@ -418,6 +427,7 @@
 
     def _end_tries(self, name: str, at: float) -> None:
         self._limited_at.pop(name, None)
+        self._convicted.discard(name)
         self.tries.forget(name, at)
 
     def _allow(self, name: str, at: float) -> None:
@@ -438,6 +448,14 @@
         """
         return name in self._limited_at or self.tries.count(name) > 0
 
+    def is_known(self, name: str) -> bool:
+        """Whether a cause that may only be tried is known to crash upstreams.
+
+        Those are requests in three crashes, and what was refused. A part that
+        many requests share may be suspected by chance.
+        """
+        return fingerprint_of(name) is not None or name in self._convicted
+
     def may_be_tried(
         self, fingerprint: str, limited: Collection[str], now: float
     ) -> bool:
@@ -516,6 +534,7 @@
             for name, at in self._limited_at.items()
             if now - at <= LIMITED_TTL_S
         }
+        self._convicted &= self._limited_at.keys()
         self.tries.drop_before(now - LIMITED_TTL_S)
         self._late_runs = {
             name: runs
