--- a/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
@@ -104,7 +104,8 @@
         entry for itself: all requests with a sound one would be refused.
         """
         result = self._claim_tries(ctx.fingerprint, limited)
-        if result is TryResult.STORE_AWAY:
+        is_away = result is TryResult.STORE_AWAY
+        if is_away:
             self._uncounted_until = self._now() + STORE_AWAY_RETRY_S
             if not self._are_known(limited):
                 result = self._claim_alone(ctx.fingerprint, limited)
@@ -114,6 +115,7 @@
             causes=','.join(limited),
             number=max(map(self._causes.tries.count, limited), default=0),
             result=result.name.lower(),
+            store_away=is_away,
         )
         return result is TryResult.CLAIMED
 
