--- a/packages/burdockchute/burdockchute/lifecycle.py
+++ b/packages/burdockchute/burdockchute/lifecycle.py
@@ -80,6 +80,10 @@
         self._stopping.wait()
         return not self._failed
 
+    def wait_stop(self, timeout_s: float) -> bool:
+        """Wait up to `timeout_s`; return whether a stop was requested."""
+        return bool(self._stopping.wait(timeout_s))
+
     def status(self) -> dict[str, Any]:
         """Return the part of the status page that all processes share."""
         return {
