Starts: a port that the process before still holds is waited for

What operators saw: an entry or agent that was started while the process before was within its grace, or before the machine had its address, ended with status 1 (can_not_serve) after its only try; the link port of an agent, the callers', the probes' and the admin port alike. Cause: each server was started once, and every error of it ended the process. Evidence: an entry started 2.6 s before the one before it ended, and an agent beside a suspended one, both ended with status 1. Servers of a process are now started in order, again and again for the grace of the process before and 5 s (drain-s and 5 s with the project's own protocol), with a line at the first failure and one at success. A stop meanwhile ends the process with 0; after the time it ends with one can_not_serve that names address and error, and 1. The port of probes comes before that of callers, so that no caller connects to a process that can't serve yet; nothing stays open after a failure. Errors that stay (a port that is forbidden) are not tried again.

--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -9,6 +9,7 @@
 from gevent import queue
 
 from burdockchute import http_admin
+from burdockchute import listening
 from burdockchute import logs
 from burdockchute import tasks
 from burdockchute.lifecycle import ProcessLifecycle
@@ -83,16 +84,23 @@
     def serve(self) -> int:
         """Run until a signal requests a stop; return the exit status."""
         self.lifecycle.start()
-        link_server = links.listen(
+        link_server = links.make_server(
             self.cfg.address,
             self.cfg.link_port,
             self.lifecycle.hello,
             self.inbox,
             self.table_offset,
         )
-        admin = http_admin.serve(
+        # Peers copy weights from the admin port.
+        admin = http_admin.make_server(
             self.cfg.address, self.cfg.admin_port, self._admin_app()
         )
+        if not listening.start_all(
+            [admin, link_server],
+            self.lifecycle.wait_stop,
+            self.cfg.drain_s + listening.PREDECESSOR_MARGIN_S,
+        ):
+            return listening.stop_before_serving()
         self.admin_url = f'http://{self.cfg.address}:{admin.server_port}'
         logs.event(
             'serving',
--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -10,6 +10,7 @@
 from gevent import queue
 
 from burdockchute import http_admin
+from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
 from burdockchute import site_settings
@@ -96,13 +97,19 @@
         machine = self._machine
         self.lifecycle.start(self._reload)
         self._watch()
-        link_server = links.listen(
+        link_server = links.make_server(
             machine.address,
             machine.link_ports[0],
             self._hello,
             self.inbox,
             lambda: 0,
         )
+        if not listening.start_all(
+            [link_server],
+            self.lifecycle.wait_stop,
+            machine.bounds.grace_s + listening.PREDECESSOR_MARGIN_S,
+        ):
+            return listening.stop_before_serving()
         admin = http_admin.serve(
             machine.address,
             self._cfg.admin_port,
--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -11,6 +11,7 @@
 from gevent import queue
 
 from burdockchute import http_admin
+from burdockchute import listening
 from burdockchute import logs
 from burdockchute import tasks
 from burdockchute.callers import http
@@ -122,7 +123,7 @@
     def serve(self) -> int:
         """Run until a signal asks to stop; return the exit status."""
         self.lifecycle.start()
-        link_server = links.listen(
+        link_server = links.make_server(
             self.cfg.address,
             self.cfg.link_port,
             self.lifecycle.hello,
@@ -133,10 +134,16 @@
         callers = server.make_server(
             self.cfg.address, self.cfg.http_port, callers_app
         )
-        callers.start()
-        admin = http_admin.serve(
+        # The load balancer checks the readiness on the admin port.
+        admin = http_admin.make_server(
             self.cfg.address, self.cfg.admin_port, self._admin_app()
         )
+        if not listening.start_all(
+            [admin, link_server, callers],
+            self.lifecycle.wait_stop,
+            self.cfg.drain_s + listening.PREDECESSOR_MARGIN_S,
+        ):
+            return listening.stop_before_serving()
         logs.event(
             'serving',
             link_port=link_server.server_port,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -12,6 +12,7 @@
 from gevent import pywsgi
 
 from burdockchute import http_admin
+from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
 from burdockchute import site_settings
@@ -192,16 +193,20 @@
         callers = server.make_server(
             machine.callers.ip, machine.callers.port, self.callers
         )
-        callers.start()
-        if self.memory.budget_bytes is not None:
-            server.limit_send_buffers(callers)
         probes = pywsgi.WSGIServer(
             (machine.probes.ip, machine.probes.port),
             self._probe,
             log=None,
             error_log=None,
         )
-        probes.start()
+        if not listening.start_all(
+            [probes, callers],
+            self.lifecycle.wait_stop,
+            machine.bounds.grace_s + listening.PREDECESSOR_MARGIN_S,
+        ):
+            return listening.stop_before_serving()
+        if self.memory.budget_bytes is not None:
+            server.limit_send_buffers(callers)
         admin = self._serve_admin()
         logs.event(
             'serving',
--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -19,6 +19,7 @@
 from burdockchute import settings as base
 from burdockchute import site_settings
 from burdockchute.adapters import Adapter
+from burdockchute.listening import ListenError
 from burdockchute.model import findings
 from burdockchute.model.findings import Finding
 from burdockchute.model.machines import Machine
@@ -104,11 +105,7 @@
     """Run a process with checked settings; return its exit status."""
     cfg = from_values(read_or_exit(settings, args, environ))
     logs.set_up(cfg.log_level, cfg.name)
-    try:
-        return serve(cfg)
-    except (links.LinkError, OSError) as exc:
-        print(f'cannot serve: {exc}', file=sys.stderr)
-        return EXIT_FAILED
+    return _run_to_exit(lambda: serve(cfg))
 
 
 class Site(NamedTuple):
@@ -164,11 +161,17 @@
     """Run a process on a platform; return its exit status."""
     site = read_site_or_exit(args, environ)
     logs.set_up_bounded(site.cfg.log_level, site.machine.name)
+    return _run_to_exit(lambda: serve(site))
+
+
+def _run_to_exit(serve: Callable[[], int]) -> int:
     try:
-        return serve(site)
+        return serve()
+    except ListenError as exc:
+        logs.warn('can_not_serve', address=exc.address, reason=exc.error)
     except (links.LinkError, OSError) as exc:
         logs.warn('can_not_serve', reason=str(exc))
-        return EXIT_FAILED
+    return EXIT_FAILED
 
 
 def _exit_with(invalid: Sequence[Finding]) -> NoReturn:
--- a/packages/burdockchute/burdockchute/http_admin.py
+++ b/packages/burdockchute/burdockchute/http_admin.py
@@ -64,9 +64,14 @@
     return app
 
 
+def make_server(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
+    """Return a server that is not started; port 0 selects a free port."""
+    return pywsgi.WSGIServer((address, port), app, log=None, error_log=None)
+
+
 def serve(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
     """Start serving; raises OSError if the address is in use."""
-    server = pywsgi.WSGIServer((address, port), app, log=None, error_log=None)
+    server = make_server(address, port, app)
     server.start()
     return server
 
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -320,14 +320,14 @@
         raise LinkError(f'{address}:{port}: {exc}') from exc
 
 
-def listen(
+def make_server(
     address: str,
     port: int,
     hello: Callable[[], messages.Hello],
     inbox: queue.Queue,
     table_offset: Callable[[], int],
 ) -> server.StreamServer:
-    """Accept links at an address; raises LinkError if it is in use.
+    """Return a server that is not started and accepts links at an address.
 
     The address is bound exclusively, so that a second agent of the same
     instance fails at its start instead of sharing the upstream.
@@ -341,7 +341,18 @@
         except (OSError, wire.WireError):
             _shut_down(sock)
 
-    listener = server.StreamServer((address, port), accept)
+    return server.StreamServer((address, port), accept)
+
+
+def listen(
+    address: str,
+    port: int,
+    hello: Callable[[], messages.Hello],
+    inbox: queue.Queue,
+    table_offset: Callable[[], int],
+) -> server.StreamServer:
+    """Accept links at an address; raises LinkError if it is in use."""
+    listener = make_server(address, port, hello, inbox, table_offset)
     try:
         listener.start()
     except OSError as exc:
