Starts: a process serves without its admin port until that is available

What operators saw: an entry or agent of serve-site whose admin port was in use ended with status 1, though that port serves metrics alone. Cause: it was started like the ports that callers and probes need. It is now tried again each second in the background, with a warning at the first failure and a line at success. With serve it stays needed, as probes and copies of weights come to it. test_a_process_serves_without_its_admin_port failed before for entry and agent.

--- a/packages/burdockchute/burdockchute/http_admin.py
+++ b/packages/burdockchute/burdockchute/http_admin.py
@@ -10,13 +10,20 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import json
+import time
 from typing import Any
 from typing import NamedTuple
 
+import gevent
 from gevent import pywsgi
 
+from burdockchute import listening
+from burdockchute import logs
 from burdockchute import metrics
 
+# Pause between attempts to start an admin port that is not available.
+RETRY_S = 1.0
+
 METRICS_TEXT = '/metrics/text'
 
 Response = tuple[str, list[tuple[str, str]], Iterable[bytes]]
@@ -70,12 +77,43 @@
 
 
 def serve(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
-    """Start serving; raises OSError if the address is in use."""
+    """Start serving now, or in the background once the address is available.
+
+    This is for a process that serves callers without its admin port.
+    """
     server = make_server(address, port, app)
-    server.start()
+    error = _try_start(server)
+    if error:
+        logs.warn(
+            'admin_unavailable',
+            address=listening.address_of(server),
+            error=error,
+        )
+        gevent.spawn(_start_later, server, time.monotonic())
     return server
 
 
+def _start_later(server: pywsgi.WSGIServer, began: float) -> None:
+    while True:
+        gevent.sleep(RETRY_S)
+        if not _try_start(server):
+            logs.event(
+                'admin_available',
+                address=listening.address_of(server),
+                after_s=round(time.monotonic() - began, 1),
+            )
+            return
+
+
+def _try_start(server: pywsgi.WSGIServer) -> str:
+    """Start a server; return the error, empty if there is none."""
+    try:
+        server.start()
+    except OSError as exc:
+        return listening.describe_error(exc)
+    return ''
+
+
 def _respond(
     path: str,
     status: Callable[[], dict[str, Any]],
