Starts: no server looks up the name of its address

What operators would see: a process that does not start where the name service does not answer. Each HTTP server of gevent looks up the name of the address that it serves at (getfqdn), for SERVER_NAME of a WSGI environment, which nothing here reads. With our resolver the lookup blocks the whole process, signals and links too; the system's resolver waits 10 s for a name server that is silent.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -193,11 +193,8 @@
         callers = server.make_server(
             machine.callers.ip, machine.callers.port, self.callers
         )
-        probes = pywsgi.WSGIServer(
-            (machine.probes.ip, machine.probes.port),
-            self._probe,
-            log=None,
-            error_log=None,
+        probes = http_admin.make_server(
+            machine.probes.ip, machine.probes.port, self._probe
         )
         if not listening.start_all(
             [probes, callers],
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -116,9 +116,19 @@
         handler_class=_Handler,
         log=None,
         error_log=_log,
+        environ=wsgi_environ(address),
     )
 
 
+def wsgi_environ(address: str) -> dict[str, str]:
+    """Return the environment of a WSGI server that is named by its address.
+
+    gevent would look up the name of the address at its start, and a name
+    service that doesn't answer would block the process for many seconds.
+    """
+    return {'SERVER_NAME': address}
+
+
 def limit_send_buffers(callers: pywsgi.WSGIServer) -> None:
     """Limit what the system buffers for each caller of a started server.
 
--- a/packages/burdockchute/burdockchute/http_admin.py
+++ b/packages/burdockchute/burdockchute/http_admin.py
@@ -20,6 +20,7 @@
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
+from burdockchute.callers.server import wsgi_environ
 
 # Pause between attempts to start an admin port that is not available.
 RETRY_S = 1.0
@@ -73,7 +74,13 @@
 
 def make_server(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
     """Return a server that is not started; port 0 selects a free port."""
-    return pywsgi.WSGIServer((address, port), app, log=None, error_log=None)
+    return pywsgi.WSGIServer(
+        (address, port),
+        app,
+        log=None,
+        error_log=None,
+        environ=wsgi_environ(address),
+    )
 
 
 def serve(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
--- a/packages/burdockchute/tests/test_listening.py
+++ b/packages/burdockchute/tests/test_listening.py
@@ -6,10 +6,13 @@
 import logging
 import socket
 import unittest
+from unittest import mock
 
 from gevent import server
 
+from burdockchute import http_admin
 from burdockchute import listening
+from burdockchute.callers import server as callers
 
 
 class Clock:
@@ -135,5 +138,25 @@
         self.assertEqual(0.0, clock.now)
 
 
+class NameServiceTest(unittest.TestCase):
+    """The name service does not answer while a process starts.
+
+    The process looked up the name of each address at which it serves HTTP,
+    and was blocked meanwhile.
+    """
+
+    def test_no_server_looks_up_the_name_of_its_address(self):
+        for make in (callers.make_server, http_admin.make_server):
+            with self.subTest(make.__module__):
+                made = make('127.0.0.1', 0, lambda *args: [])
+                self.addCleanup(made.close)
+                with mock.patch(
+                    'gevent.socket.getfqdn', autospec=True
+                ) as look_up:
+                    made.start()
+                look_up.assert_not_called()
+                self.assertEqual('127.0.0.1', made.environ['SERVER_NAME'])
+
+
 if __name__ == '__main__':
     unittest.main()
