Starts: settings that are missing, empty or incomplete are waited for

What operators saw: a process that was started before its settings file was whole ended with status 2 after a second, in silence until then. Invalid settings, which no wait changes, ended it only after that second. Cause: any failure to read the file was tried again, for 1 s, without a line. A finding now says whether it may be gone at the next read (no file, no JSON). Such a file is read again for 5 s, with a line at the first failure and one at success, then one can_not_serve and status 1. Other findings end the process at once with 2. The log is set up before the settings are read, so that these lines are seen. test_a_half_written_file_is_read_again names its findings as transient now; what it asserts is unchanged.

--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -135,13 +135,18 @@
     """Return the site, or print all findings and exit with status 2."""
     values = read_or_exit(site_settings.SETTINGS, args, environ)
     cfg = site_settings.from_values(values)
+    adapter = _load_adapter_or_exit(cfg)
+    machine = adapter.read_machine(cfg.settings)
+    if isinstance(machine, Failure):
+        _exit_with(machine.failure())
+    return Site(cfg, machine.unwrap(), adapter)
+
+
+def _load_adapter_or_exit(cfg: SiteSettings) -> Adapter:
     adapter = adapters.load_adapter(cfg.platform)
     if isinstance(adapter, Failure):
         _exit_with([adapter.failure()])
-    machine = site_settings.read_machine(cfg, adapter.unwrap())
-    if isinstance(machine, Failure):
-        _exit_with(machine.failure())
-    return Site(cfg, machine.unwrap(), adapter.unwrap())
+    return adapter.unwrap()
 
 
 def check_site(args: argparse.Namespace, environ: Mapping[str, str]) -> int:
@@ -159,8 +164,20 @@
     serve: Callable[[Site], int],
 ) -> int:
     """Run a process on a platform; return its exit status."""
-    site = read_site_or_exit(args, environ)
-    logs.set_up_bounded(site.cfg.log_level, site.machine.name)
+    values = read_or_exit(site_settings.SETTINGS, args, environ)
+    cfg = site_settings.from_values(values)
+    adapter = _load_adapter_or_exit(cfg)
+    # The file that has the name of the machine may have to be waited for.
+    logs.set_up_bounded(cfg.log_level, '')
+    machine = site_settings.read_machine(cfg, adapter)
+    if isinstance(machine, Failure):
+        if not site_settings.is_transient(machine.failure()):
+            _exit_with(machine.failure())
+        reason = findings.render_all(machine.failure())
+        logs.warn('can_not_serve', reason=reason)
+        return EXIT_FAILED
+    site = Site(cfg, machine.unwrap(), adapter)
+    logs.set_process_name(site.machine.name)
     return _run_to_exit(lambda: serve(site))
 
 
--- a/packages/burdockchute/burdockchute/logs.py
+++ b/packages/burdockchute/burdockchute/logs.py
@@ -96,6 +96,14 @@
         self._remainder = data[written:]
 
 
+def set_process_name(process: str) -> None:
+    """Name this process in the lines from now on."""
+    for handler in _LOG.handlers:
+        for old in list(handler.filters):
+            handler.removeFilter(old)
+        handler.addFilter(_process_name_filter(process))
+
+
 def _install(handler: logging.Handler, level: str, process: str) -> None:
     handler.setFormatter(
         logfmter.Logfmter(
--- a/packages/burdockchute/burdockchute/model/findings.py
+++ b/packages/burdockchute/burdockchute/model/findings.py
@@ -13,12 +13,15 @@
 class Finding(NamedTuple):
     """One problem in an input, with its location.
 
+    A transient one may be gone when the input is read again.
+
     >>> print(render(Finding('rows.csv:3:limit', "'x' is no number")))
     rows.csv:3:limit: 'x' is no number
     """
 
     place: str
     text: str
+    is_transient: bool = False
 
 
 def render(finding: Finding) -> str:
--- a/packages/burdockchute/burdockchute/site_settings.py
+++ b/packages/burdockchute/burdockchute/site_settings.py
@@ -30,9 +30,9 @@
     '',
 )
 
-# A platform may write the file in place, so it can be empty or incomplete for
-# a moment. A process that took that for its settings would end at its start.
-REWRITE_TIMEOUT_S = 1.0
+# A platform may write the file in place or after the start of a process, so it
+# can be missing, empty or incomplete for a moment.
+REWRITE_TIMEOUT_S = 5.0
 REWRITE_POLL_S = 0.05
 
 
@@ -101,15 +101,42 @@
 def read_machine(
     cfg: SiteSettings, adapter: Adapter
 ) -> Result[Machine, list[Finding]]:
-    """Read the machine's file; one that is invalid is read again for 1 s."""
-    deadline = time.monotonic() + REWRITE_TIMEOUT_S
+    """Read the machine's file; one that is being written is read again."""
+    began = time.monotonic()
+    first_reason = ''
     while True:
         result = adapter.read_machine(cfg.settings)
-        if not isinstance(result, Failure) or time.monotonic() > deadline:
+        waited_s = time.monotonic() - began
+        if not isinstance(result, Failure):
+            if first_reason:
+                logs.event(
+                    'settings_readable',
+                    reason=first_reason,
+                    after_s=round(waited_s, 2),
+                )
             return result
+        if not may_read_again(result.failure(), waited_s):
+            return result
+        if not first_reason:
+            first_reason = render_all(result.failure())
+            logs.warn(
+                'settings_unreadable',
+                reason=first_reason,
+                retry_s=REWRITE_TIMEOUT_S,
+            )
         gevent.sleep(REWRITE_POLL_S)
 
 
+def may_read_again(invalid: list[Finding], waited_s: float) -> bool:
+    """Whether a file with these findings is read again."""
+    return is_transient(invalid) and waited_s < REWRITE_TIMEOUT_S
+
+
+def is_transient(invalid: list[Finding]) -> bool:
+    """Whether all findings may be gone when the file is read again."""
+    return all(finding.is_transient for finding in invalid)
+
+
 def reload(cfg: SiteSettings, adapter: Adapter, current: Machine) -> Machine:
     """Read the machine's file again; keep the old state if it is invalid.
 
--- a/packages/burdockchute/tests/test_site_settings.py
+++ b/packages/burdockchute/tests/test_site_settings.py
@@ -44,14 +44,23 @@
 
     def test_a_half_written_file_is_read_again(self):
         results = [
-            Failure([Finding('/etc/x', 'is not JSON')]),
-            Failure([Finding('/etc/x', 'is not JSON')]),
+            Failure([Finding('/etc/x', 'is not JSON', is_transient=True)]),
+            Failure([Finding('/etc/x', 'is not JSON', is_transient=True)]),
             Success(MACHINE),
         ]
         adapter = SimpleNamespace(read_machine=lambda path: results.pop(0))
         machine = site_settings.read_machine(CFG, adapter)
         self.assertEqual(Success(MACHINE), machine)
 
+    def test_invalid_settings_are_not_read_again(self):
+        """A member of the settings is malformed, which no wait changes."""
+        lasting = Finding('/etc/x', 'ip: 7 is no text')
+        transient = Finding('/etc/x', 'is not JSON', is_transient=True)
+        may_read_again = site_settings.may_read_again
+        self.assertFalse(may_read_again([lasting], 0.0))
+        self.assertTrue(may_read_again([transient], 4.9))
+        self.assertFalse(may_read_again([transient], 5.0))
+
 
 class ReloadTest(unittest.TestCase):
     def test_new_bounds_are_applied(self):
