--- a/packages/burdockchute-agent/burdockchute_agent/main.py
+++ b/packages/burdockchute-agent/burdockchute_agent/main.py
@@ -14,6 +14,9 @@
 from burdockchute import commands  # noqa: E402
 from burdockchute_agent import settings  # noqa: E402
 
+# Fields of the machine that an agent on a platform needs.
+REQUIRED_FIELDS = ('upstream',)
+
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit status."""
@@ -25,7 +28,7 @@
             settings.SETTINGS, args, os.environ, settings.from_values
         )
     if args.command == 'check-site':
-        return commands.check_site(args, os.environ)
+        return commands.check_site(args, os.environ, REQUIRED_FIELDS)
     if args.command == 'serve-site':
         return _serve_site(args)
     return _serve(args)
@@ -62,7 +65,10 @@
     from burdockchute_agent.staged.app import StagedApp
 
     return commands.serve_site(
-        args, os.environ, lambda site: StagedApp(*site).serve()
+        args,
+        os.environ,
+        lambda site: StagedApp(*site).serve(),
+        REQUIRED_FIELDS,
     )
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -20,6 +20,9 @@
 # time, a twentieth of its start.
 PROCESS_COMMANDS = ('serve', 'serve-site', 'check', 'check-site', 'status')
 
+# Fields of the machine that an entry on a platform needs.
+REQUIRED_FIELDS = ('callers', 'probes')
+
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit status."""
@@ -27,7 +30,9 @@
     commands_by_name: dict[str, Callable[[], int]] = {
         'serve': lambda: _serve(args),
         'serve-site': lambda: _serve_site(args),
-        'check-site': lambda: commands.check_site(args, os.environ),
+        'check-site': lambda: commands.check_site(
+            args, os.environ, REQUIRED_FIELDS
+        ),
         'check': lambda: commands.run_check(
             settings.SETTINGS, args, os.environ, settings.from_values
         ),
@@ -87,7 +92,10 @@
     from burdockchute_entry.straight.app import StraightApp
 
     return commands.serve_site(
-        args, os.environ, lambda site: StraightApp(*site).serve()
+        args,
+        os.environ,
+        lambda site: StraightApp(*site).serve(),
+        REQUIRED_FIELDS,
     )
 
 
--- a/packages/burdockchute/burdockchute/adapters.py
+++ b/packages/burdockchute/burdockchute/adapters.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from importlib import metadata
 from typing import NamedTuple
 from typing import Protocol
@@ -79,7 +80,8 @@
     ValueError for a malformed header. `encode_health_check` returns a health
     check at a path, which is meant for one instance. `event_version` returns
     the version of weights to which a stream changes with an event, None if it
-    doesn't.
+    doesn't. `member_names` has the member of the settings file for each field
+    of a machine that only some processes need.
     """
 
     read_machine: Callable[[str], Result[Machine, list[Finding]]]
@@ -94,6 +96,7 @@
     origin: Callable[[Endpoint], Origin]
     endpoint: Callable[[str], Endpoint]
     request_id_header: str
+    member_names: Mapping[str, str]
 
 
 def load_adapter(name: str) -> Result[Adapter, Finding]:
--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -130,16 +130,33 @@
 
 
 def read_site_or_exit(
-    args: argparse.Namespace, environ: Mapping[str, str]
+    args: argparse.Namespace,
+    environ: Mapping[str, str],
+    required: Sequence[str],
 ) -> Site:
-    """Return the site, or print all findings and exit with status 2."""
+    """Return the site, or print all findings and exit with status 2.
+
+    `required` names the optional fields of a machine that the program needs.
+    """
     values = read_or_exit(site_settings.SETTINGS, args, environ)
     cfg = site_settings.from_values(values)
     adapter = _load_adapter_or_exit(cfg)
     machine = adapter.read_machine(cfg.settings)
     if isinstance(machine, Failure):
         _exit_with(machine.failure())
-    return Site(cfg, machine.unwrap(), adapter)
+    return _complete_site_or_exit(cfg, adapter, machine.unwrap(), required)
+
+
+def _complete_site_or_exit(
+    cfg: SiteSettings,
+    adapter: Adapter,
+    machine: Machine,
+    required: Sequence[str],
+) -> Site:
+    missing = site_settings.find_missing(cfg, adapter, machine, required)
+    if missing:
+        _exit_with(missing)
+    return Site(cfg, machine, adapter)
 
 
 def _load_adapter_or_exit(cfg: SiteSettings) -> Adapter:
@@ -149,9 +166,13 @@
     return adapter.unwrap()
 
 
-def check_site(args: argparse.Namespace, environ: Mapping[str, str]) -> int:
+def check_site(
+    args: argparse.Namespace,
+    environ: Mapping[str, str],
+    required: Sequence[str],
+) -> int:
     """Print the settings in force and those of the machine, one per line."""
-    site = read_site_or_exit(args, environ)
+    site = read_site_or_exit(args, environ, required)
     for source in (site.cfg, site.machine):
         for name, value in source._asdict().items():
             print(f'{name}={value}')
@@ -162,8 +183,12 @@
     args: argparse.Namespace,
     environ: Mapping[str, str],
     serve: Callable[[Site], int],
+    required: Sequence[str],
 ) -> int:
-    """Run a process on a platform; return its exit status."""
+    """Run a process on a platform; return its exit status.
+
+    `required` names the optional fields of a machine that the program needs.
+    """
     values = read_or_exit(site_settings.SETTINGS, args, environ)
     cfg = site_settings.from_values(values)
     adapter = _load_adapter_or_exit(cfg)
@@ -176,7 +201,7 @@
         reason = findings.render_all(machine.failure())
         logs.warn('can_not_serve', reason=reason)
         return EXIT_FAILED
-    site = Site(cfg, machine.unwrap(), adapter)
+    site = _complete_site_or_exit(cfg, adapter, machine.unwrap(), required)
     logs.set_process_name(site.machine.name)
     return _run_to_exit(lambda: serve(site))
 
--- a/packages/burdockchute/burdockchute/site_settings.py
+++ b/packages/burdockchute/burdockchute/site_settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import time
 from typing import Any
 from typing import NamedTuple
@@ -137,6 +138,20 @@
     return all(finding.is_transient for finding in invalid)
 
 
+def find_missing(
+    cfg: SiteSettings,
+    adapter: Adapter,
+    machine: Machine,
+    required: Sequence[str],
+) -> list[Finding]:
+    """Return a finding for each required field that the machine lacks."""
+    return [
+        Finding(cfg.settings, f'{adapter.member_names[name]}: must be given')
+        for name in required
+        if getattr(machine, name) is None
+    ]
+
+
 def reload(cfg: SiteSettings, adapter: Adapter, current: Machine) -> Machine:
     """Read the machine's file again; keep the old state if it is invalid.
 
