Logs: a closed stdout does not end a process at its start

What operators saw: a process of serve-site whose stdout was closed ended with a traceback and status 1 before it served. Cause: the descriptor of stdout was made non-blocking without asking whether there is one; the interpreter sets sys.stdout to None if it was closed. The lines go to stderr then, the first of them stdout_closed, and nowhere if both are closed. The tests of OutputTest failed before, for entry and agent.

--- a/packages/burdockchute/burdockchute/logs.py
+++ b/packages/burdockchute/burdockchute/logs.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import time
+from typing import TextIO
 
 import logfmter
 
@@ -32,11 +33,33 @@
 
 
 def set_up_bounded(level: str, process: str) -> None:
-    """Send events to stdout; drop those that it can't take at once."""
-    os.set_blocking(sys.stdout.fileno(), False)
-    _install(
-        BoundedHandler(sys.stdout.fileno(), time.monotonic), level, process
+    """Send events to stdout; drop those that it can't take at once.
+
+    They go to stderr if stdout is closed, and nowhere if both are.
+    """
+    stdout = _nonblocking_descriptor(sys.stdout)
+    stderr = _nonblocking_descriptor(sys.stderr) if stdout is None else None
+    descriptor = stderr if stdout is None else stdout
+    handler = (
+        logging.NullHandler()
+        if descriptor is None
+        else BoundedHandler(descriptor, time.monotonic)
     )
+    _install(handler, level, process)
+    if stdout is None:
+        warn('stdout_closed')
+
+
+def _nonblocking_descriptor(stream: TextIO | None) -> int | None:
+    # The interpreter sets a stream to None if its descriptor was closed.
+    if stream is None:
+        return None
+    try:
+        descriptor = stream.fileno()
+        os.set_blocking(descriptor, False)
+    except (OSError, ValueError):
+        return None
+    return descriptor
 
 
 class BoundedHandler(logging.Handler):
