Logs: a line that can't be written does not end its process

What operators would see: every entry and agent ends at once with task_failed and status 3, and again after each restart, until a record of the store is replaced. Cause: JSON allows lone surrogates in a text ("service": "\ud800"), which have no encoding in UTF-8. The line upstream_learnt of such a record could not be encoded, and the error went to the task that logged it. A value whose text can't be built did the same. Evidence: an entry and an agent with one such record in the store both ended with 3 within 2 s.

--- a/packages/burdockchute/burdockchute/logs.py
+++ b/packages/burdockchute/burdockchute/logs.py
@@ -82,7 +82,7 @@
         self._remainder = b''
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write one record, or drop and count it."""
+        """Write one record, or drop and count it; raises nothing."""
         now = self._now()
         earned = (now - self._refilled_at) * LINES_PER_S
         self._budget = min(BURST_LINES, self._budget + earned)
@@ -100,8 +100,14 @@
             self._reported_at = now
             count, self.dropped = self.dropped, 0
             self._write(f'event=lines_left_out count={count}\n'.encode())
+        try:
+            # A name from JSON may have lone surrogates.
+            line = self.format(record).encode(errors='backslashreplace')
+        except Exception:
+            self.dropped += 1
+            return
         self._budget -= 1
-        self._write(self.format(record).encode() + b'\n')
+        self._write(line + b'\n')
 
     def _write(self, line: bytes) -> None:
         data = self._remainder + line
--- a/packages/burdockchute/tests/test_logs.py
+++ b/packages/burdockchute/tests/test_logs.py
@@ -8,6 +8,8 @@
 import os
 import unittest
 
+import logfmter
+
 from burdockchute import logs
 
 
@@ -32,6 +34,15 @@
         )
 
 
+class Unprintable:
+    """A value whose text can't be built."""
+
+    def __repr__(self):
+        raise ValueError('too many digits')
+
+    __str__ = __repr__
+
+
 class BoundedHandlerTest(unittest.TestCase):
     def setUp(self):
         self.now = 0.0
@@ -75,6 +86,26 @@
         self.write(1, logging.WARNING, 'lost')
         self.assertEqual(['lost'], self.lines())
 
+    def test_a_line_that_can_not_be_written_does_not_end_its_writer(self):
+        """A field has a lone surrogate, as JSON may, or can't be formatted.
+
+        The error went to whoever logged, and ended a task and its process.
+        """
+        log = logging.getLogger('burdockchute')
+        self.addCleanup(setattr, log, 'handlers', list(log.handlers))
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, logging.CRITICAL)
+        log.handlers = [self.handler]
+        self.handler.setFormatter(logfmter.Logfmter())
+        logs.warn('record_unreadable', key='north\ud800')
+        logs.warn('record_unreadable', key=Unprintable())
+        logs.warn('stopped')
+        lines = self.lines()
+        self.assertEqual(2, len(lines))
+        self.assertIn('north\\ud800', lines[0])
+        self.assertIn('stopped', lines[1])
+        self.assertEqual(1, self.handler.dropped)
+
     def test_a_reader_that_stops_reading_blocks_no_writer(self):
         """The pipe is full, because its reader has stopped reading.
 
