Metrics: their export neither ends a process at its start nor delays its end

What operators saw: with an otlp-endpoint, a process built by deploy/build.sh ended at its start with a traceback and status 1, as the exporter is not among deploy/requirements.txt. Where it is installed and the endpoint does not answer, a process took 6 to 10 s longer to end than without it (agent 7.8 and 10.2 s, entry 8.9 and 12.6 s after the SIGTERM; connections refused, and no answers), more than the grace of 8 s, and the platform kills it. Cause: any error in setting up the exporter went up to main, and the library exports once more as the interpreter exits, and tries that again for up to 10 s.

--- a/packages/burdockchute/burdockchute/metrics.py
+++ b/packages/burdockchute/burdockchute/metrics.py
@@ -16,6 +16,8 @@
 from opentelemetry.sdk.metrics import export
 from opentelemetry.sdk.resources import Resource
 
+from burdockchute import logs
+
 EXPORT_INTERVAL_MS = 15_000
 
 
@@ -34,14 +36,21 @@
 
 
 def set_up(process: str, otlp_endpoint: str) -> None:
-    """Start collecting metrics; export them if an endpoint is given."""
+    """Start collecting metrics; export them if an endpoint is given.
+
+    Exports that fail are repeated at the next interval. What was measured
+    since the last one is not exported at the end of the process.
+    """
     reader = export.InMemoryMetricReader()
     readers: list[export.MetricReader] = [reader]
     if otlp_endpoint:
-        readers.append(_exporting_reader(otlp_endpoint))
+        readers += _exporting_readers(otlp_endpoint)
     provider = sdk.MeterProvider(
         metric_readers=readers,
         resource=Resource({'service.name': 'burdockchute', 'proc': process}),
+        # An export to an endpoint that doesn't answer takes 10 s, longer than
+        # the grace period of a process.
+        shutdown_on_exit=False,
     )
     otel.set_meter_provider(provider)
     _readers[:] = [reader]
@@ -114,13 +123,21 @@
     return value.replace('\\', '\\\\').replace('"', '\\"')
 
 
-def _exporting_reader(endpoint: str) -> export.MetricReader:
-    from opentelemetry.exporter.otlp.proto.http import metric_exporter
+def _exporting_readers(endpoint: str) -> list[export.MetricReader]:
+    """Return the reader that exports; none if it can't be set up."""
+    try:
+        from opentelemetry.exporter.otlp.proto.http import metric_exporter
 
-    return export.PeriodicExportingMetricReader(
-        metric_exporter.OTLPMetricExporter(endpoint=endpoint),
-        export_interval_millis=EXPORT_INTERVAL_MS,
-    )
+        exporter = metric_exporter.OTLPMetricExporter(endpoint=endpoint)
+        reader = export.PeriodicExportingMetricReader(
+            exporter, export_interval_millis=EXPORT_INTERVAL_MS
+        )
+    except Exception as exc:
+        # The exporter may not be installed, and reads environment variables
+        # of its own.
+        logs.warn('metrics_not_exported', endpoint=endpoint, reason=str(exc))
+        return []
+    return [reader]
 
 
 def _read_points(metric: export.Metric) -> list[Point]:
