Reload: no content of the settings file ends a process

What operators saw: an entry that read a number of 400 digits in its settings at a reload ended with status 1, an agent with -1, each with a traceback; the same number at the start did, too, and a memoryMb of 1e305. Cause: such numbers raise OverflowError, which is not a ValueError, and gevent ends the process on any error in the handler of a signal.

--- a/packages/burdockchute/burdockchute/site_settings.py
+++ b/packages/burdockchute/burdockchute/site_settings.py
@@ -155,10 +155,17 @@
 def reload(cfg: SiteSettings, adapter: Adapter, current: Machine) -> Machine:
     """Read the machine's file again; keep the old state if it is invalid.
 
+    Nothing is raised, since an error in the handler of a signal would end the
+    process.
+
     The name and the addresses of the machine stay as at the start; only its
     bounds may change in a running process.
     """
-    result = read_machine(cfg, adapter)
+    try:
+        result = read_machine(cfg, adapter)
+    except Exception as exc:
+        logs.warn('reload_failed', reason=repr(exc))
+        return current
     if isinstance(result, Failure):
         logs.warn('reload_failed', reason=render_all(result.failure()))
         return current
--- a/packages/burdockchute/tests/test_site_settings.py
+++ b/packages/burdockchute/tests/test_site_settings.py
@@ -74,3 +74,15 @@
         The process must continue unchanged; its end would cut off callers.
         """
         self.assertEqual(MACHINE, reload(Failure([Finding('x', 'torn')])))
+
+    def test_an_unexpected_error_changes_nothing(self):
+        """The adapter raises an error that it should return as a finding.
+
+        gevent ends the process on any error in the handler of a signal.
+        """
+
+        def read_machine(path):
+            raise OverflowError('int too large to convert to float')
+
+        adapter = SimpleNamespace(read_machine=read_machine)
+        self.assertEqual(MACHINE, site_settings.reload(CFG, adapter, MACHINE))
