--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -19,6 +19,7 @@
 from burdockchute import settings as base
 from burdockchute import site_settings
 from burdockchute.adapters import Adapter
+from burdockchute.listening import ListenError
 from burdockchute.model import findings
 from burdockchute.model.findings import Finding
 from burdockchute.model.machines import Machine
@@ -104,11 +105,7 @@
     """Run a process with checked settings; return its exit status."""
     cfg = from_values(read_or_exit(settings, args, environ))
     logs.set_up(cfg.log_level, cfg.name)
-    try:
-        return serve(cfg)
-    except (links.LinkError, OSError) as exc:
-        print(f'cannot serve: {exc}', file=sys.stderr)
-        return EXIT_FAILED
+    return _run_to_exit(lambda: serve(cfg))
 
 
 class Site(NamedTuple):
@@ -133,23 +130,49 @@
 
 
 def read_site_or_exit(
-    args: argparse.Namespace, environ: Mapping[str, str]
+    args: argparse.Namespace,
+    environ: Mapping[str, str],
+    required: Sequence[str],
 ) -> Site:
-    """Return the site, or print all findings and exit with status 2."""
+    """Return the site, or print all findings and exit with status 2.
+
+    `required` names the optional fields of a machine that the program needs.
+    """
     values = read_or_exit(site_settings.SETTINGS, args, environ)
     cfg = site_settings.from_values(values)
+    adapter = _load_adapter_or_exit(cfg)
+    machine = adapter.read_machine(cfg.settings)
+    if isinstance(machine, Failure):
+        _exit_with(machine.failure())
+    return _complete_site_or_exit(cfg, adapter, machine.unwrap(), required)
+
+
+def _complete_site_or_exit(
+    cfg: SiteSettings,
+    adapter: Adapter,
+    machine: Machine,
+    required: Sequence[str],
+) -> Site:
+    missing = site_settings.find_missing(cfg, adapter, machine, required)
+    if missing:
+        _exit_with(missing)
+    return Site(cfg, machine, adapter)
+
+
+def _load_adapter_or_exit(cfg: SiteSettings) -> Adapter:
     adapter = adapters.load_adapter(cfg.platform)
     if isinstance(adapter, Failure):
         _exit_with([adapter.failure()])
-    machine = site_settings.read_machine(cfg, adapter.unwrap())
-    if isinstance(machine, Failure):
-        _exit_with(machine.failure())
-    return Site(cfg, machine.unwrap(), adapter.unwrap())
+    return adapter.unwrap()
 
 
-def check_site(args: argparse.Namespace, environ: Mapping[str, str]) -> int:
+def check_site(
+    args: argparse.Namespace,
+    environ: Mapping[str, str],
+    required: Sequence[str],
+) -> int:
     """Print the settings in force and those of the machine, one per line."""
-    site = read_site_or_exit(args, environ)
+    site = read_site_or_exit(args, environ, required)
     for source in (site.cfg, site.machine):
         for name, value in source._asdict().items():
             print(f'{name}={value}')
@@ -160,15 +183,37 @@
     args: argparse.Namespace,
     environ: Mapping[str, str],
     serve: Callable[[Site], int],
+    required: Sequence[str],
 ) -> int:
-    """Run a process on a platform; return its exit status."""
-    site = read_site_or_exit(args, environ)
-    logs.set_up_bounded(site.cfg.log_level, site.machine.name)
+    """Run a process on a platform; return its exit status.
+
+    `required` names the optional fields of a machine that the program needs.
+    """
+    values = read_or_exit(site_settings.SETTINGS, args, environ)
+    cfg = site_settings.from_values(values)
+    adapter = _load_adapter_or_exit(cfg)
+    # The file that has the name of the machine may have to be waited for.
+    logs.set_up_bounded(cfg.log_level, '')
+    machine = site_settings.read_machine(cfg, adapter)
+    if isinstance(machine, Failure):
+        if not site_settings.is_transient(machine.failure()):
+            _exit_with(machine.failure())
+        reason = findings.render_all(machine.failure())
+        logs.warn('can_not_serve', reason=reason)
+        return EXIT_FAILED
+    site = _complete_site_or_exit(cfg, adapter, machine.unwrap(), required)
+    logs.set_process_name(site.machine.name)
+    return _run_to_exit(lambda: serve(site))
+
+
+def _run_to_exit(serve: Callable[[], int]) -> int:
     try:
-        return serve(site)
+        return serve()
+    except ListenError as exc:
+        logs.warn('can_not_serve', address=exc.address, reason=exc.error)
     except (links.LinkError, OSError) as exc:
         logs.warn('can_not_serve', reason=str(exc))
-        return EXIT_FAILED
+    return EXIT_FAILED
 
 
 def _exit_with(invalid: Sequence[Finding]) -> NoReturn:
--- a/packages/burdockchute/burdockchute/logs.py
+++ b/packages/burdockchute/burdockchute/logs.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import time
+from typing import TextIO
 
 import logfmter
 
@@ -32,11 +33,33 @@
 
 
 def set_up_bounded(level: str, process: str) -> None:
-    """Send events to stdout; drop those that it can't take at once."""
-    os.set_blocking(sys.stdout.fileno(), False)
-    _install(
-        BoundedHandler(sys.stdout.fileno(), time.monotonic), level, process
+    """Send events to stdout; drop those that it can't take at once.
+
+    They go to stderr if stdout is closed, and nowhere if both are.
+    """
+    stdout = _nonblocking_descriptor(sys.stdout)
+    stderr = _nonblocking_descriptor(sys.stderr) if stdout is None else None
+    descriptor = stderr if stdout is None else stdout
+    handler = (
+        logging.NullHandler()
+        if descriptor is None
+        else BoundedHandler(descriptor, time.monotonic)
     )
+    _install(handler, level, process)
+    if stdout is None:
+        warn('stdout_closed')
+
+
+def _nonblocking_descriptor(stream: TextIO | None) -> int | None:
+    # The interpreter sets a stream to None if its descriptor was closed.
+    if stream is None:
+        return None
+    try:
+        descriptor = stream.fileno()
+        os.set_blocking(descriptor, False)
+    except (OSError, ValueError):
+        return None
+    return descriptor
 
 
 class BoundedHandler(logging.Handler):
@@ -59,7 +82,7 @@
         self._remainder = b''
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write one record, or drop and count it."""
+        """Write one record, or drop and count it; raises nothing."""
         now = self._now()
         earned = (now - self._refilled_at) * LINES_PER_S
         self._budget = min(BURST_LINES, self._budget + earned)
@@ -77,8 +100,14 @@
             self._reported_at = now
             count, self.dropped = self.dropped, 0
             self._write(f'event=lines_left_out count={count}\n'.encode())
+        try:
+            # A name from JSON may have lone surrogates.
+            line = self.format(record).encode(errors='backslashreplace')
+        except Exception:
+            self.dropped += 1
+            return
         self._budget -= 1
-        self._write(self.format(record).encode() + b'\n')
+        self._write(line + b'\n')
 
     def _write(self, line: bytes) -> None:
         data = self._remainder + line
@@ -96,6 +125,14 @@
         self._remainder = data[written:]
 
 
+def set_process_name(process: str) -> None:
+    """Name this process in the lines from now on."""
+    for handler in _LOG.handlers:
+        for old in list(handler.filters):
+            handler.removeFilter(old)
+        handler.addFilter(_process_name_filter(process))
+
+
 def _install(handler: logging.Handler, level: str, process: str) -> None:
     handler.setFormatter(
         logfmter.Logfmter(
