Callers: the last answer of a connection can be read while more arrives

What callers saw: a reset in place of an answer such as 408, 413 or 503 that was sent before their body was read, and of answers before pipelined requests. Cause: the connection was closed with unread bytes, so the system reset it. Evidence: test_answers_can_be_read_while_the_request_is_being_sent (three cases) and test_requests_behind_a_closed_connection_keep_the_answer_whole failed with a broken pipe and a reset. After its last answer a connection is shut down for writing, and what arrives is discarded until the caller closes it, is silent for 1 s, or 5 s have passed. An answer that was broken off is still closed or reset at once.

--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -32,6 +32,14 @@
 MAX_DISCARD_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 1.0
 
+# How long what a caller still sends is discarded after its last answer. The
+# system would reset a connection that is closed with unread bytes, and the
+# caller could lose the answer. The pauses limit the rate to 6 MB/s.
+LINGER_S = 5.0
+LINGER_SILENCE_S = 1.0
+LINGER_READ_BYTES = 64 * 1024
+LINGER_PAUSE_S = 0.01
+
 # How long a process that ends waits for its connections to end. A request on
 # a new connection arrives within this time.
 FINISH_S = 0.3
@@ -220,6 +228,8 @@
     headers_sent: bool
     status: Any
     code: int
+    # Whether the present request has its whole answer.
+    _is_answered = False
 
     def handle(self) -> None:
         # Headers and body, and the tokens of a stream, are small writes.
@@ -251,6 +261,38 @@
         _check_framing(self.headers)
         return is_valid
 
+    def handle_one_request(self) -> Any:
+        """Handle one request; True if the connection is kept."""
+        self._is_answered = False
+        result = super().handle_one_request()
+        if result is True:
+            return True
+        if result is not None:
+            self._send_error(result[1])
+        if self._is_answered:
+            self._linger()
+        return None
+
+    def _send_error(self, response: bytes) -> None:
+        try:
+            self.socket.sendall(response)
+        except OSError:
+            # The caller has gone.
+            return
+        self._is_answered = True
+
+    def _linger(self) -> None:
+        """Close the connection so that its caller can read the answer."""
+        try:
+            self.socket.shutdown(sockets.SHUT_WR)
+            self.socket.settimeout(LINGER_SILENCE_S)
+            with gevent.Timeout(LINGER_S, False):
+                while self.socket.recv(LINGER_READ_BYTES):
+                    gevent.sleep(LINGER_PAUSE_S)
+        except OSError:
+            # The caller has closed it, or sends nothing more.
+            pass
+
     def get_environ(self) -> dict[str, Any]:
         env = super().get_environ()
         env[SOCKET_KEY] = self.socket
@@ -271,6 +313,11 @@
             if self.headers_sent and not self.response_use_chunked:
                 reset_on_close(self.socket)
             raise
+        self._is_answered = True
+        if self.close_connection and isinstance(
+            self.wsgi_input, _BoundedInput
+        ):
+            self.wsgi_input.is_abandoned = True
 
     def _sendall(self, data: Any) -> None:
         watch = self.environ.get(WRITE_WATCH_KEY) if self.environ else None
@@ -327,9 +374,16 @@
 
 
 class _BoundedInput(pywsgi.Input):
-    """A request body; what a refused request leaves of it is not read."""
+    """A request body; what a refused request leaves of it is not read.
+
+    `is_abandoned` is set once the connection is about to be closed.
+    """
 
-    __slots__ = ()
+    __slots__ = ('is_abandoned',)
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.is_abandoned = False
 
     def unread(self) -> bool:
         """Whether part of the body has not been read from the connection."""
@@ -342,7 +396,7 @@
         # start of the next request. For a body that was refused as too long
         # or too slow, that is the work which the refusal was meant to save,
         # so the connection is closed instead.
-        if self.chunked_input:
+        if self.is_abandoned or self.chunked_input:
             return
         left = (self.content_length or 0) - self.position
         if left > MAX_DISCARD_BYTES:
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -95,6 +95,52 @@
         self.assertLess(time.monotonic() - started, server.FINISH_S / 2)
         self.assertEqual(b'', kept.recv(4096))
 
+    def read_all(self, conn):
+        """Read up to the end; a reset connection is an error."""
+        received = b''
+        while data := conn.recv(4096):
+            received += data
+        return received
+
+    def test_answers_can_be_read_while_the_request_is_being_sent(self):
+        """A request is refused before its body was read.
+
+        The connection was closed with unread bytes, so the system reset it,
+        and the caller lost the answer that said why.
+        """
+        head = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        cases = {
+            'long body': head + b'Content-Length: 900000\r\n\r\n',
+            'chunks': head + b'Transfer-Encoding: chunked\r\n\r\n40000\r\n',
+            'refused head': b'POST /a HTTP/9.9\r\nHost: h\r\n\r\n',
+        }
+        for name, request in cases.items():
+            with self.subTest(name):
+                conn = self.new_connection()
+                conn.sendall(request)
+                for _part in range(20):
+                    gevent.sleep(0.01)
+                    conn.sendall(bytes(10_000))
+                self.assertRegex(self.read_all(conn), b'^HTTP/1.1 [45]0')
+
+    def test_requests_behind_a_closed_connection_keep_the_answer_whole(self):
+        """Pipelined requests follow an answer that closes the connection.
+
+        They are unread, so the system reset it, and the caller lost the
+        answers before them.
+        """
+        conn = self.new_connection()
+        last = REQUEST.replace(b'Host', b'Connection: close\r\nHost')
+        conn.sendall(REQUEST + last + REQUEST * 2000)
+        gevent.sleep(0.3)
+        self.assertEqual(2, self.read_all(conn).count(b' 503 '))
+
+    def test_callers_that_never_close_are_closed(self):
+        conn = self.new_connection()
+        conn.sendall(REQUEST.replace(b'Host', b'Connection: close\r\nHost'))
+        gevent.sleep(server.LINGER_SILENCE_S + 0.5)
+        self.assertEqual(set(), self.server.connections)
+
 
 if __name__ == '__main__':
     unittest.main()
