Callers: one account of what an entry owes; its exit waits for it alone

What callers saw: at a planned restart of an entry, connections closed without an answer in the middle of uploads, up to 5 s before the end of the grace, and also once the request had been passed on and run. Cause: a request counted as open from the end of its body to the end of its answer. With none open 2.4 s after the SIGTERM, the entry exited 0.3 s later, whatever it was receiving. CallersServer.finish waits until no request that was begun before it is open, stops accepting, and ends as soon as no connection is left. What is not whole 1.2 s before the exit gets 503 with Retry-After and Connection: close. Only the greenlet that still receives is interrupted, from the event loop, so a request that was passed on is never refused. A body that comes after the entry has stopped accepting is run if three objectives (1 s at least) are left, and refused otherwise; streams are refused then, as they may be of any length. An unfinished answer without framing is reset at the exit. Of the fixed waits, 2.4 s (the load balancer still sends callers) and 0.3 s (a first request that is on its way) stay. leaving, stopped, the status document and gauges have the account; `left` counts heads and bodies, too.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import random
 import time
 from typing import Any
@@ -18,6 +19,8 @@
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
 from burdockchute.callers import server
+from burdockchute.callers.open_work import OpenWork
+from burdockchute.callers.open_work import Stage
 from burdockchute.decisions import memory_budget
 from burdockchute.decisions.crash_causes import fingerprint_of
 from burdockchute.feed_follower import Cadence
@@ -36,13 +39,13 @@
 from burdockchute_entry.straight import memory_account
 from burdockchute_entry.straight.agents_task import AgentsTask
 from burdockchute_entry.straight.callers import CallersApp
-from burdockchute_entry.straight.callers import ShutdownState
 from burdockchute_entry.straight.confirmation_task import ConfirmationTask
 from burdockchute_entry.straight.counters import Counters
 from burdockchute_entry.straight.crash_records_task import CrashRecordsTask
 from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import MemoryAccount
+from burdockchute_entry.straight.request_admission import ShutdownState
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.sending import Dependencies
 from burdockchute_entry.straight.store_probes import StoreProbes
@@ -81,8 +84,7 @@
     def __init__(
         self, cfg: SiteSettings, machine: Machine, adapter: Adapter
     ) -> None:
-        self.shutting_down = False
-        self.accepting = True
+        self.shutdown_state = ShutdownState(False, True)
         self._cfg = cfg
         self._adapter = adapter
         self._machine = machine
@@ -162,6 +164,8 @@
             lambda: self.crash_records.read_soon(),
             self.store_probes.handle_event,
         )
+        # The account of the server of callers, once there is one.
+        self.work = OpenWork()
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
         self.callers = CallersApp(
@@ -173,7 +177,7 @@
                 now,
             ),
             self.known_state,
-            lambda: ShutdownState(self.shutting_down, self.accepting),
+            lambda: self.shutdown_state,
             self.counters.finished,
             self.memory,
         )
@@ -192,6 +196,7 @@
         callers = server.make_server(
             machine.callers.ip, machine.callers.port, self.callers
         )
+        self.work = callers.work
         callers.start()
         if self.memory.budget_bytes is not None:
             server.limit_send_buffers(callers)
@@ -236,8 +241,14 @@
         metrics.register_gauge(
             'burdockchute.open_requests',
             '1',
-            lambda: self.callers.open_requests,
+            lambda: self.work.owed,
         )
+        for stage in Stage:
+            metrics.register_gauge(
+                f'burdockchute.callers_{stage.value}',
+                '1',
+                functools.partial(self.work.count, stage),
+            )
         metrics.register_gauge(
             'burdockchute.configuration_version', '1', self._configuration
         )
@@ -277,8 +288,9 @@
         known_state = self.known_state()
         return {
             **self.lifecycle.status(),
-            'leaving': self.shutting_down,
-            'open_requests': self.callers.open_requests,
+            'leaving': self.shutdown_state.shutting_down,
+            'open_requests': self.work.owed,
+            'callers': self.work.counts(),
             'memory': self.memory.status(),
             'configuration': self._configuration(),
             'versions': {
@@ -391,7 +403,7 @@
         return [(ready.reason or 'ready').encode()]
 
     def _readiness(self) -> http_admin.Readiness:
-        if self.shutting_down:
+        if self.shutdown_state.shutting_down:
             return http_admin.Readiness(False, 'leaving')
         if not self.known_state().complete:
             return http_admin.Readiness(False, 'no configuration yet')
@@ -407,21 +419,35 @@
 
     def _shut_down(self, callers: server.CallersServer) -> int:
         started = time.monotonic()
-        deadline = started + self._machine.bounds.grace_s - SHUTDOWN_RESERVE_S
-        logs.event('leaving', open_requests=self.callers.open_requests)
-        self.shutting_down = True
-        gevent.sleep(STILL_ACCEPTING_S)
-        self.accepting = False
-        while self.callers.open_requests and time.monotonic() < deadline:
-            gevent.sleep(POLL_S)
-        unfinished = self.callers.open_requests
-        # A request that arrives while the process exits would get no answer
-        # until its connection is closed at the very end.
-        callers.finish()
+        exit_at = started + self._machine.bounds.grace_s - SHUTDOWN_RESERVE_S
+        logs.event(
+            'leaving',
+            open_requests=self.work.owed,
+            unused=self.work.count(Stage.UNUSED),
+            idle=self.work.count(Stage.IDLE),
+            heads=self.work.count(Stage.HEAD),
+            bodies=self.work.count(Stage.BODY),
+            running=self.work.count(Stage.RUNNING),
+            answers=self.work.count(Stage.ANSWER),
+        )
+        self.shutdown_state = ShutdownState(True, True, exit_at)
+        accept_until = min(
+            started + STILL_ACCEPTING_S, exit_at - server.LAST_ANSWERS_S
+        )
+        gevent.sleep(max(0.0, accept_until - started))
+        self.shutdown_state = ShutdownState(True, False, exit_at)
+        callers.finish(exit_at)
+        unfinished = self.work.owed
         self.agents.close()
         logs.event(
             'stopped',
             left=unfinished,
             took_s=round(time.monotonic() - started, 2),
+            unused=self.work.count(Stage.UNUSED),
+            idle=self.work.count(Stage.IDLE),
+            heads=self.work.count(Stage.HEAD),
+            bodies=self.work.count(Stage.BODY),
+            running=self.work.count(Stage.RUNNING),
+            answers=self.work.count(Stage.ANSWER),
         )
         return 1 if unfinished else 0
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -33,20 +33,10 @@
 from burdockchute_entry.straight.request_admission import OUT_OF_MEMORY
 from burdockchute_entry.straight.request_admission import Refusal
 from burdockchute_entry.straight.request_admission import RequestAdmission
+from burdockchute_entry.straight.request_admission import ShutdownState
 from burdockchute_entry.straight.sending import Dependencies
 
 
-class ShutdownState(NamedTuple):
-    """Whether this entry shuts down, and whether it still accepts requests.
-
-    Callers of requests that it still accepts are told to use another
-    connection for the next one.
-    """
-
-    shutting_down: bool
-    accepting: bool
-
-
 class FinishedRequest(NamedTuple):
     """How a request ended, for metrics; times are in seconds.
 
@@ -64,9 +54,8 @@
 class CallersApp:
     """The WSGI application.
 
-    `open_requests` counts requests until the last byte of their answer is
-    written. `memory` has the bytes held for them; without one, they are
-    counted without a limit.
+    `memory` has the bytes held for requests; without one, they are counted
+    without a limit.
     """
 
     def __init__(
@@ -77,7 +66,6 @@
         observe: Callable[[FinishedRequest], None],
         memory: MemoryAccount | None = None,
     ) -> None:
-        self.open_requests = 0
         self.memory = memory or MemoryAccount(deps.now)
         self._deps = deps
         self._shutdown_state = shutdown_state
@@ -85,8 +73,9 @@
         self._admission = RequestAdmission(
             deps.adapter,
             known_state,
-            lambda: shutdown_state().accepting,
+            shutdown_state,
             self.memory,
+            deps.now,
         )
 
     def __call__(
@@ -223,17 +212,13 @@
         self._environ = environ
 
     def run(self) -> Iterable[bytes]:
-        self._app.open_requests += 1
+        holding = self._admitted.holding
         try:
-            return ResponseBody(self._start(), self._on_written)
+            return ResponseBody(self._start(), holding.close)
         except BaseException:
-            self._on_written()
+            holding.close()
             raise
 
-    def _on_written(self) -> None:
-        self._app.open_requests -= 1
-        self._admitted.holding.close()
-
     def _start(self) -> Iterable[bytes]:
         try:
             self._watch.start()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
@@ -16,6 +16,7 @@
 from burdockchute.callers import http
 from burdockchute.callers.parse import Rejection
 from burdockchute.callers.server import HEADERS_KEY
+from burdockchute.callers.server import SHUTDOWN_RETRY_S
 from burdockchute.callers.server import TARGET_KEY
 from burdockchute.decisions import memory_budget
 from burdockchute.decisions import returning_callers
@@ -37,8 +38,7 @@
 # one after this time.
 NOT_READY_RETRY_S = 1.0
 
-# Retry-After of a request refused during shutdown; another entry accepts it.
-SHUTDOWN_RETRY_S = 0.05
+LEAVING = 'this entry is leaving'
 
 # The reason for refusing a request for which there is no memory.
 OUT_OF_MEMORY = 'too many bytes are held for callers'
@@ -47,6 +47,24 @@
 DEFAULT_TIMEOUT_S = 30.0
 
 
+# A request whose body was received after this entry has stopped accepting is
+# run if this many times its objective is left, and at least the seconds.
+LATE_RUN_OBJECTIVES = 3.0
+MIN_LATE_RUN_S = 1.0
+
+
+class ShutdownState(NamedTuple):
+    """Whether this entry shuts down, and whether it still accepts requests.
+
+    Callers of requests that it still accepts are told to use another
+    connection for the next one. The entry exits at `exit_at` at the latest.
+    """
+
+    shutting_down: bool
+    accepting: bool
+    exit_at: float = float('inf')
+
+
 class AdmittedRequest(NamedTuple):
     """An accepted request with its route, service and context.
 
@@ -88,21 +106,22 @@
 class RequestAdmission:
     """Admits or refuses the requests of callers.
 
-    `accepts_new` tells whether this entry accepts requests, which ends during
-    its shutdown. `memory` has the bytes held for requests.
+    `memory` has the bytes held for requests.
     """
 
     def __init__(
         self,
         adapter: Adapter,
         known_state: Callable[[], KnownState],
-        accepts_new: Callable[[], bool],
+        shutdown_state: Callable[[], ShutdownState],
         memory: MemoryAccount,
+        now: Callable[[], float],
     ) -> None:
         self._adapter = adapter
         self._known_state = known_state
-        self._accepts_new = accepts_new
+        self._shutdown_state = shutdown_state
         self._memory = memory
+        self._now = now
         # The longest time that callers had left, by route.
         self._max_time_left_s: dict[str, float] = {}
 
@@ -135,8 +154,8 @@
         arrived: float,
         holding: Holding,
     ) -> AdmittedRequest | Refusal:
-        if not self._accepts_new():
-            return Refusal(503, 'this entry is leaving', SHUTDOWN_RETRY_S)
+        if not self._shutdown_state().accepting:
+            return Refusal(503, LEAVING, SHUTDOWN_RETRY_S)
         known_state = self._known_state()
         if known_state.routes is None or not known_state.complete:
             return Refusal(503, 'no configuration yet', NOT_READY_RETRY_S)
@@ -147,6 +166,8 @@
         body = self._read_body(environ, limits.max_body_bytes, holding)
         if isinstance(body, Refusal):
             return body
+        if not may_run(self._shutdown_state(), route_match.route, self._now()):
+            return Refusal(503, LEAVING, SHUTDOWN_RETRY_S)
         elapsed_s = self._elapsed_s(route_match.route, inbound)
         return _make_admitted(
             inbound._replace(body=body),
@@ -170,7 +191,9 @@
             environ, http.Limits(max_body_bytes=max_body_bytes)
         )
         if isinstance(body, Rejection):
-            return Refusal(body.status, body.findings[0].text)
+            return Refusal(
+                body.status, body.findings[0].text, body.retry_after_s
+            )
         if len(body) < reserved:
             holding.give_back(Use.BODIES, reserved - len(body))
         else:
@@ -194,6 +217,20 @@
         )
 
 
+def may_run(state: ShutdownState, route: Route, now: float) -> bool:
+    """Whether a request that was received may be run before the exit.
+
+    The length of a stream is not known, so once the entry has stopped
+    accepting, none is begun.
+    """
+    if state.accepting:
+        return True
+    if route.kind is Kind.STREAM:
+        return False
+    needed_s = max(MIN_LATE_RUN_S, LATE_RUN_OBJECTIVES * route.objective_s)
+    return now + needed_s <= state.exit_at
+
+
 def _match_route(
     table: RouteTable, inbound: InboundRequest
 ) -> RouteMatch | Refusal:
--- a/packages/burdockchute/burdockchute/callers/http.py
+++ b/packages/burdockchute/burdockchute/callers/http.py
@@ -24,6 +24,8 @@
 from burdockchute.callers import parse
 from burdockchute.callers import sse
 from burdockchute.callers.server import caller_disconnected
+from burdockchute.callers.server import ReadingEnded
+from burdockchute.callers.server import SHUTDOWN_RETRY_S
 from burdockchute.callers.server import status_line
 from burdockchute.model import outcomes
 from burdockchute.model.findings import Finding
@@ -189,6 +191,10 @@
     except gevent.Timeout:
         text = f'did not come within {limits.body_timeout_s:g} s'
         return _rejection(408, 'body', text)
+    except ReadingEnded as exc:
+        return parse.Rejection(
+            503, (Finding('body', str(exc)),), SHUTDOWN_RETRY_S
+        )
     except OSError as exc:
         return _rejection(400, 'body', f'broke off: {exc}')
     if len(body) > limit:
@@ -344,7 +350,7 @@
     headers = [(REQUEST_ID, ex.request_id), (OUTCOME, 'not-run')]
     if rejection.retry_after_s > 0:
         headers.append(retry_after(rejection.retry_after_s))
-    if rejection.status in (408, 413):
+    if rejection.status in (408, 413, 503):
         # The remainder of the body is not read, so the connection can't be
         # reused.
         headers.append(('Connection', 'close'))
--- /dev/null
+++ b/packages/burdockchute/burdockchute/callers/open_work.py
@@ -0,0 +1,108 @@
+"""The account of what a process owes to its callers.
+
+Each connection of a caller is in one stage at a time, since requests that
+are pipelined on it are read one after another. A process that leaves waits
+for this account alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+import enum
+from typing import Any
+from typing import NamedTuple
+
+
+class Stage(enum.Enum):
+    """What happens on a connection.
+
+    UNUSED has had no request yet, IDLE waits for another one. HEAD and BODY
+    are being received, RUNNING waits for its answer, and ANSWER is being
+    written. CLOSING has its whole answer; what still arrives is discarded.
+    """
+
+    UNUSED = 'unused'
+    IDLE = 'idle'
+    HEAD = 'heads'
+    BODY = 'bodies'
+    RUNNING = 'running'
+    ANSWER = 'answers'
+    CLOSING = 'closing'
+
+
+# A request was begun, and its answer is not complete.
+OWED = (Stage.HEAD, Stage.BODY, Stage.RUNNING, Stage.ANSWER)
+
+
+class Entry(NamedTuple):
+    """The stage of a connection, and when its request was begun.
+
+    Without a request, that is when the connection was accepted or became
+    idle.
+    """
+
+    stage: Stage
+    begun: float
+
+
+class OpenWork:
+    """The connections of callers with their stages."""
+
+    def __init__(self) -> None:
+        self._entries: dict[Any, Entry] = {}
+        self._counts = dict.fromkeys(Stage, 0)
+
+    def open(self, conn: Hashable, now: float) -> None:
+        """Add a connection that was accepted."""
+        self._entries[conn] = Entry(Stage.UNUSED, now)
+        self._counts[Stage.UNUSED] += 1
+
+    def move(self, conn: Hashable, stage: Stage, now: float) -> None:
+        """Set the stage of a connection; one that was closed is ignored."""
+        entry = self._entries.get(conn)
+        if entry is None:
+            return
+        begun = entry.begun
+        if stage in (Stage.IDLE, Stage.HEAD) and stage is not entry.stage:
+            begun = now
+        self._counts[entry.stage] -= 1
+        self._counts[stage] += 1
+        self._entries[conn] = Entry(stage, begun)
+
+    def close(self, conn: Hashable) -> None:
+        """Remove a connection; may be repeated."""
+        entry = self._entries.pop(conn, None)
+        if entry is not None:
+            self._counts[entry.stage] -= 1
+
+    def connections(self, *stages: Stage) -> list[Any]:
+        """Return the connections in one of the stages."""
+        return [
+            conn
+            for conn, entry in self._entries.items()
+            if entry.stage in stages
+        ]
+
+    def is_empty(self) -> bool:
+        """Whether no connection is open."""
+        return not self._entries
+
+    def count(self, stage: Stage) -> int:
+        """Return the number of connections in a stage."""
+        return self._counts[stage]
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of connections in each stage, by name."""
+        return {stage.value: self._counts[stage] for stage in Stage}
+
+    @property
+    def owed(self) -> int:
+        """The number of requests whose answers are not complete."""
+        return sum(self._counts[stage] for stage in OWED)
+
+    def owes_from_before(self, moment: float) -> bool:
+        """Whether a request that was begun before `moment` is open."""
+        return any(
+            entry.begun < moment and entry.stage in OWED
+            for entry in self._entries.values()
+        )
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 from http import client
 import logging
 import socket as sockets
@@ -12,9 +13,13 @@
 from typing import Any
 
 import gevent
+from gevent import get_hub
 from gevent import pywsgi
 
+from burdockchute.callers.open_work import OpenWork
+from burdockchute.callers.open_work import Stage
 from burdockchute.sockets import closed_by_peer
+from burdockchute.sockets import is_readable
 from burdockchute.sockets import reset_on_close
 
 # Limits for receiving the request line and headers once the first byte has
@@ -40,11 +45,25 @@
 LINGER_READ_BYTES = 64 * 1024
 LINGER_PAUSE_S = 0.01
 
-# How long a process that ends waits for its connections to end. A request on
-# a new connection arrives within this time.
-FINISH_S = 0.3
+# How long a process that leaves waits for the first requests of connections
+# that it has accepted. Such a request may be on its way, which can't be seen.
+FIRST_REQUEST_S = 0.3
 FINISH_POLL_S = 0.02
 
+# A request that is not whole this long before the end of a process is refused,
+# so that its caller can read the refusal.
+LAST_ANSWERS_S = 1.2
+
+# Retry-After of a request refused during shutdown; another process accepts it.
+SHUTDOWN_RETRY_S = 0.05
+
+_HEAD_REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'Connection: close\r\n'
+    b'Retry-After: %.2f\r\n'
+    b'Content-Length: 0\r\n\r\n'
+) % SHUTDOWN_RETRY_S
+
 SOCKET_KEY = 'burdockchute.socket'
 # The request target and the headers as received; the server's own form of
 # them has lost escapes and the case of names.
@@ -56,36 +75,75 @@
 _log = logging.getLogger('burdockchute.callers')
 
 
+class ReadingEnded(Exception):  # noqa: N818
+    """The process leaves and reads no more of a request."""
+
+
 class CallersServer(pywsgi.WSGIServer):
-    """A server that can end the connections on which no request is open."""
+    """A server with an account of its connections, for a planned stop."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        # The sockets of all connections, of those that wait for a request, and
-        # of those on which none has come yet.
-        self.connections: set[Any] = set()
-        self.idle: set[Any] = set()
-        self.unused: set[Any] = set()
+        self.work = OpenWork()
+        # Answers whose end is the end of their connection.
+        self.unframed: set[Any] = set()
+        # The greenlets that receive a head or a body.
+        self._readers: dict[Any, gevent.Greenlet] = {}
+        self._reading_ended = False
 
     def do_handle(self, client_socket: Any, address: Any) -> None:
         """Handle a connection in a greenlet of its own."""
-        self.connections.add(client_socket)
-        self.unused.add(client_socket)
+        self.work.open(client_socket, time.monotonic())
         super().do_handle(client_socket, address)
 
     def do_close(self, client_socket: Any, *args: Any) -> None:
         """Close a connection that has been handled."""
-        self.connections.discard(client_socket)
-        self.unused.discard(client_socket)
+        self.work.close(client_socket)
+        self.unframed.discard(client_socket)
         super().do_close(client_socket, *args)
 
-    def finish(self) -> None:
-        """Stop accepting, answer what has arrived and close connections.
+    @contextlib.contextmanager
+    def reading(self, sock: Any, stage: Stage) -> Iterator[None]:
+        """Receive a part of a request; raises ReadingEnded at the end."""
+        self.work.move(sock, stage, time.monotonic())
+        if self._reading_ended:
+            raise ReadingEnded('this process is leaving')
+        self._readers[sock] = gevent.getcurrent()
+        try:
+            yield
+        finally:
+            del self._readers[sock]
 
-        Connections that the system has set up are accepted first. A request
-        may be on its way on those that have had none yet. What is still open
-        after FINISH_S is left as it is.
+    def finish(self, deadline: float) -> dict[str, int]:
+        """Answer what is owed, stop accepting and close all connections.
+
+        New connections are accepted while requests that were begun before
+        are open; the application refuses their requests. A request that is
+        not whole LAST_ANSWERS_S before the deadline is refused. Returns the
+        account of what is left at the deadline.
         """
+        started = time.monotonic()
+        end_reading_at = deadline - LAST_ANSWERS_S
+        while (
+            self.work.owes_from_before(started)
+            and time.monotonic() < end_reading_at
+        ):
+            gevent.sleep(FINISH_POLL_S)
+        self._stop_listening()
+        first_requests_until = time.monotonic() + FIRST_REQUEST_S
+        while not self.work.is_empty() and time.monotonic() < deadline:
+            if time.monotonic() >= end_reading_at:
+                self._end_reading()
+            self._close_connections(Stage.IDLE)
+            if time.monotonic() >= first_requests_until:
+                self._close_connections(Stage.UNUSED)
+            gevent.sleep(FINISH_POLL_S)
+        for sock in self.unframed:
+            reset_on_close(sock)
+        return self.work.counts()
+
+    def _stop_listening(self) -> None:
+        """Stop accepting; what the system has set up is accepted first."""
         self.stop_accepting()
         try:
             while accepted := self.do_read():
@@ -93,19 +151,25 @@
         except OSError as exc:
             _log.warning('a connection was not accepted: %s', exc)
         self.close()
-        until = time.monotonic() + FINISH_S
-        while self.connections and time.monotonic() < until:
-            self._close_connections(self.idle - self.unused)
-            gevent.sleep(FINISH_POLL_S)
-        self.close_idle()
-        gevent.sleep(FINISH_POLL_S)
 
-    def close_idle(self) -> None:
-        """Close idle connections; a request that has arrived is answered."""
-        self._close_connections(self.idle)
-
-    def _close_connections(self, socks: set[Any]) -> None:
-        for sock in list(socks):
+    def _end_reading(self) -> None:
+        if not self._reading_ended:
+            self._reading_ended = True
+            for sock in self._readers:
+                get_hub().loop.run_callback(self._interrupt, sock)
+
+    def _interrupt(self, sock: Any) -> None:
+        # This runs in the event loop, so the reader can't have gone on since
+        # it was looked up. A request that was received is not interrupted.
+        reader = self._readers.get(sock)
+        if reader is not None:
+            reader.throw(ReadingEnded('this process is leaving'))
+
+    def _close_connections(self, *stages: Stage) -> None:
+        for sock in self.work.connections(*stages):
+            if is_readable(sock):
+                # A request has arrived, or the caller has closed it.
+                continue
             try:
                 # gevent's method would also discard what has arrived.
                 sock._sock.shutdown(sockets.SHUT_RD)
@@ -225,6 +289,7 @@
     environ: dict[str, Any] | None
     response_length: int
     response_use_chunked: bool
+    provided_content_length: Any
     headers_sent: bool
     status: Any
     code: int
@@ -240,21 +305,26 @@
 
     def read_requestline(self) -> str:
         self.socket.settimeout(WRITE_TIMEOUT_S)
-        self.server.idle.add(self.socket)
         try:
             with gevent.Timeout(IDLE_TIMEOUT_S):
+                if not self.rfile.peek(1):
+                    return ''
+            with (
+                self.server.reading(self.socket, Stage.HEAD),
+                gevent.Timeout(HEADERS_TIMEOUT_S),
+            ):
                 return super().read_requestline()
         except (gevent.Timeout, TimeoutError):
             return ''
-        finally:
-            self.server.idle.discard(self.socket)
-            self.server.unused.discard(self.socket)
 
     def read_request(self, raw_requestline: str) -> Any:
         # A caller that sends its headers one by one, slowly, could otherwise
         # keep a connection open without limit.
         try:
-            with gevent.Timeout(HEADERS_TIMEOUT_S):
+            with (
+                self.server.reading(self.socket, Stage.HEAD),
+                gevent.Timeout(HEADERS_TIMEOUT_S),
+            ):
                 is_valid = super().read_request(raw_requestline)
         except (gevent.Timeout, TimeoutError):
             raise ValueError('headers were not received in time') from None
@@ -264,8 +334,12 @@
     def handle_one_request(self) -> Any:
         """Handle one request; True if the connection is kept."""
         self._is_answered = False
-        result = super().handle_one_request()
+        try:
+            result = super().handle_one_request()
+        except ReadingEnded:
+            result = ('503', _HEAD_REFUSAL)
         if result is True:
+            self._enter(Stage.IDLE)
             return True
         if result is not None:
             self._send_error(result[1])
@@ -273,7 +347,16 @@
             self._linger()
         return None
 
+    def _handle_client_error(self, ex: BaseException) -> Any:
+        if isinstance(ex, ReadingEnded):
+            return '503', _HEAD_REFUSAL
+        return super()._handle_client_error(ex)
+
+    def _enter(self, stage: Stage) -> None:
+        self.server.work.move(self.socket, stage, time.monotonic())
+
     def _send_error(self, response: bytes) -> None:
+        self._enter(Stage.ANSWER)
         try:
             self.socket.sendall(response)
         except OSError:
@@ -283,6 +366,7 @@
 
     def _linger(self) -> None:
         """Close the connection so that its caller can read the answer."""
+        self._enter(Stage.CLOSING)
         try:
             self.socket.shutdown(sockets.SHUT_WR)
             self.socket.settimeout(LINGER_SILENCE_S)
@@ -299,12 +383,28 @@
         env[TARGET_KEY] = self.path
         env[HEADERS_KEY] = self.headers.items()
         if env['wsgi.input'] is self.wsgi_input:
-            self.wsgi_input = _bounded_input(self.wsgi_input)
+            self.wsgi_input = _bounded_input(
+                self.wsgi_input, self._receiving_body
+            )
             env['wsgi.input'] = self.wsgi_input
         return env
 
+    @contextlib.contextmanager
+    def _receiving_body(self) -> Iterator[None]:
+        with self.server.reading(self.socket, Stage.BODY):
+            yield
+        self._enter(Stage.RUNNING)
+
+    def finalize_headers(self) -> None:
+        """Complete the headers of an answer that is about to be written."""
+        super().finalize_headers()
+        self._enter(Stage.ANSWER)
+        if not (self.response_use_chunked or self.provided_content_length):
+            self.server.unframed.add(self.socket)
+
     def run_application(self) -> None:
         """Run the application; a broken answer without framing is reset."""
+        self._enter(Stage.RUNNING)
         try:
             super().run_application()
         except OSError:
@@ -313,6 +413,7 @@
             if self.headers_sent and not self.response_use_chunked:
                 reset_on_close(self.socket)
             raise
+        self.server.unframed.discard(self.socket)
         self._is_answered = True
         if self.close_connection and isinstance(
             self.wsgi_input, _BoundedInput
@@ -376,15 +477,29 @@
 class _BoundedInput(pywsgi.Input):
     """A request body; what a refused request leaves of it is not read.
 
-    `is_abandoned` is set once the connection is about to be closed.
+    `receiving` is the context of a read. `is_abandoned` is set once the
+    connection is about to be closed.
     """
 
-    __slots__ = ('is_abandoned',)
+    __slots__ = ('receiving', 'is_abandoned')
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        receiving: Callable[[], contextlib.AbstractContextManager[None]],
+        *args: Any,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self.receiving = receiving
         self.is_abandoned = False
 
+    def read(self, length: int | None = None) -> bytes:
+        """Read up to `length` bytes of the body."""
+        if not self.unread():
+            return b''
+        with self.receiving():
+            return super().read(length)
+
     def unread(self) -> bool:
         """Whether part of the body has not been read from the connection."""
         if self.chunked_input:
@@ -398,6 +513,7 @@
         # so the connection is closed instead.
         if self.is_abandoned or self.chunked_input:
             return
+        self.receiving = contextlib.nullcontext
         left = (self.content_length or 0) - self.position
         if left > MAX_DISCARD_BYTES:
             return
@@ -407,8 +523,12 @@
             super()._discard()
 
 
-def _bounded_input(other: pywsgi.Input) -> _BoundedInput:
+def _bounded_input(
+    other: pywsgi.Input,
+    receiving: Callable[[], contextlib.AbstractContextManager[None]],
+) -> _BoundedInput:
     return _BoundedInput(
+        receiving,
         other.rfile,
         other.content_length,
         socket=other.socket,
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -9,7 +9,10 @@
 from gevent import monkey
 from gevent import socket
 
+from burdockchute.callers import http
+from burdockchute.callers import parse
 from burdockchute.callers import server
+from burdockchute.callers.open_work import OWED
 
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -25,6 +28,10 @@
         self.server.start()
         self.addCleanup(self.server.stop)
 
+    def finish(self, within_s=9.0):
+        """Finish, and return the account of what is left."""
+        return self.server.finish(time.monotonic() + within_s)
+
     def kept_connection(self):
         """Return a connection on which one request was answered."""
         conn = socket.create_connection(
@@ -44,12 +51,11 @@
         idle, late = self.kept_connection(), self.kept_connection()
         gevent.sleep(0.05)
         late.sendall(REQUEST)
-        self.server.close()
-        self.server.close_idle()
+        self.finish()
         self.assertEqual(b'', idle.recv(4096))
         self.assertIn(b' 503 ', late.recv(4096))
         self.assertEqual(b'', late.recv(4096))
-        self.assertEqual(set(), self.server.idle)
+        self.assertTrue(self.server.work.is_empty())
 
     def new_connection(self):
         """Return a connection that the server has not accepted yet."""
@@ -67,7 +73,7 @@
         """
         conn = self.new_connection()
         conn.sendall(REQUEST)
-        self.server.finish()
+        self.finish()
         self.assertIn(b' 503 ', conn.recv(4096))
 
     def test_first_request_of_an_accepted_connection_is_answered(self):
@@ -77,13 +83,13 @@
         """
         conn = self.new_connection()
         gevent.spawn_later(0.05, conn.sendall, REQUEST)
-        self.server.finish()
+        self.finish()
         self.assertIn(b' 503 ', conn.recv(4096))
 
     def test_connections_without_a_request_do_not_delay_the_exit(self):
         conn = self.new_connection()
         started = time.monotonic()
-        self.server.finish()
+        self.finish()
         self.assertLess(time.monotonic() - started, 1.0)
         self.assertEqual(b'', conn.recv(4096))
 
@@ -91,8 +97,8 @@
         kept = self.kept_connection()
         gevent.sleep(0.05)
         started = time.monotonic()
-        self.server.finish()
-        self.assertLess(time.monotonic() - started, server.FINISH_S / 2)
+        self.finish()
+        self.assertLess(time.monotonic() - started, server.FIRST_REQUEST_S / 2)
         self.assertEqual(b'', kept.recv(4096))
 
     def read_all(self, conn):
@@ -139,7 +145,149 @@
         conn = self.new_connection()
         conn.sendall(REQUEST.replace(b'Host', b'Connection: close\r\nHost'))
         gevent.sleep(server.LINGER_SILENCE_S + 0.5)
-        self.assertEqual(set(), self.server.connections)
+        self.assertTrue(self.server.work.is_empty())
+
+
+UPLOAD = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n'
+
+
+class FinishTest(unittest.TestCase):
+    """What a server answers before it ends."""
+
+    def serve(self, app):
+        self.server = server.make_server('127.0.0.1', 0, app)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        return self.server
+
+    def connect(self, *data):
+        conn = socket.create_connection(
+            ('127.0.0.1', self.server.server_port), 5
+        )
+        self.addCleanup(conn.close)
+        for part in data:
+            conn.sendall(part)
+        gevent.sleep(0.05)
+        return conn
+
+    def finish(self, within_s):
+        return gevent.spawn(self.server.finish, time.monotonic() + within_s)
+
+    def read_all(self, conn):
+        """Read up to the end; a reset connection is an error."""
+        received = b''
+        while data := conn.recv(4096):
+            received += data
+        return received
+
+    def answer_body(self, environ, start_response):
+        body = http.read_body(environ, http.Limits())
+        if isinstance(body, parse.Rejection):
+            headers = [http.retry_after(body.retry_after_s)]
+            start_response(f'{body.status} No', headers)
+            return [b'']
+        start_response('200 OK', [('Connection', 'close')])
+        return [body]
+
+    def test_requests_that_are_being_received_are_answered(self):
+        """A process leaves in the middle of a head and of a body.
+
+        They were not counted, and the process exited.
+        """
+        self.serve(self.answer_body)
+        self.assertEqual(0, self.server.work.owed)
+        head, body = self.connect(UPLOAD[:9]), self.connect(UPLOAD, b'ab')
+        counts = self.server.work.counts()
+        self.assertEqual((1, 1), (counts['heads'], counts['bodies']))
+        ending = self.finish(5.0)
+        gevent.sleep(server.FIRST_REQUEST_S + 0.2)
+        head.sendall(UPLOAD[9:] + b'abcd')
+        body.sendall(b'cd')
+        for conn in (head, body):
+            self.assertRegex(self.read_all(conn), b'(?s)^HTTP/1.1 200.*abcd')
+        self.assertEqual(0, sum(ending.get(timeout=5).values()))
+
+    def test_requests_that_are_not_whole_in_time_are_refused(self):
+        """A process has to exit before a head and a body are whole."""
+        self.serve(self.answer_body)
+        conns = [
+            self.connect(UPLOAD[:9]),
+            self.connect(UPLOAD[:30]),
+            self.connect(UPLOAD, b'ab'),
+        ]
+        ending = self.finish(server.LAST_ANSWERS_S + 0.1)
+        for conn in conns:
+            answer = self.read_all(conn)
+            self.assertIn(b' 503 ', answer)
+            self.assertIn(b'Retry-After: ', answer)
+            conn.close()
+        self.assertEqual(0, sum(ending.get(timeout=5).values()))
+
+    def test_a_request_that_was_received_is_not_refused(self):
+        """A 503 would promise that a running request has not run."""
+        answered = []
+
+        def app(environ, start_response):
+            http.read_body(environ, http.Limits())
+            gevent.sleep(server.LAST_ANSWERS_S)
+            answered.append('200')
+            start_response('200 OK', [('Connection', 'close')])
+            return [b'']
+
+        self.serve(app)
+        conn = self.connect(UPLOAD, b'abcd')
+        ending = self.finish(server.LAST_ANSWERS_S + 0.4)
+        self.assertIn(b' 200 ', self.read_all(conn))
+        self.assertEqual(['200'], answered)
+        conn.close()
+        self.assertEqual(0, sum(ending.get(timeout=5).values()))
+
+    def test_what_is_not_finished_is_counted(self):
+        def app(_environ, start_response):
+            start_response('200 OK', [])
+            yield b'part'
+            gevent.sleep(60.0)
+
+        self.serve(app)
+        conn = self.connect(REQUEST)
+        unframed = self.connect(REQUEST.replace(b'1.1', b'1.0'))
+        left = self.finish(0.3).get(timeout=5)
+        self.assertEqual(2, left['answers'])
+        self.assertEqual(2, self.server.work.owed)
+        for broken in (conn, unframed):
+            self.assertIn(b'part', broken.recv(4096))
+
+    def test_an_unfinished_answer_without_framing_is_reset(self):
+        """The exit would close the connection as if the answer were whole."""
+
+        def app(_environ, start_response):
+            start_response('200 OK', [])
+            yield b'part'
+            gevent.sleep(60.0)
+
+        self.serve(app)
+        conn = self.connect(REQUEST.replace(b'1.1', b'1.0'))
+        self.assertIn(b'part', conn.recv(4096))
+        self.finish(0.2).get(timeout=5)
+        for sock in self.server.work.connections(*OWED):
+            # As the exit of the process does.
+            sock._sock.close()
+        with self.assertRaises(ConnectionResetError):
+            conn.recv(4096)
+
+    def test_new_callers_are_answered_while_requests_are_open(self):
+        """The load balancer sends callers to a process that is leaving."""
+        self.serve(self.answer_body)
+        old = self.connect(UPLOAD)
+        ending = self.finish(5.0)
+        gevent.sleep(server.FIRST_REQUEST_S + 0.1)
+        new = self.connect(UPLOAD, b'abcd')
+        self.assertIn(b' 200 ', self.read_all(new))
+        old.sendall(b'abcd')
+        self.assertIn(b' 200 ', self.read_all(old))
+        old.close()
+        new.close()
+        self.assertEqual(0, sum(ending.get(timeout=5).values()))
 
 
 if __name__ == '__main__':
