Entry: a task that fails does not cut open requests off

What callers saw: had a task of an entry failed, each request that was open there would have been closed without an answer, also those that had been passed on. Cause: serve returned EXIT_TASK_FAILED before _shut_down. Evidence: test_a_failed_task_does_not_cut_requests_off (a real process, a task that raises with one request running and one being uploaded) failed: the process exited with 3 at once. The entry now says that it is not ready, refuses new requests with 503, finishes what it owes within the grace period as after a SIGTERM, and returns 3. Both requests are answered, and stopped has left=0.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -216,9 +216,9 @@
             zone=machine.place.zone,
             incarnation=self.lifecycle.incarnation,
         )
-        if not self.lifecycle.run_until_stopped(self._loops()):
-            return tasks.EXIT_TASK_FAILED
-        return self._shut_down(callers)
+        is_planned = self.lifecycle.run_until_stopped(self._loops())
+        status = self._shut_down(callers, accepting=is_planned)
+        return status if is_planned else tasks.EXIT_TASK_FAILED
 
     def _set_memory_budget(self) -> None:
         limit = self._machine.memory_bytes
@@ -417,7 +417,10 @@
             self._machine.address, self._cfg.admin_port, app
         )
 
-    def _shut_down(self, callers: server.CallersServer) -> int:
+    def _shut_down(
+        self, callers: server.CallersServer, accepting: bool
+    ) -> int:
+        # Without `accepting`, new requests are refused at once.
         started = time.monotonic()
         exit_at = started + self._machine.bounds.grace_s - SHUTDOWN_RESERVE_S
         logs.event(
@@ -430,11 +433,12 @@
             running=self.work.count(Stage.RUNNING),
             answers=self.work.count(Stage.ANSWER),
         )
-        self.shutdown_state = ShutdownState(True, True, exit_at)
-        accept_until = min(
-            started + STILL_ACCEPTING_S, exit_at - server.LAST_ANSWERS_S
-        )
-        gevent.sleep(max(0.0, accept_until - started))
+        self.shutdown_state = ShutdownState(True, accepting, exit_at)
+        if accepting:
+            accept_until = min(
+                started + STILL_ACCEPTING_S, exit_at - server.LAST_ANSWERS_S
+            )
+            gevent.sleep(max(0.0, accept_until - started))
         self.shutdown_state = ShutdownState(True, False, exit_at)
         callers.finish(exit_at)
         unfinished = self.work.owed
