Entry, own protocol: the exit waits for the account of its callers

What callers saw: `serve` closed a connection in the middle of a request's head about 2 s after its SIGTERM, and kept connections without having said so; a task that failed cut all requests off. Cause: CountedApp counts a request once its head is whole; answers given while the entry leaves did not close their connections; a failed task returned before _shut_down. Evidence: test_a_leaving_entry_answers_a_head_under_way failed: a head that takes 3 s ended with a broken connection. The failed task was not tried here. Answers carry Connection: close from the SIGTERM on. leaving, stopped and the status document have the account. CountedApp is gone.

--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -15,6 +15,8 @@
 from burdockchute import tasks
 from burdockchute.callers import http
 from burdockchute.callers import server
+from burdockchute.callers.open_work import OpenWork
+from burdockchute.callers.open_work import Stage
 from burdockchute.lifecycle import ProcessLifecycle
 from burdockchute.model import deltas
 from burdockchute.model.changes import MembersChanged
@@ -58,6 +60,8 @@
         self.cfg = cfg
         self.lifecycle = ProcessLifecycle(cfg, 'entry', self.table_offset)
         self.leaving = False
+        # The account of the server of callers, once there is one.
+        self.work = OpenWork()
         self.log = LogClient(cfg.log_url)
         self.table_task = TableTask(
             self.log,
@@ -129,10 +133,10 @@
             self.links_task.inbox,
             self.table_offset,
         )
-        callers_app = server.CountedApp(self._callers_app())
         callers = server.make_server(
-            self.cfg.address, self.cfg.http_port, callers_app
+            self.cfg.address, self.cfg.http_port, self._callers_app()
         )
+        self.work = callers.work
         callers.start()
         admin = http_admin.serve(
             self.cfg.address, self.cfg.admin_port, self._admin_app()
@@ -143,9 +147,9 @@
             http_port=callers.server_port,
             admin_port=admin.server_port,
         )
-        if not self.lifecycle.run_until_stopped(self._loops()):
-            return tasks.EXIT_TASK_FAILED
-        return self._shut_down(callers, callers_app)
+        is_planned = self.lifecycle.run_until_stopped(self._loops())
+        status = self._shut_down(callers, accepting=is_planned)
+        return status if is_planned else tasks.EXIT_TASK_FAILED
 
     def status(self) -> dict[str, Any]:
         """Return the status document of this process."""
@@ -153,6 +157,7 @@
             **self.lifecycle.status(),
             'leaving': self.leaving,
             'in_flight': self.router.open_requests(),
+            'callers': self.work.counts(),
             'table': self.table_task.status()._asdict(),
             'agents': sorted(
                 link.peer.name for link in self.links_task.agent_links()
@@ -232,18 +237,29 @@
             return http_admin.Readiness(False, 'leaving')
         return http_admin.Readiness(True, '')
 
-    def _shut_down(self, callers: Any, callers_app: server.CountedApp) -> int:
-        # Accepted requests are finished. New connections are still accepted
-        # until the load balancer has noticed; their requests are refused as
-        # not run.
-        logs.event('leaving', in_flight=self.router.open_requests())
+    def _shut_down(
+        self, callers: server.CallersServer, accepting: bool
+    ) -> int:
+        # Without `accepting`, the load balancer is not waited for.
+        exit_at = time.monotonic() + self.cfg.drain_s
+        logs.event(
+            'leaving',
+            in_flight=self.router.open_requests(),
+            open_requests=self.work.owed,
+            heads=self.work.count(Stage.HEAD),
+            bodies=self.work.count(Stage.BODY),
+            running=self.work.count(Stage.RUNNING),
+            answers=self.work.count(Stage.ANSWER),
+        )
         self.leaving = True
-        drain_until = time.monotonic() + self.cfg.drain_s
-        gevent.sleep(LEAVING_NOTICE_S)
-        callers.close()
-        while self.router.open_requests() and time.monotonic() < drain_until:
+        callers.leaving = True
+        if accepting:
+            gevent.sleep(LEAVING_NOTICE_S)
+        callers.finish(exit_at)
+        # Requests whose callers have gone may still be under way.
+        while self.router.open_requests() and time.monotonic() < exit_at:
             gevent.sleep(0.02)
-        unfinished = self.router.open_requests()
+        unfinished = max(self.work.owed, self.router.open_requests())
         # Without its outcome in the log, a resent request would only be
         # answered that its outcome is unknown. The wait is short since the
         # log may be unavailable.
@@ -252,8 +268,12 @@
             if time.monotonic() > settle_until:
                 break
             gevent.sleep(0.02)
-        while callers_app.open_answers and time.monotonic() < drain_until:
-            gevent.sleep(0.02)
-        callers.stop(timeout=LEAVING_NOTICE_S)
-        logs.event('stopped', left=unfinished)
+        logs.event(
+            'stopped',
+            left=unfinished,
+            heads=self.work.count(Stage.HEAD),
+            bodies=self.work.count(Stage.BODY),
+            running=self.work.count(Stage.RUNNING),
+            answers=self.work.count(Stage.ANSWER),
+        )
         return 1 if unfinished else 0
--- a/packages/burdockchute-testing/tests/test_failures.py
+++ b/packages/burdockchute-testing/tests/test_failures.py
@@ -232,6 +232,56 @@
         self.assertEqual(0, system['e1'].wait())
 
 
+class UploadTest(unittest.TestCase):
+    def test_a_leaving_entry_answers_a_head_under_way(self):
+        """A caller sends a head slowly while its entry shuts down.
+
+        The entry counted requests once their heads were whole, and its exit
+        closed the connection in the middle of a head.
+        """
+        system = harness.System()
+        self.addCleanup(system.close)
+        system.add_platform()
+        url = system.add_entry('e1')
+        system.add_service('s1', 'proofs')
+        system.add_agent('as1', 's1', services='proofs')
+        digest = blake3.blake3(BEARER.encode()).hexdigest()
+        system.set_row('customer', 'lindwurm', key_digests=digest)
+        system.set_row('service', 'proofs', idempotent='true')
+        spec = calls.service('x' * 400, 'proofs')
+        harness.wait_until(
+            lambda: calls.send(url, BEARER, spec).outcome == calls.ANSWERED,
+            'proofs are served',
+        )
+        headers = calls.request_headers(spec, BEARER)
+        lines = [f'{name}: {value}' for name, value in headers.items()]
+        lines += ['Host: h', f'Content-Length: {len(spec.text)}']
+        request_head = '\r\n'.join(
+            ['POST /v1/services/proofs/work HTTP/1.1', *lines]
+        )
+        address = (harness.ADDRESS, system['e1'].ports['http_port'])
+        caller, idle = (socket.create_connection(address) for _ in range(2))
+        self.addCleanup(caller.close)
+        self.addCleanup(idle.close)
+        text = f'{request_head}\r\n\r\n'.encode()
+        parts = [text[at : at + 20] for at in range(0, len(text), 20)]
+        caller.sendall(parts[0])
+        gevent.sleep(0.1)
+        system['e1'].terminate()
+        for part in parts[1:]:
+            gevent.sleep(3.0 / len(parts))
+            caller.sendall(part)
+        caller.sendall(spec.text.encode())
+        received = b''
+        while data := caller.recv(65536):
+            received += data
+        self.assertIn(b' 503 ', received)
+        self.assertIn(b'Connection: close', received)
+        self.assertEqual(b'', idle.recv(100))
+        self.assertEqual(0, system['e1'].wait())
+        self.assertIn('event=stopped left=0', system['e1'].log())
+
+
 class SilentConnectionTest(FailureCase):
     def test_links_go_silent_under_traffic(self):
         # A device between the entries and an instance loses its connection
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -85,6 +85,8 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.work = OpenWork()
+        # Whether callers are told to use other connections.
+        self.leaving = False
         # Answers whose end is the end of their connection.
         self.unframed: set[Any] = set()
         # The greenlets that receive a head or a body.
@@ -122,6 +124,7 @@
         not whole LAST_ANSWERS_S before the deadline is refused. Returns the
         account of what is left at the deadline.
         """
+        self.leaving = True
         started = time.monotonic()
         end_reading_at = deadline - LAST_ANSWERS_S
         while (
@@ -259,30 +262,6 @@
         """Take note that `count` of these bytes have been written."""
 
 
-class CountedApp:
-    """A WSGI application that counts the answers not yet fully written."""
-
-    def __init__(self, app: Callable[..., Iterable[bytes]]) -> None:
-        self.open_answers = 0
-        self._app = app
-
-    def __call__(
-        self, environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> ResponseBody:
-        """Answer one request."""
-        self.open_answers += 1
-        try:
-            return ResponseBody(
-                self._app(environ, start_response), self._count_down
-            )
-        except BaseException:
-            self._count_down()
-            raise
-
-    def _count_down(self) -> None:
-        self.open_answers -= 1
-
-
 class _Handler(pywsgi.WSGIHandler):
     server: CallersServer
     wsgi_input: Any
@@ -395,6 +374,16 @@
             yield
         self._enter(Stage.RUNNING)
 
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], *exc_info: Any
+    ) -> Any:
+        """Start an answer."""
+        if self.server.leaving and not any(
+            name.lower() == 'connection' for name, _value in headers
+        ):
+            headers = [('Connection', 'close'), *headers]
+        return super().start_response(status, headers, *exc_info)
+
     def finalize_headers(self) -> None:
         """Complete the headers of an answer that is about to be written."""
         super().finalize_headers()
