--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -349,9 +349,12 @@
         try:
             self.socket.shutdown(sockets.SHUT_WR)
             self.socket.settimeout(LINGER_SILENCE_S)
-            with gevent.Timeout(LINGER_S, False):
-                while self.socket.recv(LINGER_READ_BYTES):
-                    gevent.sleep(LINGER_PAUSE_S)
+            until = time.monotonic() + LINGER_S
+            while (
+                self.socket.recv(LINGER_READ_BYTES)
+                and time.monotonic() < until
+            ):
+                gevent.sleep(LINGER_PAUSE_S)
         except OSError:
             # The caller has closed it, or sends nothing more.
             pass
