Entry: what has no slot is refused before the exit, and not passed on too late

What callers saw: at the end of an entry's grace, requests that waited for a slot were closed without an answer though they had not run; others were passed on so late that the exit cut them off. Cause: neither the queues nor the assignment of slots knew of the exit. Scheduler.exit_at is set when the entry shuts down. A request whose service needs 1.5 times its mean, 1.2 s at least, gets 503 with Retry-After if less is left; streams only if less than 1.2 s is left, and interrupted streams go on waiting. A body that comes late is admitted by the same time.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -434,13 +434,14 @@
             answers=self.work.count(Stage.ANSWER),
         )
         self.shutdown_state = ShutdownState(True, accepting, exit_at)
+        self.scheduler.exit_at = exit_at
         if accepting:
             accept_until = min(
                 started + STILL_ACCEPTING_S, exit_at - server.LAST_ANSWERS_S
             )
             gevent.sleep(max(0.0, accept_until - started))
         self.shutdown_state = ShutdownState(True, False, exit_at)
-        callers.finish(exit_at)
+        callers.finish(exit_at, self.scheduler.refuse_late)
         unfinished = self.work.owed
         self.agents.close()
         logs.event(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -76,6 +76,7 @@
             shutdown_state,
             self.memory,
             deps.now,
+            deps.scheduler.time_to_run_s,
         )
 
     def __call__(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
@@ -38,8 +38,6 @@
 # one after this time.
 NOT_READY_RETRY_S = 1.0
 
-LEAVING = 'this entry is leaving'
-
 # The reason for refusing a request for which there is no memory.
 OUT_OF_MEMORY = 'too many bytes are held for callers'
 
@@ -48,9 +46,8 @@
 
 
 # A request whose body was received after this entry has stopped accepting is
-# run if this many times its objective is left, and at least the seconds.
+# run if this many times its objective are left.
 LATE_RUN_OBJECTIVES = 3.0
-MIN_LATE_RUN_S = 1.0
 
 
 class ShutdownState(NamedTuple):
@@ -103,10 +100,14 @@
     request_id: str = ''
 
 
+LEAVING = Refusal(503, 'this entry is leaving', SHUTDOWN_RETRY_S)
+
+
 class RequestAdmission:
     """Admits or refuses the requests of callers.
 
-    `memory` has the bytes held for requests.
+    `memory` has the bytes held for requests, and `time_to_run_s` tells how
+    long a request for a service is expected to run.
     """
 
     def __init__(
@@ -116,12 +117,14 @@
         shutdown_state: Callable[[], ShutdownState],
         memory: MemoryAccount,
         now: Callable[[], float],
+        time_to_run_s: Callable[[str], float],
     ) -> None:
         self._adapter = adapter
         self._known_state = known_state
         self._shutdown_state = shutdown_state
         self._memory = memory
         self._now = now
+        self._time_to_run_s = time_to_run_s
         # The longest time that callers had left, by route.
         self._max_time_left_s: dict[str, float] = {}
 
@@ -155,7 +158,7 @@
         holding: Holding,
     ) -> AdmittedRequest | Refusal:
         if not self._shutdown_state().accepting:
-            return Refusal(503, LEAVING, SHUTDOWN_RETRY_S)
+            return LEAVING
         known_state = self._known_state()
         if known_state.routes is None or not known_state.complete:
             return Refusal(503, 'no configuration yet', NOT_READY_RETRY_S)
@@ -166,8 +169,13 @@
         body = self._read_body(environ, limits.max_body_bytes, holding)
         if isinstance(body, Refusal):
             return body
-        if not may_run(self._shutdown_state(), route_match.route, self._now()):
-            return Refusal(503, LEAVING, SHUTDOWN_RETRY_S)
+        if not may_run(
+            self._shutdown_state(),
+            route_match.route,
+            self._time_to_run_s(route_match.service),
+            self._now(),
+        ):
+            return LEAVING
         elapsed_s = self._elapsed_s(route_match.route, inbound)
         return _make_admitted(
             inbound._replace(body=body),
@@ -217,7 +225,9 @@
         )
 
 
-def may_run(state: ShutdownState, route: Route, now: float) -> bool:
+def may_run(
+    state: ShutdownState, route: Route, time_to_run_s: float, now: float
+) -> bool:
     """Whether a request that was received may be run before the exit.
 
     The length of a stream is not known, so once the entry has stopped
@@ -227,7 +237,7 @@
         return True
     if route.kind is Kind.STREAM:
         return False
-    needed_s = max(MIN_LATE_RUN_S, LATE_RUN_OBJECTIVES * route.objective_s)
+    needed_s = max(time_to_run_s, LATE_RUN_OBJECTIVES * route.objective_s)
     return now + needed_s <= state.exit_at
 
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -14,6 +14,7 @@
 from gevent import Timeout
 
 from burdockchute import logs
+from burdockchute.callers.server import SHUTDOWN_RETRY_S
 from burdockchute.decisions import confirmation
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions.engine_speed import SpeedUse
@@ -41,6 +42,13 @@
 from burdockchute_entry.straight.wait_planning import Stage
 from burdockchute_entry.straight.wait_planning import WaitPlanner
 
+# A request is expected to run for this many times the mean of its service,
+# and at least for the seconds.
+RUN_MEANS = 1.5
+MIN_RUN_S = 1.2
+
+LEAVING = NotRun('this entry is leaving', 503, SHUTDOWN_RETRY_S)
+
 
 class Scheduler:
     """The queues and retry budgets of one entry.
@@ -70,6 +78,8 @@
         self._known = KnownTargets(bounds, rng, regions or {}, speed_use)
         self._chooser = TargetChooser(self._known, rng, region, regions or {})
         self._service_queues = ServiceQueues()
+        # When this entry exits; None unless it shuts down.
+        self.exit_at: float | None = None
         self._planner = WaitPlanner(self._known, self._service_queues)
         self._assigner = SlotAssigner(
             self._known,
@@ -126,6 +136,8 @@
         self, pending: PendingRequest, deadline: float
     ) -> Slot | NotRun:
         """Wait for a slot; returns NotRun if there is none in time."""
+        if self._is_too_late(pending):
+            return LEAVING
         if not self._wait_until_confirmed(pending, deadline):
             return NotRun(
                 "its allowed regions can't be confirmed",
@@ -180,6 +192,27 @@
         spent_s = self._now() - pending.ctx.arrived
         return max(0.0, stage.wait_s - spent_s)
 
+    def refuse_late(self) -> None:
+        """Refuse the requests that can't run before this entry exits.
+
+        They have not been sent, so their callers may send them again.
+        """
+        self._assigner.refuse_if(self._is_too_late, LEAVING)
+
+    def time_to_run_s(self, service: str) -> float:
+        """Return the time that a request for a service is expected to need."""
+        mean_s = self._service_queues[service].service_s
+        return max(MIN_RUN_S, RUN_MEANS * mean_s)
+
+    def _is_too_late(self, pending: PendingRequest) -> bool:
+        if self.exit_at is None or pending.resuming:
+            return False
+        # How long a stream runs does not decide whether it may begin.
+        needed_s = MIN_RUN_S
+        if not pending.ctx.stream:
+            needed_s = self.time_to_run_s(pending.spec.service)
+        return self._now() + needed_s > self.exit_at
+
     def stop_waiting(self, pending: PendingRequest) -> None:
         """Remove a request from all queues."""
         self._assigner.remove(pending)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -82,6 +82,17 @@
         for queue in self._service_queues[pending.spec.service].queues:
             queue.remove(pending.ctx.request_id)
 
+    def refuse_if(
+        self, is_refused: Callable[[PendingRequest], bool], refusal: NotRun
+    ) -> None:
+        """Refuse the requests that wait and for which the function is true."""
+        for pending in self.waiting.values():
+            if pending.slot.ready() or not is_refused(pending):
+                continue
+            for queue in self._service_queues[pending.spec.service].queues:
+                queue.remove(pending.ctx.request_id)
+            pending.slot.set(refusal)
+
     def assign_soon(self, service: str) -> None:
         """Assign the free slots of a service within ASSIGN_DELAY_S."""
         # Each agent reports several times a second.
--- a/packages/burdockchute-entry/tests/test_request_admission.py
+++ b/packages/burdockchute-entry/tests/test_request_admission.py
@@ -34,26 +34,27 @@
 class MayRunTest(unittest.TestCase):
     def test_an_upload_received_late_runs_if_it_can_end(self):
         """A request that is cut off by the exit can't be repeated."""
-        for now, objective_s, expected in (
-            (8.7, 0.4, True),
-            (8.9, 0.4, False),
-            (8.9, 0.1, True),
-            (9.1, 0.1, False),
-            (1.1, 3.0, False),
+        for now, objective_s, run_s, expected in (
+            (8.7, 0.4, 1.0, True),
+            (8.9, 0.4, 1.0, False),
+            (8.9, 0.1, 1.0, True),
+            (8.9, 0.1, 1.2, False),
+            (1.1, 3.0, 1.0, False),
         ):
-            with self.subTest(now=now, objective_s=objective_s):
-                found = may_run(REFUSING, route(objective_s=objective_s), now)
+            with self.subTest(now=now, objective_s=objective_s, run_s=run_s):
+                late = route(objective_s=objective_s)
+                found = may_run(REFUSING, late, run_s, now)
                 self.assertEqual(expected, found)
 
     def test_no_stream_begins_once_the_entry_refuses_requests(self):
         """A stream may be longer than the grace period, and would be cut."""
         stream = route(kind=Kind.STREAM)
-        self.assertFalse(may_run(REFUSING, stream, 0.0))
-        self.assertTrue(may_run(ACCEPTING, stream, 0.0))
+        self.assertFalse(may_run(REFUSING, stream, 0.0, 0.0))
+        self.assertTrue(may_run(ACCEPTING, stream, 0.0, 0.0))
 
     def test_an_entry_that_accepts_requests_runs_them(self):
         for state in (SERVING, ACCEPTING):
-            self.assertTrue(may_run(state, route(), 9.9))
+            self.assertTrue(may_run(state, route(), 0.0, 9.9))
 
 
 if __name__ == '__main__':
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -22,6 +22,8 @@
 from burdockchute.wire import messages
 from burdockchute_entry.straight.known_targets import KnownTargets
 from burdockchute_entry.straight.placement_round import PlacementRound
+from burdockchute_entry.straight.scheduler import LEAVING
+from burdockchute_entry.straight.scheduler import MIN_RUN_S
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import RequestSpec
@@ -129,6 +131,52 @@
 
 
 class SchedulerTest(unittest.TestCase):
+    def test_requests_without_a_slot_are_refused_before_the_exit(self):
+        """An entry exits while requests wait for a slot.
+
+        They were closed without an answer, and their callers could not know
+        that they had not run.
+        """
+        now = 0.0
+        scheduler = Scheduler(BOUNDS, lambda: now, random.Random(1))
+        only = upstreams()[0]._replace(slots=1)
+        scheduler.update(
+            KnownState(
+                upstreams=UpstreamList({only.id: KnownUpstream(only, 0)}, {})
+            )
+        )
+        first, second, resumed, late = (pending(n) for n in range(4))
+        resumed.resuming = True
+        self.assertIsInstance(scheduler.wait_for_slot(first, 6.0), Slot)
+        waiting = gevent.spawn(scheduler.wait_for_slot, second, 6.0)
+        going_on = gevent.spawn(scheduler.wait_for_slot, resumed, 6.0)
+        gevent.sleep(0.05)
+        self.assertFalse(waiting.ready())
+        scheduler.exit_at = MIN_RUN_S + 0.1
+        scheduler.refuse_late()
+        gevent.sleep(0.01)
+        self.assertFalse(waiting.ready())
+        now = 0.2
+        scheduler.refuse_late()
+        self.assertEqual(LEAVING, waiting.get(timeout=0.1))
+        self.assertEqual(LEAVING, scheduler.wait_for_slot(late, 6.0))
+        self.assertFalse(going_on.ready())
+        going_on.kill()
+
+    def test_a_request_that_runs_longer_than_the_entry_gets_no_slot(self):
+        """It would be passed on, and the exit would cut it off."""
+        scheduler = Scheduler(BOUNDS, lambda: 0.0, random.Random(1))
+        known = {u.id: KnownUpstream(u, 0) for u in upstreams()}
+        scheduler.update(KnownState(upstreams=UpstreamList(known, {})))
+        scheduler.exit_at = 4.0
+        self.assertIsInstance(scheduler.wait_for_slot(pending(1), 6.0), Slot)
+        scheduler._service_queues['drafts'].record_service_time(3.0)
+        plain, stream = pending(2), pending(3)
+        plain.ctx = plain.ctx._replace(stream=False)
+        stream.ctx = stream.ctx._replace(stream=True)
+        self.assertEqual(LEAVING, scheduler.wait_for_slot(plain, 6.0))
+        self.assertIsInstance(scheduler.wait_for_slot(stream, 6.0), Slot)
+
     def test_many_reports_start_one_round(self):
         """Fifty agents report at almost the same time while requests wait.
 
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -116,13 +116,18 @@
         finally:
             del self._readers[sock]
 
-    def finish(self, deadline: float) -> dict[str, int]:
+    def finish(
+        self,
+        deadline: float,
+        refuse_late: Callable[[], None] = lambda: None,
+    ) -> dict[str, int]:
         """Answer what is owed, stop accepting and close all connections.
 
         New connections are accepted while requests that were begun before
         are open; the application refuses their requests. A request that is
-        not whole LAST_ANSWERS_S before the deadline is refused. Returns the
-        account of what is left at the deadline.
+        not whole LAST_ANSWERS_S before the deadline is refused. `refuse_late`
+        is called all the time, and refuses what the application has not begun
+        and can't finish. Returns the account of what is left at the deadline.
         """
         self.leaving = True
         started = time.monotonic()
@@ -131,12 +136,14 @@
             self.work.owes_from_before(started)
             and time.monotonic() < end_reading_at
         ):
+            refuse_late()
             gevent.sleep(FINISH_POLL_S)
         self._stop_listening()
         first_requests_until = time.monotonic() + FIRST_REQUEST_S
         while not self.work.is_empty() and time.monotonic() < deadline:
-            if time.monotonic() >= end_reading_at:
+            if time.monotonic() >= end_reading_at and not self._reading_ended:
                 self._end_reading()
+            refuse_late()
             self._close_connections(Stage.IDLE)
             if time.monotonic() >= first_requests_until:
                 self._close_connections(Stage.UNUSED)
@@ -156,10 +163,9 @@
         self.close()
 
     def _end_reading(self) -> None:
-        if not self._reading_ended:
-            self._reading_ended = True
-            for sock in self._readers:
-                get_hub().loop.run_callback(self._interrupt, sock)
+        self._reading_ended = True
+        for sock in self._readers:
+            get_hub().loop.run_callback(self._interrupt, sock)
 
     def _interrupt(self, sock: Any) -> None:
         # This runs in the event loop, so the reader can't have gone on since
