Agent: a task that fails does not cut streams off

What callers saw: had a task of an agent failed, the streams that it relayed would have ended with an unknown outcome. Cause: serve returned EXIT_TASK_FAILED before _shut_down. Evidence: test_a_failed_task_does_not_cut_a_stream_off (a real process, a task that raises in the middle of a stream) failed: the link was closed. The agent now reports that it leaves, refuses new requests and finishes those in flight within drain_s, and then returns 3. All 51 parts of the stream arrive.

--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -99,9 +99,9 @@
             link_port=link_server.server_port,
             admin_port=admin.server_port,
         )
-        if not self.lifecycle.run_until_stopped(self._loops()):
-            return tasks.EXIT_TASK_FAILED
-        return self._shut_down(link_server)
+        is_planned = self.lifecycle.run_until_stopped(self._loops())
+        status = self._shut_down(link_server)
+        return status if is_planned else tasks.EXIT_TASK_FAILED
 
     def status(self) -> dict[str, Any]:
         """Return the status document of this process."""
--- a/packages/burdockchute-testing/tests/test_agent_process.py
+++ b/packages/burdockchute-testing/tests/test_agent_process.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import json
+import os
+import pathlib
+import sys
+import tempfile
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -18,6 +23,24 @@
 # Many times the network delay between two regions.
 IN_TRANSIT_S = 0.2
 
+# A task fails once the file exists that the variable names.
+FAILING_TASK = """
+import os
+import sys
+from burdockchute_agent import main
+import gevent
+from burdockchute_agent import app
+
+def fail():
+    while not os.path.exists(os.environ['FAIL']):
+        gevent.sleep(0.02)
+    raise ValueError('no such record')
+
+loops = app.App._loops
+app.App._loops = lambda self: [*loops(self), fail]
+sys.exit(main.main())
+"""
+
 
 class AgentCase(unittest.TestCase):
     def setUp(self) -> None:
@@ -84,6 +107,30 @@
         self.assertEqual(('', 51), (end.error, len(parts)))
         self.assertEqual(0, self.system['a1'].wait())
 
+    def test_a_failed_task_does_not_cut_a_stream_off(self):
+        """A task of an agent fails while it streams an answer.
+
+        It exited at once, and the entry could not know how the request ended.
+        """
+        folder = tempfile.TemporaryDirectory(prefix='burdockchute-')
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name, 'fail')
+        program = pathlib.Path(folder.name, 'agent')
+        program.write_text(f'#!{sys.executable}\n' + FAILING_TASK)
+        program.chmod(0o700)
+        os.environ['FAIL'] = str(path)
+        self.addCleanup(os.environ.pop, 'FAIL')
+        with mock.patch.object(harness, '_binary', lambda _name: str(program)):
+            self.start_engine(token_interval_s=0.02)
+        digest = self.open_model()
+        self.send('r1', digest, tokens=50)
+        stream = self.entry.messages_of('r1')
+        first = next(stream)
+        path.touch()
+        *parts, end = [first, *stream]
+        self.assertEqual(('', 51), (end.error, len(parts)))
+        self.assertEqual(3, self.system['a1'].wait())
+
     def test_dispatch_during_the_shutdown_report_is_refused(self):
         # An entry dispatches a request just as the agent starts to shut down.
         # If the agent closed its links at once, it would not be known whether
