--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -16,6 +16,7 @@
 from gevent import get_hub
 from gevent import pywsgi
 
+from burdockchute import logs
 from burdockchute.callers.open_work import OpenWork
 from burdockchute.callers.open_work import Stage
 from burdockchute.sockets import closed_by_peer
@@ -278,6 +279,7 @@
     headers_sent: bool
     status: Any
     code: int
+    client_address: Any
     # Whether the present request has its whole answer.
     _is_answered = False
 
@@ -322,7 +324,7 @@
         try:
             result = super().handle_one_request()
         except ReadingEnded:
-            result = ('503', _HEAD_REFUSAL)
+            result = self._refuse_head()
         if result is True:
             self._enter(Stage.IDLE)
             return True
@@ -334,9 +336,13 @@
 
     def _handle_client_error(self, ex: BaseException) -> Any:
         if isinstance(ex, ReadingEnded):
-            return '503', _HEAD_REFUSAL
+            return self._refuse_head()
         return super()._handle_client_error(ex)
 
+    def _refuse_head(self) -> tuple[str, bytes]:
+        logs.event('head_refused', caller=self.client_address[0])
+        return '503', _HEAD_REFUSAL
+
     def _enter(self, stage: Stage) -> None:
         self.server.work.move(self.socket, stage, time.monotonic())
 
