--- a/packages/burdockchute/burdockchute/weights/manifest.py
+++ b/packages/burdockchute/burdockchute/weights/manifest.py
@@ -32,6 +32,9 @@
 MAX_CHUNK_BYTES = 8 * 1024 * 1024
 
 
+# What decoding a document may raise that has other members or types.
+_INVALID = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
+
 BLAKE3 = 'blake3'
 SHA256 = 'sha256'
 
@@ -90,9 +93,9 @@
     place = f'manifest {digest}'
     try:
         manifest = _parse_document(json.loads(data), digest)
-    except (ValueError, KeyError, TypeError) as exc:
+    except _INVALID as exc:
         return Failure([Finding(place, f'is no manifest: {exc!r}')])
-    found = _check_shape(manifest, place)
+    found = shape_findings(manifest, place)
     actual = digest_of(canonical(manifest))
     if actual != digest:
         found.append(Finding(place, f'content has the digest {actual!r}'))
@@ -113,9 +116,9 @@
         manifest = _parse_document(document, digest)._replace(
             hash=str(document['hash'])
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except _INVALID as exc:
         return Failure([Finding(place, f'is no manifest: {exc!r}')])
-    found = _check_shape(manifest, place)
+    found = shape_findings(manifest, place)
     if document.get('digest') != digest:
         found.append(Finding(place, f'is of {document.get("digest")!r}'))
     if manifest.hash not in _HASHES:
@@ -155,16 +158,20 @@
 
 
 def _parse_document(document: Any, digest: str) -> Manifest:
-    return Manifest(
+    manifest = Manifest(
         digest=digest,
         name=str(document['name']),
         size=int(document['size']),
         chunk_size=int(document['chunk_size']),
         chunks=tuple(str(chunk) for chunk in document['chunks']),
     )
+    # Half of a surrogate pair fails each later encoding.
+    canonical(manifest)
+    return manifest
 
 
-def _check_shape(manifest: Manifest, place: str) -> list[Finding]:
+def shape_findings(manifest: Manifest, place: str) -> list[Finding]:
+    """Return what is wrong with the sizes and the number of chunks."""
     found = []
     if not 0 < manifest.chunk_size <= MAX_CHUNK_BYTES:
         text = f'chunk_size {manifest.chunk_size!r} is not in 1 to '
--- a/packages/burdockchute/tests/weights/test_manifest.py
+++ b/packages/burdockchute/tests/weights/test_manifest.py
@@ -51,6 +51,26 @@
                 found = manifests.parse(data, 'd').failure()
                 self.assertIn('is no manifest', found[0].text)
 
+    @given(
+        st.sampled_from(['name', 'size', 'chunk_size', 'chunks', 'hash']),
+        st.sampled_from(
+            [None, {}, [[]], '\ud800', ['\ud800'], float('inf'), 10**400, -1]
+        ),
+    )
+    def test_foreign_values_of_a_peer_are_findings(self, field, value):
+        """A manifest of a peer with such a value ended the agent."""
+        document = json.loads(manifests.serialize_manifest(MANIFEST))
+        document = {'hash': manifests.SHA256} | document | {field: value}
+        data = json.dumps(document).encode()
+        for parse in (manifests.parse, manifests.parse_unverified):
+            result = parse(data, MANIFEST.digest)
+            if isinstance(result, Success):
+                manifests.serialize_manifest(result.unwrap())
+
+    def test_deeply_nested_manifest_is_refused(self):
+        found = manifests.parse_unverified(b'[' * 10_000, 'd').failure()
+        self.assertIn('is no manifest', found[0].text)
+
 
 class CopyTest(unittest.TestCase):
     def setUp(self) -> None:
