--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -18,6 +18,7 @@
 from geventhttpclient import response as responses
 
 from burdockchute import logs
+from burdockchute import tasks
 from burdockchute.nodes import links
 from burdockchute.wire import messages
 from burdockchute_agent.cache_changes import CacheChanges
@@ -80,7 +81,7 @@
 
     def run(self) -> None:
         """Poll and report until killed."""
-        gevent.spawn(self._poll)
+        tasks.start_part(self._poll)
         while True:
             gevent.sleep(CHANGE_CHECK_S)
             if self._is_due(time.monotonic()):
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -135,7 +135,7 @@
 
     def run(self) -> None:
         """Work until killed."""
-        poller = gevent.spawn(self._poll_engine)
+        poller = tasks.start_part(self._poll_engine)
         try:
             wait_s = 0.0
             while True:
--- a/packages/burdockchute-agent/burdockchute_agent/weights_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/weights_task.py
@@ -130,7 +130,7 @@
         """Work until killed."""
         greenlets = []
         if self._is_engine:
-            greenlets.append(gevent.spawn(self._engine.run))
+            greenlets.append(tasks.start_part(self._engine.run))
             greenlets.append(gevent.spawn(self._register_until_done))
         try:
             wait_s = 0.0
--- a/packages/burdockchute-entry/burdockchute_entry/claim_collector.py
+++ b/packages/burdockchute-entry/burdockchute_entry/claim_collector.py
@@ -15,6 +15,7 @@
 from returns.result import Failure
 
 from burdockchute import logs
+from burdockchute import tasks
 from burdockchute.decisions import claims
 from burdockchute.decisions.claims import Act
 from burdockchute.decisions.claims import ClaimTable
@@ -77,8 +78,8 @@
     def start(self) -> None:
         """Start appending and reading."""
         self._tasks = [
-            gevent.spawn(self._append_forever),
-            gevent.spawn(self._read_forever),
+            tasks.start_part(self._append_forever),
+            tasks.start_part(self._read_forever),
         ]
 
     def stop(self) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/links_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/links_task.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from functools import partial
 import random
 import time
 from typing import Any
@@ -23,6 +24,7 @@
 from gevent import queue
 
 from burdockchute import logs
+from burdockchute import tasks
 from burdockchute.decisions import membership
 from burdockchute.decisions.membership import LinkReport
 from burdockchute.decisions.membership import Membership
@@ -137,8 +139,10 @@
 
     def run(self) -> None:
         """Handle messages forever."""
-        gevent.spawn(instance_polling.poll, self._list, self.inbox.put)
-        gevent.spawn(self._subset.run)
+        tasks.start_part(
+            partial(instance_polling.poll, self._list, self.inbox.put)
+        )
+        tasks.start_part(self._subset.run)
         while True:
             self._handle(self.inbox.get())
 
