Links: what a peer sends ends at most the link to it

What operators would have seen: an entry ended with `task_failed` and status 3 when an agent reported weights whose version is no number, or a message that lacked a member; an agent when the age of a version or the bitmap of a copy was left out, or an age of nearly 64 bits was passed on a moment later. A link whose reader ended by anything but a network error stayed open for its owner for ever, and a dial to an address that can't be looked up was never repeated. Cause: thrift's Python code leaves a missing member, or one of another type, None, and handlers took it for a value. Closed and the result of a dial were sent only after the errors that were expected. Versions, ages and origins in messages are checked where they are read, and the rest of the message holds. A task of a link always reports its end.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -434,7 +434,12 @@
         )
         if requirements is None or not requirements.origin:
             return NoOrigin()
-        address = self._adapter.endpoint(requirements.origin)
+        try:
+            address = self._adapter.endpoint(requirements.origin)
+        except ValueError as exc:
+            # An entry of another release may report one.
+            logs.warn('origin_unreadable', reason=str(exc))
+            return NoOrigin()
         return PlatformOrigin(self._adapter.origin(address))
 
     def _scan_staging_area(self, model: str, name: str, now: float) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import itertools
 import random
+import re
 
 from burdockchute import logs
 from burdockchute.decisions.backpressure import EntryCount
@@ -24,6 +25,8 @@
 from burdockchute_entry.straight import cold_upstreams
 from burdockchute_entry.straight.targets import Target
 
+_VERSION = re.compile(r'\d{1,10}', re.ASCII)
+
 # Upstreams whose restrictions are kept while the list lacks them.
 MAX_DROPPED = 1024
 
@@ -217,10 +220,7 @@
     def _take_report(
         self, target: Target, report: messages.LoadReport, now: float
     ) -> None:
-        loaded = {}
-        for state in report.weights or ():
-            model, _at, version = state.digest.rpartition('@')
-            loaded[model] = int(version)
+        loaded = _loaded_versions(target, report)
         if dict(target.versions) != loaded:
             logs.event(
                 'upstream_versions_reported',
@@ -268,6 +268,23 @@
         return known.cost if known.cost.prompt_tokens_per_s > 0 else None
 
 
+def _loaded_versions(
+    target: Target, report: messages.LoadReport
+) -> dict[str, int]:
+    loaded = {}
+    for state in report.weights or ():
+        model, _at, version = state.digest.rpartition('@')
+        if _VERSION.fullmatch(version):
+            loaded[model] = int(version)
+        else:
+            logs.warn(
+                'reported_version_unreadable',
+                upstream=target.id,
+                version=f'{state.digest:.60}',
+            )
+    return loaded
+
+
 def _is_same_process(target: Target, upstream: Upstream) -> bool:
     known = target.upstream
     return (known.endpoint, known.started_ms, known.service) == (
--- a/packages/burdockchute-entry/tests/test_agents_task.py
+++ b/packages/burdockchute-entry/tests/test_agents_task.py
@@ -3,19 +3,26 @@
 from __future__ import annotations
 
 import random
+import time
 import unittest
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
 from burdockchute import wire
 from burdockchute.decisions import versions
 from burdockchute.decisions.routing import route_table
 from burdockchute.model.crash_reports import AnsweredRequest
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.crash_reports import PromptPart
+from burdockchute.model.known_state import apply_peer_reports
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.link_events import LinkLost
 from burdockchute.model.link_events import LinkStateReport
 from burdockchute.model.link_events import ProbeRequested
 from burdockchute.model.link_events import ProbeReturned
+from burdockchute.model.machines import Bounds
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
 from burdockchute.model.routes import CallerLimits
@@ -28,8 +35,13 @@
 from burdockchute.model.store_probes import StoreProbeSent
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.nodes import links
+from burdockchute.nodes.desired_state import decode_versions
 from burdockchute.wire import messages
 from burdockchute_entry.straight.agents_task import AgentsTask
+from burdockchute_entry.straight.scheduler import Scheduler
+from burdockchute_testing.builders.messages import any_message
+from burdockchute_testing.builders.messages import encoded
+from burdockchute_testing.builders.messages import message_kinds
 from burdockchute_testing.builders.routing import FakeLink
 from burdockchute_testing.builders.upstreams import upstream
 from burdockchute_testing.builders.upstreams import upstream_list
@@ -39,6 +51,13 @@
 HELLO = messages.Hello(
     OWN.name, OWN.role, 'z', 'r', 'first', -1, links.PROTOCOL
 )
+BOUNDS = Bounds(2.0, 8.0, 2.0, 8.0, 3.0, 0.2, 10.0, 100.0)
+MESSAGES = st.sampled_from(message_kinds()).flatmap(
+    lambda kind: any_message(
+        kind,
+        st.sampled_from(['', 'story', 'story@2', 'story@x', str(ADDRESS)]),
+    )
+)
 LIMITS = CallerLimits(8192, 1_000_000, 1.0, 5.0)
 
 
@@ -101,6 +120,50 @@
         for link in (first, second):
             self.assertEqual([[], [('story', 2, True)]], named(link))
 
+    @settings(max_examples=300, deadline=None)
+    @given(MESSAGES)
+    def test_no_message_of_an_agent_ends_the_task(self, message):
+        """A report of a version that is no number ended the entry."""
+        self.setUp()
+        link = FakeLink(str(ADDRESS))
+        scheduler = Scheduler(
+            BOUNDS, time.monotonic, random.Random(1), 'r', {}
+        )
+        state = KnownState(
+            upstreams=upstream_list(upstream(endpoint=ADDRESS)),
+            upstreams_listed=True,
+        )
+        scheduler.update(state)
+        self.task._on_load_report = scheduler.apply_load_report
+        self.task._handle(links.Opened(link))
+        try:
+            received = wire.decode(encoded(message))
+        except wire.WireError:
+            return
+        self.task._handle(links.Received(link, received))
+        if isinstance(received, messages.LoadReport) and received.named:
+            reports = decode_versions(received.named, time.monotonic())
+            state, _changes = apply_peer_reports(state, reports, 0.0)
+            self.task._handle(state)
+        self.task._on_timer()
+        for sent in link.sent:
+            wire.encode(sent)
+
+    def test_the_other_versions_of_a_report_hold(self):
+        scheduler = Scheduler(
+            BOUNDS, time.monotonic, random.Random(1), 'r', {}
+        )
+        listed = upstream_list(upstream(endpoint=ADDRESS))
+        scheduler.update(KnownState(upstreams=listed, upstreams_listed=True))
+        weights = [
+            messages.WeightsState('', digest, 'open', 0, 0)
+            for digest in ('story@x', 'story@' + '9' * 5000, 'story@2')
+        ]
+        report = messages.LoadReport(running=0, slots=1, weights=weights)
+        scheduler.apply_load_report(str(ADDRESS), report)
+        (target,) = scheduler.targets()
+        self.assertEqual({'story': 2}, target.versions)
+
     def test_a_probe_goes_to_its_agent_and_comes_back(self):
         """A time that is changed in transit would not match the probe."""
         link, other = self.opened('127.0.0.1:1'), self.opened('127.0.0.2:1')
--- a/packages/burdockchute/burdockchute/nodes/desired_state.py
+++ b/packages/burdockchute/burdockchute/nodes/desired_state.py
@@ -24,6 +24,9 @@
 
 UNKNOWN_AGE_MS = -1
 
+# Ages grow while they are known, and are sent in 64 bits.
+MAX_AGE_MS = 2**53
+
 
 def encode_versions(
     histories: Mapping[str, History], now: float
@@ -57,8 +60,8 @@
             item.model,
             item.version,
             None
-            if item.age_ms == UNKNOWN_AGE_MS
-            else now - item.age_ms / 1000,
+            if item.age_ms < 0
+            else now - min(item.age_ms, MAX_AGE_MS) / 1000,
         )
         for item in versions
     ]
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -215,8 +215,11 @@
             self.close('closed by peer')
         except TimeoutError:
             self.close('silent')
-        except (OSError, wire.WireError) as exc:
-            self.close(str(exc))
+        except (OSError, wire.WireError, LinkError, MemoryError) as exc:
+            self.close(str(exc) or type(exc).__name__)
+        finally:
+            # The owner waits for Closed, whatever has ended this task.
+            self.close('reading failed')
 
     def _dispatch(self, message: Any) -> None:
         match message:
@@ -258,6 +261,12 @@
             self._outbox.put(frame[sent:])
 
     def _write(self) -> None:
+        try:
+            self._write_until_closed()
+        finally:
+            self.close('writing failed')
+
+    def _write_until_closed(self) -> None:
         while not self.closed_reason:
             pending = self._next_write()
             if pending is None:
@@ -316,7 +325,8 @@
     try:
         sock = socket.create_connection((address, port), DIAL_TIMEOUT_S)
         return _handshake(sock, hello, inbox, table_offset)
-    except (OSError, wire.WireError) as exc:
+    except (OSError, ValueError, OverflowError, wire.WireError) as exc:
+        # Some names and ports raise no OSError, such as `a..b` and 65536.
         raise LinkError(f'{address}:{port}: {exc}') from exc
 
 
--- a/packages/burdockchute/burdockchute/nodes/peers.py
+++ b/packages/burdockchute/burdockchute/nodes/peers.py
@@ -197,6 +197,7 @@
 
     def _dial(self, member: Member) -> None:
         hello = self._hello()
+        link = None
         try:
             link = links.dial(
                 member.address,
@@ -205,11 +206,12 @@
                 self._inbox,
                 lambda: hello.table_offset,
             )
+            self._outbound.add(link)
         except links.LinkError:
-            self._inbox.put(DialResult(member.name, None))
-            return
-        self._outbound.add(link)
-        self._inbox.put(DialResult(member.name, link))
+            pass
+        finally:
+            # Without a result, the peer would count as being dialled for ever.
+            self._inbox.put(DialResult(member.name, link))
 
     def _supersedes(self, link: links.Link, current: links.Link) -> bool:
         is_outbound = link in self._outbound
--- a/packages/burdockchute/tests/test_links.py
+++ b/packages/burdockchute/tests/test_links.py
@@ -70,6 +70,25 @@
             with gevent.Timeout(2.0):
                 self.assertRaises(links.LinkError, self.dial)
 
+    def test_a_link_that_can_not_be_read_or_written_is_closed(self):
+        """Its owner kept a link on which nothing arrived any more."""
+        for name in ('_dispatch', '_next_write'):
+            with self.subTest(name):
+                with mock.patch.object(
+                    links.Link, name, autospec=True, side_effect=MemoryError
+                ):
+                    link = self.dial()
+                    self.server_inbox.get(timeout=2)
+                    link.send(messages.Cancel('r'))
+                    found = self.server_inbox.get(timeout=2)
+                self.assertIsInstance(found, links.Closed)
+
+    def test_addresses_that_can_not_be_looked_up_are_no_link(self):
+        """A name and a port raised no network error, and ended the dial."""
+        for address, port in (('a..b', 80), ('127.0.0.1', 65536)):
+            with self.assertRaises(links.LinkError):
+                links.dial(address, port, HELLO, self.client_inbox, no_offset)
+
     def test_messages_arrive_in_order(self):
         link = self.dial()
         for number in range(50):
