Store, engines: used-up descriptors end no agent

What operators would have seen: an agent ended with `task_failed` and status 3 while its descriptors were used up, by connections to its link port for example. Cause: `json.loads` guesses the encoding of bytes, and a report of the engine that began like UTF-16 had it import the module of that encoding, which needs a descriptor. `fetch` takes OSError as a failed call, the decoder does not.

--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -166,8 +166,8 @@
 
 def _parse_json(data: bytes) -> Any:
     try:
-        return json.loads(data)
-    except ValueError:
+        return json.loads(data.decode())
+    except (ValueError, RecursionError):
         return None
 
 
--- a/packages/burdockchute/burdockchute/weights/manifest.py
+++ b/packages/burdockchute/burdockchute/weights/manifest.py
@@ -92,7 +92,7 @@
     """Parse a manifest and verify it against the root digest of a row."""
     place = f'manifest {digest}'
     try:
-        manifest = _parse_document(json.loads(data), digest)
+        manifest = _parse_document(json.loads(data.decode()), digest)
     except _INVALID as exc:
         return Failure([Finding(place, f'is no manifest: {exc!r}')])
     found = shape_findings(manifest, place)
@@ -112,7 +112,7 @@
     """
     place = f'manifest {digest}'
     try:
-        document = json.loads(data)
+        document = json.loads(data.decode())
         manifest = _parse_document(document, digest)._replace(
             hash=str(document['hash'])
         )
