Calls, links: where no thread can be started, a call fails and nothing else

What operators would have seen: a process that may start no thread (a limit of its container) ends with `task_failed` at its next read of the store on a new connection: gevent looks each address up in a thread, and RuntimeError is no network error. By test with a look-up that raises it; not seen on a process, as the limit doesn't hold for root.

--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -325,8 +325,15 @@
     try:
         sock = socket.create_connection((address, port), DIAL_TIMEOUT_S)
         return _handshake(sock, hello, inbox, table_offset)
-    except (OSError, ValueError, OverflowError, wire.WireError) as exc:
-        # Some names and ports raise no OSError, such as `a..b` and 65536.
+    except (
+        OSError,
+        ValueError,
+        OverflowError,
+        RuntimeError,
+        wire.WireError,
+    ) as exc:
+        # Some names and ports raise no OSError, such as `a..b` and 65536, and
+        # neither does a look-up where no thread can be started.
         raise LinkError(f'{address}:{port}: {exc}') from exc
 
 
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -145,6 +145,9 @@
         return Failure(NoReply('no answer in time'))
     except (ConnectionRefusedError, socket.gaierror) as exc:
         return Failure(NotSent(str(exc)))
+    except RuntimeError as exc:
+        # gevent looks addresses up in a thread, and none can be started.
+        return Failure(NotSent(str(exc)))
     except (OSError, geventhttpclient.response.HTTPParseError) as exc:
         return Failure(NoReply(str(exc) or type(exc).__name__))
     finally:
--- a/packages/burdockchute/tests/test_http_json.py
+++ b/packages/burdockchute/tests/test_http_json.py
@@ -4,7 +4,9 @@
 
 import time
 import unittest
+from unittest import mock
 
+import gevent
 from gevent import server
 from returns.result import Failure
 
@@ -34,6 +36,18 @@
         self.assertIsInstance(result, Failure)
         self.assertEqual(1, len(connections))
 
+    def test_a_call_without_threads_is_not_sent(self):
+        """The task that read the store ended, and with it the process."""
+        client = self.client(lambda sock, address: None)
+        with mock.patch.object(
+            gevent.socket,
+            'getaddrinfo',
+            autospec=True,
+            side_effect=RuntimeError("can't start new thread"),
+        ):
+            result = http_json.fetch(client, 'GET', '/x', b'', TIMEOUT_S)
+        self.assertIsInstance(result.failure(), http_json.NotSent)
+
     def client(self, serve, **more):
         serving = server.StreamServer(('127.0.0.1', 0), serve)
         serving.start()
--- a/packages/burdockchute/tests/test_links.py
+++ b/packages/burdockchute/tests/test_links.py
@@ -89,6 +89,15 @@
             with self.assertRaises(links.LinkError):
                 links.dial(address, port, HELLO, self.client_inbox, no_offset)
 
+    def test_a_dial_without_threads_is_no_link(self):
+        with mock.patch.object(
+            gevent.socket,
+            'getaddrinfo',
+            autospec=True,
+            side_effect=RuntimeError("can't start new thread"),
+        ):
+            self.assertRaises(links.LinkError, self.dial)
+
     def test_messages_arrive_in_order(self):
         link = self.dial()
         for number in range(50):
