Own protocol: documents of the log, the list and engines end no task

What operators would have seen with `serve`: an entry ended with `task_failed` and status 3 by an outcome of a claim that is no text or no JSON, in a message of another entry, and by an offset of the log or a port of the list that is Infinity or over 64 bits. An agent's reports ended by a load of its engine that fits into no message; its polls by an answer that is no object, and the agent went on without them. Cause: each decoder named the errors that it expected, and OverflowError, AttributeError and RecursionError were missing from most. `documents` has one list of what decoding may raise, for all of them. Offsets, ports and loads have a range.

--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import json
 import time
 from typing import NamedTuple
 from urllib import parse
@@ -17,6 +16,7 @@
 import geventhttpclient
 from geventhttpclient import response as responses
 
+from burdockchute import documents
 from burdockchute import logs
 from burdockchute import tasks
 from burdockchute.nodes import links
@@ -40,6 +40,9 @@
 IDLE_REPORT_S = 1.8
 UPSTREAM_TIMEOUT_S = 1.0
 
+# Reports carry numbers in 32 bits.
+MAX_REPORTED = 2**31 - 1
+
 # Failed polls in a row after which the upstream counts as unavailable. A
 # single one may be a garbage collection pause; three last longer than any
 # pause of an engine, or of a stand-in, that still answers.
@@ -158,7 +161,11 @@
             try:
                 poll_once()
                 self._record_poll()
-            except (OSError, ValueError, responses.HTTPParseError):
+            except (
+                OSError,
+                responses.HTTPParseError,
+                *documents.INVALID,
+            ):
                 self._record_failed_poll()
             gevent.sleep(POLL_S)
 
@@ -170,10 +177,10 @@
         )
 
         def poll_once() -> None:
-            load = json.loads(client.get('/load').read())
+            load = documents.load(client.get('/load').read())
             self._load = _load_of(load)
             path = f'/cache/events?from={self._next_event}'
-            self._record_cache_events(json.loads(client.get(path).read()))
+            self._record_cache_events(documents.load(client.get(path).read()))
 
         return poll_once
 
@@ -192,7 +199,9 @@
                 if event['act'] == 'stored'
                 else self._cache.evicted
             )
-            record(event['prefix'])
+            prefix = str(event['prefix'])
+            prefix.encode()
+            record(prefix)
         self._next_event = page.get('next', self._next_event)
 
     def _record_poll(self) -> None:
@@ -212,9 +221,16 @@
 
 def _load_of(document: dict) -> UpstreamLoad:
     return UpstreamLoad(
-        running=int(document.get('running', 0)),
-        waiting=int(document.get('waiting', 0)),
-        slots=int(document.get('slots', 0)),
-        tokens_per_s=float(document.get('tokens_per_s', 0.0)),
-        prefill_tokens_per_s=int(document.get('prefill_tokens_per_s', 0)),
+        running=int(_number(document, 'running')),
+        waiting=int(_number(document, 'waiting')),
+        slots=int(_number(document, 'slots')),
+        tokens_per_s=_number(document, 'tokens_per_s'),
+        prefill_tokens_per_s=int(_number(document, 'prefill_tokens_per_s')),
     )
+
+
+def _number(document: dict, name: str) -> float:
+    value = float(document.get(name, 0))
+    if not 0 <= value <= MAX_REPORTED:
+        raise ValueError(f'{name}: {value!r} is out of range')
+    return value
--- a/packages/burdockchute-entry/burdockchute_entry/claims_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/claims_task.py
@@ -14,6 +14,7 @@
 
 from gevent import queue
 
+from burdockchute import documents
 from burdockchute import logs
 from burdockchute import tasks
 from burdockchute.callers import parse
@@ -321,12 +322,18 @@
         return None
     if parse.issued_at(message.key) is None:
         return None
+    try:
+        outcome = message.outcome.decode()
+        if outcome:
+            claims.decode_outcome(outcome)
+    except documents.INVALID:
+        return None
     return Act(
         message.act,
         ClaimKey(message.customer, message.key),
         message.attempt_id,
         message.request_digest,
-        (message.outcome or b'').decode(),
+        outcome,
     )
 
 
@@ -358,7 +365,11 @@
 
 def _verdict_of(message: messages.ClaimReply) -> Verdict:
     if message.verdict == 'recorded':
-        return Recorded(claims.decode_outcome(message.outcome.decode()))
+        try:
+            return Recorded(claims.decode_outcome(message.outcome.decode()))
+        except documents.INVALID:
+            # The request has run, so it must not be released.
+            return Held()
     if message.verdict == 'outside-window':
         return OutsideWindow('Idempotency-Key was issued too long ago')
     simple: dict[str, Verdict] = {
--- a/packages/burdockchute-entry/burdockchute_entry/crashes_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/crashes_task.py
@@ -15,6 +15,7 @@
 from gevent import queue
 from returns.result import Failure
 
+from burdockchute import documents
 from burdockchute import logs
 from burdockchute.decisions import suspects
 from burdockchute.model.crash_reports import CrashReport
@@ -122,5 +123,5 @@
         return PeerCrashReport(
             report, max(0.0, now_unix - float(document['at']))
         )
-    except (ValueError, KeyError, TypeError, RecursionError):
+    except documents.INVALID:
         return None
--- a/packages/burdockchute-entry/tests/test_claims_task.py
+++ b/packages/burdockchute-entry/tests/test_claims_task.py
@@ -9,7 +9,11 @@
 
 import gevent
 from gevent import queue
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
+from burdockchute import wire
 from burdockchute.decisions import claims as protocol
 from burdockchute.decisions import hosting
 from burdockchute.model import claims
@@ -19,12 +23,25 @@
 from burdockchute.model.outcomes import Answered
 from burdockchute.model.outcomes import Unknown
 from burdockchute.nodes import links
+from burdockchute.wire import messages
 from burdockchute_entry import claim_collector
 from burdockchute_entry import claims_task
 from burdockchute_entry.claims_task import ClaimsTask
 from burdockchute_testing.builders import requests
+from burdockchute_testing.builders.messages import any_message
+from burdockchute_testing.builders.messages import encoded
 from burdockchute_testing.fakes.log import FakeLog
 
+MESSAGES = st.sampled_from(
+    [messages.ClaimRequest, messages.ClaimReply]
+).flatmap(
+    lambda kind: any_message(
+        kind,
+        st.sampled_from(
+            ['', 'claim', 'finish', '1-k', 'r/claim', 'recorded', 'won', '{}']
+        ),
+    )
+)
 CLOCKS = claim_collector.Clocks(time.monotonic, time.time)
 ANSWER = Answered(200, 'application/json', b'{"posted": 1}', '', '')
 NAMES = ('one', 'two')
@@ -82,6 +99,19 @@
         )
         return replies
 
+    @settings(max_examples=200, deadline=None)
+    @given(MESSAGES)
+    def test_no_message_of_an_entry_ends_the_task(self, message):
+        """An outcome that is no text ended the task that holds claims."""
+        name = NAMES[0]
+        task = self.tasks[name]
+        pending = self.claim(name, self.request(request_id='r'))
+        gevent.sleep(0)
+        link = SimpleNamespace(peer=SimpleNamespace(name=NAMES[1]))
+        task.handle(links.Received(link, wire.decode(encoded(message))))
+        while not pending.empty():
+            pending.get()
+
     def check_won(self, name):
         ctx = self.request()
         verdict = self.verdict(name, ctx)
--- a/packages/burdockchute/burdockchute/decisions/claims.py
+++ b/packages/burdockchute/burdockchute/decisions/claims.py
@@ -29,6 +29,7 @@
 
 import blake3
 
+from burdockchute import documents
 from burdockchute.model.claims import Held
 from burdockchute.model.claims import OtherBody
 from burdockchute.model.claims import OutsideWindow
@@ -197,7 +198,7 @@
         if document['v'] != FORMAT:
             return []
         return [_from_json(item) for item in document['acts']]
-    except (ValueError, KeyError, TypeError, RecursionError):
+    except documents.INVALID:
         return []
 
 
@@ -220,12 +221,15 @@
 
 
 def decode_outcome(text: str) -> Answered | Unknown:
-    """Return a recorded outcome as a resend receives it."""
+    """Return a recorded outcome as a resend receives it.
+
+    Raises one of `documents.INVALID` for any other text.
+    """
     document = json.loads(text)
     if 'unknown' in document:
-        return Unknown(document['unknown'], 409)
+        return Unknown(str(document['unknown']), 409)
     return Answered(
-        document['status'],
+        int(document['status']),
         document['content_type'],
         base64.b64decode(document['body']),
         document['digest'],
--- a/packages/burdockchute/burdockchute/platform/http_json.py
+++ b/packages/burdockchute/burdockchute/platform/http_json.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
-import json
 import socket
 from types import MappingProxyType
 from typing import Any
@@ -22,6 +21,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import documents
 from burdockchute import reply_limits
 
 CONNECT_TIMEOUT_S = 2.0
@@ -169,8 +169,8 @@
 
 def _parse_json(data: bytes) -> Any:
     try:
-        return json.loads(data.decode())
-    except (ValueError, RecursionError):
+        return documents.load(data)
+    except documents.INVALID:
         return None
 
 
--- a/packages/burdockchute/burdockchute/platform/instances.py
+++ b/packages/burdockchute/burdockchute/platform/instances.py
@@ -14,6 +14,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import documents
 from burdockchute.model.members import Member
 from burdockchute.model.members import Place
 from burdockchute.platform import http_json
@@ -62,7 +63,7 @@
         return Failure(ListUnavailable(f'status {reply.status}'))
     try:
         items = list(reply.body['instances'])
-    except (KeyError, TypeError):
+    except documents.INVALID:
         return Failure(ListUnavailable('an answer that is no list'))
     members = (_parse_member(item) for item in items)
     return Success([member for member in members if member is not None])
@@ -82,6 +83,7 @@
             ),
             item.get('state') == 'leaving',
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except documents.INVALID:
         return None
-    return member if member.role in ROLES else None
+    is_valid = member.role in ROLES and 0 <= member.port < 65536
+    return member if is_valid else None
--- a/packages/burdockchute/burdockchute/platform/log.py
+++ b/packages/burdockchute/burdockchute/platform/log.py
@@ -17,11 +17,15 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import documents
 from burdockchute.platform import http_json
 
 DEFAULT_TIMEOUT_S = 5.0
 DEFAULT_CONCURRENCY = 8
 
+# Messages between our processes carry offsets in 64 bits.
+MAX_OFFSET = 2**53
+
 
 class Unavailable(NamedTuple):
     """The service did not accept the request; nothing was appended."""
@@ -161,9 +165,9 @@
             return Failure(_status_error(reply))
         try:
             extent = Extent(
-                int(reply.body['earliest']), int(reply.body['next'])
+                _offset(reply.body['earliest']), _offset(reply.body['next'])
             )
-        except (KeyError, TypeError, ValueError):
+        except documents.INVALID:
             return Failure(Unavailable('an answer without offsets'))
         return Success(extent)
 
@@ -201,12 +205,19 @@
 def _parse_batch(body: Any) -> Result[Batch, LogError]:
     try:
         records = _parse_records(body['records'])
-        return Success(Batch(records, int(body['next'])))
-    except (KeyError, TypeError, ValueError):
+        return Success(Batch(records, _offset(body['next'])))
+    except documents.INVALID:
         return Failure(Unavailable('an answer that is no batch'))
 
 
+def _offset(value: Any) -> int:
+    offset = int(value)
+    if not 0 <= offset <= MAX_OFFSET:
+        raise ValueError('an offset is out of range')
+    return offset
+
+
 def _parse_records(items: Sequence[Any]) -> tuple[LogRecord, ...]:
     return tuple(
-        LogRecord(int(item['offset']), str(item['data'])) for item in items
+        LogRecord(_offset(item['offset']), str(item['data'])) for item in items
     )
--- a/packages/burdockchute/burdockchute/upstreams/orders.py
+++ b/packages/burdockchute/burdockchute/upstreams/orders.py
@@ -19,6 +19,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import documents
 from burdockchute import reply_limits
 
 CONNECT_TIMEOUT_S = 1.0
@@ -95,8 +96,8 @@
         if isinstance(reply, Failure):
             return reply
         try:
-            return Success(_parse_state(json.loads(reply.unwrap())))
-        except (ValueError, KeyError, TypeError) as exc:
+            return Success(_parse_state(documents.load(reply.unwrap())))
+        except documents.INVALID as exc:
             return Failure(EngineError(f'no engine state: {exc!r}'))
 
     def send(self, order: Order) -> Result[str, OrderRefused | EngineError]:
@@ -106,8 +107,8 @@
         if isinstance(reply, Failure):
             return Failure(_refusal_or_error(reply.failure()))
         try:
-            return Success(str(json.loads(reply.unwrap())['order_id']))
-        except (ValueError, KeyError, TypeError) as exc:
+            return Success(str(documents.load(reply.unwrap())['order_id']))
+        except documents.INVALID as exc:
             return Failure(EngineError(f'no order reply: {exc!r}'))
 
     def close(self) -> None:
@@ -139,7 +140,7 @@
         return error
     try:
         return OrderRefused(int(json.loads(error.text)['fence']))
-    except (ValueError, KeyError, TypeError):
+    except documents.INVALID:
         return error
 
 
--- a/packages/burdockchute/burdockchute/weights/manifest.py
+++ b/packages/burdockchute/burdockchute/weights/manifest.py
@@ -23,6 +23,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from burdockchute import documents
 from burdockchute.model.findings import Finding
 from burdockchute.model.findings import not_one_of
 
@@ -32,9 +33,6 @@
 MAX_CHUNK_BYTES = 8 * 1024 * 1024
 
 
-# What decoding a document may raise that has other members or types.
-_INVALID = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
-
 BLAKE3 = 'blake3'
 SHA256 = 'sha256'
 
@@ -92,8 +90,8 @@
     """Parse a manifest and verify it against the root digest of a row."""
     place = f'manifest {digest}'
     try:
-        manifest = _parse_document(json.loads(data.decode()), digest)
-    except _INVALID as exc:
+        manifest = _parse_document(documents.load(data), digest)
+    except documents.INVALID as exc:
         return Failure([Finding(place, f'is no manifest: {exc!r}')])
     found = shape_findings(manifest, place)
     actual = digest_of(canonical(manifest))
@@ -112,11 +110,11 @@
     """
     place = f'manifest {digest}'
     try:
-        document = json.loads(data.decode())
+        document = documents.load(data)
         manifest = _parse_document(document, digest)._replace(
             hash=str(document['hash'])
         )
-    except _INVALID as exc:
+    except documents.INVALID as exc:
         return Failure([Finding(place, f'is no manifest: {exc!r}')])
     found = shape_findings(manifest, place)
     if document.get('digest') != digest:
