Signals: a process handles its signals from its first import on

What operators saw: SIGHUP (the settings were rewritten) early in a start ended the process with -1, SIGTERM with -15 and SIGINT with -2 or a traceback. Cause: SIGHUP had a handler only after gevent had been imported, SIGTERM and SIGINT only once the tasks were wired. The handlers of a process that serves are now installed before anything else of the project is imported; process_state says what each signal does in each state. A stop exits with 0 at once until ports are opened, as nothing has been accepted; a reload waits until then. Handlers stay the same until the exit instead of being replaced by gevent's, so there is no moment without one. Signals and states are logged with the age of the process.

--- a/packages/burdockchute-agent/burdockchute_agent/main.py
+++ b/packages/burdockchute-agent/burdockchute_agent/main.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from burdockchute import bootstrap
+import sys
+
+from burdockchute import process_state
+
+process_state.install_for(sys.argv)
+
+from burdockchute import bootstrap  # noqa: E402
 
 bootstrap.prepare()
 
 import argparse  # noqa: E402
 import os  # noqa: E402
-import sys  # noqa: E402
 
 import burdockchute  # noqa: E402
 from burdockchute import commands  # noqa: E402
--- a/packages/burdockchute-entry/tests/test_main.py
+++ b/packages/burdockchute-entry/tests/test_main.py
@@ -14,6 +14,13 @@
 print([n for n in sys.modules if n.startswith('burdockchute.operators')])
 """
 
+LIST_HANDLERS = """
+import signal
+from burdockchute_entry import main
+for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+    print(getattr(signal.getsignal(number), '__name__', 'SIG_DFL'))
+"""
+
 
 class MainTest(unittest.TestCase):
     def test_a_process_that_serves_imports_no_operators_commands(self):
@@ -25,3 +32,16 @@
             text=True,
         )
         self.assertEqual('[]', found.stdout.strip())
+
+    def test_operators_commands_keep_the_default_actions_of_signals(self):
+        """Ctrl-C and a closed terminal must end an operator's command."""
+        found = subprocess.run(
+            [sys.executable, '-c', LIST_HANDLERS, 'status'],
+            check=True,
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual(
+            ['default_int_handler', 'SIG_DFL', 'SIG_DFL'],
+            found.stdout.split(),
+        )
--- a/packages/burdockchute/burdockchute/bootstrap.py
+++ b/packages/burdockchute/burdockchute/bootstrap.py
@@ -8,34 +8,13 @@
 from __future__ import annotations
 
 from importlib import metadata
-import signal
 
 from gevent import config
 from gevent import monkey
 
-_early_reloads: list[int] = []
-
 
 def prepare() -> None:
-    """Record early reload requests, and patch the library for gevent."""
-    # A platform that rewrites the settings right after it has started a
-    # process sends SIGHUP, which ends a process without a handler for it.
-    signal.signal(signal.SIGHUP, _record_reload)
-    _patch()
-
-
-def consume_reload_request() -> bool:
-    """Whether SIGHUP arrived since `prepare`, or since the last call."""
-    requested = bool(_early_reloads)
-    _early_reloads.clear()
-    return requested
-
-
-def _record_reload(number: int, _frame: object) -> None:
-    _early_reloads.append(number)
-
-
-def _patch() -> None:
+    """Patch the library for gevent."""
     # Every address in use is an IP address, which needs no lookup. gevent's
     # default resolver still passes each one to a thread and waits for it,
     # once for each request to an upstream.
--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -16,6 +16,7 @@
 
 from burdockchute import adapters
 from burdockchute import logs
+from burdockchute import process_state
 from burdockchute import settings as base
 from burdockchute import site_settings
 from burdockchute.adapters import Adapter
@@ -102,6 +103,7 @@
     serve: Callable[[Any], int],
 ) -> int:
     """Run a process with checked settings; return its exit status."""
+    process_state.install()
     cfg = from_values(read_or_exit(settings, args, environ))
     logs.set_up(cfg.log_level, cfg.name)
     try:
@@ -162,6 +164,7 @@
     serve: Callable[[Site], int],
 ) -> int:
     """Run a process on a platform; return its exit status."""
+    process_state.install()
     site = read_site_or_exit(args, environ)
     logs.set_up_bounded(site.cfg.log_level, site.machine.name)
     try:
