Metrics: an endpoint that does not answer delays an exit by 0.5 s at most

What operators would see: a process with otlp_endpoint set whose endpoint accepts connections and does not answer takes 10 s longer to exit, beyond the grace period of 8 s, and is killed. Cause: the last export was left to an atexit handler of the exporter, which waits for its own timeout of 10 s. Every command now ends with metrics.shut_down, which exports once more and waits up to 0.5 s; the handler of the exporter is removed by that.

--- a/packages/burdockchute-agent/burdockchute_agent/main.py
+++ b/packages/burdockchute-agent/burdockchute_agent/main.py
@@ -22,6 +22,10 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit status."""
+    return commands.run_to_end(lambda: _run(argv))
+
+
+def _run(argv: list[str] | None) -> int:
     args = _parser().parse_args(argv)
     if args.command == 'status':
         return commands.print_status(args, os.environ)
--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -28,6 +28,10 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit status."""
+    return commands.run_to_end(lambda: _run(argv))
+
+
+def _run(argv: list[str] | None) -> int:
     args = _parse(sys.argv[1:] if argv is None else argv)
     commands_by_name: dict[str, Callable[[], int]] = {
         'serve': lambda: _serve(args),
--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -16,6 +16,7 @@
 
 from burdockchute import adapters
 from burdockchute import logs
+from burdockchute import metrics
 from burdockchute import process_state
 from burdockchute import settings as base
 from burdockchute import site_settings
@@ -31,11 +32,22 @@
 EXIT_FAILED = 1
 STATUS_TIMEOUT_S = 5.0
 
+# Maximum wait at the exit for the last export of the metrics.
+METRICS_SHUTDOWN_S = 0.5
+
 ADMIN_URL = Setting(
     'admin-url', 'http://HOST:PORT of its admin port', base.parse_url
 )
 
 
+def run_to_end(run: Callable[[], int]) -> int:
+    """Run a command, export the metrics and return its exit status."""
+    try:
+        return run()
+    finally:
+        metrics.shut_down(METRICS_SHUTDOWN_S)
+
+
 def add_process_commands(
     subparsers: Any, settings: Sequence[Setting], program: str
 ) -> None:
--- a/packages/burdockchute/burdockchute/metrics.py
+++ b/packages/burdockchute/burdockchute/metrics.py
@@ -16,6 +16,8 @@
 from opentelemetry.sdk.metrics import export
 from opentelemetry.sdk.resources import Resource
 
+from burdockchute import logs
+
 EXPORT_INTERVAL_MS = 15_000
 
 
@@ -31,6 +33,7 @@
 
 
 _readers: list[export.InMemoryMetricReader] = []
+_providers: list[sdk.MeterProvider] = []
 
 
 def set_up(process: str, otlp_endpoint: str) -> None:
@@ -45,6 +48,16 @@
     )
     otel.set_meter_provider(provider)
     _readers[:] = [reader]
+    _providers.append(provider)
+
+
+def shut_down(timeout_s: float) -> None:
+    """Export the metrics a last time, and wait up to `timeout_s` for it."""
+    while _providers:
+        try:
+            _providers.pop().shutdown(timeout_millis=timeout_s * 1000)
+        except Exception as exc:
+            logs.warn('metrics_not_exported', reason=str(exc))
 
 
 def meter() -> otel.Meter:
