Signals: a process ignores them from its last step to its exit

What operators saw: a process that had been asked to stop and had finished ended with -1 or -2 instead of 0 where SIGHUP or SIGINT came in its last 40 ms (entry) or at any time of its exit (agent, 120 ms); one that could not serve ended so instead of with its own status. Cause: the interpreter restores the default action of each signal that has a handler before it is gone, and gevent's handlers end with it. Evidence, signals 1 ms apart from the SIGTERM to the end, commands of deploy/system.toml: SIGHUP 24 of 24 exits with -1, SIGINT 24 of 24 with -2, SIGHUP, SIGINT and SIGTERM in turn 24 of 24, SIGTERM 0 of 24 (entries and agents, 12 each). One SIGHUP or SIGINT 0 to 150 ms after the SIGTERM of an agent, every 3 ms: 75 of 102. What is ignored stays ignored while the interpreter exits. So every command of a process that serves ends with SIG_IGN for all three signals, also after findings or an unexpected error, and the state ended is logged with the status.

--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import sys
+import time
 from typing import Any
 from typing import NamedTuple
 from typing import NoReturn
@@ -41,11 +42,26 @@
 
 
 def run_to_end(run: Callable[[], int]) -> int:
-    """Run a command, export the metrics and return its exit status."""
+    """Run a command and return its exit status.
+
+    A process that serves ignores signals from its last step on, so that none
+    changes the status while the interpreter exits.
+    """
+    status = None
     try:
-        return run()
+        status = run()
+        return status
     finally:
         metrics.shut_down(METRICS_SHUTDOWN_S)
+        if process_state.is_installed():
+            age_s = process_state.PROCESS.age_s(time.monotonic())
+            process_state.end()
+            logs.event(
+                'process_state',
+                state='ended',
+                age_s=round(age_s, 3),
+                status=status,
+            )
 
 
 def add_process_commands(
--- a/packages/burdockchute/burdockchute/process_state.py
+++ b/packages/burdockchute/burdockchute/process_state.py
@@ -8,7 +8,7 @@
   begins the shutdown.
 - serving: a stop begins the shutdown.
 - leaving: it finishes what it has accepted. Another stop changes nothing.
-- ended: only the exit of the interpreter is left.
+- ended: only the exit of the interpreter is left. Signals are ignored.
 
 SIGTERM and SIGINT request a stop. SIGHUP requests a reload of the settings,
 which is done in the states from opening to leaving; it never ends a process.
@@ -145,6 +145,23 @@
             signal.signal(number, _handle)
 
 
+def end() -> None:
+    """Ignore signals from now on, if the handlers were installed.
+
+    As the interpreter exits it restores the default action of every signal
+    that has a handler, but keeps ignored signals ignored.
+    """
+    if _installed:
+        PROCESS.enter(State.ENDED)
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+
+
+def is_installed() -> bool:
+    """Whether this process handles its signals."""
+    return bool(_installed)
+
+
 def _handle(number: int, _frame: object) -> None:
     PROCESS.receive(number, time.monotonic())
 
