--- a/packages/burdockchute-agent/burdockchute_agent/main.py
+++ b/packages/burdockchute-agent/burdockchute_agent/main.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from burdockchute import bootstrap
+import sys
+
+from burdockchute import process_state
+
+process_state.install_for(sys.argv)
+
+from burdockchute import bootstrap  # noqa: E402
 
 bootstrap.prepare()
 
 import argparse  # noqa: E402
 import os  # noqa: E402
-import sys  # noqa: E402
 
 import burdockchute  # noqa: E402
 from burdockchute import commands  # noqa: E402
@@ -20,6 +25,10 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit status."""
+    return commands.run_to_end(lambda: _run(argv))
+
+
+def _run(argv: list[str] | None) -> int:
     args = _parser().parse_args(argv)
     if args.command == 'status':
         return commands.print_status(args, os.environ)
--- a/packages/burdockchute-entry/burdockchute_entry/main.py
+++ b/packages/burdockchute-entry/burdockchute_entry/main.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from burdockchute import bootstrap
+import sys
+
+from burdockchute import process_state
+
+process_state.install_for(sys.argv)
+
+from burdockchute import bootstrap  # noqa: E402
 
 bootstrap.prepare()
 
 import argparse  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 import os  # noqa: E402
-import sys  # noqa: E402
 
 import burdockchute  # noqa: E402
 from burdockchute import commands  # noqa: E402
@@ -26,6 +31,10 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit status."""
+    return commands.run_to_end(lambda: _run(argv))
+
+
+def _run(argv: list[str] | None) -> int:
     args = _parse(sys.argv[1:] if argv is None else argv)
     commands_by_name: dict[str, Callable[[], int]] = {
         'serve': lambda: _serve(args),
--- a/packages/burdockchute/burdockchute/commands.py
+++ b/packages/burdockchute/burdockchute/commands.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import sys
+import time
 from typing import Any
 from typing import NamedTuple
 from typing import NoReturn
@@ -16,6 +17,8 @@
 
 from burdockchute import adapters
 from burdockchute import logs
+from burdockchute import metrics
+from burdockchute import process_state
 from burdockchute import settings as base
 from burdockchute import site_settings
 from burdockchute.adapters import Adapter
@@ -31,11 +34,37 @@
 EXIT_FAILED = 1
 STATUS_TIMEOUT_S = 5.0
 
+# Maximum wait at the exit for the last export of the metrics.
+METRICS_SHUTDOWN_S = 0.5
+
 ADMIN_URL = Setting(
     'admin-url', 'http://HOST:PORT of its admin port', base.parse_url
 )
 
 
+def run_to_end(run: Callable[[], int]) -> int:
+    """Run a command and return its exit status.
+
+    A process that serves ignores signals from its last step on, so that none
+    changes the status while the interpreter exits.
+    """
+    status = None
+    try:
+        status = run()
+        return status
+    finally:
+        metrics.shut_down(METRICS_SHUTDOWN_S)
+        if process_state.is_installed():
+            age_s = process_state.PROCESS.age_s(time.monotonic())
+            process_state.end()
+            logs.event(
+                'process_state',
+                state='ended',
+                age_s=round(age_s, 3),
+                status=status,
+            )
+
+
 def add_process_commands(
     subparsers: Any, settings: Sequence[Setting], program: str
 ) -> None:
@@ -103,6 +132,7 @@
     serve: Callable[[Any], int],
 ) -> int:
     """Run a process with checked settings; return its exit status."""
+    process_state.install()
     cfg = from_values(read_or_exit(settings, args, environ))
     logs.set_up(cfg.log_level, cfg.name)
     return _run_to_exit(lambda: serve(cfg))
@@ -189,6 +219,7 @@
 
     `required` names the optional fields of a machine that the program needs.
     """
+    process_state.install()
     values = read_or_exit(site_settings.SETTINGS, args, environ)
     cfg = site_settings.from_values(values)
     adapter = _load_adapter_or_exit(cfg)
--- a/packages/burdockchute/burdockchute/metrics.py
+++ b/packages/burdockchute/burdockchute/metrics.py
@@ -33,6 +33,7 @@
 
 
 _readers: list[export.InMemoryMetricReader] = []
+_providers: list[sdk.MeterProvider] = []
 
 
 def set_up(process: str, otlp_endpoint: str) -> None:
@@ -54,6 +55,16 @@
     )
     otel.set_meter_provider(provider)
     _readers[:] = [reader]
+    _providers.append(provider)
+
+
+def shut_down(timeout_s: float) -> None:
+    """Export the metrics a last time, and wait up to `timeout_s` for it."""
+    while _providers:
+        try:
+            _providers.pop().shutdown(timeout_millis=timeout_s * 1000)
+        except Exception as exc:
+            logs.warn('metrics_not_exported', reason=str(exc))
 
 
 def meter() -> otel.Meter:
