--- a/packages/burdockchute-testing/burdockchute_testing/processes.py
+++ b/packages/burdockchute-testing/burdockchute_testing/processes.py
@@ -82,35 +82,20 @@
 
     def kill(self) -> None:
         """Kill the process, to simulate the crash of an instance."""
-        self._signal(signal.SIGKILL)
+        self.send_signal(signal.SIGKILL)
         self._child.wait(STOP_TIMEOUT_S)
 
     def pause(self) -> None:
         """Suspend the process, to simulate a hanging instance."""
-        self._signal(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Resume the process after a pause."""
-        self._signal(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
     def terminate(self) -> None:
         """Send SIGTERM, which requests a graceful shutdown."""
-        self._signal(signal.SIGTERM)
-
-    def handles_sighup(self) -> bool:
-        """Whether the process has installed its handler of SIGHUP."""
-        try:
-            status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
-        except OSError:
-            # The process has ended.
-            return False
-        caught = re.search(r'^SigCgt:\s*([0-9a-f]+)$', status, re.MULTILINE)
-        bit = 1 << (signal.SIGHUP - 1)
-        return caught is not None and bool(int(caught[1], 16) & bit)
-
-    def send_sighup(self) -> None:
-        """Send SIGHUP, which requests a reload of the settings."""
-        self._signal(signal.SIGHUP)
+        self.send_signal(signal.SIGTERM)
 
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Wait for the exit and return the status; raises ProcessFailed."""
@@ -133,7 +118,8 @@
         """Return the last lines of the log."""
         return '\n'.join(self.log().splitlines()[-lines:])
 
-    def _signal(self, number: int) -> None:
+    def send_signal(self, number: int) -> None:
+        """Send any signal, unless the process has ended."""
         if self.status is None:
             self._child.send_signal(number)
 
