Harness: a test fails if an entry or agent ended by itself

System.close killed what still ran and passed over what had ended, so tests, the chaos run and the demo did not see a process that ended beside what they looked at. It raises now, with status and last lines, for each entry and agent that ended without being killed or asked to stop, or not with 0 when it was asked to. The two tests of a failed entry do not pass with the harness as it was.

--- a/packages/burdockchute-testing/burdockchute_testing/harness.py
+++ b/packages/burdockchute-testing/burdockchute_testing/harness.py
@@ -83,14 +83,23 @@
         """Kill all running processes and remove the logs.
 
         With `keep_logs` and the variable `BURDOCKCHUTE_KEEP_LOGS` set, the
-        logs are kept.
+        logs are kept. Raises ProcessFailed if an entry or agent had ended by
+        itself, or not with 0 when it was stopped.
         """
+        programs = [self.processes[n] for n in [*self.entries, *self.agents]]
+        ended = [
+            f'{program.name} ended with {program.status}:\n{program.tail()}'
+            for program in programs
+            if program.failed
+        ]
         for process in self.processes.values():
             process.kill()
         if keep_logs and os.environ.get(KEEP_LOGS_VARIABLE):
             print(f'logs are kept in {self.folder}', file=sys.stderr)
-            return
-        shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        if ended:
+            raise processes.ProcessFailed('\n'.join(ended))
 
     def __getitem__(self, name: str) -> Process:
         """Return a process by name."""
--- a/packages/burdockchute-testing/burdockchute_testing/processes.py
+++ b/packages/burdockchute-testing/burdockchute_testing/processes.py
@@ -43,6 +43,7 @@
     ) -> None:
         self.name = name
         self.ports: dict[str, int] = {}
+        self._end_signal: int | None = None
         self.out = folder / f'{name}.out'
         self.err = folder / f'{name}.err'
         # A restarted process appends to the files of the previous one, whose
@@ -68,6 +69,13 @@
         """The exit status, None while the process runs."""
         return self._child.poll()
 
+    @property
+    def failed(self) -> bool:
+        """Whether the process ended by itself, or not with 0 when stopped."""
+        if self.status is None or self._end_signal == signal.SIGKILL:
+            return False
+        return self._end_signal is None or self.status != 0
+
     def wait_ports(self, read: Callable[[Process], dict[str, int]]) -> None:
         """Wait until the child has printed its ports; raises ProcessFailed."""
         until = time.monotonic() + START_TIMEOUT_S
@@ -82,7 +90,7 @@
 
     def kill(self) -> None:
         """Kill the process, to simulate the crash of an instance."""
-        self.send_signal(signal.SIGKILL)
+        self._end(signal.SIGKILL)
         self._child.wait(STOP_TIMEOUT_S)
 
     def pause(self) -> None:
@@ -95,7 +103,7 @@
 
     def terminate(self) -> None:
         """Send SIGTERM, which requests a graceful shutdown."""
-        self.send_signal(signal.SIGTERM)
+        self._end(signal.SIGTERM)
 
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Wait for the exit and return the status; raises ProcessFailed."""
@@ -118,6 +126,11 @@
         """Return the last lines of the log."""
         return '\n'.join(self.log().splitlines()[-lines:])
 
+    def _end(self, number: int) -> None:
+        if self.status is None:
+            self._end_signal = number
+        self.send_signal(number)
+
     def send_signal(self, number: int) -> None:
         """Send any signal, unless the process has ended."""
         if self.status is None:
--- a/packages/burdockchute-testing/tests/test_harness.py
+++ b/packages/burdockchute-testing/tests/test_harness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import unittest
 
 import psutil
@@ -28,6 +30,36 @@
                 system.add_stand_in('log', 'log_service', nonsense=1)
         self.assertIn('unrecognized arguments', str(caught.exception))
 
+    def test_an_entry_that_ended_by_itself_fails_its_test(self):
+        """Tests that did not look at it passed without their entry."""
+        with self.assertRaises(processes.ProcessFailed) as caught:
+            with harness.System() as system:
+                system.add_platform()
+                system.add_entry('e1')
+                os.kill(system['e1'].pid, signal.SIGKILL)
+                system['e1'].wait()
+        self.assertIn('e1 ended with -9', str(caught.exception))
+        self.assertFalse(system.folder.exists())
+
+    def test_an_entry_that_fails_when_it_is_stopped_fails_its_test(self):
+        with self.assertRaises(processes.ProcessFailed) as caught:
+            with harness.System() as system:
+                system.add_platform()
+                system.add_entry('e1')
+                system['e1'].pause()
+                system['e1'].terminate()
+                os.kill(system['e1'].pid, signal.SIGKILL)
+                system['e1'].wait()
+        self.assertIn('e1 ended with -9', str(caught.exception))
+
+    def test_an_entry_that_a_test_ends_does_not_fail_it(self):
+        for end in (processes.Process.terminate, processes.Process.kill):
+            with harness.System() as system:
+                system.add_platform()
+                system.add_entry('e1')
+                end(system['e1'])
+                system['e1'].wait()
+
     def test_runs_of_a_killed_upstream_are_kept(self):
         with harness.System() as system:
             url = system.add_service('s1', 'proofs')
