Callers: a request that crosses the close of its idle connection is not malformed

Cause: an idle connection was closed by ending its reception. A head that came in two parts at that moment was read to the end of the first part. The reader is interrupted instead, in the event loop and only while nothing has arrived; the connection is then closed with nothing read. The test, heads in two parts at a hundred connections, failed before with 400s.

--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -90,8 +90,10 @@
         self.leaving = False
         # Answers whose end is the end of their connection.
         self.unframed: set[Any] = set()
-        # The greenlets that receive a head or a body.
+        # The greenlets that receive a head or a body, and those that wait for
+        # a request.
         self._readers: dict[Any, gevent.Greenlet] = {}
+        self._waiters: dict[Any, gevent.Greenlet] = {}
         self._reading_ended = False
 
     def do_handle(self, client_socket: Any, address: Any) -> None:
@@ -117,6 +119,15 @@
         finally:
             del self._readers[sock]
 
+    @contextlib.contextmanager
+    def waiting(self, sock: Any) -> Iterator[None]:
+        """Wait for a request; raises ReadingEnded if none is awaited."""
+        self._waiters[sock] = gevent.getcurrent()
+        try:
+            yield
+        finally:
+            del self._waiters[sock]
+
     def finish(
         self,
         deadline: float,
@@ -176,16 +187,15 @@
             reader.throw(ReadingEnded('this process is leaving'))
 
     def _close_connections(self, *stages: Stage) -> None:
+        # Ending the reception instead would cut off a request that arrives
+        # meanwhile, and its caller would be told that it is malformed.
         for sock in self.work.connections(*stages):
-            if is_readable(sock):
-                # A request has arrived, or the caller has closed it.
-                continue
-            try:
-                # gevent's method would also discard what has arrived.
-                sock._sock.shutdown(sockets.SHUT_RD)
-            except OSError:
-                # Its caller has closed it.
-                pass
+            get_hub().loop.run_callback(self._end_waiting, sock)
+
+    def _end_waiting(self, sock: Any) -> None:
+        waiter = self._waiters.get(sock)
+        if waiter is not None and not is_readable(sock):
+            waiter.throw(ReadingEnded('this process is leaving'))
 
 
 def make_server(
@@ -303,9 +313,15 @@
     def read_requestline(self) -> str:
         self.socket.settimeout(WRITE_TIMEOUT_S)
         try:
-            with gevent.Timeout(IDLE_TIMEOUT_S):
+            with (
+                self.server.waiting(self.socket),
+                gevent.Timeout(IDLE_TIMEOUT_S),
+            ):
                 if not self.rfile.peek(1):
                     return ''
+        except (gevent.Timeout, TimeoutError, ReadingEnded):
+            return ''
+        try:
             with (
                 self.server.reading(self.socket, Stage.HEAD),
                 gevent.Timeout(HEADERS_TIMEOUT_S),
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -289,6 +289,32 @@
         new.close()
         self.assertEqual(0, sum(ending.get(timeout=5).values()))
 
+    def test_requests_that_cross_a_close_are_never_malformed(self):
+        """A head arrives in two parts as its idle connection is closed.
+
+        The first part was read, the second was not, and the caller was told
+        that its request is malformed.
+        """
+        self.serve(self.answer_body)
+        conns = [self.connect() for _number in range(100)]
+        ending = self.finish(5.0)
+
+        def send(number):
+            gevent.sleep(server.FIRST_REQUEST_S - 0.05 + number / 1000)
+            try:
+                conns[number].sendall(UPLOAD[:9])
+                gevent.sleep(0.05)
+                conns[number].sendall(UPLOAD[9:] + b'abcd')
+                return self.read_all(conns[number])
+            except OSError:
+                return b''
+
+        senders = [gevent.spawn(send, n) for n in range(len(conns))]
+        answers = [sender.get(timeout=10) for sender in senders]
+        self.assertEqual([], [a for a in answers if b' 400 ' in a])
+        self.assertTrue(all(not a or b' 200 ' in a for a in answers), answers)
+        self.assertEqual(0, sum(ending.get(timeout=5).values()))
+
 
 if __name__ == '__main__':
     unittest.main()
