Callers: pipelined requests at a process that leaves are all answered

Cause: each answer of a process that leaves closed its connection. An answer keeps the connection if a part of the next request has been received already; the last one closes it.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from burdockchute import logs
+from burdockchute.callers.server import has_next_request
 from burdockchute.callers.server import ResponseBody
 from burdockchute.callers.server import SOCKET_KEY
 from burdockchute.callers.server import status_line
@@ -158,13 +159,13 @@
         """Return the monotonic time in seconds."""
         return self._deps.now()
 
-    def connection_headers(self) -> list[tuple[str, str]]:
+    def connection_headers(
+        self, environ: dict[str, Any]
+    ) -> list[tuple[str, str]]:
         """Return the headers about the caller's connection."""
-        return (
-            [('Connection', 'close')]
-            if self._shutdown_state().shutting_down
-            else []
-        )
+        if not self._shutdown_state().shutting_down:
+            return []
+        return [] if has_next_request(environ) else [('Connection', 'close')]
 
     def _send_refusal(
         self,
@@ -183,7 +184,7 @@
         self._observe(
             FinishedRequest('', 'turned_away', refusal.status, 0.0, None)
         )
-        headers = self.connection_headers()
+        headers = self.connection_headers(environ)
         if refusal.status in (408, 413) or refusal.reason == OUT_OF_MEMORY:
             headers = [('Connection', 'close')]
         return _error_response(
@@ -236,7 +237,7 @@
         return self._respond(reply)
 
     def _respond(self, reply: Reply) -> list[bytes]:
-        headers = self._app.connection_headers()
+        headers = self._app.connection_headers(self._environ)
         if isinstance(reply, CompleteAnswer):
             headers += reply.head.headers
             headers.append(('Content-Length', str(len(reply.body))))
@@ -250,7 +251,9 @@
         )
 
     def _stream(self, reply: StreamAnswer) -> Iterator[bytes]:
-        headers = self._app.connection_headers() + list(reply.head.headers)
+        headers = self._app.connection_headers(self._environ) + list(
+            reply.head.headers
+        )
         self._start_response(status_line(reply.head.status), headers)
         outcome = 'stream_broken'
         read_ahead = ReadAhead(
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -70,6 +70,8 @@
 # them has lost escapes and the case of names.
 TARGET_KEY = 'burdockchute.target'
 HEADERS_KEY = 'burdockchute.headers'
+# Tells whether the caller has sent another request already (pipelining).
+NEXT_REQUEST_KEY = 'burdockchute.next_request'
 # A WriteWatch that the application may set.
 WRITE_WATCH_KEY = 'burdockchute.write_watch'
 
@@ -242,6 +244,15 @@
     return f'{status} {client.responses.get(status, "Unknown")}'
 
 
+def has_next_request(environ: dict[str, Any]) -> bool:
+    """Whether a part of the caller's next request has been received.
+
+    The connection is kept then, so that this request has an answer, too.
+    """
+    has_next = environ.get(NEXT_REQUEST_KEY)
+    return has_next is not None and bool(has_next())
+
+
 def caller_disconnected(environ: dict[str, Any]) -> bool:
     """Whether the caller has closed its connection.
 
@@ -402,6 +413,7 @@
         env[SOCKET_KEY] = self.socket
         env[TARGET_KEY] = self.path
         env[HEADERS_KEY] = self.headers.items()
+        env[NEXT_REQUEST_KEY] = self._has_next_request
         if env['wsgi.input'] is self.wsgi_input:
             self.wsgi_input = _bounded_input(
                 self.wsgi_input, self._receiving_body
@@ -419,12 +431,27 @@
         self, status: str, headers: list[tuple[str, str]], *exc_info: Any
     ) -> Any:
         """Start an answer."""
-        if self.server.leaving and not any(
-            name.lower() == 'connection' for name, _value in headers
+        if (
+            self.server.leaving
+            and not any(name.lower() == 'connection' for name, _v in headers)
+            and not self._has_next_request()
         ):
             headers = [('Connection', 'close'), *headers]
         return super().start_response(status, headers, *exc_info)
 
+    def _has_next_request(self) -> bool:
+        if isinstance(self.wsgi_input, _BoundedInput):
+            if self.wsgi_input.unread():
+                return False
+        self.socket.settimeout(0.0)
+        try:
+            return bool(self.rfile.peek(1))
+        except OSError:
+            # The caller has reset the connection.
+            return False
+        finally:
+            self.socket.settimeout(WRITE_TIMEOUT_S)
+
     def finalize_headers(self) -> None:
         """Complete the headers of an answer that is about to be written."""
         super().finalize_headers()
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -289,6 +289,27 @@
         new.close()
         self.assertEqual(0, sum(ending.get(timeout=5).values()))
 
+    def test_requests_behind_one_that_is_answered_last_are_answered(self):
+        """Pipelined requests arrive at a process that is leaving.
+
+        The first answer closed the connection, and those behind it, which
+        had been received, got none.
+        """
+
+        def app(_environ, start_response):
+            gevent.sleep(0.2)
+            start_response('200 OK', [('Content-Length', '0')])
+            return [b'']
+
+        self.serve(app)
+        conn = self.connect(REQUEST * 4)
+        ending = self.finish(5.0)
+        answers = self.read_all(conn)
+        self.assertEqual(4, answers.count(b' 200 '))
+        self.assertEqual(1, answers.count(b'Connection: close'))
+        conn.close()
+        self.assertEqual(0, sum(ending.get(timeout=5).values()))
+
     def test_requests_that_cross_a_close_are_never_malformed(self):
         """A head arrives in two parts as its idle connection is closed.
 
