--- a/packages/burdockchute/burdockchute/metrics.py
+++ b/packages/burdockchute/burdockchute/metrics.py
@@ -39,8 +39,8 @@
 def set_up(process: str, otlp_endpoint: str) -> None:
     """Start collecting metrics; export them if an endpoint is given.
 
-    Exports that fail are repeated at the next interval. What was measured
-    since the last one is not exported at the end of the process.
+    Exports that fail are repeated at the next interval; `shut_down` makes the
+    last one.
     """
     reader = export.InMemoryMetricReader()
     readers: list[export.MetricReader] = [reader]
