Callers: refused requests behind each other are all answered

Cause: the body of a refused request has not been read, and what follows it did not count as the next request. What has been received is compared with what is left of the body.

--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -8,6 +8,7 @@
 import contextlib
 from http import client
 import logging
+import math
 import socket as sockets
 import time
 from typing import Any
@@ -440,12 +441,13 @@
         return super().start_response(status, headers, *exc_info)
 
     def _has_next_request(self) -> bool:
+        unread = 0.0
         if isinstance(self.wsgi_input, _BoundedInput):
-            if self.wsgi_input.unread():
-                return False
+            # The body of a request that is refused may precede the next one.
+            unread = self.wsgi_input.unread_bytes()
         self.socket.settimeout(0.0)
         try:
-            return bool(self.rfile.peek(1))
+            return len(self.rfile.peek(1)) > unread
         except OSError:
             # The caller has reset the connection.
             return False
@@ -559,9 +561,13 @@
 
     def unread(self) -> bool:
         """Whether part of the body has not been read from the connection."""
+        return self.unread_bytes() > 0
+
+    def unread_bytes(self) -> float:
+        """Return what has not been read; infinity if it is not known."""
         if self.chunked_input:
-            return self.chunk_length != 0
-        return self.position < (self.content_length or 0)
+            return math.inf if self.chunk_length != 0 else 0
+        return max(0, (self.content_length or 0) - self.position)
 
     def _discard(self) -> None:
         # The server would read what the application left unread, to find the
@@ -571,8 +577,7 @@
         if self.is_abandoned or self.chunked_input:
             return
         self.receiving = contextlib.nullcontext
-        left = (self.content_length or 0) - self.position
-        if left > MAX_DISCARD_BYTES:
+        if self.unread_bytes() > MAX_DISCARD_BYTES:
             return
         with gevent.Timeout(
             DISCARD_TIMEOUT_S, OSError('body was not received in time')
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -310,6 +310,24 @@
         conn.close()
         self.assertEqual(0, sum(ending.get(timeout=5).values()))
 
+    def test_refused_requests_behind_each_other_are_all_answered(self):
+        """Requests with bodies are refused by a process that is leaving.
+
+        Their bodies were not read, and counted as no sign of the next one.
+        """
+
+        def app(_environ, start_response):
+            gevent.sleep(0.1)
+            start_response('503 Leaving', [('Content-Length', '0')])
+            return [b'']
+
+        self.serve(app)
+        conn = self.connect((UPLOAD + b'abcd') * 4)
+        ending = self.finish(5.0)
+        self.assertEqual(4, self.read_all(conn).count(b' 503 '))
+        conn.close()
+        self.assertEqual(0, sum(ending.get(timeout=5).values()))
+
     def test_requests_that_cross_a_close_are_never_malformed(self):
         """A head arrives in two parts as its idle connection is closed.
 
