--- a/packages/burdockchute-testing/burdockchute_testing/processes.py
+++ b/packages/burdockchute-testing/burdockchute_testing/processes.py
@@ -43,6 +43,8 @@
     ) -> None:
         self.name = name
         self.ports: dict[str, int] = {}
+        # Set by a test in which the process has to end by itself.
+        self.expected_status = 0
         self._end_signal: int | None = None
         self.out = folder / f'{name}.out'
         self.err = folder / f'{name}.err'
@@ -71,10 +73,14 @@
 
     @property
     def failed(self) -> bool:
-        """Whether the process ended by itself, or not with 0 when stopped."""
+        """Whether the process ended by itself, or not with 0 when stopped.
+
+        With another `expected_status`, whether it ended with another one.
+        """
         if self.status is None or self._end_signal == signal.SIGKILL:
             return False
-        return self._end_signal is None or self.status != 0
+        is_asked = self._end_signal is not None or self.expected_status != 0
+        return not is_asked or self.status != self.expected_status
 
     def wait_ports(self, read: Callable[[Process], dict[str, int]]) -> None:
         """Wait until the child has printed its ports; raises ProcessFailed."""
--- a/packages/burdockchute-testing/tests/test_agent_process.py
+++ b/packages/burdockchute-testing/tests/test_agent_process.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from burdockchute import tasks
 from burdockchute.model import rows
 from burdockchute.wire import messages
 from burdockchute_testing import answers
@@ -129,7 +130,9 @@
         path.touch()
         *parts, end = [first, *stream]
         self.assertEqual(('', 51), (end.error, len(parts)))
-        self.assertEqual(3, self.system['a1'].wait())
+        agent = self.system['a1']
+        agent.expected_status = tasks.EXIT_TASK_FAILED
+        self.assertEqual(tasks.EXIT_TASK_FAILED, agent.wait())
 
     def test_dispatch_during_the_shutdown_report_is_refused(self):
         # An entry dispatches a request just as the agent starts to shut down.
