--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -76,7 +76,9 @@
 # Part of the grace period that is reserved for the exit itself.
 SHUTDOWN_RESERVE_S = 0.7
 
-POLL_S = 0.02
+# A request that still waits for its answer so long before the exit gets one
+# from the entry. A closed connection would not tell whether it may have run.
+LAST_REPLIES_S = 0.4
 
 
 class StraightApp:
@@ -419,6 +421,12 @@
             self._machine.address, self._cfg.admin_port, app
         )
 
+    def _refuse_late(self) -> None:
+        self.scheduler.refuse_late()
+        exit_at = self.shutdown_state.exit_at
+        if time.monotonic() >= exit_at - LAST_REPLIES_S:
+            self.callers.end_waiting()
+
     def _shut_down(
         self, callers: server.CallersServer, accepting: bool
     ) -> int:
@@ -443,7 +451,7 @@
             )
             gevent.sleep(max(0.0, accept_until - started))
         self.shutdown_state = ShutdownState(True, False, exit_at)
-        callers.finish(exit_at, self.scheduler.refuse_late)
+        callers.finish(exit_at, self._refuse_late)
         unfinished = self.work.owed
         self.agents.close()
         logs.event(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -9,6 +9,9 @@
 from typing import Any
 from typing import NamedTuple
 
+import gevent
+from gevent import get_hub
+
 from burdockchute import logs
 from burdockchute.callers.server import has_next_request
 from burdockchute.callers.server import ResponseBody
@@ -27,6 +30,7 @@
 from burdockchute_entry.straight.read_ahead import ReadAhead
 from burdockchute_entry.straight.replies import CallerGone
 from burdockchute_entry.straight.replies import CompleteAnswer
+from burdockchute_entry.straight.replies import ExitDue
 from burdockchute_entry.straight.replies import Reply
 from burdockchute_entry.straight.replies import StreamAnswer
 from burdockchute_entry.straight.replies import StreamBroken
@@ -68,6 +72,8 @@
         memory: MemoryAccount | None = None,
     ) -> None:
         self.memory = memory or MemoryAccount(deps.now)
+        # The handlers that wait for an answer, with their greenlets.
+        self.waiting: dict[_RequestHandler, gevent.Greenlet] = {}
         self._deps = deps
         self._shutdown_state = shutdown_state
         self._observe = observe
@@ -97,6 +103,21 @@
             holding.close()
             raise
 
+    def end_waiting(self) -> None:
+        """Answer all requests that still wait for the head of an answer.
+
+        Those that may have run get 502, the others 503 with Retry-After.
+        """
+        for handler in self.waiting:
+            get_hub().loop.run_callback(self._interrupt, handler)
+
+    def _interrupt(self, handler: _RequestHandler) -> None:
+        # This runs in the event loop, so the request can't have got its
+        # answer since it was looked up.
+        greenlet = self.waiting.get(handler)
+        if greenlet is not None:
+            greenlet.throw(ExitDue('this process exits'))
+
     def exchange(
         self, admitted: AdmittedRequest, has_caller_left: Callable[[], bool]
     ) -> Exchange:
@@ -224,7 +245,7 @@
     def _start(self) -> Iterable[bytes]:
         try:
             self._watch.start()
-            reply = self._exchange.answer()
+            reply = self._wait_for_reply()
         except CallerGone:
             self._finish(0, 'caller_gone')
             raise StreamBroken('the caller has gone') from None
@@ -236,6 +257,15 @@
         self._finish(_status_of(reply), _outcome_name(reply))
         return self._respond(reply)
 
+    def _wait_for_reply(self) -> Reply:
+        self._app.waiting[self] = gevent.getcurrent()
+        try:
+            return self._exchange.answer()
+        except ExitDue:
+            return self._exchange.reply_at_exit()
+        finally:
+            del self._app.waiting[self]
+
     def _respond(self, reply: Reply) -> list[bytes]:
         headers = self._app.connection_headers(self._environ)
         if isinstance(reply, CompleteAnswer):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from burdockchute import logs
+from burdockchute.callers.server import SHUTDOWN_RETRY_S
 from burdockchute.decisions import admission
 from burdockchute.decisions import retries
 from burdockchute.decisions.homes import Home
@@ -109,6 +110,12 @@
                 sender.holding.give_back(Use.ANSWERS, size)
             self._log_retry(slot, attempt)
 
+    def reply_at_exit(self) -> Reply:
+        """Return the reply to a request that an exit has interrupted."""
+        return self._not_run_unless_sent(
+            NotRun('this entry is leaving', 503, SHUTDOWN_RETRY_S)
+        )
+
     def _final_reply(
         self, attempt: NotExecuted | OutcomeUnknown | Failed
     ) -> Reply:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/replies.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/replies.py
@@ -37,6 +37,10 @@
     """The caller closed its connection; raised in the caller's greenlet."""
 
 
+class ExitDue(gevent.GreenletExit):
+    """This process has to exit; raised in the caller's greenlet."""
+
+
 class StreamBroken(OSError):
     """A stream ended before its last event.
 
