Logs: a stderr that nobody reads does not stop a process

Cause: gevent writes tracebacks, and serve its log, to a blocking descriptor. What stderr can't take at once is dropped, as for stdout; the flags of the descriptor, which other processes may share, stay as they are.

--- a/packages/burdockchute/burdockchute/logs.py
+++ b/packages/burdockchute/burdockchute/logs.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import io
 import logging
 import os
+import select
 import sys
 import time
 from typing import TextIO
 
 import logfmter
 
+from burdockchute import sockets
+
 _LOG = logging.getLogger('burdockchute')
 
 # Rate limit of the lines of one process, and its burst. A busy entry writes
@@ -28,8 +32,54 @@
 
 
 def set_up(level: str, process: str) -> None:
-    """Send every event of this process to stderr as logfmt lines."""
-    _install(logging.StreamHandler(sys.stderr), level, process)
+    """Send events to stderr as logfmt lines; drop what it can't take at once.
+
+    Nothing is logged if it is closed.
+    """
+    drop_stderr_overflow()
+    handler = logging.StreamHandler() if sys.stderr else logging.NullHandler()
+    _install(handler, level, process)
+
+
+def drop_stderr_overflow() -> None:
+    """Make writes to stderr drop what it can't take at once.
+
+    gevent writes the traceback of each unexpected error to stderr. If nobody
+    reads it, the pipe fills, and the process would stop at the next one.
+    """
+    if sys.stderr is None:
+        return
+    try:
+        sys.stderr = DroppingStream(sys.stderr.fileno())
+    except (OSError, ValueError):
+        # It is no file.
+        pass
+
+
+class DroppingStream(io.TextIOBase):
+    """A text stream that drops what its descriptor can't take at once."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
+        return self._descriptor
+
+    def write(self, text: str) -> int:
+        """Write as much of the text as fits; return its length."""
+        data = text.encode(errors='backslashreplace')
+        size = select.PIPE_BUF
+        try:
+            for at in range(0, len(data), size):
+                if not sockets.is_writable(self._descriptor):
+                    break
+                os.write(self._descriptor, data[at : at + size])
+        except OSError:
+            # The reader is gone.
+            pass
+        return len(text)
 
 
 def set_up_bounded(level: str, process: str) -> None:
@@ -37,6 +87,7 @@
 
     They go to stderr if stdout is closed, and nowhere if both are.
     """
+    drop_stderr_overflow()
     stdout = _nonblocking_descriptor(sys.stdout)
     stderr = _nonblocking_descriptor(sys.stderr) if stdout is None else None
     descriptor = stderr if stdout is None else stdout
--- a/packages/burdockchute/burdockchute/sockets.py
+++ b/packages/burdockchute/burdockchute/sockets.py
@@ -38,6 +38,13 @@
     return bool(poll.poll(0))
 
 
+def is_writable(descriptor: int) -> bool:
+    """Whether a write of up to PIPE_BUF bytes would return at once."""
+    poll = _poll()
+    poll.register(descriptor, select.POLLOUT)
+    return bool(poll.poll(0))
+
+
 def closed_by_peer(sock: Any) -> bool:
     """Whether the other side has closed the connection."""
     if not is_readable(sock):
--- a/packages/burdockchute/tests/test_logs.py
+++ b/packages/burdockchute/tests/test_logs.py
@@ -117,3 +117,31 @@
         self.assertGreater(self.handler.dropped, 0)
         complete = [line for line in self.lines() if line == 'x' * 100]
         self.assertGreater(len(complete), 500)
+
+
+class DroppingStreamTest(unittest.TestCase):
+    """Nobody reads the pipe that a process writes its errors to.
+
+    It stopped at the next traceback or line, and did not end when asked to.
+    """
+
+    def test_a_full_pipe_does_not_block_a_write(self):
+        read_end, write_end = os.pipe()
+        self.addCleanup(os.close, read_end)
+        self.addCleanup(os.close, write_end)
+        stream = logs.DroppingStream(write_end)
+        text = 'x' * 5000
+        for _number in range(100):
+            self.assertEqual(len(text), stream.write(text))
+        received = os.read(read_end, 1_000_000)
+        self.assertTrue(received.startswith(b'x' * 5000))
+        self.assertLess(len(received), 100 * len(text))
+        self.assertTrue(os.get_blocking(write_end))
+        stream.write('again \ud800')
+        self.assertEqual(b'again \\ud800', os.read(read_end, 100))
+
+    def test_a_closed_reader_is_no_error(self):
+        read_end, write_end = os.pipe()
+        os.close(read_end)
+        self.addCleanup(os.close, write_end)
+        self.assertEqual(4, logs.DroppingStream(write_end).write('text'))
