--- a/packages/burdockchute/burdockchute/callers/open_work.py
+++ b/packages/burdockchute/burdockchute/callers/open_work.py
@@ -34,7 +34,7 @@
 OWED = (Stage.HEAD, Stage.BODY, Stage.RUNNING, Stage.ANSWER)
 
 
-class Entry(NamedTuple):
+class Progress(NamedTuple):
     """The stage of a connection, and when its request was begun.
 
     Without a request, that is when the connection was accepted or became
@@ -49,43 +49,43 @@
     """The connections of callers with their stages."""
 
     def __init__(self) -> None:
-        self._entries: dict[Any, Entry] = {}
+        self._connections: dict[Any, Progress] = {}
         self._counts = dict.fromkeys(Stage, 0)
 
     def open(self, conn: Hashable, now: float) -> None:
         """Add a connection that was accepted."""
-        self._entries[conn] = Entry(Stage.UNUSED, now)
+        self._connections[conn] = Progress(Stage.UNUSED, now)
         self._counts[Stage.UNUSED] += 1
 
     def move(self, conn: Hashable, stage: Stage, now: float) -> None:
         """Set the stage of a connection; one that was closed is ignored."""
-        entry = self._entries.get(conn)
-        if entry is None:
+        progress = self._connections.get(conn)
+        if progress is None:
             return
-        begun = entry.begun
-        if stage in (Stage.IDLE, Stage.HEAD) and stage is not entry.stage:
+        begun = progress.begun
+        if stage in (Stage.IDLE, Stage.HEAD) and stage is not progress.stage:
             begun = now
-        self._counts[entry.stage] -= 1
+        self._counts[progress.stage] -= 1
         self._counts[stage] += 1
-        self._entries[conn] = Entry(stage, begun)
+        self._connections[conn] = Progress(stage, begun)
 
     def close(self, conn: Hashable) -> None:
         """Remove a connection; may be repeated."""
-        entry = self._entries.pop(conn, None)
-        if entry is not None:
-            self._counts[entry.stage] -= 1
+        progress = self._connections.pop(conn, None)
+        if progress is not None:
+            self._counts[progress.stage] -= 1
 
     def connections(self, *stages: Stage) -> list[Any]:
         """Return the connections in one of the stages."""
         return [
             conn
-            for conn, entry in self._entries.items()
-            if entry.stage in stages
+            for conn, progress in self._connections.items()
+            if progress.stage in stages
         ]
 
     def is_empty(self) -> bool:
         """Whether no connection is open."""
-        return not self._entries
+        return not self._connections
 
     def count(self, stage: Stage) -> int:
         """Return the number of connections in a stage."""
@@ -103,6 +103,6 @@
     def owes_from_before(self, moment: float) -> bool:
         """Whether a request that was begun before `moment` is open."""
         return any(
-            entry.begun < moment and entry.stage in OWED
-            for entry in self._entries.values()
+            progress.begun < moment and progress.stage in OWED
+            for progress in self._connections.values()
         )
