--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -6,7 +6,6 @@
 from typing import TypeVar
 
 from burdockchute import logs
-from burdockchute.callers.server import SHUTDOWN_RETRY_S
 from burdockchute.decisions import admission
 from burdockchute.decisions import retries
 from burdockchute.decisions.homes import Home
@@ -33,6 +32,7 @@
 from burdockchute_entry.straight.replies import CompleteAnswer
 from burdockchute_entry.straight.replies import Reply
 from burdockchute_entry.straight.replies import StreamAnswer
+from burdockchute_entry.straight.scheduler import LEAVING
 from burdockchute_entry.straight.sending import Dependencies
 from burdockchute_entry.straight.sending import Sender
 from burdockchute_entry.straight.service_queues import RequestSpec
@@ -112,9 +112,7 @@
 
     def reply_at_exit(self) -> Reply:
         """Return the reply to a request that an exit has interrupted."""
-        return self._not_run_unless_sent(
-            NotRun('this entry is leaving', 503, SHUTDOWN_RETRY_S)
-        )
+        return self._not_run_unless_sent(LEAVING)
 
     def _final_reply(
         self, attempt: NotExecuted | OutcomeUnknown | Failed
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -42,8 +42,8 @@
 from burdockchute_entry.straight.wait_planning import Stage
 from burdockchute_entry.straight.wait_planning import WaitPlanner
 
-# A request is expected to run for this many times the mean of its service,
-# and at least for the seconds.
+# How long a request is expected to run: a multiple of the mean time of its
+# service, but no less than the minimum.
 RUN_MEANS = 1.5
 MIN_RUN_S = 1.2
 
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -8,7 +8,6 @@
 import contextlib
 from http import client
 import logging
-import math
 import socket as sockets
 import time
 from typing import Any
@@ -20,6 +19,9 @@
 from burdockchute import logs
 from burdockchute.callers.open_work import OpenWork
 from burdockchute.callers.open_work import Stage
+from burdockchute.callers.request_body import bounded_input
+from burdockchute.callers.request_body import BoundedInput
+from burdockchute.callers.request_body import check_framing
 from burdockchute.sockets import closed_by_peer
 from burdockchute.sockets import is_readable
 from burdockchute.sockets import reset_on_close
@@ -34,11 +36,6 @@
 # It still allows 20 MB/s at the 6 ms that a caller's acknowledgement takes.
 SEND_BUFFER_BYTES = 64 * 1024
 
-# Up to this much of an unread body is discarded, so that its connection can
-# be reused.
-MAX_DISCARD_BYTES = 64 * 1024
-DISCARD_TIMEOUT_S = 1.0
-
 # How long what a caller still sends is discarded after its last answer. The
 # system would reset a connection that is closed with unread bytes, and the
 # caller could lose the answer. The pauses limit the rate to 6 MB/s.
@@ -353,7 +350,7 @@
                 is_valid = super().read_request(raw_requestline)
         except (gevent.Timeout, TimeoutError):
             raise ValueError('headers were not received in time') from None
-        _check_framing(self.headers)
+        check_framing(self.headers)
         return is_valid
 
     def handle_one_request(self) -> Any:
@@ -416,7 +413,7 @@
         env[HEADERS_KEY] = self.headers.items()
         env[NEXT_REQUEST_KEY] = self._has_next_request
         if env['wsgi.input'] is self.wsgi_input:
-            self.wsgi_input = _bounded_input(
+            self.wsgi_input = bounded_input(
                 self.wsgi_input, self._receiving_body
             )
             env['wsgi.input'] = self.wsgi_input
@@ -442,7 +439,7 @@
 
     def _has_next_request(self) -> bool:
         unread = 0.0
-        if isinstance(self.wsgi_input, _BoundedInput):
+        if isinstance(self.wsgi_input, BoundedInput):
             # The body of a request that is refused may precede the next one.
             unread = self.wsgi_input.unread_bytes()
         self.socket.settimeout(0.0)
@@ -474,9 +471,7 @@
             raise
         self.server.unframed.discard(self.socket)
         self._is_answered = True
-        if self.close_connection and isinstance(
-            self.wsgi_input, _BoundedInput
-        ):
+        if self.close_connection and isinstance(self.wsgi_input, BoundedInput):
             self.wsgi_input.is_abandoned = True
 
     def _sendall(self, data: Any) -> None:
@@ -514,85 +509,7 @@
     def handle_one_response(self) -> None:
         super().handle_one_response()
         if (
-            isinstance(self.wsgi_input, _BoundedInput)
+            isinstance(self.wsgi_input, BoundedInput)
             and self.wsgi_input.unread()
         ):
             self.close_connection = True
-
-
-def _check_framing(headers: Any) -> None:
-    # If two ends disagree on the length of a body, a second request can be
-    # hidden inside it (request smuggling), so such a request is refused.
-    encodings = headers.get_all('transfer-encoding') or []
-    lengths = headers.get_all('content-length') or []
-    if encodings and (len(encodings) > 1 or encodings[0].lower() != 'chunked'):
-        raise ValueError(f'transfer-encoding {encodings!r} is not chunked')
-    if len(lengths) > 1 or (encodings and lengths):
-        raise ValueError('the length of the body is given twice')
-    if lengths and not lengths[0].strip().isdigit():
-        raise ValueError(f'content-length {lengths[0]!r} is no size')
-
-
-class _BoundedInput(pywsgi.Input):
-    """A request body; what a refused request leaves of it is not read.
-
-    `receiving` is the context of a read. `is_abandoned` is set once the
-    connection is about to be closed.
-    """
-
-    __slots__ = ('receiving', 'is_abandoned')
-
-    def __init__(
-        self,
-        receiving: Callable[[], contextlib.AbstractContextManager[None]],
-        *args: Any,
-        **kwargs: Any,
-    ) -> None:
-        super().__init__(*args, **kwargs)
-        self.receiving = receiving
-        self.is_abandoned = False
-
-    def read(self, length: int | None = None) -> bytes:
-        """Read up to `length` bytes of the body."""
-        if not self.unread():
-            return b''
-        with self.receiving():
-            return super().read(length)
-
-    def unread(self) -> bool:
-        """Whether part of the body has not been read from the connection."""
-        return self.unread_bytes() > 0
-
-    def unread_bytes(self) -> float:
-        """Return what has not been read; infinity if it is not known."""
-        if self.chunked_input:
-            return math.inf if self.chunk_length != 0 else 0
-        return max(0, (self.content_length or 0) - self.position)
-
-    def _discard(self) -> None:
-        # The server would read what the application left unread, to find the
-        # start of the next request. For a body that was refused as too long
-        # or too slow, that is the work which the refusal was meant to save,
-        # so the connection is closed instead.
-        if self.is_abandoned or self.chunked_input:
-            return
-        self.receiving = contextlib.nullcontext
-        if self.unread_bytes() > MAX_DISCARD_BYTES:
-            return
-        with gevent.Timeout(
-            DISCARD_TIMEOUT_S, OSError('body was not received in time')
-        ):
-            super()._discard()
-
-
-def _bounded_input(
-    other: pywsgi.Input,
-    receiving: Callable[[], contextlib.AbstractContextManager[None]],
-) -> _BoundedInput:
-    return _BoundedInput(
-        receiving,
-        other.rfile,
-        other.content_length,
-        socket=other.socket,
-        chunked_input=other.chunked_input,
-    )
