--- a/packages/burdockchute/burdockchute/site_settings.py
+++ b/packages/burdockchute/burdockchute/site_settings.py
@@ -155,8 +155,8 @@
 def reload(cfg: SiteSettings, adapter: Adapter, current: Machine) -> Machine:
     """Read the machine's file again; keep the old state if it is invalid.
 
-    Nothing is raised, since an error in the handler of a signal would end the
-    process.
+    Nothing is raised: the greenlet that handles the signal would print the
+    error outside the log.
 
     The name and the addresses of the machine stay as at the start; only its
     bounds may change in a running process.
