--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import json
+from types import MappingProxyType
 from typing import Any
 from typing import NamedTuple
 
@@ -20,6 +22,7 @@
 from burdockchute.callers.server import TARGET_KEY
 from burdockchute.callers.server import WRITE_WATCH_KEY
 from burdockchute.callers.server import WriteWatch
+from burdockchute.decisions.size_classes import SizeClass
 from burdockchute.model import outcomes
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.outcomes import NotRun
@@ -45,7 +48,8 @@
 class FinishedRequest(NamedTuple):
     """How a request ended, for metrics; times are in seconds.
 
-    `interruptions` has the causes why attempts at a stream ended early.
+    `interruptions` has the causes why attempts at a stream ended early,
+    `size_classes` its classes among the requests of its route.
     """
 
     route: str
@@ -54,6 +58,7 @@
     total_s: float
     first_event_s: float | None
     interruptions: tuple[str, ...] = ()
+    size_classes: Mapping[str, SizeClass] = MappingProxyType({})
 
 
 class CallersApp:
@@ -145,6 +150,7 @@
         total_s = self._deps.now() - admitted.ctx.arrived
         first_s = exchange.first_event_s
         stream, framing = exchange.stream, exchange.sender.framing
+        size_classes = exchange.sender.pending.size_classes or {}
         logs.event(
             'request_finished',
             request_id=admitted.inbound.id,
@@ -161,6 +167,9 @@
             framing=framing.value if framing else None,
             tokens=f'{admitted.inbound.prompt_tokens},'
             f'{admitted.inbound.max_tokens},{admitted.inbound.likely_tokens}',
+            size=_describe_size_classes(size_classes),
+            overtaken_by=exchange.sender.pending.overtaken_by,
+            body=len(admitted.inbound.body),
             left_ms=int((admitted.ctx.deadline - admitted.ctx.arrived) * 1e3),
             spent_ms=int(admitted.elapsed_s * 1000),
             ms=int(total_s * 1000),
@@ -173,6 +182,7 @@
                 total_s,
                 first_s,
                 tuple(stream.interruptions) if stream else (),
+                size_classes,
             )
         )
 
@@ -199,6 +209,7 @@
             request_id=refusal.request_id,
             status=refusal.status,
             reason=refusal.reason,
+            body=environ.get('CONTENT_LENGTH'),
             target=environ.get(TARGET_KEY),
             host=environ.get('HTTP_HOST'),
         )
@@ -337,6 +348,13 @@
     return [body]
 
 
+def _describe_size_classes(classes: Mapping[str, SizeClass]) -> str:
+    return ','.join(
+        f'{measure}:{size_class.value}'
+        for measure, size_class in classes.items()
+    )
+
+
 def _status_of(reply: Reply) -> int:
     if isinstance(reply, CompleteAnswer):
         return reply.head.status
--- a/packages/burdockchute-entry/burdockchute_entry/straight/counters.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/counters.py
@@ -18,6 +18,11 @@
             'burdockchute.stream_interruptions',
             description='attempts at streams that ended early',
         )
+        self._large_requests = meter.create_counter(
+            'burdockchute.large_requests',
+            description='finished requests of the largest tenth of a route, '
+            'and of the fifth below it',
+        )
         self._seconds = meter.create_histogram(
             'burdockchute.request_time', unit='s'
         )
@@ -36,6 +41,16 @@
             'status': str(request.status),
         }
         self._requests.add(1, attributes)
+        for measure, size_class in request.size_classes.items():
+            self._large_requests.add(
+                1,
+                {
+                    'route': request.route,
+                    'outcome': outcome,
+                    'measure': measure,
+                    'size': size_class.value,
+                },
+            )
         self._seconds.record(request.total_s, attributes)
         if request.first_event_s is not None:
             self._first_event.record(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -74,7 +74,12 @@
     ) -> None:
         self.stream: Stream | None = None
         spec = RequestSpec(
-            service, inbound.model, route.objective_s, elapsed_s, home=home
+            service,
+            inbound.model,
+            route.objective_s,
+            elapsed_s,
+            home=home,
+            route=route.name,
         )
         self.sender = Sender(
             deps, inbound, ctx, route, spec, holding, has_caller_left
--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from gevent import event as events
 
 from burdockchute import metrics
 from burdockchute.decisions import engine_placement
+from burdockchute.decisions import size_classes
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.fair_queue import FairQueue
 from burdockchute.decisions.homes import Home
 from burdockchute.decisions.overload import OverloadDetector
 from burdockchute.decisions.placement import SMOOTHING
 from burdockchute.decisions.placement import Work
+from burdockchute.decisions.size_classes import SizeClass
+from burdockchute.decisions.size_classes import SizeRanks
 from burdockchute.decisions.urgency import UrgencyState
 from burdockchute.model.requests import RequestContext
 from burdockchute_entry.pools import Pool
@@ -31,7 +35,7 @@
     `model` is empty for a service without weights. `elapsed_s` is the time
     that the caller spent on earlier attempts. `exact_version` is the version
     that a stream was started on, which must be kept when it is resumed.
-    `home` tells in which regions it may run.
+    `home` tells in which regions it may run. `route` is the name of its route.
     """
 
     service: str
@@ -40,6 +44,7 @@
     elapsed_s: float = 0.0
     exact_version: int | None = None
     home: Home = Home()
+    route: str = ''
 
 
 class ServiceQueue(Pool):
@@ -65,6 +70,7 @@
         # Mean time from sending a request to its end.
         self.service_s = 0.0
         self._overdue_served: deque[float] = deque()
+        self._size_ranks: dict[str, SizeRanks] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -89,6 +95,16 @@
             ) * self.service_s + SMOOTHING * service_s
         self.service_s = service_s
 
+    def classify(self, pending: PendingRequest) -> None:
+        """Set the size classes of a new request among those of its route."""
+        if pending.size_classes is None:
+            ranks = self._size_ranks.setdefault(
+                pending.spec.route, SizeRanks()
+            )
+            pending.size_classes = ranks.classify(
+                size_classes.sizes_of(*pending.size)
+            )
+
     def record_overdue_served(self, now: float) -> None:
         """Record that an overdue request got a slot."""
         self._overdue_served.append(now)
@@ -124,7 +140,10 @@
     target, when one had no capacity for it. `is_new` is set while the
     request may be on time, `is_overdue` while it waits in the overdue queue,
     `resuming` once its caller has received a part of the answer. No
-    other request may begin where it does for `isolated_s`.
+    other request may begin where it does for `isolated_s`. `size_classes` are
+    its classes among the requests of its route, None until it is planned, and
+    `overtaken_by` counts the later requests of its queue that got a slot in
+    rounds in which it got none.
     """
 
     def __init__(
@@ -139,6 +158,8 @@
         self.is_overdue = False
         self.resuming = False
         self.isolated_s = 0.0
+        self.size_classes: Mapping[str, SizeClass] | None = None
+        self.overtaken_by = 0
         # Priority by which the engine admits it, if not its own.
         self.lent_priority: int | None = None
         self.slot: events.AsyncResult = events.AsyncResult()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -156,7 +156,7 @@
                 if item is None:
                     break
                 pending = self.waiting[item.ctx.request_id]
-                if not self._assign_one(
+                if self._assign_one(
                     service_queue,
                     pending,
                     placement_round,
@@ -164,6 +164,8 @@
                     reserve,
                     now,
                 ):
+                    self._record_overtaken(skipped, item)
+                else:
                     skipped.append(item)
                     if not needs_headroom and not self._may_go_on(
                         pending, placement_round, by_urgency
@@ -172,6 +174,13 @@
             for item in skipped:
                 queue.put_back(item)
 
+    def _record_overtaken(
+        self, skipped: list[QueuedRequest], placed: QueuedRequest
+    ) -> None:
+        for item in skipped:
+            if item.sequence < placed.sequence:
+                self.waiting[item.ctx.request_id].overtaken_by += 1
+
     def take_slot(
         self, pending: PendingRequest, target: Target, now: float
     ) -> Slot:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/wait_planning.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/wait_planning.py
@@ -77,6 +77,7 @@
                 return self.no_upstream(pending, wait_limits.NO_OPENING, now)
             return Plan((Stage(service_queue.resumed, deadline - now),), 0.0)
         service_queue.urgency.record_arrival(pending.ctx.priority, now)
+        service_queue.classify(pending)
         opening = openings.next_opening(self._known, pending, now)
         overdue_s = self._overdue_wait_s(pending, opening, now)
         eligible = eligibility.eligible_targets(self._known, pending, now)
--- /dev/null
+++ b/packages/burdockchute/burdockchute/decisions/size_classes.py
@@ -0,0 +1,104 @@
+"""Size classes of requests: the largest tenth, the fifth below it, the rest.
+
+A request is large only in comparison with others of its route, so each request
+is ranked among the recent ones of its route. It is ranked by several measures,
+as prompts and answers take different resources of an engine.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import deque
+from collections.abc import Mapping
+import enum
+from typing import NamedTuple
+
+# Number of recent requests that a request is ranked among.
+RANKED_COUNT = 200
+
+# Among fewer requests, the largest tenth is one or two of them.
+MIN_RANKED = 20
+
+LARGEST_SHARE = 0.1
+LARGE_SHARE = 0.3
+
+# An engine takes about ten times as long to generate a token as to process one
+# of a prompt, with the other requests of its batch.
+ANSWER_TOKEN_WEIGHT = 10
+
+
+class SizeClass(enum.Enum):
+    """The largest tenth of the requests of a route, the fifth below it."""
+
+    LARGEST = 'largest'
+    LARGE = 'large'
+    OTHER = 'other'
+
+
+class Sizes(NamedTuple):
+    """The size of a request by each measure; `tokens` combines the two."""
+
+    prompt: int
+    answer: int
+    tokens: int
+
+
+def sizes_of(prompt_tokens: int, answer_tokens: int) -> Sizes:
+    """Return the size of a request by each measure.
+
+    >>> sizes_of(900, 80)
+    Sizes(prompt=900, answer=80, tokens=1700)
+    """
+    tokens = prompt_tokens + ANSWER_TOKEN_WEIGHT * answer_tokens
+    return Sizes(prompt_tokens, answer_tokens, tokens)
+
+
+class SizeRanks:
+    """The recent requests of one route, ordered by size for each measure."""
+
+    def __init__(self) -> None:
+        self._recent: deque[Sizes] = deque()
+        self._ordered: tuple[list[int], ...] = tuple([] for _ in Sizes._fields)
+
+    def classify(self, sizes: Sizes) -> Mapping[str, SizeClass]:
+        """Record a request and return its class by each measure.
+
+        Only the classes of large requests are returned.
+
+        >>> ranks = SizeRanks()
+        >>> for prompt in range(100):
+        ...     classes = ranks.classify(sizes_of(prompt, 20))
+        >>> sorted(classes), classes['prompt'].value
+        (['prompt', 'tokens'], 'largest')
+        """
+        self._record(sizes)
+        found = {}
+        for name, ordered, size in zip(
+            Sizes._fields, self._ordered, sizes, strict=True
+        ):
+            size_class = _class_of(ordered, size)
+            if size_class is not SizeClass.OTHER:
+                found[name] = size_class
+        return found
+
+    def _record(self, sizes: Sizes) -> None:
+        self._recent.append(sizes)
+        for ordered, size in zip(self._ordered, sizes, strict=True):
+            bisect.insort(ordered, size)
+        if len(self._recent) > RANKED_COUNT:
+            oldest = self._recent.popleft()
+            for ordered, size in zip(self._ordered, oldest, strict=True):
+                del ordered[bisect.bisect_left(ordered, size)]
+
+
+def _class_of(ordered: list[int], size: int) -> SizeClass:
+    if len(ordered) < MIN_RANKED:
+        return SizeClass.OTHER
+    # Requests of equal size are in one class, so there is no largest tenth
+    # where more than a tenth have the maximum.
+    at_least = len(ordered) - bisect.bisect_left(ordered, size)
+    if at_least <= LARGEST_SHARE * len(ordered):
+        return SizeClass.LARGEST
+    if at_least <= LARGE_SHARE * len(ordered):
+        return SizeClass.LARGE
+    return SizeClass.OTHER
--- a/packages/burdockchute/burdockchute/operators/losses.py
+++ b/packages/burdockchute/burdockchute/operators/losses.py
@@ -3,7 +3,8 @@
 Reads the log lines of any number of entries and prints, for each window of
 time, how many requests ended, how many of them with a complete answer, the
 median wait for a slot, and the reasons of the others, the most frequent
-first. It needs only logs, so it works for production and for trials.
+first. With --sizes it prints for each route how often its largest requests
+were answered. It needs only logs, so it works for production and for trials.
 
 >>> reason_of({'event': 'request_turned_away', 'reason': 'leaving in 0.5 s'})
 'leaving in N s'
@@ -19,6 +20,8 @@
 import sys
 from typing import NamedTuple
 
+from burdockchute.decisions import size_classes
+from burdockchute.decisions.size_classes import Sizes
 from burdockchute.operators.log_lines import Line
 from burdockchute.operators.log_lines import parse_line
 from burdockchute.operators.log_lines import read_lines
@@ -35,6 +38,7 @@
 _NAMES = re.compile(r"'[^']*'")
 
 ANSWERED = 'answered'
+CALLER_GONE = 'caller_gone'
 
 
 class Window(NamedTuple):
@@ -50,6 +54,20 @@
     reasons: list[tuple[str, int]]
 
 
+class ServedShares(NamedTuple):
+    """Shares of the requests of a route that were served, by size.
+
+    `tenth` are the largest by a measure, `fifth` those below them.
+    """
+
+    route: str
+    measure: str
+    requests: int
+    all: float
+    fifth: float
+    tenth: float
+
+
 def add_parser(subparsers: argparse._SubParsersAction) -> None:
     """Add the command."""
     parser = subparsers.add_parser(
@@ -64,10 +82,19 @@
         default=DEFAULT_WINDOW_S,
         help='seconds for each row (default: %(default)s)',
     )
+    parser.add_argument(
+        '--sizes',
+        action='store_true',
+        help='tell for each route how often its largest requests were served',
+    )
 
 
 def run(args: argparse.Namespace) -> int:
     """Print the table; returns 1 if no line is about the end of a request."""
+    if args.sizes:
+        shares = served_shares(read_lines(args.files))
+        print(render_shares(shares))
+        return 0 if shares else EXIT_NOT_FOUND
     found = losses(read_lines(args.files), args.window)
     if not found:
         print('no line tells how a request ended', file=sys.stderr)
@@ -132,6 +159,82 @@
     return '\n'.join(rows)
 
 
+def served_shares(texts: Iterable[str]) -> list[ServedShares]:
+    """Return the served shares by size for each route and measure.
+
+    Attempts of one customer with the same token counts are one request, as
+    callers send a refused request again under another id.
+    """
+    requests: dict[tuple[str, ...], bool] = {}
+    for text in texts:
+        if 'event=request_finished' not in text:
+            continue
+        fields = parse_line(text).fields
+        if fields.get('outcome') == CALLER_GONE:
+            continue
+        key = tuple(fields.get(n, '') for n in ('route', 'customer', 'tokens'))
+        requests[key] = requests.get(key, False) or (
+            fields.get('outcome') == ANSWERED
+            and fields.get('status', '').startswith('2')
+        )
+    by_route: dict[str, list[tuple[Sizes, bool]]] = {}
+    for (route, _customer, tokens), served in requests.items():
+        sizes = _parse_sizes(tokens)
+        if sizes is not None:
+            by_route.setdefault(route, []).append((sizes, served))
+    return [
+        _served_shares(route, measure, by_route[route])
+        for route in sorted(by_route)
+        for measure in Sizes._fields
+    ]
+
+
+def render_shares(shares: Iterable[ServedShares]) -> str:
+    """Return the table of served shares as text."""
+    rows = [
+        f'{"route":20} {"measure":7} {"ended":>6} {"all":>5} '
+        f'{"fifth":>6} {"tenth":>6}'
+    ]
+    rows += [
+        f'{row.route:20} {row.measure:7} {row.requests:6} {row.all:5.2f} '
+        f'{row.fifth:6.2f} {row.tenth:6.2f}'
+        for row in shares
+    ]
+    return '\n'.join(rows)
+
+
+def _parse_sizes(tokens: str) -> Sizes | None:
+    counts = tokens.split(',')
+    if len(counts) != 3 or not all(count.isdigit() for count in counts):
+        return None
+    prompt, limit, likely = map(int, counts)
+    if not prompt + limit + likely:
+        return None
+    return size_classes.sizes_of(prompt, likely or limit)
+
+
+def _served_shares(
+    route: str, measure: str, requests: list[tuple[Sizes, bool]]
+) -> ServedShares:
+    ordered = sorted(requests, key=lambda item: getattr(item[0], measure))
+    served = [is_served for _sizes, is_served in ordered]
+    count = len(served)
+    tenth_at = round((1 - size_classes.LARGEST_SHARE) * count)
+    fifth_at = round((1 - size_classes.LARGE_SHARE) * count)
+    return ServedShares(
+        route,
+        measure,
+        count,
+        _share(served),
+        _share(served[fifth_at:tenth_at]),
+        _share(served[tenth_at:]),
+    )
+
+
+def _share(served: list[bool]) -> float:
+    return sum(served) / len(served) if served else 0.0
+
+
 def _window(start_s: float, lines: list[Line]) -> Window:
     reasons = Counter(
         reason
--- a/packages/burdockchute/tests/test_losses.py
+++ b/packages/burdockchute/tests/test_losses.py
@@ -56,6 +56,31 @@
         self.assertEqual((6.0, 1, 0, None), last[:4])
         self.assertEqual([('no route for NAME NAME', 1)], last.reasons)
 
+    def test_shares_by_size_show_large_requests_that_are_not_served(self):
+        """The windows told how many requests were refused, not which ones."""
+        lines = [
+            line(
+                1.0,
+                'request_finished',
+                route='r-1',
+                outcome='answered' if prompt < 90 else NO_PLACE.format(0.3),
+                status=200 if prompt < 90 else 503,
+                tokens=f'{prompt},80,{100 - prompt}',
+            )
+            for prompt in range(100)
+        ]
+        refused = lines[20].replace('answered', 'x').replace('"200"', '"503"')
+        shares = losses.served_shares([refused, *lines])
+        self.assertEqual(
+            [
+                ('r-1', 'prompt', 100, 0.9, 1.0, 0.0),
+                ('r-1', 'answer', 100, 0.9, 1.0, 1.0),
+                ('r-1', 'tokens', 100, 0.9, 1.0, 1.0),
+            ],
+            shares,
+        )
+        self.assertIn('0.00', losses.render_shares(shares).splitlines()[1])
+
     def test_the_table_has_a_row_for_each_window(self):
         table = losses.render(losses.losses(LINES, 2.0)).splitlines()
         self.assertEqual(3, len(table))
