--- a/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -11,10 +11,12 @@
 
 from burdockchute.decisions import admission
 from burdockchute.decisions import returning_callers
+from burdockchute.decisions import size_classes
 from burdockchute.decisions.listing import KnownUpstream
 from burdockchute.decisions.listing import UpstreamList
 from burdockchute.decisions.placement import Work
 from burdockchute.decisions.routing import route_table
+from burdockchute.decisions.size_classes import ServedShares
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.machines import Bounds
 from burdockchute.model.outcomes import NotRun
@@ -52,7 +54,9 @@
     """A kind of request: mean token counts, objective and relative frequency.
 
     `objective_s` is the time in which the first event has to come. The lower
-    `priority` is the more urgent, as in configurations.
+    `priority` is the more urgent, as in configurations. Callers announce the
+    mean length for each answer, or, with a `hint_spread`, its length times a
+    log-normal error of that spread.
     """
 
     prompt_tokens: float
@@ -60,6 +64,7 @@
     objective_s: float
     share: float
     priority: int = 0
+    hint_spread: float | None = None
 
 
 class Deployment(NamedTuple):
@@ -103,6 +108,10 @@
         self.answer_tokens = max(
             5, int(rng.gammavariate(1.5, 1 / 1.5) * shape.answer_tokens)
         )
+        self.likely_tokens = int(shape.answer_tokens)
+        if shape.hint_spread is not None:
+            error = rng.lognormvariate(0.0, shape.hint_spread)
+            self.likely_tokens = max(1, round(self.answer_tokens * error))
         self.attempts = 0
         self.outcome = ''
         self.name = ''
@@ -172,6 +181,30 @@
         ]
         return Result(len(calls), *counts)
 
+    def served_shares(
+        self, first_s: float, last_s: float
+    ) -> list[dict[str, ServedShares]]:
+        """Return the served shares by size for each shape of the deployment.
+
+        Only requests that started in an interval count.
+        """
+        return [
+            size_classes.served_shares(
+                [
+                    (
+                        size_classes.sizes_of(
+                            call.prompt_tokens, call.likely_tokens
+                        ),
+                        call.outcome in ('on time', 'late'),
+                    )
+                    for call in self.calls
+                    if call.shape == shape
+                    and first_s <= call.started_at < last_s
+                ]
+            )
+            for shape in self.deployment.shapes
+        ]
+
     def send(self, call: _Call) -> None:
         """Send a call to a random entry."""
         call.attempts += 1
@@ -224,12 +257,18 @@
             arrived=now,
             deadline=deadline,
             prompt_tokens=call.prompt_tokens,
-            max_tokens=int(call.shape.answer_tokens),
+            max_tokens=call.likely_tokens,
             priority=-call.shape.priority,
         )
         work = Work(admission.cost_of(ctx), False, ctx.prompt_tokens, ())
         elapsed_s = returning_callers.elapsed_s(DEADLINE_S, deadline - now)
-        spec = RequestSpec(SERVICE, MODEL, call.shape.objective_s, elapsed_s)
+        spec = RequestSpec(
+            SERVICE,
+            MODEL,
+            call.shape.objective_s,
+            elapsed_s,
+            route=str(call.shape),
+        )
         pending = PendingRequest(ctx, work, spec)
         plan = self.scheduler.plan(pending, deadline)
         if isinstance(plan, NotRun):
--- a/packages/burdockchute/burdockchute/decisions/size_classes.py
+++ b/packages/burdockchute/burdockchute/decisions/size_classes.py
@@ -9,7 +9,9 @@
 
 import bisect
 from collections import deque
+from collections.abc import Collection
 from collections.abc import Mapping
+from collections.abc import Sequence
 import enum
 from typing import NamedTuple
 
@@ -53,6 +55,43 @@
     return Sizes(prompt_tokens, answer_tokens, tokens)
 
 
+class ServedShares(NamedTuple):
+    """Shares of the requests of a route that were served.
+
+    `tenth` are the largest by some measure, `fifth` those below them.
+    """
+
+    requests: int
+    all: float
+    fifth: float
+    tenth: float
+
+
+def served_shares(
+    requests: Collection[tuple[Sizes, bool]],
+) -> dict[str, ServedShares]:
+    """Return the served shares of a route's requests for each measure.
+
+    >>> requests = [(sizes_of(n, 80), n < 85) for n in range(100)]
+    >>> served_shares(requests)['prompt']
+    ServedShares(requests=100, all=0.85, fifth=0.75, tenth=0.0)
+    """
+    count = len(requests)
+    tenth_at = round((1 - LARGEST_SHARE) * count)
+    fifth_at = round((1 - LARGE_SHARE) * count)
+    shares = {}
+    for position, measure in enumerate(Sizes._fields):
+        ordered = sorted(requests, key=lambda item: item[0][position])
+        served = [is_served for _sizes, is_served in ordered]
+        shares[measure] = ServedShares(
+            count,
+            _share(served),
+            _share(served[fifth_at:tenth_at]),
+            _share(served[tenth_at:]),
+        )
+    return shares
+
+
 class SizeRanks:
     """The recent requests of one route, ordered by size for each measure."""
 
@@ -91,6 +130,10 @@
                 del ordered[bisect.bisect_left(ordered, size)]
 
 
+def _share(served: Sequence[bool]) -> float:
+    return sum(served) / len(served) if served else 0.0
+
+
 def _class_of(ordered: list[int], size: int) -> SizeClass:
     if len(ordered) < MIN_RANKED:
         return SizeClass.OTHER
--- a/packages/burdockchute/burdockchute/operators/losses.py
+++ b/packages/burdockchute/burdockchute/operators/losses.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from burdockchute.decisions import size_classes
+from burdockchute.decisions.size_classes import ServedShares
 from burdockchute.decisions.size_classes import Sizes
 from burdockchute.operators.log_lines import Line
 from burdockchute.operators.log_lines import parse_line
@@ -54,20 +55,6 @@
     reasons: list[tuple[str, int]]
 
 
-class ServedShares(NamedTuple):
-    """Shares of the requests of a route that were served, by size.
-
-    `tenth` are the largest by a measure, `fifth` those below them.
-    """
-
-    route: str
-    measure: str
-    requests: int
-    all: float
-    fifth: float
-    tenth: float
-
-
 def add_parser(subparsers: argparse._SubParsersAction) -> None:
     """Add the command."""
     parser = subparsers.add_parser(
@@ -159,7 +146,9 @@
     return '\n'.join(rows)
 
 
-def served_shares(texts: Iterable[str]) -> list[ServedShares]:
+def served_shares(
+    texts: Iterable[str],
+) -> dict[tuple[str, str], ServedShares]:
     """Return the served shares by size for each route and measure.
 
     Attempts of one customer with the same token counts are one request, as
@@ -182,23 +171,25 @@
         sizes = _parse_sizes(tokens)
         if sizes is not None:
             by_route.setdefault(route, []).append((sizes, served))
-    return [
-        _served_shares(route, measure, by_route[route])
+    return {
+        (route, measure): shares
         for route in sorted(by_route)
-        for measure in Sizes._fields
-    ]
+        for measure, shares in size_classes.served_shares(
+            by_route[route]
+        ).items()
+    }
 
 
-def render_shares(shares: Iterable[ServedShares]) -> str:
+def render_shares(shares: Mapping[tuple[str, str], ServedShares]) -> str:
     """Return the table of served shares as text."""
     rows = [
         f'{"route":20} {"measure":7} {"ended":>6} {"all":>5} '
         f'{"fifth":>6} {"tenth":>6}'
     ]
     rows += [
-        f'{row.route:20} {row.measure:7} {row.requests:6} {row.all:5.2f} '
+        f'{route:20} {measure:7} {row.requests:6} {row.all:5.2f} '
         f'{row.fifth:6.2f} {row.tenth:6.2f}'
-        for row in shares
+        for (route, measure), row in shares.items()
     ]
     return '\n'.join(rows)
 
@@ -213,28 +204,6 @@
     return size_classes.sizes_of(prompt, likely or limit)
 
 
-def _served_shares(
-    route: str, measure: str, requests: list[tuple[Sizes, bool]]
-) -> ServedShares:
-    ordered = sorted(requests, key=lambda item: getattr(item[0], measure))
-    served = [is_served for _sizes, is_served in ordered]
-    count = len(served)
-    tenth_at = round((1 - size_classes.LARGEST_SHARE) * count)
-    fifth_at = round((1 - size_classes.LARGE_SHARE) * count)
-    return ServedShares(
-        route,
-        measure,
-        count,
-        _share(served),
-        _share(served[fifth_at:tenth_at]),
-        _share(served[tenth_at:]),
-    )
-
-
-def _share(served: list[bool]) -> float:
-    return sum(served) / len(served) if served else 0.0
-
-
 def _window(start_s: float, lines: list[Line]) -> Window:
     reasons = Counter(
         reason
--- a/packages/burdockchute/tests/test_losses.py
+++ b/packages/burdockchute/tests/test_losses.py
@@ -72,11 +72,11 @@
         refused = lines[20].replace('answered', 'x').replace('"200"', '"503"')
         shares = losses.served_shares([refused, *lines])
         self.assertEqual(
-            [
-                ('r-1', 'prompt', 100, 0.9, 1.0, 0.0),
-                ('r-1', 'answer', 100, 0.9, 1.0, 1.0),
-                ('r-1', 'tokens', 100, 0.9, 1.0, 1.0),
-            ],
+            {
+                ('r-1', 'prompt'): (100, 0.9, 1.0, 0.0),
+                ('r-1', 'answer'): (100, 0.9, 1.0, 1.0),
+                ('r-1', 'tokens'): (100, 0.9, 1.0, 1.0),
+            },
             shares,
         )
         self.assertIn('0.00', losses.render_shares(shares).splitlines()[1])
