Placement: a size class that is served less often than its route goes first

Cause: a waiting request gets a slot only where its estimated time to the first token, its own prompt included, fits into what is left of its objective. On busy engines that fits short prompts and not long ones, and each round found the same, so being passed over had no bound.

Change: each entry counts by size class and route which requests get a slot. Requests of a class below 0.9 times the share of its route go first among those of their priority; below 0.8 times they start where a prompt of the usual length would. While all are served nothing changes.

LargeRequestsTest fails with both ratios at 0.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -157,7 +157,12 @@
 
     def plan(self, pending: PendingRequest, deadline: float) -> Plan | NotRun:
         """Return the stages in which a request waits, or its refusal."""
-        return self._planner.plan(pending, deadline, self._now())
+        plan = self._planner.plan(pending, deadline, self._now())
+        if isinstance(plan, NotRun):
+            self._service_queues[pending.spec.service].record_outcome(
+                pending, False
+            )
+        return plan
 
     def start_stage(
         self, pending: PendingRequest, stage: Stage, retry_s: float
@@ -214,8 +219,11 @@
         return self._now() + needed_s > self.exit_at
 
     def stop_waiting(self, pending: PendingRequest) -> None:
-        """Remove a request from all queues."""
+        """Remove a request from all queues; it got a slot, or gets none."""
         self._assigner.remove(pending)
+        self._service_queues[pending.spec.service].record_outcome(
+            pending, False
+        )
 
     def reserve_slot(
         self, pending: PendingRequest, within_s: float, remainder_s: float
--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -17,6 +17,7 @@
 from burdockchute.decisions.overload import OverloadDetector
 from burdockchute.decisions.placement import SMOOTHING
 from burdockchute.decisions.placement import Work
+from burdockchute.decisions.size_classes import SizeBalance
 from burdockchute.decisions.size_classes import SizeClass
 from burdockchute.decisions.size_classes import SizeRanks
 from burdockchute.decisions.urgency import UrgencyState
@@ -70,7 +71,9 @@
         # Mean time from sending a request to its end.
         self.service_s = 0.0
         self._overdue_served: deque[float] = deque()
+        # By route.
         self._size_ranks: dict[str, SizeRanks] = {}
+        self._size_balances: dict[str, SizeBalance] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -105,6 +108,26 @@
                 size_classes.sizes_of(*pending.size)
             )
 
+    def record_outcome(self, pending: PendingRequest, served: bool) -> None:
+        """Record whether a request got a slot, once for each request."""
+        if pending.size_classes is None or pending.is_counted:
+            return
+        pending.is_counted = True
+        balance = self._size_balances.setdefault(
+            pending.spec.route, SizeBalance()
+        )
+        balance.record(pending.size_classes, served)
+
+    def size_ratio(self, pending: PendingRequest) -> float:
+        """Return how often requests of its size are served, compared to all.
+
+        It is 1 for the remainder of a stream.
+        """
+        balance = self._size_balances.get(pending.spec.route)
+        if balance is None or not pending.size_classes or pending.resuming:
+            return 1.0
+        return balance.ratio(pending.size_classes)
+
     def record_overdue_served(self, now: float) -> None:
         """Record that an overdue request got a slot."""
         self._overdue_served.append(now)
@@ -160,6 +183,8 @@
         self.isolated_s = 0.0
         self.size_classes: Mapping[str, SizeClass] | None = None
         self.overtaken_by = 0
+        # Whether it is counted among the requests that got a slot or did not.
+        self.is_counted = False
         # Priority by which the engine admits it, if not its own.
         self.lent_priority: int | None = None
         self.slot: events.AsyncResult = events.AsyncResult()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -15,6 +15,8 @@
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.fair_queue import FairQueue
 from burdockchute.decisions.fair_queue import QueuedRequest
+from burdockchute.decisions.size_classes import FIRST_RATIO
+from burdockchute.decisions.size_classes import USUAL_RATIO
 from burdockchute.model.outcomes import NotRun
 from burdockchute_entry.straight import eligibility
 from burdockchute_entry.straight import openings
@@ -70,7 +72,11 @@
         self.waiting[pending.ctx.request_id] = pending
         ctx = pending.ctx
         cost = pending.work.cost
-        for item in queue.offer(ctx, cost, False, self._now()):
+        service_queue = self._service_queues[pending.spec.service]
+        goes_first = service_queue.size_ratio(pending) < FIRST_RATIO
+        for item in queue.offer(
+            ctx, cost, False, self._now(), goes_first=goes_first
+        ):
             victim = self.waiting[item.ctx.request_id]
             if not victim.slot.ready():
                 wait_s = admission.retry_after_s(retry_s)
@@ -268,6 +274,7 @@
         elif pending.is_new and not pending.spec.model:
             # With a model, this is known once the prompt is processed.
             service_queue.overload.record(False, now)
+        service_queue.record_outcome(pending, True)
         pending.slot.set(self.take_slot(pending, target, now))
         placement_round.slot_taken(target)
         return True
@@ -282,7 +289,10 @@
         extra: float = 0.0,
     ) -> Target | None:
         left_s = pending.objective_left_s(now)
-        if placement_round.is_unplaceable(pending, left_s, extra):
+        as_usual = service_queue.size_ratio(pending) < USUAL_RATIO
+        if not as_usual and placement_round.is_unplaceable(
+            pending, left_s, extra
+        ):
             return None
         target = self._chooser.choose(
             pending,
@@ -292,8 +302,9 @@
             reserve,
             now,
             extra,
+            as_usual,
         )
-        if target is None:
+        if target is None and not as_usual:
             placement_round.record_unplaceable(pending, left_s, extra)
         return target
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/target_choice.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/target_choice.py
@@ -138,6 +138,7 @@
         reserve: float,
         now: float,
         extra: float = 0.0,
+        as_usual: bool = False,
     ) -> Target | None:
         """Return the target for a request, None if there is none now.
 
@@ -145,7 +146,8 @@
         be on time. `unit_s` is the usual time for a unit of work. `reserve`
         is the fraction of an engine's slots that is kept free of overdue
         requests, and `extra` the number of slots that the entries may use
-        beyond the free ones, or leave free where it is negative.
+        beyond the free ones, or leave free where it is negative. With
+        `as_usual`, a long prompt starts where a usual one would.
         """
         found = placement_round.candidates(
             eligibility.rule(self._known, pending, now)
@@ -177,11 +179,11 @@
             engine_placement.with_room(views, size), self._rng, local_sample
         )
         view = engine_placement.choose_engine(
-            drawn, size, cost, left_s, reserve, started, extra
+            drawn, size, cost, left_s, reserve, started, extra, as_usual
         )
         if view is None and len(drawn) < len(views):
             view = engine_placement.choose_engine(
-                views, size, cost, left_s, reserve, started, extra
+                views, size, cost, left_s, reserve, started, extra, as_usual
             )
         return found[view.name][0] if view else None
 
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -15,6 +15,7 @@
 from burdockchute.decisions.listing import UpstreamList
 from burdockchute.decisions.overload import OverloadDetector
 from burdockchute.decisions.placement import Work
+from burdockchute.decisions.size_classes import SizeClass
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.machines import Bounds
 from burdockchute.model.routes import EngineCost
@@ -31,6 +32,7 @@
 from burdockchute_entry.straight.slot_assignment import ASSIGN_DELAY_S
 from burdockchute_entry.straight.target_choice import TargetChooser
 from burdockchute_entry.straight.targets import Target
+from burdockchute_entry.straight.targets import UnstartedRequest
 from burdockchute_testing.builders import requests
 from burdockchute_testing.builders.upstreams import upstream
 
@@ -130,6 +132,78 @@
         self.assertFalse(placement_round.is_unplaceable(pending(2), 0.1))
 
 
+class LargeRequestsTest(unittest.TestCase):
+    """One engine, where a long prompt would start too late."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.scheduler = Scheduler(BOUNDS, lambda: self.now, random.Random(1))
+        only = upstreams()[0]._replace(slots=16)
+        self.scheduler.update(
+            KnownState(
+                upstreams=UpstreamList({only.id: KnownUpstream(only, 0)}, {})
+            )
+        )
+        self.target = self.scheduler.targets()[0]
+        self.queue = self.scheduler._service_queues['drafts']
+        patch = cost_is(COST)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.target.draw_share(1, 16.0, 0.5, self.now)
+        for number in range(3):
+            self.target.unstarted[f'u-{number}'] = UnstartedRequest(900, 0.0)
+
+    def record_shares(self, size_class, served, of=20):
+        """Record how many requests of a class of the route got a slot."""
+        for number in range(of):
+            other = pending(f'other-{number}')
+            other.size_classes = {}
+            self.queue.record_outcome(other, True)
+            one = pending(f'large-{number}')
+            one.size_classes = {'prompt': size_class}
+            self.queue.record_outcome(one, number < served)
+
+    def wait(self, request, size_class=None):
+        request.size_classes = (
+            {} if size_class is None else {'prompt': size_class}
+        )
+        waiting = gevent.spawn(self.scheduler.wait_for_slot, request, 6.0)
+        self.addCleanup(waiting.kill)
+        gevent.sleep(0)
+        return waiting
+
+    def test_a_large_request_is_passed_over_while_its_class_is_served(self):
+        self.record_shares(SizeClass.LARGEST, served=20)
+        large = self.wait(pending(1, prompt=4000), SizeClass.LARGEST)
+        small = self.wait(pending(2, prompt=100))
+        gevent.sleep(0.01)
+        self.assertTrue(small.ready())
+        self.assertFalse(large.ready())
+
+    def test_no_large_request_is_passed_over_once_its_class_is_behind(self):
+        """It was passed over until its time was over, however many were."""
+        for size_class in (SizeClass.LARGEST, SizeClass.LARGE):
+            with self.subTest(size_class=size_class):
+                self.record_shares(size_class, served=5)
+                large = self.wait(pending(size_class, 4000), size_class)
+                gevent.sleep(0.01)
+                self.assertTrue(large.ready())
+
+    def test_a_request_whose_class_is_behind_is_placed_first(self):
+        """Later ones had taken the slots while others were tried first."""
+        self.record_shares(SizeClass.LARGEST, served=5)
+        self.target.load.reserved_for = 'somebody else'
+        small = [self.wait(pending(number, 100)) for number in range(3)]
+        large = self.wait(pending('large', 4000), SizeClass.LARGEST)
+        self.target.load.reserved_for = ''
+        self.target.share = 1
+        self.target.share_until = 1.0
+        self.scheduler.assign_free_slots()
+        gevent.sleep(0)
+        self.assertTrue(large.ready())
+        self.assertFalse(any(waiting.ready() for waiting in small))
+
+
 class SchedulerTest(unittest.TestCase):
     def test_requests_without_a_slot_are_refused_before_the_exit(self):
         """An entry exits while requests wait for a slot.
--- a/packages/burdockchute/burdockchute/decisions/engine_placement.py
+++ b/packages/burdockchute/burdockchute/decisions/engine_placement.py
@@ -270,13 +270,15 @@
     reserve: float = 0.0,
     started: bool = False,
     extra: float = 0.0,
+    as_usual: bool = False,
 ) -> EngineView | None:
     """Return the engine where a request starts soonest, None if it waits.
 
     `left_s` is what is left of the objective, None for an overdue request,
     which takes any free slot beyond `reserve`, a share of all slots. `started`
     is set for the remainder of a stream, which is not bound by the share of
-    the entry. `extra` changes the number of slots that the entries share.
+    the entry. `extra` changes the number of slots that the entries share. With
+    `as_usual`, a long prompt starts where one of the usual length would.
     """
     overdue_reserve = reserve if left_s is None else None
     open_views = [
@@ -293,11 +295,14 @@
     )
     if left_s is None:
         return best
-    expected_s = first_token_s(best, size.prompt_tokens, cost)
+    prompt_tokens = size.prompt_tokens
+    if as_usual:
+        prompt_tokens = min(prompt_tokens, int(cost.usual_prompt_tokens))
+    expected_s = first_token_s(best, prompt_tokens, cost)
     # A long prompt may exceed the objective even on an idle engine; waiting
     # would not make it any faster.
     alone = EngineView(best.name, 0, 0, best.slots, 1, 0, 0, best.slowness)
-    alone_s = first_token_s(alone, size.prompt_tokens, cost)
+    alone_s = first_token_s(alone, prompt_tokens, cost)
     bound_s = max(OBJECTIVE_SHARE * left_s, alone_s)
     return best if expected_s <= bound_s else None
 
--- a/packages/burdockchute/burdockchute/decisions/fair_queue.py
+++ b/packages/burdockchute/burdockchute/decisions/fair_queue.py
@@ -8,7 +8,8 @@
 only at its deadline that its request never ran.
 
 Requests are ordered by priority first, then fairly between customers, then by
-earliest deadline within a customer. Fairness is start-time fair queueing: of
+earliest deadline within a customer. Some requests go before all others of
+their priority (`goes_first`). Fairness is start-time fair queueing: of
 the customers with waiting requests, the one that has received the least work
 goes next. A customer that was idle gets no credit for it.
 
@@ -41,12 +42,14 @@
     is_long: bool
     queued_at: float
     sequence: int
+    goes_first: bool = False
 
 
 class _QueueKey(NamedTuple):
     customer: str
     priority: int
     is_long: bool
+    goes_first: bool
 
 
 class _ClassKey(NamedTuple):
@@ -79,6 +82,7 @@
         is_long: bool,
         now: float,
         may_displace: Callable[[QueuedRequest], bool] = lambda item: True,
+        goes_first: bool = False,
     ) -> list[QueuedRequest]:
         """Queue a request and return the requests that this displaces.
 
@@ -86,7 +90,9 @@
         `may_displace` forbids it, the new request itself is returned.
         """
         self._next_sequence += 1
-        item = QueuedRequest(ctx, cost, is_long, now, self._next_sequence)
+        item = QueuedRequest(
+            ctx, cost, is_long, now, self._next_sequence, goes_first
+        )
         refused = []
         if len(self._waiting) >= self.max_waiting:
             displaced = self._choose_displaced(item)
@@ -133,8 +139,11 @@
             return item
         del self._heaps[queue]
         del self._counts[queue]
-        if queue._replace(is_long=not queue.is_long) not in self._counts:
-            del self._work[_class_key(item)]
+        key = _class_key(item)
+        if not any(
+            (other.customer, other.priority) == key for other in self._counts
+        ):
+            del self._work[key]
         return item
 
     def queued_before(self, at: float) -> list[QueuedRequest]:
@@ -173,7 +182,7 @@
         self._waiting[item.ctx.request_id] = item
 
     def _next_key(self, now: float, allow_long: bool) -> _QueueKey | None:
-        best: tuple[float, float, float] | None = None
+        best: tuple[float, bool, float, float] | None = None
         chosen = None
         for queue, heap in self._heaps.items():
             if queue.is_long and not allow_long:
@@ -182,6 +191,7 @@
             finish = self._virtual_finish.get(queue.customer, 0.0)
             rank = (
                 -_effective_priority(head, now),
+                not queue.goes_first,
                 max(self._virtual_now, finish),
                 head.ctx.deadline,
             )
@@ -230,7 +240,8 @@
 
 
 def _queue_key(item: QueuedRequest) -> _QueueKey:
-    return _QueueKey(item.ctx.customer, item.ctx.priority, item.is_long)
+    ctx = item.ctx
+    return _QueueKey(ctx.customer, ctx.priority, item.is_long, item.goes_first)
 
 
 def _class_key(item: QueuedRequest) -> _ClassKey:
--- a/packages/burdockchute/burdockchute/decisions/size_classes.py
+++ b/packages/burdockchute/burdockchute/decisions/size_classes.py
@@ -3,6 +3,14 @@
 A request is large only in comparison with others of its route, so each request
 is ranked among the recent ones of its route. It is ranked by several measures,
 as prompts and answers take different resources of an engine.
+
+While there are more requests than slots, short prompts start on engines where
+a long one would miss its objective, so long ones are passed over until their
+time is over. That is allowed only while no class is far behind: SizeBalance
+counts how often each class is served, compared with all requests of its route.
+The requests of a class below FIRST_RATIO are placed before others of their
+priority. Those of a class below USUAL_RATIO are placed where a prompt of the
+usual length would be, although they may start late.
 """
 
 from __future__ import annotations
@@ -29,6 +37,17 @@
 ANSWER_TOKEN_WEIGHT = 10
 
 
+# Ratio of the served share of a class to that of its route below which its
+# requests are placed first, and where a usual prompt would be. Each class is
+# to be served at least 0.8 times as often as its route.
+FIRST_RATIO = 0.9
+USUAL_RATIO = 0.8
+
+# Number of requests of a route after which a count has lost two thirds of its
+# weight.
+BALANCE_COUNT = 200
+
+
 class SizeClass(enum.Enum):
     """The largest tenth of the requests of a route, the fifth below it."""
 
@@ -130,6 +149,64 @@
                 del ordered[bisect.bisect_left(ordered, size)]
 
 
+class SizeBalance:
+    """How often the recent requests of one route got a slot, by size class."""
+
+    def __init__(self) -> None:
+        self._all = _Count()
+        self._by_class: dict[tuple[str, SizeClass], _Count] = {}
+
+    def record(self, classes: Mapping[str, SizeClass], served: bool) -> None:
+        """Record whether a request of some classes got a slot."""
+        self._all.fade()
+        for count in self._by_class.values():
+            count.fade()
+        self._all.add(served)
+        for key in classes.items():
+            self._by_class.setdefault(key, _Count()).add(served)
+
+    def ratio(self, classes: Mapping[str, SizeClass]) -> float:
+        """Return the served share of a request's classes to that of all.
+
+        It is the lowest of its classes, and 1 where nothing is known.
+
+        >>> balance, large = SizeBalance(), {'prompt': SizeClass.LARGE}
+        >>> for served in (True, False):
+        ...     balance.record(large, served)
+        ...     balance.record({}, True)
+        >>> round(balance.ratio(large), 2), balance.ratio({})
+        (0.66, 1.0)
+        """
+        share = self._all.share
+        if not share:
+            return 1.0
+        counts = [self._by_class.get(key) for key in classes.items()]
+        return min(
+            (count.share / share for count in counts if count is not None),
+            default=1.0,
+        )
+
+
+class _Count:
+    """Requests, and those of them that were served, with fading weights."""
+
+    def __init__(self) -> None:
+        self._requests = 0.0
+        self._served = 0.0
+
+    @property
+    def share(self) -> float:
+        return self._served / self._requests if self._requests else 0.0
+
+    def fade(self) -> None:
+        self._requests *= 1 - 1 / BALANCE_COUNT
+        self._served *= 1 - 1 / BALANCE_COUNT
+
+    def add(self, served: bool) -> None:
+        self._requests += 1
+        self._served += served
+
+
 def _share(served: Sequence[bool]) -> float:
     return sum(served) / len(served) if served else 0.0
 
