Queues: the expected wait does not count a request's own length

Cause: other customers' work counted up to the request's own cost, though start-time fair queueing orders requests by when they may begin. Now it counts up to the customer's own waiting work and one mean request.

--- a/packages/burdockchute-entry/burdockchute_entry/pools.py
+++ b/packages/burdockchute-entry/burdockchute_entry/pools.py
@@ -113,11 +113,8 @@
         if any(load.headroom(now) for load in loads) and not len(self.queue):
             return 0.0
         slots = sum(_available_slots(load, now) for load in loads)
-        cost = request.work.cost
         return (
-            self.queue.work_ahead_of(request.ctx, cost)
-            * self.unit_s
-            / max(1, slots)
+            self.queue.work_ahead_of(request.ctx) * self.unit_s / max(1, slots)
         )
 
     def drain_s(self, loads: Iterable[InstanceLoad], now: float) -> float:
--- a/packages/burdockchute/burdockchute/decisions/fair_queue.py
+++ b/packages/burdockchute/burdockchute/decisions/fair_queue.py
@@ -150,12 +150,14 @@
         """Return the requests that were queued before a time."""
         return [item for item in self._waiting.values() if item.queued_at < at]
 
-    def work_ahead_of(self, ctx: RequestContext, cost: float) -> float:
+    def work_ahead_of(self, ctx: RequestContext) -> float:
         """Return the work that runs before a request that arrives now.
 
         Only work of at least its priority counts, and other customers' work
-        only up to their fair part: the flood of one customer does not lengthen
-        the expected wait of the others.
+        only up to their fair part, which is as much as waits of its own
+        customer, and one request more: the flood of one customer does not
+        lengthen the expected wait of the others. The work of the request
+        itself does not count, as it is ordered by when it may begin.
         """
         own = 0.0
         others: dict[str, float] = {}
@@ -166,7 +168,8 @@
                 own += work
             else:
                 others[customer] = others.get(customer, 0.0) + work
-        return own + sum(min(work, own + cost) for work in others.values())
+        fair = own + self.work() / max(1, len(self))
+        return own + sum(min(work, fair) for work in others.values())
 
     def work(self) -> float:
         """Return the waiting work, in generated tokens."""
