Memory: whole answers together stay within the budget of an entry

A report of other operators: a faulty server sent bytes that were no answer, without end; the process that called it kept them all and ran out of memory. Heads, events, framing and each body were limited here, but nothing added up what the bodies of all calls hold, 8 MB each. Once the budget is used up, answers of at least the mean size that are still being received fail; others go on.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/memory_account.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/memory_account.py
@@ -62,6 +62,8 @@
         self.held_bytes = 0
         self.held_by_use = dict.fromkeys(Use, 0)
         self.max_held_bytes = 0
+        # Requests for which bytes of an answer are held.
+        self.answer_count = 0
         self.level = Level.NORMAL
         self.readers: set[Reader] = set()
         self._now = now
@@ -89,6 +91,20 @@
             self.level, self.held_bytes, more, self.budget_bytes
         )
 
+    def must_end_answer(self, size: int) -> bool:
+        """Whether an answer is received no further, as the budget is used up.
+
+        These are the ones of at least the mean size, so the longest is always
+        among them.
+        """
+        return self.budget_bytes is not None and memory_budget.must_end_answer(
+            size,
+            self.held_by_use[Use.ANSWERS],
+            self.answer_count,
+            self.held_bytes,
+            self.budget_bytes,
+        )
+
     @property
     def keeps_idle(self) -> bool:
         """Whether connections to upstreams are kept for reuse."""
@@ -189,6 +205,8 @@
     def take(self, use: Use, count: int) -> None:
         """Add bytes that are held from now on."""
         if count and not self._closed:
+            if use is Use.ANSWERS and not self._held[use]:
+                self.account.answer_count += 1
             self._held[use] += count
             self.account.change(use, count)
 
@@ -197,8 +215,14 @@
         count = min(count, self._held[use])
         if count:
             self._held[use] -= count
+            if use is Use.ANSWERS and not self._held[use]:
+                self.account.answer_count -= 1
             self.account.change(use, -count)
 
+    def must_end_answer(self) -> bool:
+        """Whether its answer is too long for what the process still has."""
+        return self.account.must_end_answer(self._held[Use.ANSWERS])
+
     def close(self) -> None:
         """Give back all bytes; may be repeated."""
         self._closed = True
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -404,6 +404,10 @@
                     raise AnswerFailed(
                         f'answer exceeds {MAX_ANSWER_BYTES} bytes', False
                     )
+                if self.holding.must_end_answer():
+                    raise AnswerFailed(
+                        f'no memory for an answer of over {size} bytes', False
+                    )
                 parts.append(data)
                 if self.has_exceeded_deadline(sent):
                     return None
--- a/packages/burdockchute/burdockchute/decisions/memory_budget.py
+++ b/packages/burdockchute/burdockchute/decisions/memory_budget.py
@@ -142,6 +142,22 @@
     return min(max_body_bytes, int(UNKNOWN_BODY_SHARE * budget))
 
 
+def must_end_answer(
+    size: int, answers_held: int, answer_count: int, held: int, budget: int
+) -> bool:
+    """Whether an answer is received no further.
+
+    Once the held bytes exceed the budget, that is any answer of at least the
+    mean size. `answers_held` are the bytes of all `answer_count` answers.
+
+    >>> [must_end_answer(size, 90, 3, 101, 100) for size in (29, 30)]
+    [False, True]
+    >>> must_end_answer(90, 90, 1, 100, 100)
+    False
+    """
+    return held > budget and size * answer_count >= answers_held
+
+
 def next_readiness(before: Readiness, refusing: bool, now: float) -> Readiness:
     """Return the readiness as of now; a change is reported after a delay.
 
