--- a/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/slot_assignment.py
@@ -15,7 +15,6 @@
 from burdockchute.decisions import wait_limits
 from burdockchute.decisions.fair_queue import FairQueue
 from burdockchute.decisions.fair_queue import QueuedRequest
-from burdockchute.decisions.size_classes import FIRST_RATIO
 from burdockchute.decisions.size_classes import USUAL_RATIO
 from burdockchute.model.outcomes import NotRun
 from burdockchute_entry.straight import eligibility
@@ -73,7 +72,7 @@
         ctx = pending.ctx
         cost = pending.work.cost
         service_queue = self._service_queues[pending.spec.service]
-        goes_first = service_queue.size_ratio(pending) < FIRST_RATIO
+        goes_first = service_queue.size_ratio(pending) < 1.0
         for item in queue.offer(
             ctx, cost, False, self._now(), goes_first=goes_first
         ):
--- a/packages/burdockchute/burdockchute/decisions/size_classes.py
+++ b/packages/burdockchute/burdockchute/decisions/size_classes.py
@@ -8,9 +8,9 @@
 a long one would miss its objective, so long ones are passed over until their
 time is over. That is allowed only while no class is far behind: SizeBalance
 counts how often each class is served, compared with all requests of its route.
-The requests of a class below FIRST_RATIO are placed before others of their
-priority. Those of a class below USUAL_RATIO are placed where a prompt of the
-usual length would be, although they may start late.
+The requests of a class that is served less often are placed before others of
+their priority. Those of a class below USUAL_RATIO are placed where a prompt of
+the usual length would be, although they may start late.
 """
 
 from __future__ import annotations
@@ -37,10 +37,7 @@
 ANSWER_TOKEN_WEIGHT = 10
 
 
-# Ratio of the served share of a class to that of its route below which its
-# requests are placed first, and where a usual prompt would be. Each class is
-# to be served at least 0.8 times as often as its route.
-FIRST_RATIO = 0.9
+# Each class is to be served at least this many times as often as its route.
 USUAL_RATIO = 0.8
 
 # Number of requests of a route after which a count has lost two thirds of its
