--- a/packages/burdockchute-testing/tests/test_urgent_load.py
+++ b/packages/burdockchute-testing/tests/test_urgent_load.py
@@ -69,7 +69,10 @@
 
         without_rules = mock.Mock(is_mixed=False)
         with mock.patch.object(
-            service_queues, 'UrgencyState', return_value=without_rules
+            service_queues,
+            'UrgencyState',
+            autospec=True,
+            return_value=without_rules,
         ):
             expected = served(0)
         self.assertEqual(213, expected.total)
