Size classes: those of the 64 routes used last are kept

Each route with sizes takes about 35 kB, and configurations may have 4,453 routes: more than the memory of an entry. Requests without lengths are not ranked.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -17,9 +17,8 @@
 from burdockchute.decisions.overload import OverloadDetector
 from burdockchute.decisions.placement import SMOOTHING
 from burdockchute.decisions.placement import Work
-from burdockchute.decisions.size_classes import SizeBalance
 from burdockchute.decisions.size_classes import SizeClass
-from burdockchute.decisions.size_classes import SizeRanks
+from burdockchute.decisions.size_classes import SizesByRoute
 from burdockchute.decisions.urgency import UrgencyState
 from burdockchute.model.requests import RequestContext
 from burdockchute_entry.pools import Pool
@@ -71,9 +70,7 @@
         # Mean time from sending a request to its end.
         self.service_s = 0.0
         self._overdue_served: deque[float] = deque()
-        # By route.
-        self._size_ranks: dict[str, SizeRanks] = {}
-        self._size_balances: dict[str, SizeBalance] = {}
+        self._sizes = SizesByRoute()
 
     @property
     def is_empty(self) -> bool:
@@ -100,10 +97,8 @@
 
     def classify(self, pending: PendingRequest) -> None:
         """Set the size classes of a new request among those of its route."""
-        if pending.size_classes is None:
-            ranks = self._size_ranks.setdefault(
-                pending.spec.route, SizeRanks()
-            )
+        if pending.size_classes is None and any(pending.size):
+            ranks = self._sizes.get(pending.spec.route).ranks
             pending.size_classes = ranks.classify(
                 size_classes.sizes_of(*pending.size)
             )
@@ -113,9 +108,7 @@
         if pending.size_classes is None or pending.is_counted:
             return
         pending.is_counted = True
-        balance = self._size_balances.setdefault(
-            pending.spec.route, SizeBalance()
-        )
+        balance = self._sizes.get(pending.spec.route).balance
         balance.record(pending.size_classes, served)
 
     def size_ratio(self, pending: PendingRequest) -> float:
@@ -123,9 +116,9 @@
 
         It is 1 for the remainder of a stream.
         """
-        balance = self._size_balances.get(pending.spec.route)
-        if balance is None or not pending.size_classes or pending.resuming:
+        if not pending.size_classes or pending.resuming:
             return 1.0
+        balance = self._sizes.get(pending.spec.route).balance
         return balance.ratio(pending.size_classes)
 
     def record_overdue_served(self, now: float) -> None:
@@ -164,7 +157,8 @@
     request may be on time, `is_overdue` while it waits in the overdue queue,
     `resuming` once its caller has received a part of the answer. No
     other request may begin where it does for `isolated_s`. `size_classes` are
-    its classes among the requests of its route, None until it is planned, and
+    its classes among the requests of its route, None until it is planned and
+    where its lengths are not known, and
     `overtaken_by` counts the later requests of its queue that got a slot in
     rounds in which it got none.
     """
--- a/packages/burdockchute/burdockchute/decisions/size_classes.py
+++ b/packages/burdockchute/burdockchute/decisions/size_classes.py
@@ -17,6 +17,7 @@
 
 import bisect
 from collections import deque
+from collections import OrderedDict
 from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -36,7 +37,6 @@
 # of a prompt, with the other requests of its batch.
 ANSWER_TOKEN_WEIGHT = 10
 
-
 # Each class is to be served at least this many times as often as its route.
 USUAL_RATIO = 0.8
 
@@ -44,6 +44,9 @@
 # weight.
 BALANCE_COUNT = 200
 
+# Number of routes of which sizes are kept; each takes about 35 kB.
+MAX_ROUTES = 64
+
 
 class SizeClass(enum.Enum):
     """The largest tenth of the requests of a route, the fifth below it."""
@@ -184,6 +187,37 @@
         )
 
 
+class RouteSizes:
+    """The recent requests of one route."""
+
+    def __init__(self) -> None:
+        self.ranks = SizeRanks()
+        self.balance = SizeBalance()
+
+
+class SizesByRoute:
+    """The recent requests of the MAX_ROUTES routes that were used last.
+
+    >>> routes = SizesByRoute()
+    >>> first = routes.get('r-0')
+    >>> for number in range(1, MAX_ROUTES + 1):
+    ...     last = routes.get(f'r-{number}')
+    >>> routes.get(f'r-{MAX_ROUTES}') is last, routes.get('r-0') is first
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self._routes: OrderedDict[str, RouteSizes] = OrderedDict()
+
+    def get(self, route: str) -> RouteSizes:
+        """Return what is known of a route."""
+        sizes = self._routes.pop(route, None) or RouteSizes()
+        self._routes[route] = sizes
+        if len(self._routes) > MAX_ROUTES:
+            self._routes.popitem(last=False)
+        return sizes
+
+
 class _Count:
     """Requests, and those of them that were served, with fading weights."""
 
