--- a/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/service_queues.py
@@ -158,9 +158,8 @@
     `resuming` once its caller has received a part of the answer. No
     other request may begin where it does for `isolated_s`. `size_classes` are
     its classes among the requests of its route, None until it is planned and
-    where its lengths are not known, and
-    `overtaken_by` counts the later requests of its queue that got a slot in
-    rounds in which it got none.
+    where its lengths are not known. `overtaken_by` counts the later requests
+    of its queue that got a slot in rounds in which it got none.
     """
 
     def __init__(
--- a/packages/burdockchute/burdockchute/decisions/size_classes.py
+++ b/packages/burdockchute/burdockchute/decisions/size_classes.py
@@ -44,7 +44,7 @@
 # weight.
 BALANCE_COUNT = 200
 
-# Number of routes of which sizes are kept; each takes about 35 kB.
+# Number of routes of which sizes are kept; each takes about 45 kB.
 MAX_ROUTES = 64
 
 
