Load bench: how often the largest requests are served in overload

The soak and the emulator judge sizes only at entries of the platform; nothing did for the project's own router. The new case sends requests with prompts of 16 to some 7,000 words at 1.2 and 2.5 times what four engines carry, for 40 s, and prints what the largest tenth and the fifth below it got, compared with all; wanted is 0.8.

--- a/packages/burdockchute-testing/burdockchute_testing/benches/load.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/load.py
@@ -23,6 +23,7 @@
 
 import blake3  # noqa: E402
 
+from burdockchute.decisions import size_classes  # noqa: E402
 from burdockchute_testing import client  # noqa: E402
 from burdockchute_testing.benches import load_traffic  # noqa: E402
 from burdockchute_testing.benches import results  # noqa: E402
@@ -55,11 +56,20 @@
 SYSTEM = 'burdockchute'
 LOAD_FACTORS = (0.5, 1.0, 1.5, 3.0)
 
+# Requests of very different sizes; prompts have MEAN_PROMPT_WORDS on average,
+# most of them fewer and a few several times as many.
+OVERLOAD_FACTORS = (1.2, 2.5)
+MEAN_PROMPT_WORDS = 900
+SIZES_DEADLINE_S = 8.0
+# Queues are full after about a deadline.
+MIN_SIZES_S = 5 * SIZES_DEADLINE_S
+
 MIN_GOODPUT_KEPT = 0.9
 MAX_FLOOD_P95_RATIO = 1.3
 MAX_RETRY_RATIO = 0.1
 MIN_PREFILL_SAVED = 0.5
 MAX_CLAIM_DELAY_MS = 100.0
+MIN_SIZE_RATIO = 0.8
 
 SETTLE_S = 1.0
 
@@ -88,10 +98,15 @@
             Policy('least outstanding', self.least_outstanding),
         ]
 
-    def run(self, policy: Policy, *workloads: Workload) -> list[Sample]:
+    def run(
+        self,
+        policy: Policy,
+        *workloads: Workload,
+        seconds: float | None = None,
+    ) -> list[Sample]:
         """Run workloads under one policy and return their samples."""
         samples = load_traffic.run(
-            policy.make(), workloads, self.seconds, SEED
+            policy.make(), workloads, seconds or self.seconds, SEED
         )
         # An engine works on for a while on requests whose callers have
         # disconnected; this must not slow the next policy.
@@ -176,6 +191,7 @@
         'outage': measure_retries,
         'prefix': measure_prefixes,
         'claims': measure_claims,
+        'sizes': measure_sizes,
     }
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seconds', type=float, default=5.0)
@@ -320,6 +336,42 @@
         )
 
 
+def measure_sizes(bench: Bench) -> None:
+    """Measure how often the largest requests are served in overload.
+
+    All of them could be complete by their deadlines.
+    """
+
+    def prompt(rng: random.Random) -> str:
+        words = max(
+            16, int(rng.gammavariate(1.5, 1 / 1.5) * MEAN_PROMPT_WORDS)
+        )
+        return ' '.join(f'w{rng.random()}' for _ in range(words))
+
+    for load in OVERLOAD_FACTORS:
+        workload = _short_workload(load)._replace(
+            prompt=prompt, deadline_s=SIZES_DEADLINE_S
+        )
+        samples = bench.run(
+            bench.policies()[0],
+            workload,
+            seconds=max(bench.seconds, MIN_SIZES_S),
+        )
+        case = f'sizes at {load:g} x capacity'
+        shares = size_classes.served_shares(
+            [(sample.sizes, sample.good) for sample in samples]
+        )
+        for measure, served in shares.items():
+            for name, share in (
+                ('tenth', served.tenth),
+                ('fifth', served.fifth),
+            ):
+                ratio = share / served.all if served.all else 0.0
+                metric = f'largest {name} by {measure} over all'
+                _emit(case, metric, ratio, '1', MIN_SIZE_RATIO)
+        _emit(case, 'good', _count_good(samples) / len(samples), '1')
+
+
 def _start(bench: Bench) -> None:
     system = bench.system
     system.add_platform()
--- a/packages/burdockchute-testing/burdockchute_testing/benches/load_traffic.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/load_traffic.py
@@ -16,6 +16,8 @@
 
 import gevent
 
+from burdockchute.decisions import size_classes
+from burdockchute.decisions.size_classes import Sizes
 from burdockchute_testing import client
 
 DEADLINE_S = 2.0
@@ -43,7 +45,10 @@
 
 
 class Sample(NamedTuple):
-    """Result of one call; times in seconds, None without a first token."""
+    """Result of one call; times in seconds, None without a first token.
+
+    `sizes` are the lengths of its prompt and of its answer.
+    """
 
     workload: str
     due: float
@@ -53,6 +58,7 @@
     total_s: float
     intervals: tuple[float, ...]
     cached_tokens: int
+    sizes: Sizes
 
 
 class Target(NamedTuple):
@@ -156,6 +162,9 @@
                 for a, b in zip(token_times, token_times[1:], strict=False)
             ),
             int(final_event.get('cached_tokens', 0)),
+            size_classes.sizes_of(
+                len(body['prompt'].split()), body['max_tokens']
+            ),
         )
     )
 
