Fair queue: what goes first does so among the requests of its customer

Callers beside a flood were served less often: since requests of a size class that is behind go first, those of a flooding customer went before all requests of other customers of their priority, as the rank came before the turns.

--- a/packages/burdockchute/burdockchute/decisions/fair_queue.py
+++ b/packages/burdockchute/burdockchute/decisions/fair_queue.py
@@ -9,9 +9,9 @@
 
 Requests are ordered by priority first, then fairly between customers, then by
 earliest deadline within a customer. Some requests go before all others of
-their priority (`goes_first`). Fairness is start-time fair queueing: of
-the customers with waiting requests, the one that has received the least work
-goes next. A customer that was idle gets no credit for it.
+their customer and priority (`goes_first`). Fairness is start-time fair
+queueing: of the customers with waiting requests, the one that has received the
+least work goes next. A customer that was idle gets no credit for it.
 
 A request rises by one priority for each AGING_INTERVAL_S of waiting, so that a
 steady stream of a higher priority delays it but does not starve it. When a
@@ -185,7 +185,7 @@
         self._waiting[item.ctx.request_id] = item
 
     def _next_key(self, now: float, allow_long: bool) -> _QueueKey | None:
-        best: tuple[float, bool, float, float] | None = None
+        best: tuple[float, float, bool, float] | None = None
         chosen = None
         for queue, heap in self._heaps.items():
             if queue.is_long and not allow_long:
@@ -194,8 +194,8 @@
             finish = self._virtual_finish.get(queue.customer, 0.0)
             rank = (
                 -_effective_priority(head, now),
-                not queue.goes_first,
                 max(self._virtual_now, finish),
+                not queue.goes_first,
                 head.ctx.deadline,
             )
             if best is None or rank < best:
--- a/packages/burdockchute/burdockchute/decisions/size_classes.py
+++ b/packages/burdockchute/burdockchute/decisions/size_classes.py
@@ -9,8 +9,8 @@
 time is over. That is allowed only while no class is far behind: SizeBalance
 counts how often each class is served, compared with all requests of its route.
 The requests of a class that is served less often are placed before others of
-their priority. Those of a class below USUAL_RATIO are placed where a prompt of
-the usual length would be, although they may start late.
+their customer and priority. Those of a class below USUAL_RATIO are placed
+where a prompt of the usual length would be, although they may start late.
 """
 
 from __future__ import annotations
--- a/packages/burdockchute/tests/decisions/test_fair_queue.py
+++ b/packages/burdockchute/tests/decisions/test_fair_queue.py
@@ -19,12 +19,20 @@
     def setUp(self) -> None:
         self.queue = FairQueue(max_waiting=10)
 
-    def offer(self, name, now=0.0, is_long=False, cost=1.0, **changes):
+    def offer(
+        self,
+        name,
+        now=0.0,
+        is_long=False,
+        cost=1.0,
+        goes_first=False,
+        **changes,
+    ):
         ctx = requests.request(request_id=name, **changes)
-        return [
-            item.ctx.request_id
-            for item in self.queue.offer(ctx, cost, is_long, now)
-        ]
+        refused = self.queue.offer(
+            ctx, cost, is_long, now, goes_first=goes_first
+        )
+        return [item.ctx.request_id for item in refused]
 
     def order(self, now=0.0):
         names = []
@@ -43,6 +51,18 @@
         self.offer('one', customer='b', deadline=9.0)
         self.assertIn('one', self.order()[:2])
 
+    def test_requests_that_go_first_take_no_turn_of_other_customers(self):
+        """Large requests of a flood were placed before other customers."""
+        self.offer('soon', customer='a', deadline=1.0)
+        for number in range(4):
+            self.offer(
+                f'first{number}', customer='a', deadline=9.0, goes_first=True
+            )
+        self.offer('one', customer='b', deadline=9.0)
+        order = self.order()
+        self.assertIn('one', order[:2])
+        self.assertEqual('soon', order[-1])
+
     def test_turns_are_by_work_not_by_requests(self):
         for number in range(3):
             self.offer(f'big{number}', customer='a', cost=10.0)
