Losses: whether a request was answered is told in one place

The table by sizes repeated the check of outcome and status that `reason_of` makes for the table by time. It calls it now; the tests of both tables pass.

--- a/packages/burdockchute/burdockchute/operators/losses.py
+++ b/packages/burdockchute/burdockchute/operators/losses.py
@@ -162,10 +162,8 @@
         if fields.get('outcome') == CALLER_GONE:
             continue
         key = tuple(fields.get(n, '') for n in ('route', 'customer', 'tokens'))
-        requests[key] = requests.get(key, False) or (
-            fields.get('outcome') == ANSWERED
-            and fields.get('status', '').startswith('2')
-        )
+        is_served = reason_of(fields) == ANSWERED
+        requests[key] = requests.get(key, False) or is_served
     by_route: dict[str, list[tuple[Sizes, bool]]] = {}
     for (route, _customer, tokens), served in requests.items():
         sizes = _parse_sizes(tokens)
