Emulator, load bench: one function draws token counts

The distribution stood twice in the emulator, and the load bench's case of sizes wrote it a third time.

--- a/packages/burdockchute-testing/burdockchute_testing/benches/load.py
+++ b/packages/burdockchute-testing/burdockchute_testing/benches/load.py
@@ -32,6 +32,7 @@
 from burdockchute_testing.benches.load_traffic import Workload  # noqa: E402
 from burdockchute_testing.harness import System  # noqa: E402
 from burdockchute_testing.harness import wait_until  # noqa: E402
+from burdockchute_testing.token_counts import draw_token_count  # noqa: E402
 
 _emit = results.emitter('load')
 SEED = 1
@@ -343,9 +344,7 @@
     """
 
     def prompt(rng: random.Random) -> str:
-        words = max(
-            16, int(rng.gammavariate(1.5, 1 / 1.5) * MEAN_PROMPT_WORDS)
-        )
+        words = draw_token_count(rng, MEAN_PROMPT_WORDS, 16)
         return ' '.join(f'w{rng.random()}' for _ in range(words))
 
     for load in OVERLOAD_FACTORS:
--- a/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
+++ b/packages/burdockchute-testing/burdockchute_testing/emulator/site.py
@@ -40,6 +40,7 @@
 from burdockchute_testing.emulator.engines import Engine
 from burdockchute_testing.emulator.engines import Job
 from burdockchute_testing.emulator.engines import NETWORK_DELAY_S
+from burdockchute_testing.token_counts import draw_token_count
 
 SERVICE = 'drafts'
 MODEL = 'story'
@@ -102,12 +103,8 @@
         self.started_at = site.clock.now
         deadline_share = 1.0 - DEADLINE_SPREAD * rng.random()
         self.deadline = self.started_at + DEADLINE_S * deadline_share
-        self.prompt_tokens = max(
-            16, int(rng.gammavariate(1.5, 1 / 1.5) * shape.prompt_tokens)
-        )
-        self.answer_tokens = max(
-            5, int(rng.gammavariate(1.5, 1 / 1.5) * shape.answer_tokens)
-        )
+        self.prompt_tokens = draw_token_count(rng, shape.prompt_tokens, 16)
+        self.answer_tokens = draw_token_count(rng, shape.answer_tokens, 5)
         self.likely_tokens = int(shape.answer_tokens)
         if shape.hint_spread is not None:
             error = rng.lognormvariate(0.0, shape.hint_spread)
