Retries: the number of entries counted with, and each denial, are seen

Logs could not tell a wrong number of entries from spending that a restart forgot: no line had the number, a denied retry left none, and request_retried named no service. Now there are entries_counted, retry_denied, the service in request_retried and stream_interrupted, and the metrics burdockchute.retries (taken, denied), retries_left (by service) and entries_counted. No decision changes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -271,6 +271,17 @@
             '1',
             lambda: self.scheduler.hedged_count,
         )
+        metrics.register_gauge(
+            'burdockchute.entries_counted',
+            '1',
+            lambda: self.scheduler.entries,
+        )
+        metrics.register_gauges(
+            'burdockchute.retries_left',
+            '1',
+            'service',
+            lambda: self.scheduler.retry_budgets.balances(time.monotonic()),
+        )
         metrics.register_gauge(
             'burdockchute.cold_upstreams',
             '1',
--- a/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/exchange.py
@@ -309,6 +309,7 @@
         logs.event(
             'request_retried',
             request_id=sender.inbound.id,
+            service=service,
             upstream=slot.target.id,
             reason=attempt.reason,
             runs=sender.runs,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -181,6 +181,12 @@
         entries = self._entry_count.value
         if entries == before:
             return
+        logs.event(
+            'entries_counted',
+            entries=entries,
+            before=before,
+            reported=self._entry_count.reported,
+        )
         for target in self._targets.values():
             target.share_limit(entries, self._rng.random(), now)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from burdockchute import metrics
 from burdockchute.decisions import retries
 from burdockchute.model.machines import Bounds
 
@@ -20,6 +21,10 @@
         self._bounds = bounds
         self._entries = entries
         self._budgets: dict[str, retries.Budget] = {}
+        self._counts = metrics.meter().create_counter(
+            'burdockchute.retries',
+            description='retries that were taken from the budget or denied',
+        )
 
     def record_first_attempt(self, service: str, now: float) -> None:
         """Add a first attempt, which earns a share of a retry."""
@@ -38,6 +43,8 @@
         self._budgets[service], allowed = retries.spend(
             budget, now, policy, _reserved(policy, resuming)
         )
+        outcome = 'taken' if allowed else 'denied'
+        self._counts.add(1, {'service': service, 'outcome': outcome})
         return allowed
 
     def next_retry_in_s(
@@ -54,6 +61,12 @@
         """Return the balance of a service's budget."""
         return self._budget(service, now, self._policy()).balance
 
+    def balances(self, now: float) -> dict[str, float]:
+        """Return the balance of each service that has sent requests."""
+        return {
+            service: self.balance(service, now) for service in self._budgets
+        }
+
     def _policy(self) -> retries.BudgetPolicy:
         bounds = self._bounds()
         return retries.shared_policy(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -94,6 +94,11 @@
             lambda: self._known.bounds, lambda: self._known.max_entries
         )
 
+    @property
+    def entries(self) -> int:
+        """The number of entries that the allowed retries are divided by."""
+        return self._known.max_entries
+
     # Updates.
 
     def update(self, known_state: KnownState) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -208,6 +208,14 @@
                 service, now, self.pending.resuming
             )
             if now + next_s > deadline:
+                logs.event(
+                    'retry_denied',
+                    request_id=self.inbound.id,
+                    service=service,
+                    resuming=self.pending.resuming,
+                    retries_left=round(budgets.balance(service, now), 1),
+                    entries=self._deps.scheduler.entries,
+                )
                 return False
             gevent.sleep(next_s)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -497,6 +497,7 @@
             'stream_interrupted',
             logging.INFO,
             request_id=sender.inbound.id,
+            service=service,
             upstream=upstream,
             cause=cause,
             reason=reason,
--- a/packages/burdockchute/burdockchute/metrics.py
+++ b/packages/burdockchute/burdockchute/metrics.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import TypedDict
 
 from opentelemetry import metrics as otel
@@ -84,6 +85,20 @@
     meter().create_observable_gauge(name, callbacks=[observe], unit=unit)
 
 
+def register_gauges(
+    name: str, unit: str, label: str, read: Callable[[], Mapping[str, float]]
+) -> None:
+    """Call `read` whenever metrics are read, for a value by `label`."""
+
+    def observe(_options: otel.CallbackOptions) -> list[otel.Observation]:
+        return [
+            otel.Observation(value, {label: key})
+            for key, value in read().items()
+        ]
+
+    meter().create_observable_gauge(name, callbacks=[observe], unit=unit)
+
+
 def snapshot() -> list[Point]:
     """Return all points that this process has measured.
 
