Retries: all entries together stay within what operators allow, by construction

Callers and servers saw more arrivals beyond the first of each request than operators allow: each entry divided the allowance by the number of entries that agents reported, one before any report, and began each process with a full burst; its least share alone exceeded the allowance from 32 entries on.

The account no longer has a number of entries. An entry retries 0.4 of the allowed ratio of the first attempts that it sent itself in half a window, so the sum follows from the requests of two windows however they move. The extra retries are 16 leases of a service, held by records in the store that are written only by who knows all records before; a lease counts for others a window longer than its holder may use it, by their own clocks. A retry counts when it is sent, not when it is granted. Without the store nothing is leased.

Evidence: the test of six real entries without agents failed three of three times before (143 arrivals, 114 allowed) and passes.

test_retry_budgets: what was asked of a share by number is asked of leases. That an entry always has one retry is no longer so, as 400 of them exceed what is allowed; instead it retries what its requests earn.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -47,6 +47,7 @@
 from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import MemoryAccount
 from burdockchute_entry.straight.request_admission import ShutdownState
+from burdockchute_entry.straight.retry_leases_task import RetryLeasesTask
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.sending import Dependencies
 from burdockchute_entry.straight.store_probes import StoreProbes
@@ -154,6 +155,14 @@
             now,
             time.time,
         )
+        self.retry_leases = RetryLeasesTask(
+            adapter.open_retry_leases(machine.store),
+            self.scheduler.retry_budgets,
+            machine.name,
+            self.lifecycle.incarnation,
+            lambda entries: None,
+            now,
+        )
         self.agents = AgentsTask(
             Member(machine.name, 'entry', machine.address, 0, machine.place),
             self.lifecycle.hello,
@@ -361,6 +370,7 @@
             self.agents.run,
             self.crash_records.read_forever,
             self.crash_records.save_forever,
+            self.retry_leases.run,
             self._keep_assigning,
         ]
 
@@ -462,6 +472,7 @@
             )
             gevent.sleep(max(0.0, accept_until - started))
         self.shutdown_state = ShutdownState(True, False, exit_at)
+        gevent.spawn(self.retry_leases.leave)
         callers.finish(exit_at, self._refuse_late)
         unfinished = self.work.owed
         self.agents.close()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -90,13 +90,11 @@
             rng,
         )
         self._waiting = self._assigner.waiting
-        self.retry_budgets = RetryBudgets(
-            lambda: self._known.bounds, lambda: self._known.max_entries
-        )
+        self.retry_budgets = RetryBudgets(lambda: self._known.bounds)
 
     @property
     def entries(self) -> int:
-        """The number of entries that the allowed retries are divided by."""
+        """The number of entries that share limits, as known here."""
         return self._known.max_entries
 
     # Updates.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -51,6 +51,7 @@
 from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
+from burdockchute_entry.straight.retry_budgets import MAX_LEASE_WAIT_S
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.service_queues import PendingRequest
 from burdockchute_entry.straight.service_queues import RequestSpec
@@ -124,6 +125,10 @@
         # Whether an answer has been arriving for longer than a request that
         # crashes its upstream takes.
         self.has_outlasted = False
+        # Whether it was sent before, and when retries were taken for what is
+        # sent next.
+        self._was_sent = False
+        self._retries_taken: list[float] = []
         # Rejections of the remainder of an interrupted stream.
         self._rejections = 0
 
@@ -187,32 +192,37 @@
         if self._rejections >= retries.MAX_REJECTIONS:
             return False
         if isinstance(attempt, NotExecuted):
-            return not has_arrived or self._take_retry(wait_s)
+            return not has_arrived or self.take_retry(wait_s)
         if isinstance(attempt, Failed) and self.route.kind is Kind.STREAM:
             return False
         counted = self.runs - self.uncounted_runs
         again = self.route.may_repeat and counted < self.route.max_attempts
-        return again and self._take_retry(wait_s)
+        return again and self.take_retry(wait_s)
 
-    def _take_retry(self, wait_s: float) -> bool:
+    def take_retry(self, wait_s: float, is_move: bool = False) -> bool:
+        """Take a retry from the budget, for what is sent next.
+
+        Waits up to `wait_s` for the next one, and shortly for a lease. A move
+        leaves the retries that are reserved for started streams.
+        """
         budgets, service = (
             self._deps.scheduler.retry_budgets,
             self.pending.spec.service,
         )
-        deadline = self._deps.now() + wait_s
+        resuming = self.pending.resuming and not is_move
+        deadline = self._deps.now() + max(wait_s, MAX_LEASE_WAIT_S)
         while True:
             now = self._deps.now()
-            if budgets.take(service, now, self.pending.resuming):
+            if budgets.take(service, now, resuming):
+                self._retries_taken.append(now)
                 return True
-            next_s = budgets.next_retry_in_s(
-                service, now, self.pending.resuming
-            )
+            next_s = budgets.next_retry_in_s(service, now, resuming)
             if now + next_s > deadline:
                 logs.event(
                     'retry_denied',
                     request_id=self.inbound.id,
                     service=service,
-                    resuming=self.pending.resuming,
+                    resuming=resuming,
                     retries_left=round(budgets.balance(service, now), 1),
                     entries=self._deps.scheduler.entries,
                 )
@@ -333,10 +343,7 @@
             urgency=self.pending.urgency,
         )
         data = self._deps.adapter.encode_request(self.inbound, forwarded)
-        if self.sends == 1:
-            self._deps.scheduler.retry_budgets.record_first_attempt(
-                self.pending.spec.service, sent.sent_at
-            )
+        self._count_in_budget(sent.sent_at)
         self.runs += 1
         self._deps.crash_watch.begin(self.ctx)
         self.holding.take(Use.BODIES, len(data))
@@ -345,6 +352,15 @@
         finally:
             self.holding.give_back(Use.BODIES, len(data))
 
+    def _count_in_budget(self, now: float) -> None:
+        budgets = self._deps.scheduler.retry_budgets
+        service = self.pending.spec.service
+        if not self._was_sent:
+            self._was_sent = True
+            budgets.record_first_attempt(service, now)
+        elif self._retries_taken:
+            budgets.mark_sent(service, self._retries_taken.pop(0), now)
+
     def _is_own_answer(self, status: int, headers: HeaderList) -> bool:
         # A late answer to an earlier request may arrive on a reused
         # connection. A rejection may lack the request id; a success always
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -361,8 +361,7 @@
         )
         if slot is None:
             return
-        service = sender.pending.spec.service
-        if not self._deps.scheduler.retry_budgets.take(service, now):
+        if not sender.take_retry(0.0, is_move=True):
             self._deps.scheduler.release(sender.pending, slot)
             return
         self._may_move = False
--- a/packages/burdockchute-entry/tests/test_scheduler.py
+++ b/packages/burdockchute-entry/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from burdockchute.decisions import retry_leases
 from burdockchute.decisions.engine_placement import EngineView
 from burdockchute.decisions.engine_speed import SpeedUse
 from burdockchute.decisions.listing import KnownUpstream
@@ -481,6 +482,9 @@
             Scheduler(bounds, lambda: now, random.Random(n))
             for n in range(self.ENTRIES)
         ]
+        for scheduler in entries[: retry_leases.LEASES]:
+            leases = scheduler.retry_budgets.own_leases
+            leases.grant({'drafts': 1}, retry_leases.LEASE_S)
         retried_at = []
         for step in range(2000):
             now = step / 100
--- a/packages/burdockchute/burdockchute/adapters.py
+++ b/packages/burdockchute/burdockchute/adapters.py
@@ -27,6 +27,7 @@
 from burdockchute.model.exchanges import InboundRequest
 from burdockchute.model.feeds import CrashRecords
 from burdockchute.model.feeds import Feeds
+from burdockchute.model.feeds import RetryLeases
 from burdockchute.model.findings import Finding
 from burdockchute.model.findings import not_one_of
 from burdockchute.model.machines import Machine
@@ -87,6 +88,7 @@
     read_machine: Callable[[str], Result[Machine, list[Finding]]]
     open_feeds: Callable[[Endpoint], Feeds]
     open_crash_records: Callable[[Endpoint], CrashRecords]
+    open_retry_leases: Callable[[Endpoint], RetryLeases]
     decode_request: Callable[[str, str, HeaderList], InboundRequest]
     encode_request: Callable[[InboundRequest, ForwardedRequest], bytes]
     encode_health_check: Callable[[str, str], bytes]
--- a/packages/burdockchute/burdockchute/decisions/retries.py
+++ b/packages/burdockchute/burdockchute/decisions/retries.py
@@ -6,7 +6,8 @@
 
 So each retry is taken from a balance, which first attempts and time refill. A
 request that an agent certainly did not run has cost no upstream anything and
-takes no retry from the balance.
+takes no retry from the balance. Each entry has such a budget of its own. Where
+operators limit the retries of all entries together, `retry_allowance` decides.
 """
 
 from __future__ import annotations
@@ -26,11 +27,6 @@
 # recover by first attempts alone.
 REFILL_INTERVAL_S = 10.0
 
-# Retries reserved for started streams: a crash breaks off streams and fails
-# new requests at the same moment, and the new requests that retry first would
-# take every retry.
-MAX_RESERVED = 1.0
-
 MAX_ATTEMPTS = 3
 
 # Bounds the attempts of a request in a pool where no instance accepts it.
@@ -51,27 +47,6 @@
 
 DEFAULT_POLICY = BudgetPolicy()
 
-# Share of the allowance that is used: the number of entries that an entry
-# knows lags when others join or leave.
-USED_SHARE = 0.6
-
-
-def shared_policy(
-    ratio: float, extra: float, window_s: float, entries: int
-) -> BudgetPolicy:
-    """Return the policy of one entry, where all entries share an allowance.
-
-    In each window all entries together may make `extra` retries and `ratio` of
-    the requests. A burst and the refill over the window each get half of the
-    entry's share of `extra`, so that no window exceeds that share.
-
-    >>> shared_policy(0.2, 100.0, 10.0, 5)
-    BudgetPolicy(earned=0.12, burst=6.0, refill_interval_s=1.6666666666666667)
-    """
-    share = USED_SHARE * extra / max(1, entries)
-    burst = max(1.0, share / 2)
-    return BudgetPolicy(USED_SHARE * ratio, burst, window_s / burst)
-
 
 class Budget(NamedTuple):
     """The balance of retries as of the time `at`."""
@@ -97,47 +72,18 @@
     budget: Budget,
     now: float,
     policy: BudgetPolicy = DEFAULT_POLICY,
-    reserved: float = 0.0,
 ) -> tuple[Budget, bool]:
-    """Take one retry, if the balance allows it beyond what is reserved.
+    """Take one retry, if the balance allows it.
 
     >>> spend(Budget(1.0, 0.0), 0.0)
     (Budget(balance=0.0, at=0.0), True)
-    >>> spend(Budget(1.5, 0.0), 0.0, reserved=1.0)
-    (Budget(balance=1.5, at=0.0), False)
     """
     filled = _fill(budget, now, policy)
-    if filled.balance < 1.0 + reserved:
+    if filled.balance < 1.0:
         return filled, False
     return Budget(filled.balance - 1.0, now), True
 
 
-def reserved_for_started(policy: BudgetPolicy) -> float:
-    """Return the retries that are reserved for started streams.
-
-    At least one retry remains for new requests.
-
-    >>> reserved_for_started(BudgetPolicy(burst=6.0))
-    1.0
-    >>> reserved_for_started(BudgetPolicy(burst=1.5))
-    0.5
-    """
-    return min(MAX_RESERVED, policy.burst - 1.0)
-
-
-def next_retry_in_s(
-    budget: Budget, now: float, policy: BudgetPolicy, reserved: float = 0.0
-) -> float:
-    """Return the seconds until time alone refills a retry beyond `reserved`.
-
-    >>> policy = BudgetPolicy(refill_interval_s=2.0)
-    >>> next_retry_in_s(Budget(0.5, 0.0), 0.0, policy)
-    1.0
-    """
-    missing = 1.0 + reserved - _fill(budget, now, policy).balance
-    return max(0.0, missing) * policy.refill_interval_s
-
-
 def _fill(budget: Budget, now: float, policy: BudgetPolicy) -> Budget:
     refilled = max(0.0, now - budget.at) / policy.refill_interval_s
     return Budget(min(policy.burst, budget.balance + refilled), now)
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -18,6 +18,7 @@
 
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.positions import Position
+from burdockchute.model.retry_leases import LeasesHeld
 from burdockchute.model.routes import Configuration
 from burdockchute.model.upstreams import UpstreamListed
 from burdockchute.model.upstreams import UpstreamUnlisted
@@ -144,9 +145,12 @@
     | UpstreamListed
     | UpstreamUnlisted
     | CrashRecord
+    | LeasesHeld
     | UnreadableRecord
 )
 
+LeaseRecord = LeasesHeld | RecordRemoved
+
 
 class Batch(NamedTuple):
     """Changes in order; the next read continues at `position`."""
@@ -210,3 +214,14 @@
     read: ReadFeed
     save: Callable[[Sequence[CrashRecord]], bool]
     claim: Callable[[Sequence[CrashRecord], Position], ClaimResult]
+
+
+class RetryLeases(NamedTuple):
+    """The leases of retries that entries hold, kept by the platform.
+
+    `claim` stores records only if nothing was stored since the position of a
+    read.
+    """
+
+    read: ReadFeed
+    claim: Callable[[Sequence[LeaseRecord], Position], ClaimResult]
