Limits: the number of entries is also counted in the store

Named limits of servers, cold servers and draws of slots divide by the number of entries that agents report. In a cut agents report those of their side, and an entry that no agent reports to took the whole share in draws. Entries have records in the store since the leases of retries: the higher of both numbers counts now, and 8 are assumed where neither is known, in draws too. The new test failed before (no such number). Too low only where agents and the store both name too few: more than 8 entries at their first start.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -160,7 +160,7 @@
             self.scheduler.retry_budgets,
             machine.name,
             self.lifecycle.incarnation,
-            lambda entries: None,
+            self.scheduler.set_registered_entries,
             now,
         )
         self.agents = AgentsTask(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -36,7 +36,8 @@
 
     `entries` is the number of entries that share them, as an agent reported
     last. An agent that has just started is linked to few of them, so it may be
-    too low; `max_entries` is the highest number that was reported lately.
+    too low; `max_entries` is the one that limits are divided by, and is too
+    low only where both agents and the store name too few.
     `regions` maps availability zones to their regions. `state` has the routes,
     versions and evacuations in force.
     """
@@ -67,8 +68,8 @@
 
     @property
     def max_entries(self) -> int:
-        """The highest number of entries that agents reported lately."""
-        return max(1, self._entry_count.reported)
+        """The number of entries, from agents and the store."""
+        return self._entry_count.value
 
     # Updates.
 
@@ -175,9 +176,18 @@
             self._take_report(target, report, now)
         return {target.upstream.service for target in known}
 
+    def set_registered_entries(self, entries: int, now: float) -> None:
+        """Apply the number of entries that have records in the store."""
+        before = self._entry_count.value
+        self._entry_count.registered = entries
+        self._on_entries_counted(before, now)
+
     def _count_entries(self, now: float) -> None:
         before = self._entry_count.value
         self._entry_count.record(self.entries, now)
+        self._on_entries_counted(before, now)
+
+    def _on_entries_counted(self, before: int, now: float) -> None:
         entries = self._entry_count.value
         if entries == before:
             return
@@ -186,6 +196,7 @@
             entries=entries,
             before=before,
             reported=self._entry_count.reported,
+            registered=self._entry_count.registered,
         )
         for target in self._targets.values():
             target.share_limit(entries, self._rng.random(), now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -97,6 +97,10 @@
         """The number of entries that share limits, as known here."""
         return self._known.max_entries
 
+    def set_registered_entries(self, entries: int) -> None:
+        """Apply the number of entries that have records in the store."""
+        self._known.set_registered_entries(entries, self._now())
+
     # Updates.
 
     def update(self, known_state: KnownState) -> None:
--- a/packages/burdockchute/burdockchute/decisions/backpressure.py
+++ b/packages/burdockchute/burdockchute/decisions/backpressure.py
@@ -64,10 +64,13 @@
     Each agent reports how many entries are linked to it. An agent that has
     just started, or is cut off from some entries, reports fewer than there
     are. Those that it lacks still send to upstreams, so the highest number
-    that any agent reported lately counts.
+    that any agent reported lately counts. `registered` is the number that the
+    store names, 0 before it was read: it outlives the start of an entry and
+    the loss of agents. The higher of the two counts.
     """
 
     def __init__(self) -> None:
+        self.registered = 0
         self._earlier_max = 0
         self._max = 0
         self._since = float('-inf')
@@ -75,7 +78,10 @@
     @property
     def value(self) -> int:
         """The number of entries."""
-        return self.reported or ASSUMED_ENTRIES
+        if not self.reported and self.registered <= 1:
+            # One that has just started may be the first that is registered.
+            return ASSUMED_ENTRIES
+        return max(self.reported, self.registered)
 
     @property
     def reported(self) -> int:
--- a/packages/burdockchute/tests/decisions/test_backpressure.py
+++ b/packages/burdockchute/tests/decisions/test_backpressure.py
@@ -126,6 +126,15 @@
     def setUp(self):
         self.count = EntryCount()
 
+    def test_entries_in_the_store_count_where_agents_know_fewer(self):
+        """Each side of a cut, and an entry without agents, took too much."""
+        self.count.registered = 6
+        self.assertEqual(6, self.count.value)
+        self.count.record(2, 0.0)
+        self.assertEqual(6, self.count.value)
+        self.count.record(8, 1.0)
+        self.assertEqual(8, self.count.value)
+
     def test_an_agent_that_has_just_started_does_not_lower_it(self):
         """It reports the first entry that is linked to it, and no other."""
         self.count.record(6, 0.0)
