Answers: a head that can't be parsed is no answer to HEAD after an interim one

Reported by operators of other systems: a server stopped within its answer's head, and clients got a 200 with an empty body that looked whole. Connections parse without the library's restoring; calls fail where it has restored.

--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -109,6 +109,11 @@
         response.release()
         client.close()
 
+    if response._trailing_data_dropped:
+        # The library takes a head that can't be parsed for the end of an
+        # answer to HEAD, if an interim answer came before it.
+        close()
+        raise AnswerFailed('no answer in the protocol')
     return Reply(
         response.status_code,
         str(response.get('content-type', '')),
--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -116,6 +116,14 @@
     def is_complete(self) -> bool:
         return self.message_complete and self.has_head
 
+    def feed(self, data: str | bytes) -> None:
+        """Parse more bytes; raises HTTPParseError.
+
+        The library's own takes a head that can't be parsed for the end of an
+        answer to HEAD, if an interim answer came before it.
+        """
+        super(responses.HTTPResponse, self).feed(data)
+
     def pop_body(self) -> bytes:
         data = bytes(self._body_buffer)
         del self._body_buffer[:]
