Retries: first attempts are forgotten as they age, conflicting claims are spread

An entry whose requests never failed kept the time of each of them. Entries that start together wait for random times between claims that conflict.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -162,6 +162,7 @@
             self.lifecycle.incarnation,
             self.scheduler.set_registered_entries,
             now,
+            rng,
         )
         self.agents = AgentsTask(
             Member(machine.name, 'entry', machine.address, 0, machine.place),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -51,7 +51,7 @@
 
     def record_first_attempt(self, service: str, now: float) -> None:
         """Add a first attempt, which earns a share of a retry."""
-        self._account(service).record_first(now)
+        self._account(service).record_first(now, self._policy())
         if not self.own_leases.count(service, now):
             self._ask_for_lease(service, now)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import random
 
 import gevent
 from gevent import event
@@ -26,6 +27,7 @@
 
 # Other entries may write between a read and a claim.
 MAX_CLAIMS = 6
+CONFLICT_S = 0.01
 MAX_EXPIRED_PER_CLAIM = 50
 
 # After a failed call.
@@ -46,7 +48,9 @@
         incarnation: str,
         on_entries: Callable[[int], None],
         now: Callable[[], float],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._leases = leases
         self._budgets = budgets
         self._own = LeasesHeld(entry, incarnation, {})
@@ -108,7 +112,7 @@
             if result is not ClaimResult.OUTDATED:
                 self._paused_until = self._now() + RETRY_S
                 return
-            gevent.sleep(0.005 * attempt)
+            gevent.sleep(self._rng.uniform(0, CONFLICT_S * 2**attempt))
         self._paused_until = self._now() + RETRY_S
 
     def _read(self) -> bool:
--- a/packages/burdockchute/burdockchute/decisions/retry_allowance.py
+++ b/packages/burdockchute/burdockchute/decisions/retry_allowance.py
@@ -17,10 +17,9 @@
 A retry counts from when it is sent. It is granted before it waits for a slot,
 and its time is moved then.
 
->>> account = Account()
->>> policy = Policy(ratio=0.2, window_s=10.0)
+>>> account, policy = Account(), Policy(ratio=0.2, window_s=10.0)
 >>> for _ in range(13):
-...     account.record_first(0.0)
+...     account.record_first(0.0, policy)
 >>> account.take(1.0, policy, leased=0.0), account.take(1.0, policy, 0.0)
 (True, False)
 >>> account.take(1.0, policy, leased=2.0)
@@ -67,8 +66,9 @@
         self._earned: list[float] = []
         self._leased: list[float] = []
 
-    def record_first(self, now: float) -> None:
+    def record_first(self, now: float, policy: Policy) -> None:
         """Record that a first attempt is sent."""
+        self._forget(now, policy)
         self._firsts.append(now)
 
     def is_active(self, now: float, policy: Policy) -> bool:
--- a/packages/burdockchute/tests/decisions/retry_simulation.py
+++ b/packages/burdockchute/tests/decisions/retry_simulation.py
@@ -80,7 +80,7 @@
         self._denied = False
 
     def record_first(self, now: float) -> None:
-        self._account.record_first(now)
+        self._account.record_first(now, self._scene.policy)
 
     def take(self, now: float) -> bool:
         scene = self._scene
