Retries: a claim that conflicts keeps what was asked for

After a conflict the second try of a claim wanted no more leases than before, and keys of expired records were forgotten before a write removed them. An exit is written by the loop that writes all else, so that nothing overwrites it.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -473,7 +473,7 @@
             )
             gevent.sleep(max(0.0, accept_until - started))
         self.shutdown_state = ShutdownState(True, False, exit_at)
-        gevent.spawn(self.retry_leases.leave)
+        self.retry_leases.leave()
         callers.finish(exit_at, self._refuse_late)
         unfinished = self.work.owed
         self.agents.close()
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -126,18 +126,8 @@
         )
 
     def changes_leases(self, wanted: Mapping[str, int], now: float) -> bool:
-        """Whether `wanted` differs from what is held, or is to be renewed.
-
-        A service that gets no more although it is short does not ask again
-        for a while.
-        """
+        """Whether `wanted` differs from what is held, or is to be renewed."""
         own = self.own_leases
-        for service, count in wanted.items():
-            if count == 0 or (
-                service in self._short and count <= own.count(service, now)
-            ):
-                self._none_free_until[service] = now + NONE_FREE_S
-        self._short.clear()
         return any(
             count != own.count(service, now)
             or count
@@ -145,6 +135,18 @@
             for service, count in wanted.items()
         )
 
+    def settle(self, wanted: Mapping[str, int], now: float) -> None:
+        """Record that services get `wanted` leases, before they are granted.
+
+        One that gets no more although it is short does not ask again for a
+        while.
+        """
+        for service, count in wanted.items():
+            held = self.own_leases.count(service, now)
+            if count == 0 or service in self._short and count <= held:
+                self._none_free_until[service] = now + NONE_FREE_S
+        self._short.clear()
+
     def _ask_for_lease(self, service: str, now: float) -> None:
         if self.on_short is None:
             return
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
@@ -58,6 +58,8 @@
         self._now = now
         self._cursor = Cursor()
         self._register = Register()
+        # Keys of records that the next claim removes.
+        self._expired: list[str] = []
         self._woken = event.Event()
         self._written_at = float('-inf')
         self._read_interval_s = FIRST_READ_INTERVAL_S
@@ -80,13 +82,13 @@
             self._budgets.is_leasing = False
 
     def leave(self) -> None:
-        """Write that this process exits; its leases expire by themselves."""
-        listed = self._budgets.own_leases.listed(
-            {}, self._now(), self._budgets.window_s
-        )
-        record = self._own._replace(leases=listed, is_leaving=True)
-        if self._read() and self._cursor.position is not None:
-            self._leases.claim([record], self._cursor.position)
+        """Write soon that this process exits.
+
+        It uses its leases until its last request ends.
+        """
+        self._own = self._own._replace(is_leaving=True)
+        self._written_at = float('-inf')
+        self._woken.set()
 
     def _is_write_due(self, now: float) -> bool:
         return self._is_presence_due(now) or any(
@@ -158,22 +160,22 @@
         }
         if not budgets.changes_leases(wanted, now):
             if not self._is_presence_due(now):
+                budgets.settle(wanted, now)
                 return None
-        expired = self._register.expire(now, window_s)
+        self._expired += self._register.expire(now, window_s)
+        expired = self._expired[:MAX_EXPIRED_PER_CLAIM]
         listed = budgets.own_leases.listed(wanted, now, window_s)
         record = self._own._replace(leases=listed)
         records: list[LeaseRecord] = [
             record,
-            *(
-                RecordRemoved(key)
-                for key in expired[:MAX_EXPIRED_PER_CLAIM]
-                if key != self._own.key
-            ),
+            *(RecordRemoved(key) for key in expired if key != record.key),
         ]
         assert self._cursor.position is not None
         result = self._leases.claim(records, self._cursor.position)
         if result is ClaimResult.SAVED:
             self._written_at = now
+            del self._expired[: len(expired)]
+            budgets.settle(wanted, now)
             budgets.own_leases.grant(wanted, now)
             logs.event(
                 'retries_leased',
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -51,6 +51,7 @@
 from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
+from burdockchute_entry.straight.retry_budgets import LEASE_POLL_S
 from burdockchute_entry.straight.retry_budgets import MAX_LEASE_WAIT_S
 from burdockchute_entry.straight.scheduler import Scheduler
 from burdockchute_entry.straight.service_queues import PendingRequest
@@ -227,7 +228,7 @@
                     entries=self._deps.scheduler.entries,
                 )
                 return False
-            gevent.sleep(next_s)
+            gevent.sleep(max(next_s, LEASE_POLL_S))
 
     # Dispatch.
 
