--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
@@ -26,7 +26,7 @@
 TICK_S = 0.5
 
 # Other entries may write between a read and a claim.
-MAX_CLAIMS = 6
+MAX_CLAIMS = 10
 CONFLICT_S = 0.01
 MAX_EXPIRED_PER_CLAIM = 50
 
@@ -132,10 +132,11 @@
         self._cursor.advance(batch.position)
         for change in batch.changes:
             self._apply(change, now)
-        self._next_read_at = now + self._read_interval_s
-        self._read_interval_s = min(
-            2 * self._read_interval_s, retry_leases.PRESENCE_INTERVAL_S
-        )
+        if now >= self._next_read_at:
+            self._next_read_at = now + self._read_interval_s
+            self._read_interval_s = min(
+                2 * self._read_interval_s, retry_leases.PRESENCE_INTERVAL_S
+            )
         self._on_entries(self._register.entries(self._own.entry, now))
         return True
 
