Retries: hedges don't wait for a lease, denials are counted once

Each look at the budget while a caller waited counted as a denial, and a stream that can't be moved yet logged one with each event.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -66,10 +66,14 @@
         allowed = account.take(now, policy, leased, resuming)
         if account.left(now, policy, leased) < FEW_LEFT:
             self._ask_for_lease(service, now)
-        outcome = 'taken' if allowed else 'denied'
-        self._counts.add(1, {'service': service, 'outcome': outcome})
+        if allowed:
+            self._counts.add(1, {'service': service, 'outcome': 'taken'})
         return allowed
 
+    def record_denied(self, service: str) -> None:
+        """Count a retry that was wanted and not allowed."""
+        self._counts.add(1, {'service': service, 'outcome': 'denied'})
+
     def mark_sent(self, service: str, taken_at: float, now: float) -> None:
         """Count a retry that was taken earlier from now on."""
         self._account(service).mark_sent(taken_at, now)
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -178,11 +178,11 @@
     def may_retry(
         self,
         attempt: NotExecuted | OutcomeUnknown | Failed,
-        wait_s: float = 0.0,
+        wait_s: float = MAX_LEASE_WAIT_S,
     ) -> bool:
         """Whether another attempt is allowed; takes it from the retry budget.
 
-        Waits for the next retry if the budget earns one within `wait_s`.
+        Waits for the next retry if the budget has one within `wait_s`.
         """
         if self.sends >= retries.MAX_PLACEMENTS:
             return False
@@ -203,22 +203,27 @@
     def take_retry(self, wait_s: float, is_move: bool = False) -> bool:
         """Take a retry from the budget, for what is sent next.
 
-        Waits up to `wait_s` for the next one, and shortly for a lease. A move
-        leaves the retries that are reserved for started streams.
+        Waits up to `wait_s` for the next one. A move leaves the retries that
+        are reserved for started streams, and may be tried again soon.
         """
         budgets, service = (
             self._deps.scheduler.retry_budgets,
             self.pending.spec.service,
         )
         resuming = self.pending.resuming and not is_move
-        deadline = self._deps.now() + max(wait_s, MAX_LEASE_WAIT_S)
+        deadline = self._deps.now() + wait_s
         while True:
             now = self._deps.now()
             if budgets.take(service, now, resuming):
                 self._retries_taken.append(now)
                 return True
-            next_s = budgets.next_retry_in_s(service, now, resuming)
+            next_s = max(
+                LEASE_POLL_S, budgets.next_retry_in_s(service, now, resuming)
+            )
             if now + next_s > deadline:
+                if is_move:
+                    return False
+                budgets.record_denied(service)
                 logs.event(
                     'retry_denied',
                     request_id=self.inbound.id,
@@ -228,7 +233,7 @@
                     entries=self._deps.scheduler.entries,
                 )
                 return False
-            gevent.sleep(max(next_s, LEASE_POLL_S))
+            gevent.sleep(next_s)
 
     # Dispatch.
 
@@ -556,7 +561,8 @@
         if slot is None:
             self.pending.avoided.discard(target.id)
             return None
-        if not self.may_retry(OutcomeUnknown('the upstream is slow')):
+        slow = OutcomeUnknown('the upstream is slow')
+        if not self.may_retry(slow, wait_s=0.0):
             self._deps.scheduler.release(self.pending, slot)
             self.pending.avoided.discard(target.id)
             return None
--- a/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/streams.py
@@ -37,6 +37,7 @@
 from burdockchute_entry.straight.handover import NoContinuation
 from burdockchute_entry.straight.handover import StreamRun
 from burdockchute_entry.straight.replies import StreamBroken
+from burdockchute_entry.straight.retry_budgets import MAX_LEASE_WAIT_S
 from burdockchute_entry.straight.sending import Dependencies
 from burdockchute_entry.straight.sending import Sender
 from burdockchute_entry.straight.service_queues import Slot
@@ -361,7 +362,7 @@
         )
         if slot is None:
             return
-        if not sender.take_retry(0.0, is_move=True):
+        if not sender.take_retry(MAX_LEASE_WAIT_S, is_move=True):
             self._deps.scheduler.release(sender.pending, slot)
             return
         self._may_move = False
