--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
@@ -71,6 +72,11 @@
         """The number of entries, from agents and the store."""
         return self._entry_count.value
 
+    @property
+    def services(self) -> Collection[str]:
+        """The services that have targets."""
+        return self._by_service.keys()
+
     # Updates.
 
     def update(self, known_state: KnownState, now: float) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_budgets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from burdockchute import metrics
@@ -21,16 +22,25 @@
 
 # How long an entry that got no more leases waits before it asks again.
 NONE_FREE_S = 3.0
+# So much longer while it sends nothing to the service.
+IDLE_NONE_FREE_S = 27.0
 
 
 class RetryBudgets:
     """One budget per service: what the entry earns, and what it leases.
 
+    `services` returns those that requests may be sent to, of which leases are
+    held before the first request: the store may be away when it comes.
     `on_short` is called when a service has few retries left, and its leases
     may be raised. `is_leasing` is set until that has been tried.
     """
 
-    def __init__(self, bounds: Callable[[], Bounds]) -> None:
+    def __init__(
+        self,
+        bounds: Callable[[], Bounds],
+        services: Callable[[], Iterable[str]] = lambda: (),
+    ) -> None:
+        self._services = services
         self.own_leases = OwnLeases()
         self.on_short: Callable[[], None] | None = None
         self.is_leasing = False
@@ -102,18 +112,22 @@
 
     # Leases.
 
-    def active_services(self, now: float) -> list[str]:
-        """Return the services that requests were sent to lately."""
-        policy = self._policy()
-        return [
-            service
-            for service, account in self._accounts.items()
-            if account.is_active(now, policy)
-        ]
+    def leasing_services(self, now: float) -> set[str]:
+        """Return the services of which leases should be held."""
+        active = {
+            name for name in self._accounts if self._is_active(name, now)
+        }
+        return active.union(self._services())
+
+    def _is_active(self, service: str, now: float) -> bool:
+        account = self._accounts.get(service)
+        return account is not None and account.is_active(now, self._policy())
 
     def needs_lease(self, service: str, now: float) -> bool:
         """Whether leases of a service should be claimed or renewed."""
-        if now < self._none_free_until.get(service, 0.0):
+        if now < self._none_free_until.get(service, float('-inf')) + (
+            0.0 if self._is_active(service, now) else IDLE_NONE_FREE_S
+        ):
             return False
         valid_s = self.own_leases.valid_s(service, now)
         return valid_s < retry_leases.RENEW_S or service in self._short
--- a/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/retry_leases_task.py
@@ -93,7 +93,7 @@
     def _is_write_due(self, now: float) -> bool:
         return self._is_presence_due(now) or any(
             self._budgets.needs_lease(service, now)
-            for service in self._budgets.active_services(now)
+            for service in self._budgets.leasing_services(now)
         )
 
     def _is_presence_due(self, now: float) -> bool:
@@ -157,7 +157,7 @@
                 self._register.taken(service, self._own.key, now, window_s),
                 now,
             )
-            for service in budgets.active_services(now)
+            for service in budgets.leasing_services(now)
         }
         if not budgets.changes_leases(wanted, now):
             if not self._is_presence_due(now):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -90,7 +90,9 @@
             rng,
         )
         self._waiting = self._assigner.waiting
-        self.retry_budgets = RetryBudgets(lambda: self._known.bounds)
+        self.retry_budgets = RetryBudgets(
+            lambda: self._known.bounds, lambda: self._known.services
+        )
 
     @property
     def entries(self) -> int:
