Crashes: a part is judged though the requests of its crashes were answered

Where every request of the crashes of a part was answered since and the part was not, the judgement of an entry ended with ValueError: max() arg is an empty sequence, and nothing was refused by it.

--- a/packages/burdockchute/burdockchute/decisions/crash_evidence.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_evidence.py
@@ -315,9 +315,12 @@
             evidence = self._against_part(part, unexplained)
             if evidence is not None:
                 position = max(
-                    candidate.positions.get(part, 0)
-                    for crash in unexplained
-                    for candidate in crash.requests.values()
+                    (
+                        candidate.positions.get(part, 0)
+                        for crash in unexplained
+                        for candidate in crash.requests.values()
+                    ),
+                    default=0,
                 )
                 is_new = part not in self._answered
                 yield (evidence.crashes, is_new, position), evidence
--- a/packages/burdockchute/tests/decisions/test_crash_causes.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -194,3 +194,15 @@
             item for item in running if item[0] > now >= down_until[item[1]]
         ]
     return refused
+
+
+class AnsweredRequestsTest(unittest.TestCase):
+    def test_a_part_is_judged_though_its_requests_were_answered(self):
+        """The judgement failed if no request of the crashes was a candidate."""
+        crashes = [
+            crash_evidence.Crash(float(at), {}, frozenset({'a1'}))
+            for at in range(8)
+        ]
+        evidence = crash_evidence.CrashEvidence(crashes, frozenset(), (), 8)
+        found = [found.name for _rank, found in evidence.against_parts()]
+        self.assertEqual(['a1'], found)
