--- a/packages/burdockchute/tests/decisions/test_crash_causes.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -198,7 +198,7 @@
 
 class AnsweredRequestsTest(unittest.TestCase):
     def test_a_part_is_judged_though_its_requests_were_answered(self):
-        """The judgement failed if no request of the crashes was a candidate."""
+        """The judgement failed if no request of a crash was a candidate."""
         crashes = [
             crash_evidence.Crash(float(at), {}, frozenset({'a1'}))
             for at in range(8)
