--- a/packages/burdockchute/tests/decisions/retry_simulation.py
+++ b/packages/burdockchute/tests/decisions/retry_simulation.py
@@ -12,6 +12,7 @@
 from burdockchute.decisions.retry_allowance import Policy
 from burdockchute.decisions.retry_leases import OwnLeases
 from burdockchute.decisions.retry_leases import Register
+from burdockchute.decisions.retry_leases import RENEW_S
 from burdockchute.model.retry_leases import LeasesHeld
 
 SERVICE = 'drafts'
@@ -98,7 +99,7 @@
         if not self._account.is_active(now, self._scene.policy):
             return
         window_s = self._scene.policy.window_s
-        if self._leases.valid_s(SERVICE, now) > 10 and not self._denied:
+        if self._leases.valid_s(SERVICE, now) > RENEW_S and not self._denied:
             return
         others = self._register.taken(SERVICE, self._own.key, now, window_s)
         wanted = {
@@ -146,23 +147,23 @@
         if any(step == int(at / STEP_S) for at in scene.moves):
             weights = [rng.random() ** 4 for _ in entries]
         lost = max((s for b, e, s in scene.cuts if b <= now < e), default=0.0)
+        first_linked = lost * scene.entries
         for n, entry in enumerate(entries):
-            if n >= lost * scene.entries and rng.random() < 0.5:
+            if n >= first_linked and rng.random() < 0.5:
                 entry.use_store(store, now)
         failing = max(
             (s for b, e, s in scene.waves if b <= now < e), default=0
         )
         arriving = scene.per_s * STEP_S
         for _ in range(int(arriving) + (rng.random() < arriving % 1)):
-            entry = rng.choices(entries, weights)[0]
+            n = rng.choices(range(scene.entries), weights)[0]
+            entry = entries[n]
             firsts.append(now)
             entry.record_first(now)
             if rng.random() < failing:
                 failed += 1
                 is_retried = entry.take(now)
-                if not is_retried and entries.index(entry) >= lost * len(
-                    entries
-                ):
+                if not is_retried and n >= first_linked:
                     # The caller waits for a lease.
                     entry.use_store(store, now)
                     is_retried = entry.take(now)
