Callers: no connection is served without letting other tasks run

What callers saw: one client with a body in chunks of one byte, or a few with pipelined requests, and the entry answered nobody else: heartbeats, store and health checks stood still.

Cause: reads of bytes that have been received don't wait in gevent, so the task of a connection never gave way while there were more.

Fix: the one reader of requests counts bytes and requests of its connection, and gives way after 64 KiB and after 4 requests. A waiting connection may be closed, so it gives way before it waits, not while it does.

--- a/packages/burdockchute/burdockchute/callers/request_reader.py
+++ b/packages/burdockchute/burdockchute/callers/request_reader.py
@@ -12,12 +12,17 @@
 from typing import Any
 from typing import NamedTuple
 
+import gevent
 import httptools
 
 # What one read of a connection may return; it is held if requests are sent in
 # a row.
 RECEIVE_BYTES = 8 * 1024
-BODY_READ_BYTES = 64 * 1024
+
+# Bytes of a connection after which other tasks run, also if more have been
+# received, and requests, also if their answers needed no waiting.
+TURN_BYTES = 64 * 1024
+TURN_REQUESTS = 4
 
 MAX_HEADERS = 100
 VERSIONS = ('1.0', '1.1')
@@ -72,6 +77,9 @@
         self.closed = False
         self._sock = sock
         self._held = bytearray()
+        # What was read since other tasks could run.
+        self._turn_bytes = 0
+        self._turn_requests = 0
         self._chunks: _Message | None = None
         self._decoded = bytearray()
         self._framing_bytes = 0
@@ -87,6 +95,12 @@
         self.closed = True
         self._drop(len(self._held))
 
+    def begin_request(self) -> None:
+        """Let other tasks run after some requests of this connection."""
+        self._turn_requests += 1
+        if self._turn_requests >= TURN_REQUESTS:
+            self._give_way()
+
     def wait(self) -> bool:
         """Wait for a request; False if the connection was closed."""
         return bool(self._held) or self._receive(RECEIVE_BYTES)
@@ -145,9 +159,10 @@
             data = bytes(self._held[:count])
             self._drop(len(data))
             return data
-        data = self._sock.recv(min(count, BODY_READ_BYTES))
+        data = self._sock.recv(min(count, TURN_BYTES))
         if not data:
             raise BrokenBody('closed within a body')
+        self._count_turn(len(data))
         return data
 
     def read_chunks(self, count: int) -> bytes:
@@ -240,11 +255,21 @@
         if not data:
             return False
         self._held += data
+        self._count_turn(len(data))
         return True
 
     def _drop(self, count: int) -> None:
         del self._held[:count]
 
+    def _count_turn(self, count: int) -> None:
+        self._turn_bytes += count
+        if self._turn_bytes >= TURN_BYTES:
+            self._give_way()
+
+    def _give_way(self) -> None:
+        self._turn_bytes = self._turn_requests = 0
+        gevent.sleep(0)
+
 
 class _Message:
     """Receives the parts of one request from the parser."""
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -370,6 +370,9 @@
         return None
 
     def _wait_for_request(self, limits: RequestLimits) -> bool:
+        # Before it waits: a connection that waits may be closed, and the
+        # reader may hold a request already.
+        self.rfile.begin_request()
         try:
             with (
                 self.server.waiting(self.socket),
