Callers: connections, heads and unread bytes have limits together

What callers saw: clients that connect and send nothing took all descriptors of an entry. Ordinary callers were not accepted, and the entry could reach neither its store nor its upstreams.

Cause: nothing bounded connections, the sum of begun heads, or what the system buffers of connections that are not read.

Fix: limits from memoryMb and maxFds (read now). Beyond the limit a connection makes room in this order: unused, within a head, idle, within a body, each the longest in its stage first; none that runs a request or writes its answer. If there is none, the new one gets 503 with Retry-After. A begun head beyond the sum of all heads makes the oldest one give way.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -16,6 +16,7 @@
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
+from burdockchute import process_limits
 from burdockchute import site_settings
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
@@ -39,7 +40,6 @@
 from burdockchute.nodes.desired_state import decode_versions
 from burdockchute.site_settings import SiteSettings
 from burdockchute.wire import messages
-from burdockchute_entry.straight import memory_account
 from burdockchute_entry.straight.agents_task import AgentsTask
 from burdockchute_entry.straight.callers import CallersApp
 from burdockchute_entry.straight.confirmation_task import ConfirmationTask
@@ -212,6 +212,10 @@
             machine.callers.ip,
             machine.callers.port,
             self.callers,
+            connection_limits.for_callers(
+                process_limits.memory_left_bytes(machine.memory_bytes),
+                process_limits.max_descriptors(machine.max_descriptors),
+            ),
             request_limits=self._request_limits,
         )
         self.work = callers.work
@@ -243,7 +247,7 @@
         limit = self._machine.memory_bytes
         if limit is None:
             return
-        resident = memory_account.resident_bytes()
+        resident = process_limits.resident_bytes()
         budget = memory_budget.budget_bytes(limit, resident)
         self.memory.budget_bytes = budget
         logs.event(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/memory_account.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/memory_account.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import enum
 import functools
-import os
 from typing import Any
 from typing import Protocol
 
@@ -228,12 +227,3 @@
         self._closed = True
         for use in Use:
             self.give_back(use, self._held[use])
-
-
-def resident_bytes() -> int:
-    """Return the resident size of this process.
-
-    The second field of the file is the number of resident pages.
-    """
-    with open('/proc/self/statm', encoding='ascii') as file:
-        return int(file.read().split()[1]) * os.sysconf('SC_PAGESIZE')
--- a/packages/burdockchute/burdockchute/callers/http.py
+++ b/packages/burdockchute/burdockchute/callers/http.py
@@ -25,7 +25,6 @@
 from burdockchute.callers import sse
 from burdockchute.callers.server import caller_disconnected
 from burdockchute.callers.server import ReadingEnded
-from burdockchute.callers.server import SHUTDOWN_RETRY_S
 from burdockchute.callers.server import status_line
 from burdockchute.model import outcomes
 from burdockchute.model.findings import Finding
@@ -193,7 +192,7 @@
         return _rejection(408, 'body', text)
     except ReadingEnded as exc:
         return parse.Rejection(
-            503, (Finding('body', str(exc)),), SHUTDOWN_RETRY_S
+            503, (Finding('body', str(exc)),), exc.retry_after_s
         )
     except OSError as exc:
         return _rejection(400, 'body', f'broke off: {exc}')
--- a/packages/burdockchute/burdockchute/callers/request_reader.py
+++ b/packages/burdockchute/burdockchute/callers/request_reader.py
@@ -70,12 +70,19 @@
 
 
 class RequestReader:
-    """Reads the requests of one connection, one after another."""
+    """Reads the requests of one connection, one after another.
 
-    def __init__(self, sock: Any) -> None:
+    `on_held` is called with each change of the number of bytes that were
+    received and are not used yet.
+    """
+
+    def __init__(
+        self, sock: Any, on_held: Callable[[int], None] = lambda _count: None
+    ) -> None:
         # The base class of the handler asks for it.
         self.closed = False
         self._sock = sock
+        self._on_held = on_held
         self._held = bytearray()
         # What was read since other tasks could run.
         self._turn_bytes = 0
@@ -255,11 +262,14 @@
         if not data:
             return False
         self._held += data
+        self._on_held(len(data))
         self._count_turn(len(data))
         return True
 
     def _drop(self, count: int) -> None:
-        del self._held[:count]
+        if count:
+            del self._held[:count]
+            self._on_held(-count)
 
     def _count_turn(self, count: int) -> None:
         self._turn_bytes += count
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -1,6 +1,8 @@
 """gevent's WSGI server with limits for slow and disconnected callers.
 
-Heads are received within the limits of operators.
+The connections of a listener share limits (`decisions.connection_limits`).
+Where they are used up, connections that hold a place without a request make
+room for new ones.
 """
 
 from __future__ import annotations
@@ -27,6 +29,8 @@
 from burdockchute.callers.request_reader import Head
 from burdockchute.callers.request_reader import RequestError
 from burdockchute.callers.request_reader import RequestReader
+from burdockchute.decisions import connection_limits
+from burdockchute.decisions.connection_limits import ConnectionLimits
 from burdockchute.decisions.connection_limits import RequestLimits
 from burdockchute.sockets import closed_by_peer
 from burdockchute.sockets import is_readable
@@ -35,6 +39,27 @@
 # Limit of one write to a caller.
 WRITE_TIMEOUT_S = 30.0
 
+# A body of at least this many bytes is received with a larger buffer.
+LARGE_BODY_BYTES = 16 * 1024
+
+# Connections that make room for new ones, in this order. Those that run a
+# request or write its answer stay.
+EVICTION_ORDER = (
+    Stage.UNUSED,
+    Stage.HEAD,
+    Stage.IDLE,
+    Stage.BODY,
+)
+# Connections of a stage that are looked at, as some of them may have received
+# a request that their task has not seen yet.
+EVICTION_CANDIDATES = 16
+
+# Connections above the limit whose callers can still read their refusals.
+MAX_CLOSING = 8
+
+# Retry-After of a request that makes room for others.
+CROWDED_RETRY_S = 1.0
+
 # Limit of the bytes that the system buffers for a caller, which Linux doubles.
 # It still allows 20 MB/s at the 6 ms that a caller's acknowledgement takes.
 SEND_BUFFER_BYTES = 64 * 1024
@@ -71,45 +96,114 @@
 # A WriteWatch that the application may set.
 WRITE_WATCH_KEY = 'burdockchute.write_watch'
 
+# For servers whose process has no limits.
+DEFAULT_LIMITS = ConnectionLimits(10_000, 64 * 1024 * 1024)
+
 _log = logging.getLogger('burdockchute.callers')
 
 
 class ReadingEnded(Exception):  # noqa: N818
-    """The process leaves and reads no more of a request."""
+    """No more of a request is read; its caller may return after a time."""
+
+    def __init__(
+        self, reason: str, retry_after_s: float = SHUTDOWN_RETRY_S
+    ) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
 
 
 class CallersServer(pywsgi.WSGIServer):
-    """A server with an account of its connections, for a planned stop.
+    """A server with an account of its connections and limits for them.
 
     `request_limits` is called for each request.
     """
 
+    # Connections accepted in one turn. Those of the turn before have begun
+    # and can make room.
+    max_accept = EVICTION_CANDIDATES
+
     def __init__(
         self,
         *args: Any,
+        limits: ConnectionLimits,
         request_limits: Callable[[], RequestLimits],
         name: str,
         **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
         self.work = OpenWork()
+        self.limits = limits
         self.request_limits = request_limits
         self.refusals = Refusals(name)
+        # Bytes of all connections that were received and are not parsed yet.
+        self.head_bytes = 0
         # Whether callers are told to use other connections.
         self.leaving = False
         # Answers whose end is the end of their connection.
         self.unframed: set[Any] = set()
         # The greenlets that receive a head or a body, and those that wait for
-        # a request.
+        # a request or for the end of a connection.
         self._readers: dict[Any, gevent.Greenlet] = {}
         self._waiters: dict[Any, gevent.Greenlet] = {}
         self._reading_ended = False
 
+    def init_socket(self) -> None:
+        """Listen; connections take over the limit of the buffer."""
+        super().init_socket()
+        self.socket.setsockopt(
+            sockets.SOL_SOCKET,
+            sockets.SO_RCVBUF,
+            connection_limits.RECEIVE_BUFFER_BYTES,
+        )
+
     def do_handle(self, client_socket: Any, address: Any) -> None:
         """Handle a connection in a greenlet of its own."""
+        if not self._make_room():
+            self.refusals.add('no_connection_left', address[0])
+            _refuse_connection(client_socket)
+            return
         self.work.open(client_socket, time.monotonic())
         super().do_handle(client_socket, address)
 
+    def count_head_bytes(self, count: int) -> None:
+        """Count bytes that a connection holds or gives up."""
+        self.head_bytes += count
+        if count > 0 and self.head_bytes > self.limits.heads_bytes:
+            get_hub().loop.run_callback(self._evict, (Stage.HEAD,))
+
+    def _make_room(self) -> bool:
+        """Make room for one more connection; False if there is none."""
+        most = self.limits.connections
+        closing = min(self.work.count(Stage.CLOSING), MAX_CLOSING)
+        if len(self.work) - closing >= most:
+            self._evict(EVICTION_ORDER)
+        if len(self.work) >= most + MAX_CLOSING:
+            self._evict((Stage.CLOSING,))
+        closing = min(self.work.count(Stage.CLOSING), MAX_CLOSING)
+        return len(self.work) - closing < most
+
+    def _evict(self, stages: tuple[Stage, ...]) -> bool:
+        """End the longest of the given stages; runs in the event loop."""
+        for stage in stages:
+            tasks = (
+                self._readers
+                if stage in (Stage.HEAD, Stage.BODY)
+                else self._waiters
+            )
+            for sock in self.work.oldest(stage, EVICTION_CANDIDATES):
+                may_have_request = stage in (Stage.UNUSED, Stage.IDLE)
+                if sock not in tasks or (
+                    may_have_request and is_readable(sock)
+                ):
+                    continue
+                if stage is not Stage.CLOSING:
+                    self.refusals.add(f'crowded_{stage.value}', '')
+                tasks[sock].throw(
+                    ReadingEnded('too many connections', CROWDED_RETRY_S)
+                )
+                return True
+        return False
+
     def do_close(self, client_socket: Any, *args: Any) -> None:
         """Close a connection that has been handled."""
         self.work.close(client_socket)
@@ -130,7 +224,7 @@
 
     @contextlib.contextmanager
     def waiting(self, sock: Any) -> Iterator[None]:
-        """Wait for a request; raises ReadingEnded if none is awaited."""
+        """Wait for a request or an end; ReadingEnded ends the wait."""
         self._waiters[sock] = gevent.getcurrent()
         try:
             yield
@@ -211,6 +305,7 @@
     address: str,
     port: int,
     app: Callable[..., Any],
+    limits: ConnectionLimits = DEFAULT_LIMITS,
     request_limits: Callable[[], RequestLimits] = RequestLimits,
     name: str = 'callers',
 ) -> CallersServer:
@@ -221,6 +316,7 @@
     return CallersServer(
         (address, port),
         app,
+        limits=limits,
         request_limits=request_limits,
         name=name,
         handler_class=_Handler,
@@ -332,7 +428,7 @@
     _is_answered = False
 
     def __init__(self, sock: Any, address: Any, server: CallersServer) -> None:
-        reader = RequestReader(sock)
+        reader = RequestReader(sock, server.count_head_bytes)
         super().__init__(sock, address, server, rfile=reader)
 
     def handle(self) -> None:
@@ -450,11 +546,12 @@
 
     def _refuse(self, exc: BaseException) -> None:
         """Answer a request whose head can't be served."""
+        self.rfile.close()
         status, headers = 400, ''
         cause = 'invalid'
         if isinstance(exc, ReadingEnded):
             status, cause = 503, 'not_read'
-            headers = f'Retry-After: {SHUTDOWN_RETRY_S:.2f}\r\n'
+            headers = f'Retry-After: {exc.retry_after_s:.2f}\r\n'
         elif isinstance(exc, gevent.Timeout):
             status, cause = 408, 'slow_head'
         elif isinstance(exc, RequestError):
@@ -471,42 +568,58 @@
     def _send_error(self, response: bytes) -> None:
         self._enter(Stage.ANSWER)
         try:
-            self.socket.sendall(response)
+            # A caller that has not read its earlier answers gets none.
+            sent = self.socket.send(response, 0, 0.0)
         except OSError:
             # The caller has gone.
             return
-        self._is_answered = True
+        self._is_answered = sent == len(response)
 
     def _linger(self) -> None:
         """Close the connection so that its caller can read the answer."""
         self._enter(Stage.CLOSING)
         try:
-            self.socket.shutdown(sockets.SHUT_WR)
-            self.socket.settimeout(LINGER_SILENCE_S)
-            until = time.monotonic() + LINGER_S
-            while (
-                self.socket.recv(LINGER_READ_BYTES)
-                and time.monotonic() < until
-            ):
-                gevent.sleep(LINGER_PAUSE_S)
-        except OSError:
-            # The caller has closed it, or sends nothing more.
+            with self.server.waiting(self.socket):
+                self._discard_received()
+        except (OSError, ReadingEnded):
+            # The caller has closed it or sends nothing more, or it has to
+            # make room for others.
             pass
 
+    def _discard_received(self) -> None:
+        self.socket.shutdown(sockets.SHUT_WR)
+        self.socket.settimeout(LINGER_SILENCE_S)
+        until = time.monotonic() + LINGER_S
+        while self.socket.recv(LINGER_READ_BYTES) and time.monotonic() < until:
+            gevent.sleep(LINGER_PAUSE_S)
+
     @contextlib.contextmanager
     def _receiving_body(self) -> Iterator[None]:
+        is_large = self.wsgi_input.unread_bytes() >= LARGE_BODY_BYTES
         with self.server.reading(self.socket, Stage.BODY):
-            yield
+            if is_large:
+                self._limit_buffer(connection_limits.BODY_BUFFER_BYTES)
+            try:
+                yield
+            except ReadingEnded:
+                self.wsgi_input.is_abandoned = True
+                raise
+        if is_large:
+            self._limit_buffer(connection_limits.RECEIVE_BUFFER_BYTES)
         self._enter(Stage.RUNNING)
 
+    def _limit_buffer(self, count: int) -> None:
+        self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, count)
+
     def start_response(
         self, status: str, headers: list[tuple[str, str]], *exc_info: Any
     ) -> Any:
         """Start an answer."""
-        if (
-            self.server.leaving
-            and not any(name.lower() == 'connection' for name, _v in headers)
-            and not self._has_next_request()
+        is_last = self.wsgi_input.is_abandoned or (
+            self.server.leaving and not self._has_next_request()
+        )
+        if is_last and not any(
+            name.lower() == 'connection' for name, _value in headers
         ):
             headers = [('Connection', 'close'), *headers]
         return super().start_response(status, headers, *exc_info)
@@ -582,3 +695,16 @@
 
 
 _CAUSES = {414: 'long_target', 431: 'long_head'}
+
+
+def _refuse_connection(sock: Any) -> None:
+    """Close a connection that there is no place for, with an answer."""
+    answer = _REFUSAL.format(
+        status_line(503), f'Retry-After: {CROWDED_RETRY_S:.2f}\r\n'
+    )
+    try:
+        sock.send(answer.encode(), 0, 0.0)
+    except OSError:
+        # The client has gone.
+        pass
+    sock.close()
--- a/packages/burdockchute/burdockchute/model/machines.py
+++ b/packages/burdockchute/burdockchute/model/machines.py
@@ -43,7 +43,8 @@
     `probes` are set if the process serves callers, `upstream` and `service`
     if it runs next to an upstream. Links use the ports from the first to the
     second of `link_ports`. `memory_bytes` is the memory that one process may
-    use, None for no limit.
+    use and `max_descriptors` the descriptors that it may open, None for no
+    limit.
     """
 
     name: str
@@ -59,3 +60,4 @@
     link_bytes_per_s: float
     bounds: Bounds
     memory_bytes: int | None = None
+    max_descriptors: int | None = None
--- /dev/null
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -0,0 +1,134 @@
+"""Tests of the limits that the connections of a listener share."""
+
+from __future__ import annotations
+
+import unittest
+
+import gevent
+from gevent import event
+from gevent import socket
+
+from burdockchute.callers import http
+from burdockchute.callers import parse
+from burdockchute.callers import server
+from burdockchute.decisions.connection_limits import ConnectionLimits
+from burdockchute.decisions.connection_limits import RequestLimits
+
+MOST = 4
+REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+UPLOAD = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n'
+REFUSED = b'HTTP/1.1 503 Service Unavailable\r\n'
+
+
+class ConnectionLimitsTest(unittest.TestCase):
+    def setUp(self):
+        self.is_done = event.Event()
+        self.start(ConnectionLimits(MOST, 1 << 20), RequestLimits())
+
+    def start(self, limits, request_limits):
+        self.server = server.make_server(
+            '127.0.0.1', 0, self.app, limits, lambda: request_limits
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def app(self, environ, start_response):
+        body = http.read_body(environ, http.Limits())
+        if isinstance(body, parse.Rejection):
+            start_response(f'{body.status} No', [('Content-Length', '0')])
+            return [b'']
+        if environ['PATH_INFO'] == '/wait':
+            self.is_done.wait(10)
+        start_response('200 OK', [('Content-Length', '0')])
+        return [b'']
+
+    def connect(self, data=b''):
+        conn = socket.create_connection(
+            ('127.0.0.1', self.server.server_port), 5
+        )
+        self.addCleanup(conn.close)
+        conn.sendall(data)
+        gevent.sleep(0.02)
+        return conn
+
+    def assert_served(self, conn):
+        conn.sendall(REQUEST)
+        self.assertIn(b' 200 ', conn.recv(4096))
+
+    def test_all_are_served_at_the_limit(self):
+        conns = [self.connect() for _number in range(MOST)]
+        for _request in range(2):
+            for conn in conns:
+                self.assert_served(conn)
+        self.assertEqual({}, dict(self.server.refusals.counts))
+
+    def test_what_makes_room_beyond_the_limit(self):
+        """Idle connections took all descriptors, and nobody got in."""
+        for name, begun, answer in (
+            ('unused', b'', b''),
+            ('heads', REQUEST[:9], REFUSED),
+            ('bodies', UPLOAD + b'ab', b'HTTP/1.1 503 No\r\n'),
+        ):
+            with self.subTest(name):
+                first, *others = [self.connect(begun) for _n in range(MOST)]
+                new = self.connect()
+                self.assert_served(new)
+                self.assertEqual(answer, first.recv(4096)[: len(answer)])
+                self.assertIn(f'crowded_{name}', self.server.refusals.counts)
+                for conn in (*others, new):
+                    conn.close()
+                gevent.sleep(0.05)
+
+    def test_idle_connections_make_room_after_unused_ones(self):
+        idle = [self.connect(REQUEST) for _number in range(MOST - 1)]
+        unused = self.connect()
+        self.assert_served(self.connect())
+        self.assertEqual(b'', unused.recv(4096))
+        self.assert_served(self.connect())
+        self.assertIn(b' 200 ', idle[0].recv(4096))
+        self.assertEqual(b'', idle[0].recv(4096))
+
+    def test_running_requests_stay(self):
+        """A request that was passed on has its answer."""
+        running = [
+            self.connect(REQUEST.replace(b'/a', b'/wait'))
+            for _number in range(MOST)
+        ]
+        refused = self.connect().recv(4096)
+        self.assertIn(REFUSED, refused)
+        self.assertIn(b'Retry-After: 1.00\r\n', refused)
+        self.is_done.set()
+        for conn in running:
+            self.assertIn(b' 200 ', conn.recv(4096))
+
+    def test_heads_share_a_limit(self):
+        """The oldest head makes room, and what was held is given up."""
+        self.start(ConnectionLimits(100, 2000), RequestLimits(1500))
+        part = b'GET /a HTTP/1.1\r\nX: ' + b'x' * 980
+        first, second = self.connect(part), self.connect(part)
+        self.assertEqual(2000, self.server.head_bytes)
+        second.sendall(b'y')
+        self.assertIn(REFUSED, first.recv(4096))
+        second.sendall(b'\r\n\r\n')
+        self.assertIn(b' 200 ', second.recv(4096))
+        self.assertEqual(0, self.server.head_bytes)
+
+    def test_time_limits(self):
+        """A head without end and a connection without requests are closed."""
+        self.start(
+            ConnectionLimits(100, 1 << 20),
+            RequestLimits(head_timeout_s=0.5, idle_timeout_s=1.0),
+        )
+        kept, closed = self.connect(REQUEST), self.connect(REQUEST)
+        slow = self.connect(REQUEST[:9])
+        self.assertIn(b' 408 ', slow.recv(4096))
+        for conn in (kept, closed):
+            self.assertIn(b' 200 ', conn.recv(4096))
+        gevent.sleep(0.2)
+        self.assert_served(kept)
+        self.assertEqual(b'', closed.recv(4096))
+        self.assert_served(kept)
+
+
+if __name__ == '__main__':
+    unittest.main()
