Metrics and probes: their ports have the limits of callers' connections

What operators saw: clients that send long heads to the port for metrics or probes took any process over its memory, an agent too; 450 idle connections there took all descriptors.

Cause: both ports used gevent's plain server, without any limit.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import gevent
-from gevent import pywsgi
 
 from burdockchute import http_admin
 from burdockchute import listening
@@ -220,7 +219,7 @@
         )
         self.work = callers.work
         probes = http_admin.make_server(
-            machine.probes.ip, machine.probes.port, self._probe
+            machine.probes.ip, machine.probes.port, self._probe, 'probes'
         )
         if not listening.start_all(
             [probes, callers],
@@ -457,7 +456,7 @@
             return http_admin.Readiness(False, 'too many bytes are held')
         return http_admin.Readiness(True, '')
 
-    def _serve_admin(self) -> pywsgi.WSGIServer:
+    def _serve_admin(self) -> server.CallersServer:
         app = http_admin.make_app(self.status, self._readiness)
         return http_admin.serve(
             self._machine.address, self._cfg.admin_port, app
--- a/packages/burdockchute/burdockchute/http_admin.py
+++ b/packages/burdockchute/burdockchute/http_admin.py
@@ -15,12 +15,13 @@
 from typing import NamedTuple
 
 import gevent
-from gevent import pywsgi
 
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
-from burdockchute.callers.server import wsgi_environ
+from burdockchute.callers import server
+from burdockchute.callers.server import CallersServer
+from burdockchute.decisions import connection_limits
 
 # Pause between attempts to start an admin port that is not available.
 RETRY_S = 1.0
@@ -72,50 +73,58 @@
     return app
 
 
-def make_server(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
-    """Return a server that is not started; port 0 selects a free port."""
-    return pywsgi.WSGIServer(
-        (address, port),
+def make_server(
+    address: str, port: int, app: Callable, name: str = 'admin'
+) -> CallersServer:
+    """Return a server that is not started; port 0 selects a free port.
+
+    Its connections have limits of their own, so that neither callers nor
+    clients of this port take away what the other one needs. `name` is that
+    of the listener in metrics and logs.
+    """
+    return server.make_server(
+        address,
+        port,
         app,
-        log=None,
-        error_log=None,
-        environ=wsgi_environ(address),
+        connection_limits.ADMIN_LIMITS,
+        lambda: connection_limits.ADMIN_REQUEST_LIMITS,
+        name,
     )
 
 
-def serve(address: str, port: int, app: Callable) -> pywsgi.WSGIServer:
+def serve(address: str, port: int, app: Callable) -> CallersServer:
     """Start serving now, or in the background once the address is available.
 
     This is for a process that serves callers without its admin port.
     """
-    server = make_server(address, port, app)
-    error = _try_start(server)
+    admin = make_server(address, port, app)
+    error = _try_start(admin)
     if error:
         logs.warn(
             'admin_unavailable',
-            address=listening.address_of(server),
+            address=listening.address_of(admin),
             error=error,
         )
-        gevent.spawn(_start_later, server, time.monotonic())
-    return server
+        gevent.spawn(_start_later, admin, time.monotonic())
+    return admin
 
 
-def _start_later(server: pywsgi.WSGIServer, began: float) -> None:
+def _start_later(admin: CallersServer, began: float) -> None:
     while True:
         gevent.sleep(RETRY_S)
-        if not _try_start(server):
+        if not _try_start(admin):
             logs.event(
                 'admin_available',
-                address=listening.address_of(server),
+                address=listening.address_of(admin),
                 after_s=round(time.monotonic() - began, 1),
             )
             return
 
 
-def _try_start(server: pywsgi.WSGIServer) -> str:
+def _try_start(admin: CallersServer) -> str:
     """Start a server; return the error, empty if there is none."""
     try:
-        server.start()
+        admin.start()
     except OSError as exc:
         return listening.describe_error(exc)
     return ''
