Links: a list in a message has a limit of elements

What peers saw: two clients with one message of 16 MB each took an agent to 2.7 GB, and it answered nobody meanwhile.

Cause: an empty struct has one byte on the wire and over a hundred in memory. The decoder allowed lists of as many elements as a message may have bytes.

--- a/packages/burdockchute/burdockchute/wire/codec.py
+++ b/packages/burdockchute/burdockchute/wire/codec.py
@@ -19,6 +19,10 @@
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
+# An empty struct has one byte on the wire and over a hundred in memory. The
+# longest lists have an element for each row or instance.
+MAX_ELEMENTS = 100_000
+
 
 # Members whose absence has a meaning of its own.
 MAY_BE_UNSET = {
@@ -67,7 +71,7 @@
     protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
         transport,
         string_length_limit=MAX_FRAME_BYTES,
-        container_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_ELEMENTS,
     )
     try:
         envelope.read(protocol)
--- a/packages/burdockchute/tests/test_wire.py
+++ b/packages/burdockchute/tests/test_wire.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from burdockchute import wire
+from burdockchute.wire import codec
 from burdockchute.wire import messages
 from burdockchute_testing.builders.messages import any_message
 from burdockchute_testing.builders.messages import encoded
@@ -62,3 +63,15 @@
         for value in (float('nan'), float('inf')):
             data = encoded(messages.LoadReport(tokens_per_s=value))
             self.assertIsNone(decode(data))
+
+    def test_lists_at_the_limit_and_beyond(self):
+        """A frame of 16 MB with empty members took 1.3 GB."""
+
+        def members(count):
+            return messages.Members([messages.Member() for _n in range(count)])
+
+        most = codec.MAX_ELEMENTS
+        decoded = wire.decode(wire.encode(members(most)))
+        self.assertEqual(most, len(decoded.members))
+        with self.assertRaises(wire.WireError):
+            wire.decode(wire.encode(members(most + 1)))
