Links: connections to the port and unfinished messages have limits

What peers saw: 30 clients that say Hello and begin a message of 16 MB took an agent to 211 MB of its 128; 450 that say nothing took all 400 descriptors.

Cause: a Hello had limits of bytes and of time; the number of connections, and what all links together hold of messages that have not arrived whole, had none.

Fix: a quarter of the descriptors for links (at least 64), 32 of them without a Hello, of which the oldest makes room; 32 MiB of unfinished messages, beyond which the link with the longest is closed. A peer that reads no answers to its fragments is closed. Links have no authentication: strangers that say Hello and go on sending heartbeats can take all places from peers (open).

--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -11,7 +11,9 @@
 from burdockchute import http_admin
 from burdockchute import listening
 from burdockchute import logs
+from burdockchute import process_limits
 from burdockchute import tasks
+from burdockchute.decisions import connection_limits
 from burdockchute.lifecycle import ProcessLifecycle
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
@@ -90,6 +92,7 @@
             self.lifecycle.hello,
             self.inbox,
             self.table_offset,
+            connection_limits.for_links(process_limits.max_descriptors(None)),
         )
         # Peers copy weights from the admin port.
         admin = http_admin.make_server(
--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -13,9 +13,11 @@
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
+from burdockchute import process_limits
 from burdockchute import site_settings
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
+from burdockchute.decisions import connection_limits
 from burdockchute.feed_follower import Cadence
 from burdockchute.feed_follower import FeedFollower
 from burdockchute.feed_follower import max_open_read_s
@@ -103,6 +105,9 @@
             self._hello,
             self.inbox,
             lambda: 0,
+            connection_limits.for_links(
+                process_limits.max_descriptors(machine.max_descriptors)
+            ),
         )
         if not listening.start_all(
             [link_server],
--- a/packages/burdockchute/burdockchute/decisions/connection_limits.py
+++ b/packages/burdockchute/burdockchute/decisions/connection_limits.py
@@ -25,8 +25,10 @@
 # Descriptors for files and for connections that the process opens itself.
 OWN_DESCRIPTORS = 200
 CALLERS_SHARE = 0.5
+LINKS_SHARE = 0.25
 
 MIN_CONNECTIONS = 16
+MIN_LINKS = 64
 MIN_HEADS_BYTES = 256 * 1024
 
 # Connections to ports for metrics and health; balancers and scrapers need one
@@ -63,6 +65,16 @@
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
 
 
+class LinkLimits(NamedTuple):
+    """Limits of connections to the port for links.
+
+    `unopened` is the number of those that have sent no Hello yet.
+    """
+
+    links: int = 1000
+    unopened: int = 32
+
+
 ADMIN_LIMITS = ConnectionLimits(ADMIN_CONNECTIONS, ADMIN_HEADS_BYTES)
 ADMIN_REQUEST_LIMITS = RequestLimits(head_bytes=ADMIN_HEAD_BYTES)
 
@@ -88,6 +100,16 @@
     )
 
 
+def for_links(descriptors: int) -> LinkLimits:
+    """Return the limits of the port for links.
+
+    >>> for_links(4100), for_links(400)
+    (LinkLimits(links=975, unopened=32), LinkLimits(links=64, unopened=32))
+    """
+    share = int((descriptors - OWN_DESCRIPTORS) * LINKS_SHARE)
+    return LinkLimits(max(MIN_LINKS, share))
+
+
 def from_operators(
     max_header_bytes: int, header_timeout_s: float, idle_timeout_s: float
 ) -> RequestLimits:
--- a/packages/burdockchute/burdockchute/nodes/fragments.py
+++ b/packages/burdockchute/burdockchute/nodes/fragments.py
@@ -69,6 +69,11 @@
         self._parts: list[bytes] = []
         self._size = 0
 
+    @property
+    def size(self) -> int:
+        """The bytes of the fragments of the present message."""
+        return self._size
+
     def add(self, fragment: messages.Fragment) -> bytes | None:
         """Add a fragment; return the encoded message if it is complete.
 
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -28,11 +28,14 @@
 
 import gevent
 from gevent import queue
-from gevent import server
 from gevent import socket
 
 from burdockchute import wire
+from burdockchute.decisions.connection_limits import LinkLimits
 from burdockchute.nodes import fragments
+from burdockchute.nodes.link_server import LinkServer
+from burdockchute.nodes.link_server import shut_down
+from burdockchute.nodes.link_server import UnfinishedMessages
 from burdockchute.sockets import SilenceTimer
 from burdockchute.wire import messages
 
@@ -48,6 +51,9 @@
 # memory of this process.
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 
+# A peer waits for the answer to a fragment, so few are ever queued.
+MAX_QUEUED_ANSWERS = 10_000
+
 NOT_READ = 'timed out'
 
 # A Hello has a few hundred bytes.
@@ -99,11 +105,16 @@
 
     `peer` is the other side's Hello. `send` queues a message and never
     blocks. Messages keep their order, except that smaller ones overtake large
-    ones on a paced link.
+    ones on a paced link. `unfinished` counts what it holds of messages that
+    have not arrived whole, for a link that was accepted.
     """
 
     def __init__(
-        self, sock: Any, peer: messages.Hello, inbox: queue.Queue
+        self,
+        sock: Any,
+        peer: messages.Hello,
+        inbox: queue.Queue,
+        unfinished: UnfinishedMessages | None = None,
     ) -> None:
         self.peer = peer
         self.closed_reason = ''
@@ -112,6 +123,7 @@
         self.bytes_received = 0
         self._sock = sock
         self._inbox = inbox
+        self._unfinished = unfinished
         self._outbox: queue.Queue = queue.Queue()
         self._fragment_queue: fragments.FragmentQueue | None = None
         self._assembler = fragments.FragmentAssembler()
@@ -184,8 +196,10 @@
             return
         self.closed_reason = reason
         self._silence.stop()
+        if self._unfinished is not None:
+            self._unfinished.set(self, 0)
         self._outbox.put(None)
-        _shut_down(self._sock)
+        shut_down(self._sock)
         self._inbox.put(Closed(self, reason))
 
     def wait_closed(self) -> None:
@@ -228,6 +242,8 @@
             case messages.Fragment():
                 if self.closed_reason:
                     return
+                if self._outbox.qsize() > MAX_QUEUED_ANSWERS:
+                    raise LinkError('peer does not read what it asks for')
                 self.send(messages.FragmentTaken())
                 data = self._assembler.add(message)
                 if data is not None:
@@ -239,9 +255,11 @@
             case _:
                 self._inbox.put(Received(self, message))
 
-    def _count_received(self, received: int) -> None:
+    def _count_received(self, received: int, buffered: int) -> None:
         self.bytes_received += received
         self._silence.note_activity()
+        if self._unfinished is not None and not self.closed_reason:
+            self._unfinished.set(self, buffered + self._assembler.size)
 
     def _write_at_once(self, frame: bytes) -> None:
         # Most frames fit into the buffer of the socket, and waking up the
@@ -343,22 +361,29 @@
     hello: Callable[[], messages.Hello],
     inbox: queue.Queue,
     table_offset: Callable[[], int],
-) -> server.StreamServer:
+    limits: LinkLimits = LinkLimits(),  # noqa: B008
+) -> LinkServer:
     """Return a server that is not started and accepts links at an address.
 
     The address is bound exclusively, so that a second agent of the same
     instance fails at its start instead of sharing the upstream.
     """
 
+    unfinished = UnfinishedMessages(
+        lambda link: link.close('unfinished messages are too long')
+    )
+
     def accept(sock: Any, _peer_address: Any) -> None:
         try:
-            link = _handshake(sock, hello(), inbox, table_offset)
+            link = _handshake(sock, hello(), inbox, table_offset, unfinished)
+            listener.opened(sock)
             # The server closes the socket once this function returns.
             link.wait_closed()
         except (OSError, wire.WireError):
-            _shut_down(sock)
+            shut_down(sock)
 
-    return server.StreamServer((address, port), accept)
+    listener = LinkServer((address, port), accept, limits)
+    return listener
 
 
 def listen(
@@ -367,7 +392,7 @@
     hello: Callable[[], messages.Hello],
     inbox: queue.Queue,
     table_offset: Callable[[], int],
-) -> server.StreamServer:
+) -> LinkServer:
     """Accept links at an address; raises LinkError if it is in use."""
     listener = make_server(address, port, hello, inbox, table_offset)
     try:
@@ -384,6 +409,7 @@
     hello: messages.Hello,
     inbox: queue.Queue,
     table_offset: Callable[[], int],
+    unfinished: UnfinishedMessages | None = None,
 ) -> Link:
     sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
     sock.settimeout(DIAL_TIMEOUT_S)
@@ -395,7 +421,7 @@
         raise wire.WireError(f'got {type(peer).__name__} in place of Hello')
     if peer.protocol != PROTOCOL:
         raise wire.WireError(f'protocol {peer.protocol!r} is not {PROTOCOL!r}')
-    link = Link(sock, peer, inbox)
+    link = Link(sock, peer, inbox, unfinished)
     link.start(table_offset)
     return link
 
@@ -422,7 +448,9 @@
     return data
 
 
-def _read_messages(sock: Any, count: Callable[[int], None]) -> Iterator[Any]:
+def _read_messages(
+    sock: Any, count: Callable[[int, int], None]
+) -> Iterator[Any]:
     buffer = bytearray()
     while True:
         while len(buffer) >= _LENGTH.size:
@@ -434,8 +462,8 @@
         data = sock.recv(_READ_BYTES)
         if not data:
             return
-        count(len(data))
         buffer += data
+        count(len(data), len(buffer))
 
 
 def _parse_length(
@@ -447,14 +475,6 @@
     return length
 
 
-def _shut_down(sock: Any) -> None:
-    try:
-        sock.shutdown(sockets.SHUT_RDWR)
-    except OSError:
-        pass
-    sock.close()
-
-
 def traffic(open_links: Iterable[Link]) -> dict[str, int]:
     """Return the number of open links and their bytes, for status pages."""
     counted = list(open_links)
--- /dev/null
+++ b/packages/burdockchute/tests/test_link_limits.py
@@ -0,0 +1,87 @@
+"""Tests of what peers and strangers can make the listener for links hold."""
+
+from __future__ import annotations
+
+import unittest
+
+import gevent
+from gevent import queue
+from gevent import socket
+
+from burdockchute.decisions.connection_limits import LinkLimits
+from burdockchute.nodes import links
+from burdockchute.nodes.link_server import UnfinishedMessages
+from burdockchute.wire import messages
+
+MOST = 4
+HELLO = links.encode_frame(
+    messages.Hello('x', 'entry', 'n', 'n', 'i', 0, links.PROTOCOL)
+)
+
+
+class LinkLimitsTest(unittest.TestCase):
+    def setUp(self):
+        self.inbox = queue.Queue()
+        self.server = links.make_server(
+            '127.0.0.1',
+            0,
+            lambda: messages.Hello(name='own', protocol=links.PROTOCOL),
+            self.inbox,
+            lambda: 0,
+            LinkLimits(links=MOST, unopened=MOST - 1),
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def connect(self, data=b''):
+        conn = socket.create_connection(
+            ('127.0.0.1', self.server.server_port), 2
+        )
+        self.addCleanup(conn.close)
+        conn.sendall(data)
+        gevent.sleep(0.02)
+        return conn
+
+    def is_open(self, conn):
+        conn.settimeout(0.05)
+        try:
+            while conn.recv(4096):
+                pass
+        except TimeoutError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def test_links_at_the_limit_and_beyond(self):
+        """Connections to the port took all descriptors of an agent."""
+        conns = [self.connect(HELLO) for _number in range(MOST)]
+        self.assertTrue(all(map(self.is_open, conns)))
+        self.assertFalse(self.is_open(self.connect(HELLO)))
+        self.assertTrue(all(map(self.is_open, conns)))
+        self.assertEqual(MOST, self.server.connections)
+
+    def test_connections_without_a_hello_make_room(self):
+        unopened = [self.connect() for _number in range(MOST - 1)]
+        self.assertTrue(all(map(self.is_open, unopened)))
+        opened = self.connect(HELLO)
+        self.assertTrue(self.is_open(opened))
+        self.assertEqual(
+            [False, True, True], [self.is_open(conn) for conn in unopened]
+        )
+
+    def test_unfinished_messages_at_the_limit_and_beyond(self):
+        """Each of many links held most of a message of 16 MB."""
+        closed = []
+        unfinished = UnfinishedMessages(closed.append, most=100)
+        unfinished.set('a', 60)
+        unfinished.set('b', 40)
+        self.assertEqual([], closed)
+        unfinished.set('b', 41)
+        self.assertEqual(['a'], closed)
+        unfinished.set('b', 0)
+        self.assertEqual(0, unfinished.total)
+
+
+if __name__ == '__main__':
+    unittest.main()
