Links: a link that is never silent lets other tasks run

What peers saw: nothing of the process ran while a link had received more.

Cause: as with callers, a read of what has been received doesn't wait.

Failing run before, on: test_a_flood_of_messages_lets_other_tasks_run, 4000 messages in one turn, not 256. It passes now.

Fix: the task that reads a link gives way after 256 messages and 256 KiB.

--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -54,6 +54,10 @@
 # A peer waits for the answer to a fragment, so few are ever queued.
 MAX_QUEUED_ANSWERS = 10_000
 
+# Bytes and messages of a link after which other tasks run.
+TURN_BYTES = 256 * 1024
+TURN_MESSAGES = 256
+
 NOT_READ = 'timed out'
 
 # A Hello has a few hundred bytes.
@@ -124,6 +128,8 @@
         self._sock = sock
         self._inbox = inbox
         self._unfinished = unfinished
+        # What was read since other tasks could run.
+        self._turn_bytes = self._turn_messages = 0
         self._outbox: queue.Queue = queue.Queue()
         self._fragment_queue: fragments.FragmentQueue | None = None
         self._assembler = fragments.FragmentAssembler()
@@ -226,6 +232,8 @@
             for message in _read_messages(self._sock, self._count_received):
                 self.last_received_at = time.monotonic()
                 self._dispatch(message)
+                self._turn_messages += 1
+                self._give_way()
             self.close('closed by peer')
         except TimeoutError:
             self.close('silent')
@@ -257,9 +265,20 @@
 
     def _count_received(self, received: int, buffered: int) -> None:
         self.bytes_received += received
+        self._turn_bytes += received
         self._silence.note_activity()
         if self._unfinished is not None and not self.closed_reason:
             self._unfinished.set(self, buffered + self._assembler.size)
+        self._give_way()
+
+    def _give_way(self) -> None:
+        """Let other tasks run now and then, also if more was received."""
+        if (
+            self._turn_messages >= TURN_MESSAGES
+            or self._turn_bytes >= TURN_BYTES
+        ):
+            self._turn_bytes = self._turn_messages = 0
+            gevent.sleep(0)
 
     def _write_at_once(self, frame: bytes) -> None:
         # Most frames fit into the buffer of the socket, and waking up the
--- a/packages/burdockchute/tests/test_link_limits.py
+++ b/packages/burdockchute/tests/test_link_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 import unittest
 
 import gevent
@@ -17,6 +18,7 @@
 HELLO = links.encode_frame(
     messages.Hello('x', 'entry', 'n', 'n', 'i', 0, links.PROTOCOL)
 )
+PROBE = links.encode_frame(messages.LinkProbe())
 
 
 class LinkLimitsTest(unittest.TestCase):
@@ -70,6 +72,25 @@
             [False, True, True], [self.is_open(conn) for conn in unopened]
         )
 
+    def test_a_flood_of_messages_lets_other_tasks_run(self):
+        """All that a link had received was read in one turn."""
+        conn = self.connect(HELLO)
+        queued = [self.inbox.qsize()]
+
+        def count_queued():
+            while True:
+                queued.append(self.inbox.qsize())
+                gevent.sleep(0)
+
+        self.addCleanup(gevent.spawn(count_queued).kill)
+        sent = conn._sock.send(PROBE * 4000) // len(PROBE)
+        self.assertGreater(sent, links.TURN_MESSAGES)
+        with gevent.Timeout(10):
+            while queued[-1] < sent:
+                gevent.sleep(0.001)
+        in_a_turn = [after - before for before, after in pairwise(queued)]
+        self.assertLessEqual(max(in_a_turn), links.TURN_MESSAGES)
+
     def test_unfinished_messages_at_the_limit_and_beyond(self):
         """Each of many links held most of a message of 16 MB."""
         closed = []
