The own path: its ports have limits, and bodies share a budget

What callers saw: the entry of the project's own path ended at the same crowds as that of the platform; each body had a limit, but their sum had none.

Cause: it has no settings file, so nothing told its memory and descriptors.

Fix: setting memory-mb, by default half of the machine's memory; descriptors as the system allows. Agents of that path limit their links.

--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -13,11 +13,14 @@
 from burdockchute import http_admin
 from burdockchute import listening
 from burdockchute import logs
+from burdockchute import process_limits
 from burdockchute import tasks
 from burdockchute.callers import http
 from burdockchute.callers import server
 from burdockchute.callers.open_work import OpenWork
 from burdockchute.callers.open_work import Stage
+from burdockchute.decisions import connection_limits
+from burdockchute.decisions import memory_budget
 from burdockchute.lifecycle import ProcessLifecycle
 from burdockchute.model import deltas
 from burdockchute.model.changes import MembersChanged
@@ -127,15 +130,21 @@
     def serve(self) -> int:
         """Run until a signal asks to stop; return the exit status."""
         self.lifecycle.start()
+        descriptors = process_limits.max_descriptors(None)
+        memory_left = process_limits.memory_left_bytes(self.cfg.memory_bytes)
         link_server = links.make_server(
             self.cfg.address,
             self.cfg.link_port,
             self.lifecycle.hello,
             self.links_task.inbox,
             self.table_offset,
+            connection_limits.for_links(descriptors),
         )
         callers = server.make_server(
-            self.cfg.address, self.cfg.http_port, self._callers_app()
+            self.cfg.address,
+            self.cfg.http_port,
+            self._callers_app(memory_left),
+            connection_limits.for_callers(memory_left, descriptors),
         )
         self.work = callers.work
         # The load balancer checks the readiness on the admin port.
@@ -209,7 +218,7 @@
             messages.ShareReport: self.limits_task.inbox.put,
         }
 
-    def _callers_app(self) -> Callable:
+    def _callers_app(self, memory_left: int) -> Callable:
         return http.make_app(
             self._submit,
             lambda request_id: self.router.inbox.put(CallerGone(request_id)),
@@ -219,6 +228,7 @@
             limits=http.Limits(
                 self.cfg.max_body_bytes, self.cfg.default_deadline_s
             ),
+            bodies=http.BodyBudget(memory_budget.share_of(memory_left)),
         )
 
     def _submit(self, ctx: RequestContext) -> queue.Queue:
--- a/packages/burdockchute-entry/burdockchute_entry/settings.py
+++ b/packages/burdockchute-entry/burdockchute_entry/settings.py
@@ -10,7 +10,10 @@
 
 
 class Settings(NamedTuple):
-    """Validated settings; times are in seconds, sizes in bytes."""
+    """Validated settings; times are in seconds, sizes in bytes.
+
+    `memory_mb` is None for a half of the machine's memory.
+    """
 
     name: str
     zone: str
@@ -25,10 +28,16 @@
     instances_url: str
     max_body_bytes: int
     default_deadline_s: float
+    memory_mb: float | None
     drain_s: float
     otlp_endpoint: str
     log_level: str
 
+    @property
+    def memory_bytes(self) -> int | None:
+        """The memory that this process may use."""
+        return None if self.memory_mb is None else int(self.memory_mb * 1e6)
+
 
 SETTINGS = (
     *base.instance_settings('entry'),
@@ -52,6 +61,12 @@
         base.parse_seconds,
         '60',
     ),
+    Setting(
+        'memory-mb',
+        "memory that this process may use, empty for half of the machine's",
+        base.parse_optional_megabytes,
+        '',
+    ),
     *base.process_settings(),
 )
 
--- a/packages/burdockchute/burdockchute/callers/http.py
+++ b/packages/burdockchute/burdockchute/callers/http.py
@@ -25,6 +25,7 @@
 from burdockchute.callers import sse
 from burdockchute.callers.server import caller_disconnected
 from burdockchute.callers.server import ReadingEnded
+from burdockchute.callers.server import ResponseBody
 from burdockchute.callers.server import status_line
 from burdockchute.model import outcomes
 from burdockchute.model.findings import Finding
@@ -52,6 +53,9 @@
 # router is assumed to have failed, so that no caller waits without limit.
 ANSWER_GRACE_S = 2.0
 
+# Retry-After of a request whose body there is no memory for.
+OUT_OF_MEMORY_RETRY_S = 1.0
+
 Submit = Callable[[RequestContext], queue.Queue]
 OnDisconnect = Callable[[str], None]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -66,6 +70,25 @@
     body_timeout_s: float = 10.0
 
 
+class BodyBudget:
+    """Bytes that the bodies of all requests may take together."""
+
+    def __init__(self, most: float = math.inf) -> None:
+        self.held = 0
+        self._most = most
+
+    def take(self, count: int) -> bool:
+        """Take the bytes of a body; False if there are not so many."""
+        if self.held + count > self._most:
+            return False
+        self.held += count
+        return True
+
+    def give_back(self, count: int) -> None:
+        """Give back what was taken."""
+        self.held -= count
+
+
 class Exchange(NamedTuple):
     """One request and the callable that starts its response."""
 
@@ -81,17 +104,36 @@
     now: Callable[[], float],
     accepting: Callable[[], bool] = lambda: True,
     limits: Limits = Limits(),  # noqa: B008
+    bodies: BodyBudget | None = None,
 ) -> App:
     """Return the WSGI application.
 
-    `submit` starts a request and returns the queue of its replies;
+    A request gets 503 before its body is read if it does not fit into
+    `bodies`. `submit` starts a request and returns the queue of its replies;
     `on_disconnect` is called with the request id if the caller disconnects
     before the last of them.
     """
     customers = _customers_of(table)
+    budget = bodies or BodyBudget()
 
     def app(
         environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        size = _reserved_bytes(environ, limits.max_body_bytes)
+        if not budget.take(size):
+            ex = Exchange(environ, start_response, uuid.uuid4().hex)
+            return _answer_rejection(ex, _out_of_memory())
+        try:
+            return ResponseBody(
+                answer(environ, start_response),
+                lambda: budget.give_back(size),
+            )
+        except BaseException:
+            budget.give_back(size)
+            raise
+
+    def answer(
+        environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         ex = Exchange(environ, start_response, uuid.uuid4().hex)
         if not accepting():
@@ -203,6 +245,18 @@
     return body
 
 
+def _reserved_bytes(environ: Mapping[str, Any], max_body_bytes: int) -> int:
+    if 'HTTP_TRANSFER_ENCODING' in environ:
+        return max_body_bytes
+    declared = environ.get('CONTENT_LENGTH') or '0'
+    return min(int(declared), max_body_bytes) if declared.isdigit() else 0
+
+
+def _out_of_memory() -> parse.Rejection:
+    finding = Finding('body', 'too many bytes are held for callers')
+    return parse.Rejection(503, (finding,), OUT_OF_MEMORY_RETRY_S)
+
+
 def _rejection(status: int, place: str, text: str) -> parse.Rejection:
     return parse.Rejection(status, (Finding(place, text),))
 
--- a/packages/burdockchute/burdockchute/decisions/memory_budget.py
+++ b/packages/burdockchute/burdockchute/decisions/memory_budget.py
@@ -89,8 +89,12 @@
     >>> budget_bytes(50_000_000, 60_000_000) == MIN_BUDGET_BYTES
     True
     """
-    left = limit_bytes - resident_bytes
-    return max(MIN_BUDGET_BYTES, int(left * USABLE_SHARE))
+    return share_of(limit_bytes - resident_bytes)
+
+
+def share_of(left_bytes: int) -> int:
+    """Return the budget of a process that may use `left_bytes` more."""
+    return max(MIN_BUDGET_BYTES, int(left_bytes * USABLE_SHARE))
 
 
 def next_level(level: Level, held: int, budget: int) -> Level:
--- a/packages/burdockchute/burdockchute/settings.py
+++ b/packages/burdockchute/burdockchute/settings.py
@@ -184,6 +184,13 @@
     return int(_parse_positive(text, 'number of bytes over 0'))
 
 
+def parse_optional_megabytes(text: str) -> float | None:
+    """Parse a positive number of megabytes, or an empty text as None."""
+    if not text:
+        return None
+    return _parse_positive(text, 'number of megabytes over 0')
+
+
 def parse_level(text: str) -> str:
     """Parse a log level."""
     if text not in LOG_LEVELS:
--- a/packages/burdockchute/tests/callers/test_http.py
+++ b/packages/burdockchute/tests/callers/test_http.py
@@ -32,6 +32,7 @@
         self.replies: list = []
         self.table = requests.table_of()
         self.accepting = True
+        self.bodies = http.BodyBudget(3000)
         app = http.make_app(
             self.submit,
             self.gone.put,
@@ -39,6 +40,7 @@
             time.monotonic,
             lambda: self.accepting,
             LIMITS,
+            self.bodies,
         )
         self.server = server.make_server('127.0.0.1', 0, app)
         self.server.start()
@@ -202,6 +204,18 @@
         sock.sendall(b'1000\r\n' + b'x' * 0x1000 + b'\r\n')
         self.assertIn(b' 413 ', self.read_all(sock))
 
+    def test_bodies_share_a_budget(self):
+        """Each body had a limit, but their sum had none."""
+        half = self.open_post(b'Content-Length: 1500\r\n\r\nx')
+        whole = self.open_post(b'Content-Length: 1500\r\n\r\nx')
+        gevent.sleep(0.05)
+        document = self.check_refused(self.post(b'y'), 503, 'body')
+        self.assertEqual('not-run', document['outcome'])
+        for sock in (half, whole):
+            self.assertIn(b' 408 ', self.read_all(sock))
+        self.check_refused(self.post(b'y'), 400, 'body')
+        self.assertEqual(0, self.bodies.held)
+
     def test_slow_body_is_refused(self):
         # A caller sends a few bytes of its body and then nothing more. Its
         # connection and buffers must not be kept without limit.
