Callers: a body without a length counts with all that was received

What callers saw: nothing yet; read in the code. A body in chunks counted with a sixteenth of the budget while it was received, whatever its length, so bodies of the operators' limit could take several times the budget together.

Fix: bodies are read in pieces of 64 KiB, and what exceeds the reserved part is taken from the budget before the next one is read; 503 and a close if there is none left.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -24,7 +24,6 @@
 from burdockchute.callers.open_work import Stage
 from burdockchute.decisions import connection_limits
 from burdockchute.decisions import memory_budget
-from burdockchute.decisions.connection_limits import RequestLimits
 from burdockchute.decisions.crash_causes import fingerprint_of
 from burdockchute.feed_follower import Cadence
 from burdockchute.feed_follower import FeedFollower
@@ -47,6 +46,7 @@
 from burdockchute_entry.straight.crash_watch import CrashWatch
 from burdockchute_entry.straight.end_check import EndCheck
 from burdockchute_entry.straight.memory_account import MemoryAccount
+from burdockchute_entry.straight.request_admission import request_limits
 from burdockchute_entry.straight.request_admission import ShutdownState
 from burdockchute_entry.straight.retry_leases_task import RetryLeasesTask
 from burdockchute_entry.straight.scheduler import Scheduler
@@ -215,7 +215,7 @@
                 process_limits.memory_left_bytes(machine.memory_bytes),
                 process_limits.max_descriptors(machine.max_descriptors),
             ),
-            request_limits=self._request_limits,
+            request_limits=lambda: request_limits(self.known_state()),
         )
         self.work = callers.work
         probes = http_admin.make_server(
@@ -309,17 +309,6 @@
             ),
         )
 
-    def _request_limits(self) -> RequestLimits:
-        routes = self.known_state().routes
-        if routes is None:
-            return RequestLimits()
-        limits = routes.configuration.limits
-        return connection_limits.from_operators(
-            limits.max_header_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
-
     def _health_path(self, service: str) -> str:
         return self.known_state().health_path(service)
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -15,6 +15,7 @@
 from gevent import get_hub
 
 from burdockchute import logs
+from burdockchute.callers.http import OUT_OF_MEMORY
 from burdockchute.callers.server import has_next_request
 from burdockchute.callers.server import ResponseBody
 from burdockchute.callers.server import SOCKET_KEY
@@ -38,7 +39,6 @@
 from burdockchute_entry.straight.replies import StreamAnswer
 from burdockchute_entry.straight.replies import StreamBroken
 from burdockchute_entry.straight.request_admission import AdmittedRequest
-from burdockchute_entry.straight.request_admission import OUT_OF_MEMORY
 from burdockchute_entry.straight.request_admission import Refusal
 from burdockchute_entry.straight.request_admission import RequestAdmission
 from burdockchute_entry.straight.request_admission import ShutdownState
--- a/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
@@ -18,9 +18,11 @@
 from burdockchute.callers.server import HEADERS_KEY
 from burdockchute.callers.server import SHUTDOWN_RETRY_S
 from burdockchute.callers.server import TARGET_KEY
+from burdockchute.decisions import connection_limits
 from burdockchute.decisions import memory_budget
 from burdockchute.decisions import returning_callers
 from burdockchute.decisions import routing
+from burdockchute.decisions.connection_limits import RequestLimits
 from burdockchute.decisions.homes import Home
 from burdockchute.decisions.routing import RouteTable
 from burdockchute.model.crash_reports import PromptPart
@@ -38,9 +40,6 @@
 # one after this time.
 NOT_READY_RETRY_S = 1.0
 
-# The reason for refusing a request for which there is no memory.
-OUT_OF_MEMORY = 'too many bytes are held for callers'
-
 # Time limit of a request that has none itself; routes set shorter ones.
 DEFAULT_TIMEOUT_S = 30.0
 
@@ -193,19 +192,29 @@
             environ, max_body_bytes, self._memory.budget_bytes
         )
         if not self._memory.may_admit(reserved):
-            return Refusal(503, OUT_OF_MEMORY, memory_budget.RETRY_S)
+            return Refusal(503, http.OUT_OF_MEMORY, memory_budget.RETRY_S)
         holding.take(Use.BODIES, reserved)
+        taken = reserved
+
+        def has_memory(size: int) -> bool:
+            nonlocal taken
+            more = size - taken
+            if more <= 0:
+                return True
+            if not self._memory.may_admit(more):
+                return False
+            holding.take(Use.BODIES, more)
+            taken = size
+            return True
+
         body = http.read_body(
-            environ, http.Limits(max_body_bytes=max_body_bytes)
+            environ, http.Limits(max_body_bytes=max_body_bytes), has_memory
         )
         if isinstance(body, Rejection):
             return Refusal(
                 body.status, body.findings[0].text, body.retry_after_s
             )
-        if len(body) < reserved:
-            holding.give_back(Use.BODIES, reserved - len(body))
-        else:
-            holding.take(Use.BODIES, len(body) - reserved)
+        holding.give_back(Use.BODIES, taken - len(body))
         return body
 
     def _elapsed_s(self, route: Route, inbound: InboundRequest) -> float:
@@ -225,6 +234,18 @@
         )
 
 
+def request_limits(known_state: KnownState) -> RequestLimits:
+    """Return the limits of a request, as the operators state them."""
+    if known_state.routes is None:
+        return RequestLimits()
+    limits = known_state.routes.configuration.limits
+    return connection_limits.from_operators(
+        limits.max_header_bytes,
+        limits.header_timeout_s,
+        limits.idle_timeout_s,
+    )
+
+
 def may_run(
     state: ShutdownState, route: Route, time_to_run_s: float, now: float
 ) -> bool:
--- a/packages/burdockchute/burdockchute/callers/http.py
+++ b/packages/burdockchute/burdockchute/callers/http.py
@@ -53,7 +53,10 @@
 # router is assumed to have failed, so that no caller waits without limit.
 ANSWER_GRACE_S = 2.0
 
-# Retry-After of a request whose body there is no memory for.
+BODY_PIECE_BYTES = 64 * 1024
+
+# Reason and Retry-After of a request whose body there is no memory for.
+OUT_OF_MEMORY = 'too many bytes are held for callers'
 OUT_OF_MEMORY_RETRY_S = 1.0
 
 Submit = Callable[[RequestContext], queue.Queue]
@@ -122,7 +125,7 @@
         size = _reserved_bytes(environ, limits.max_body_bytes)
         if not budget.take(size):
             ex = Exchange(environ, start_response, uuid.uuid4().hex)
-            return _answer_rejection(ex, _out_of_memory())
+            return _answer_rejection(ex, out_of_memory())
         try:
             return ResponseBody(
                 answer(environ, start_response),
@@ -213,9 +216,14 @@
 
 
 def read_body(
-    environ: dict[str, Any], limits: Limits
+    environ: dict[str, Any],
+    limits: Limits,
+    has_memory: Callable[[int], bool] = lambda _size: True,
 ) -> bytes | parse.Rejection:
-    """Read the complete body, or return why it is rejected."""
+    """Read the complete body, or return why it is rejected.
+
+    `has_memory` is called with the size of what has been read so far.
+    """
     declared = environ.get('CONTENT_LENGTH') or '0'
     if not declared.isdigit():
         return _rejection(400, 'Content-Length', f'{declared!r} is no size')
@@ -228,7 +236,7 @@
     # complete body ends it; a timeout on each read would not.
     try:
         with gevent.Timeout(limits.body_timeout_s):
-            body = environ['wsgi.input'].read(limit + 1)
+            body = _read_pieces(environ['wsgi.input'], limit + 1, has_memory)
     except gevent.Timeout:
         text = f'did not come within {limits.body_timeout_s:g} s'
         return _rejection(408, 'body', text)
@@ -238,6 +246,8 @@
         )
     except OSError as exc:
         return _rejection(400, 'body', f'broke off: {exc}')
+    if body is None:
+        return out_of_memory()
     if len(body) > limit:
         return _rejection(413, 'body', f'longer than {limit} bytes')
     if len(body) < int(declared):
@@ -245,6 +255,21 @@
     return body
 
 
+def _read_pieces(
+    body: Any, most: int, has_memory: Callable[[int], bool]
+) -> bytes | None:
+    """Read up to `most` bytes; None if there is no memory for them."""
+    read = bytearray()
+    while len(read) < most:
+        piece = body.read(min(BODY_PIECE_BYTES, most - len(read)))
+        if not piece:
+            break
+        read += piece
+        if not has_memory(len(read)):
+            return None
+    return bytes(read)
+
+
 def _reserved_bytes(environ: Mapping[str, Any], max_body_bytes: int) -> int:
     if 'HTTP_TRANSFER_ENCODING' in environ:
         return max_body_bytes
@@ -252,8 +277,9 @@
     return min(int(declared), max_body_bytes) if declared.isdigit() else 0
 
 
-def _out_of_memory() -> parse.Rejection:
-    finding = Finding('body', 'too many bytes are held for callers')
+def out_of_memory() -> parse.Rejection:
+    """Return the rejection of a body that there is no memory for."""
+    finding = Finding('body', OUT_OF_MEMORY)
     return parse.Rejection(503, (finding,), OUT_OF_MEMORY_RETRY_S)
 
 
