Metrics: connections, refusals by cause and late turns of each process

What operators saw: a crowd of clients looked like load. Refused heads were in no metric, and the number of connections had no limit to compare with.

connections, connections_limit and unparsed by listener, clients_refused by listener and cause, late_turns and longest_turn. Entries measure their turns with the wait that they had anyway, the others once a second.

Failing run before: the module is new. test_listener_metrics passes.

--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -9,12 +9,14 @@
 from gevent import queue
 
 from burdockchute import http_admin
+from burdockchute import listener_metrics
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import process_limits
 from burdockchute import tasks
 from burdockchute.decisions import connection_limits
 from burdockchute.lifecycle import ProcessLifecycle
+from burdockchute.listener_metrics import LoopWatch
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
 from burdockchute.model.members import Place
@@ -49,6 +51,7 @@
         self.lifecycle = ProcessLifecycle(cfg, 'agent', self.table_offset)
         self.admin_url = ''
         self.inbox: queue.Queue = queue.Queue()
+        self.loop_watch = LoopWatch()
         self.entries: dict[links.Link, None] = {}
         self.rows = RowsTask(self._publish)
         place = Place(cfg.zone, cfg.region, cfg.pool)
@@ -105,6 +108,7 @@
         ):
             return listening.stop_before_serving()
         self.admin_url = f'http://{self.cfg.address}:{admin.server_port}'
+        listener_metrics.register([admin, link_server], self.loop_watch)
         logs.event(
             'serving',
             link_port=link_server.server_port,
@@ -135,6 +139,7 @@
             self.rows.run,
             self.weights.run,
             self.reports.run,
+            self.loop_watch.run,
         ]
 
     def _probe(self) -> http_admin.Readiness:
--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -10,6 +10,7 @@
 from gevent import queue
 
 from burdockchute import http_admin
+from burdockchute import listener_metrics
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
@@ -23,6 +24,7 @@
 from burdockchute.feed_follower import max_open_read_s
 from burdockchute.feed_follower import SETTLING_S
 from burdockchute.lifecycle import ProcessLifecycle
+from burdockchute.listener_metrics import LoopWatch
 from burdockchute.model.known_state import KnownState
 from burdockchute.model.machines import Machine
 from burdockchute.nodes import links
@@ -93,6 +95,7 @@
             time.monotonic,
         )
         self.inbox: queue.Queue = queue.Queue()
+        self.loop_watch = LoopWatch()
 
     def serve(self) -> int:
         """Run until a signal requests a stop; return the exit status."""
@@ -120,6 +123,7 @@
             self._cfg.admin_port,
             http_admin.make_app(self.status, self._probe),
         )
+        listener_metrics.register([admin, link_server], self.loop_watch)
         logs.event(
             'serving',
             link_port=link_server.server_port,
@@ -166,6 +170,7 @@
             self.staged.run,
             self.reports.run,
             self._route_events,
+            self.loop_watch.run,
         ]
 
     def _route_events(self) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -11,6 +11,7 @@
 from gevent import queue
 
 from burdockchute import http_admin
+from burdockchute import listener_metrics
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import process_limits
@@ -22,6 +23,7 @@
 from burdockchute.decisions import connection_limits
 from burdockchute.decisions import memory_budget
 from burdockchute.lifecycle import ProcessLifecycle
+from burdockchute.listener_metrics import LoopWatch
 from burdockchute.model import deltas
 from burdockchute.model.changes import MembersChanged
 from burdockchute.model.changes import TableChanged
@@ -64,6 +66,7 @@
         self.cfg = cfg
         self.lifecycle = ProcessLifecycle(cfg, 'entry', self.table_offset)
         self.leaving = False
+        self.loop_watch = LoopWatch()
         # The account of the server of callers, once there is one.
         self.work = OpenWork()
         self.log = LogClient(cfg.log_url)
@@ -157,6 +160,9 @@
             self.cfg.drain_s + listening.PREDECESSOR_MARGIN_S,
         ):
             return listening.stop_before_serving()
+        listener_metrics.register(
+            [callers, admin, link_server], self.loop_watch
+        )
         logs.event(
             'serving',
             link_port=link_server.server_port,
@@ -191,6 +197,7 @@
             self.crashes_task.read_forever,
             self.limits_task.run,
             self.router.run,
+            self.loop_watch.run,
         ]
 
     def _publish(self, table: Table) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -12,6 +12,7 @@
 import gevent
 
 from burdockchute import http_admin
+from burdockchute import listener_metrics
 from burdockchute import listening
 from burdockchute import logs
 from burdockchute import metrics
@@ -30,6 +31,7 @@
 from burdockchute.feed_follower import max_open_read_s
 from burdockchute.feed_follower import SETTLING_S
 from burdockchute.lifecycle import ProcessLifecycle
+from burdockchute.listener_metrics import LoopWatch
 from burdockchute.model.crash_reports import AnsweredRequest
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.known_state import KnownState
@@ -180,6 +182,7 @@
         )
         # The account of the server of callers, once there is one.
         self.work = OpenWork()
+        self.loop_watch = LoopWatch()
         self.counters = Counters()
         self.memory = MemoryAccount(now, close_idle=self._close_idle)
         self.callers = CallersApp(
@@ -230,6 +233,7 @@
         if self.memory.budget_bytes is not None:
             server.limit_send_buffers(callers)
         admin = self._serve_admin()
+        listener_metrics.register([callers, probes, admin], self.loop_watch)
         logs.event(
             'serving',
             callers=machine.callers,
@@ -420,7 +424,7 @@
     def _keep_assigning(self) -> None:
         was_lost = False
         while True:
-            gevent.sleep(ASSIGN_INTERVAL_S)
+            self.loop_watch.sleep(ASSIGN_INTERVAL_S)
             is_lost = self.follower.desired_state_contact.lost
             if was_lost and not is_lost:
                 self.crash_records.expect_changes()
--- a/packages/burdockchute/burdockchute/callers/refusals.py
+++ b/packages/burdockchute/burdockchute/callers/refusals.py
@@ -22,7 +22,7 @@
 
     def __init__(self, listener: str) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
-        self._listener = listener
+        self.listener = listener
         self._logged: dict[str, tuple[float, int]] = {}
 
     def add(self, cause: str, client: str, reason: str = '') -> None:
@@ -35,7 +35,7 @@
         self._logged[cause] = now, self.counts[cause]
         logs.event(
             'clients_refused',
-            listener=self._listener,
+            listener=self.listener,
             cause=cause,
             count=self.counts[cause] - logged_count,
             client=client,
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -147,6 +147,21 @@
         self._waiters: dict[Any, gevent.Greenlet] = {}
         self._reading_ended = False
 
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self.work)
+
+    @property
+    def max_connections(self) -> int:
+        """The number of connections beyond which some make room."""
+        return self.limits.connections
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of all connections that are not parsed yet."""
+        return self.head_bytes
+
     def init_socket(self) -> None:
         """Listen; connections take over the limit of the buffer."""
         super().init_socket()
--- a/packages/burdockchute/burdockchute/nodes/link_server.py
+++ b/packages/burdockchute/burdockchute/nodes/link_server.py
@@ -64,6 +64,9 @@
     ) -> None:
         super().__init__(address, accept)
         self.limits = limits
+        self.unfinished = UnfinishedMessages(
+            lambda link: link.close('unfinished messages are too long')
+        )
         self.refusals = Refusals('links')
         # The longest connected come first.
         self._unopened: dict[Any, None] = {}
@@ -74,6 +77,16 @@
         """The number of connections, with a Hello or not."""
         return len(self._connected)
 
+    @property
+    def max_connections(self) -> int:
+        """The number of connections beyond which new ones are closed."""
+        return self.limits.links
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of all unfinished messages."""
+        return self.unfinished.total
+
     def do_handle(self, client_socket: Any, address: Any) -> None:
         """Handle a connection in a greenlet of its own."""
         if len(self._unopened) >= self.limits.unopened:
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -388,13 +388,11 @@
     instance fails at its start instead of sharing the upstream.
     """
 
-    unfinished = UnfinishedMessages(
-        lambda link: link.close('unfinished messages are too long')
-    )
-
     def accept(sock: Any, _peer_address: Any) -> None:
         try:
-            link = _handshake(sock, hello(), inbox, table_offset, unfinished)
+            link = _handshake(
+                sock, hello(), inbox, table_offset, listener.unfinished
+            )
             listener.opened(sock)
             # The server closes the socket once this function returns.
             link.wait_closed()
