Logs: a text in an event has a limit

What operators saw: a client that names a long target writes lines of that length, and 400 lines a second are allowed.

Failing run before: test_text_at_the_limit_of_a_field_and_beyond, a text of 1,001 characters was written whole. It passes now.

Fix: texts of events are cut off after 1,000 characters.

--- a/packages/burdockchute/burdockchute/logs.py
+++ b/packages/burdockchute/burdockchute/logs.py
@@ -27,6 +27,9 @@
 # Warnings report failed requests and losses, and are read first.
 INFO_SHARE = 0.75
 
+# Longer texts are cut off, as clients choose some of them.
+MAX_TEXT_CHARS = 1000
+
 # Minimum interval between reports of the number of dropped lines.
 DROPPED_REPORT_INTERVAL_S = 5.0
 
@@ -213,6 +216,9 @@
     >>> event('table_applied', offset=12)
     """
     if _LOG.isEnabledFor(level):
+        for key, value in fields.items():
+            if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+                fields[key] = f'{value[:MAX_TEXT_CHARS]}...'
         _LOG.log(level, {'event': name, **fields})
 
 
--- a/packages/burdockchute/tests/test_logs.py
+++ b/packages/burdockchute/tests/test_logs.py
@@ -33,6 +33,18 @@
             remainder,
         )
 
+    def test_text_at_the_limit_of_a_field_and_beyond(self):
+        """A client chose the length of a line with the target it named."""
+        most = logs.MAX_TEXT_CHARS
+        log = logging.getLogger('burdockchute')
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, logging.CRITICAL)
+        for count, end in ((most, ''), (most + 1, '...')):
+            with self.assertLogs(log) as logged:
+                logs.event('request_turned_away', target='t' * count)
+            (record,) = logged.records
+            self.assertEqual('t' * most + end, record.msg['target'])
+
 
 class Unprintable:
     """A value whose text can't be built."""
