Callers: answers that nobody reads make room for other connections

What callers saw: pipelines whose answers were not read kept all places for the 30 s of a write, and were renewed.

Fix: where nothing else makes room, the answer of which nothing was read for the longest ends, after 5 s without progress. In calm nothing changes: a write to a caller has 30 s.

--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+import errno
 from http import client
 import logging
 import socket as sockets
@@ -50,6 +51,9 @@
     Stage.IDLE,
     Stage.BODY,
 )
+# An answer of which nothing was read for this long makes room as the last.
+STALLED_S = 5.0
+
 # Connections of a stage that are looked at, as some of them may have received
 # a request that their task has not seen yet.
 EVICTION_CANDIDATES = 16
@@ -145,6 +149,9 @@
         # a request or for the end of a connection.
         self._readers: dict[Any, gevent.Greenlet] = {}
         self._waiters: dict[Any, gevent.Greenlet] = {}
+        # The greenlets whose writes block, with the time of the last progress;
+        # those without any for the longest come first.
+        self._writers: dict[Any, tuple[gevent.Greenlet, float]] = {}
         self._reading_ended = False
 
     @property
@@ -191,12 +198,25 @@
         most = self.limits.connections
         closing = min(self.work.count(Stage.CLOSING), MAX_CLOSING)
         if len(self.work) - closing >= most:
-            self._evict(EVICTION_ORDER)
+            if not self._evict(EVICTION_ORDER):
+                self._reset_stalled()
         if len(self.work) >= most + MAX_CLOSING:
             self._evict((Stage.CLOSING,))
         closing = min(self.work.count(Stage.CLOSING), MAX_CLOSING)
         return len(self.work) - closing < most
 
+    def _reset_stalled(self) -> bool:
+        """End the answer that its caller has not read for the longest."""
+        for writer, since in self._writers.values():
+            if time.monotonic() - since < STALLED_S:
+                return False
+            self.refusals.add('stalled_answer', '')
+            writer.throw(
+                ConnectionResetError(errno.ECONNRESET, 'answer is not read')
+            )
+            return True
+        return False
+
     def _evict(self, stages: tuple[Stage, ...]) -> bool:
         """End the longest of the given stages; runs in the event loop."""
         for stage in stages:
@@ -246,6 +266,20 @@
         finally:
             del self._waiters[sock]
 
+    @contextlib.contextmanager
+    def writing(self, sock: Any) -> Iterator[None]:
+        """Wait until a caller reads its answer."""
+        self._writers[sock] = gevent.getcurrent(), time.monotonic()
+        try:
+            yield
+        finally:
+            del self._writers[sock]
+
+    def note_written(self, sock: Any) -> None:
+        """Note that a caller has read a part of its answer."""
+        writer, _since = self._writers.pop(sock)
+        self._writers[sock] = writer, time.monotonic()
+
     def finish(
         self,
         deadline: float,
@@ -672,15 +706,11 @@
             self.wsgi_input.is_abandoned = True
 
     def _sendall(self, data: Any) -> None:
-        watch = self.environ.get(WRITE_WATCH_KEY) if self.environ else None
-        if watch is None:
-            super()._sendall(data)
-            return
         try:
             sent = self._send_at_once(data)
             if sent < len(data):
-                watch.on_blocked(len(data) - sent)
-                self._send_rest(memoryview(data)[sent:], watch)
+                with self.server.writing(self.socket):
+                    self._send_rest(memoryview(data)[sent:])
         except OSError as exc:
             # As in the base class: a negative code marks a failed write.
             self.status = f'socket error: {exc}'
@@ -696,11 +726,17 @@
         except BlockingIOError:
             return 0
 
-    def _send_rest(self, data: memoryview, watch: WriteWatch) -> None:
+    def _send_rest(self, data: memoryview) -> None:
+        watch = self.environ.get(WRITE_WATCH_KEY) if self.environ else None
+        if watch is None:
+            self.socket.sendall(data)
+            return
+        watch.on_blocked(len(data))
         while data:
             sent = self.socket.send(data)
             if sent:
                 watch.on_sent(sent)
+                self.server.note_written(self.socket)
             data = data[sent:]
 
     def handle_one_response(self) -> None:
--- a/packages/burdockchute/tests/callers/test_connection_limits.py
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import unittest
+from unittest import mock
 
 import gevent
 from gevent import event
@@ -11,6 +13,7 @@
 from burdockchute.callers import http
 from burdockchute.callers import parse
 from burdockchute.callers import server
+from burdockchute.callers.open_work import Stage
 from burdockchute.decisions.connection_limits import ConnectionLimits
 from burdockchute.decisions.connection_limits import RequestLimits
 
@@ -101,6 +104,20 @@
         for conn in running:
             self.assertIn(b' 200 ', conn.recv(4096))
 
+    def test_answers_that_are_not_read_make_room(self):
+        """Pipelines whose answers nobody read took all places for 30 s."""
+        with mock.patch.object(server, 'STALLED_S', 0.05):
+            for _number in range(MOST):
+                conn = self.connect()
+                conn.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        conn.send(REQUEST * 500)
+                        gevent.sleep(0.01)
+            gevent.sleep(0.2)
+            self.assertEqual(MOST, self.server.work.count(Stage.ANSWER))
+            self.assert_served(self.connect())
+
     def test_heads_share_a_limit(self):
         """The oldest head makes room, and what was held is given up."""
         self.start(ConnectionLimits(100, 2000), RequestLimits(1500))
