--- a/packages/burdockchute/tests/callers/test_request_reader.py
+++ b/packages/burdockchute/tests/callers/test_request_reader.py
@@ -11,11 +11,15 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from burdockchute.callers import http
+from burdockchute.callers import parse
 from burdockchute.callers import request_reader
+from burdockchute.callers import server
 from burdockchute.callers.request_body import RequestBody
 from burdockchute.callers.request_reader import BrokenBody
 from burdockchute.callers.request_reader import RequestError
 from burdockchute.callers.request_reader import RequestReader
+from burdockchute.decisions.connection_limits import RequestLimits
 
 LIMIT = 400
 LINE = b'POST /a?b=%20c HTTP/1.1\r\n'
@@ -178,7 +182,49 @@
     return counter.count
 
 
+def answer(environ, start_response):
+    """Answer with what was received."""
+    body = http.read_body(environ, http.Limits(max_body_bytes=100))
+    is_refused = isinstance(body, parse.Rejection)
+    start_response(
+        f'{body.status if is_refused else 200} X',
+        [('Content-Length', '0')] + [('Connection', 'close')] * is_refused,
+    )
+    return [b'']
+
+
 class HostileBytesTest(unittest.TestCase):
+    def setUp(self):
+        self.server = server.make_server(
+            '127.0.0.1', 0, answer, request_limits=lambda: RequestLimits(LIMIT)
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    @settings(max_examples=100)
+    @given(st.lists(PARTS, max_size=12))
+    def test_each_input_ends_in_answers_and_a_close(self, parts):
+        """What a connection held was given back only as it was read on."""
+        sent = b''.join(parts)
+        with (
+            gevent.Timeout(10),
+            socket.create_connection(
+                ('127.0.0.1', self.server.server_port)
+            ) as conn,
+        ):
+            conn.sendall(sent)
+            conn.shutdown(socket.SHUT_WR)
+            received = b''
+            while data := conn.recv(4096):
+                received += data
+        answers = received.count(b'HTTP/1.1 ')
+        requests, end = read_all([sent])
+        self.assertEqual(len(requests), received.count(b' 200 X'))
+        self.assertLessEqual(answers, len(requests) + (end != 'closed'))
+        while not self.server.work.is_empty():
+            gevent.sleep(0)
+        self.assertEqual(0, self.server.head_bytes)
+
     @settings(max_examples=300)
     @given(st.lists(PARTS, max_size=12), st.data())
     def test_requests_are_the_same_wherever_the_bytes_are_cut(
