--- a/packages/burdockchute-agent/burdockchute_agent/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/app.py
@@ -95,7 +95,10 @@
             self.lifecycle.hello,
             self.inbox,
             self.table_offset,
-            connection_limits.for_links(process_limits.max_descriptors(None)),
+            connection_limits.for_links(
+                process_limits.memory_left_bytes(None),
+                process_limits.max_descriptors(None),
+            ),
         )
         # Peers copy weights from the admin port.
         admin = http_admin.make_server(
--- a/packages/burdockchute-agent/burdockchute_agent/staged/app.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/app.py
@@ -109,7 +109,8 @@
             self.inbox,
             lambda: 0,
             connection_limits.for_links(
-                process_limits.max_descriptors(machine.max_descriptors)
+                process_limits.memory_left_bytes(machine.memory_bytes),
+                process_limits.max_descriptors(machine.max_descriptors),
             ),
         )
         if not listening.start_all(
--- a/packages/burdockchute-entry/burdockchute_entry/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/app.py
@@ -141,7 +141,7 @@
             self.lifecycle.hello,
             self.links_task.inbox,
             self.table_offset,
-            connection_limits.for_links(descriptors),
+            connection_limits.for_links(memory_left, descriptors),
         )
         callers = server.make_server(
             self.cfg.address,
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -58,9 +58,6 @@
 # a request that their task has not seen yet.
 EVICTION_CANDIDATES = 16
 
-# Connections above the limit whose callers can still read their refusals.
-MAX_CLOSING = 8
-
 # Retry-After of a request that makes room for others.
 CROWDED_RETRY_S = 1.0
 
@@ -196,13 +193,17 @@
     def _make_room(self) -> bool:
         """Make room for one more connection; False if there is none."""
         most = self.limits.connections
-        closing = min(self.work.count(Stage.CLOSING), MAX_CLOSING)
+        closing = min(
+            self.work.count(Stage.CLOSING), connection_limits.MAX_CLOSING
+        )
         if len(self.work) - closing >= most:
             if not self._evict(EVICTION_ORDER):
                 self._reset_stalled()
-        if len(self.work) >= most + MAX_CLOSING:
+        if len(self.work) >= most + connection_limits.MAX_CLOSING:
             self._evict((Stage.CLOSING,))
-        closing = min(self.work.count(Stage.CLOSING), MAX_CLOSING)
+        closing = min(
+            self.work.count(Stage.CLOSING), connection_limits.MAX_CLOSING
+        )
         return len(self.work) - closing < most
 
     def _reset_stalled(self) -> bool:
--- a/packages/burdockchute/burdockchute/decisions/connection_limits.py
+++ b/packages/burdockchute/burdockchute/decisions/connection_limits.py
@@ -18,15 +18,24 @@
 RECEIVE_BUFFER_BYTES = 16 * 1024
 BODY_BUFFER_BYTES = 128 * 1024
 
+_BYTES_EACH = CONNECTION_BYTES + 2 * RECEIVE_BUFFER_BYTES
+
+# The two greenlets of a link, its socket and what one read returns.
+LINK_BYTES = 64 * 1024
+
 # Shares of the memory left at the start of serving, beside `memory_budget`.
 CONNECTIONS_SHARE = 0.3
 HEADS_SHARE = 0.06
+LINKS_MEMORY_SHARE = 0.2
 
 # Descriptors for files and for connections that the process opens itself.
 OWN_DESCRIPTORS = 200
 CALLERS_SHARE = 0.5
 LINKS_SHARE = 0.25
 
+# Connections above the limit whose callers can still read their refusals.
+MAX_CLOSING = 8
+
 MIN_CONNECTIONS = 16
 MIN_LINKS = 64
 MIN_HEADS_BYTES = 256 * 1024
@@ -91,8 +100,7 @@
     >>> for_callers(250_000_000, 400).connections
     100
     """
-    bytes_each = CONNECTION_BYTES + 2 * RECEIVE_BUFFER_BYTES
-    by_memory = int(memory_left_bytes * CONNECTIONS_SHARE) // bytes_each
+    by_memory = int(memory_left_bytes * CONNECTIONS_SHARE) // _BYTES_EACH
     by_descriptors = int((descriptors - OWN_DESCRIPTORS) * CALLERS_SHARE)
     return ConnectionLimits(
         max(MIN_CONNECTIONS, min(by_memory, by_descriptors)),
@@ -100,14 +108,41 @@
     )
 
 
-def for_links(descriptors: int) -> LinkLimits:
+def for_links(memory_left_bytes: int, descriptors: int) -> LinkLimits:
     """Return the limits of the port for links.
 
-    >>> for_links(4100), for_links(400)
-    (LinkLimits(links=975, unopened=32), LinkLimits(links=64, unopened=32))
+    >>> for_links(400_000_000, 4100).links, for_links(100_000_000, 4100).links
+    (975, 305)
+    >>> for_links(400_000_000, 400).links
+    64
+    """
+    by_memory = int(memory_left_bytes * LINKS_MEMORY_SHARE) // LINK_BYTES
+    by_descriptors = int((descriptors - OWN_DESCRIPTORS) * LINKS_SHARE)
+    return LinkLimits(max(MIN_LINKS, min(by_memory, by_descriptors)))
+
+
+def max_connections_bytes(limits: ConnectionLimits) -> int:
+    """Return what all connections to a listener can make a process hold.
+
+    Bodies that there is memory for count in `memory_budget`, with what the
+    system has received of them.
+
+    >>> max_connections_bytes(ADMIN_LIMITS)
+    2555904
+    """
+    count = limits.connections + MAX_CLOSING
+    return count * _BYTES_EACH + limits.heads_bytes
+
+
+def max_links_bytes(
+    limits: LinkLimits, unfinished_bytes: int, longest_bytes: int
+) -> int:
+    """Return what all links can make a process hold.
+
+    Beside what has been received of it, a message exists twice while it is
+    decoded, one at a time.
     """
-    share = int((descriptors - OWN_DESCRIPTORS) * LINKS_SHARE)
-    return LinkLimits(max(MIN_LINKS, share))
+    return limits.links * LINK_BYTES + unfinished_bytes + 2 * longest_bytes
 
 
 def from_operators(
--- a/packages/burdockchute/burdockchute/nodes/link_server.py
+++ b/packages/burdockchute/burdockchute/nodes/link_server.py
@@ -18,7 +18,7 @@
 from burdockchute.decisions.connection_limits import LinkLimits
 
 # The sum of what all accepted links have received of unfinished messages.
-MAX_UNFINISHED_BYTES = 2 * wire.MAX_FRAME_BYTES
+MAX_UNFINISHED_BYTES = wire.MAX_FRAME_BYTES * 3 // 2
 
 # Connections accepted in one turn of the event loop.
 MAX_ACCEPT = 16
--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -474,7 +474,7 @@
             end = _LENGTH.size + _parse_length(buffer[: _LENGTH.size])
             if len(buffer) < end:
                 break
-            yield wire.decode(bytes(buffer[_LENGTH.size : end]))
+            yield wire.decode(bytes(memoryview(buffer)[_LENGTH.size : end]))
             del buffer[:end]
         data = sock.recv(_READ_BYTES)
         if not data:
--- a/packages/burdockchute/tests/callers/test_connection_limits.py
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import unittest
 from unittest import mock
 
@@ -45,11 +44,13 @@
         start_response('200 OK', [('Content-Length', '0')])
         return [b'']
 
-    def connect(self, data=b''):
-        conn = socket.create_connection(
-            ('127.0.0.1', self.server.server_port), 5
-        )
+    def connect(self, data=b'', receive_bytes=None):
+        conn = socket.socket()
         self.addCleanup(conn.close)
+        conn.settimeout(5)
+        if receive_bytes is not None:
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        conn.connect(('127.0.0.1', self.server.server_port))
         conn.sendall(data)
         gevent.sleep(0.02)
         return conn
@@ -106,16 +107,16 @@
 
     def test_answers_that_are_not_read_make_room(self):
         """Pipelines whose answers nobody read took all places for 30 s."""
+        server.limit_send_buffers(self.server)
         with mock.patch.object(server, 'STALLED_S', 0.05):
             for _number in range(MOST):
-                conn = self.connect()
+                conn = self.connect(receive_bytes=4096)
                 conn.setblocking(False)
-                with contextlib.suppress(BlockingIOError):
-                    while True:
-                        conn.send(REQUEST * 500)
-                        gevent.sleep(0.01)
-            gevent.sleep(0.2)
-            self.assertEqual(MOST, self.server.work.count(Stage.ANSWER))
+                conn.send(REQUEST * 10_000)
+            with gevent.Timeout(10):
+                while self.server.work.count(Stage.ANSWER) < MOST:
+                    gevent.sleep(0.1)
+            gevent.sleep(0.1)
             self.assert_served(self.connect())
 
     def test_heads_share_a_limit(self):
