Callers: idle connections are kept for as long as the operators say

What callers saw: a connection that was idle for 30 s was closed, also where idleTimeoutMs allows more; clients reuse connections for four fifths of it.

Cause: the time limit of a write, 30 s, was also that of the socket while it waited for a request.

--- a/packages/burdockchute/burdockchute/callers/request_reader.py
+++ b/packages/burdockchute/burdockchute/callers/request_reader.py
@@ -62,12 +62,6 @@
     keeps_connection: bool
     body_bytes: int | None
 
-    def get(self, name: str) -> str | None:
-        """Return the first value of a header by its name in lower case."""
-        return next(
-            (v for key, v in self.headers if key.lower() == name), None
-        )
-
 
 class RequestReader:
     """Reads the requests of one connection, one after another.
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -496,9 +496,10 @@
         """Handle one request; True if the connection is kept."""
         self._is_answered = False
         limits = self.server.request_limits()
-        self.socket.settimeout(WRITE_TIMEOUT_S)
+        self.socket.settimeout(None)
         if not self._wait_for_request(limits):
             return None
+        self.socket.settimeout(WRITE_TIMEOUT_S)
         try:
             head = self._read_head(limits)
         except OSError:
--- a/packages/burdockchute/tests/callers/test_connection_limits.py
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -131,6 +131,14 @@
         self.assertIn(b' 200 ', second.recv(4096))
         self.assertEqual(0, self.server.head_bytes)
 
+    def test_idle_connections_are_kept_for_longer_than_a_write(self):
+        """The time limit of a write closed them, too, after 30 s."""
+        with mock.patch.object(server, 'WRITE_TIMEOUT_S', 0.1):
+            conn = self.connect(REQUEST)
+            self.assertIn(b' 200 ', conn.recv(4096))
+            gevent.sleep(0.5)
+            self.assert_served(conn)
+
     def test_time_limits(self):
         """A head without end and a connection without requests are closed."""
         self.start(
