Callers: the system receives no more of a body than is counted for it

What callers saw: nothing yet; found in reading this change. Each body in chunks, and each of over 16 KB, got a receive buffer of 256 KiB, more than its share of the account of bodies, so many small bodies could exceed the memory.

Fix: the buffer follows what is counted, the length of the body or what has been read of its chunks, up to 256 KiB, and goes back at its end.

--- a/packages/burdockchute/burdockchute/callers/request_body.py
+++ b/packages/burdockchute/burdockchute/callers/request_body.py
@@ -39,6 +39,7 @@
         self._reader = reader
         self._in_chunks = size is None
         self._left = math.inf if size is None else size
+        self._received = 0
         self._receiving = receiving
         self._waiting_caller = waiting_caller
 
@@ -58,6 +59,13 @@
         """Return what has not been read; infinity if it is not known."""
         return self._left
 
+    def counted_bytes(self) -> int:
+        """Return what an account of bodies has of it at least.
+
+        That is its length, and for chunks what has been read.
+        """
+        return self._received if self._in_chunks else int(self._left)
+
     def discard(self) -> None:
         """Read what the application left unread, if that is little.
 
@@ -93,4 +101,5 @@
                 part = self._reader.read_body(wanted)
                 self._left -= len(part)
             body += part
+            self._received += len(part)
         return bytes(body)
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -40,9 +40,6 @@
 # Limit of one write to a caller.
 WRITE_TIMEOUT_S = 30.0
 
-# A body of at least this many bytes is received with a larger buffer.
-LARGE_BODY_BYTES = 16 * 1024
-
 # Connections that make room for new ones, in this order. Those that run a
 # request or write its answer stay.
 EVICTION_ORDER = (
@@ -476,6 +473,8 @@
     client_address: Any
     # Whether the present request has its whole answer.
     _is_answered = False
+    # Limit of what the system receives for this connection.
+    _buffer_bytes = connection_limits.RECEIVE_BUFFER_BYTES
 
     def __init__(self, sock: Any, address: Any, server: CallersServer) -> None:
         reader = RequestReader(sock, server.count_head_bytes)
@@ -646,21 +645,32 @@
 
     @contextlib.contextmanager
     def _receiving_body(self) -> Iterator[None]:
-        is_large = self.wsgi_input.unread_bytes() >= LARGE_BODY_BYTES
+        body = self.wsgi_input
+        if body.counted_bytes() > 2 * self._buffer_bytes:
+            # Linux doubles it: the system then holds no more than the bytes
+            # that the application has counted for this body.
+            self._limit_buffer(
+                min(
+                    body.counted_bytes() // 2,
+                    connection_limits.BODY_BUFFER_BYTES,
+                )
+            )
         with self.server.reading(self.socket, Stage.BODY):
-            if is_large:
-                self._limit_buffer(connection_limits.BODY_BUFFER_BYTES)
             try:
                 yield
             except ReadingEnded:
-                self.wsgi_input.is_abandoned = True
+                body.is_abandoned = True
                 raise
-        if is_large:
+        if not body.unread():
             self._limit_buffer(connection_limits.RECEIVE_BUFFER_BYTES)
         self._enter(Stage.RUNNING)
 
     def _limit_buffer(self, count: int) -> None:
-        self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, count)
+        if count != self._buffer_bytes:
+            self._buffer_bytes = count
+            self.socket.setsockopt(
+                sockets.SOL_SOCKET, sockets.SO_RCVBUF, count
+            )
 
     def start_response(
         self, status: str, headers: list[tuple[str, str]], *exc_info: Any
--- a/packages/burdockchute/tests/callers/test_connection_limits.py
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -13,6 +13,7 @@
 from burdockchute.callers import parse
 from burdockchute.callers import server
 from burdockchute.callers.open_work import Stage
+from burdockchute.decisions import connection_limits
 from burdockchute.decisions.connection_limits import ConnectionLimits
 from burdockchute.decisions.connection_limits import RequestLimits
 
@@ -22,6 +23,13 @@
 REFUSED = b'HTTP/1.1 503 Service Unavailable\r\n'
 
 
+def receive_buffer(environ):
+    """Return the limit of what the system receives for a request."""
+    return environ[server.SOCKET_KEY].getsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF
+    )
+
+
 class ConnectionLimitsTest(unittest.TestCase):
     def setUp(self):
         self.is_done = event.Event()
@@ -139,6 +147,42 @@
             gevent.sleep(0.5)
             self.assert_served(conn)
 
+    def test_the_system_receives_no_more_than_a_body_is_counted_with(self):
+        """Each small body in chunks had a buffer of 256 KiB."""
+        buffers = []
+
+        def app(environ, start_response):
+            body = environ['wsgi.input']
+            while body.read(1):
+                buffers.append(receive_buffer(environ))
+                body.read(70_000)
+            buffers.append(receive_buffer(environ))
+            start_response('200 OK', [('Content-Length', '0')])
+            return [b'']
+
+        self.app = app
+        self.start(ConnectionLimits(100, 1 << 20), RequestLimits())
+        least = 2 * connection_limits.RECEIVE_BUFFER_BYTES
+        most = 2 * connection_limits.BODY_BUFFER_BYTES
+        for framing, size, first in (
+            (b'Content-Length: %d', 4, least),
+            (b'Content-Length: %d', 100_000, 100_000),
+            (b'Content-Length: %d', 1_000_000, most),
+            (b'Transfer-Encoding: chunked', 300_000, least),
+        ):
+            with self.subTest(framing, size=size):
+                buffers.clear()
+                body = b'b' * size
+                if b'%d' in framing:
+                    framing %= size
+                else:
+                    body = b'%x\r\n%b\r\n0\r\n\r\n' % (size, body)
+                head = UPLOAD.replace(b'Content-Length: 4', framing)
+                self.assertIn(b' 200 ', self.connect(head + body).recv(4096))
+                self.assertEqual(first, buffers[0])
+                self.assertLessEqual(max(buffers), most)
+                self.assertEqual(least, buffers[-1])
+
     def test_time_limits(self):
         """A head without end and a connection without requests are closed."""
         self.start(
