--- a/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/callers.py
@@ -15,14 +15,14 @@
 from gevent import get_hub
 
 from burdockchute import logs
+from burdockchute.callers.environment import has_next_request
+from burdockchute.callers.environment import ResponseBody
+from burdockchute.callers.environment import SOCKET_KEY
+from burdockchute.callers.environment import status_line
+from burdockchute.callers.environment import TARGET_KEY
+from burdockchute.callers.environment import WRITE_WATCH_KEY
+from burdockchute.callers.environment import WriteWatch
 from burdockchute.callers.http import OUT_OF_MEMORY
-from burdockchute.callers.server import has_next_request
-from burdockchute.callers.server import ResponseBody
-from burdockchute.callers.server import SOCKET_KEY
-from burdockchute.callers.server import status_line
-from burdockchute.callers.server import TARGET_KEY
-from burdockchute.callers.server import WRITE_WATCH_KEY
-from burdockchute.callers.server import WriteWatch
 from burdockchute.decisions.size_classes import SizeClass
 from burdockchute.model import outcomes
 from burdockchute.model.known_state import KnownState
--- a/packages/burdockchute-entry/burdockchute_entry/straight/read_ahead.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/read_ahead.py
@@ -18,7 +18,7 @@
 from gevent import event as events
 
 from burdockchute import logs
-from burdockchute.callers.server import WriteWatch
+from burdockchute.callers.environment import WriteWatch
 from burdockchute_entry.straight.memory_account import Holding
 from burdockchute_entry.straight.memory_account import Use
 
--- a/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
@@ -14,10 +14,10 @@
 
 from burdockchute.adapters import Adapter
 from burdockchute.callers import http
+from burdockchute.callers.environment import HEADERS_KEY
+from burdockchute.callers.environment import SHUTDOWN_RETRY_S
+from burdockchute.callers.environment import TARGET_KEY
 from burdockchute.callers.parse import Rejection
-from burdockchute.callers.server import HEADERS_KEY
-from burdockchute.callers.server import SHUTDOWN_RETRY_S
-from burdockchute.callers.server import TARGET_KEY
 from burdockchute.decisions import connection_limits
 from burdockchute.decisions import memory_budget
 from burdockchute.decisions import returning_callers
--- a/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/scheduler.py
@@ -14,7 +14,7 @@
 from gevent import Timeout
 
 from burdockchute import logs
-from burdockchute.callers.server import SHUTDOWN_RETRY_S
+from burdockchute.callers.environment import SHUTDOWN_RETRY_S
 from burdockchute.decisions import confirmation
 from burdockchute.decisions import engine_placement
 from burdockchute.decisions.engine_speed import SpeedUse
--- a/packages/burdockchute/burdockchute/callers/http.py
+++ b/packages/burdockchute/burdockchute/callers/http.py
@@ -23,10 +23,10 @@
 from burdockchute.callers import auth
 from burdockchute.callers import parse
 from burdockchute.callers import sse
-from burdockchute.callers.server import caller_disconnected
-from burdockchute.callers.server import ReadingEnded
-from burdockchute.callers.server import ResponseBody
-from burdockchute.callers.server import status_line
+from burdockchute.callers.environment import caller_disconnected
+from burdockchute.callers.environment import ReadingEnded
+from burdockchute.callers.environment import ResponseBody
+from burdockchute.callers.environment import status_line
 from burdockchute.model import outcomes
 from burdockchute.model.findings import Finding
 from burdockchute.model.outcomes import Answered
--- a/packages/burdockchute/tests/callers/test_connection_limits.py
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -9,6 +9,8 @@
 from gevent import event
 from gevent import socket
 
+from burdockchute.callers import environment
+from burdockchute.callers import handler
 from burdockchute.callers import http
 from burdockchute.callers import parse
 from burdockchute.callers import server
@@ -25,7 +27,7 @@
 
 def receive_buffer(environ):
     """Return the limit of what the system receives for a request."""
-    return environ[server.SOCKET_KEY].getsockopt(
+    return environ[environment.SOCKET_KEY].getsockopt(
         socket.SOL_SOCKET, socket.SO_RCVBUF
     )
 
@@ -141,7 +143,7 @@
 
     def test_idle_connections_are_kept_for_longer_than_a_write(self):
         """The time limit of a write closed them, too, after 30 s."""
-        with mock.patch.object(server, 'WRITE_TIMEOUT_S', 0.1):
+        with mock.patch.object(handler, 'WRITE_TIMEOUT_S', 0.1):
             conn = self.connect(REQUEST)
             self.assertIn(b' 200 ', conn.recv(4096))
             gevent.sleep(0.5)
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -9,6 +9,7 @@
 from gevent import monkey
 from gevent import socket
 
+from burdockchute.callers import handler
 from burdockchute.callers import http
 from burdockchute.callers import parse
 from burdockchute.callers import server
@@ -144,7 +145,7 @@
     def test_callers_that_never_close_are_closed(self):
         conn = self.new_connection()
         conn.sendall(REQUEST.replace(b'Host', b'Connection: close\r\nHost'))
-        gevent.sleep(server.LINGER_SILENCE_S + 0.5)
+        gevent.sleep(handler.LINGER_SILENCE_S + 0.5)
         self.assertTrue(self.server.work.is_empty())
 
 
