Metrics and the own path: the system holds few bytes of unread answers

What operators saw: nothing yet; found in reading this change. Answers that nobody reads filled send buffers, which grow to 4 MB each, at all ports but that of callers of the platform.

Failing run before: test_the_system_holds_few_bytes_of_unread_answers, 16384 (which the system lets grow), not 131072. It passes now.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -219,6 +219,7 @@
                 process_limits.max_descriptors(machine.max_descriptors),
             ),
             request_limits=lambda: request_limits(self.known_state()),
+            limits_sends=self.memory.budget_bytes is not None,
         )
         self.work = callers.work
         probes = http_admin.make_server(
@@ -230,8 +231,6 @@
             machine.bounds.grace_s + listening.PREDECESSOR_MARGIN_S,
         ):
             return listening.stop_before_serving()
-        if self.memory.budget_bytes is not None:
-            server.limit_send_buffers(callers)
         admin = self._serve_admin()
         listener_metrics.register([callers, probes, admin], self.loop_watch)
         logs.event(
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -74,7 +74,8 @@
 class CallersServer(pywsgi.WSGIServer):
     """A server with an account of its connections and limits for them.
 
-    `request_limits` is called for each request.
+    `request_limits` is called for each request. With `limits_sends`, the
+    system holds a limited number of bytes of each answer that is not read.
     """
 
     # Connections accepted in one turn. Those of the turn before have begun
@@ -87,6 +88,7 @@
         limits: ConnectionLimits,
         request_limits: Callable[[], RequestLimits],
         name: str,
+        limits_sends: bool,
         **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
@@ -94,6 +96,7 @@
         self.limits = limits
         self.request_limits = request_limits
         self.refusals = Refusals(name)
+        self._limits_sends = limits_sends
         # Bytes of all connections that were received and are not parsed yet.
         self.head_bytes = 0
         # Whether callers are told to use other connections.
@@ -125,13 +128,15 @@
         return self.head_bytes
 
     def init_socket(self) -> None:
-        """Listen; connections take over the limit of the buffer."""
+        """Listen; connections take over the limits of the buffers."""
         super().init_socket()
         self.socket.setsockopt(
             sockets.SOL_SOCKET,
             sockets.SO_RCVBUF,
             connection_limits.RECEIVE_BUFFER_BYTES,
         )
+        if self._limits_sends:
+            limit_send_buffers(self)
 
     def do_handle(self, client_socket: Any, address: Any) -> None:
         """Handle a connection in a greenlet of its own."""
@@ -316,6 +321,7 @@
     limits: ConnectionLimits = DEFAULT_LIMITS,
     request_limits: Callable[[], RequestLimits] = RequestLimits,
     name: str = 'callers',
+    limits_sends: bool = True,
 ) -> CallersServer:
     """Return a server that is not started; port 0 selects a free port.
 
@@ -327,6 +333,7 @@
         limits=limits,
         request_limits=request_limits,
         name=name,
+        limits_sends=limits_sends,
         handler_class=RequestHandler,
         log=None,
         error_log=_log,
--- a/packages/burdockchute/tests/callers/test_connection_limits.py
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -9,6 +9,7 @@
 from gevent import event
 from gevent import socket
 
+from burdockchute import http_admin
 from burdockchute.callers import environment
 from burdockchute.callers import handler
 from burdockchute.callers import http
@@ -185,6 +186,16 @@
                 self.assertLessEqual(max(buffers), most)
                 self.assertEqual(least, buffers[-1])
 
+    def test_the_system_holds_few_bytes_of_unread_answers(self):
+        """Answers on the own path and of metrics had megabytes each."""
+        admin = http_admin.make_server('127.0.0.1', 0, self.app)
+        admin.start()
+        self.addCleanup(admin.stop)
+        self.assertEqual(
+            2 * server.SEND_BUFFER_BYTES,
+            admin.socket.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF),
+        )
+
     def test_time_limits(self):
         """A head without end and a connection without requests are closed."""
         self.start(
