--- a/packages/burdockchute/burdockchute/callers/request_reader.py
+++ b/packages/burdockchute/burdockchute/callers/request_reader.py
@@ -229,25 +229,29 @@
         )
 
     def _decode_chunks(self, message: _Message) -> None:
-        # What follows the body is not fed, as the parser can't tell how much
-        # of it is left.
+        """Decode what is held, up to the end of the body."""
         known = len(self._fed_end)
-        searched = self._fed_end + self._held
-        end = searched.find(_EMPTY_LINE)
-        size = len(self._held) if end < 0 else end + len(_EMPTY_LINE) - known
-        piece = bytes(self._held[:size])
-        self._fed_end = bytes(searched[: known + size][-2:])
-        self._drop(size)
+        text = self._fed_end + self._held
         before = len(self._decoded)
+        at = known
         try:
-            message.parser.feed_data(piece)
+            while at < len(text) and not message.is_complete:
+                # What follows the body must not be fed, as the parser can't
+                # tell how much of it is left.
+                end = text.find(_EMPTY_LINE, max(0, at - 2))
+                end = len(text) if end < 0 else end + len(_EMPTY_LINE)
+                start, at = at, end
+                message.parser.feed_data(text[start:end])
         except httptools.HttpParserUpgrade:
             pass
         except httptools.HttpParserError as exc:
             raise BrokenBody(f'invalid chunks: {exc}') from exc
+        finally:
+            self._fed_end = text[max(0, at - 2) : at]
+            self._drop(at - known)
         if len(self._decoded) > before:
             self._framing_bytes = 0
-        self._framing_bytes += size
+        self._framing_bytes += at - known
         if self._framing_bytes > MAX_CHUNK_FRAMING_BYTES:
             raise BrokenBody('too many bytes between chunks')
 
