Links: nothing follows the end of a link

What peers saw: nothing yet that is known; found in reading this change. Since the task of a link lets others run between two messages, a link could be closed meanwhile, and what it had received came after Closed, which its owners take for the last event.

Failing run before, on the commit before: test_nothing_follows_the_end_of_a_ link, a Received came after Closed. It passes now.

--- a/packages/burdockchute/burdockchute/nodes/links.py
+++ b/packages/burdockchute/burdockchute/nodes/links.py
@@ -230,6 +230,9 @@
             self._sock.settimeout(None)
             self._silence.start()
             for message in _read_messages(self._sock, self._count_received):
+                if self.closed_reason:
+                    # It was closed while other tasks ran.
+                    return
                 self.last_received_at = time.monotonic()
                 self._dispatch(message)
                 self._turn_messages += 1
--- a/packages/burdockchute/tests/test_link_limits.py
+++ b/packages/burdockchute/tests/test_link_limits.py
@@ -91,6 +91,24 @@
         in_a_turn = [after - before for before, after in pairwise(queued)]
         self.assertLessEqual(max(in_a_turn), links.TURN_MESSAGES)
 
+    def test_nothing_follows_the_end_of_a_link(self):
+        """A link was closed while its task let others run."""
+        conn = self.connect(HELLO)
+        link = self.inbox.get(timeout=2).link
+        events = []
+
+        def close_at_first_message():
+            events.append(self.inbox.get())
+            link.close('test')
+            while True:
+                events.append(self.inbox.get())
+
+        self.addCleanup(gevent.spawn(close_at_first_message).kill)
+        conn._sock.send(PROBE * links.TURN_MESSAGES * 4)
+        link.wait_closed()
+        gevent.sleep(0.02)
+        self.assertIsInstance(events[-1], links.Closed)
+
     def test_unfinished_messages_at_the_limit_and_beyond(self):
         """Each of many links held most of a message of 16 MB."""
         closed = []
