Callers: spaces behind a header's value have no meaning

What callers saw: nothing yet; found in reading this change. A length with a space behind it is in the protocol and was served before; the new reader refused it with 400.

--- a/packages/burdockchute/burdockchute/callers/request_reader.py
+++ b/packages/burdockchute/burdockchute/callers/request_reader.py
@@ -204,7 +204,7 @@
         except httptools.HttpParserError as exc:
             raise RequestError(400, str(exc)) from exc
         headers = [
-            (name.decode('latin-1'), value.decode('latin-1'))
+            (name.decode('latin-1'), value.decode('latin-1').rstrip(' \t'))
             for name, value in message.headers
         ]
         version = parser.get_http_version()
--- a/packages/burdockchute/tests/callers/test_request_reader.py
+++ b/packages/burdockchute/tests/callers/test_request_reader.py
@@ -118,6 +118,16 @@
                 self.assertEqual(end, ended)
                 self.assertEqual(bool(sent) and end == 'closed', bool(found))
 
+    def test_spaces_around_a_value_have_no_meaning(self):
+        for framing in (
+            b'Content-Length: \t2 \t',
+            b'Transfer-Encoding: chunked ',
+        ):
+            body = b'hi' if b'2' in framing else b'2\r\nhi\r\n0\r\n\r\n'
+            found, end = read_all([LINE + framing + b'\r\n\r\n' + body])
+            self.assertEqual('closed', end)
+            self.assertEqual([b'hi'], [body for *_, body in found])
+
     def test_limit_of_headers(self):
         """Many short headers cost more memory than their bytes."""
         most = request_reader.MAX_HEADERS
