Callers: what the last reading found written twice, or dead

The declared length of a body was parsed in two places, and the Retry-After of a request that there is no memory for stood twice; each has one place now. The connections that take a place were counted in two copies. RequestReader.closed was read by nothing since the handler has its own loop; held_bytes was a copy of head_bytes under another name. No change of behaviour; in the tests, only that name.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/request_admission.py
@@ -335,12 +335,9 @@
 ) -> int:
     if budget is None:
         return 0
-    if 'HTTP_TRANSFER_ENCODING' in environ:
-        declared = None
-    else:
-        length = environ.get('CONTENT_LENGTH') or '0'
-        declared = int(length) if length.isdigit() else 0
-    return memory_budget.reserved_bytes(declared, max_body_bytes, budget)
+    return memory_budget.reserved_bytes(
+        http.declared_bytes(environ), max_body_bytes, budget
+    )
 
 
 def _fingerprint(customer: str, inbound: InboundRequest) -> str:
--- a/packages/burdockchute/burdockchute/callers/http.py
+++ b/packages/burdockchute/burdockchute/callers/http.py
@@ -27,6 +27,7 @@
 from burdockchute.callers.environment import ReadingEnded
 from burdockchute.callers.environment import ResponseBody
 from burdockchute.callers.environment import status_line
+from burdockchute.decisions import memory_budget
 from burdockchute.model import outcomes
 from burdockchute.model.findings import Finding
 from burdockchute.model.outcomes import Answered
@@ -55,9 +56,8 @@
 
 BODY_PIECE_BYTES = 64 * 1024
 
-# Reason and Retry-After of a request whose body there is no memory for.
+# The reason for refusing a request whose body there is no memory for.
 OUT_OF_MEMORY = 'too many bytes are held for callers'
-OUT_OF_MEMORY_RETRY_S = 1.0
 
 Submit = Callable[[RequestContext], queue.Queue]
 OnDisconnect = Callable[[str], None]
@@ -122,7 +122,9 @@
     def app(
         environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        size = _reserved_bytes(environ, limits.max_body_bytes)
+        declared = declared_bytes(environ)
+        most = limits.max_body_bytes
+        size = most if declared is None else min(declared, most)
         if not budget.take(size):
             ex = Exchange(environ, start_response, uuid.uuid4().hex)
             return _answer_rejection(ex, out_of_memory())
@@ -270,17 +272,18 @@
     return bytes(read)
 
 
-def _reserved_bytes(environ: Mapping[str, Any], max_body_bytes: int) -> int:
+def declared_bytes(environ: Mapping[str, Any]) -> int | None:
+    """Return the length of the body, None if it is sent in chunks."""
     if 'HTTP_TRANSFER_ENCODING' in environ:
-        return max_body_bytes
-    declared = environ.get('CONTENT_LENGTH') or '0'
-    return min(int(declared), max_body_bytes) if declared.isdigit() else 0
+        return None
+    length = environ.get('CONTENT_LENGTH') or '0'
+    return int(length) if length.isdigit() else 0
 
 
 def out_of_memory() -> parse.Rejection:
     """Return the rejection of a body that there is no memory for."""
     finding = Finding('body', OUT_OF_MEMORY)
-    return parse.Rejection(503, (finding,), OUT_OF_MEMORY_RETRY_S)
+    return parse.Rejection(503, (finding,), memory_budget.RETRY_S)
 
 
 def _rejection(status: int, place: str, text: str) -> parse.Rejection:
--- a/packages/burdockchute/burdockchute/callers/request_body.py
+++ b/packages/burdockchute/burdockchute/callers/request_body.py
@@ -66,7 +66,8 @@
         """
         return self._received if self._in_chunks else int(self._left)
 
-    def discard(self) -> None:
+    # The base class of the handler calls it at the end of a request.
+    def _discard(self) -> None:
         """Read what the application left unread, if that is little.
 
         For a body that was refused as too long or too slow, that is the work
@@ -81,9 +82,6 @@
         ):
             self._read(math.inf)
 
-    # The base class of the handler calls it by this name.
-    _discard = discard
-
     def _tell_caller(self) -> None:
         if self._waiting_caller is not None:
             self._waiting_caller.sendall(_CONTINUE)
--- a/packages/burdockchute/burdockchute/callers/request_reader.py
+++ b/packages/burdockchute/burdockchute/callers/request_reader.py
@@ -73,8 +73,6 @@
     def __init__(
         self, sock: Any, on_held: Callable[[int], None] = lambda _count: None
     ) -> None:
-        # The base class of the handler asks for it.
-        self.closed = False
         self._sock = sock
         self._on_held = on_held
         self._held = bytearray()
@@ -93,7 +91,6 @@
 
     def close(self) -> None:
         """Give up what is held."""
-        self.closed = True
         self._drop(len(self._held))
 
     def begin_request(self) -> None:
--- a/packages/burdockchute/burdockchute/callers/server.py
+++ b/packages/burdockchute/burdockchute/callers/server.py
@@ -98,7 +98,7 @@
         self.refusals = Refusals(name)
         self._limits_sends = limits_sends
         # Bytes of all connections that were received and are not parsed yet.
-        self.head_bytes = 0
+        self.held_bytes = 0
         # Whether callers are told to use other connections.
         self.leaving = False
         # Answers whose end is the end of their connection.
@@ -122,11 +122,6 @@
         """The number of connections beyond which some make room."""
         return self.limits.connections
 
-    @property
-    def held_bytes(self) -> int:
-        """The bytes of all connections that are not parsed yet."""
-        return self.head_bytes
-
     def init_socket(self) -> None:
         """Listen; connections take over the limits of the buffers."""
         super().init_socket()
@@ -149,25 +144,23 @@
 
     def count_head_bytes(self, count: int) -> None:
         """Count bytes that a connection holds or gives up."""
-        self.head_bytes += count
-        if count > 0 and self.head_bytes > self.limits.heads_bytes:
+        self.held_bytes += count
+        if count > 0 and self.held_bytes > self.limits.heads_bytes:
             get_hub().loop.run_callback(self._evict, (Stage.HEAD,))
 
     def _make_room(self) -> bool:
         """Make room for one more connection; False if there is none."""
         most = self.limits.connections
-        closing = min(
-            self.work.count(Stage.CLOSING), connection_limits.MAX_CLOSING
-        )
-        if len(self.work) - closing >= most:
-            if not self._evict(EVICTION_ORDER):
-                self._reset_stalled()
+        if self._taken() >= most and not self._evict(EVICTION_ORDER):
+            self._reset_stalled()
         if len(self.work) >= most + connection_limits.MAX_CLOSING:
             self._evict((Stage.CLOSING,))
-        closing = min(
-            self.work.count(Stage.CLOSING), connection_limits.MAX_CLOSING
-        )
-        return len(self.work) - closing < most
+        return self._taken() < most
+
+    def _taken(self) -> int:
+        """Return the connections that count, without some being closed."""
+        closing = self.work.count(Stage.CLOSING)
+        return len(self.work) - min(closing, connection_limits.MAX_CLOSING)
 
     def _reset_stalled(self) -> bool:
         """End the answer that its caller has not read for the longest."""
--- a/packages/burdockchute/tests/callers/test_connection_limits.py
+++ b/packages/burdockchute/tests/callers/test_connection_limits.py
@@ -135,12 +135,12 @@
         self.start(ConnectionLimits(100, 2000), RequestLimits(1500))
         part = b'GET /a HTTP/1.1\r\nX: ' + b'x' * 980
         first, second = self.connect(part), self.connect(part)
-        self.assertEqual(2000, self.server.head_bytes)
+        self.assertEqual(2000, self.server.held_bytes)
         second.sendall(b'y')
         self.assertIn(REFUSED, first.recv(4096))
         second.sendall(b'\r\n\r\n')
         self.assertIn(b' 200 ', second.recv(4096))
-        self.assertEqual(0, self.server.head_bytes)
+        self.assertEqual(0, self.server.held_bytes)
 
     def test_idle_connections_are_kept_for_longer_than_a_write(self):
         """The time limit of a write closed them, too, after 30 s."""
--- a/packages/burdockchute/tests/callers/test_request_reader.py
+++ b/packages/burdockchute/tests/callers/test_request_reader.py
@@ -233,7 +233,7 @@
         self.assertLessEqual(answers, len(requests) + (end != 'closed'))
         while not self.server.work.is_empty():
             gevent.sleep(0)
-        self.assertEqual(0, self.server.head_bytes)
+        self.assertEqual(0, self.server.held_bytes)
 
     @settings(max_examples=300)
     @given(st.lists(PARTS, max_size=12), st.data())
