Agents: log of an order names the engine's start and the check's age

A load of corrupt or mixed chunks left no line that tells its causes apart: order_ended named neither the engine's start nor its sequence, nor how long before the answer the chunks were read. It now has started_ms and sequence, as read right before the order, and check_age_ms, from the first read of the check to the answer. The behaviour is unchanged.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
@@ -41,12 +41,20 @@
 
 
 class LoadEnded(NamedTuple):
-    """An order to load has ended; `end` is None if none was sent."""
+    """An order to load has ended; `end` is None if none was sent.
+
+    `started_ms` and `sequence` are those of the engine right before the
+    order. `check_age_s` is the time from the first read of the check to the
+    answer.
+    """
 
     model: str
     version: int
     end: OrderOutcome | None
     reason: str
+    started_ms: int | None = None
+    sequence: int | None = None
+    check_age_s: float | None = None
 
 
 def stage_chunks(
@@ -94,7 +102,7 @@
             ms=int((now() - started_at) * 1000),
         )
         if not replaced and now() - started_at < MAX_CHECK_S:
-            return _order(engine, model, version)
+            return _order(engine, model, version, started_at, now)
     return LoadEnded(
         model, version, None, 'staged chunks keep becoming corrupt'
     )
@@ -125,7 +133,13 @@
     return replaced
 
 
-def _order(engine: Engine, model: str, version: int) -> LoadEnded:
+def _order(
+    engine: Engine,
+    model: str,
+    version: int,
+    checked_at: float,
+    now: Callable[[], float],
+) -> LoadEnded:
     result = engine.report()
     if isinstance(result, Failure):
         return LoadEnded(model, version, None, result.failure().reason)
@@ -133,4 +147,12 @@
     if report.loading:
         return LoadEnded(model, version, None, 'engine is loading already')
     end = engine.load(LoadOrder(model, version, report.sequence))
-    return LoadEnded(model, version, end, '')
+    return LoadEnded(
+        model,
+        version,
+        end,
+        '',
+        report.started_ms,
+        report.sequence,
+        now() - checked_at,
+    )
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -271,6 +271,11 @@
             version=ended.version,
             end=ended.end.value if ended.end else 'not_given',
             reason=ended.reason,
+            started_ms=ended.started_ms,
+            sequence=ended.sequence,
+            check_age_ms=None
+            if ended.check_age_s is None
+            else int(ended.check_age_s * 1000),
         )
 
     # Steps.
