Agents: a version is served only after its load was verified

Entries sent requests to an engine as soon as it reported a version, whatever it had loaded: with an agent suspended between its check and its order, a chunk that became corrupt meanwhile was loaded and its answers looked valid. So did a late write between the two. While an order without an answer was on its way, a newer complete copy cleared it, and its chunks were staged beneath the order.

The cause: neither the check before the order nor its answer tells what was staged when the engine accepted it, and nothing looked at the chunks after.

Now all chunks are read once more while the engine loads. A corrupt chunk stays corrupt until it is written, so if all are valid then, and none was written since the order was accepted, the load was right. The engine's start and sequence identify the load. What isn't verified isn't reported as loaded. An engine whose sequence is 0 holds what it was started with.

An order is not sent if its check has become too old while the report was read. What the engine holds isn't staged again, so that an agent that starts finds what shows a wrong load.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/forecast.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/forecast.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from burdockchute.decisions import copy_rates
@@ -24,12 +25,14 @@
 class AvailabilityForecast(NamedTuple):
     """The state from which an agent estimates these times.
 
-    `report` is the engine's last report, None while it doesn't answer.
+    `report` is the engine's last report, None while it doesn't answer;
+    `servable` are the versions on which it may start requests, by model.
     `version_s` is how long a version may be served after it was replaced.
     `predecessor` returns the agent that loads a copy before this one, if any.
     """
 
     report: EngineReport | None
+    servable: Mapping[str, int]
     rollouts: Collection[Rollout]
     copies: CopyManager
     history: Callable[[str], History]
@@ -52,7 +55,7 @@
         return _earliest(self._opens_in_s(r, now) for r in self.rollouts)
 
     def _closes_in_s(self, rollout: Rollout, now: float) -> float | None:
-        loaded = servable_versions(self.report).get(rollout.model)
+        loaded = self.servable.get(rollout.model)
         if loaded is None:
             return None
         progress = rollout.next_load(loaded, self.copies)
@@ -77,7 +80,7 @@
             return None
         history = self.history(rollout.model)
         min_version = versions.least_allowed(history, self.version_s, now)
-        loaded = servable_versions(self.report).get(rollout.model)
+        loaded = self.servable.get(rollout.model)
         if loaded is not None and loaded >= min_version:
             return None
         if self.report.loading:
@@ -104,15 +107,5 @@
         )
 
 
-def servable_versions(report: EngineReport | None) -> dict[str, int]:
-    """Return the versions on which an engine may start requests, by model.
-
-    There are none while it loads, as it starts no requests then.
-    """
-    if report is None or report.loading:
-        return {}
-    return dict(report.versions)
-
-
 def _earliest(times: Iterable[float | None]) -> float | None:
     return min((time for time in times if time is not None), default=None)
--- /dev/null
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/recorded_engine.py
@@ -0,0 +1,64 @@
+"""The local engine, with a record of the writes to its staging area."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from returns.result import Failure
+from returns.result import Result
+
+from burdockchute.adapters import Engine
+from burdockchute.decisions.load_verification import LATE_WRITE_S
+from burdockchute.model.engines import CallFailed
+from burdockchute.model.engines import EngineReport
+from burdockchute.model.engines import LoadOrder
+from burdockchute.model.engines import OrderOutcome
+
+
+class RecordedEngine:
+    """Passes calls on, and records the writes to the staging area."""
+
+    def __init__(self, engine: Engine, now: Callable[[], float]) -> None:
+        self._engine = engine
+        self._now = now
+        self._answered_at: dict[str, float] = {}
+        # Until when writes without an answer may be executed.
+        self._pending_until: dict[str, float] = {}
+
+    def written_at(self, model: str) -> float | None:
+        """Return until when a write may have changed, or may yet change, it.
+
+        None if this process has written no chunk of the model.
+        """
+        times = [
+            record[model]
+            for record in (self._answered_at, self._pending_until)
+            if model in record
+        ]
+        return max(times, default=None)
+
+    def report(self) -> Result[EngineReport, CallFailed]:
+        """Read the state of the engine."""
+        return self._engine.report()
+
+    def load(self, order: LoadOrder) -> OrderOutcome:
+        """Order the engine to load the staged weights."""
+        return self._engine.load(order)
+
+    def staged(self, model: str, index: int) -> Result[bytes, CallFailed]:
+        """Read one staged chunk."""
+        return self._engine.staged(model, index)
+
+    def stage(
+        self, model: str, index: int, data: bytes
+    ) -> Result[bytes, CallFailed]:
+        """Replace one staged chunk."""
+        before = self._pending_until.get(model, 0.0)
+        self._pending_until[model] = self._now() + LATE_WRITE_S
+        result = self._engine.stage(model, index, data)
+        if isinstance(result, Failure) and not result.failure().status:
+            self._pending_until[model] = self._now() + LATE_WRITE_S
+        else:
+            self._pending_until[model] = before
+            self._answered_at[model] = self._now()
+        return result
--- a/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
@@ -12,10 +12,16 @@
 from burdockchute import logs
 from burdockchute.decisions import staging
 from burdockchute.decisions import versions
+from burdockchute.decisions.load_verification import EngineLoads
+from burdockchute.decisions.load_verification import LATE_ORDER_S
+from burdockchute.decisions.load_verification import OrderSent
 from burdockchute.decisions.staging import CopyProgress
 from burdockchute.decisions.staging import StagingState
 from burdockchute.decisions.versions import History
+from burdockchute.model.engines import OrderOutcome
 from burdockchute.weights.copies import Copy
+from burdockchute.weights.manifest import Manifest
+from burdockchute_agent.staged.loading import LoadEnded
 from burdockchute_agent.staged.origins import copy_name
 
 
@@ -71,6 +77,14 @@
         # Whether chunks are being staged before the order to load.
         self.is_staging = False
         self.retry_staging_at = 0.0
+        # The last order that was sent, and the manifest of its version.
+        self.order: OrderSent | None = None
+        self.ordered_manifest: Manifest | None = None
+        # Until when an order without an answer may be executed.
+        self.order_pending_until = 0.0
+        # Whether the staging area is read to verify the last load.
+        self.is_checking = False
+        self.retry_check_at = 0.0
         self._staged: set[tuple[int, int]] = set()
         self._copying_since: dict[int, float] = {}
 
@@ -91,12 +105,14 @@
         """Return the chunks to stage now, None if there are none.
 
         An order loads the staging area as it is at that moment. So nothing
-        is staged while a complete copy waits to be loaded, or while the
-        engine may still act on an order.
+        is staged while a complete copy waits to be loaded. What the engine
+        has loaded isn't staged again: that would repair the chunks which show
+        that its load was wrong.
         """
         if (
             self.load_in_progress
             or self.is_staging
+            or self.is_checking
             or engine.loading
             or not self.wanted
         ):
@@ -106,7 +122,7 @@
             return None
         version = self.wanted[0]
         copy = copies.copy_of(self.copy_name_of(version))
-        if copy is None or version == self.ready:
+        if copy is None or version in (self.ready, engine.version):
             return None
         chunks = [
             chunk
@@ -163,6 +179,42 @@
             held.append(self.ready)
         return held
 
+    def record_order(
+        self, ended: LoadEnded, manifest: Manifest | None, now: float
+    ) -> None:
+        """Record an order that was sent."""
+        if ended.sequence is None:
+            return
+        started = ended.end == OrderOutcome.STARTED
+        self.order = OrderSent(
+            ended.version,
+            ended.started_ms,
+            ended.sequence,
+            ended.reported_at,
+            ended.check_age_s if started else None,
+        )
+        self.ordered_manifest = manifest
+        if ended.end == OrderOutcome.UNKNOWN:
+            self.order_pending_until = now + LATE_ORDER_S
+
+    def update_pending_order(
+        self, loads: EngineLoads | None, now: float
+    ) -> None:
+        """Update until when an order without an answer may be executed.
+
+        It is void once the engine has accepted another one or started again.
+        `loads` is None while the engine doesn't answer.
+        """
+        if now >= self.order_pending_until or self.order is None:
+            return
+        if loads is None:
+            self.order_pending_until = now + LATE_ORDER_S
+        elif (loads.started_ms, loads.sequence) != (
+            self.order.started_ms,
+            self.order.sequence,
+        ):
+            self.order_pending_until = 0.0
+
     def staging_state(self, engine: EngineLoadState) -> StagingState:
         """Return the state on which the decision to order a load depends."""
         return StagingState(
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -19,10 +19,11 @@
 from burdockchute import logs
 from burdockchute import tasks
 from burdockchute.adapters import Adapter
-from burdockchute.adapters import Engine
+from burdockchute.decisions import load_verification
 from burdockchute.decisions import pacing
 from burdockchute.decisions import staging
 from burdockchute.decisions import versions
+from burdockchute.decisions.load_verification import EngineLoads
 from burdockchute.decisions.neighbours import neighbours
 from burdockchute.model.engines import CallFailed
 from burdockchute.model.engines import EngineReport
@@ -33,6 +34,7 @@
 from burdockchute.nodes.agents import colocated_agent
 from burdockchute.nodes.peers import Peers
 from burdockchute.weights.copies import Copy
+from burdockchute.weights.manifest import Manifest
 from burdockchute.weights.manifest import parse_unverified
 from burdockchute.wire import messages
 from burdockchute_agent.bandwidth import Bandwidth
@@ -43,12 +45,13 @@
 from burdockchute_agent.policy import DEFAULT_POLICY
 from burdockchute_agent.staged import loading
 from burdockchute_agent.staged.forecast import AvailabilityForecast
-from burdockchute_agent.staged.forecast import servable_versions
 from burdockchute_agent.staged.loading import ChunksStaged
+from burdockchute_agent.staged.loading import LoadChecked
 from burdockchute_agent.staged.loading import LoadEnded
 from burdockchute_agent.staged.origins import copy_name
 from burdockchute_agent.staged.origins import NoOrigin
 from burdockchute_agent.staged.origins import PlatformOrigin
+from burdockchute_agent.staged.recorded_engine import RecordedEngine
 from burdockchute_agent.staged.rollout import ChunksToStage
 from burdockchute_agent.staged.rollout import EngineLoadState
 from burdockchute_agent.staged.rollout import Rollout
@@ -69,6 +72,9 @@
 # no nearby agent has, to explain why a version doesn't spread.
 PROGRESS_LOG_S = 1.0
 
+# Chunks named in the log line of a load that isn't verified.
+MAX_LOGGED_CHUNKS = 16
+
 
 class EnginePolled(NamedTuple):
     """The engine's report, or why there is none."""
@@ -105,7 +111,10 @@
         self._adapter = adapter
         self._known_state = known_state
         self._now = now
-        self._engine: Engine = adapter.engine(machine.upstream)
+        self._engine = RecordedEngine(adapter.engine(machine.upstream), now)
+        # The loads of the engine's present start, None before its first
+        # report.
+        self._loads: EngineLoads | None = None
         self._own = Member(
             str(machine.upstream),
             'agent',
@@ -147,7 +156,11 @@
 
     def loaded(self) -> dict[str, int]:
         """Return the versions on which the engine may start requests."""
-        return servable_versions(self.report)
+        return load_verification.servable_versions(self._loads, self.report)
+
+    def unverified(self) -> dict[str, int]:
+        """Return the loaded versions whose loads aren't verified."""
+        return load_verification.unverified_versions(self._loads, self.report)
 
     def held_bytes(self) -> int:
         """Return the memory that all copies take, in bytes."""
@@ -167,6 +180,7 @@
     def _forecast(self) -> AvailabilityForecast:
         return AvailabilityForecast(
             self.report,
+            self.loaded(),
             self._rollouts.values(),
             self._copies,
             lambda model: self._known_state().history(model),
@@ -187,10 +201,12 @@
         match message:
             case KnownState():
                 self._update_peers(message)
-            case EnginePolled(result=result):
-                self._engine_polled(result)
+            case EnginePolled():
+                self._engine_polled(message)
             case LoadEnded():
                 self._load_ended(message)
+            case LoadChecked():
+                self._load_checked(message)
             case ChunksStaged():
                 self._chunks_staged(message)
             case StagingAreaScanned(name=name, found=found):
@@ -199,8 +215,8 @@
             case _:
                 self._copies.handle(message, self._now())
 
-    def _engine_polled(self, result: Result[EngineReport, CallFailed]) -> None:
-        previous = self.report
+    def _engine_polled(self, polled: EnginePolled) -> None:
+        result, previous = polled.result, self.report
         if isinstance(result, Failure):
             if previous is not None:
                 logs.warn('engine_lost', reason=result.failure().reason)
@@ -229,6 +245,9 @@
                 waiting=report.waiting,
             )
         self.report = report
+        self._loads = load_verification.after_report(
+            self._loads, report, polled.requested_at
+        )
 
     def _chunks_staged(self, staged: ChunksStaged) -> None:
         rollout = self._rollouts[staged.model]
@@ -260,6 +279,11 @@
         rollout = self._rollouts[ended.model]
         rollout.load_in_progress = False
         now = self._now()
+        rollout.record_order(
+            ended,
+            self._copies.manifest_of(rollout.copy_name_of(ended.version)),
+            now,
+        )
         if ended.end in (None, OrderOutcome.REFUSED):
             rollout.ordered_at = None
             rollout.retry_load_at = now + staging.ORDER_RETRY_S
@@ -278,6 +302,48 @@
             else int(ended.check_age_s * 1000),
         )
 
+    def _load_checked(self, checked: LoadChecked) -> None:
+        rollout = self._rollouts[checked.model]
+        rollout.is_checking = False
+        loads = self._loads
+        if loads is None or (loads.started_ms, loads.sequence) != (
+            checked.started_ms,
+            checked.sequence,
+        ):
+            return
+        if checked.invalid is None:
+            rollout.retry_check_at = self._now() + staging.ORDER_RETRY_S
+            return
+        reason = 'chunks are not those of the version'
+        if not checked.invalid:
+            reason = load_verification.write_conflict(
+                loads, rollout.order, self._engine.written_at(checked.model)
+            )
+        self._loads = load_verification.after_check(
+            loads, checked.model, checked.version, valid=not reason
+        )
+        if not reason:
+            logs.event(
+                'load_verified',
+                model=checked.model,
+                version=checked.version,
+                started_ms=checked.started_ms,
+                sequence=checked.sequence,
+                ms=checked.ms,
+            )
+            return
+        logs.warn(
+            'load_unverified',
+            model=checked.model,
+            version=checked.version,
+            started_ms=checked.started_ms,
+            sequence=checked.sequence,
+            ms=checked.ms,
+            reason=reason,
+            invalid=len(checked.invalid),
+            chunks=','.join(map(str, checked.invalid[:MAX_LOGGED_CHUNKS])),
+        )
+
     # Steps.
 
     def _step(self, now: float) -> float:
@@ -313,13 +379,20 @@
                 rollout.model, rollout.copy_name_of(version), now
             )
         engine = self._engine_state(rollout.model)
+        loads = self._loads if self.report is not None else None
+        rollout.update_pending_order(loads, now)
+        name = ''
+        if rollout.ready is not None:
+            name = rollout.copy_name_of(rollout.ready)
+            self._copies.set_engine_phase(
+                name, engine.loading, engine.version == rollout.ready
+            )
+        if self._check_load(rollout, now):
+            # Writes would make it impossible to verify what was loaded.
+            return
         self._start_staging(rollout, engine)
         if rollout.ready is None:
             return
-        name = rollout.copy_name_of(rollout.ready)
-        self._copies.set_engine_phase(
-            name, engine.loading, engine.version == rollout.ready
-        )
         if (
             rollout.load_in_progress
             or rollout.is_staging
@@ -331,7 +404,43 @@
         copy = self._copies.complete_copy(name)
         if copy is not None and self._is_our_turn(rollout, engine, now):
             rollout.load_in_progress = True
-            gevent.spawn(self._load, copy, rollout.model, rollout.ready)
+            gevent.spawn(
+                self._load,
+                copy,
+                rollout.model,
+                rollout.ready,
+                now >= rollout.order_pending_until,
+            )
+
+    def _check_load(self, rollout: Rollout, now: float) -> bool:
+        """Start to check the last load; return whether it needs a check.
+
+        A version whose manifest isn't known can't be checked.
+        """
+        if rollout.is_checking:
+            return True
+        if rollout.load_in_progress or rollout.is_staging:
+            return False
+        version = load_verification.version_to_check(
+            self._loads, self.report, rollout.model, rollout.order
+        )
+        if version is None:
+            return False
+        manifest = self._copies.manifest_of(rollout.copy_name_of(version))
+        if rollout.order is not None and rollout.order.version == version:
+            manifest = manifest or rollout.ordered_manifest
+        if manifest is None:
+            return False
+        if now >= rollout.retry_check_at:
+            rollout.is_checking = True
+            gevent.spawn(
+                self._read_after_load,
+                manifest,
+                rollout.model,
+                version,
+                self._loads,
+            )
+        return True
 
     def _engine_state(self, model: str) -> EngineLoadState:
         if self.report is None:
@@ -371,7 +480,8 @@
     def _start_staging(
         self, rollout: Rollout, engine: EngineLoadState
     ) -> None:
-        if self._now() < rollout.retry_staging_at:
+        now = self._now()
+        if now < max(rollout.retry_staging_at, rollout.order_pending_until):
             return
         to_stage = rollout.chunks_to_stage(engine, self._copies)
         if to_stage is None or rollout.copy_name_of(to_stage.version) not in (
@@ -392,9 +502,22 @@
             )
         )
 
-    def _load(self, copy: Copy, model: str, version: int) -> None:
+    def _load(
+        self, copy: Copy, model: str, version: int, may_write: bool
+    ) -> None:
+        self.inbox.put(
+            loading.load(
+                self._engine, copy, model, version, self._now, may_write
+            )
+        )
+
+    def _read_after_load(
+        self, manifest: Manifest, model: str, version: int, loads: EngineLoads
+    ) -> None:
         self.inbox.put(
-            loading.load(self._engine, copy, model, version, self._now)
+            loading.check_load(
+                self._engine, manifest, model, version, loads, self._now
+            )
         )
 
     def _targets(self) -> list[Target]:
--- /dev/null
+++ b/packages/burdockchute-agent/tests/test_verified_loads.py
@@ -0,0 +1,211 @@
+"""A version is served only if its load is known to have been right."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from burdockchute_testing.builders.staged_loads import AgentKilled
+from burdockchute_testing.builders.staged_loads import CHUNKS
+from burdockchute_testing.builders.staged_loads import MODEL
+from burdockchute_testing.builders.staged_loads import SimulatedAgent
+from burdockchute_testing.builders.staged_loads import SimulatedEngine
+
+CALLS = 30
+# What happens at one call of the agent to its engine.
+EVENTS = st.lists(
+    st.sampled_from(
+        ['suspend', 'wait', 'corrupt', 'late', 'act late', 'lost', 'crash']
+        + ['power', 'kill', 'finish']
+    ),
+    min_size=1,
+    max_size=2,
+)
+STEPS = st.sampled_from(
+    ['work', 'work', 'work', 'work', 'name', 'poll', 'step', 'jobs']
+    + ['corrupt', 'finish', 'act late', 'wait', 'kill']
+)
+
+
+def at_call(name, count, act):
+    """Return what happens at calls: `act` at one of that name, once."""
+    seen = [0]
+
+    def on_call(called):
+        seen[0] += called == name
+        if called == name and seen[0] == count:
+            return act() or ''
+        return ''
+
+    return on_call
+
+
+class VerifiedLoadsTest(unittest.TestCase):
+    def setUp(self):
+        self.engine = SimulatedEngine()
+        self.agent = SimulatedAgent(self.engine, 2)
+
+    def suspend(self):
+        self.engine.corrupt(1)
+        self.engine.now += 3.6
+
+    def lose_power(self):
+        self.engine.restart(with_power_loss=True)
+
+    def test_complete_copies_are_served_one_after_the_other(self):
+        for version in (2, 3, 4):
+            self.agent.name(version)
+            self.agent.copies.newest_complete = version
+            self.agent.work()
+            self.assertEqual({MODEL: version}, self.agent.task.loaded())
+        self.engine.restart()
+        self.agent.work()
+        self.assertEqual({MODEL: 4}, self.agent.task.loaded())
+
+    def test_load_of_chunks_that_changed_after_the_check_is_not_served(self):
+        """A chunk changes between the check and the acceptance of the order.
+
+        Answers of an engine that loaded it look valid but are worthless.
+        """
+        cases = (
+            ('agent suspended before the order', 'load', 1, self.suspend),
+            ('engine suspended with the order', 'load', 1, self.suspend_late),
+            ('engine lost power', 'load', 1, self.lose_power),
+            ('late write of another version', 'load', 1, self.write_late),
+        )
+        for title, name, count, act in cases:
+            with self.subTest(title):
+                self.setUp()
+                self.engine.on_call = at_call(name, count, act)
+                self.agent.work()
+                self.engine.execute_late()
+                self.agent.work(2)
+                self.assertFalse(self.agent.serves_wrong_load())
+                # The next version is loaded and served again.
+                self.engine.on_call = lambda name: ''
+                self.engine.now += 20.0
+                self.agent.name(3)
+                self.agent.copies.newest_complete = 3
+                self.agent.work(10)
+                self.assertEqual({MODEL: 3}, self.agent.task.loaded())
+
+    def suspend_late(self):
+        self.suspend()
+        return 'late'
+
+    def write_late(self):
+        self.engine.stage(MODEL, 2, b'003002')
+
+    def test_order_without_an_answer_that_was_accepted_is_served(self):
+        """All chunks are valid after it, and none was written since."""
+        self.engine.on_call = at_call('load', 1, lambda: 'late')
+        self.agent.work(2)
+        self.engine.execute_late()
+        self.agent.work()
+        self.assertEqual({MODEL: 2}, self.agent.task.loaded())
+
+    def test_nothing_is_staged_while_an_order_may_be_executed(self):
+        """A newer version would be mixed into what the order loads."""
+        self.engine.on_call = at_call('load', 1, lambda: 'late')
+        self.agent.work(2)
+        self.agent.name(3)
+        self.agent.copies.newest_complete = 3
+        self.agent.work(2)
+        self.assertEqual(b'002000', self.engine.staged_chunks[0])
+        self.engine.execute_late()
+        self.agent.work()
+        self.assertEqual(set(), self.engine.wrong_loads)
+        self.assertEqual({MODEL: 3}, self.agent.task.loaded())
+
+    def test_order_of_an_earlier_agent_is_verified_or_not_served(self):
+        """It was accepted after that agent had been killed."""
+        for corrupted, served in (((), {MODEL: 2}), ((1,), {})):
+            with self.subTest(corrupted=corrupted):
+                self.setUp()
+                self.engine.on_call = at_call('load', 1, lambda: 'late')
+                self.agent.work(2)
+                for index in corrupted:
+                    self.engine.corrupt(index)
+                    self.engine.now += 3.1
+                self.engine.execute_late()
+                self.agent = SimulatedAgent(self.engine, 2)
+                self.agent.work()
+                self.assertEqual(served, self.agent.task.loaded())
+
+    @settings(max_examples=400)
+    @given(
+        st.lists(STEPS, max_size=25),
+        st.dictionaries(st.integers(1, CALLS), EVENTS, max_size=6),
+    )
+    def test_no_wrong_load_is_served(self, steps, events):
+        """Suspended, killed or restarted at any call, with late calls."""
+        self.setUp()
+        calls = itertools.count(1)
+
+        def on_call(name):
+            outcome = ''
+            for event in events.get(next(calls), ()):
+                self.happen(event)
+                if event in ('late', 'lost'):
+                    outcome = event
+            return outcome
+
+        self.engine.on_call = on_call
+        for number, step in enumerate(steps):
+            try:
+                self.take(step)
+            except AgentKilled:
+                # Writes of a killed agent are not executed in this model.
+                self.engine.late = []
+                self.replace_agent()
+            self.assertFalse(self.agent.serves_wrong_load(), number)
+
+    def take(self, step):
+        agent = self.agent
+        actions = {
+            'work': lambda: agent.work(1),
+            'poll': agent.poll,
+            'step': agent.step,
+            'jobs': agent.run_jobs,
+            'name': self.name_next,
+        }
+        if step in actions:
+            actions[step]()
+        else:
+            self.happen(step)
+
+    def name_next(self):
+        version = self.agent.copies.newest_complete + 1
+        self.agent.name(version)
+        self.agent.copies.newest_complete = version
+
+    def replace_agent(self):
+        newest = self.agent.copies.newest_complete
+        self.agent = SimulatedAgent(self.engine, newest)
+
+    def happen(self, event):
+        engine = self.engine
+        if event == 'kill':
+            raise AgentKilled
+        if event == 'wait':
+            engine.now += 3.6
+        elif event == 'suspend':
+            self.suspend()
+        elif event == 'corrupt':
+            engine.corrupt(int(engine.now * 100) % CHUNKS)
+        elif event == 'crash':
+            engine.restart()
+        elif event == 'power':
+            engine.restart(with_power_loss=True)
+        elif event == 'act late':
+            engine.execute_late()
+        elif event == 'finish':
+            engine.finish_load()
+
+
+if __name__ == '__main__':
+    unittest.main()
