Agents: a load that an earlier agent ordered is verified or reported as unverified

An agent that starts, while its engine holds a version, reads the staging area: if every chunk is valid for that version and the agent has written none, the version is reported as before. Where the next version is staged over it already, nothing can show what the engine loaded. It is then named in a new optional field of the load report, `unverified`, beside the start of the engine as far as that reports it. An entry that had a report of the same load as verified goes on using it, the others don't.

Without the field, an agent that starts in the middle of a copy would take its engine out of use until the next version is loaded.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/reports_task.py
@@ -131,6 +131,13 @@
             )
             if report
             else None,
+            # Omitted while there are none, to keep regular reports small.
+            unverified=[
+                copy_name(model, version)
+                for model, version in self._staged.unverified().items()
+            ]
+            or None,
+            engine_started_ms=report.started_ms if report else None,
         )
 
     def _opens_in_ms(self) -> int | None:
--- a/packages/burdockchute-agent/tests/test_staged_reports.py
+++ b/packages/burdockchute-agent/tests/test_staged_reports.py
@@ -25,6 +25,10 @@
 class FakeStaged:
     report = None
     opens = None
+    not_verified = {}
+
+    def unverified(self):
+        return self.not_verified
 
     def loaded(self):
         return {'story': 1}
@@ -136,6 +140,14 @@
         self.staged.opens = 3.1
         self.assertEqual(3000, self.task.current_report().opens_in_ms)
 
+    def test_unverified_loads_are_reported_beside_verified_ones(self):
+        """Entries that know a load as verified go on using it."""
+        self.assertIsNone(self.task.current_report().unverified)
+        self.staged.not_verified = {'poem': 7}
+        report = self.task.current_report()
+        self.assertEqual(['poem@7'], report.unverified)
+        self.assertEqual(['story@1'], [s.digest for s in report.weights])
+
     def test_speed_and_memory_of_the_engine_are_reported_in_steps(self):
         """Each changed report goes to every entry over a narrow link."""
         usual = EngineReport({'story': 1}, False, 1, 0, 3, 900.0, 2e4, 1.0)
--- a/packages/burdockchute-agent/tests/test_verified_loads.py
+++ b/packages/burdockchute-agent/tests/test_verified_loads.py
@@ -136,6 +136,20 @@
                 self.agent.work()
                 self.assertEqual(served, self.agent.task.loaded())
 
+    def test_load_beneath_the_next_version_is_reported_as_unverified(self):
+        """An agent starts when the staging area has another version already.
+
+        Entries that knew the load as verified would lose the engine.
+        """
+        self.agent.work()
+        self.engine.staged_chunks[0] = b'003000'
+        self.agent = SimulatedAgent(self.engine, 2)
+        self.agent.work(1)
+        self.assertEqual({MODEL: 2}, self.agent.task.unverified())
+        self.agent.work()
+        self.assertEqual({MODEL: 2}, self.agent.task.unverified())
+        self.assertEqual({}, self.agent.task.loaded())
+
     @settings(max_examples=400)
     @given(
         st.lists(STEPS, max_size=25),
--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
@@ -294,18 +295,37 @@
 def _loaded_versions(
     target: Target, report: messages.LoadReport
 ) -> dict[str, int]:
-    loaded = {}
-    for state in report.weights or ():
-        model, _at, version = state.digest.rpartition('@')
+    """Return the versions that may be served, and record them.
+
+    An agent that has started after a load may be unable to verify it. What
+    its predecessor reported of the same load still holds.
+    """
+    started_ms = report.engine_started_ms
+    loaded = _parse_versions(
+        target, [state.digest for state in report.weights or ()]
+    )
+    for model, version in loaded.items():
+        target.verified[model] = started_ms, version
+    unverified = _parse_versions(target, report.unverified or ())
+    for model, version in unverified.items():
+        if target.verified.get(model) == (started_ms, version):
+            loaded[model] = version
+    return loaded
+
+
+def _parse_versions(target: Target, digests: Iterable[str]) -> dict[str, int]:
+    parsed = {}
+    for digest in digests:
+        model, _at, version = digest.rpartition('@')
         if _VERSION.fullmatch(version):
-            loaded[model] = int(version)
+            parsed[model] = int(version)
         else:
             logs.warn(
                 'reported_version_unreadable',
                 upstream=target.id,
-                version=f'{state.digest:.60}',
+                version=f'{digest:.60}',
             )
-    return loaded
+    return parsed
 
 
 def _is_same_process(target: Target, upstream: Upstream) -> bool:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -79,6 +79,9 @@
         self._evacuated = {} if evacuated is None else evacuated
         self.load = InstanceLoad(upstream.id, now)
         self.versions: Mapping[str, int] = upstream.versions
+        # The start of the engine and the version of each model that its agent
+        # has reported as verified last.
+        self.verified: dict[str, tuple[int | None, int]] = {}
         self.health = health.Health()
         self.last_received_at = now
         self.speed = Speed()
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -176,6 +176,8 @@
   17: i64 configuration     // newest version heard of, when new and on a new link
   18: double slowness       // of its engine, unset while that has its usual speed
   19: i64 memory_free       // tokens, unset while half of the memory is free
+  20: list<string> unverified  // loaded digests whose loads aren't verified, else unset
+  21: i64 engine_started_ms // Unix time, unset if its engine does not report it
 }
 
 struct RowRecord {
--- a/packages/burdockchute/burdockchute/wire/codec.py
+++ b/packages/burdockchute/burdockchute/wire/codec.py
@@ -38,6 +38,8 @@
         'configuration',
         'slowness',
         'memory_free',
+        'unverified',
+        'engine_started_ms',
     },
     ttypes.TableDelta: {'forgotten', 'age_ms'},
 }
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1683,11 +1683,13 @@
      - configuration
      - slowness
      - memory_free
+     - unverified
+     - engine_started_ms
 
     """
 
 
-    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None, opens_in_ms=None, configuration=None, slowness=None, memory_free=None,):
+    def __init__(self, instance=None, running=None, waiting=None, slots=None, tokens_per_s=None, leaving=None, weights=None, services=None, prefixes=None, table_offset=None, prefill_tokens_per_s=None, entries=None, evicted=None, closes_in_ms=None, named=None, opens_in_ms=None, configuration=None, slowness=None, memory_free=None, unverified=None, engine_started_ms=None,):
         self.instance = instance
         self.running = running
         self.waiting = waiting
@@ -1707,6 +1709,8 @@
         self.configuration = configuration
         self.slowness = slowness
         self.memory_free = memory_free
+        self.unverified = unverified
+        self.engine_started_ms = engine_started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1839,6 +1843,21 @@
                     self.memory_free = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.unverified = []
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unverified.append(_elem44)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.engine_started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1940,6 +1959,17 @@
             oprot.writeFieldBegin('memory_free', TType.I64, 19)
             oprot.writeI64(self.memory_free)
             oprot.writeFieldEnd()
+        if self.unverified is not None:
+            oprot.writeFieldBegin('unverified', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRING, len(self.unverified))
+            for iter54 in self.unverified:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.engine_started_ms is not None:
+            oprot.writeFieldBegin('engine_started_ms', TType.I64, 21)
+            oprot.writeI64(self.engine_started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3980,6 +4010,8 @@
     (17, TType.I64, 'configuration', None, None, ),  # 17
     (18, TType.DOUBLE, 'slowness', None, None, ),  # 18
     (19, TType.I64, 'memory_free', None, None, ),  # 19
+    (20, TType.LIST, 'unverified', (TType.STRING, 'UTF8', False), None, ),  # 20
+    (21, TType.I64, 'engine_started_ms', None, None, ),  # 21
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
