Entries: no versions from the upstream list after an agent's first report

The list names what an engine says it has loaded. An entry whose list changed sent requests to a version that the agent had reported as unverified, or had not judged yet, until the agent's next report. So it did when an upstream came back to the list.

Failing before: test_list_names_no_verified_versions_after_a_report, {'story': 1} != {'story': 2}.

Versions in the list are now used only until the first report of the engine's agent. What was reported is kept while the list lacks the upstream. An entry that has just started still uses the list until then.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -61,12 +61,13 @@
 class Target:
     """One upstream.
 
-    `versions` are the versions it last reported as loaded, in the upstream
-    list or through its agent. `last_received_at` is when its last byte
-    arrived. `unstarted` has the requests of this entry that have produced no
-    event yet, by id. `evacuated` maps the evacuated availability zones to
-    the time at which this process read of it. All targets share it, so that
-    it also holds for those that are no longer listed.
+    `versions` are the versions that its agent last reported as verified, or
+    until its first report those that the upstream list names.
+    `last_received_at` is when its last byte arrived. `unstarted` has the
+    requests of this entry that have produced no event yet, by id. `evacuated`
+    maps the evacuated availability zones to the time at which this process
+    read of it. All targets share it, so that it also holds for those that are
+    no longer listed.
     """
 
     def __init__(
@@ -82,6 +83,8 @@
         # The start of the engine and the version of each model that its agent
         # has reported as verified last.
         self.verified: dict[str, tuple[int | None, int]] = {}
+        # Whether its agent has sent a report.
+        self.has_report = False
         self.health = health.Health()
         self.last_received_at = now
         self.speed = Speed()
@@ -128,7 +131,8 @@
 
     def update_listing(self, upstream: Upstream) -> None:
         """Replace its entry in the upstream list by a newer one."""
-        if upstream.versions != self.upstream.versions:
+        # The list names what is loaded, verified or not.
+        if upstream.versions != self.upstream.versions and not self.has_report:
             self.versions = upstream.versions
         self.upstream = upstream
 
--- a/packages/burdockchute-entry/tests/test_verified_versions.py
+++ b/packages/burdockchute-entry/tests/test_verified_versions.py
@@ -57,6 +57,19 @@
                     versions = self.receive(load_report)
                 self.assertEqual(expected, versions)
 
+    def test_list_names_no_verified_versions_after_a_report(self):
+        """It names what an engine has loaded, whatever that was made of."""
+        self.receive(report(['story@1']))
+        self.list_engine(versions={'story': 2})
+        self.assertEqual({'story': 1}, dict(self.target.versions))
+        self.receive(report((), ['story@2']))
+        self.list_engine(versions={'story': 3})
+        self.assertEqual({}, dict(self.target.versions))
+        # The list lacks it for a while.
+        self.known.update(KnownState(), 1.0)
+        self.list_engine(versions={'story': 3})
+        self.assertEqual({}, dict(self.target.versions))
+
 
 if __name__ == '__main__':
     unittest.main()
