Crashes: log answers that clear a cause, and unfinished answers

An answer that cleared a part which was only suspected or limited left no line, and an attempt that ended without a crash that can be shown (silent upstream, timeout) did not name the parts of its prompt. So the logs of a run could not tell why requests with a part went on reaching engines.

cause_cleared and answer_unfinished name the cause or parts, whether the answer was whole, and for how long it had been arriving.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -323,8 +323,34 @@
         self._is_settled.clear()
         gevent.spawn(self._check, target)
 
+    def answer_unfinished(
+        self,
+        ctx: RequestContext,
+        target: Target,
+        reason: str,
+        ran_s: float,
+        answering_s: float,
+    ) -> None:
+        """Log an attempt that ended without a crash that can be shown."""
+        if not ctx.prompt_parts:
+            return
+        logs.event(
+            'answer_unfinished',
+            request_id=ctx.request_id,
+            upstream=target.id,
+            reason=reason,
+            fingerprint=ctx.fingerprint,
+            parts=','.join(part.name for part in ctx.prompt_parts),
+            ran_ms=int(ran_s * 1000),
+            answering_ms=int(answering_s * 1000),
+        )
+
     def answer_complete(
-        self, ctx: RequestContext, has_content: bool, is_whole: bool = True
+        self,
+        ctx: RequestContext,
+        has_content: bool,
+        is_whole: bool = True,
+        answering_s: float = 0.0,
     ) -> None:
         """Record a complete answer, or one that has been arriving for long.
 
@@ -344,10 +370,17 @@
             )
             self._publish(AnsweredRequest(ctx.fingerprint, parts))
         for name in suspected:
-            if (
-                name in limited
-                or self.causes.crashes_with(name) >= CRASHES_TO_ISOLATE
-            ):
+            crashes = self.causes.crashes_with(name)
+            if name in limited or crashes >= CRASHES_TO_ISOLATE:
+                logs.event(
+                    'cause_cleared',
+                    request_id=ctx.request_id,
+                    cause=name,
+                    whole=is_whole,
+                    answering_ms=int(answering_s * 1000),
+                    limited=name in limited,
+                    crashes=crashes,
+                )
                 self._on_cleared(name)
 
     # Reports of other entries.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -494,7 +494,7 @@
         if lasted_s > JUST_BEGUN_S and not self.has_outlasted:
             self.has_outlasted = True
             self._deps.crash_watch.answer_complete(
-                self.ctx, True, is_whole=False
+                self.ctx, True, is_whole=False, answering_s=lasted_s
             )
         if sent.hedge_at is not None or sent.rival is not None:
             sent.conn.set_poll_interval(POLL_INTERVAL_S)
@@ -598,7 +598,9 @@
         # An empty remainder shows nothing of the prompt.
         has_events = not head.is_stream or sent.conn in self._answering
         self._deps.crash_watch.answer_complete(
-            self.ctx, head.status < 400 and has_events
+            self.ctx,
+            head.status < 400 and has_events,
+            answering_s=self._answering_s(sent),
         )
         self._deps.scheduler.mark_answered(
             self.pending, sent.slot, self._elapsed_s(sent)
@@ -615,6 +617,7 @@
     def time_out(self, sent: SentRequest) -> None:
         """End the attempt because the deadline passed."""
         sent.conn.abort()
+        self._log_unfinished(sent, 'timed_out')
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
         )
@@ -666,17 +669,17 @@
             return OutcomeUnknown(str(exc))
         sent.conn.abort()
         if exc.closed_by_upstream:
-            answering_s = (
+            if sent.conn in self._answering:
                 self._record_answering(sent.conn)
-                if sent.conn in self._answering
-                else 0.0
-            )
             self._deps.crash_watch.answer_lost(
                 self.ctx,
                 target,
-                self._deps.now() - sent.sent_at,
-                answering_s,
+                self._elapsed_s(sent),
+                self._answering_s(sent),
             )
+        else:
+            is_silent = isinstance(exc, UpstreamSilent)
+            self._log_unfinished(sent, 'silent' if is_silent else 'failed')
         target.record_failure(self._deps.now())
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
@@ -689,5 +692,18 @@
             return
         sent.slot.target.keep(sent.conn, head.idle_s, self._deps.now())
 
+    def _log_unfinished(self, sent: SentRequest, reason: str) -> None:
+        self._deps.crash_watch.answer_unfinished(
+            self.ctx,
+            sent.slot.target,
+            reason,
+            self._elapsed_s(sent),
+            self._answering_s(sent),
+        )
+
+    def _answering_s(self, sent: SentRequest) -> float:
+        time = self._answering.get(sent.conn)
+        return time.lasted_s if time else 0.0
+
     def _elapsed_s(self, sent: SentRequest) -> float:
         return self._deps.now() - sent.sent_at
