Crashes: only a whole answer frees a part that was in five crashes

Requests with one part of their prompts went on reaching engines long after the fifth crash if the part crashed them late in its answers. An answer that had been arriving for over 0.5 s cleared the part, and a crash later than that counted against no part and was relayed to no entry.

Each crash, early or late, now counts for the parts in it until an answer on the part is complete. Records of answers and reports to other entries say whether the answer was whole; earlier releases ignore reports of late crashes. A try of a part stays open until its entry records that it is over, for 10 s at most, as answers of sound parts may be long.

test_part_that_comes_with_the_crashing_one_is_spared asked that a part in five crashes without an answer needs no try, which the fixed number rules out. It now asks that the part is not refused, can be tried and is free after one complete answer. The simulation has late crashes and partial answers, and ends the tries of lost runs as entries do.

Sound parts that are in five crashes and lack a complete answer are tried one request at a time until there is one.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/agents_task.py
@@ -203,12 +203,14 @@
                     self._on_load_report(link.peer.name, message.message)
 
     def _on_crash_news(self, news: messages.CrashNews) -> None:
-        if news.parts is None:
+        is_late = news.late_parts is not None
+        known_parts = news.late_parts if is_late else news.parts
+        if known_parts is None:
             # An entry of an earlier release, which did not check for a crash.
             return
         parts = tuple(
             PromptPart(part.name, part.position, bool(part.answered))
-            for part in news.parts
+            for part in known_parts
         )
         if news.upstream:
             self._on_lost_request(
@@ -217,11 +219,14 @@
                     news.upstream,
                     parts,
                     (news.ran_ms or 0) / 1000,
+                    is_late,
                     started_ms=news.started_ms,
                 )
             )
         else:
-            self._on_answered_request(AnsweredRequest(news.fingerprint, parts))
+            self._on_answered_request(
+                AnsweredRequest(news.fingerprint, parts, bool(news.whole))
+            )
 
     def _probe(self, request: ProbeRequested) -> None:
         peer = self._peers.links.get(request.agent)
@@ -321,13 +326,21 @@
 def _crash_news(report: LostRequest | AnsweredRequest) -> messages.CrashNews:
     parts = [messages.PromptPart(*part) for part in report.parts]
     if isinstance(report, AnsweredRequest):
-        return messages.CrashNews(report.fingerprint, '', False, False, parts)
+        return messages.CrashNews(
+            report.fingerprint,
+            '',
+            False,
+            False,
+            parts,
+            whole=report.is_whole or None,
+        )
     return messages.CrashNews(
         report.fingerprint,
         report.upstream,
         False,
         False,
-        parts,
+        None if report.is_late else parts,
         int(report.ran_s * 1000),
         report.started_ms,
+        parts if report.is_late else None,
     )
--- a/packages/burdockchute-entry/burdockchute_entry/straight/app.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/app.py
@@ -148,8 +148,9 @@
             lambda: self.crash_records.expect_changes(),
             lambda name, for_s: self.crash_records.save_refused(name, for_s),
             lambda: len(self.scheduler.targets()),
-            lambda name: self.crash_records.save_answered(name),
-            claim_tries=lambda *claim: self.crash_records.claim_tries(*claim),
+            lambda *answer: self.crash_records.save_answered(*answer),
+            lambda *claim: self.crash_records.claim_tries(*claim),
+            lambda *claim: self.crash_records.save_try_over(*claim),
         )
         self.crash_records = CrashRecordsTask(
             adapter.open_crash_records(machine.store),
@@ -403,10 +404,7 @@
             self.agents.inbox.put(report)
             return
         self.crash_records.save_crash(report)
-        if not report.is_late:
-            # Sound requests that run for long are in many crashes. Five of
-            # them convict, and the store is read soon enough for that.
-            self.agents.inbox.put(report)
+        self.agents.inbox.put(report)
 
     def _on_load_report(
         self, address: str, report: messages.LoadReport
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -138,9 +138,18 @@
         """Save that this entry lost a request in a crash just now."""
         self._inbox.put(CrashRecorded(lost, self._now_unix()))
 
-    def save_answered(self, name: str) -> None:
+    def save_try_over(self, name: str, number: int) -> None:
+        """Save that a try of this entry ended and showed nothing."""
+        key = TryClaimed(name, number, 0.0).key
+        claimed = self._own.get(key)
+        if isinstance(claimed, TryClaimed):
+            self._inbox.put(claimed._replace(is_over=True))
+
+    def save_answered(self, name: str, is_whole: bool = True) -> None:
         """Save that what was in crashes has been answered."""
-        self._inbox.put(CauseAnswered(name, self._now_unix()))
+        self._inbox.put(CauseAnswered(name, self._now_unix(), is_whole))
+        if not is_whole:
+            return
         tries = [key for key in self._stored_at if _is_try_of(name, key)]
         if tries:
             # They, and that it was refused, outlast the record of the answer.
@@ -244,6 +253,10 @@
             self._stored_at[claim.key] = at_unix
             tries.record(claim.name, claim.number, self._now())
         if result is ClaimResult.UNKNOWN:
+            # It is not sent.
+            for claim in claims:
+                tries.end(claim.name, claim.number)
+                self.save_try_over(claim.name, claim.number)
             return TryResult.STORE_AWAY
         return TryResult.CLAIMED
 
@@ -255,7 +268,11 @@
         """
         now, now_unix = self._now(), self._now_unix()
         answered = (
-            CauseAnswered(part, now_unix - (now - at))
+            CauseAnswered(
+                part,
+                now_unix - (now - at),
+                at == self._causes.unanswered.answered_at(part),
+            )
             for part, at in self._causes.answered_parts()
         )
         unsaved = (
@@ -360,8 +377,8 @@
         An operator who removes the record of a cause allows it for good. Each
         entry that starts later would read the evidence and refuse it again.
         """
-        self._causes.answered_elsewhere(name, self._now(), self._now())
-        answered = CauseAnswered(name, self._now_unix())
+        self._causes.answered_elsewhere(name, self._now(), self._now(), True)
+        answered = CauseAnswered(name, self._now_unix(), True)
         stored_at = self._stored_at.get(answered.key, 0.0)
         # The entry that removes it because of an answer saves both.
         if answered.at_unix - stored_at > ANSWERED_TOGETHER_S:
@@ -382,12 +399,16 @@
 
     def _apply_evidence(self, record: _Evidence, at: float) -> None:
         if isinstance(record, TryClaimed):
-            answered_at = self._causes.answered_at(record.name)
+            answered_at = self._causes.whole_answer_at(record.name)
             if answered_at is None or at > answered_at:
-                self._causes.tries.record(record.name, record.number, at)
+                self._causes.tries.record(
+                    record.name, record.number, at, not record.is_over
+                )
+                if record.is_over:
+                    self._crash_watch.recheck_tries()
             return
         if isinstance(record, CauseAnswered):
-            self._crash_watch.stored_answer(record.name, at)
+            self._crash_watch.stored_answer(record.name, at, record.is_whole)
             return
         self._crash_watch.stored_crash(record.lost, at)
         # More may follow, from entries that are not linked.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -25,11 +25,15 @@
 from burdockchute.decisions.crash_evidence import JUST_BEGUN_S
 from burdockchute.decisions.crash_evidence import MIN_CRASHES
 from burdockchute.decisions.crash_evidence import REFUSE_S
+from burdockchute.decisions.tries import CRASHED_TRY_PAUSE_S
+from burdockchute.decisions.tries import TRY_S
+from burdockchute.decisions.unanswered_crashes import MAX_PART_CRASHES
 from burdockchute.model.crash_reports import AnsweredRequest
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.outcomes import NotRun
 from burdockchute.model.requests import RequestContext
 from burdockchute_entry.straight.targets import Target
+from burdockchute_entry.straight.try_limits import Claim
 from burdockchute_entry.straight.try_limits import ClaimTries
 from burdockchute_entry.straight.try_limits import TryLimits
 
@@ -91,8 +95,10 @@
     that this entry begins or ceases to refuse on its own evidence, and for how
     many seconds. `count_upstreams` returns how many upstreams are known.
     `on_cleared` is called with each cause in several crashes that this entry
-    sees answered. `claim_tries` claims a try of each of some causes over all
-    entries, by a request with a fingerprint; without it, this entry is alone.
+    sees answered, and whether the answer was whole. `claim_tries` claims a
+    try of each of some causes over all entries, by a request with a
+    fingerprint; without it, this entry is alone. `on_try_over` is called with
+    a cause and the number of its try that ended and showed nothing.
 
     `is_informed` is not set while an entry that has just started does not know
     yet what others know of earlier crashes.
@@ -108,8 +114,9 @@
         on_suspicion: Callable[[], None] = lambda: None,
         on_changed: Callable[[str, float], None] = lambda name, for_s: None,
         count_upstreams: Callable[[], int] = lambda: 1,
-        on_cleared: Callable[[str], None] = lambda name: None,
+        on_cleared: Callable[[str, bool], None] = lambda name, is_whole: None,
         claim_tries: ClaimTries | None = None,
+        on_try_over: Callable[[str, int], None] = lambda name, number: None,
     ) -> None:
         self.is_informed = event.Event()
         self.is_informed.set()
@@ -121,8 +128,13 @@
         self._on_changed = on_changed
         self._count_upstreams = count_upstreams
         self._on_cleared = on_cleared
+        self._report_try_over = on_try_over
         self.try_limits = TryLimits(
-            self.causes, now, claim_tries, self._on_tries_used_up
+            self.causes,
+            now,
+            claim_tries,
+            self._on_tries_used_up,
+            self._on_try_over,
         )
         # The trial of each unproven part that a request was sent with.
         self._trials: dict[str, _Trial] = {}
@@ -228,7 +240,7 @@
 
     def _trial_or_try_left_s(self, ctx: RequestContext) -> float:
         limited = self.try_limits.limited_causes(ctx)
-        if self.try_limits.are_used_up(limited):
+        if self.try_limits.have_failed(limited):
             # It is refused at once.
             return 0.0
         try_s = self.try_limits.open_for_s(limited)
@@ -240,6 +252,10 @@
         ended, self._trial_ended = self._trial_ended, event.Event()
         ended.set()
 
+    def recheck_tries(self) -> None:
+        """Let requests go on that wait for a try that is over."""
+        self._end_trials(())
+
     def may_repeat(self, ctx: RequestContext) -> bool:
         """Whether a request may be repeated without its caller's asking."""
         count = self.causes.crash_count(ctx.fingerprint)
@@ -264,10 +280,16 @@
     def wait_until_judged(self, ctx: RequestContext) -> None:
         """Wait until crashes are judged that say something of a request.
 
-        It was in one before, or has an unproven part.
+        It was in one before, or has an unproven part, or one that may only be
+        tried after the next crash.
         """
-        if self.causes.crash_count(ctx.fingerprint) or self.has_unproven_part(
-            ctx
+        if (
+            self.causes.crash_count(ctx.fingerprint)
+            or self.has_unproven_part(ctx)
+            or any(
+                self.causes.unanswered.count(part.name) >= MAX_PART_CRASHES - 1
+                for part in ctx.prompt_parts
+            )
         ):
             self._is_settled.wait(MAX_JUDGEMENT_WAIT_S)
 
@@ -278,6 +300,17 @@
         if self.causes.must_be_isolated(ctx.fingerprint):
             self.wait_until_judged(ctx)
 
+    def end_lost_tries(self, ctx: RequestContext) -> None:
+        """End the tries of a request whose upstream may have crashed."""
+        if claims := self.try_limits.take_claims(ctx):
+            gevent.spawn(self._end_lost_tries, claims)
+
+    def _end_lost_tries(self, claims: Sequence[Claim]) -> None:
+        self._is_settled.wait(TRY_S)
+        if any(self.causes.is_often_in_crashes(name) for name, _ in claims):
+            gevent.sleep(CRASHED_TRY_PAUSE_S)
+        self.try_limits.end_claims(claims)
+
     # Evidence of this entry.
 
     def answer_lost(
@@ -358,20 +391,24 @@
         """
         if not has_content:
             return
-        report = AnsweredRequest(ctx.fingerprint, ctx.prompt_parts)
+        report = AnsweredRequest(ctx.fingerprint, ctx.prompt_parts, is_whole)
+        crashes = {
+            part.name: self.causes.unanswered.count(part.name)
+            for part in ctx.prompt_parts
+        }
         late_crashes = self.causes.late_crash_count(ctx.fingerprint)
         limited = self.try_limits.limited_causes(ctx)
-        suspected = self._record_answered(report, is_whole)
+        suspected = self._record_answered(report)
         if is_whole and late_crashes >= CRASHES_TO_ISOLATE:
-            self._on_cleared(request_cause(ctx.fingerprint))
+            self._on_cleared(request_cause(ctx.fingerprint), True)
         if suspected:
             parts = tuple(
                 part for part in ctx.prompt_parts if part.name in suspected
             )
-            self._publish(AnsweredRequest(ctx.fingerprint, parts))
+            self._publish(report._replace(parts=parts))
         for name in suspected:
-            crashes = self.causes.crashes_with(name)
-            if name in limited or crashes >= CRASHES_TO_ISOLATE:
+            count = max(self.causes.crashes_with(name), crashes.get(name, 0))
+            if name in limited or count >= CRASHES_TO_ISOLATE:
                 logs.event(
                     'cause_cleared',
                     request_id=ctx.request_id,
@@ -379,9 +416,9 @@
                     whole=is_whole,
                     answering_ms=int(answering_s * 1000),
                     limited=name in limited,
-                    crashes=crashes,
+                    crashes=count,
                 )
-                self._on_cleared(name)
+                self._on_cleared(name, is_whole)
 
     # Reports of other entries.
 
@@ -394,14 +431,16 @@
         """Apply the record of a request in a crash at a time."""
         self._record_crash([lost], at, 'store')
 
-    def stored_answer(self, name: str, at: float) -> None:
+    def stored_answer(
+        self, name: str, at: float, is_whole: bool = False
+    ) -> None:
         """Apply the record of an answer to a request or on a part."""
-        self.causes.answered_elsewhere(name, at, self._now())
+        self.causes.answered_elsewhere(name, at, self._now(), is_whole)
         self._end_trials([name])
 
     def peer_answered(self, report: AnsweredRequest) -> None:
         """Apply another entry's report of a complete answer."""
-        self._record_answered(report, is_whole=False)
+        self._record_answered(report)
 
     def _check(self, target: Target) -> None:
         gevent.sleep(COLLECT_S)
@@ -459,8 +498,19 @@
                 late=item.is_late,
                 crashes=self.causes.crash_count(item.fingerprint),
             )
+            self._log_limited_parts(item)
         self._decide_soon()
 
+    def _log_limited_parts(self, lost: LostRequest) -> None:
+        for part in lost.parts:
+            count = self.causes.unanswered.count(part.name)
+            if count == MAX_PART_CRASHES:
+                logs.event('tries_limited', cause=part.name, crashes=count)
+
+    def _on_try_over(self, name: str, number: int) -> None:
+        self.recheck_tries()
+        self._report_try_over(name, number)
+
     def _on_tries_used_up(self, name: str) -> None:
         log_refused(name, 'tries', REFUSE_S)
         self._on_changed(name, REFUSE_S)
@@ -506,9 +556,7 @@
         if not self._losses and not is_due:
             self._is_settled.set()
 
-    def _record_answered(
-        self, report: AnsweredRequest, is_whole: bool
-    ) -> list[str]:
+    def _record_answered(self, report: AnsweredRequest) -> list[str]:
         """Record a complete answer; return the causes that were suspected."""
         now = self._now()
         names = [part.name for part in report.parts]
@@ -519,11 +567,14 @@
             if self.causes.is_refused(name, now)
         ]
         suspected = self.causes.answered(
-            report.fingerprint, names, now, is_whole
+            report.fingerprint, names, now, report.is_whole
         )
         if suspected or not self._trials.keys().isdisjoint(names):
             self._end_trials(names)
         for name in refused:
+            if self.causes.is_refused(name, now):
+                # It needs a whole answer.
+                continue
             if (fingerprint := crash_causes.fingerprint_of(name)) is None:
                 logs.event('prompt_part_allowed', part=name)
             else:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -278,6 +278,7 @@
                 reason = 'it may crash upstreams, and no try was claimed'
         if reason:
             conn.close()
+            self._end_tries()
             self._deps.scheduler.release(self.pending, slot)
             return NotExecuted(reason, False)
         start_by = None
@@ -602,6 +603,7 @@
             head.status < 400 and has_events,
             answering_s=self._answering_s(sent),
         )
+        self._end_tries()
         self._deps.scheduler.mark_answered(
             self.pending, sent.slot, self._elapsed_s(sent)
         )
@@ -609,6 +611,7 @@
     def fail(self, sent: SentRequest, head: AnswerHead) -> None:
         """End the attempt with an error answer of the upstream."""
         self._keep_connection(sent, head)
+        self._end_tries()
         self.pending.avoided.add(sent.slot.target.id)
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
@@ -618,6 +621,7 @@
         """End the attempt because the deadline passed."""
         sent.conn.abort()
         self._log_unfinished(sent, 'timed_out')
+        self._end_tries()
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
         )
@@ -625,6 +629,7 @@
     def abandon(self, sent: SentRequest) -> None:
         """End the attempt for a reason that is not the upstream's fault."""
         sent.conn.abort()
+        self._end_tries()
         self._deps.scheduler.release(self.pending, sent.slot)
 
     def take_refusal(self, sent: SentRequest, head: AnswerHead) -> NotExecuted:
@@ -632,6 +637,7 @@
         self.runs -= 1
         target = sent.slot.target
         self._drain_refusal(sent, head)
+        self._end_tries()
         if head.status == MISDIRECTED:
             # Another instance runs at this address, or other weights are
             # loaded, than the upstream list or the agent last reported.
@@ -680,6 +686,7 @@
         else:
             is_silent = isinstance(exc, UpstreamSilent)
             self._log_unfinished(sent, 'silent' if is_silent else 'failed')
+        self._deps.crash_watch.end_lost_tries(self.ctx)
         target.record_failure(self._deps.now())
         self._deps.scheduler.mark_failed(
             self.pending, sent.slot, self._elapsed_s(sent)
@@ -692,6 +699,10 @@
             return
         sent.slot.target.keep(sent.conn, head.idle_s, self._deps.now())
 
+    def _end_tries(self) -> None:
+        try_limits = self._deps.crash_watch.try_limits
+        try_limits.end_claims(try_limits.take_claims(self.ctx))
+
     def _log_unfinished(self, sent: SentRequest, reason: str) -> None:
         self._deps.crash_watch.answer_unfinished(
             self.ctx,
--- a/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
@@ -33,6 +33,8 @@
     STORE_AWAY = enum.auto()
 
 
+# A cause, and the number of its try.
+Claim = tuple[str, int]
 ClaimTries = Callable[[str, Sequence[str]], TryResult]
 
 
@@ -41,7 +43,8 @@
 
     `claim_tries` claims a try of each of some causes over all entries, by a
     request with a fingerprint; without it, this entry is alone. `on_used_up`
-    is called with a cause that is refused again after its last try.
+    is called with a cause that is refused again after its last try, `on_over`
+    with a cause and the number of a try that ended and showed nothing.
     """
 
     def __init__(
@@ -50,11 +53,15 @@
         now: Callable[[], float],
         claim_tries: ClaimTries | None = None,
         on_used_up: Callable[[str], None] = lambda name: None,
+        on_over: Callable[[str, int], None] = lambda name, number: None,
     ) -> None:
         self._causes = causes
         self._now = now
         self._claim_tries = claim_tries or self._claim_alone
         self._on_used_up = on_used_up
+        self._on_over = on_over
+        # The open tries of this entry, by the ids of their requests.
+        self._claims: dict[str, list[Claim]] = {}
         # Until when no try can be claimed.
         self._uncounted_until = float('-inf')
 
@@ -85,13 +92,13 @@
         if not limited:
             return None
         now = self._now()
-        if self.are_used_up(limited):
+        if self.have_failed(limited):
             self._refuse_again(limited)
             reason = 'it crashed the upstreams that ran it, and was tried'
             return NotRun(reason, 503, REFUSE_S)
         if not self._causes.may_be_tried(ctx.fingerprint, limited, now):
             reason = 'it may crash upstreams and is on trial'
-            return NotRun(reason, 503, self.open_for_s(limited) or TRY_S)
+            return NotRun(reason, 503, self._retry_after_s(limited))
         if now < self._uncounted_until and self._are_known(limited):
             reason = 'it may crash upstreams, and tries are not counted'
             return NotRun(reason, 503, self._uncounted_until - now)
@@ -109,6 +116,10 @@
             self._uncounted_until = self._now() + STORE_AWAY_RETRY_S
             if not self._are_known(limited):
                 result = self._claim_alone(ctx.fingerprint, limited)
+        if result is TryResult.CLAIMED:
+            self._claims[ctx.request_id] = [
+                (name, self._causes.tries.count(name)) for name in limited
+            ]
         logs.event(
             'request_tried',
             request_id=ctx.request_id,
@@ -119,9 +130,32 @@
         )
         return result is TryResult.CLAIMED
 
-    def are_used_up(self, limited: Iterable[str]) -> bool:
-        """Whether one of the causes was tried as often as allowed."""
-        return any(self._causes.tries.are_used_up(name) for name in limited)
+    def take_claims(self, ctx: RequestContext) -> list[Claim]:
+        """Return the tries of a request whose attempt has ended."""
+        return self._claims.pop(ctx.request_id, [])
+
+    def end_claims(self, claims: Iterable[Claim]) -> None:
+        """End tries that are open still, so that the next one may begin."""
+        for name, number in claims:
+            if self._causes.tries.end(name, number):
+                self._on_over(name, number)
+
+    def _retry_after_s(self, limited: Iterable[str]) -> float:
+        # A try may end at any time, and others of the cause come then.
+        return min(self.open_for_s(limited) or TRY_S, TRY_S)
+
+    def have_failed(self, limited: Iterable[str]) -> bool:
+        """Whether one of the causes was tried as often as allowed.
+
+        The last try may be open, and an answer to it frees the cause.
+        """
+        return any(map(self._has_failed, limited))
+
+    def _has_failed(self, name: str) -> bool:
+        tries = self._causes.tries
+        return tries.are_used_up(name) and not tries.open_for_s(
+            name, self._now()
+        )
 
     def _are_known(self, limited: Iterable[str]) -> bool:
         return any(map(self._causes.is_known, limited))
@@ -133,7 +167,7 @@
 
     def _refuse_again(self, limited: Iterable[str]) -> None:
         for name in limited:
-            if self._causes.tries.are_used_up(name):
+            if self._has_failed(name):
                 self._causes.refuse(name, REFUSE_S, self._now())
                 self._on_used_up(name)
 
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -26,6 +26,8 @@
 from burdockchute.decisions.ended_starts import EndedStarts
 from burdockchute.decisions.tries import MAX_AMBIGUOUS_TRIES
 from burdockchute.decisions.tries import Tries
+from burdockchute.decisions.unanswered_crashes import MAX_PART_CRASHES
+from burdockchute.decisions.unanswered_crashes import UnansweredCrashes
 from burdockchute.model.crash_reports import LostRequest
 
 # A request that was in this many crashes is run where no other begins, so that
@@ -114,6 +116,7 @@
         # Those that are known to crash upstreams.
         self._convicted: set[str] = set()
         self.tries = Tries()
+        self.unanswered = UnansweredCrashes()
 
     # Evidence.
 
@@ -124,6 +127,8 @@
         Returns whether this one is news.
         """
         start = self._ended_starts.record(lost, at)
+        for part in lost.parts:
+            self.unanswered.record(part.name, start, at)
         if lost.is_late:
             return self._crashed_late(lost, start, at)
         crash = self._crashes.setdefault(start, _Crash(at, {}))
@@ -145,7 +150,8 @@
         for suspect in (name, *positions):
             newest_at = self._crashed_at.get(suspect, crash.at)
             self._crashed_at[suspect] = max(newest_at, crash.at)
-            self.tries.crashed(suspect, crash.at)
+        # A try of a part is ended by the entry that knows of its outcome.
+        self.tries.crashed(name, crash.at)
         if self.crash_count(lost.fingerprint) >= MIN_CRASHES:
             # Whatever the judgement of the crashes says.
             self._limit_tries(name, at)
@@ -171,17 +177,23 @@
         """Record a complete answer; return the causes under suspicion.
 
         Those are refused no longer. One that is not whole yet has been
-        arriving for long; it is no proof for a request in late crashes.
+        arriving for long; it is no proof for a request in late crashes, nor
+        for a part in many crashes or one that was tried.
         """
         suspected = []
         request = request_cause(fingerprint)
         if is_whole:
             self._late_runs.pop(request, None)
-        names = [*parts]
+        names = [
+            part for part in parts if is_whole or not self._needs_whole(part)
+        ]
         if request not in self._late_runs:
             names.insert(0, request)
         for name in names:
             is_suspected = self._is_suspected(name)
+            if is_whole:
+                is_suspected = is_suspected or self.unanswered.count(name) > 0
+                self.unanswered.answered(name, now)
             if is_suspected:
                 suspected.append(name)
             elif name == request:
@@ -194,12 +206,18 @@
             del self._answered_at[next(iter(self._answered_at))]
         return suspected
 
-    def answered_elsewhere(self, name: str, at: float, now: float) -> None:
+    def answered_elsewhere(
+        self, name: str, at: float, now: float, is_whole: bool = False
+    ) -> None:
         """Record when another entry last saw a request or part answered.
 
         It is refused no longer if it was on weak evidence: a request if it
         was in no crash since, a part if no answer on it was known.
         """
+        if is_whole:
+            self.unanswered.answered(name, at)
+        elif fingerprint_of(name) is None and self._needs_whole(name):
+            return
         was_known = self.was_answered(name)
         if at > self._answered_at.get(name, float('-inf')):
             self._answered_at.pop(name, None)
@@ -226,6 +244,12 @@
         at = self._answered_at.get(name, float('-inf'))
         return None if at == float('-inf') else at
 
+    def whole_answer_at(self, name: str) -> float | None:
+        """Return when an answer last ended the tries of a cause."""
+        if fingerprint_of(name) is None:
+            return self.unanswered.answered_at(name)
+        return self.answered_at(name)
+
     def answered_parts(self) -> Iterator[tuple[str, float]]:
         """Yield each part and when it was last answered, newest first."""
         for name, at in reversed(self._answered_at.items()):
@@ -418,6 +442,7 @@
 
     def clear(self, name: str, now: float) -> None:
         """Refuse a cause no longer, as operators allow it."""
+        self.unanswered.forget(name)
         self._allow(name, now)
 
     def _limit_tries(self, name: str, at: float) -> None:
@@ -438,23 +463,46 @@
     @property
     def has_limited(self) -> bool:
         """Whether any cause may only be tried."""
-        return bool(self._limited_at or self.tries.names)
+        return bool(
+            self._limited_at or self.tries.names or self.unanswered.names
+        )
 
     def may_only_be_tried(self, name: str) -> bool:
         """Whether requests with a cause need a try to be claimed.
 
-        Those are requests from the third crash on, and what was refused,
-        until they are answered.
+        Those are requests from the third crash on, parts from the fifth one
+        without a whole answer on, and what was refused, until they are
+        answered.
         """
-        return name in self._limited_at or self.tries.count(name) > 0
+        return (
+            name in self._limited_at
+            or self.tries.count(name) > 0
+            or self.is_often_in_crashes(name)
+        )
+
+    def is_often_in_crashes(self, name: str) -> bool:
+        """Whether a part was in so many crashes without a whole answer."""
+        return (
+            fingerprint_of(name) is None
+            and self.unanswered.count(name) >= MAX_PART_CRASHES
+        )
+
+    def _needs_whole(self, name: str) -> bool:
+        """Whether only a whole answer shows that a part is sound."""
+        return self.tries.count(name) > 0 or self.is_often_in_crashes(name)
 
     def is_known(self, name: str) -> bool:
         """Whether a cause that may only be tried is known to crash upstreams.
 
-        Those are requests in three crashes, and what was refused. A part that
-        many requests share may be suspected by chance.
+        Those are requests in three crashes, parts in five without a whole
+        answer, and what was refused. A part that many requests share may be
+        suspected by chance.
         """
-        return fingerprint_of(name) is not None or name in self._convicted
+        return (
+            fingerprint_of(name) is not None
+            or name in self._convicted
+            or self.is_often_in_crashes(name)
+        )
 
     def may_be_tried(
         self, fingerprint: str, limited: Collection[str], now: float
@@ -473,7 +521,9 @@
         ):
             return False
         request = request_cause(fingerprint)
-        suspects = {*limited}
+        # A part that is limited by its crashes only may come with their cause.
+        judged = {name for name in limited if name in self._limited_at}
+        suspects = judged or {*limited}
         if self.crash_count(fingerprint):
             suspects.add(request)
         return len(suspects) == 1 or all(
@@ -536,6 +586,7 @@
         }
         self._convicted &= self._limited_at.keys()
         self.tries.drop_before(now - LIMITED_TTL_S)
+        self.unanswered.drop_before(now - CRASH_TTL_S, now - LIMITED_TTL_S)
         self._late_runs = {
             name: runs
             for name, runs in self._late_runs.items()
--- a/packages/burdockchute/burdockchute/decisions/tries.py
+++ b/packages/burdockchute/burdockchute/decisions/tries.py
@@ -15,9 +15,15 @@
 # Those by requests that may crash upstreams for another cause, too.
 MAX_AMBIGUOUS_TRIES = 1
 
-# An upstream may queue a request before it runs it. A try that has shown
-# nothing by then is over, but counts.
+# Callers wait for the outcome of another one's try for this long.
 TRY_S = 2.0
+# A try without an outcome is over by then, but counts: its entry may have
+# ended. Long answers take their time until they are complete.
+MAX_TRY_S = 10.0
+
+# An outage of many upstreams must not use up the tries of a sound part. Other
+# requests wait for this long after a crash, less than callers wait.
+CRASHED_TRY_PAUSE_S = 1.0
 
 
 class _Tried(NamedTuple):
@@ -37,12 +43,16 @@
         """The causes that were tried."""
         return self._tried.keys()
 
-    def record(self, name: str, number: int, at: float) -> None:
+    def record(
+        self, name: str, number: int, at: float, is_open: bool = True
+    ) -> None:
         """Record a try that this entry or another one has claimed."""
         known = self._tried.get(name)
+        if not is_open and known and number == known.number:
+            self.end(name, number)
         if known is None or number > known.number:
             newest_at = max(at, known.newest_at if known else at)
-            self._tried[name] = _Tried(number, newest_at, True)
+            self._tried[name] = _Tried(number, newest_at, is_open)
 
     def count(self, name: str) -> int:
         """Return how many tries of a cause were claimed."""
@@ -58,7 +68,15 @@
         known = self._tried.get(name)
         if known is None or not known.is_open:
             return 0.0
-        return max(0.0, known.newest_at + TRY_S - now)
+        return max(0.0, known.newest_at + MAX_TRY_S - now)
+
+    def end(self, name: str, number: int) -> bool:
+        """End a try without an outcome; return whether it was open."""
+        known = self._tried.get(name)
+        if known is None or known.number != number or not known.is_open:
+            return False
+        self._tried[name] = known._replace(is_open=False)
+        return True
 
     def crashed(self, name: str, at: float) -> None:
         """End the open try of a cause that was in a crash since it began."""
--- a/packages/burdockchute/burdockchute/model/crash_reports.py
+++ b/packages/burdockchute/burdockchute/model/crash_reports.py
@@ -43,7 +43,7 @@
 
     It ran there for `ran_s` seconds, counted from when it was sent. With
     `is_late` its answer had been arriving for a while, so the crash says
-    nothing against its parts, and little against the request. The
+    little against the request and its parts. The
     fingerprint is empty if an entry of an earlier release reports the parts
     of all requests at once. `started_ms` is the Unix time of the upstream's
     start, as its entry in the list has it: it may start again under its id.
@@ -58,7 +58,11 @@
 
 
 class AnsweredRequest(NamedTuple):
-    """An answer to a request with these parts in its prompt is complete."""
+    """An answer to a request with these parts in its prompt is complete.
+
+    Without `is_whole` it has been arriving for a while, and may end early.
+    """
 
     fingerprint: str
     parts: tuple[PromptPart, ...]
+    is_whole: bool = False
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -97,11 +97,13 @@
 class CauseAnswered(NamedTuple):
     """What was in crashes was answered, at a Unix time in seconds.
 
-    `name` is that of a request or of a part of prompts.
+    `name` is that of a request or of a part of prompts. Without `is_whole`,
+    the answer had been arriving for a while, and may have ended early.
     """
 
     name: str
     at_unix: float
+    is_whole: bool = False
 
     @property
     def key(self) -> str:
@@ -113,12 +115,13 @@
     """An entry tries what has crashed upstreams, at a Unix time in seconds.
 
     `name` is that of a request or of a part of prompts, `number` counts its
-    tries from 1.
+    tries from 1. With `is_over` it has ended, and shown nothing.
     """
 
     name: str
     number: int
     at_unix: float
+    is_over: bool = False
 
     @property
     def key(self) -> str:
--- a/packages/burdockchute/burdockchute/wire/burdockchute.thrift
+++ b/packages/burdockchute/burdockchute/wire/burdockchute.thrift
@@ -120,6 +120,10 @@
   5: optional list<PromptPart> parts
   6: optional i32 ran_ms    // how long ago it had been sent
   7: optional i64 started_ms // Unix time of the upstream's start
+  // In place of `parts`, if the answer had been arriving for a while. Earlier
+  // releases ignore news without parts.
+  8: optional list<PromptPart> late_parts
+  9: optional bool whole    // the answer has ended, and does not only arrive
 }
 
 // A part of prompts, and where it stood in one, counted from 0.
--- a/packages/burdockchute/burdockchute/wire/codec.py
+++ b/packages/burdockchute/burdockchute/wire/codec.py
@@ -29,7 +29,13 @@
     ttypes.Hello: {'store_queries'},
     ttypes.AnswerEnd: {'running'},
     ttypes.WishesNews: {'needs'},
-    ttypes.CrashNews: {'parts', 'ran_ms', 'started_ms'},
+    ttypes.CrashNews: {
+        'parts',
+        'ran_ms',
+        'started_ms',
+        'late_parts',
+        'whole',
+    },
     ttypes.PromptPart: {'answered'},
     ttypes.LoadReport: {
         'closes_in_ms',
--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1188,11 +1188,13 @@
      - parts
      - ran_ms
      - started_ms
+     - late_parts
+     - whole
 
     """
 
 
-    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None, parts=None, ran_ms=None, started_ms=None,):
+    def __init__(self, fingerprint=None, upstream=None, alone=None, convicted=None, parts=None, ran_ms=None, started_ms=None, late_parts=None, whole=None,):
         self.fingerprint = fingerprint
         self.upstream = upstream
         self.alone = alone
@@ -1200,6 +1202,8 @@
         self.parts = parts
         self.ran_ms = ran_ms
         self.started_ms = started_ms
+        self.late_parts = late_parts
+        self.whole = whole
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1251,6 +1255,22 @@
                     self.started_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.late_parts = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = PromptPart()
+                        _elem19.read(iprot)
+                        self.late_parts.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1292,6 +1312,17 @@
             oprot.writeFieldBegin('started_ms', TType.I64, 7)
             oprot.writeI64(self.started_ms)
             oprot.writeFieldEnd()
+        if self.late_parts is not None:
+            oprot.writeFieldBegin('late_parts', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.late_parts))
+            for iter20 in self.late_parts:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 9)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3956,6 +3987,8 @@
     (5, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 5
     (6, TType.I32, 'ran_ms', None, None, ),  # 6
     (7, TType.I64, 'started_ms', None, None, ),  # 7
+    (8, TType.LIST, 'late_parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 8
+    (9, TType.BOOL, 'whole', None, None, ),  # 9
 )
 all_structs.append(PromptPart)
 PromptPart.thrift_spec = (
--- a/packages/burdockchute/tests/decisions/crash_simulation.py
+++ b/packages/burdockchute/tests/decisions/crash_simulation.py
@@ -12,6 +12,7 @@
 from burdockchute.decisions import crash_evidence
 from burdockchute.decisions.crash_causes import CrashCauses
 from burdockchute.decisions.crash_causes import fingerprint_of
+from burdockchute.decisions.tries import CRASHED_TRY_PAUSE_S
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.crash_reports import PromptPart
 
@@ -19,8 +20,6 @@
 RUN_S = 30.0
 # From the end of a connection to the judgement of the crash.
 JUDGEMENT_S = 0.15
-# A crashing request ends its engine this long after it begins.
-CRASH_AFTER_S = 0.05
 DOWN_S = 4.0
 TRIES = 2
 CALLER_PAUSE_S = (0.2, 1.5)
@@ -38,7 +37,8 @@
     a part that crashes engines, `part_rate` come in a second from then on, no
     two alike. Engines end by themselves at random, `faults` in a second, and
     at the times in `ends` by engine. Each crashing request comes in `copies`
-    at the same time, and engines queue requests for `queue_s`.
+    at the same time, and engines queue requests for `queue_s`. A crashing
+    request ends its engine `crash_after_s` after it begins.
     """
 
     crashing: int = 0
@@ -50,6 +50,7 @@
     begin_s: float = 5.0
     copies: int = 1
     queue_s: float = 0.0
+    crash_after_s: float = 0.05
 
 
 class Outcome(NamedTuple):
@@ -71,6 +72,7 @@
     ends_at: float
     tries: int
     attempts: int
+    claims: tuple[tuple[str, int], ...] = ()
 
 
 class _Waiting(NamedTuple):
@@ -103,6 +105,7 @@
         self._running: list[_Run] = []
         self._waiting: list[_Waiting] = []
         self._judge_at: list[float] = []
+        self._open_claims: list[tuple[float, str, int]] = []
         self._count = 0
         self._sent_at: dict[str, list[float]] = collections.defaultdict(list)
         self._refused: dict[str, float] = {}
@@ -133,6 +136,8 @@
                 self._end(self._rng.randrange(self._scenario.engines), now)
             while ends and ends[0][1] <= now:
                 self._end(ends.pop(0)[0], now)
+            self._end_claims(now)
+            self._answer_partly(now)
             self._finish_runs(now)
             if self._judge_at and self._judge_at[0] <= now:
                 self._judge_at = [at for at in self._judge_at if at > now]
@@ -161,7 +166,7 @@
     def _may_try(self, name: str, limited: list[str], now: float) -> bool:
         tries = self._causes.tries
         for cause in limited:
-            if tries.are_used_up(cause):
+            if tries.are_used_up(cause) and not tries.open_for_s(cause, now):
                 self._record_refused(cause, crash_evidence.REFUSE_S)
         return not limited or self._causes.may_be_tried(name, limited, now)
 
@@ -197,7 +202,8 @@
             if self._causes.is_unproven(cause):
                 self._trials[cause] = now + 1.0
         is_crashing = name.startswith(('bad', 'part'))
-        lasts_s = CRASH_AFTER_S if is_crashing else self._rng.uniform(0.1, 2)
+        crash_after_s = self._scenario.crash_after_s
+        lasts_s = crash_after_s if is_crashing else self._rng.uniform(0.1, 2)
         lasts_s += self._scenario.queue_s
         if is_crashing:
             shared = CRASHING_PART in item.request.parts
@@ -211,6 +217,7 @@
                 now + lasts_s,
                 item.tries + 1,
                 item.attempts,
+                tuple((c, self._causes.tries.count(c)) for c in limited),
             )
         )
 
@@ -229,6 +236,20 @@
             again = _Waiting(at, item.request, 0, item.attempts + 1)
             self._waiting.append(again)
 
+    def _end_claims(self, now: float) -> None:
+        for at, name, number in self._open_claims:
+            if at <= now:
+                self._causes.tries.end(name, number)
+        self._open_claims = [c for c in self._open_claims if c[0] > now]
+
+    def _answer_partly(self, now: float) -> None:
+        for run in self._running:
+            age_s = now - run.begun_at - self._scenario.queue_s
+            if 0 < age_s - crash_evidence.JUST_BEGUN_S <= STEP_S:
+                request = run.request
+                parts = [part.name for part in request.parts]
+                self._causes.answered(request.fingerprint, parts, now, False)
+
     def _finish_runs(self, now: float) -> None:
         for run in list(self._running):
             if run.ends_at > now or run not in self._running:
@@ -250,9 +271,20 @@
         for run in self._runs_at(engine):
             self._running.remove(run)
             ran_s = now - run.begun_at
-            if ran_s < crash_evidence.JUST_BEGUN_S:
-                lost = run.request._replace(upstream=upstream, ran_s=ran_s)
-                self._causes.crashed(lost, now)
+            lost = run.request._replace(
+                upstream=upstream,
+                ran_s=ran_s,
+                is_late=ran_s >= crash_evidence.JUST_BEGUN_S,
+            )
+            self._causes.crashed(lost, now)
+            for cause, tried in run.claims:
+                is_often = self._causes.is_often_in_crashes(cause)
+                at = (
+                    now
+                    + JUDGEMENT_S
+                    + (CRASHED_TRY_PAUSE_S if is_often else 0.0)
+                )
+                self._open_claims.append((at, cause, tried))
             count = self._causes.crash_count(run.request.fingerprint)
             # One that was in a crash before waits for the judgement.
             at = now + JUDGEMENT_S if count > 1 else now
--- a/packages/burdockchute/tests/decisions/test_crash_causes.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -80,8 +80,25 @@
         self.assertIsNone(self.crash(4, BAD, shared(1), at=3.0))
         self.assertEqual('m/bad', self.crash(5, BAD, shared(1), at=4.0))
         self.assertEqual(0.0, self.parts.refused_for_s(['m/1'], 4.0))
+        # It was in five crashes without a whole answer.
+        self.assertTrue(self.parts.may_be_tried('f-9', ['m/1'], 4.0))
+        self.assertEqual(['m/1'], self.parts.answered('f-9', ['m/1'], 4.5))
         self.assertFalse(self.parts.may_only_be_tried('m/1'))
 
+    def test_only_a_whole_answer_frees_a_part_in_five_crashes(self):
+        """Late crashes said nothing, and an answer of 0.5 s cleared it."""
+        for number in range(5):
+            self.assertFalse(self.parts.may_only_be_tried('m/bad'))
+            late = LostRequest(f'f-{number}', f'i-{number}', (BAD,), 2, True)
+            self.parts.crashed(late, float(number))
+        self.parts.answered('f-9', ['m/bad'], 5.0, is_whole=False)
+        self.parts.answered_elsewhere('m/bad', 5.0, 5.0)
+        self.assertTrue(self.parts.may_only_be_tried('m/bad'))
+        self.parts.judge(5.0 + crash_causes.CRASH_TTL_S)
+        self.assertTrue(self.parts.may_only_be_tried('m/bad'))
+        self.parts.answered_elsewhere('m/bad', 700.0, 700.0, True)
+        self.assertFalse(self.parts.may_only_be_tried('m/bad'))
+
     def test_crashes_go_on_without_the_part_that_was_convicted(self):
         # Both were in the first crashes, and the wrong one was taken.
         for number in range(3):
