Upstreams: a status outside 100 to 599 is no answer

A server in trouble answered with the status 000. An entry took it, as all below 200, for an interim answer: the caller of a request that may not be repeated got 504 after the whole timeout of its route, and its slot was held as long; others waited 1.2 s for the server to be called silent. 600 and 999 were passed on to the caller with the server's headers and seal. Health checks took 600 for a sign of life and waited 0.25 s for what follows 000.

Cause: both the parser of connections and its library divide statuses at 200 only.

decisions/statuses.py has the one rule: 100 to 199 are interim, 200 to 599 final, nothing else is in the protocol. The parser fails as soon as a head with another status is complete, like for any other bytes that are no answer: the attempt may have run, is repeated only where one without an answer is, its connection is reset and not reused, the server counts as failed, and the caller gets 502 from the entry. The server has closed nothing, so it is no evidence of a crash. Streams, their remainders, health checks and reused connections all read through this parser.

199 and silence is legal HTTP: a final answer may follow, so it is waited for as before, at most until the silence limit or the timeout of the route.

--- a/packages/burdockchute/burdockchute/upstreams/connections.py
+++ b/packages/burdockchute/burdockchute/upstreams/connections.py
@@ -16,6 +16,7 @@
 
 from geventhttpclient import response as responses
 
+from burdockchute.decisions import statuses
 from burdockchute.decisions.answer_ends import Framing
 from burdockchute.model.upstreams import Endpoint
 from burdockchute.sockets import is_readable
@@ -109,7 +110,7 @@
         return (
             self.headers_complete
             and not self.skipping
-            and self.get_code() >= 200
+            and statuses.is_final(self.get_code())
         )
 
     @property
@@ -140,7 +141,9 @@
     def _on_headers_complete(self) -> int | bool | None:
         skip_body = super()._on_headers_complete()
         code = self.get_code()
-        self.skipping = code >= 200 and not self._is_expected(
+        if not statuses.is_valid(code):
+            raise responses.HTTPProtocolViolationError(f'status {code:03}')
+        self.skipping = statuses.is_final(code) and not self._is_expected(
             code, self.items()
         )
         self.skipped_answers += self.skipping
