--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -170,8 +170,12 @@
 
 def _to_answer_failed(exc: BaseException) -> AnswerFailed:
     reason = str(exc) or type(exc).__name__
-    stopped = (TimeoutError, reply_limits.ReplyTooLong)
-    return AnswerFailed(reason, crashed=not isinstance(exc, stopped))
+    no_crash = (
+        TimeoutError,
+        reply_limits.ReplyTooLong,
+        reply_limits.InvalidStatus,
+    )
+    return AnswerFailed(reason, crashed=not isinstance(exc, no_crash))
 
 
 class _SingleUseClient(geventhttpclient.HTTPClient):
