Router: answers of agents with an odd status are lost ones

An entry took any status that an agent relayed for that of an answer: 600 went to the caller as it was, 0 and -1 as a status line that is no HTTP. Agents check the statuses of their upstreams now, but one of an earlier release does not, and that nothing else reaches a caller must not depend on a single check.

Attempt.check_end judges such an end as broken off, without a crash: the request runs again if its caller has no part of the answer and it may, and ends with 502 otherwise.

--- a/packages/burdockchute-agent/tests/test_runner.py
+++ b/packages/burdockchute-agent/tests/test_runner.py
@@ -34,7 +34,8 @@
 class RunnerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.calls = 0
-        listening = server.StreamServer(('127.0.0.1', 0), self.refuse)
+        self.reply = REFUSAL
+        listening = server.StreamServer(('127.0.0.1', 0), self.answer)
         listening.start()
         self.addCleanup(listening.stop)
         gate = Gate()
@@ -43,10 +44,10 @@
         self.runner = Runner(Upstream(url, 5.0), gate)
         self.link = RecordingLink()
 
-    def refuse(self, sock: socket.socket, _address: object) -> None:
+    def answer(self, sock: socket.socket, _address: object) -> None:
         self.calls += 1
         sock.recv(65536)
-        sock.sendall(REFUSAL)
+        sock.sendall(self.reply)
         sock.close()
 
     def run_request(self, number: int) -> Any:
@@ -80,6 +81,18 @@
             self.assertGreater(refused.retry_after_ms, 0.9 * REST_S * 1000)
         self.assertEqual(1, self.calls)
 
+    def test_an_odd_status_is_not_relayed(self) -> None:
+        """An entry passed 600 on to its caller."""
+        for number, status in enumerate((b'000', b'099', b'600', b'999')):
+            self.reply = REFUSAL.replace(b'503', status)
+            with self.subTest(status=status):
+                end = self.run_request(number)
+                self.assertIsInstance(end, messages.AnswerEnd)
+                self.assertEqual(
+                    (0, f'status {status.decode()}', False),
+                    (end.status, end.error, end.crashed),
+                )
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/packages/burdockchute-entry/burdockchute_entry/attempts.py
+++ b/packages/burdockchute-entry/burdockchute_entry/attempts.py
@@ -7,6 +7,7 @@
 from burdockchute.decisions import admission
 from burdockchute.decisions import answer_ends
 from burdockchute.decisions import placement
+from burdockchute.decisions import statuses
 from burdockchute.decisions.answer_ends import AnswerEnd
 from burdockchute.decisions.answer_ends import BrokenOff
 from burdockchute.decisions.fair_queue import QueuedRequest
@@ -60,6 +61,8 @@
         )
         if isinstance(judged, BrokenOff):
             return judged
+        if not statuses.is_final(end.status):
+            return BrokenOff(f'answer has status {end.status}', False)
         # The agent compares the digests too; that no answer mixes two
         # versions must not depend on a single check.
         if (end.digest, end.adapter_digest) != self.pinned:
--- a/packages/burdockchute-entry/tests/test_router.py
+++ b/packages/burdockchute-entry/tests/test_router.py
@@ -86,6 +86,30 @@
         self.bench.receive(link, end)
         self.assertIsInstance(self.bench.outcome(truncated), Unknown)
 
+    def test_answer_with_an_odd_status_is_not_forwarded(self):
+        """An agent of an earlier release relays 600 of its upstream.
+
+        It runs again if its caller has no part of it, and is lost otherwise.
+        """
+        for status in (-1, 0, 99, 100, 199, 600, 999):
+            for stream in (False, True):
+                with self.subTest(status=status, stream=stream):
+                    bench = routing.RouterTestBench(requests.table_of())
+                    links_ = [bench.agent(name) for name in 'ab']
+                    rid = bench.submit(requests.request(stream=stream))
+                    link = next(a for a in links_ if a.dispatched())
+                    other = next(a for a in links_ if a is not link)
+                    bench.answer(link, rid, status=status)
+                    expected = Unknown(f'answer has status {status}', 502)
+                    if not stream:
+                        # Its caller has received no part of it.
+                        self.assertIsNone(bench.outcome(rid))
+                        bench.answer(other, rid)
+                        expected = WHOLE
+                    self.assertEqual(expected, bench.outcome(rid))
+                    self.assertEqual(1, len(bench.parts(rid)))
+                    self.assertEqual(0, len(bench.crashes))
+
     def test_answer_from_other_weights_is_refused(self):
         # An agent that was paused switched its upstream's weights while the
         # request was running. A request without streaming is run again, which
