Claims: a recorded answer with an odd status is unknown

A request that is sent again under its idempotency key gets the recorded answer. Entries before the change to the router recorded any status that an agent relayed, and the record of 600 would be replayed to callers for as long as the key is kept, also by entries that have the change.

decode_outcome returns Unknown with 409 for a status that is not final, as for other outcomes that are not known. It does not fail: that would skip the whole record with its claims, and their requests could run twice.

--- a/packages/burdockchute/burdockchute/decisions/claims.py
+++ b/packages/burdockchute/burdockchute/decisions/claims.py
@@ -30,6 +30,7 @@
 import blake3
 
 from burdockchute import documents
+from burdockchute.decisions import statuses
 from burdockchute.model.claims import Held
 from burdockchute.model.claims import OtherBody
 from burdockchute.model.claims import OutsideWindow
@@ -228,8 +229,11 @@
     document = json.loads(text)
     if 'unknown' in document:
         return Unknown(str(document['unknown']), 409)
+    status = int(document['status'])
+    if not statuses.is_final(status):
+        return Unknown(f'was answered with status {status}', 409)
     return Answered(
-        int(document['status']),
+        status,
         document['content_type'],
         base64.b64decode(document['body']),
         document['digest'],
--- a/packages/burdockchute/tests/decisions/test_claims.py
+++ b/packages/burdockchute/tests/decisions/test_claims.py
@@ -50,6 +50,23 @@
         self.assertEqual(Recorded(ANSWER), self.claim('b'))
         self.assertEqual(OtherBody(), self.claim('c', 'other'))
 
+    def test_recorded_odd_status_is_no_answer(self):
+        """An entry of an earlier release recorded 600, which was replayed.
+
+        The claims in the same record hold, or their requests would run twice.
+        """
+        for status in (-1, 0, 99, 199, 600, 999):
+            text = claims.encode_outcome(ANSWER._replace(status=status))
+            finish = act(claims.FINISH, 'a', outcome=text)
+            batch = [act(claims.CLAIM, 'a'), finish]
+            with self.subTest(status=status):
+                decoded = claims.decode_batch(claims.encode_batch(batch))
+                self.assertEqual(batch, decoded)
+                self.assertEqual(
+                    Unknown(f'was answered with status {status}', 409),
+                    claims.decode_outcome(text),
+                )
+
     def test_unknown_outcome_is_recorded_and_never_run_again(self):
         self.claim('a')
         outcome = claims.encode_outcome(Unknown('upstream lost', 502))
