Reports: a poll of an engine checks the status and length of its reply

An agent polls the load and the cache of its engine with a client of its own, which had none of the limits of the others: a reply with the status 600 was its load, 000 was waited for for 1 s, and bytes without end were read.

The client is limited like the others now, so such a poll fails at once and counts towards MAX_FAILED_POLLS.

test_a_poll_answered_with_an_odd_status_fails_at_once before the fix:

(status=b'000') TimeoutError: timed out (status=b'600') AssertionError: InvalidStatus not raised

--- a/packages/burdockchute-agent/burdockchute_agent/reports.py
+++ b/packages/burdockchute-agent/burdockchute_agent/reports.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import time
+from typing import Any
 from typing import NamedTuple
 from urllib import parse
 
@@ -18,6 +19,7 @@
 
 from burdockchute import documents
 from burdockchute import logs
+from burdockchute import reply_limits
 from burdockchute import tasks
 from burdockchute.nodes import links
 from burdockchute.wire import messages
@@ -175,12 +177,17 @@
             connection_timeout=UPSTREAM_TIMEOUT_S,
             network_timeout=UPSTREAM_TIMEOUT_S,
         )
+        reply_limits.limit_replies(client)
+
+        def get(path: str) -> Any:
+            reply = client.get(path)
+            reply_limits.allow_body(reply)
+            return documents.load(reply.read())
 
         def poll_once() -> None:
-            load = documents.load(client.get('/load').read())
-            self._load = _load_of(load)
+            self._load = _load_of(get('/load'))
             path = f'/cache/events?from={self._next_event}'
-            self._record_cache_events(documents.load(client.get(path).read()))
+            self._record_cache_events(get(path))
 
         return poll_once
 
