Callers: no reply is made with a status outside 200 to 599

Whatever else a process is given by another one or a later path brings, status_line, through which each reply to a caller goes, raises ValueError for a status that is not final. The server logs it and answers 500.

test_no_answer_is_made_with_an_odd_status before the change, 7 of 7 cases:

(status=-1) b' 500 ' not found in b'HTTP/1.1 -1 Unknown' (status=100) b' 500 ' not found in b'HTTP/1.1 100 Continue'

--- a/packages/burdockchute/burdockchute/callers/environment.py
+++ b/packages/burdockchute/burdockchute/callers/environment.py
@@ -12,6 +12,7 @@
 from http import client
 from typing import Any
 
+from burdockchute.decisions import statuses
 from burdockchute.sockets import closed_by_peer
 
 # Retry-After of a request refused during shutdown; another process accepts it.
@@ -41,9 +42,13 @@
 def status_line(status: int) -> str:
     """Return an HTTP status code with its reason phrase.
 
+    Raises ValueError for a status that no answer has.
+
     >>> status_line(429)
     '429 Too Many Requests'
     """
+    if not statuses.is_final(status):
+        raise ValueError(f'{status!r} is no status of an answer')
     return f'{status} {client.responses.get(status, "Unknown")}'
 
 
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -13,16 +13,43 @@
 from burdockchute.callers import http
 from burdockchute.callers import parse
 from burdockchute.callers import server
+from burdockchute.callers.environment import status_line
 from burdockchute.callers.open_work import OWED
 
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
+ODD = (-1, 0, 99, 100, 199, 600, 999)
+
+
+def answer_oddly(environ, start_response):
+    """Answer with the status that the path names."""
+    status = int(environ['PATH_INFO'].strip('/'))
+    start_response(status_line(status), [('Content-Length', '0')])
+    return [b'']
+
+
 def refuse(_environ, start_response):
     start_response('503 Leaving', [('Content-Length', '0')])
     return [b'']
 
 
+class OddStatusTest(unittest.TestCase):
+    def test_no_answer_is_made_with_an_odd_status(self):
+        """An application that is given 600 by another process passed it on."""
+        serving = server.make_server('127.0.0.1', 0, answer_oddly)
+        serving.start()
+        self.addCleanup(serving.stop)
+        for status in ODD:
+            conn = socket.create_connection(
+                ('127.0.0.1', serving.server_port), 2
+            )
+            conn.sendall(REQUEST.replace(b'/a', b'/%d' % status))
+            with self.subTest(status=status):
+                self.assertIn(b' 500 ', conn.recv(4096).split(b'\r\n')[0])
+            conn.close()
+
+
 class CallersServerTest(unittest.TestCase):
     def setUp(self):
         self.server = server.make_server('127.0.0.1', 0, refuse)
