Crashes: simulate a part that crashes engines late in its answers

The simulation ended engines 0.05 s after a request with the part began, so it showed nothing of crashes later in an answer.

--- a/packages/burdockchute/tests/decisions/test_crashing_requests.py
+++ b/packages/burdockchute/tests/decisions/test_crashing_requests.py
@@ -155,6 +155,7 @@
                     is_part = name == CRASHING_PART.name
                     crashes = CRASHES_OF_PART if is_part else CRASHES
                     until = sorted(sent_at)[:crashes][-1] + CONTACT_S
+                    until += scenario.crash_after_s
                     further = [at for at in sent_at if at > until]
                     self.assertLessEqual(
                         len(further), MAX_FURTHER_SENDS, (name, sent_at)
@@ -201,6 +202,15 @@
     def test_part_beside_crashes_of_other_causes(self):
         self.assert_limits(Scenario(engines=12, faults=0.3, part_rate=2.0))
 
+    def test_part_that_crashes_engines_late_in_answers(self):
+        """Such crashes said nothing, and the answers cleared the part."""
+        for crash_after_s in (0.3, 0.6, 1.5, 3.0):
+            self.assert_limits(
+                Scenario(
+                    engines=12, part_rate=2.0, crash_after_s=crash_after_s
+                )
+            )
+
     def test_outages(self):
         """All engines lose power, quickly and then one after another."""
         ends = power_cut(8.0, 20, 0.2) + power_cut(16.0, 20, 1.0)
