Replies: a head that can't be parsed is no crash of its upstream

An agent reported an upstream whose answer began with a status such as 20, 2x0 or 2000, or with 101, as crashed, since the library raises the same error for it as for a connection that closes early. Entries count such crashes against the request, though the upstream has closed nothing.

The parser of heads in the sockets of limited clients has only the bytes that were received, so what it can't parse before the end of a final head is an InvalidHead, which is no crash. Ends of connections are found by the library as before.

test_heads_that_are_no_answer_are_no_crash before the fix:

(status='20') AssertionError: True is not false (status='2x0') AssertionError: True is not false (status='2000') AssertionError: True is not false

--- a/packages/burdockchute/burdockchute/reply_limits.py
+++ b/packages/burdockchute/burdockchute/reply_limits.py
@@ -27,12 +27,16 @@
     """A reply exceeds its limit; the library does not retry after it."""
 
 
-class InvalidStatus(responses.HTTPProtocolViolationError):
-    """The status of a reply is none of HTTP; the library does not retry."""
+class InvalidHead(responses.HTTPProtocolViolationError):
+    """The head of a reply is none of HTTP; the library does not retry."""
+
+
+class InvalidStatus(InvalidHead):
+    """The status of a reply is none of HTTP."""
 
 
 class _StatusCheck(responses.HTTPResponse):
-    """Parses heads up to the first final one; raises InvalidStatus."""
+    """Parses heads up to the first final one; raises InvalidHead."""
 
     is_done = False
 
@@ -41,11 +45,12 @@
             return
         try:
             super().feed(data)
-        except InvalidStatus:
+        except InvalidHead:
             raise
-        except responses.HTTPParseError:
-            # The library's own parser fails at the same byte.
-            self.is_done = True
+        except responses.HTTPParseError as exc:
+            # What follows the head is left to the library's own parser.
+            if not self.is_done:
+                raise InvalidHead(f'no answer in the protocol: {exc}') from exc
 
     def _on_headers_complete(self) -> int | bool | None:
         code = self.get_code()
--- a/packages/burdockchute/burdockchute/upstreams/calls.py
+++ b/packages/burdockchute/burdockchute/upstreams/calls.py
@@ -173,7 +173,7 @@
     no_crash = (
         TimeoutError,
         reply_limits.ReplyTooLong,
-        reply_limits.InvalidStatus,
+        reply_limits.InvalidHead,
     )
     return AnswerFailed(reason, crashed=not isinstance(exc, no_crash))
 
