Wire: generated code as the compiler writes it

The members for late crashes, whole answers and unverified loads were added to the generated code by hand.

--- a/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
+++ b/packages/burdockchute/burdockchute/wire/gen/burdockchute/ttypes.py
@@ -1258,11 +1258,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.late_parts = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = PromptPart()
-                        _elem19.read(iprot)
-                        self.late_parts.append(_elem19)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = PromptPart()
+                        _elem25.read(iprot)
+                        self.late_parts.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1300,8 +1300,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter20 in self.parts:
-                iter20.write(oprot)
+            for iter26 in self.parts:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ran_ms is not None:
@@ -1315,8 +1315,8 @@
         if self.late_parts is not None:
             oprot.writeFieldBegin('late_parts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.late_parts))
-            for iter20 in self.late_parts:
-                iter20.write(oprot)
+            for iter27 in self.late_parts:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.whole is not None:
@@ -1785,31 +1785,31 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = WeightsState()
-                        _elem26.read(iprot)
-                        self.weights.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = WeightsState()
+                        _elem33.read(iprot)
+                        self.weights.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.services.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.prefixes.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prefixes.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1831,10 +1831,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.evicted = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evicted.append(_elem44)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evicted.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1846,11 +1846,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.named = []
-                    (_etype48, _size45) = iprot.readListBegin()
-                    for _i49 in range(_size45):
-                        _elem50 = NamedVersion()
-                        _elem50.read(iprot)
-                        self.named.append(_elem50)
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = NamedVersion()
+                        _elem57.read(iprot)
+                        self.named.append(_elem57)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1877,10 +1877,10 @@
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.unverified = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.unverified.append(_elem44)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unverified.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1926,22 +1926,22 @@
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter51 in self.weights:
-                iter51.write(oprot)
+            for iter64 in self.weights:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter52 in self.services:
-                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
+            for iter65 in self.services:
+                oprot.writeString(iter65.encode('utf-8') if sys.version_info[0] == 2 else iter65)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.prefixes))
-            for iter53 in self.prefixes:
-                oprot.writeString(iter53.encode('utf-8') if sys.version_info[0] == 2 else iter53)
+            for iter66 in self.prefixes:
+                oprot.writeString(iter66.encode('utf-8') if sys.version_info[0] == 2 else iter66)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_offset is not None:
@@ -1959,8 +1959,8 @@
         if self.evicted is not None:
             oprot.writeFieldBegin('evicted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.evicted))
-            for iter54 in self.evicted:
-                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            for iter67 in self.evicted:
+                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.closes_in_ms is not None:
@@ -1970,8 +1970,8 @@
         if self.named is not None:
             oprot.writeFieldBegin('named', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.named))
-            for iter55 in self.named:
-                iter55.write(oprot)
+            for iter68 in self.named:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.opens_in_ms is not None:
@@ -1993,8 +1993,8 @@
         if self.unverified is not None:
             oprot.writeFieldBegin('unverified', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.unverified))
-            for iter54 in self.unverified:
-                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            for iter69 in self.unverified:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engine_started_ms is not None:
@@ -2220,22 +2220,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = RowRecord()
-                        _elem61.read(iprot)
-                        self.rows.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RowRecord()
+                        _elem75.read(iprot)
+                        self.rows.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.seen = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = SeenRecord()
-                        _elem67.read(iprot)
-                        self.seen.append(_elem67)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = SeenRecord()
+                        _elem81.read(iprot)
+                        self.seen.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2270,15 +2270,15 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter68 in self.rows:
-                iter68.write(oprot)
+            for iter82 in self.rows:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.seen is not None:
             oprot.writeFieldBegin('seen', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.seen))
-            for iter69 in self.seen:
-                iter69.write(oprot)
+            for iter83 in self.seen:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten is not None:
@@ -2459,11 +2459,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Member()
-                        _elem75.read(iprot)
-                        self.members.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Member()
+                        _elem89.read(iprot)
+                        self.members.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2480,10 +2480,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem81)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2500,8 +2500,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter82 in self.members:
-                iter82.write(oprot)
+            for iter96 in self.members:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequence is not None:
@@ -2515,8 +2515,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter83 in self.gone:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter97 in self.gone:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2920,11 +2920,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Demand()
-                        _elem89.read(iprot)
-                        self.demands.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = Demand()
+                        _elem103.read(iprot)
+                        self.demands.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2941,8 +2941,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter90 in self.demands:
-                iter90.write(oprot)
+            for iter104 in self.demands:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3065,11 +3065,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Share()
-                        _elem96.read(iprot)
-                        self.shares.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Share()
+                        _elem110.read(iprot)
+                        self.shares.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3086,8 +3086,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter97 in self.shares:
-                iter97.write(oprot)
+            for iter111 in self.shares:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
