Loads: a version that was never loaded doesn't stay verified

An engine could serve a load that nobody had read: its answers looked valid and were worthless.

An order of version 2 had no answer, and its agent was killed. The next agent ordered 3. The engine accepted 2 first and refused 3, or 3 was lost. The agent took its own order for the load, checked 3 while 2 loaded, and recorded 3 as verified. That record outlived the next load, so a load of 3 whose chunk had become corrupt was served unread.

test_order_that_came_after_another_one_verifies_nothing, before:

AssertionError: {} != {'story': 3} (both for a refused and for a lost order)

An order that was refused is no longer recorded as the last one. With the next sequence, only versions that the last report of the earlier sequence named as loaded, and that are still loaded, stay verified.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
@@ -182,8 +182,8 @@
     def record_order(
         self, ended: LoadEnded, manifest: Manifest | None, now: float
     ) -> None:
-        """Record an order that was sent."""
-        if ended.sequence is None:
+        """Record an order that was sent, unless the engine refused it."""
+        if ended.sequence is None or ended.end == OrderOutcome.REFUSED:
             return
         started = ended.end == OrderOutcome.STARTED
         self.order = OrderSent(
--- a/packages/burdockchute-agent/tests/test_verified_loads.py
+++ b/packages/burdockchute-agent/tests/test_verified_loads.py
@@ -136,6 +136,47 @@
                 self.agent.work()
                 self.assertEqual(served, self.agent.task.loaded())
 
+    def test_order_that_came_after_another_one_verifies_nothing(self):
+        """The engine had accepted an earlier order of another version.
+
+        The chunks of the version that was ordered then are valid, but they
+        weren't loaded: a later load of that version has to be read again.
+        """
+        for answer in ('refused', 'lost'):
+            with self.subTest(answer):
+                self.setUp()
+                self.engine.on_call = at_call('load', 1, lambda: 'late')
+                self.agent.work(2)
+                self.agent = SimulatedAgent(self.engine, 3)
+
+                def accept_earlier(answer=answer):
+                    self.engine.execute_late()
+                    return answer
+
+                self.engine.on_call = at_call('load', 1, accept_earlier)
+                self.run_rounds(2)
+                self.assertEqual(2, self.engine.loading)
+                self.run_rounds(1)
+                self.engine.finish_load()
+                self.engine.now += 6.0
+                # The agent is suspended before the next order, and reads no
+                # report while the engine loads.
+                self.engine.on_call = at_call('load', 1, self.suspend)
+                while self.engine.sequence < 2:
+                    self.run_rounds(1)
+                self.engine.finish_load()
+                self.agent.poll()
+                self.assertEqual({MODEL: 3}, self.engine.versions)
+                self.assertEqual({}, self.agent.task.loaded())
+
+    def run_rounds(self, rounds):
+        """Poll, step and run jobs; the engine's load goes on."""
+        for _round in range(rounds):
+            self.agent.poll()
+            self.agent.step()
+            self.agent.run_jobs()
+            self.engine.now += 0.1
+
     def test_load_beneath_the_next_version_is_reported_as_unverified(self):
         """An agent starts when the staging area has another version already.
 
--- a/packages/burdockchute/burdockchute/decisions/load_verification.py
+++ b/packages/burdockchute/burdockchute/decisions/load_verification.py
@@ -51,14 +51,16 @@
 
     Its `sequence` identifies the last load, which was accepted later than
     `accepted_after`, None if it may have been at any time. A report of it
-    was last requested at `seen_at`. `verified` has the versions whose loads
-    are verified, `checked` those that were checked since the last load.
+    was last requested at `seen_at`, and named the versions `reported`.
+    `verified` has the versions whose loads are verified, `checked` those that
+    were checked since the last load.
     """
 
     started_ms: int | None
     sequence: int
     seen_at: float
     accepted_after: float | None = None
+    reported: Mapping[str, int] = {}
     verified: Mapping[str, int] = {}
     checked: frozenset[tuple[str, int]] = frozenset()
 
@@ -71,22 +73,31 @@
     An engine that has accepted no order since its start holds what it was
     started with.
     """
+    reported = dict(report.versions)
+    new = EngineLoads(
+        report.started_ms, report.sequence, requested_at, reported=reported
+    )
     if report.sequence == 0:
-        return EngineLoads(
-            report.started_ms, 0, requested_at, verified=dict(report.versions)
-        )
-    new = EngineLoads(report.started_ms, report.sequence, requested_at)
+        return new._replace(verified=reported)
     if loads is None:
         return new
     new = new._replace(accepted_after=loads.seen_at)
     if loads.started_ms != report.started_ms:
         return new
     if loads.sequence == report.sequence:
-        return loads._replace(seen_at=requested_at)
+        return loads._replace(seen_at=requested_at, reported=reported)
     if loads.sequence + 1 == report.sequence:
         # One load of another model or version; an order to load what is
-        # loaded already doesn't begin anything.
-        return new._replace(verified=loads.verified)
+        # loaded already doesn't begin anything. A version that was checked
+        # while it was expected to be loaded may never have been.
+        return new._replace(
+            verified={
+                model: version
+                for model, version in loads.verified.items()
+                if loads.reported.get(model) == version
+                and reported.get(model) == version
+            }
+        )
     return new
 
 
