Loads: no order while writes of another version may be executed

An engine could serve weights mixed of two versions.

Writes of chunk 0 of version 2 and then of version 3 had no answer; a repeat for 3 succeeded and the check passed. The write of 2 was executed just before the order was accepted, the one of 3 just after. The read after the load found valid chunks, and the order had been answered in time, which excused writes.

The agent keeps the writes that had no answer for the 10 s in which they may be executed, and orders no load meanwhile if one would stage anything but the version's own chunk. Delayed writes of the same version can't make its load wrong, and don't delay it.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/recorded_engine.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/recorded_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from returns.result import Failure
 from returns.result import Result
@@ -13,6 +14,15 @@
 from burdockchute.model.engines import EngineReport
 from burdockchute.model.engines import LoadOrder
 from burdockchute.model.engines import OrderOutcome
+from burdockchute.weights.copies import Copy
+
+
+class PendingWrite(NamedTuple):
+    """A write without an answer, which may be executed until a time."""
+
+    chunk: int
+    data: bytes
+    until: float
 
 
 class RecordedEngine:
@@ -24,6 +34,7 @@
         self._answered_at: dict[str, float] = {}
         # Until when writes without an answer may be executed.
         self._pending_until: dict[str, float] = {}
+        self._pending: dict[str, list[PendingWrite]] = {}
 
     def written_at(self, model: str) -> float | None:
         """Return until when a write may have changed, or may yet change, it.
@@ -37,6 +48,16 @@
         ]
         return max(times, default=None)
 
+    def may_stage_other_data(self, model: str, copy: Copy, now: float) -> bool:
+        """Whether a write may yet stage what isn't a chunk of a copy."""
+        pending = [
+            write
+            for write in self._pending.get(model, ())
+            if now < write.until
+        ]
+        self._pending[model] = pending
+        return any(write.data != copy.chunk(write.chunk) for write in pending)
+
     def report(self) -> Result[EngineReport, CallFailed]:
         """Read the state of the engine."""
         return self._engine.report()
@@ -57,7 +78,11 @@
         self._pending_until[model] = self._now() + LATE_WRITE_S
         result = self._engine.stage(model, index, data)
         if isinstance(result, Failure) and not result.failure().status:
-            self._pending_until[model] = self._now() + LATE_WRITE_S
+            until = self._now() + LATE_WRITE_S
+            self._pending_until[model] = until
+            self._pending.setdefault(model, []).append(
+                PendingWrite(index, data, until)
+            )
         else:
             self._pending_until[model] = before
             self._answered_at[model] = self._now()
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -402,7 +402,13 @@
         if not staging.may_order(rollout.staging_state(engine), now):
             return
         copy = self._copies.complete_copy(name)
-        if copy is not None and self._is_our_turn(rollout, engine, now):
+        if copy is None or self._engine.may_stage_other_data(
+            rollout.model, copy, now
+        ):
+            # Such a write could be executed between the check and the order,
+            # and another one hide that from the read after the load.
+            return
+        if self._is_our_turn(rollout, engine, now):
             rollout.load_in_progress = True
             gevent.spawn(
                 self._load,
--- a/packages/burdockchute-agent/tests/test_verified_loads.py
+++ b/packages/burdockchute-agent/tests/test_verified_loads.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from burdockchute_testing.builders.staged_loads import AgentKilled
+from burdockchute_testing.builders.staged_loads import chunk
 from burdockchute_testing.builders.staged_loads import CHUNKS
 from burdockchute_testing.builders.staged_loads import MODEL
 from burdockchute_testing.builders.staged_loads import SimulatedAgent
@@ -177,6 +178,43 @@
             self.agent.run_jobs()
             self.engine.now += 0.1
 
+    def test_order_waits_for_delayed_writes_of_another_version(self):
+        """Writes without an answer are executed around the acceptance.
+
+        The first makes the load wrong, and the second hides that from the
+        read after it.
+        """
+        stage = self.agent.task._engine.stage
+        self.engine.on_call = lambda name: 'late'
+        for version in (2, 3):
+            stage(MODEL, 0, chunk(version, 0))
+        writes, self.engine.late = self.engine.late, []
+
+        def execute_next_write(name):
+            if name == 'load' or len(writes) == 1:
+                self.engine.late = writes[:1]
+                del writes[:1]
+                self.engine.execute_late()
+            return ''
+
+        self.engine.on_call = execute_next_write
+        self.agent.name(3)
+        self.agent.copies.newest_complete = 3
+        for number in range(60):
+            self.agent.work(1)
+            self.assertFalse(self.agent.serves_wrong_load(), number)
+        self.assertEqual({MODEL: 3}, self.agent.task.loaded())
+
+    def test_order_does_not_wait_for_delayed_writes_of_its_version(self):
+        """They write what is staged already."""
+        self.engine.on_call = lambda name: 'late'
+        self.agent.task._engine.stage(MODEL, 0, chunk(2, 0))
+        self.engine.on_call = lambda name: ''
+        self.agent.work(3)
+        self.engine.execute_late()
+        self.agent.work(1)
+        self.assertEqual({MODEL: 2}, self.agent.task.loaded())
+
     def test_load_beneath_the_next_version_is_reported_as_unverified(self):
         """An agent starts when the staging area has another version already.
 
