Loads: a sound load is served though a chunk became corrupt after it

An engine was out of use until the next version was named, although its load was right.

Its order was answered 0.05 s after the check, and a chunk became corrupt before the staging area was read again. That read alone decided.

test_sound_load_is_served_though_a_chunk_is_corrupt_since, before:

[in time] AssertionError: {'story': 2} != {}

If the order was answered within 2.5 s of the beginning of its check, and by the same start of the engine, the load was right, whatever is read later: the platform tolerates chunks that became corrupt in the last 3 s. Writes of this agent delay the order. An earlier agent's writes are excluded by the agent having worked for 12.5 s; until then, and where the engine's start isn't known, the read after the load decides as before.

The simulated agent polls through the same record of calls as the real one.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/recorded_engine.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/recorded_engine.py
@@ -31,6 +31,8 @@
     def __init__(self, engine: Engine, now: Callable[[], float]) -> None:
         self._engine = engine
         self._now = now
+        # When this process first asked it for a report.
+        self.first_call_at: float | None = None
         self._answered_at: dict[str, float] = {}
         # Until when writes without an answer may be executed.
         self._pending_until: dict[str, float] = {}
@@ -60,6 +62,8 @@
 
     def report(self) -> Result[EngineReport, CallFailed]:
         """Read the state of the engine."""
+        if self.first_call_at is None:
+            self.first_call_at = self._now()
         return self._engine.report()
 
     def load(self, order: LoadOrder) -> OrderOutcome:
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -314,8 +314,13 @@
         if checked.invalid is None:
             rollout.retry_check_at = self._now() + staging.ORDER_RETRY_S
             return
-        reason = 'chunks are not those of the version'
-        if not checked.invalid:
+        is_verified = load_verification.is_verified_by_order(
+            loads, rollout.order, self._engine.first_call_at
+        )
+        reason = ''
+        if not is_verified and checked.invalid:
+            reason = 'chunks are not those of the version'
+        elif not is_verified:
             reason = load_verification.write_conflict(
                 loads, rollout.order, self._engine.written_at(checked.model)
             )
--- a/packages/burdockchute-agent/tests/test_verified_loads.py
+++ b/packages/burdockchute-agent/tests/test_verified_loads.py
@@ -215,6 +215,29 @@
         self.agent.work(1)
         self.assertEqual({MODEL: 2}, self.agent.task.loaded())
 
+    def test_sound_load_is_served_though_a_chunk_is_corrupt_since(self):
+        """The chunk became corrupt between the acceptance and the next read.
+
+        The engine would be out of use until the next version is named.
+        """
+        cases = (
+            ('in time', 20.0, 1, {MODEL: 2}),
+            ('an earlier agent may have written', 0.0, 1, {}),
+            ('a power loss may have gone unnoticed', 20.0, None, {}),
+        )
+        for title, wait_s, started_ms, served in cases:
+            with self.subTest(title):
+                self.setUp()
+                self.engine.started_ms = started_ms
+                self.agent.poll()
+                self.engine.now += wait_s
+                self.run_rounds(2)
+                self.assertEqual(2, self.engine.loading)
+                self.engine.corrupt(1)
+                self.engine.now += 3.6
+                self.agent.work()
+                self.assertEqual(served, self.agent.task.loaded())
+
     def test_load_beneath_the_next_version_is_reported_as_unverified(self):
         """An agent starts when the staging area has another version already.
 
--- a/packages/burdockchute-testing/burdockchute_testing/builders/staged_loads.py
+++ b/packages/burdockchute-testing/burdockchute_testing/builders/staged_loads.py
@@ -249,7 +249,7 @@
     def poll(self):
         """Read the engine's report."""
         requested_at = self.engine.now
-        result = self.engine.report()
+        result = self.task._engine.report()
         self.task._handle(EnginePolled(requested_at, result))
 
     def step(self):
--- a/packages/burdockchute/burdockchute/decisions/load_verification.py
+++ b/packages/burdockchute/burdockchute/decisions/load_verification.py
@@ -124,6 +124,28 @@
     return None if (model, version) in loads.checked else version
 
 
+def is_verified_by_order(
+    loads: EngineLoads, order: OrderSent | None, first_call_at: float | None
+) -> bool:
+    """Whether the check before its order verifies the last load.
+
+    It does if the answer came in time, even if chunks are corrupt now. The
+    order waited for other writes by this agent, which called the engine first
+    at `first_call_at`. Those of an earlier agent must have been executed
+    before the check began.
+    """
+    if order is None or not _is_order_of(order, loads):
+        return False
+    # Without its start, a restart of the engine that lost the staged chunks
+    # could pass unnoticed.
+    if order.started_ms is None or first_call_at is None:
+        return False
+    if order.check_age_s is None or order.check_age_s > MAX_ORDER_AGE_S:
+        return False
+    check_began_after = order.reported_at - MAX_ORDER_AGE_S
+    return first_call_at + LATE_WRITE_S <= check_began_after
+
+
 def write_conflict(
     loads: EngineLoads, order: OrderSent | None, written_at: float | None
 ) -> str:
