Loads: no opening is forecast for a load that isn't verified

Callers waited for an engine that did not open: a minute after its load had been found wrong, its agent still reported that it would open in 0.5 s.

The forecast saw an engine without a servable version and a complete copy, and expected a load of that copy. But an order for what is loaded has no effect.

test_unverified_load_is_not_expected_to_open, before:

AssertionError: 0.5 is not None

Only versions newer than the loaded one count as openings.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/forecast.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/forecast.py
@@ -86,10 +86,12 @@
         if self.report.loading:
             drain_s = staging.DRAIN_S if self.report.running else 0.0
             return staging.LOAD_S + drain_s
+        # A load that isn't verified is not ordered again.
+        engine_version = self.report.versions.get(rollout.model, 0)
         return _earliest(
             self._copied_in_s(rollout, version, now)
             for version in rollout.held_versions()
-            if version >= min_version
+            if version >= min_version and version > engine_version
         )
 
     def _copied_in_s(
--- a/packages/burdockchute-agent/tests/test_verified_loads.py
+++ b/packages/burdockchute-agent/tests/test_verified_loads.py
@@ -238,6 +238,20 @@
                 self.agent.work()
                 self.assertEqual(served, self.agent.task.loaded())
 
+    def test_unverified_load_is_not_expected_to_open(self):
+        """Its copy is complete, but no order can load it again.
+
+        Callers would wait for an engine that opens with the next version.
+        """
+        self.engine.on_call = at_call('load', 1, self.suspend)
+        self.agent.work(10)
+        self.assertEqual({MODEL: 2}, self.agent.task.unverified())
+        self.assertIsNone(self.agent.opens_in_s())
+        self.agent.name(3)
+        self.agent.copies.newest_complete = 3
+        self.agent.step()
+        self.assertIsNotNone(self.agent.opens_in_s())
+
     def test_load_beneath_the_next_version_is_reported_as_unverified(self):
         """An agent starts when the staging area has another version already.
 
--- a/packages/burdockchute-testing/burdockchute_testing/builders/staged_loads.py
+++ b/packages/burdockchute-testing/burdockchute_testing/builders/staged_loads.py
@@ -22,6 +22,7 @@
 from burdockchute.weights import manifest as manifests
 from burdockchute.weights.copies import Copy
 from burdockchute_agent.copy_manager import CopyManager
+from burdockchute_agent.staged.forecast import AvailabilityForecast
 from burdockchute_agent.staged.origins import copy_name
 from burdockchute_agent.staged.rollout import Rollout
 from burdockchute_agent.staged.staged_task import EnginePolled
@@ -214,6 +215,9 @@
     def full_copy_s(self, name):
         return 1.0
 
+    def size_of(self, name):
+        return self.copy_of(name).manifest.size
+
     def set_engine_phase(self, name, loading, loaded):
         pass
 
@@ -278,6 +282,20 @@
             self.engine.finish_load()
             self.engine.now += 0.3
 
+    def opens_in_s(self):
+        """Return the agent's forecast of when the engine opens again."""
+        forecast = AvailabilityForecast(
+            self.task.report,
+            self.task.loaded(),
+            self.task._rollouts.values(),
+            self.task._copies,
+            lambda model: self._history,
+            self.task.bounds.version_s,
+            1e6,
+            lambda name: None,
+        )
+        return forecast.opens_in_s(self.engine.now)
+
     def serves_wrong_load(self):
         """Whether a version counts as servable that was loaded wrongly."""
         report = self.task.report
