Entries: versions in the upstream list are no longer served unverified

An entry that started while an engine held a load reported as unverified served that load until it was linked to the engine's agent. So did every entry when an engine started again and its agent was suspended after its order: the new start had no report, and the list named what was loaded, right or wrong.

test_list_names_no_verified_versions, before:

AssertionError: {} != {'story': 1}

An upstream begins without versions, and only its agent's reports name some. An upstream that the list lacked for a while keeps what was reported of the same start.

Entries in tests have no agents. The former test of the list is kept, with more cases.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/known_targets.py
@@ -151,9 +151,7 @@
             target.cold_limit = dropped.cold_limit
             target.has_sent = dropped.has_sent
             target.verified = dropped.verified
-            target.has_report = dropped.has_report
-            if dropped.has_report:
-                target.versions = dropped.versions
+            target.versions = dropped.versions
             target.share_limit(
                 self._entry_count.value, self._rng.random(), now
             )
@@ -248,7 +246,6 @@
     def _take_report(
         self, target: Target, report: messages.LoadReport, now: float
     ) -> None:
-        target.has_report = True
         loaded = _loaded_versions(target, report)
         if dict(target.versions) != loaded:
             logs.event(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/targets.py
@@ -61,8 +61,8 @@
 class Target:
     """One upstream.
 
-    `versions` are the versions that its agent last reported as verified, or
-    until its first report those that the upstream list names.
+    `versions` are the versions that its agent last reported as verified. The
+    upstream list names what is loaded, verified or not.
     `last_received_at` is when its last byte arrived. `unstarted` has the
     requests of this entry that have produced no event yet, by id. `evacuated`
     maps the evacuated availability zones to the time at which this process
@@ -79,12 +79,10 @@
         self.upstream = upstream
         self._evacuated = {} if evacuated is None else evacuated
         self.load = InstanceLoad(upstream.id, now)
-        self.versions: Mapping[str, int] = upstream.versions
+        self.versions: Mapping[str, int] = {}
         # The start of the engine and the version of each model that its agent
         # has reported as verified last.
         self.verified: dict[str, tuple[int | None, int]] = {}
-        # Whether its agent has sent a report.
-        self.has_report = False
         self.health = health.Health()
         self.last_received_at = now
         self.speed = Speed()
@@ -131,9 +129,6 @@
 
     def update_listing(self, upstream: Upstream) -> None:
         """Replace its entry in the upstream list by a newer one."""
-        # The list names what is loaded, verified or not.
-        if upstream.versions != self.upstream.versions and not self.has_report:
-            self.versions = upstream.versions
         self.upstream = upstream
 
     @property
--- a/packages/burdockchute-entry/tests/test_verified_versions.py
+++ b/packages/burdockchute-entry/tests/test_verified_versions.py
@@ -57,8 +57,12 @@
                     versions = self.receive(load_report)
                 self.assertEqual(expected, versions)
 
-    def test_list_names_no_verified_versions_after_a_report(self):
+    def test_list_names_no_verified_versions(self):
         """It names what an engine has loaded, whatever that was made of."""
+        # Neither for an entry that has just started.
+        self.assertEqual({}, dict(self.target.versions))
+        self.list_engine(versions={'story': 2})
+        self.assertEqual({}, dict(self.target.versions))
         self.receive(report(['story@1']))
         self.list_engine(versions={'story': 2})
         self.assertEqual({'story': 1}, dict(self.target.versions))
@@ -69,6 +73,11 @@
         self.known.update(KnownState(), 1.0)
         self.list_engine(versions={'story': 3})
         self.assertEqual({}, dict(self.target.versions))
+        # The engine started again, and its agent is suspended since its
+        # order.
+        self.receive(report(['story@3']))
+        self.list_engine(versions={'story': 3}, started_ms=2000)
+        self.assertEqual({}, dict(self.target.versions))
 
 
 if __name__ == '__main__':
