Loads: usual terms for delayed calls and times of reports

Calls without an answer are delayed, not late: MAX_WRITE_DELAY_S and MAX_ORDER_DELAY_S. Times of reports say which report they are of. reason_unverified returns None where a load is verified. Behaviour is the same.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
@@ -192,7 +192,7 @@
         if is_valid:
             continue
         if not may_write:
-            return Failure('an earlier order may be executed yet')
+            return Failure('an earlier order may still be executed')
         data = copy.chunk(index)
         if data is None:
             return Failure('copy was released')
--- a/packages/burdockchute-agent/burdockchute_agent/staged/recorded_engine.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/recorded_engine.py
@@ -9,7 +9,7 @@
 from returns.result import Result
 
 from burdockchute.adapters import Engine
-from burdockchute.decisions.load_verification import LATE_WRITE_S
+from burdockchute.decisions.load_verification import MAX_WRITE_DELAY_S
 from burdockchute.model.engines import CallFailed
 from burdockchute.model.engines import EngineReport
 from burdockchute.model.engines import LoadOrder
@@ -39,7 +39,7 @@
         self._pending: dict[str, list[PendingWrite]] = {}
 
     def written_at(self, model: str) -> float | None:
-        """Return until when a write may have changed, or may yet change, it.
+        """Return until when a write may have changed, or may still change, it.
 
         None if this process has written no chunk of the model.
         """
@@ -51,7 +51,7 @@
         return max(times, default=None)
 
     def may_stage_other_data(self, model: str, copy: Copy, now: float) -> bool:
-        """Whether a write may yet stage what isn't a chunk of a copy."""
+        """Whether a write may still stage what isn't a chunk of a copy."""
         pending = [
             write
             for write in self._pending.get(model, ())
@@ -79,10 +79,10 @@
     ) -> Result[bytes, CallFailed]:
         """Replace one staged chunk."""
         before = self._pending_until.get(model, 0.0)
-        self._pending_until[model] = self._now() + LATE_WRITE_S
+        self._pending_until[model] = self._now() + MAX_WRITE_DELAY_S
         result = self._engine.stage(model, index, data)
         if isinstance(result, Failure) and not result.failure().status:
-            until = self._now() + LATE_WRITE_S
+            until = self._now() + MAX_WRITE_DELAY_S
             self._pending_until[model] = until
             self._pending.setdefault(model, []).append(
                 PendingWrite(index, data, until)
--- a/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/rollout.py
@@ -14,7 +14,7 @@
 from burdockchute.decisions import staging
 from burdockchute.decisions import versions
 from burdockchute.decisions.load_verification import EngineLoads
-from burdockchute.decisions.load_verification import LATE_ORDER_S
+from burdockchute.decisions.load_verification import MAX_ORDER_DELAY_S
 from burdockchute.decisions.load_verification import OrderSent
 from burdockchute.decisions.staging import CopyProgress
 from burdockchute.decisions.staging import StagingState
@@ -198,7 +198,7 @@
         )
         self.ordered_manifest = manifest
         if ended.end == OrderOutcome.UNKNOWN:
-            self.order_pending_until = now + LATE_ORDER_S
+            self.order_pending_until = now + MAX_ORDER_DELAY_S
             self._order_pending_at = ended.started_ms, ended.sequence
 
     def expect_earlier_order(self) -> None:
@@ -220,12 +220,12 @@
         if now >= self.order_pending_until:
             return
         if loads is None:
-            self.order_pending_until = now + LATE_ORDER_S
+            self.order_pending_until = now + MAX_ORDER_DELAY_S
             return
         reported = loads.started_ms, loads.sequence
         if self._order_pending_at is None:
             self._order_pending_at = reported
-            self.order_pending_until = now + LATE_ORDER_S
+            self.order_pending_until = now + MAX_ORDER_DELAY_S
         elif reported != self._order_pending_at:
             self.order_pending_until = 0.0
 
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -317,17 +317,17 @@
         is_verified = load_verification.is_verified_by_order(
             loads, rollout.order, self._engine.first_call_at
         )
-        reason = ''
+        reason = None
         if not is_verified and checked.invalid:
             reason = 'chunks are not those of the version'
         elif not is_verified:
-            reason = load_verification.write_conflict(
+            reason = load_verification.reason_unverified(
                 loads, rollout.order, self._engine.written_at(checked.model)
             )
         self._loads = load_verification.after_check(
-            loads, checked.model, checked.version, valid=not reason
+            loads, checked.model, checked.version, valid=reason is None
         )
-        if not reason:
+        if reason is None:
             logs.event(
                 'load_verified',
                 model=checked.model,
--- a/packages/burdockchute/burdockchute/decisions/load_verification.py
+++ b/packages/burdockchute/burdockchute/decisions/load_verification.py
@@ -24,10 +24,10 @@
 MAX_ORDER_AGE_S = 2.5
 
 # A write without an answer may be executed until this long after it.
-LATE_WRITE_S = 10.0
+MAX_WRITE_DELAY_S = 10.0
 # An order without an answer may be executed until this long after the engine
 # has begun to answer again.
-LATE_ORDER_S = 5.0
+MAX_ORDER_DELAY_S = 5.0
 
 
 class OrderSent(NamedTuple):
@@ -49,17 +49,18 @@
 class EngineLoads(NamedTuple):
     """The loads of one start of an engine.
 
-    Its `sequence` identifies the last load, which was accepted later than
-    `accepted_after`, None if it may have been at any time. A report of it
-    was last requested at `seen_at`, and named the versions `reported`.
-    `verified` has the versions whose loads are verified, `checked` those that
-    were checked since the last load.
+    Its `sequence` identifies the last load. The last report with an earlier
+    one was requested at `last_report_before`, None if there was none; the load
+    was accepted after that. The last report of all was requested at
+    `last_reported_at`, and named the versions `reported`. `verified` has the
+    versions whose loads are verified, `checked` those that were checked since
+    the last load.
     """
 
     started_ms: int | None
     sequence: int
-    seen_at: float
-    accepted_after: float | None = None
+    last_reported_at: float
+    last_report_before: float | None = None
     reported: Mapping[str, int] = {}
     verified: Mapping[str, int] = {}
     checked: frozenset[tuple[str, int]] = frozenset()
@@ -81,11 +82,11 @@
         return new._replace(verified=reported)
     if loads is None:
         return new
-    new = new._replace(accepted_after=loads.seen_at)
+    new = new._replace(last_report_before=loads.last_reported_at)
     if loads.started_ms != report.started_ms:
         return new
     if loads.sequence == report.sequence:
-        return loads._replace(seen_at=requested_at, reported=reported)
+        return loads._replace(last_reported_at=requested_at, reported=reported)
     if loads.sequence + 1 == report.sequence:
         # One load of another model or version; an order to load what is
         # loaded already doesn't begin anything. A version that was checked
@@ -143,28 +144,28 @@
     if order.check_age_s is None or order.check_age_s > MAX_ORDER_AGE_S:
         return False
     check_began_after = order.reported_at - MAX_ORDER_AGE_S
-    return first_call_at + LATE_WRITE_S <= check_began_after
+    return first_call_at + MAX_WRITE_DELAY_S <= check_began_after
 
 
-def write_conflict(
+def reason_unverified(
     loads: EngineLoads, order: OrderSent | None, written_at: float | None
-) -> str:
-    """Return why valid chunks don't verify the last load, '' if they do.
+) -> str | None:
+    """Return why valid chunks don't verify the last load, None if they do.
 
     `written_at` is the last time at which this agent may have written to the
     staging area. The order in question, if this agent sent it, was sent after
     a check, which makes writes irrelevant if the answer came in time.
     """
-    accepted_after = loads.accepted_after
+    last_report_before = loads.last_report_before
     if order is not None and _is_order_of(order, loads):
         age_s = order.check_age_s
         if age_s is not None and age_s <= MAX_ORDER_AGE_S:
-            return ''
-        accepted_after = order.reported_at
+            return None
+        last_report_before = order.reported_at
     if written_at is None:
-        return ''
-    if accepted_after is not None and written_at < accepted_after:
-        return ''
+        return None
+    if last_report_before is not None and written_at < last_report_before:
+        return None
     return 'chunks may have been written after the order was accepted'
 
 
