Crashes: rejected tries don't follow each other at once

After an outage, engines reject requests because they are full or run under another id. A request with a part that may only be tried was rejected by three of them within some 60 ms and had used up all tries: its callers, and all others with the part, got 503 for ten minutes.

A try that was rejected, or not sent after its claim, now stays open for 1 s, as one that crashed does. Requests wait for it meanwhile, the same request as well. Such a try still counts: it may have reached an engine, and at most three requests may do so, over all entries.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -67,6 +67,9 @@
 
 # An upstream crashes, and the crash is judged, within this time.
 TRIAL_S = 1.0
+# Upstreams that rejected a request may be full for as long as this.
+UNRUN_TRY_PAUSE_S = 1.0
+
 # A trial may end without an answer, and another one begin.
 MAX_TRIAL_WAIT_S = 2 * TRIAL_S
 
@@ -311,6 +314,17 @@
             gevent.sleep(CRASHED_TRY_PAUSE_S)
         self.try_limits.end_claims(claims)
 
+    def end_unrun_tries(self, ctx: RequestContext) -> None:
+        """End the tries of a request that its upstream did not run.
+
+        Upstreams that reject requests after an outage must not use up all
+        tries at once.
+        """
+        if claims := self.try_limits.take_claims(ctx):
+            gevent.spawn_later(
+                UNRUN_TRY_PAUSE_S, self.try_limits.end_claims, claims
+            )
+
     # Evidence of this entry.
 
     def answer_lost(
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -278,7 +278,7 @@
                 reason = 'it may crash upstreams, and no try was claimed'
         if reason:
             conn.close()
-            self._end_tries()
+            self._deps.crash_watch.end_unrun_tries(self.ctx)
             self._deps.scheduler.release(self.pending, slot)
             return NotExecuted(reason, False)
         start_by = None
@@ -637,7 +637,7 @@
         self.runs -= 1
         target = sent.slot.target
         self._drain_refusal(sent, head)
-        self._end_tries()
+        self._deps.crash_watch.end_unrun_tries(self.ctx)
         if head.status == MISDIRECTED:
             # Another instance runs at this address, or other weights are
             # loaded, than the upstream list or the agent last reported.
