Crashes: an unconfirmed end of an answer clears no part

An answer without a length or chunks ends with its connection, also when its upstream crashes. If the upstream then doesn't respond (it is cut off, or its health check waits for a slot), its answer is taken for complete, as callers need it. It was also taken as proof: it cleared the part of its prompt at all entries, which forgot the crashes and the tries, and went on to send requests with a part that crashes engines.

Such an answer now counts as one that is not whole, as one that has been arriving for long does, unless the upstream confirmed that its start still runs. A part that is limited stays so until the next answer with a length, or with a confirmed end.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/end_check.py
@@ -53,15 +53,20 @@
         One that does not respond is not taken as ended, unless others have
         seen it end after a request was sent to it at `sent_at`.
         """
+        return bool(self.ask(target, sent_at))
+
+    def ask(self, target: Target, sent_at: float) -> bool | None:
+        """Return whether an upstream has ended, None if it is unknown."""
         if target.is_replaced:
             return True
-        has_ended = self._ask(target)
+        has_ended = self._ask_upstream(target)
         if has_ended is None:
             started_ms = target.upstream.started_ms
-            return self._has_crashed(target.id, started_ms, sent_at)
+            if self._has_crashed(target.id, started_ms, sent_at):
+                return True
         return has_ended
 
-    def _ask(self, target: Target) -> bool | None:
+    def _ask_upstream(self, target: Target) -> bool | None:
         """Return whether an upstream has ended, None if it does not respond.
 
         Without a health path, only the address can be asked.
--- a/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/sending.py
@@ -123,6 +123,9 @@
         self._deadline_check = DeadlineCheck(ctx.deadline + ANSWER_GRACE_S)
         # For how long the answer on each connection has been arriving.
         self._answering: dict[Connection, AnswerTime] = {}
+        # The connections whose end was taken for that of their answer although
+        # their upstreams did not respond.
+        self._unconfirmed: set[Connection] = set()
         # Whether an answer has been arriving for longer than a request that
         # crashes its upstream takes.
         self.has_outlasted = False
@@ -482,13 +485,17 @@
             sent.conn.framing,
             partial_event,
             lacks_events,
-            lambda: self._deps.end_check.has_ended(
-                sent.slot.target, sent.sent_at
-            ),
+            lambda: self._is_upstream_gone(sent),
         )
         if isinstance(end, BrokenOff):
             raise AnswerFailed(end.reason, end.crashed)
 
+    def _is_upstream_gone(self, sent: SentRequest) -> bool:
+        has_ended = self._deps.end_check.ask(sent.slot.target, sent.sent_at)
+        if has_ended is None:
+            self._unconfirmed.add(sent.conn)
+        return bool(has_ended)
+
     def mark_started(self, sent: SentRequest) -> None:
         """Record events of the answer: the prompt was processed."""
         lasted_s = self._record_answering(sent.conn)
@@ -601,6 +608,8 @@
         self._deps.crash_watch.answer_complete(
             self.ctx,
             head.status < 400 and has_events,
+            # An upstream that crashes may end its answer in the same way.
+            is_whole=sent.conn not in self._unconfirmed,
             answering_s=self._answering_s(sent),
         )
         self._end_tries()
