Crashes: the record of a whole answer outlives partial ones

Only a whole answer shows that the crashes with a part before it don't count. The store keeps one record of the last answer for each cause, and an answer that had been arriving for long replaced the record of a whole one, whether it was saved at once or with the next crash. An entry that started then counted all crashes of ten minutes, limited a sound part from the fifth on, and its tries limited the part at all entries.

The record has the time of the last whole answer whenever the entry that saves it knows of one that has not expired. A whole answer that becomes known after the record of a partial one, also of another entry, is saved with the next crash.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -108,6 +108,8 @@
         self._own: dict[str, _Evidence] = {}
         # The keys of all evidence in the store, and its Unix times.
         self._stored_at: dict[str, float] = {}
+        # The keys of the answers in the store that were not whole.
+        self._stored_partial: set[str] = set()
         self._cursor = Cursor()
         self._was_read = True
         # The read that is open while no changes are expected.
@@ -147,15 +149,28 @@
 
     def save_answered(self, name: str, is_whole: bool = True) -> None:
         """Save that what was in crashes has been answered."""
-        self._inbox.put(CauseAnswered(name, self._now_unix(), is_whole))
         if not is_whole:
+            self._inbox.put(self._answered(name, self._now()))
             return
+        self._inbox.put(CauseAnswered(name, self._now_unix(), is_whole))
         tries = [key for key in self._stored_at if _is_try_of(name, key)]
         if tries:
             # They, and that it was refused, outlast the record of the answer.
             for key in (*tries, name):
                 self._inbox.put(RecordRemoved(key))
 
+    def _answered(self, name: str, at: float) -> CauseAnswered:
+        """Return the record of the last whole answer, or of one at a time.
+
+        Only a whole answer shows entries that start later that the crashes
+        before it don't count.
+        """
+        now, now_unix = self._now(), self._now_unix()
+        whole_at = self._causes.unanswered.answered_at(name)
+        if whole_at is not None and now - whole_at <= CRASH_TTL_S:
+            return CauseAnswered(name, now_unix - (now - whole_at), True)
+        return CauseAnswered(name, now_unix - (now - at))
+
     def _refused(self, name: str, for_s: float) -> CauseRefused:
         # A record holds for REFUSE_S; one for less is dated back.
         return CauseRefused(name, self._now_unix() + for_s - REFUSE_S)
@@ -181,7 +196,7 @@
         for change in changes:
             if isinstance(change, _Evidence):
                 self._own[change.key] = change
-                self._stored_at[change.key] = change.at_unix
+                self._record_stored(change)
         if any(isinstance(change, CrashRecorded) for change in changes):
             changes = [*changes, *self._unsaved_answers()]
         changes = [*changes, *self._remove_expired()]
@@ -266,22 +281,28 @@
         An entry that starts later judges crashes with such a part as this one
         does. They are saved with crashes, so they cost no call.
         """
-        now, now_unix = self._now(), self._now_unix()
         answered = (
-            CauseAnswered(
-                part,
-                now_unix - (now - at),
-                at == self._causes.unanswered.answered_at(part),
-            )
+            self._answered(part, at)
             for part, at in self._causes.answered_parts()
         )
         unsaved = (
-            record for record in answered if record.key not in self._stored_at
+            record
+            for record in answered
+            if record.key not in self._stored_at
+            or record.is_whole
+            and record.key in self._stored_partial
         )
         records = list(itertools.islice(unsaved, MAX_ANSWERS_PER_SAVE))
-        self._stored_at |= {r.key: r.at_unix for r in records}
+        for record in records:
+            self._record_stored(record)
         return records
 
+    def _record_stored(self, record: _Evidence) -> None:
+        self._stored_at[record.key] = record.at_unix
+        self._stored_partial.discard(record.key)
+        if isinstance(record, CauseAnswered) and not record.is_whole:
+            self._stored_partial.add(record.key)
+
     def _remove_expired(self) -> list[RecordRemoved]:
         """Forget expired evidence; return what removes it from the store."""
         now_unix = self._now_unix()
@@ -296,6 +317,7 @@
         ][:MAX_SAVED_TOGETHER]
         for key in removed:
             self._stored_at.pop(key, None)
+            self._stored_partial.discard(key)
             self._own.pop(key, None)
         return [RecordRemoved(key) for key in removed]
 
@@ -388,11 +410,12 @@
         match change:
             case RecordRemoved():
                 self._stored_at.pop(change.key, None)
+                self._stored_partial.discard(change.key)
                 self._causes.clear(change.key, self._now())
             case CauseRefused():
                 self._apply_refused(change)
             case CrashRecorded() | CauseAnswered() | TryClaimed():
-                self._stored_at[change.key] = change.at_unix
+                self._record_stored(change)
                 age_s = max(0.0, self._now_unix() - change.at_unix)
                 if age_s <= _ttl_s(change.key):
                     self._apply_evidence(change, self._now() - age_s)
