--- a/packages/burdockchute-agent/tests/test_reports.py
+++ b/packages/burdockchute-agent/tests/test_reports.py
@@ -39,7 +39,7 @@
         )
         wire.decode(wire.encode(report))
 
-    def test_a_poll_answered_with_an_odd_status_fails_at_once(self):
+    def test_a_poll_answered_with_an_invalid_status_fails_at_once(self):
         """600 counted as the load, and 000 was waited for."""
         body = b'{"running": 7}'
 
--- a/packages/burdockchute-agent/tests/test_runner.py
+++ b/packages/burdockchute-agent/tests/test_runner.py
@@ -81,7 +81,7 @@
             self.assertGreater(refused.retry_after_ms, 0.9 * REST_S * 1000)
         self.assertEqual(1, self.calls)
 
-    def test_an_odd_status_is_not_relayed(self) -> None:
+    def test_an_invalid_status_is_not_relayed(self) -> None:
         """An entry passed 600 on to its caller."""
         for number, status in enumerate((b'000', b'099', b'600', b'999')):
             self.reply = REFUSAL.replace(b'503', status)
--- a/packages/burdockchute-entry/tests/test_router.py
+++ b/packages/burdockchute-entry/tests/test_router.py
@@ -86,7 +86,7 @@
         self.bench.receive(link, end)
         self.assertIsInstance(self.bench.outcome(truncated), Unknown)
 
-    def test_answer_with_an_odd_status_is_not_forwarded(self):
+    def test_answer_with_an_invalid_status_is_not_forwarded(self):
         """An agent of an earlier release relays 600 of its upstream.
 
         It runs again if its caller has no part of it, and is lost otherwise.
--- a/packages/burdockchute/tests/callers/test_server.py
+++ b/packages/burdockchute/tests/callers/test_server.py
@@ -19,7 +19,7 @@
 REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
-ODD = (-1, 0, 99, 100, 199, 600, 999)
+NOT_FINAL = (-1, 0, 99, 100, 199, 600, 999)
 
 
 def answer_oddly(environ, start_response):
@@ -35,12 +35,12 @@
 
 
 class OddStatusTest(unittest.TestCase):
-    def test_no_answer_is_made_with_an_odd_status(self):
+    def test_no_answer_is_made_with_an_invalid_status(self):
         """An application that is given 600 by another process passed it on."""
         serving = server.make_server('127.0.0.1', 0, answer_oddly)
         serving.start()
         self.addCleanup(serving.stop)
-        for status in ODD:
+        for status in NOT_FINAL:
             conn = socket.create_connection(
                 ('127.0.0.1', serving.server_port), 2
             )
--- a/packages/burdockchute/tests/decisions/test_claims.py
+++ b/packages/burdockchute/tests/decisions/test_claims.py
@@ -50,7 +50,7 @@
         self.assertEqual(Recorded(ANSWER), self.claim('b'))
         self.assertEqual(OtherBody(), self.claim('c', 'other'))
 
-    def test_recorded_odd_status_is_no_answer(self):
+    def test_recorded_invalid_status_is_no_answer(self):
         """An entry of an earlier release recorded 600, which was replayed.
 
         The claims in the same record hold, or their requests would run twice.
