Crashes: names of limits and tries say what they are

MAX_PART_CRASHES was no maximum: from that many crashes on the tries of a part are limited. `has_reached_crash_limit`, `are_exhausted`, `has_ended` and `_only_whole_answer_clears` replace `is_often_in_crashes`, `have_failed`, `is_over` and `_needs_whole`. No behaviour changes.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_records_task.py
@@ -141,11 +141,11 @@
         self._inbox.put(CrashRecorded(lost, self._now_unix()))
 
     def save_try_over(self, name: str, number: int) -> None:
-        """Save that a try of this entry ended and showed nothing."""
+        """Save that a try of this entry ended without an outcome."""
         key = TryClaimed(name, number, 0.0).key
         claimed = self._own.get(key)
         if isinstance(claimed, TryClaimed):
-            self._inbox.put(claimed._replace(is_over=True))
+            self._inbox.put(claimed._replace(has_ended=True))
 
     def save_answered(self, name: str, is_whole: bool = True) -> None:
         """Save that what was in crashes has been answered."""
@@ -425,9 +425,9 @@
             answered_at = self._causes.whole_answer_at(record.name)
             if answered_at is None or at > answered_at:
                 self._causes.tries.record(
-                    record.name, record.number, at, not record.is_over
+                    record.name, record.number, at, not record.has_ended
                 )
-                if record.is_over:
+                if record.has_ended:
                     self._crash_watch.recheck_tries()
             return
         if isinstance(record, CauseAnswered):
--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -27,7 +27,7 @@
 from burdockchute.decisions.crash_evidence import REFUSE_S
 from burdockchute.decisions.tries import CRASHED_TRY_PAUSE_S
 from burdockchute.decisions.tries import TRY_S
-from burdockchute.decisions.unanswered_crashes import MAX_PART_CRASHES
+from burdockchute.decisions.unanswered_crashes import CRASHES_TO_LIMIT_PART
 from burdockchute.model.crash_reports import AnsweredRequest
 from burdockchute.model.crash_reports import LostRequest
 from burdockchute.model.outcomes import NotRun
@@ -101,7 +101,7 @@
     sees answered, and whether the answer was whole. `claim_tries` claims a
     try of each of some causes over all entries, by a request with a
     fingerprint; without it, this entry is alone. `on_try_over` is called with
-    a cause and the number of its try that ended and showed nothing.
+    a cause and the number of its try that ended without an outcome.
 
     `is_informed` is not set while an entry that has just started does not know
     yet what others know of earlier crashes.
@@ -243,7 +243,7 @@
 
     def _trial_or_try_left_s(self, ctx: RequestContext) -> float:
         limited = self.try_limits.limited_causes(ctx)
-        if self.try_limits.have_failed(limited):
+        if self.try_limits.are_exhausted(limited):
             # It is refused at once.
             return 0.0
         try_s = self.try_limits.open_for_s(limited)
@@ -290,7 +290,8 @@
             self.causes.crash_count(ctx.fingerprint)
             or self.has_unproven_part(ctx)
             or any(
-                self.causes.unanswered.count(part.name) >= MAX_PART_CRASHES - 1
+                self.causes.unanswered.count(part.name)
+                >= CRASHES_TO_LIMIT_PART - 1
                 for part in ctx.prompt_parts
             )
         ):
@@ -310,7 +311,9 @@
 
     def _end_lost_tries(self, claims: Sequence[Claim]) -> None:
         self._is_settled.wait(TRY_S)
-        if any(self.causes.is_often_in_crashes(name) for name, _ in claims):
+        if any(
+            self.causes.has_reached_crash_limit(name) for name, _ in claims
+        ):
             gevent.sleep(CRASHED_TRY_PAUSE_S)
         self.try_limits.end_claims(claims)
 
@@ -518,7 +521,7 @@
     def _log_limited_parts(self, lost: LostRequest) -> None:
         for part in lost.parts:
             count = self.causes.unanswered.count(part.name)
-            if count == MAX_PART_CRASHES:
+            if count == CRASHES_TO_LIMIT_PART:
                 logs.event('tries_limited', cause=part.name, crashes=count)
 
     def _on_try_over(self, name: str, number: int) -> None:
--- a/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/try_limits.py
@@ -44,7 +44,7 @@
     `claim_tries` claims a try of each of some causes over all entries, by a
     request with a fingerprint; without it, this entry is alone. `on_used_up`
     is called with a cause that is refused again after its last try, `on_over`
-    with a cause and the number of a try that ended and showed nothing.
+    with a cause and the number of a try that ended without an outcome.
     """
 
     def __init__(
@@ -92,7 +92,7 @@
         if not limited:
             return None
         now = self._now()
-        if self.have_failed(limited):
+        if self.are_exhausted(limited):
             self._refuse_again(limited)
             reason = 'it crashed the upstreams that ran it, and was tried'
             return NotRun(reason, 503, REFUSE_S)
@@ -144,14 +144,14 @@
         # A try may end at any time, and others of the cause come then.
         return min(self.open_for_s(limited) or TRY_S, TRY_S)
 
-    def have_failed(self, limited: Iterable[str]) -> bool:
+    def are_exhausted(self, limited: Iterable[str]) -> bool:
         """Whether one of the causes was tried as often as allowed.
 
         The last try may be open, and an answer to it frees the cause.
         """
-        return any(map(self._has_failed, limited))
+        return any(map(self._is_exhausted, limited))
 
-    def _has_failed(self, name: str) -> bool:
+    def _is_exhausted(self, name: str) -> bool:
         tries = self._causes.tries
         return tries.are_used_up(name) and not tries.open_for_s(
             name, self._now()
@@ -167,7 +167,7 @@
 
     def _refuse_again(self, limited: Iterable[str]) -> None:
         for name in limited:
-            if self._has_failed(name):
+            if self._is_exhausted(name):
                 self._causes.refuse(name, REFUSE_S, self._now())
                 self._on_used_up(name)
 
--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -27,7 +27,7 @@
 from burdockchute.decisions.tries import MAX_AMBIGUOUS_TRIES
 from burdockchute.decisions.tries import MAX_TRY_S
 from burdockchute.decisions.tries import Tries
-from burdockchute.decisions.unanswered_crashes import MAX_PART_CRASHES
+from burdockchute.decisions.unanswered_crashes import CRASHES_TO_LIMIT_PART
 from burdockchute.decisions.unanswered_crashes import UnansweredCrashes
 from burdockchute.model.crash_reports import LostRequest
 
@@ -186,7 +186,9 @@
         if is_whole:
             self._late_runs.pop(request, None)
         names = [
-            part for part in parts if is_whole or not self._needs_whole(part)
+            part
+            for part in parts
+            if is_whole or not self._only_whole_answer_clears(part)
         ]
         if request not in self._late_runs:
             names.insert(0, request)
@@ -217,7 +219,9 @@
         """
         if is_whole:
             self.unanswered.answered(name, at)
-        elif fingerprint_of(name) is None and self._needs_whole(name):
+        elif fingerprint_of(name) is None and self._only_whole_answer_clears(
+            name
+        ):
             return
         was_known = self.was_answered(name)
         if at > self._answered_at.get(name, float('-inf')):
@@ -478,19 +482,19 @@
         return (
             name in self._limited_at
             or self.tries.count(name) > 0
-            or self.is_often_in_crashes(name)
+            or self.has_reached_crash_limit(name)
         )
 
-    def is_often_in_crashes(self, name: str) -> bool:
+    def has_reached_crash_limit(self, name: str) -> bool:
         """Whether a part was in so many crashes without a whole answer."""
         return (
             fingerprint_of(name) is None
-            and self.unanswered.count(name) >= MAX_PART_CRASHES
+            and self.unanswered.count(name) >= CRASHES_TO_LIMIT_PART
         )
 
-    def _needs_whole(self, name: str) -> bool:
+    def _only_whole_answer_clears(self, name: str) -> bool:
         """Whether only a whole answer shows that a part is sound."""
-        return self.tries.count(name) > 0 or self.is_often_in_crashes(name)
+        return self.tries.count(name) > 0 or self.has_reached_crash_limit(name)
 
     def is_known(self, name: str) -> bool:
         """Whether a cause that may only be tried is known to crash upstreams.
@@ -502,7 +506,7 @@
         return (
             fingerprint_of(name) is not None
             or name in self._convicted
-            or self.is_often_in_crashes(name)
+            or self.has_reached_crash_limit(name)
         )
 
     def may_be_tried(
--- a/packages/burdockchute/burdockchute/decisions/unanswered_crashes.py
+++ b/packages/burdockchute/burdockchute/decisions/unanswered_crashes.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 
 # From here on a part may only be tried, whatever else crashes.
-MAX_PART_CRASHES = 5
+CRASHES_TO_LIMIT_PART = 5
 
 # Parts of prompts and when they were answered.
 MAX_NAMES = 5000
@@ -73,5 +73,5 @@
             name: crashes
             for name, crashes in self._crashed_at.items()
             if max(crashes.values())
-            >= (limited_at if len(crashes) >= MAX_PART_CRASHES else at)
+            >= (limited_at if len(crashes) >= CRASHES_TO_LIMIT_PART else at)
         }
--- a/packages/burdockchute/burdockchute/model/feeds.py
+++ b/packages/burdockchute/burdockchute/model/feeds.py
@@ -115,13 +115,13 @@
     """An entry tries what has crashed upstreams, at a Unix time in seconds.
 
     `name` is that of a request or of a part of prompts, `number` counts its
-    tries from 1. With `is_over` it has ended, and shown nothing.
+    tries from 1. With `has_ended` it has ended without an outcome.
     """
 
     name: str
     number: int
     at_unix: float
-    is_over: bool = False
+    has_ended: bool = False
 
     @property
     def key(self) -> str:
--- a/packages/burdockchute/tests/decisions/crash_simulation.py
+++ b/packages/burdockchute/tests/decisions/crash_simulation.py
@@ -278,7 +278,7 @@
             )
             self._causes.crashed(lost, now)
             for cause, tried in run.claims:
-                is_often = self._causes.is_often_in_crashes(cause)
+                is_often = self._causes.has_reached_crash_limit(cause)
                 at = (
                     now
                     + JUDGEMENT_S
