Crashes: a sound part isn't limited by crashes that another part explains

The parts that they share with requests that crash engines were in five crashes, too, before an answer on them was complete. So they were tried one request at a time, and a try lasts as long as its answer.

A part that crashes engines is never answered completely. So a crash doesn't count against a part that was, if another part of it never was and is in more crashes. That one is limited itself, as nothing else explains its crashes.

--- a/packages/burdockchute/burdockchute/decisions/crash_causes.py
+++ b/packages/burdockchute/burdockchute/decisions/crash_causes.py
@@ -27,7 +27,6 @@
 from burdockchute.decisions.tries import MAX_AMBIGUOUS_TRIES
 from burdockchute.decisions.tries import MAX_TRY_S
 from burdockchute.decisions.tries import Tries
-from burdockchute.decisions.unanswered_crashes import CRASHES_TO_LIMIT_PART
 from burdockchute.decisions.unanswered_crashes import UnansweredCrashes
 from burdockchute.model.crash_reports import LostRequest
 
@@ -487,10 +486,9 @@
 
     def has_reached_crash_limit(self, name: str) -> bool:
         """Whether a part was in so many crashes without a whole answer."""
-        return (
-            fingerprint_of(name) is None
-            and self.unanswered.count(name) >= CRASHES_TO_LIMIT_PART
-        )
+        return fingerprint_of(
+            name
+        ) is None and self.unanswered.has_reached_limit(name)
 
     def _only_whole_answer_clears(self, name: str) -> bool:
         """Whether only a whole answer shows that a part is sound."""
--- a/packages/burdockchute/burdockchute/decisions/unanswered_crashes.py
+++ b/packages/burdockchute/burdockchute/decisions/unanswered_crashes.py
@@ -59,6 +59,23 @@
         """Return in how many crashes a cause was since its whole answer."""
         return len(self._crashed_at.get(name, ()))
 
+    def has_reached_limit(self, name: str) -> bool:
+        """Whether a cause was in too many crashes that no other explains.
+
+        One that crashes upstreams is never answered whole. So a crash with
+        such a cause doesn't count against one that was, and is in fewer.
+        """
+        crashes = self._crashed_at.get(name, {})
+        if len(crashes) < CRASHES_TO_LIMIT_PART:
+            return False
+        if name not in self._answered_at:
+            return True
+        unexplained = set(crashes)
+        for other, ends in self._crashed_at.items():
+            if other not in self._answered_at and len(ends) > len(crashes):
+                unexplained.difference_update(ends)
+        return len(unexplained) >= CRASHES_TO_LIMIT_PART
+
     def has_crashed_since(self, name: str, at: float) -> bool:
         """Whether a cause was in a crash after a time."""
         return any(end > at for end in self._crashed_at.get(name, {}).values())
--- a/packages/burdockchute/tests/decisions/test_crash_causes.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -99,6 +99,33 @@
         self.parts.answered_elsewhere('m/bad', 700.0, 700.0, True)
         self.assertFalse(self.parts.may_only_be_tried('m/bad'))
 
+    def test_crashes_that_another_part_explains_limit_no_sound_part(self):
+        """Requests with sound parts waited for each other's long answers."""
+        for together, alone, was_answered, is_limited in (
+            # Crashes with both parts, crashes with the crashing one alone.
+            (4, 4, True, False),
+            (5, 1, True, False),
+            (8, 1, True, False),
+            # They come together only, so either may be the cause.
+            (5, 0, True, True),
+            # Nobody has ever seen the other one answered.
+            (5, 1, False, True),
+        ):
+            with self.subTest(together, alone=alone, answered=was_answered):
+                causes = CrashCauses()
+                if was_answered:
+                    causes.answered('g', ['m/2'], -1.0)
+                for number in range(together + alone):
+                    parts = (shared(1), shared(2))[: 1 + (number < together)]
+                    lost = LostRequest(f'f-{number}', f'i-{number}', parts)
+                    causes.crashed(lost._replace(is_late=True), float(number))
+                self.assertTrue(causes.may_only_be_tried('m/1'))
+                self.assertEqual(is_limited, causes.may_only_be_tried('m/2'))
+                # The first part was sound after all.
+                causes.answered('g', ['m/1'], 20.0)
+                self.assertFalse(causes.may_only_be_tried('m/1'))
+                self.assertEqual(together > 4, causes.may_only_be_tried('m/2'))
+
     def test_parts_that_always_come_together_are_tried_three_times(self):
         """A first try without an outcome refused both for up to a day."""
         cases = [
