Crashes: a part that another one explains is not logged as limited

tries_limited was written for each part in its fifth crash without a complete answer. Since a crash doesn't count against a part that another one explains, the line was untrue for such parts. It now asks what the decision asks.

--- a/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
+++ b/packages/burdockchute-entry/burdockchute_entry/straight/crash_watch.py
@@ -521,7 +521,10 @@
     def _log_limited_parts(self, lost: LostRequest) -> None:
         for part in lost.parts:
             count = self.causes.unanswered.count(part.name)
-            if count == CRASHES_TO_LIMIT_PART:
+            if (
+                count == CRASHES_TO_LIMIT_PART
+                and self.causes.has_reached_crash_limit(part.name)
+            ):
                 logs.event('tries_limited', cause=part.name, crashes=count)
 
     def _on_try_over(self, name: str, number: int) -> None:
