Agent: the engine's start is known in one place

The task kept the start of the last report beside EngineLoads, which has it, too. The read of all chunks is private to its module. No change of behaviour.

--- a/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/loading.py
@@ -145,7 +145,7 @@
 ) -> LoadChecked:
     """Read the staging area after the last load was accepted."""
     started_at = now()
-    invalid = invalid_chunks(engine, manifest, model)
+    invalid = _invalid_chunks(engine, manifest, model)
     return LoadChecked(
         model,
         version,
@@ -156,7 +156,7 @@
     )
 
 
-def invalid_chunks(
+def _invalid_chunks(
     engine: Engine, manifest: Manifest, model: str
 ) -> list[int] | None:
     """Return the missing and corrupt chunks, None without an answer."""
--- a/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
+++ b/packages/burdockchute-agent/burdockchute_agent/staged/staged_task.py
@@ -105,7 +105,6 @@
         assert machine.upstream is not None
         self.inbox: queue.Queue = queue.Queue()
         self.report: EngineReport | None = None
-        self._engine_started_ms: int | None = None
         self.bounds = machine.bounds
         self._machine = machine
         self._adapter = adapter
@@ -226,8 +225,8 @@
         report = result.unwrap()
         if previous is not None and report.sequence < previous.sequence:
             self._clear_staged()
-        if report.started_ms != self._engine_started_ms:
-            self._engine_started_ms = report.started_ms
+        known_start = self._loads.started_ms if self._loads else None
+        if report.started_ms != known_start:
             self._forget_earlier_start()
         if previous is None or (
             dict(previous.versions),
