--- a/packages/burdockchute/tests/decisions/test_crash_causes.py
+++ b/packages/burdockchute/tests/decisions/test_crash_causes.py
@@ -108,7 +108,7 @@
             (8, 1, True, False),
             # They come together only, so either may be the cause.
             (5, 0, True, True),
-            # Nobody has ever seen the other one answered.
+            # No answer on the other one was ever complete.
             (5, 1, False, True),
         ):
             with self.subTest(together, alone=alone, answered=was_answered):
