--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -87,11 +87,12 @@
     """Passes connections on; while cut, it holds all bytes and ends back.
 
     What is held arrives once the cut is over, as on a link whose ends send
-    again what was lost.
+    again what was lost. With `one_way`, what comes from the server passes.
     """
 
     def __init__(self, target_port: int) -> None:
         self.cut = False
+        self.one_way = False
         self._target = target_port
         self._server = StreamServer((HOST, 0), self._handle)
         self._server.start()
@@ -105,8 +106,8 @@
         """Stop listening."""
         self._server.stop(timeout=0)
 
-    def _pass(self) -> None:
-        while self.cut:
+    def _pass(self, is_from_server: bool = False) -> None:
+        while self.cut and not (self.one_way and is_from_server):
             gevent.sleep(0.005)
 
     def _handle(self, client: Any, _address: Any) -> None:
@@ -118,21 +119,23 @@
             return
         for sock in (client, server):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        back = gevent.spawn(self._pump, server, client)
+        back = gevent.spawn(self._pump, server, client, True)
         self._pump(client, server)
         back.join()
         client.close()
         server.close()
 
-    def _pump(self, source: Any, target: Any) -> None:
+    def _pump(
+        self, source: Any, target: Any, is_from_server: bool = False
+    ) -> None:
         try:
             while data := source.recv(65536):
-                self._pass()
+                self._pass(is_from_server)
                 target.sendall(data)
-            self._pass()
+            self._pass(is_from_server)
             target.shutdown(socket.SHUT_WR)
         except ConnectionResetError:
-            self._pass()
+            self._pass(is_from_server)
             _reset(source)
             _reset(target)
         except OSError:
