--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -30,7 +30,8 @@
 from tests.fakes import FakeStore
 
 ROOT = pathlib.Path.cwd()
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# The exit status of a script that fails by itself is 1.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 HOST = '127.0.0.1'
 HEARTBEAT_S = 1.2
 KEY, TENANT = 'k-1', 'school'
