--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -40,11 +40,6 @@
 _LIBC = ctypes.CDLL(None)
 
 
-def has_trouble() -> bool:
-    """Whether the disruption is to take place."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 def free_ports(count: int) -> list[int]:
     """Return unused ports of the loopback interface."""
     held = [socket.create_server((HOST, 0)) for _ in range(count)]
@@ -73,8 +68,8 @@
 class Record:
     """The file with what was sent, answered and run."""
 
-    def __init__(self, case: pathlib.Path) -> None:
-        self._file = open(case / 'record.txt', 'w', encoding='utf-8')
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = open(path, 'w', encoding='utf-8')
         self.started = time.monotonic()
 
     def write(self, text: str, at: float | None = None) -> None:
@@ -623,9 +618,9 @@
 }
 
 
-def main(case: str, run: Callable[[Record], str | None]) -> None:
-    """Run a case; it returns how the rule was broken, None if it held."""
-    record = Record(pathlib.Path(case).resolve().parent)
+def main(path: pathlib.Path, run: Callable[[Record], str | None]) -> None:
+    """Run a case with its record; it returns how the rule was broken."""
+    record = Record(path)
     try:
         broken = run(record)
     except CouldNotRun as exc:
